--- /dev/null
+++ b/src/domain/request.ts
@@ -0,0 +1,71 @@
+import type { Stream } from 'most';
+
+import type { Refusal } from './refusal.js';
+
+/** A chat or text completion, after authentication and validation. */
+export interface ModelRequest {
+  readonly requestId: string;
+  readonly team: string;
+  /** Id of the key that came with the request; undefined on open routes. */
+  readonly keyId: string | undefined;
+  readonly model: string;
+  readonly prompt: string;
+  /** Tokens of the prompt, estimated upwards. */
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  /** SHA-256 of team and body, hexadecimal. */
+  readonly fingerprint: string;
+  /** Monotonic time of arrival, in milliseconds. */
+  readonly arrivedMs: number;
+  /** W3C trace context of the entry span. */
+  readonly traceparent: string | undefined;
+}
+
+/** Tokens of a finished model request. */
+export interface Usage {
+  readonly promptTokens: number;
+  readonly completionTokens: number;
+}
+
+/** Why a model stopped. */
+export type FinishReason = 'stop' | 'length';
+
+/** One event of a model's answer; exactly one `end` or `error` comes last. */
+export type AnswerEvent =
+  | { readonly kind: 'token'; readonly index: number; readonly text: string }
+  | { readonly kind: 'end'; readonly reason: FinishReason; readonly usage: Usage }
+  | { readonly kind: 'error'; readonly refusal: Refusal };
+
+/** A model's answer in progress. */
+export interface ModelAnswer {
+  readonly events: Stream<AnswerEvent>;
+}
+
+/** A request to a plain service. */
+export interface ServiceRequest {
+  readonly requestId: string;
+  readonly team: string | undefined;
+  readonly keyId: string | undefined;
+  /** Path prefix of the matched route. */
+  readonly route: string;
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly target: string;
+  /** Headers for the server; hop-by-hop headers and the key are removed. */
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+  readonly idempotencyKey: string | undefined;
+  readonly fingerprint: string;
+  /** Monotonic time of arrival, in milliseconds. */
+  readonly arrivedMs: number;
+  readonly traceparent: string | undefined;
+}
+
+/** A plain service's whole answer. */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+  /** True when the answer was stored by an earlier attempt. */
+  readonly replayed: boolean;
+}
--- /dev/null
+++ b/src/kernel/channel.ts
@@ -0,0 +1,81 @@
+import { from, type Observable, type Stream, type Subscriber } from 'most';
+
+/** Feeds values into a `most` stream; values sent before the first subscriber are kept for it. */
+export class Channel<Value> {
+  private readonly subscribers = new Set<Subscriber<Value>>();
+
+  private readonly pending: Value[] = [];
+
+  private ended = false;
+
+  private failure: Error | undefined;
+
+  private subscribedOnce = false;
+
+  /**
+   * Creates an open channel.
+   *
+   * @returns a new channel
+   */
+  static create<Value>(): Channel<Value> {
+    return new Channel<Value>();
+  }
+
+  /**
+   * Sends a value to every subscriber; ignored after the end.
+   *
+   * @param value - what to send
+   */
+  push(value: Value): void {
+    if (this.ended) return;
+    if (!this.subscribedOnce) {
+      this.pending.push(value);
+      return;
+    }
+    [...this.subscribers].forEach((subscriber) => subscriber.next(value));
+  }
+
+  /** Ends the stream; later calls have no effect. */
+  end(): void {
+    if (this.ended) return;
+    this.ended = true;
+    [...this.subscribers].forEach((subscriber) => subscriber.complete());
+  }
+
+  /**
+   * Ends the stream with an error; later calls have no effect.
+   *
+   * @param error - why the stream ended
+   */
+  fail(error: Error): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.failure = error;
+    [...this.subscribers].forEach((subscriber) => subscriber.error(error));
+  }
+
+  /**
+   * Opens the receiving side.
+   *
+   * @returns a stream of the values that are sent
+   */
+  stream(): Stream<Value> {
+    const observable = {
+      subscribe: (subscriber: Subscriber<Value>) => this.subscribe(subscriber),
+      [Symbol.for('observable')]: () => observable,
+      '@@observable': () => observable,
+    };
+    const { observable: known } = Symbol as unknown as { observable?: symbol };
+    if (known) Object.assign(observable, { [known]: () => observable });
+    return from(observable as unknown as Observable<Value>);
+  }
+
+  private subscribe(subscriber: Subscriber<Value>): { unsubscribe: () => void } {
+    this.subscribers.add(subscriber);
+    this.subscribedOnce = true;
+    this.pending.splice(0).forEach((value) => subscriber.next(value));
+    if (this.failure) subscriber.error(this.failure);
+    else if (this.ended) subscriber.complete();
+    return { unsubscribe: () => this.subscribers.delete(subscriber) };
+  }
+}
--- /dev/null
+++ b/src/kernel/manual-clock.ts
@@ -0,0 +1,59 @@
+import { Clock } from './clock.js';
+
+interface Sleeper {
+  dueMs: number;
+  wake: () => void;
+}
+
+/** A clock that moves only when told to, for tests and repeatable comparisons. */
+export class ManualClock extends Clock {
+  private nowMs: number;
+
+  private sleepers: Sleeper[] = [];
+
+  private constructor(startMs: number) {
+    super();
+    this.nowMs = startMs;
+  }
+
+  /**
+   * Creates a stopped clock.
+   *
+   * @param startMs - first reading of both clocks, in milliseconds
+   * @returns a new clock
+   */
+  static create(startMs = 0): ManualClock {
+    return new ManualClock(startMs);
+  }
+
+  override monotonicMs(): number {
+    return this.nowMs;
+  }
+
+  override wallMs(): number {
+    return this.nowMs;
+  }
+
+  override sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal?.aborted) {
+        resolve();
+        return;
+      }
+      this.sleepers.push({ dueMs: this.nowMs + ms, wake: resolve });
+      signal?.addEventListener('abort', () => resolve(), { once: true });
+    });
+  }
+
+  /**
+   * Moves the clock and wakes the sleepers that are due.
+   *
+   * @param ms - milliseconds to move, zero or more
+   */
+  advance(ms: number): void {
+    this.nowMs += ms;
+    const due = this.sleepers.filter((sleeper) => sleeper.dueMs <= this.nowMs);
+    this.sleepers = this.sleepers.filter((sleeper) => sleeper.dueMs > this.nowMs);
+    due.forEach((sleeper) => sleeper.wake());
+  }
+}
--- /dev/null
+++ b/src/observability/hop-span.ts
@@ -0,0 +1,14 @@
+import type { HopAttributes } from './traces.js';
+
+/** A span in progress. */
+export abstract class HopSpan {
+  /** W3C trace context to pass on. */
+  abstract readonly traceparent: string;
+
+  /**
+   * Ends the span; further calls have no effect.
+   *
+   * @param attributes - what became of the hop
+   */
+  abstract end(attributes?: HopAttributes): void;
+}
