--- /dev/null
+++ b/src/callers/answer-writer.ts
@@ -0,0 +1,100 @@
+import type { ServerResponse } from 'node:http';
+
+import type { AnswerEvent, FinishReason, ModelAnswer, Usage } from '../domain/request.js';
+import type { Refusal } from '../domain/refusal.js';
+import type { CompletionKind } from './completion-body.js';
+
+/** What every answer object repeats. */
+export interface AnswerHead {
+  readonly requestId: string;
+  readonly model: string;
+  readonly kind: CompletionKind;
+  /** Wall clock, in seconds since the Unix epoch. */
+  readonly createdS: number;
+}
+
+/** How an answer ended. */
+export type AnswerResult = 'complete' | 'failed' | 'abandoned';
+
+/** Writes a model's answer to the caller. */
+export abstract class AnswerWriter {
+  private result: AnswerResult = 'abandoned';
+
+  protected constructor(
+    protected readonly response: ServerResponse,
+    protected readonly head: AnswerHead,
+  ) {}
+
+  /**
+   * Writes a whole answer.
+   *
+   * @param answer - the answer in progress
+   * @returns how it ended
+   */
+  async write(answer: ModelAnswer): Promise<AnswerResult> {
+    this.open();
+    await answer.events.forEach((event) => this.writeEvent(event));
+    return this.result;
+  }
+
+  /** Sends what precedes the first token. */
+  protected abstract open(): void;
+
+  /** Sends or keeps a token. */
+  protected abstract token(text: string): void;
+
+  /** Ends a complete answer. */
+  protected abstract complete(reason: FinishReason, usage: Usage): void;
+
+  /** Ends an answer that broke. */
+  protected abstract failed(refusal: Refusal): void;
+
+  private writeEvent(event: AnswerEvent): void {
+    if (this.response.destroyed) return;
+    if (event.kind === 'token') {
+      this.token(event.text);
+      return;
+    }
+    if (event.kind === 'end') {
+      this.result = 'complete';
+      this.complete(event.reason, event.usage);
+      return;
+    }
+    this.result = 'failed';
+    this.failed(event.refusal);
+  }
+}
+
+/**
+ * Builds the part of an answer that holds text.
+ *
+ * @param head - what every answer object repeats
+ * @param text - the text
+ * @param reason - why the model stopped; null while it goes on
+ * @param streamed - whether the text is one part of a stream
+ * @returns one element of `choices`
+ */
+export function describeChoice(
+  head: AnswerHead,
+  text: string,
+  reason: FinishReason | null,
+  streamed: boolean,
+): object {
+  if (head.kind === 'text') return { index: 0, text, finish_reason: reason };
+  const message = streamed ? { content: text } : { role: 'assistant', content: text };
+  return { index: 0, [streamed ? 'delta' : 'message']: message, finish_reason: reason };
+}
+
+/**
+ * Builds the usage part of an answer.
+ *
+ * @param usage - tokens
+ * @returns the object that OpenAI-style clients expect
+ */
+export function describeUsage(usage: Usage): object {
+  return {
+    prompt_tokens: usage.promptTokens,
+    completion_tokens: usage.completionTokens,
+    total_tokens: usage.promptTokens + usage.completionTokens,
+  };
+}
--- /dev/null
+++ b/src/callers/entry-addresses.ts
@@ -0,0 +1,41 @@
+import type { Address } from '../domain/vm.js';
+import type { Member, MemberStatus } from '../membership/membership.js';
+
+/** One address that a caller may use. */
+export interface EntryAddress extends Address {
+  readonly vm: string;
+  readonly availabilityZone: string;
+}
+
+/** What the choice of entry addresses depends on. */
+export interface EntryChoice {
+  readonly self: Member;
+  /** True when this VM may be named. */
+  readonly selfReady: boolean;
+  readonly others: readonly MemberStatus[];
+  /** Names of the VMs that hold the team's shares, the preferred one first. */
+  readonly homes: readonly string[];
+  readonly count: number;
+}
+
+/**
+ * Chooses the addresses that a caller should use: the team's home VMs first, since they admit its
+ * requests without asking others, then VMs of this availability zone, then the rest.
+ *
+ * @param choice - members and homes
+ * @returns at most `count` addresses, the preferred one first
+ */
+export function chooseEntryAddresses(choice: EntryChoice): readonly EntryAddress[] {
+  const { self, selfReady, others, homes, count } = choice;
+  const live = others.filter(({ draining }) => !draining).map(({ member }) => member);
+  const candidates = selfReady ? [self, ...live] : live;
+  const rank = (member: Member) => {
+    const home = homes.indexOf(member.vm);
+    if (home >= 0) return home;
+    return homes.length + (member.availabilityZone === self.availabilityZone ? 0 : 1);
+  };
+  return candidates
+    .toSorted((a, b) => rank(a) - rank(b))
+    .slice(0, count)
+    .map(({ vm, availabilityZone, callers }) => ({ vm, availabilityZone, ...callers }));
+}
--- /dev/null
+++ b/src/callers/http-caller-entry.ts
@@ -0,0 +1,329 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+import type { ConfigurationState, Identity } from '../configuration/configuration.js';
+import { Refusal } from '../domain/refusal.js';
+import type { ModelRequest } from '../domain/request.js';
+import type { Route } from '../domain/route.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+import type { Settings } from '../settings/schema.js';
+import { CallerEntry } from './caller-entry.js';
+import { CallerRequest } from './caller-request.js';
+import {
+  chooseMaxTokens,
+  countPromptTokens,
+  parseCompletion,
+  type CompletionBody,
+  type CompletionKind,
+} from './completion-body.js';
+import { chooseEntryAddresses } from './entry-addresses.js';
+import { checkAnnouncedSize, readBody } from './request-body.js';
+import { isPlainPath, matchRoute } from './route-match.js';
+import { StreamedAnswer } from './streamed-answer.js';
+import { WholeAnswer } from './whole-answer.js';
+
+const COMPLETIONS: ReadonlyMap<string, CompletionKind> = new Map([
+  ['/v1/chat/completions', 'chat'],
+  ['/v1/completions', 'text'],
+]);
+
+const ENTRY_ADDRESSES = '/v1/entry-addresses';
+
+/** Time for which an idle caller connection is kept, in milliseconds. */
+const KEEP_ALIVE_MS = 30_000;
+
+/** Interval at which a draining daemon looks for requests in progress, in milliseconds. */
+const DRAIN_POLL_MS = 20;
+
+/** Serves callers over HTTP/1.1; see docs/design.md, section 8. */
+export class HttpCallerEntry extends CallerEntry {
+  private readonly server: Server;
+
+  private running = 0;
+
+  private drainStartMs: number | undefined;
+
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly settings: Settings,
+    private readonly clock: Clock,
+  ) {
+    super();
+    const { headerBytes, bodyMs, callerConnections } = settings.limits;
+    this.server = createServer(
+      {
+        maxHeaderSize: headerBytes,
+        headersTimeout: bodyMs,
+        requestTimeout: bodyMs * 2,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        connectionsCheckingInterval: 1000,
+      },
+      (incoming, response) => {
+        void this.serve(incoming, response);
+      },
+    );
+    this.server.maxConnections = callerConnections;
+    this.server.on('clientError', refuseMalformedRequest);
+  }
+
+  /**
+   * Creates the service.
+   *
+   * @param kernel - finds the other services
+   * @param settings - listener and limits
+   * @param clock - times arrivals and drains
+   * @returns a new service
+   */
+  static create(kernel: Kernel, settings: Settings, clock: Clock): HttpCallerEntry {
+    return new HttpCallerEntry(kernel, settings, clock);
+  }
+
+  override start(): Promise<void> {
+    const { host, port } = this.settings.callers;
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  override async stop(): Promise<void> {
+    this.drain();
+    const deadlineMs = this.clock.monotonicMs() + this.settings.timeouts.shutdownMs;
+    // Callers keep an entry answer for a while, so they are still served until it has run out.
+    await this.clock.sleep(this.settings.entryAddresses.validForMs);
+    const closed = new Promise((resolve) => {
+      this.server.close(resolve);
+    });
+    while (this.running > 0 && this.clock.monotonicMs() < deadlineMs) {
+      await this.clock.sleep(DRAIN_POLL_MS);
+    }
+    this.server.closeAllConnections();
+    await closed;
+  }
+
+  override drain(): void {
+    this.drainStartMs ??= this.clock.monotonicMs();
+  }
+
+  override active(): number {
+    return this.running;
+  }
+
+  override unreadyReason(): string | undefined {
+    if (this.drainStartMs !== undefined) return 'draining';
+    if (!this.kernel.find('configuration').current()) return 'no configuration';
+    if (!this.kernel.find('membership').leaseLive()) return 'isolated';
+    return undefined;
+  }
+
+  private async serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+    const span = this.kernel.find('traces').begin('entry', readTraceparent(incoming));
+    const request = CallerRequest.create(incoming, response, span, this.clock.monotonicMs());
+    if (this.drainStartMs !== undefined) response.setHeader('connection', 'close');
+    this.running += 1;
+    response.on('close', () => {
+      this.running -= 1;
+    });
+    const refusal = await this.answer(request);
+    if (!refusal) return;
+    this.noteRefusal(request, refusal);
+    request.refuse(refusal);
+  }
+
+  private async answer(request: CallerRequest): Promise<Refusal | undefined> {
+    if (request.path === '/healthz') return request.sendJson(200, { live: true });
+    if (request.path === '/readyz') return this.sendReadiness(request);
+    if (!isPlainPath(request.path)) {
+      return Refusal.create('request_malformed', 'the path has dot segments or encoded separators');
+    }
+    const configuration = this.kernel.find('configuration').current();
+    if (!configuration) {
+      return Refusal.create('not_ready', 'no configuration yet', { retryAfterMs: 1000 });
+    }
+    const tooLarge = checkAnnouncedSize(request.incoming, this.settings.limits);
+    if (tooLarge) return tooLarge;
+    if (request.path === ENTRY_ADDRESSES) return this.answerEntryAddresses(request);
+    const kind = COMPLETIONS.get(request.path);
+    if (kind) return this.answerCompletion(request, kind, configuration);
+    const route = matchRoute(configuration.routes, request.path);
+    if (route) return this.answerService(request, route);
+    return Refusal.create('route_unknown', 'no route for this path');
+  }
+
+  private answerEntryAddresses(request: CallerRequest): Refusal | undefined {
+    if (request.method !== 'GET') return refuseMethod(['GET']);
+    const { authorization } = request.incoming.headers;
+    let homes: readonly string[] = [];
+    if (authorization !== undefined) {
+      const identity = this.kernel.find('configuration').authenticate(authorization);
+      if (identity.kind === 'failed') return identity.failure;
+      homes = this.kernel.find('admission').homes(identity.value.team);
+    }
+    const membership = this.kernel.find('membership');
+    const addresses = chooseEntryAddresses({
+      self: membership.self(),
+      selfReady: this.unreadyReason() === undefined,
+      others: membership.statuses(),
+      homes,
+      count: this.settings.entryAddresses.count,
+    });
+    const { validForMs } = this.settings.entryAddresses;
+    return request.sendJson(200, { addresses, validForMs });
+  }
+
+  private async answerCompletion(
+    request: CallerRequest,
+    kind: CompletionKind,
+    configuration: ConfigurationState,
+  ): Promise<Refusal | undefined> {
+    if (request.method !== 'POST') return refuseMethod(['POST']);
+    const identity = this.identify(request);
+    if (identity.kind === 'failed') return identity.failure;
+    const body = await readBody(request.incoming, this.settings.limits);
+    if (body.kind === 'failed') return body.failure;
+    const parsed = parseCompletion(kind, body.value);
+    if (parsed.kind === 'failed') return parsed.failure;
+    const model = configuration.models.get(parsed.value.model);
+    if (!model) return Refusal.create('model_unknown', 'no such model');
+    const maxTokens = chooseMaxTokens(parsed.value.maxTokens, model);
+    if (maxTokens.kind === 'failed') return maxTokens.failure;
+    return this.runCompletion(request, kind, parsed.value, {
+      requestId: request.requestId,
+      ...identity.value,
+      model: model.name,
+      prompt: parsed.value.prompt,
+      promptTokens: countPromptTokens(parsed.value.prompt, model),
+      maxTokens: maxTokens.value,
+      fingerprint: CallerRequest.fingerprint(identity.value.team, body.value),
+      arrivedMs: request.arrivedMs,
+      traceparent: request.span.traceparent,
+    });
+  }
+
+  private async runCompletion(
+    request: CallerRequest,
+    kind: CompletionKind,
+    body: CompletionBody,
+    model: ModelRequest,
+  ): Promise<Refusal | undefined> {
+    const answer = await this.kernel.find('model-execution').run(model, request.signal);
+    if (answer.kind === 'failed') return answer.failure;
+    const createdS = Math.floor(this.clock.wallMs() / 1000);
+    const head = { requestId: request.requestId, model: model.model, kind, createdS };
+    const writer = body.stream
+      ? StreamedAnswer.create(request.response, head, this.settings.limits.callerBufferBytes)
+      : WholeAnswer.create(request.response, head);
+    const result = await writer.write(answer.value);
+    this.kernel.find('metrics').increment('answers', { result });
+    request.span.end({ outcome: result });
+    return undefined;
+  }
+
+  private async answerService(request: CallerRequest, route: Route): Promise<Refusal | undefined> {
+    if (!route.methods.includes(request.method)) return refuseMethod(route.methods);
+    const identity = route.open ? succeed(undefined) : this.identify(request);
+    if (identity.kind === 'failed') return identity.failure;
+    const body = await readBody(request.incoming, this.settings.limits);
+    if (body.kind === 'failed') return body.failure;
+    const { incoming } = request;
+    const answer = await this.kernel.find('service-execution').run(
+      {
+        requestId: request.requestId,
+        team: identity.value?.team,
+        keyId: identity.value?.keyId,
+        route: route.path,
+        method: request.method,
+        target: incoming.url ?? '/',
+        headers: request.forwardedHeaders(),
+        body: body.value,
+        idempotencyKey: readHeader(incoming, 'idempotency-key'),
+        fingerprint: CallerRequest.fingerprint(identity.value?.team, body.value),
+        arrivedMs: request.arrivedMs,
+        traceparent: request.span.traceparent,
+      },
+      route,
+      request.signal,
+    );
+    if (answer.kind === 'failed') return answer.failure;
+    const { status, headers, body: content, replayed } = answer.value;
+    request.response.writeHead(status, {
+      ...headers,
+      'content-length': `${content.length}`,
+      ...(replayed ? { 'x-cuminspar-replayed': 'true' } : {}),
+    });
+    request.response.end(content);
+    request.span.end({ outcome: String(status), replayed });
+    return undefined;
+  }
+
+  private identify(request: CallerRequest): Outcome<Identity, Refusal> {
+    if (!this.kernel.find('membership').leaseLive()) {
+      return fail(
+        Refusal.create('isolated', 'this VM does not hear enough of its peers; use another one', {
+          retryAfterMs: 1000,
+        }),
+      );
+    }
+    return this.kernel
+      .find('configuration')
+      .authenticate(readHeader(request.incoming, 'authorization'));
+  }
+
+  private sendReadiness(request: CallerRequest): undefined {
+    const reason = this.unreadyReason();
+    return request.sendJson(
+      reason ? 503 : 200,
+      reason ? { ready: false, reason } : { ready: true },
+    );
+  }
+
+  private noteRefusal(request: CallerRequest, refusal: Refusal): void {
+    const { code, run } = refusal;
+    this.kernel.find('metrics').increment('refusals', { code });
+    this.kernel.find('decisions').record({
+      requestId: request.requestId,
+      step: 'refusal',
+      choice: code,
+      reason: refusal.message,
+      facts: { run },
+    });
+    this.kernel
+      .find('logs')
+      .debug('request refused', { requestId: request.requestId, code, run, path: request.path });
+  }
+}
+
+function readHeader(incoming: IncomingMessage, name: string): string | undefined {
+  const value = incoming.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function readTraceparent(incoming: IncomingMessage): string | undefined {
+  return readHeader(incoming, 'traceparent');
+}
+
+function refuseMethod(allowed: readonly string[]): Refusal {
+  return Refusal.create('method_not_allowed', `allowed methods: ${allowed.join(', ')}`);
+}
+
+/** Answers a request that Node's parser rejected, or whose head did not arrive in time. */
+function refuseMalformedRequest(error: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const statuses: Record<string, string> = {
+    HPE_HEADER_OVERFLOW: '431 headers_too_large',
+    ERR_HTTP_REQUEST_TIMEOUT: '408 request_timeout',
+  };
+  const [status, code] = (statuses[error.code ?? ''] ?? '400 request_malformed').split(' ');
+  const body = JSON.stringify({
+    error: { code, message: 'the request could not be read', run: 'not run' },
+  });
+  socket.end(
+    `HTTP/1.1 ${status} Refused\r\ncontent-type: application/json\r\nx-cuminspar-run: not run\r\n` +
+      `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
+  );
+}
--- /dev/null
+++ b/src/callers/streamed-answer.ts
@@ -0,0 +1,59 @@
+import type { ServerResponse } from 'node:http';
+
+import type { FinishReason, Usage } from '../domain/request.js';
+import type { Refusal } from '../domain/refusal.js';
+import { AnswerWriter, describeChoice, describeUsage, type AnswerHead } from './answer-writer.js';
+import { describeRefusal } from './refusal-response.js';
+
+/** Sends tokens as server-sent events, each as soon as it is there. */
+export class StreamedAnswer extends AnswerWriter {
+  private constructor(
+    response: ServerResponse,
+    head: AnswerHead,
+    private readonly bufferBytes: number,
+  ) {
+    super(response, head);
+  }
+
+  /**
+   * Creates a writer.
+   *
+   * @param response - response to the caller
+   * @param head - what every answer object repeats
+   * @param bufferBytes - unsent bytes at which a caller that does not read is disconnected
+   * @returns a new writer
+   */
+  static create(response: ServerResponse, head: AnswerHead, bufferBytes: number): StreamedAnswer {
+    return new StreamedAnswer(response, head, bufferBytes);
+  }
+
+  protected override open(): void {
+    this.response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-store',
+    });
+  }
+
+  protected override token(text: string): void {
+    this.send({ choices: [describeChoice(this.head, text, null, true)] });
+  }
+
+  protected override complete(reason: FinishReason, usage: Usage): void {
+    const choices = [describeChoice(this.head, '', reason, true)];
+    this.send({ choices, usage: describeUsage(usage) });
+    this.response.end('data: [DONE]\n\n');
+  }
+
+  protected override failed(refusal: Refusal): void {
+    const body = JSON.stringify(describeRefusal(refusal, this.head.requestId));
+    this.response.end(`event: error\ndata: ${body}\n\n`);
+  }
+
+  private send(part: object): void {
+    const { requestId, model, kind, createdS } = this.head;
+    const object = kind === 'chat' ? 'chat.completion.chunk' : 'text_completion';
+    const chunk = { id: requestId, object, created: createdS, model, ...part };
+    this.response.write(`data: ${JSON.stringify(chunk)}\n\n`);
+    if (this.response.writableLength > this.bufferBytes) this.response.destroy();
+  }
+}
--- /dev/null
+++ b/src/observability/statsd-metrics.ts
@@ -0,0 +1,61 @@
+import { StatsD } from 'hot-shots';
+
+import { Metrics, type MetricTags } from './metrics.js';
+
+/** Time for which metrics are collected into one datagram, in milliseconds. */
+const BUFFER_FLUSH_MS = 1000;
+
+/** Largest datagram, in bytes; fits into one Ethernet frame. */
+const BUFFER_BYTES = 1400;
+
+/** Where metrics are sent. */
+export interface StatsdTarget {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Sends metrics as StatsD datagrams, by hot-shots. */
+export class StatsdMetrics extends Metrics {
+  private constructor(private readonly client: StatsD) {
+    super();
+  }
+
+  /**
+   * Creates a sender. Without a target, metrics are dropped.
+   *
+   * @param target - the StatsD receiver
+   * @param tags - tags of every metric
+   * @returns a new sender
+   */
+  static create(target: StatsdTarget | undefined, tags: MetricTags): StatsdMetrics {
+    return new StatsdMetrics(
+      new StatsD({
+        prefix: 'cuminspar.',
+        globalTags: { ...tags },
+        bufferFlushInterval: BUFFER_FLUSH_MS,
+        maxBufferSize: BUFFER_BYTES,
+        // A receiver that is down must not affect requests.
+        errorHandler: () => undefined,
+        ...(target ? { host: target.host, port: target.port } : { mock: true }),
+      }),
+    );
+  }
+
+  override increment(name: string, tags: MetricTags = {}, value = 1): void {
+    this.client.increment(name, value, { ...tags });
+  }
+
+  override gauge(name: string, value: number, tags: MetricTags = {}): void {
+    this.client.gauge(name, value, { ...tags });
+  }
+
+  override timing(name: string, ms: number, tags: MetricTags = {}): void {
+    this.client.timing(name, ms, { ...tags });
+  }
+
+  override stop(): Promise<void> {
+    return new Promise((resolve) => {
+      this.client.close(() => resolve());
+    });
+  }
+}
