feat: run requests that may not be repeated at most once

Cause: a paint order or a deposit must not run twice when its daemon dies, a caller sends it to a second daemon, or the log loses an answer. Change: AtMostOnce writes an intent to a partition of the log, reads the partition up to it, and sends only the first intent of a key that was not abandoned; outcomes are stored for repeats, and records that the log did not take are retried. Ruled out: asking the service (it has no such call) and a lease on the key (a paused holder would send late).

--- /dev/null
+++ b/features/steps/idempotency-steps.ts
@@ -0,0 +1,265 @@
+import assert from 'node:assert/strict';
+import { randomUUID } from 'node:crypto';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+import fc from 'fast-check';
+
+import { Refusal } from '../../src/domain/refusal.js';
+import type { ServiceRequest } from '../../src/domain/request.js';
+import type { Route } from '../../src/domain/route.js';
+import { AtMostOnce, type DispatchResult } from '../../src/execution/at-most-once.js';
+import { ExecutionLedger } from '../../src/execution/execution-ledger.js';
+import type { ExecutionRecord } from '../../src/execution/execution-record.js';
+import { readIssueTime } from '../../src/execution/idempotency-key.js';
+import { createIdempotencyKey } from '../support/idempotency-key.js';
+import { ScheduledClock } from '../support/scheduled-clock.js';
+import { ScheduledLog, type LogFault } from '../support/scheduled-log.js';
+
+/** How a sending ends: with an answer, with a lost connection, or with the death of the daemon. */
+type DispatchEnd = 'answered' | 'unknown' | 'dies';
+
+interface Sending {
+  readonly key: string;
+  readonly daemon: number;
+}
+
+interface Answer {
+  readonly key: string;
+  readonly daemon: number;
+  readonly request: number;
+  readonly result: string;
+}
+
+interface History {
+  readonly sent: Sending[];
+  readonly answers: Answer[];
+}
+
+interface IdempotencyWorld {
+  daemons: number;
+  histories: History[];
+  result: string;
+  ledger: ExecutionLedger;
+}
+
+/** Stands for a process that was killed: nothing after it happens. */
+const NEVER = new Promise<never>(() => {});
+
+const OPTIONS = { partitions: 1, windowMs: 3_600_000, intentMs: 400 };
+
+const ROUTE: Route = {
+  path: '/orders',
+  pool: 'yard',
+  methods: ['POST'],
+  open: false,
+  repeatable: false,
+  timeoutMs: 200,
+  tokens: 1,
+};
+
+function createRequest(key: string): ServiceRequest {
+  return {
+    requestId: randomUUID(),
+    team: 'oval',
+    keyId: 'k1',
+    route: ROUTE.path,
+    method: 'POST',
+    target: ROUTE.path,
+    headers: {},
+    body: Buffer.from('order'),
+    idempotencyKey: key,
+    fingerprint: '',
+    arrivedMs: 0,
+    traceparent: undefined,
+  };
+}
+
+/** Runs one schedule: each request goes to a daemon; some daemons die when they have sent. */
+async function runSchedule(
+  scheduler: fc.Scheduler,
+  faults: readonly LogFault[],
+  requests: readonly { daemon: number; key: number; end: DispatchEnd }[],
+): Promise<History> {
+  const clock = ScheduledClock.create(scheduler);
+  const log = ScheduledLog.create(scheduler, faults);
+  const history: History = { sent: [], answers: [] };
+  const keys = [0, 1].map(() => createIdempotencyKey(clock.wallMs()));
+  const daemons = [0, 1, 2].map(() =>
+    AtMostOnce.create(log, clock, OPTIONS, () => Promise.resolve(false)),
+  );
+  const runs = requests.map(async (request, index) => {
+    const key = keys[request.key] ?? '';
+    const dispatch = async (
+      attemptId: string,
+      mayStillSend: () => boolean,
+    ): Promise<DispatchResult> => {
+      await scheduler.schedule(Promise.resolve(), 'dispatch');
+      if (!mayStillSend()) return { kind: 'not run', refusal: createLateRefusal() };
+      history.sent.push({ key, daemon: index });
+      if (request.end === 'dies') await NEVER;
+      if (request.end === 'unknown') return { kind: 'unknown', refusal: createRefusal() };
+      const answer = { status: 200, headers: {}, body: Buffer.from(attemptId), replayed: false };
+      return { kind: 'answered', answer };
+    };
+    const daemon = daemons[request.daemon];
+    if (!daemon) return;
+    const { signal } = new AbortController();
+    const owner = { vm: `vm-${request.daemon}`, incarnation: 'a' };
+    const outcome = await daemon.run(createRequest(key), ROUTE, owner, dispatch, signal);
+    const result =
+      outcome.kind === 'ok' ? outcome.value.body.toString() : `refused ${outcome.failure.run}`;
+    history.answers.push({ key, daemon: request.daemon, request: index, result });
+  });
+  const all = Promise.all(runs);
+  const dead = requests.some(({ end }) => end === 'dies');
+  await (dead ? scheduler.waitIdle() : scheduler.waitFor(all));
+  return history;
+}
+
+function createLateRefusal(): Refusal {
+  return Refusal.create('overloaded', 'the deadline for sending passed');
+}
+
+function createRefusal(): Refusal {
+  return Refusal.create('server_failed', 'the connection was lost', { run: 'unknown' });
+}
+
+Given(
+  'an idempotency model with {int} daemons that share one log',
+  function given(this: IdempotencyWorld, daemons: number) {
+    this.daemons = daemons;
+  },
+);
+
+When(
+  'the idempotency model runs {int} schedules',
+  { timeout: 60_000 },
+  async function when(this: IdempotencyWorld, schedules: number) {
+    this.histories = [];
+    const fault = fc.constantFrom<LogFault>(
+      'none',
+      'none',
+      'none',
+      'unavailable',
+      'lost',
+      'dropped',
+      'late',
+      'stale',
+    );
+    const request = fc.record({
+      daemon: fc.nat({ max: this.daemons - 1 }),
+      key: fc.nat({ max: 1 }),
+      end: fc.constantFrom<DispatchEnd>('answered', 'answered', 'unknown', 'dies'),
+    });
+    await fc.assert(
+      fc.asyncProperty(
+        fc.scheduler(),
+        fc.array(fault, { maxLength: 20 }),
+        fc.array(request, { minLength: 2, maxLength: 4 }),
+        async (scheduler, faults, requests) => {
+          const history = await runSchedule(scheduler, faults, requests);
+          this.histories.push(history);
+          const sent = history.sent.map(({ key }) => key);
+          assert.equal(sent.length, new Set(sent).size, 'a key was sent twice');
+        },
+      ),
+      { numRuns: schedules },
+    );
+  },
+);
+
+Then(
+  'in every schedule each idempotency key was sent at most once',
+  function then(this: IdempotencyWorld) {
+    assert.ok(this.histories.length > 0);
+    assert.ok(
+      this.histories.some(({ sent }) => sent.length > 0),
+      'the model sent nothing at all',
+    );
+    this.histories.forEach(({ sent }) => {
+      const keys = sent.map(({ key }) => key);
+      assert.equal(keys.length, new Set(keys).size);
+    });
+  },
+);
+
+Then(
+  'in every schedule an attempt that was refused as not run was not sent',
+  function then(this: IdempotencyWorld) {
+    this.histories.forEach(({ sent, answers }) => {
+      const notRun = answers.filter(({ result }) => result === 'refused not run');
+      notRun.forEach(({ request }) =>
+        assert.ok(!sent.some((sending) => sending.daemon === request)),
+      );
+    });
+  },
+);
+
+Then(
+  'in every schedule all answers to one idempotency key are equal',
+  function then(this: IdempotencyWorld) {
+    assert.ok(
+      this.histories.some(({ answers, sent }) => answers.length > sent.length),
+      'no request was repeated',
+    );
+    this.histories.forEach(({ answers }) => {
+      const bodies = answers.filter(({ result }) => !result.startsWith('refused'));
+      const byKey = new Map(bodies.map(({ key, result }) => [key, result]));
+      bodies.forEach(({ key, result }) => assert.equal(result, byKey.get(key)));
+    });
+  },
+);
+
+When(
+  'the idempotency key is {string} at an age of {int} ms and a window of {int} ms',
+  function when(this: IdempotencyWorld, kind: string, ageMs: number, windowMs: number) {
+    const nowMs = 1_700_000_000_000;
+    const keys: Record<string, string | undefined> = {
+      none: undefined,
+      text: 'order-17',
+      'uuid v4': randomUUID(),
+      'uuid v7': createIdempotencyKey(nowMs - ageMs),
+    };
+    const outcome = readIssueTime(keys[kind], nowMs, windowMs);
+    this.result = outcome.kind === 'ok' ? 'accepted' : outcome.failure.code;
+  },
+);
+
+Then('the idempotency check says {string}', function then(this: IdempotencyWorld, result: string) {
+  assert.equal(this.result, result);
+});
+
+function createRecord(kind: string, attemptId: string, bodyHash: string): ExecutionRecord {
+  const base = { format: 1 as const, key: 'key', attemptId };
+  if (kind === 'intent') {
+    return { ...base, kind, bodyHash, vm: 'vm-1', incarnation: 'a', issuedMs: 0 };
+  }
+  if (kind === 'outcome') return { ...base, kind, status: 200, headers: {}, body: '' };
+  return { ...base, kind: kind as 'abandoned' | 'unknown' };
+}
+
+Given(
+  'an idempotency ledger that holds {string} of the first attempt',
+  function given(this: IdempotencyWorld, kinds: string) {
+    this.ledger = ExecutionLedger.create();
+    kinds.split(', ').forEach((kind) => this.ledger.fold(createRecord(kind, 'first', 'body')));
+  },
+);
+
+When(
+  'a second attempt with {word} body is folded',
+  function when(this: IdempotencyWorld, body: string) {
+    this.ledger.fold(createRecord('intent', 'second', body === 'another' ? 'other' : 'body'));
+  },
+);
+
+When('a second attempt with the same body is folded', function when(this: IdempotencyWorld) {
+  this.ledger.fold(createRecord('intent', 'second', 'body'));
+});
+
+Then(
+  'the idempotency ledger decides {string} for the second attempt',
+  function then(this: IdempotencyWorld, decision: string) {
+    assert.equal(this.ledger.decide('key', 'second').kind, decision);
+  },
+);
--- /dev/null
+++ b/src/execution/partition-log.ts
@@ -0,0 +1,144 @@
+import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+import type { Clock } from '../kernel/clock.js';
+import type { LogFailure } from '../platform/log-failure.js';
+import type { LogService } from '../platform/log-service.js';
+import { ExecutionLedger, type LedgerDecision } from './execution-ledger.js';
+import { parseExecutionRecord, type ExecutionRecord } from './execution-record.js';
+
+/** Time for which records are collected into one append, in milliseconds. */
+const BATCH_MS = 10;
+
+/** Longest wait of one read for new records, in milliseconds. */
+const READ_WAIT_MS = 500;
+
+const PAGE_RECORDS = 1000;
+
+/** Pause after a failed read, in milliseconds. */
+const READ_RETRY_MS = 50;
+
+interface QueuedRecord {
+  readonly record: ExecutionRecord;
+  readonly done: (result: Outcome<void, LogFailure>) => void;
+}
+
+/** Appends to one `executions` stream in batches and folds what it reads from it. */
+export class PartitionLog {
+  private readonly ledger = ExecutionLedger.create();
+
+  private queue: QueuedRecord[] = [];
+
+  private flushing = false;
+
+  private nextOffset = 1;
+
+  private reading: Promise<void> | undefined;
+
+  private constructor(
+    private readonly stream: string,
+    private readonly log: LogService,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Creates a reader and writer that starts at the oldest record.
+   *
+   * @param stream - name of the stream
+   * @param log - the log service
+   * @param clock - times batches and pauses
+   * @returns a new partition
+   */
+  static create(stream: string, log: LogService, clock: Clock): PartitionLog {
+    return new PartitionLog(stream, log, clock);
+  }
+
+  /**
+   * Appends a record with the next batch.
+   *
+   * @param record - the record
+   * @returns nothing, or why the append failed
+   */
+  append(record: ExecutionRecord): Promise<Outcome<void, LogFailure>> {
+    return new Promise((resolve) => {
+      this.queue.push({ record, done: resolve });
+      if (!this.flushing) void this.flush();
+    });
+  }
+
+  /**
+   * Reads until an attempt's decision is one of those wanted, or the deadline passes.
+   *
+   * @param key - hash of scope and idempotency key
+   * @param attemptId - the attempt
+   * @param wanted - tells whether a decision is enough
+   * @param deadlineMs - monotonic time, in milliseconds
+   * @param signal - ends the wait early
+   * @returns the last decision
+   */
+  async readUntil(
+    key: string,
+    attemptId: string,
+    wanted: (decision: LedgerDecision) => boolean,
+    deadlineMs: number,
+    signal?: AbortSignal,
+  ): Promise<LedgerDecision> {
+    let decision = this.ledger.decide(key, attemptId);
+    while (!wanted(decision) && this.clock.monotonicMs() < deadlineMs && !signal?.aborted) {
+      const remainingMs = deadlineMs - this.clock.monotonicMs();
+      await Promise.race([this.readOnce(), this.clock.sleep(remainingMs, signal)]);
+      decision = this.ledger.decide(key, attemptId);
+    }
+    return decision;
+  }
+
+  /**
+   * Forgets keys that are refused as expired anyway.
+   *
+   * @param beforeMs - issue time, in milliseconds since the Unix epoch
+   */
+  forget(beforeMs: number): void {
+    this.ledger.forget(beforeMs);
+  }
+
+  private async flush(): Promise<void> {
+    this.flushing = true;
+    while (this.queue.length > 0) {
+      await this.clock.sleep(BATCH_MS);
+      const batch = this.queue;
+      this.queue = [];
+      const result = await this.log.append(
+        this.stream,
+        batch.map(({ record }) => JSON.stringify(record)),
+      );
+      const outcome = result.kind === 'ok' ? succeed(undefined) : fail(result.failure);
+      batch.forEach(({ done }) => done(outcome));
+    }
+    this.flushing = false;
+  }
+
+  private readOnce(): Promise<void> {
+    this.reading ??= this.readPage().finally(() => {
+      this.reading = undefined;
+    });
+    return this.reading;
+  }
+
+  private async readPage(): Promise<void> {
+    const page = await this.log.read({
+      stream: this.stream,
+      from: this.nextOffset,
+      limit: PAGE_RECORDS,
+      waitMs: READ_WAIT_MS,
+    });
+    if (page.kind === 'failed') {
+      await this.clock.sleep(READ_RETRY_MS);
+      return;
+    }
+    page.value.records
+      .filter((record) => record.offset >= this.nextOffset)
+      .forEach((record) => {
+        this.nextOffset = record.offset + 1;
+        const parsed = parseExecutionRecord(record.data);
+        if (parsed) this.ledger.fold(parsed);
+      });
+  }
+}
--- /dev/null
+++ b/src/execution/pending-records.ts
@@ -0,0 +1,62 @@
+import type { Clock } from '../kernel/clock.js';
+import type { ExecutionRecord } from './execution-record.js';
+import type { PartitionLog } from './partition-log.js';
+
+const FIRST_RETRY_MS = 100;
+const MAX_RETRY_MS = 5000;
+
+/** Appends records that must reach the log, again and again until it has taken them. */
+export class PendingRecords {
+  private readonly running = new Set<Promise<void>>();
+
+  private readonly stopped = new AbortController();
+
+  private constructor(private readonly clock: Clock) {}
+
+  /**
+   * Creates an empty set.
+   *
+   * @param clock - times the retries
+   * @returns a new set
+   */
+  static create(clock: Clock): PendingRecords {
+    return new PendingRecords(clock);
+  }
+
+  /**
+   * Takes charge of a record. A record that is appended twice has the effect of one.
+   *
+   * @param partition - where it belongs
+   * @param record - the record
+   */
+  add(partition: PartitionLog, record: ExecutionRecord): void {
+    const work = this.appendUntilTaken(partition, record);
+    this.running.add(work);
+    void work.finally(() => this.running.delete(work));
+  }
+
+  /** Number of records that the log has not taken. */
+  get size(): number {
+    return this.running.size;
+  }
+
+  /**
+   * Waits until the log has taken everything, or the time has passed.
+   *
+   * @param timeoutMs - longest wait, in milliseconds
+   */
+  async flush(timeoutMs: number): Promise<void> {
+    await Promise.race([Promise.allSettled([...this.running]), this.clock.sleep(timeoutMs)]);
+    this.stopped.abort();
+  }
+
+  private async appendUntilTaken(partition: PartitionLog, record: ExecutionRecord): Promise<void> {
+    let retryMs = FIRST_RETRY_MS;
+    while (!this.stopped.signal.aborted) {
+      const result = await partition.append(record);
+      if (result.kind === 'ok') return;
+      await this.clock.sleep(retryMs, this.stopped.signal);
+      retryMs = Math.min(retryMs * 2, MAX_RETRY_MS);
+    }
+  }
+}
--- /dev/null
+++ b/src/execution/routed-service-execution.ts
@@ -0,0 +1,274 @@
+import { randomUUID } from 'node:crypto';
+
+import type { PlainFailure } from '../backends/plain-failure.js';
+import type { PlainReply } from '../backends/plain-service.js';
+import type { PlainServer } from '../domain/backend-server.js';
+import { Refusal, type RefusalCode } from '../domain/refusal.js';
+import type { ServiceAnswer, ServiceRequest } from '../domain/request.js';
+import type { Route } from '../domain/route.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+import type { Settings } from '../settings/schema.js';
+import { AtMostOnce, type DispatchResult } from './at-most-once.js';
+import { ServiceExecution } from './service-execution.js';
+import { ServiceJob } from './service-job.js';
+
+/** Servers that are tried for one request. */
+const MAX_SERVERS = 3;
+
+/** Refusals after which another server may answer. */
+const SERVER_FAULTS: ReadonlySet<RefusalCode> = new Set(['server_failed', 'server_timeout']);
+
+/** Times that a request is admitted again because its debit became too old to be used. */
+const MAX_ADMISSIONS = 3;
+
+/** Sends requests to plain servers; see docs/design.md, section 6.2. */
+export class RoutedServiceExecution extends ServiceExecution {
+  private running = 0;
+
+  private once: AtMostOnce | undefined;
+
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly settings: Settings,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  /**
+   * Creates the service.
+   *
+   * @param kernel - finds the other services
+   * @param settings - window, partitions and deadlines
+   * @param clock - checks deadlines
+   * @returns a new service
+   */
+  static create(kernel: Kernel, settings: Settings, clock: Clock): RoutedServiceExecution {
+    return new RoutedServiceExecution(kernel, settings, clock);
+  }
+
+  override async start(): Promise<void> {
+    this.once = AtMostOnce.create(
+      this.kernel.find('log'),
+      this.clock,
+      this.settings.idempotency,
+      (owner) => this.kernel.find('membership').isGone(owner),
+    );
+    await Promise.resolve();
+  }
+
+  override async stop(): Promise<void> {
+    await this.flush();
+  }
+
+  override async run(
+    request: ServiceRequest,
+    route: Route,
+    signal: AbortSignal,
+  ): Promise<Outcome<ServiceAnswer, Refusal>> {
+    this.running += 1;
+    const job = ServiceJob.create(request, route, signal);
+    try {
+      return await (route.repeatable ? this.runRepeatable(job) : this.runOnce(job));
+    } finally {
+      job.hold(undefined);
+      this.running -= 1;
+    }
+  }
+
+  override active(): number {
+    return this.running;
+  }
+
+  override async flush(): Promise<void> {
+    await this.once?.flush(this.settings.timeouts.shutdownMs);
+  }
+
+  private async runOnce(job: ServiceJob): Promise<Outcome<ServiceAnswer, Refusal>> {
+    const { once } = this;
+    if (!once) return fail(Refusal.create('not_ready', 'the daemon is starting'));
+    // A team without tokens is refused before an intent is written, which spares the log.
+    const admitted = await this.refreshGrant(job);
+    if (admitted.kind === 'failed') return admitted;
+    const owner = this.kernel.find('membership').self();
+    const outcome = await once.run(
+      job.request,
+      job.route,
+      owner,
+      (attemptId, mayStillSend) => this.dispatch(job, attemptId, mayStillSend),
+      job.signal,
+    );
+    const replayed = outcome.kind === 'ok' && outcome.value.replayed;
+    this.decide(job, 'at-most-once', outcome.kind === 'ok' ? 'answered' : outcome.failure.code, {
+      replayed,
+    });
+    return outcome;
+  }
+
+  private async runRepeatable(job: ServiceJob): Promise<Outcome<ServiceAnswer, Refusal>> {
+    const excluded = new Set<string>();
+    let worst: Refusal | undefined;
+    while (excluded.size < MAX_SERVERS && !job.signal.aborted) {
+      const result = await this.tryServer(job, excluded, randomUUID(), () => !job.signal.aborted);
+      if (result.kind === 'answered') return succeed(result.answer);
+      // A later refusal must not hide that an earlier sending may have run.
+      if (worst?.run !== 'unknown') worst = result.refusal;
+      if (!SERVER_FAULTS.has(result.refusal.code)) break;
+    }
+    return fail(worst ?? Refusal.create('cancelled', 'the caller closed the connection'));
+  }
+
+  private async dispatch(
+    job: ServiceJob,
+    attemptId: string,
+    mayStillSend: () => boolean,
+  ): Promise<DispatchResult> {
+    const excluded = new Set<string>();
+    let result = await this.tryServer(job, excluded, attemptId, mayStillSend);
+    // Only a sending of which no byte left this VM is tried again.
+    while (
+      result.kind === 'not run' &&
+      SERVER_FAULTS.has(result.refusal.code) &&
+      excluded.size < MAX_SERVERS
+    ) {
+      result = await this.tryServer(job, excluded, attemptId, mayStillSend);
+    }
+    return result;
+  }
+
+  private async tryServer(
+    job: ServiceJob,
+    excluded: Set<string>,
+    attemptId: string,
+    mayStillSend: () => boolean,
+  ): Promise<DispatchResult> {
+    const server = this.kernel.find('routing').chooseService(job.route.pool, excluded);
+    if (!server) return { kind: 'not run', refusal: refuseNoServer(job.route) };
+    excluded.add(server.name);
+    return this.send(job, server, attemptId, mayStillSend);
+  }
+
+  private async send(
+    job: ServiceJob,
+    server: PlainServer,
+    attemptId: string,
+    mayStillSend: () => boolean,
+  ): Promise<DispatchResult> {
+    const fresh = await this.refreshGrant(job);
+    if (fresh.kind === 'failed') return { kind: 'not run', refusal: fresh.failure };
+    const refusal = this.checkBeforeSend(job, mayStillSend);
+    if (refusal) return { kind: 'not run', refusal };
+    const span = this.kernel.find('traces').begin('service', job.request.traceparent, {
+      server: server.name,
+      attemptId,
+    });
+    job.spend();
+    const reply = await this.kernel
+      .find('backends')
+      .service(server)
+      .send({
+        method: job.request.method,
+        target: job.request.target,
+        headers: composeHeaders(job.request, attemptId, span.traceparent),
+        body: job.request.body,
+        timeoutMs: job.route.timeoutMs,
+        // Once sent, a request that may not be repeated is followed to its end for its outcome.
+        signal: job.route.repeatable ? job.signal : new AbortController().signal,
+      });
+    span.end({ outcome: reply.kind === 'ok' ? String(reply.value.status) : reply.failure.reason });
+    if (reply.kind === 'ok') return this.takeReply(server, reply.value);
+    return this.takeFailure(job, server, reply.failure);
+  }
+
+  private takeReply(server: PlainServer, reply: PlainReply): DispatchResult {
+    if (reply.draining) this.kernel.find('routing').observeDraining(server.name);
+    const { status, headers, body } = reply;
+    return { kind: 'answered', answer: { status, headers, body, replayed: false } };
+  }
+
+  private takeFailure(job: ServiceJob, server: PlainServer, failure: PlainFailure): DispatchResult {
+    this.kernel.find('routing').observeFailure(server.name, failure.reason === 'refused');
+    this.decide(job, 'service-failure', server.name, { reason: failure.reason });
+    const code = failure.reason === 'timeout' ? 'server_timeout' : 'server_failed';
+    if (!failure.sent) {
+      return { kind: 'not run', refusal: Refusal.create(code, failure.message) };
+    }
+    const refusal = Refusal.create(code, failure.message, { run: 'unknown' });
+    return { kind: 'unknown', refusal };
+  }
+
+  private checkBeforeSend(job: ServiceJob, mayStillSend: () => boolean): Refusal | undefined {
+    const { keyId } = job.request;
+    if (keyId && this.kernel.find('configuration').withdrawn().has(keyId)) {
+      return Refusal.create('key_withdrawn', 'the key has been withdrawn');
+    }
+    if (mayStillSend()) return undefined;
+    if (job.signal.aborted) return Refusal.create('cancelled', 'the caller closed the connection');
+    return Refusal.create('overloaded', 'the deadline for sending passed', { retryAfterMs: 1000 });
+  }
+
+  private async refreshGrant(job: ServiceJob): Promise<Outcome<void, Refusal>> {
+    for (let tries = 0; tries < MAX_ADMISSIONS; tries += 1) {
+      if (job.sendable) return succeed(undefined);
+      const admitted = await this.admit(job);
+      if (admitted.kind === 'failed') return admitted;
+    }
+    return fail(Refusal.create('overloaded', 'the debit could not be used in time'));
+  }
+
+  private async admit(job: ServiceJob): Promise<Outcome<void, Refusal>> {
+    const { request, route, signal } = job;
+    if (!request.team) return succeed(undefined);
+    job.hold(undefined);
+    const span = this.kernel.find('traces').begin('admission', request.traceparent);
+    const admitted = await this.kernel.find('admission').admit({
+      requestId: request.requestId,
+      team: request.team,
+      model: undefined,
+      promptTokens: route.tokens,
+      maxTokens: 0,
+      fingerprint: request.fingerprint,
+      arrivedMs: request.arrivedMs,
+      signal,
+    });
+    span.end({ outcome: admitted.kind === 'ok' ? 'admitted' : admitted.failure.code });
+    if (admitted.kind === 'failed') return admitted;
+    job.hold(admitted.value);
+    return succeed(undefined);
+  }
+
+  private decide(
+    job: ServiceJob,
+    step: string,
+    choice: string,
+    facts: Record<string, string | number | boolean>,
+  ): void {
+    const { requestId } = job.request;
+    this.kernel
+      .find('decisions')
+      .record({ requestId, step, choice, reason: job.route.path, facts });
+  }
+}
+
+function composeHeaders(
+  request: ServiceRequest,
+  attemptId: string,
+  traceparent: string,
+): Record<string, string> {
+  return {
+    ...request.headers,
+    'x-request-id': request.requestId,
+    'x-attempt-id': attemptId,
+    ...(request.team ? { 'x-team': request.team } : {}),
+    ...(request.idempotencyKey ? { 'idempotency-key': request.idempotencyKey } : {}),
+    traceparent,
+  };
+}
+
+function refuseNoServer(route: Route): Refusal {
+  return Refusal.create('no_server', `no server of pool ${route.pool} takes work`, {
+    retryAfterMs: 1000,
+  });
+}
--- /dev/null
+++ b/src/execution/service-job.ts
@@ -0,0 +1,47 @@
+import type { Grant } from '../admission/grant.js';
+import type { ServiceRequest } from '../domain/request.js';
+import type { Route } from '../domain/route.js';
+
+/** A request to a plain service in progress, with the tokens debited for its next sending. */
+export class ServiceJob {
+  private grant: Grant | undefined;
+
+  private constructor(
+    readonly request: ServiceRequest,
+    readonly route: Route,
+    readonly signal: AbortSignal,
+  ) {}
+
+  /**
+   * Creates a job without tokens.
+   *
+   * @param request - the request
+   * @param route - the matched route
+   * @param signal - aborts when the caller has gone
+   * @returns a new job
+   */
+  static create(request: ServiceRequest, route: Route, signal: AbortSignal): ServiceJob {
+    return new ServiceJob(request, route, signal);
+  }
+
+  /** True when tokens are held that may still be used, or none are needed. */
+  get sendable(): boolean {
+    return !this.request.team || (this.grant?.sendable() ?? false);
+  }
+
+  /**
+   * Replaces the tokens held; unused ones are refunded.
+   *
+   * @param grant - newly debited tokens
+   */
+  hold(grant: Grant | undefined): void {
+    this.grant?.settle(0);
+    this.grant = grant;
+  }
+
+  /** Spends the tokens held, right before a sending; another sending needs new ones. */
+  spend(): void {
+    this.grant?.settle(this.route.tokens);
+    this.grant = undefined;
+  }
+}
