feat: add the stand-ins of the platform and of plain services

Cause: the router and its tests need outside systems that speak the documented protocols and fail on demand.

--- /dev/null
+++ b/stand-ins/log/stream-store.ts
@@ -0,0 +1,137 @@
+import { EventEmitter, once } from 'node:events';
+import { setTimeout as delay } from 'node:timers/promises';
+
+/** A record as the protocol shows it. */
+export interface StoredRecord {
+  readonly offset: number;
+  readonly timestampMs: number;
+  readonly data: string;
+}
+
+/** State of the log that can be set while it runs. */
+export interface LogState {
+  retentionMs: number;
+  appendsPerSecond: number;
+  /** Age that a record must have before the replica shows it, in milliseconds. */
+  replicaLag: number;
+}
+
+/** Part of a stream that one listener shows. */
+export interface StreamPage {
+  readonly records: readonly StoredRecord[];
+  readonly endOffset: number;
+  readonly earliestOffset: number;
+}
+
+interface Stream {
+  records: StoredRecord[];
+  endOffset: number;
+}
+
+/** Interval at which a read that waits looks again when records become visible by their age. */
+const REPLICA_CHECK_MS = 10;
+
+/** Keeps streams in memory and drops records after the retention. */
+export class StreamStore {
+  private readonly streams = new Map<string, Stream>();
+
+  private readonly appended = new EventEmitter().setMaxListeners(0);
+
+  private constructor(private readonly state: LogState) {}
+
+  /**
+   * Creates a store without streams.
+   *
+   * @param state - retention and replica lag, read at each use
+   * @returns a new store
+   */
+  static create(state: LogState): StreamStore {
+    return new StreamStore(state);
+  }
+
+  /**
+   * Appends records.
+   *
+   * @param name - name of the stream
+   * @param data - data of each record
+   * @returns the offset of the first record
+   */
+  append(name: string, data: readonly string[]): number {
+    const stream = this.streams.get(name) ?? { records: [], endOffset: 0 };
+    this.streams.set(name, stream);
+    this.dropOld(stream);
+    const firstOffset = stream.endOffset + 1;
+    const timestampMs = Date.now();
+    data.forEach((one, index) => {
+      stream.records.push({ offset: firstOffset + index, timestampMs, data: one });
+    });
+    stream.endOffset += data.length;
+    this.appended.emit('append');
+    return firstOffset;
+  }
+
+  /**
+   * Reads records that are visible now.
+   *
+   * @param name - name of the stream
+   * @param from - first offset wanted
+   * @param limit - most records
+   * @param replica - whether only records older than the replica lag are visible
+   * @returns the page
+   */
+  read(name: string, from: number, limit: number, replica: boolean): StreamPage {
+    const stream = this.streams.get(name);
+    if (!stream) return { records: [], endOffset: 0, earliestOffset: 1 };
+    this.dropOld(stream);
+    const { records, endOffset } = stream;
+    const earliestOffset = records[0]?.offset ?? endOffset + 1;
+    const visible = replica ? this.countOldEnough(records) : records.length;
+    const start = Math.max(0, from - earliestOffset);
+    return {
+      records: records.slice(start, Math.min(visible, start + limit)),
+      endOffset: earliestOffset + visible - 1,
+      earliestOffset,
+    };
+  }
+
+  /**
+   * Waits for an append, or for records to become visible at the replica.
+   *
+   * @param replica - whether the wait is at the replica
+   * @param waitMs - longest wait
+   * @param signal - ends the wait early
+   * @returns a promise that resolves at the end of the wait
+   */
+  async wait(replica: boolean, waitMs: number, signal: AbortSignal): Promise<void> {
+    const stopped = new AbortController();
+    const both = AbortSignal.any([signal, stopped.signal]);
+    const timer = delay(replica ? Math.min(waitMs, REPLICA_CHECK_MS) : waitMs, undefined, {
+      signal: both,
+    });
+    const event = once(this.appended, 'append', { signal: both });
+    const waits = [timer, event].map((wait) => wait.catch(() => undefined));
+    await Promise.race(waits);
+    stopped.abort();
+  }
+
+  /**
+   * Lists all records that are kept.
+   *
+   * @returns the records of each stream
+   */
+  list(): Record<string, readonly StoredRecord[]> {
+    return Object.fromEntries([...this.streams].map(([name, { records }]) => [name, records]));
+  }
+
+  private countOldEnough(records: readonly StoredRecord[]): number {
+    const newestMs = Date.now() - this.state.replicaLag;
+    return records.findLastIndex((record) => record.timestampMs <= newestMs) + 1;
+  }
+
+  private dropOld({ records }: Stream): void {
+    const oldestMs = Date.now() - this.state.retentionMs;
+    if ((records[0]?.timestampMs ?? Infinity) >= oldestMs) return;
+    const kept = records.findIndex((record) => record.timestampMs >= oldestMs);
+    records.splice(0, kept < 0 ? records.length : kept);
+  }
+}
--- /dev/null
+++ b/stand-ins/shared/faults.ts
@@ -0,0 +1,116 @@
+import { z } from 'zod';
+
+const REQUEST_KINDS = ['unavailable', 'delay', 'silent', 'reset', 'lost-answer'] as const;
+const STREAM_KINDS = ['cut', 'stall', 'late', 'crossed', 'duplicate', 'gap'] as const;
+
+const faultSchema = z
+  .strictObject({
+    path: z.string().startsWith('/').default('/'),
+    kind: z.enum([...REQUEST_KINDS, ...STREAM_KINDS, 'crash-on']),
+    count: z.int().positive().optional(),
+    delayMs: z.number().nonnegative().default(1000),
+    forMs: z.number().positive().optional(),
+    text: z.string().min(1).optional(),
+    listener: z.string().optional(),
+  })
+  .refine((fault) => (fault.kind === 'crash-on') === (fault.text !== undefined), {
+    message: 'text belongs to crash-on, and crash-on needs it',
+  });
+
+/** Kinds that concern the answer to any request. */
+export type RequestFaultKind = (typeof REQUEST_KINDS)[number];
+
+/** Kinds that concern the events of a decode stream. */
+export type StreamFaultKind = (typeof STREAM_KINDS)[number];
+
+type Fault = z.infer<typeof faultSchema> & { remaining: number; endsMs: number };
+
+/** Where a fault may apply. */
+export interface FaultPlace {
+  readonly path: string;
+  readonly listener?: string;
+}
+
+/** Faults ordered on the admin listener; the oldest one that matches applies. */
+export class FaultList {
+  private faults: Fault[] = [];
+
+  /**
+   * Creates an empty list.
+   *
+   * @returns a new list
+   */
+  static create(): FaultList {
+    return new FaultList();
+  }
+
+  /**
+   * Adds a fault.
+   *
+   * @param value - body of `POST /faults`
+   * @returns why the fault is malformed, or undefined when it was added
+   */
+  add(value: unknown): string | undefined {
+    const parsed = faultSchema.safeParse(value);
+    if (!parsed.success) return z.prettifyError(parsed.error);
+    const { count, forMs } = parsed.data;
+    this.faults.push({
+      ...parsed.data,
+      remaining: count ?? Infinity,
+      endsMs: forMs === undefined ? Infinity : performance.now() + forMs,
+    });
+    return undefined;
+  }
+
+  /** Removes all faults. */
+  clear(): void {
+    this.faults = [];
+  }
+
+  /**
+   * Takes the fault that applies to the answer of a request, and counts it.
+   *
+   * @param place - path and listener of the request
+   * @returns the fault, or undefined
+   */
+  takeForRequest(place: FaultPlace): { kind: RequestFaultKind; delayMs: number } | undefined {
+    const fault = this.take(place, (one) => REQUEST_KINDS.some((kind) => kind === one.kind));
+    return fault && { kind: fault.kind as RequestFaultKind, delayMs: fault.delayMs };
+  }
+
+  /**
+   * Takes the fault that applies to a decode stream, and counts it.
+   *
+   * @param place - path of the request
+   * @returns the kind, or undefined
+   */
+  takeForStream(place: FaultPlace): StreamFaultKind | undefined {
+    const fault = this.take(place, (one) => STREAM_KINDS.some((kind) => kind === one.kind));
+    return fault?.kind as StreamFaultKind | undefined;
+  }
+
+  /**
+   * Checks whether a prompt ends the process, and counts it.
+   *
+   * @param place - path of the request
+   * @param prompt - the prompt
+   * @returns true when a `crash-on` text is part of the prompt
+   */
+  takeCrash(place: FaultPlace, prompt: string): boolean {
+    const contains = (one: Fault) => one.text !== undefined && prompt.includes(one.text);
+    return this.take(place, contains) !== undefined;
+  }
+
+  private take(place: FaultPlace, matches: (fault: Fault) => boolean): Fault | undefined {
+    const now = performance.now();
+    this.faults = this.faults.filter((fault) => fault.remaining > 0 && fault.endsMs > now);
+    const found = this.faults.find(
+      (fault) =>
+        place.path.startsWith(fault.path) &&
+        (fault.listener === undefined || fault.listener === place.listener) &&
+        matches(fault),
+    );
+    if (found) found.remaining -= 1;
+    return found;
+  }
+}
--- /dev/null
+++ b/stand-ins/shared/write-bytes.ts
@@ -0,0 +1,31 @@
+import { once } from 'node:events';
+import type { ServerResponse } from 'node:http';
+
+import type { Link } from './link.js';
+
+const CHUNK_BYTES = 65_536;
+
+/**
+ * Writes filler bytes at the rate of a link and ends the response.
+ *
+ * @param response - where to write
+ * @param bytes - how many bytes
+ * @param link - limits the rate
+ * @returns true when all bytes were written, false when the client went away
+ */
+export async function writeBytes(
+  response: ServerResponse,
+  bytes: number,
+  link: Link,
+): Promise<boolean> {
+  for (let left = bytes; left > 0; left -= CHUNK_BYTES) {
+    const size = Math.min(left, CHUNK_BYTES);
+    await link.pass(size);
+    if (response.destroyed) return false;
+    if (!response.write(Buffer.alloc(size))) {
+      await Promise.race([once(response, 'drain'), once(response, 'close')]);
+    }
+  }
+  response.end();
+  return !response.destroyed;
+}
