feat: add the model engine stand-in

Cause: prefill, transfer and decode need an engine with limited memory, slots and link rate whose leaks and wasted work can be seen from outside. Change: reservations, prefill queue, prefix cache, export and import, decode streams with faults, lagged load report, orders with fencing numbers, and a record of attempts, holds and totals.

--- /dev/null
+++ b/stand-ins/engine/cancellations.ts
@@ -0,0 +1,63 @@
+/** Signals of running attempts and ids of cancelled ones; a cancelled id stays cancelled. */
+export class Cancellations {
+  private readonly cancelled = new Set<string>();
+
+  private readonly running = new Map<string, AbortController>();
+
+  /**
+   * Creates a set without cancelled attempts.
+   *
+   * @returns a new set
+   */
+  static create(): Cancellations {
+    return new Cancellations();
+  }
+
+  /**
+   * Checks whether an attempt was cancelled.
+   *
+   * @param attemptId - the attempt
+   * @returns true when it was
+   */
+  has(attemptId: string): boolean {
+    return this.cancelled.has(attemptId);
+  }
+
+  /**
+   * Gives the signal that ends the work of an attempt.
+   *
+   * @param attemptId - the attempt
+   * @returns a signal that aborts when the attempt is cancelled
+   */
+  signal(attemptId: string): AbortSignal {
+    const controller = this.running.get(attemptId) ?? new AbortController();
+    this.running.set(attemptId, controller);
+    if (this.cancelled.has(attemptId)) controller.abort();
+    return controller.signal;
+  }
+
+  /**
+   * Cancels an attempt, also one that is not known.
+   *
+   * @param attemptId - the attempt
+   */
+  cancel(attemptId: string): void {
+    this.cancelled.add(attemptId);
+    this.forget(attemptId);
+  }
+
+  /**
+   * Forgets the signal of an attempt that has ended, and ends what still waits for it.
+   *
+   * @param attemptId - the attempt
+   */
+  forget(attemptId: string): void {
+    this.running.get(attemptId)?.abort();
+    this.running.delete(attemptId);
+  }
+
+  /** Ends the work of all attempts. */
+  abortAll(): void {
+    [...this.running.keys()].forEach((attemptId) => this.forget(attemptId));
+  }
+}
--- /dev/null
+++ b/stand-ins/engine/decode-stream.ts
@@ -0,0 +1,123 @@
+import type { ServerResponse } from 'node:http';
+
+import type { StreamFaultKind } from '../shared/faults.js';
+import type { Generation, StreamEvent } from './generation.js';
+
+/** Tokens that a stream sends before its fault happens. */
+const TOKENS_BEFORE_FAULT = 3;
+
+/** Fault of a stream and the attempts whose events it mixes in. */
+export interface StreamFault {
+  readonly kind: StreamFaultKind | undefined;
+  /** Id of an attempt that has ended. */
+  readonly olderAttempt: string;
+  /** Id of an attempt that runs. */
+  readonly otherAttempt: string;
+}
+
+/** Sends the events of a generation to one client, from an index on. */
+export class DecodeStream {
+  private next: number;
+
+  private sent = 0;
+
+  private stopped = false;
+
+  private unfollow: () => void = () => {};
+
+  private finish: () => void = () => {};
+
+  private constructor(
+    private readonly response: ServerResponse,
+    private readonly generation: Generation,
+    fromIndex: number,
+    private readonly fault: StreamFault,
+  ) {
+    this.next = fromIndex;
+  }
+
+  /**
+   * Creates a stream that has sent nothing.
+   *
+   * @param response - the answer, whose headers have been sent
+   * @param generation - where the events come from
+   * @param fromIndex - index of the first token to send
+   * @param fault - the fault that applies
+   * @returns a new stream
+   */
+  static create(
+    response: ServerResponse,
+    generation: Generation,
+    fromIndex: number,
+    fault: StreamFault,
+  ): DecodeStream {
+    return new DecodeStream(response, generation, fromIndex, fault);
+  }
+
+  /**
+   * Sends events until the end marker or until the connection is closed.
+   *
+   * @returns a promise that resolves when nothing more is sent
+   */
+  run(): Promise<void> {
+    return new Promise((resolve) => {
+      this.finish = resolve;
+      if (this.response.destroyed) {
+        resolve();
+        return;
+      }
+      this.unfollow = this.generation.follow(() => this.flush());
+      this.response.on('drain', () => this.flush());
+      this.response.once('close', () => this.stop());
+      this.flush();
+    });
+  }
+
+  /** Closes the connection without the end marker. */
+  break(): void {
+    this.response.destroy();
+    this.stop();
+  }
+
+  private flush(): void {
+    while (!this.stopped && !this.response.writableNeedDrain) {
+      const event = this.generation.eventAt(this.next);
+      if (!event) return;
+      if (!this.applyFault(event)) this.send(event);
+      this.next += 1;
+    }
+  }
+
+  /** Applies a fault before an event; returns true when the event itself is not to be sent. */
+  private applyFault(event: StreamEvent): boolean {
+    const { kind, olderAttempt, otherAttempt } = this.fault;
+    const isEnd = 'end' in event;
+    const isDue = this.sent === TOKENS_BEFORE_FAULT || (isEnd && this.sent < TOKENS_BEFORE_FAULT);
+    if (!kind || !isDue) return false;
+    this.sent += 1;
+    if (kind === 'late') this.write({ ...event, attemptId: olderAttempt });
+    if (kind === 'crossed') this.write({ ...event, attemptId: otherAttempt });
+    if (kind === 'duplicate' && !isEnd) this.write(event);
+    if (kind === 'cut') this.break();
+    if (kind === 'stall') this.stop();
+    return kind === 'cut' || kind === 'stall' || (kind === 'gap' && !isEnd);
+  }
+
+  private send(event: StreamEvent): void {
+    this.write(event);
+    this.sent += 1;
+    if (!('end' in event)) return;
+    this.stop();
+    this.response.end();
+  }
+
+  private write(event: StreamEvent): void {
+    this.response.write(`data: ${JSON.stringify(event)}\n\n`);
+  }
+
+  private stop(): void {
+    this.stopped = true;
+    this.unfollow();
+    this.finish();
+  }
+}
--- /dev/null
+++ b/stand-ins/engine/decode.ts
@@ -0,0 +1,77 @@
+import { replyError, type Call, type Reply } from '../shared/call.js';
+import type { FaultList } from '../shared/faults.js';
+import { crash } from './crash.js';
+import { DecodeStream, type StreamFault } from './decode-stream.js';
+import type { EngineState } from './engine-state.js';
+import { Generation } from './generation.js';
+import type { KvContent } from './kv-content.js';
+import { withBody } from './parse-call.js';
+import { decodeSchema, type Tag } from './request-schema.js';
+
+/**
+ * Serves `POST /v1/decode`.
+ *
+ * @param state - the engine
+ * @param call - the call
+ * @param faults - may change the stream or end the process because of the prompt
+ * @returns the answer
+ */
+export function decode(state: EngineState, call: Call, faults: FaultList): Reply | Promise<Reply> {
+  return withBody(state, call, { schema: decodeSchema, role: 'decode' }, (body) => {
+    const { attemptId, reservationId, maxTokens, fromIndex } = body;
+    const known = state.generations.find(attemptId, reservationId);
+    if (known) return replyStream(state, call, faults, known, fromIndex);
+    const reservation = state.reservations.find(attemptId, reservationId);
+    if (!reservation) return replyError(404, 'unknown reservation');
+    if (!reservation.content) return replyError(409, 'the KV cache is not there');
+    if (faults.takeCrash(call, reservation.content.prompt)) crash();
+    const generation = startGeneration(state, body, reservation.content, maxTokens);
+    state.generations.add(generation, reservationId);
+    return replyStream(state, call, faults, generation, fromIndex);
+  });
+}
+
+function startGeneration(
+  state: EngineState,
+  tag: Tag,
+  content: KvContent,
+  maxTokens: number,
+): Generation {
+  const { attemptId } = tag;
+  const { attempts } = state.history;
+  attempts.enter(tag, 'decode');
+  return Generation.create(attemptId, content, maxTokens, {
+    tokenMs: state.options.tokenMs,
+    slowdown: () => (state.queue.running ? state.options.prefillSlowdown : 1),
+    onToken: (produced) => attempts.countTokens(attemptId, produced),
+    onEnd: () => {
+      state.endAttempt(attemptId, 'complete');
+      state.generations.retire(attemptId);
+    },
+  });
+}
+
+function replyStream(
+  state: EngineState,
+  call: Call,
+  faults: FaultList,
+  generation: Generation,
+  fromIndex: number,
+): Reply {
+  const { attemptId } = generation;
+  const { attempts } = state.history;
+  const fault: StreamFault = {
+    kind: faults.takeForStream(call),
+    olderAttempt: attempts.findOther(attemptId, true),
+    otherAttempt: attempts.findOther(attemptId, false),
+  };
+  return {
+    status: 200,
+    headers: { 'content-type': 'text/event-stream', 'cache-control': 'no-store' },
+    write: async (response) => {
+      const stream = DecodeStream.create(response, generation, fromIndex, fault);
+      state.generations.attach(attemptId, stream);
+      await stream.run();
+    },
+  };
+}
--- /dev/null
+++ b/stand-ins/engine/engine-state.ts
@@ -0,0 +1,128 @@
+import { randomBytes } from 'node:crypto';
+
+import { Link } from '../shared/link.js';
+import type { Ended } from './attempt-log.js';
+import { Cancellations } from './cancellations.js';
+import type { EngineHistory } from './engine-history.js';
+import { Generations } from './generations.js';
+import { LoadReport, type ReportedLoad } from './load-report.js';
+import { Memory } from './memory.js';
+import type { EngineOptions, Role } from './options.js';
+import { PrefillQueue } from './prefill-queue.js';
+import { PrefillResults } from './prefill-results.js';
+import { PrefixCache } from './prefix-cache.js';
+import { Reservations } from './reservations.js';
+
+/** Everything that an engine loses when it restarts. */
+export class EngineState {
+  readonly incarnation = randomBytes(4).toString('hex');
+
+  readonly memory: Memory;
+
+  readonly cancellations = Cancellations.create();
+
+  readonly cache: PrefixCache;
+
+  readonly queue: PrefillQueue;
+
+  readonly results: PrefillResults;
+
+  readonly reservations: Reservations;
+
+  readonly generations = Generations.create();
+
+  readonly link: Link;
+
+  readonly load: LoadReport;
+
+  role: Role;
+
+  draining = false;
+
+  private constructor(
+    readonly options: EngineOptions,
+    readonly history: EngineHistory,
+  ) {
+    this.role = options.role;
+    this.memory = Memory.create(options.slots, options.blocks);
+    this.cache = PrefixCache.create(options);
+    this.queue = PrefillQueue.create(options.prefillTokensPerSecond, options.prefillOrder);
+    this.link = Link.create(options.linkBytesPerSecond);
+    this.results = PrefillResults.create(options.prefillResultMs, (result) => {
+      this.history.countWasted(result.computedTokens);
+      this.releasePrefill(result.tag.attemptId, 'expired');
+    });
+    this.reservations = Reservations.create(options.reservationMs, ({ tag }) => {
+      this.endAttempt(tag.attemptId, 'expired');
+    });
+    this.load = LoadReport.create(() => this.measureLoad(), options.loadLagMs);
+  }
+
+  /**
+   * Creates the state of an engine that has just started.
+   *
+   * @param options - size, speed and behaviour
+   * @param history - what outlives a restart
+   * @returns a new state with a new incarnation
+   */
+  static create(options: EngineOptions, history: EngineHistory): EngineState {
+    return new EngineState(options, history);
+  }
+
+  /**
+   * Releases everything that an attempt holds and ends its work.
+   *
+   * @param attemptId - the attempt
+   * @param ended - why
+   * @returns the number of holds that were released
+   */
+  endAttempt(attemptId: string, ended: Ended): number {
+    const dropped = this.results.dropAttempt(attemptId);
+    dropped.forEach((result) => {
+      this.history.countWasted(result.computedTokens);
+    });
+    if (ended === 'cancelled') this.generations.stop(attemptId);
+    this.reservations.drop(attemptId);
+    this.cancellations.forget(attemptId);
+    this.history.attempts.end(attemptId, ended);
+    return this.memory.releaseAttempt(attemptId);
+  }
+
+  /**
+   * Releases what the prefill of an attempt holds; its reservation on this engine stays.
+   *
+   * @param attemptId - the attempt
+   * @param ended - how the prefill ended
+   */
+  releasePrefill(attemptId: string, ended: Ended): void {
+    this.memory.releaseKind(attemptId, 'prefill');
+    if (this.reservations.find(attemptId)) return;
+    this.cancellations.forget(attemptId);
+    this.history.attempts.end(attemptId, ended);
+  }
+
+  /** Ends all work without end markers, as a crash does. */
+  shutDown(): void {
+    this.load.stop();
+    this.generations.stopAll();
+    this.results.clear();
+    this.reservations.clear();
+    this.cancellations.abortAll();
+    this.history.attempts.endAll();
+  }
+
+  private measureLoad(): ReportedLoad {
+    const { slotsFree, blocksFree } = this.memory;
+    const { slots, blocks, prefillTokensPerSecond } = this.options;
+    const queuedPrefillTokens = this.queue.queuedTokens;
+    // A second of queued prefill counts as full, because no first token would be in time.
+    const used = Math.max(
+      1 - slotsFree / slots,
+      1 - blocksFree / blocks,
+      Math.min(1, queuedPrefillTokens / prefillTokensPerSecond),
+    );
+    const { draining, incarnation } = this;
+    const level = Math.floor(used * 4);
+    return { slotsFree, blocksFree, queuedPrefillTokens, level, draining, incarnation };
+  }
+}
--- /dev/null
+++ b/stand-ins/engine/parse-call.ts
@@ -0,0 +1,52 @@
+import { z } from 'zod';
+
+import { readJson, replyError, type Call, type Reply } from '../shared/call.js';
+import type { EngineState } from './engine-state.js';
+import type { Role } from './options.js';
+import type { Tag } from './request-schema.js';
+
+/** What a call must fulfil besides its schema. */
+export interface CallDemand<Body extends Tag> {
+  readonly schema: z.ZodType<Body>;
+  /** Role that the engine needs. */
+  readonly role: Role;
+}
+
+/**
+ * Validates a call that concerns an attempt and passes it on.
+ *
+ * @param state - the engine
+ * @param call - the call
+ * @param demand - what the call must fulfil
+ * @param serve - serves the valid body
+ * @returns the answer; 400 for a malformed body or the wrong role, 404 for an unknown model, 410
+ * for a cancelled attempt
+ */
+export function withBody<Body extends Tag>(
+  state: EngineState,
+  call: Call,
+  demand: CallDemand<Body>,
+  serve: (body: Body) => Reply | Promise<Reply>,
+): Reply | Promise<Reply> {
+  const parsed = demand.schema.safeParse(readJson(call));
+  if (!parsed.success) return replyError(400, z.prettifyError(parsed.error));
+  if (state.role !== 'both' && state.role !== demand.role) {
+    return replyError(400, `the role of this engine is ${state.role}`);
+  }
+  const { model } = parsed.data as { model?: string };
+  const { models } = state.options;
+  if (model !== undefined && models.length > 0 && !models.includes(model)) {
+    return replyError(404, `no model ${model}`);
+  }
+  if (state.cancellations.has(parsed.data.attemptId)) return replyCancelled();
+  return serve(parsed.data);
+}
+
+/**
+ * Refuses a call for an attempt that was cancelled.
+ *
+ * @returns the answer
+ */
+export function replyCancelled(): Reply {
+  return replyError(410, 'the attempt was cancelled');
+}
--- /dev/null
+++ b/stand-ins/engine/prefill.ts
@@ -0,0 +1,66 @@
+import type { z } from 'zod';
+
+import { replyError, replyJson, type Call, type Reply } from '../shared/call.js';
+import type { FaultList } from '../shared/faults.js';
+import { crash } from './crash.js';
+import type { EngineState } from './engine-state.js';
+import { replyCancelled, withBody } from './parse-call.js';
+import { prefillSchema } from './request-schema.js';
+
+type PrefillBody = z.infer<typeof prefillSchema>;
+
+/**
+ * Serves `POST /v1/prefill`.
+ *
+ * @param state - the engine
+ * @param call - the call
+ * @param faults - may end the process because of the prompt
+ * @returns the answer
+ */
+export function prefill(state: EngineState, call: Call, faults: FaultList): Reply | Promise<Reply> {
+  return withBody(state, call, { schema: prefillSchema, role: 'prefill' }, async (body) => {
+    if (faults.takeCrash(call, body.prompt)) crash();
+    const { blockTokens, bytesPerToken } = state.options;
+    const promptTokens = Math.ceil(Buffer.byteLength(body.prompt) / bytesPerToken);
+    const hold = state.memory.take(body, 'prefill', Math.ceil(promptTokens / blockTokens));
+    if (!hold) return replyError(429, 'no room');
+    state.history.attempts.enter(body, 'prefill', { model: body.model, promptTokens });
+    const computedTokens = await compute(state, body, promptTokens);
+    if (computedTokens !== undefined) return replyResult(state, body, promptTokens, computedTokens);
+    state.memory.release(hold);
+    return replyCancelled();
+  });
+}
+
+/** Returns the tokens that were not cached, or undefined when the attempt was cancelled. */
+async function compute(
+  state: EngineState,
+  { attemptId, prompt, priority }: PrefillBody,
+  promptTokens: number,
+): Promise<number | undefined> {
+  const signal = state.cancellations.signal(attemptId);
+  const countTokens = () => Math.max(0, promptTokens - state.cache.countCached(prompt));
+  const computedTokens = await state.queue.run({ priority, countTokens, signal });
+  state.history.countPrefill(computedTokens);
+  if (!signal.aborted) return computedTokens;
+  state.history.countWasted(computedTokens);
+  return undefined;
+}
+
+function replyResult(
+  state: EngineState,
+  body: PrefillBody,
+  promptTokens: number,
+  computedTokens: number,
+): Reply {
+  const { attemptId, prompt, model } = body;
+  state.cache.store(prompt);
+  state.history.attempts.enter(body, 'prefilled');
+  const kvBytes = promptTokens * state.options.kvBytesPerToken;
+  const facts = { tag: body, model, prompt, promptTokens, computedTokens, kvBytes };
+  const { prefillId } = state.results.keep(facts);
+  const cachedTokens = promptTokens - computedTokens;
+  const expiresInMs = state.options.prefillResultMs;
+  const answer = { attemptId, prefillId, promptTokens, cachedTokens, kvBytes, expiresInMs };
+  return replyJson(200, answer);
+}
--- /dev/null
+++ b/stand-ins/engine/request-schema.ts
@@ -0,0 +1,49 @@
+import { z } from 'zod';
+
+const tag = {
+  requestId: z.string().min(1),
+  attemptId: z.string().min(1),
+  owner: z.object({ vm: z.string(), incarnation: z.string() }),
+  team: z.string().optional(),
+};
+
+const tokens = z.int().nonnegative();
+
+/** Fields of every call that concerns a request. */
+export const tagSchema = z.object(tag);
+
+export const reservationSchema = z.object({ ...tag, model: z.string(), blocks: tokens });
+
+export const prefillSchema = z.object({
+  ...tag,
+  model: z.string(),
+  prompt: z.string(),
+  priority: z.number(),
+});
+
+export const transferSchema = z.object({
+  ...tag,
+  reservationId: z.string(),
+  prefillId: z.string(),
+  source: z.string(),
+});
+
+export const decodeSchema = z.object({
+  ...tag,
+  reservationId: z.string(),
+  maxTokens: z.int().positive(),
+  fromIndex: tokens,
+});
+
+export const orderSchema = z.object({
+  kind: z.enum(['load-model', 'load-adapter', 'change-role']),
+  value: z.string().min(1),
+  fencingNumber: z.number(),
+  commander: z.string(),
+});
+
+/** Whose work a call concerns. */
+export type Tag = z.infer<typeof tagSchema>;
+
+/** An order as it was given. */
+export type GivenOrder = z.infer<typeof orderSchema>;
