feat: add the HTTP adapters of the platform

Change: adapters on undici without retries, with deadlines for connecting, first byte and body; reads rotate over the URLs after any failure, appends only after one that had no effect; the VM list polls and stops by abort.

--- /dev/null
+++ b/src/platform/http-call.ts
@@ -0,0 +1,193 @@
+import { Agent, buildConnector, request, type Dispatcher } from 'undici';
+
+import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+
+/** Longest waits of a call, in milliseconds. */
+export interface HttpDeadlines {
+  /** Shorter than `firstByteMs`, so that a call that never connected is known not to be sent. */
+  readonly connectMs: number;
+  /** From the start of the call, connecting included, to the status and headers. */
+  readonly firstByteMs: number;
+  /** From the headers to the end of the body. */
+  readonly bodyMs: number;
+}
+
+/**
+ * Derives the deadlines of an adapter from its settings.
+ *
+ * @param timeoutMs - longest wait for an answer and again for its body, in milliseconds
+ * @param connectMs - longest wait for a connection, in milliseconds; half of `timeoutMs` when absent
+ * @returns the deadlines
+ */
+export function buildDeadlines(timeoutMs: number, connectMs = timeoutMs / 2): HttpDeadlines {
+  return {
+    connectMs: Math.min(connectMs, timeoutMs / 2),
+    firstByteMs: timeoutMs,
+    bodyMs: timeoutMs,
+  };
+}
+
+/** A call to the platform. */
+export interface HttpCall {
+  readonly method: 'GET' | 'POST';
+  readonly url: string;
+  /** Sent as JSON. */
+  readonly body?: unknown;
+  readonly deadlines: HttpDeadlines;
+  readonly signal?: AbortSignal;
+}
+
+/** An answer; `body` is undefined when it was not JSON. */
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: Dispatcher.ResponseData['headers'];
+  readonly body: unknown;
+}
+
+/** A call without an answer. */
+export class HttpCallFailure extends Error {
+  override readonly name = 'HttpCallFailure';
+
+  private constructor(
+    /** Whether the request may have reached the server. */
+    readonly sent: boolean,
+    message: string,
+  ) {
+    super(message);
+  }
+
+  /**
+   * Creates a failure.
+   *
+   * @param sent - whether the request may have reached the server
+   * @param message - what happened
+   * @returns a new failure
+   */
+  static create(sent: boolean, message: string): HttpCallFailure {
+    return new HttpCallFailure(sent, message);
+  }
+}
+
+/** Errors that occur before a connection exists, so that nothing has been sent. */
+const UNSENT_CODES = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/**
+ * Creates the connections of one adapter. Idle connections are closed before common servers close
+ * them, because a request on a connection that the server is closing has an unknown effect.
+ *
+ * @param deadlines - longest waits
+ * @returns an agent without open connections
+ */
+export function createAgent(deadlines: HttpDeadlines): Agent {
+  return new Agent({
+    connect: createConnector(deadlines.connectMs),
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    keepAliveTimeout: 1000,
+    pipelining: 1,
+  });
+}
+
+function createConnector(connectMs: number): buildConnector.connector {
+  const connect = buildConnector({ timeout: 0 });
+  return (options, callback) => {
+    let expired = false;
+    const timer = setTimeout(() => {
+      expired = true;
+      const error = new Error(`no connection within ${connectMs} ms`);
+      callback(Object.assign(error, { code: 'UND_ERR_CONNECT_TIMEOUT' }), null);
+    }, connectMs);
+    connect(options, (...result) => {
+      clearTimeout(timer);
+      if (expired) result[1]?.destroy();
+      else callback(...result);
+    });
+  };
+}
+
+/**
+ * Makes a call once; it is never repeated. A call that passes a deadline loses its connection.
+ *
+ * @param agent - the connections
+ * @param call - the call
+ * @returns the whole answer, or why there is none
+ */
+export async function callHttp(
+  agent: Agent,
+  call: HttpCall,
+): Promise<Outcome<HttpAnswer, HttpCallFailure>> {
+  return withAnswer(agent, call, async ({ statusCode, headers, body }) => {
+    const text = await body.text();
+    return { status: statusCode, headers, body: parseJson(text) };
+  });
+}
+
+/**
+ * Makes a call for its status and headers, and closes the connection without reading the body.
+ *
+ * @param agent - the connections
+ * @param call - the call
+ * @returns the answer without its body, or why there is none
+ */
+export async function callHttpForHeaders(
+  agent: Agent,
+  call: HttpCall,
+): Promise<Outcome<HttpAnswer, HttpCallFailure>> {
+  return withAnswer(agent, call, async ({ statusCode, headers, body }) => {
+    body.on('error', () => {});
+    body.destroy();
+    return { status: statusCode, headers, body: undefined };
+  });
+}
+
+async function withAnswer(
+  agent: Agent,
+  call: HttpCall,
+  read: (response: Dispatcher.ResponseData) => Promise<HttpAnswer>,
+): Promise<Outcome<HttpAnswer, HttpCallFailure>> {
+  if (call.signal?.aborted) return fail(HttpCallFailure.create(false, 'the call was aborted'));
+  const deadline = new AbortController();
+  const { firstByteMs, bodyMs } = call.deadlines;
+  // undici rounds its own timeouts to about a second, so the deadlines are timers of their own.
+  const expire = (wait: string, ms: number) =>
+    setTimeout(() => deadline.abort(new Error(`no ${wait} within ${ms} ms`)), ms);
+  let timer = expire('answer', firstByteMs);
+  try {
+    const response = await request(call.url, buildOptions(agent, call, deadline.signal));
+    clearTimeout(timer);
+    timer = expire('whole body', bodyMs);
+    return succeed(await read(response));
+  } catch (error) {
+    return fail(describeFailure(error));
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
+function buildOptions(agent: Agent, call: HttpCall, deadline: AbortSignal) {
+  const signal = call.signal ? AbortSignal.any([call.signal, deadline]) : deadline;
+  const options = { dispatcher: agent, method: call.method, signal };
+  if (call.body === undefined) return options;
+  const headers = { 'content-type': 'application/json' };
+  return { ...options, headers, body: JSON.stringify(call.body) };
+}
+
+function describeFailure(error: unknown): HttpCallFailure {
+  const { code, message } = error as { code?: string; message?: string };
+  const sent = !UNSENT_CODES.has(code ?? '');
+  return HttpCallFailure.create(sent, message || (code ?? String(error)));
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/platform/http-log-service.ts
@@ -0,0 +1,133 @@
+import type { Agent } from 'undici';
+import { z } from 'zod';
+
+import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+import {
+  buildDeadlines,
+  callHttp,
+  createAgent,
+  type HttpAnswer,
+  type HttpCallFailure,
+  type HttpDeadlines,
+} from './http-call.js';
+import { LogFailure } from './log-failure.js';
+import { LogService, type LogPage, type LogQuery } from './log-service.js';
+import { UrlRotation } from './url-rotation.js';
+
+const appendAnswer = z.object({ firstOffset: z.int().positive() });
+const pageAnswer = z.object({
+  records: z.array(
+    z.object({ offset: z.int().positive(), timestampMs: z.number(), data: z.string() }),
+  ),
+  endOffset: z.int().nonnegative(),
+  earliestOffset: z.int().nonnegative(),
+});
+
+/** Where the log service is and how long calls may take. */
+export interface HttpLogServiceOptions {
+  /** Equal entrances to the log service, at least one. */
+  readonly urls: readonly string[];
+  /** Longest wait for an answer and again for its body, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Longest wait for a connection, in milliseconds; half of `timeoutMs` when absent. */
+  readonly connectMs?: number;
+}
+
+/** The log service over HTTP. No call is repeated; the caller decides on that. */
+export class HttpLogService extends LogService {
+  private readonly readUrls: UrlRotation;
+
+  private readonly appendUrls: UrlRotation;
+
+  private readonly agent: Agent;
+
+  private readonly stopping = new AbortController();
+
+  private constructor(
+    urls: readonly string[],
+    private readonly deadlines: HttpDeadlines,
+  ) {
+    super();
+    this.readUrls = UrlRotation.create(urls);
+    this.appendUrls = UrlRotation.create(urls);
+    this.agent = createAgent(deadlines);
+  }
+
+  /**
+   * Creates an adapter without open connections.
+   *
+   * @param options - URLs and timeouts
+   * @returns a new adapter
+   */
+  static create(options: HttpLogServiceOptions): HttpLogService {
+    const { urls, timeoutMs, connectMs } = options;
+    return new HttpLogService(urls, buildDeadlines(timeoutMs, connectMs));
+  }
+
+  override async append(
+    stream: string,
+    records: readonly string[],
+  ): Promise<Outcome<number, LogFailure>> {
+    const base = this.appendUrls.current();
+    const answer = await callHttp(this.agent, {
+      method: 'POST',
+      url: buildUrl(base, stream),
+      body: { records },
+      deadlines: this.deadlines,
+      signal: this.stopping.signal,
+    });
+    const outcome = answer.kind === 'ok' ? judgeAppend(answer.value) : judgeLost(answer.failure);
+    const isDown = outcome.kind === 'failed' && outcome.failure.reason === 'unavailable';
+    if (isDown) this.appendUrls.leave(base);
+    return outcome;
+  }
+
+  override async read(query: LogQuery): Promise<Outcome<LogPage, LogFailure>> {
+    const base = this.readUrls.current();
+    const { stream, from, limit, waitMs, signal } = query;
+    const { firstByteMs } = this.deadlines;
+    const stop = this.stopping.signal;
+    const answer = await callHttp(this.agent, {
+      method: 'GET',
+      url: `${buildUrl(base, stream)}?from=${from}&limit=${limit}&waitMs=${waitMs}`,
+      deadlines: { ...this.deadlines, firstByteMs: firstByteMs + waitMs },
+      signal: signal ? AbortSignal.any([signal, stop]) : stop,
+    });
+    const outcome = judgeRead(answer);
+    if (outcome.kind === 'failed' && !signal?.aborted) this.readUrls.leave(base);
+    return outcome;
+  }
+
+  override async stop(): Promise<void> {
+    this.stopping.abort(new Error('the log service adapter was stopped'));
+    await this.agent.destroy();
+  }
+}
+
+function buildUrl(base: string, stream: string): string {
+  return `${base}/v1/streams/${encodeURIComponent(stream)}/records`;
+}
+
+function judgeAppend({ status, body }: HttpAnswer): Outcome<number, LogFailure> {
+  const parsed = appendAnswer.safeParse(body);
+  if (status === 200 && parsed.success) return succeed(parsed.data.firstOffset);
+  if (status === 429) return fail(LogFailure.create('throttled', 'the append rate is exceeded'));
+  const hadNoEffect = status === 503 || (status >= 400 && status < 500);
+  const reason = hadNoEffect ? 'unavailable' : 'unknown';
+  return fail(LogFailure.create(reason, `append was answered with status ${status}`));
+}
+
+function judgeLost(failure: HttpCallFailure): Outcome<number, LogFailure> {
+  return fail(LogFailure.create(failure.sent ? 'unknown' : 'unavailable', failure.message));
+}
+
+function judgeRead(answer: Outcome<HttpAnswer, HttpCallFailure>): Outcome<LogPage, LogFailure> {
+  if (answer.kind === 'failed') {
+    return fail(LogFailure.create('unavailable', answer.failure.message));
+  }
+  const { status, body } = answer.value;
+  const page = pageAnswer.safeParse(body);
+  if (status === 200 && page.success) return succeed(page.data);
+  const reason = status === 429 ? 'throttled' : 'unavailable';
+  return fail(LogFailure.create(reason, `read was answered with status ${status}`));
+}
--- /dev/null
+++ b/src/platform/http-vm-list.ts
@@ -0,0 +1,113 @@
+import type { Stream } from 'most';
+import type { Agent } from 'undici';
+import { z } from 'zod';
+
+import { Channel } from '../kernel/channel.js';
+import type { Clock } from '../kernel/clock.js';
+import { buildDeadlines, callHttp, createAgent, type HttpDeadlines } from './http-call.js';
+import { VmList, type VmListing } from './vm-list.js';
+
+const state = z.enum(['live', 'leaving']);
+const port = z.int().min(1).max(65_535);
+const listingSchema = z.object({
+  vms: z.array(
+    z.object({
+      name: z.string(),
+      region: z.string(),
+      availabilityZone: z.string(),
+      host: z.string(),
+      peerPort: port,
+      callerPort: port,
+      state,
+    }),
+  ),
+  servers: z.array(z.object({ name: z.string(), state })).default([]),
+});
+
+/** Where the list is and how often it is read. */
+export interface HttpVmListOptions {
+  readonly url: string;
+  /** Time from the end of one read to the next, in milliseconds. */
+  readonly pollMs: number;
+  /** Longest wait for an answer and again for its body, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Longest wait for a connection, in milliseconds; half of `timeoutMs` when absent. */
+  readonly connectMs?: number;
+}
+
+/** Polls the VM list over HTTP; a failed poll keeps the last list. */
+export class HttpVmList extends VmList {
+  private readonly channel = Channel.create<VmListing>();
+
+  private readonly stopping = new AbortController();
+
+  private readonly agent: Agent;
+
+  private readonly deadlines: HttpDeadlines;
+
+  private last: VmListing | undefined;
+
+  private polling: Promise<void> = Promise.resolve();
+
+  private constructor(
+    private readonly options: HttpVmListOptions,
+    private readonly clock: Clock,
+  ) {
+    super();
+    this.deadlines = buildDeadlines(options.timeoutMs, options.connectMs);
+    this.agent = createAgent(this.deadlines);
+  }
+
+  /**
+   * Creates an adapter that polls when it is started.
+   *
+   * @param options - URL and times
+   * @param clock - measures the time between polls
+   * @returns a new adapter
+   */
+  static create(options: HttpVmListOptions, clock: Clock): HttpVmList {
+    return new HttpVmList(options, clock);
+  }
+
+  override async start(): Promise<void> {
+    this.polling = this.poll();
+  }
+
+  override async stop(): Promise<void> {
+    this.stopping.abort(new Error('the VM list adapter was stopped'));
+    await this.polling;
+    await this.agent.destroy();
+    this.channel.end();
+  }
+
+  override current(): VmListing | undefined {
+    return this.last;
+  }
+
+  override changes(): Stream<VmListing> {
+    return this.channel.stream();
+  }
+
+  private async poll(): Promise<void> {
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      const listing = await this.read(signal);
+      if (listing && !signal.aborted) this.take(listing);
+      await this.clock.sleep(this.options.pollMs, signal);
+    }
+  }
+
+  private async read(signal: AbortSignal): Promise<VmListing | undefined> {
+    const url = `${this.options.url.replace(/\/+$/, '')}/v1/vms`;
+    const { deadlines } = this;
+    const answer = await callHttp(this.agent, { method: 'GET', url, deadlines, signal });
+    if (answer.kind === 'failed' || answer.value.status !== 200) return undefined;
+    return listingSchema.safeParse(answer.value.body).data;
+  }
+
+  private take(listing: VmListing): void {
+    if (JSON.stringify(listing) === JSON.stringify(this.last)) return;
+    this.last = listing;
+    this.channel.push(listing);
+  }
+}
