--- /dev/null
+++ b/features/support/stand-in-launcher.ts
@@ -0,0 +1,53 @@
+import { launchProcess, type LaunchedProcess } from './process-launcher.js';
+import { createRecorder, type Recorder } from './recorder.js';
+
+/** Names of the programs under stand-ins/. */
+export type StandInName =
+  'model-engine' | 'plain-service' | 'log-service' | 'vm-list' | 'weight-store';
+
+/** A stand-in that a scenario has started. */
+export interface LaunchedStandIn extends Recorder {
+  readonly process: LaunchedProcess;
+  /** `host:port` of the protocol listener. */
+  readonly address: string;
+  /** URL of the protocol listener, without a slash at the end. */
+  readonly url: string;
+  /** URL of the log replica; only the log service has one. */
+  readonly replicaUrl: string;
+  /** Kills the stand-in and starts it again on the same ports. */
+  readonly restart: () => Promise<LaunchedStandIn>;
+}
+
+/**
+ * Starts a stand-in on free ports.
+ *
+ * @param name - name of the program
+ * @param args - options besides the ports
+ * @returns the running stand-in
+ */
+export async function launchStandIn(
+  name: StandInName,
+  args: readonly string[] = [],
+): Promise<LaunchedStandIn> {
+  return describeStandIn(
+    await launchProcess(`stand-ins/${name}`, {
+      args,
+      restartArgs: ({ port, adminPort, replicaPort }) => {
+        const replica = replicaPort === undefined ? [] : ['--replica-port', String(replicaPort)];
+        return [...args, '--port', String(port), '--admin-port', String(adminPort), ...replica];
+      },
+    }),
+  );
+}
+
+function describeStandIn(launched: LaunchedProcess): LaunchedStandIn {
+  const { host, port, adminPort, replicaPort } = launched.ready;
+  return {
+    ...createRecorder(`http://${String(host)}:${String(adminPort)}`),
+    process: launched,
+    address: `${String(host)}:${String(port)}`,
+    url: `http://${String(host)}:${String(port)}`,
+    replicaUrl: `http://${String(host)}:${String(replicaPort)}`,
+    restart: async () => describeStandIn(await launched.restart()),
+  };
+}
--- /dev/null
+++ b/features/support/tcp-relay.ts
@@ -0,0 +1,155 @@
+import { createServer, connect, type AddressInfo, type Server, type Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { After } from '@cucumber/cucumber';
+
+import type { Address } from '../../src/domain/vm.js';
+
+/** Direction of bytes through a relay. */
+export type Direction = 'to-target' | 'to-client';
+
+/** What a relay does to bytes at present. */
+interface Weather {
+  state: 'healthy' | 'cut' | 'silent';
+  readonly delayMs: Record<Direction, number>;
+}
+
+/** Silent connections stay silent for good when `forGood` is set; new ones then work. */
+interface Pair {
+  readonly sockets: readonly Socket[];
+  forGood: boolean;
+}
+
+/** Bytes on their way; undefined stands for the end of the stream. */
+interface Piece {
+  readonly bytes: Buffer | undefined;
+  readonly dueMs: number;
+}
+
+/** How often a silent direction looks whether it may go on. */
+const SILENT_CHECK_MS = 10;
+
+/** A TCP relay in the process of the test. */
+export interface TcpRelay extends Address {
+  /** Resets open connections, and each new one as soon as it is accepted. */
+  readonly cut: () => void;
+  /** Passes no bytes on open and new connections, until `heal`. */
+  readonly silence: () => void;
+  /** Makes the open connections silent for good; new connections work. */
+  readonly silenceOpen: () => void;
+  /** Delays bytes in one direction, in milliseconds. */
+  readonly delay: (direction: Direction, ms: number) => void;
+  /** Ends `cut`, `silence` and delays. */
+  readonly heal: () => void;
+  /** Counts connections that are open now. */
+  readonly countOpen: () => number;
+  readonly close: () => Promise<void>;
+}
+
+const relays = new Set<TcpRelay>();
+
+/**
+ * Opens a relay on a free port.
+ *
+ * @param target - where the bytes go
+ * @returns the relay
+ */
+export async function createTcpRelay(target: Address): Promise<TcpRelay> {
+  const weather: Weather = { state: 'healthy', delayMs: { 'to-target': 0, 'to-client': 0 } };
+  const pairs = new Set<Pair>();
+  const server = createServer({ allowHalfOpen: true }, (client) => {
+    if (weather.state === 'cut') client.resetAndDestroy();
+    else connectPair(client, target, weather, pairs);
+  });
+  const port = await listen(server);
+  const resetAll = () => pairs.forEach((pair) => reset(pair));
+  const relay: TcpRelay = {
+    host: '127.0.0.1',
+    port,
+    cut: () => {
+      weather.state = 'cut';
+      resetAll();
+    },
+    silence: () => {
+      weather.state = 'silent';
+    },
+    silenceOpen: () => pairs.forEach((pair) => Object.assign(pair, { forGood: true })),
+    delay: (direction, ms) => {
+      weather.delayMs[direction] = ms;
+    },
+    heal: () => Object.assign(weather, { state: 'healthy', delayMs: healthyDelays() }),
+    countOpen: () => pairs.size,
+    close: async () => {
+      relays.delete(relay);
+      resetAll();
+      await new Promise((resolve) => {
+        server.close(resolve);
+      });
+    },
+  };
+  relays.add(relay);
+  return relay;
+}
+
+function healthyDelays(): Record<Direction, number> {
+  return { 'to-target': 0, 'to-client': 0 };
+}
+
+function listen(server: Server): Promise<number> {
+  return new Promise((resolve) => {
+    server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port));
+  });
+}
+
+function connectPair(client: Socket, target: Address, weather: Weather, pairs: Set<Pair>): void {
+  const upstream = connect({ ...target, allowHalfOpen: true });
+  const pair: Pair = { sockets: [client, upstream], forGood: false };
+  pairs.add(pair);
+  for (const socket of pair.sockets) {
+    socket.setNoDelay(true);
+    socket.on('error', () => reset(pair));
+    socket.on('close', (hadError) => {
+      if (hadError || socket.errored) reset(pair);
+      if (pair.sockets.every((one) => one.destroyed)) pairs.delete(pair);
+    });
+  }
+  pump(client, upstream, 'to-target', weather, pair);
+  pump(upstream, client, 'to-client', weather, pair);
+}
+
+function reset({ sockets }: Pair): void {
+  sockets.filter((socket) => !socket.destroyed).forEach((socket) => socket.resetAndDestroy());
+}
+
+/** Passes bytes in one direction, in order. */
+function pump(from: Socket, to: Socket, direction: Direction, weather: Weather, pair: Pair): void {
+  const queue: Piece[] = [];
+  let passing = false;
+  const passAll = async () => {
+    if (passing) return;
+    passing = true;
+    for (let piece = queue.shift(); piece; piece = queue.shift()) {
+      await waitForTurn(piece, weather, pair, to);
+      if (piece.bytes) to.write(piece.bytes);
+      else to.end();
+    }
+    passing = false;
+  };
+  const add = (bytes: Buffer | undefined) => {
+    queue.push({ bytes, dueMs: performance.now() + weather.delayMs[direction] });
+    void passAll();
+  };
+  from.on('data', add);
+  from.on('end', () => add(undefined));
+}
+
+async function waitForTurn(piece: Piece, weather: Weather, pair: Pair, to: Socket): Promise<void> {
+  const waitMs = piece.dueMs - performance.now();
+  if (waitMs > 0) await delay(waitMs);
+  const isHeld = () => !to.destroyed && (pair.forGood || weather.state === 'silent');
+  while (isHeld()) await delay(SILENT_CHECK_MS);
+}
+
+After(async () => {
+  await Promise.all([...relays].map((relay) => relay.close()));
+});
