test: add contract tests of the stand-ins

Cause: tests of the router are worth only as much as the stand-ins they run against, so leaks, late results and faults of these need tests of their own.

--- /dev/null
+++ b/features/steps/stand-ins-steps.ts
@@ -0,0 +1,230 @@
+import assert from 'node:assert/strict';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+import { request } from 'undici';
+
+import { callJson } from '../support/engine-client.js';
+import type { FaultOrder } from '../support/recorder.js';
+import {
+  launchStandIn,
+  type LaunchedStandIn,
+  type StandInName,
+} from '../support/stand-in-launcher.js';
+
+/** Silence after which a call is counted as never answered. */
+const SILENCE_MS = 300;
+
+interface EndedCall {
+  readonly result: string;
+  readonly elapsedMs: number;
+  readonly text: string;
+  readonly headers: Record<string, unknown>;
+}
+
+interface StandInWorld {
+  standIn: LaunchedStandIn;
+  standInCalls: EndedCall[];
+}
+
+interface PlainRecord {
+  readonly effects: readonly { attemptId: string; method: string; path: string }[];
+  readonly appends: number;
+  readonly headers: readonly { name: string; values: readonly string[] }[];
+}
+
+async function ask(
+  standIn: LaunchedStandIn,
+  call: string,
+  options: { headers?: Record<string, string>; body?: string; silenceMs?: number } = {},
+): Promise<EndedCall> {
+  const [method = 'GET', path = '/'] = call.split(' ');
+  const isAppend = method === 'POST' && path.endsWith('/records');
+  const { headers, body = isAppend ? '{"records":["x"]}' : undefined } = options;
+  const startMs = performance.now();
+  const signal = AbortSignal.timeout(options.silenceMs ?? SILENCE_MS);
+  const end = (result: string, text = '', seen = {}) => ({
+    ...{ result, text, headers: seen, elapsedMs: performance.now() - startMs },
+  });
+  try {
+    const answer = await request(`${standIn.url}${path}`, {
+      ...{ method: method as 'GET', headers, body, signal, reset: true },
+    });
+    const text = await answer.body.text();
+    return end(String(answer.statusCode), text, answer.headers);
+  } catch {
+    return end(signal.aborted ? 'silent' : 'broken');
+  }
+}
+
+function findLastCall(world: StandInWorld): EndedCall {
+  const call = world.standInCalls.at(-1);
+  assert.ok(call, 'the stand-in has not been asked');
+  return call;
+}
+
+async function append(world: StandInWorld, records: readonly string[]): Promise<void> {
+  const body = JSON.stringify({ records });
+  const call = 'POST /v1/streams/s/records';
+  world.standInCalls.push(await ask(world.standIn, call, { body, silenceMs: 2000 }));
+}
+
+Given(
+  'the stand-in {string} runs with {string}',
+  async function given(this: StandInWorld, name: string, options: string) {
+    this.standIn = await launchStandIn(name as StandInName, options.split(' ').filter(Boolean));
+    this.standInCalls = [];
+  },
+);
+
+Given(
+  'the stand-in has the fault {string}',
+  async function given(this: StandInWorld, fault: string) {
+    await this.standIn.addFault(JSON.parse(fault) as FaultOrder);
+  },
+);
+
+Then(
+  'the stand-in refuses the fault {string}',
+  async function then(this: StandInWorld, fault: string) {
+    await assert.rejects(this.standIn.addFault(JSON.parse(fault) as FaultOrder), /answered 400/);
+  },
+);
+
+When('the stand-in faults are removed', async function when(this: StandInWorld) {
+  await this.standIn.clearFaults();
+});
+
+When(
+  'the stand-in gets the state {string}',
+  async function when(this: StandInWorld, state: string) {
+    await this.standIn.setState(JSON.parse(state));
+  },
+);
+
+When('the stand-in waits {int} ms', async (ms: number) => {
+  await delay(ms);
+});
+
+When('the stand-in is asked {string}', async function when(this: StandInWorld, call: string) {
+  this.standInCalls.push(await ask(this.standIn, call));
+});
+
+When(
+  'the stand-in is asked {string} with the attempt {string}',
+  async function when(this: StandInWorld, call: string, attemptId: string) {
+    const headers = { 'x-attempt-id': attemptId };
+    this.standInCalls.push(await ask(this.standIn, call, { headers }));
+  },
+);
+
+When(
+  'the stand-in is asked {string} twice at once',
+  async function when(this: StandInWorld, call: string) {
+    const asked = [1, 2].map(() => ask(this.standIn, call, { silenceMs: 2000 }));
+    const ended = await Promise.all(asked);
+    this.standInCalls.push(...ended.toSorted((one, other) => one.elapsedMs - other.elapsedMs));
+  },
+);
+
+Then('the stand-in calls ended as {string}', function then(this: StandInWorld, results: string) {
+  const seen = this.standInCalls.map((call) => call.result).toSorted();
+  assert.equal(seen.join(', '), results);
+});
+
+Then(
+  'the stand-in call ended as {string} after {int} ms or more',
+  function then(this: StandInWorld, result: string, leastMs: number) {
+    const call = findLastCall(this);
+    assert.equal(call.result, result);
+    // Timers of the other process may fire up to 1 ms early when measured with this clock.
+    assert.ok(call.elapsedMs >= leastMs - 2, `the call took ${call.elapsedMs} ms`);
+  },
+);
+
+Then(
+  'the stand-in call took less than {int} ms',
+  function then(this: StandInWorld, mostMs: number) {
+    const { elapsedMs } = findLastCall(this);
+    assert.ok(elapsedMs < mostMs, `the call took ${elapsedMs} ms`);
+  },
+);
+
+Then('the stand-in answer is {string}', function then(this: StandInWorld, text: string) {
+  assert.deepEqual(JSON.parse(findLastCall(this).text), JSON.parse(text));
+});
+
+Then(
+  'the stand-in answer has the header {string} with {string}',
+  function then(this: StandInWorld, name: string, value: string) {
+    assert.equal(findLastCall(this).headers[name], value);
+  },
+);
+
+Then(
+  'the stand-in has taken {int} effects',
+  async function then(this: StandInWorld, count: number) {
+    const { effects, appends } = await this.standIn.readRecord<Partial<PlainRecord>>();
+    assert.equal(effects?.length ?? appends ?? 0, count);
+  },
+);
+
+Then(
+  'the stand-in recorded the effect {string}',
+  async function then(this: StandInWorld, effect: string) {
+    const { effects } = await this.standIn.readRecord<PlainRecord>();
+    const seen = effects.map(({ attemptId, method, path }) => `${attemptId} ${method} ${path}`);
+    assert.deepEqual(seen, [effect]);
+  },
+);
+
+Then(
+  'the stand-in has seen the header {string} with {string}',
+  async function then(this: StandInWorld, name: string, value: string) {
+    const { headers } = await this.standIn.readRecord<PlainRecord>();
+    assert.deepEqual(headers.find((header) => header.name === name)?.values, [value]);
+  },
+);
+
+When('the stand-in log gets the records {string}', function when(this: StandInWorld, list: string) {
+  return append(this, list.split(', '));
+});
+
+When(
+  'the stand-in log gets one record of {int} bytes',
+  function when(this: StandInWorld, n: number) {
+    return append(this, ['x'.repeat(n)]);
+  },
+);
+
+Then(
+  'the stand-in log shows from {int} the records {string}, the end {int} and the earliest {int}',
+  async function then(this: StandInWorld, from: number, list: string, end: number, first: number) {
+    const url = `${this.standIn.url}/v1/streams/s/records?from=${from}`;
+    const { records, ...rest } = (await callJson('GET', url)).body;
+    const seen = (records as { offset: number; data: string }[]).map(
+      ({ offset, data }) => `${offset} ${data}`,
+    );
+    assert.equal(seen.join(', '), list);
+    assert.deepEqual(rest, { endOffset: end, earliestOffset: first });
+  },
+);
+
+Then(
+  'the stand-in log replica shows the end {int}',
+  async function then(this: StandInWorld, end: number) {
+    const answer = await callJson('GET', `${this.standIn.replicaUrl}/v1/streams/s/records`);
+    assert.equal(answer.body.endOffset, end);
+  },
+);
+
+When(
+  'the stand-in log is read with a wait of {int} ms and gets {string} after {int} ms',
+  async function when(this: StandInWorld, waitMs: number, data: string, afterMs: number) {
+    const call = `GET /v1/streams/s/records?waitMs=${waitMs}`;
+    const reading = ask(this.standIn, call, { silenceMs: 2 * waitMs });
+    await delay(afterMs);
+    await append(this, [data]);
+    this.standInCalls.push(await reading);
+  },
+);
