--- /dev/null
+++ b/features/support/configuration-fleet.ts
@@ -0,0 +1,100 @@
+import { Code, ConnectError } from '@connectrpc/connect';
+
+import { FoldedConfiguration } from '../../src/configuration/folded-configuration.js';
+import type { Address } from '../../src/domain/vm.js';
+import { Kernel } from '../../src/kernel/kernel.js';
+import { SystemClock } from '../../src/kernel/system-clock.js';
+import type { PeerClient, PeerHandlers } from '../../src/peers/peers.js';
+import { createMember, createSettings, registerFake } from './configuration-fixtures.js';
+import { FakeLog } from './fake-log.js';
+import { LogView } from './log-view.js';
+
+const clock = SystemClock.create();
+
+/** One daemon's configuration with its faked surroundings. */
+export interface ConfigurationNode {
+  readonly vm: string;
+  readonly kernel: Kernel;
+  readonly configuration: FoldedConfiguration;
+  readonly handlers: PeerHandlers;
+  readonly address: Address;
+  readonly view: LogView;
+}
+
+/** Daemons that share a log and reach one another in memory. */
+export class ConfigurationFleet {
+  readonly log = FakeLog.create();
+
+  readonly nodes: ConfigurationNode[] = [];
+
+  readonly unreachable = new Set<string>();
+
+  /** Whether the member list is known; without it peers come from the VM list. */
+  membersKnown = true;
+
+  static create(): ConfigurationFleet {
+    return new ConfigurationFleet();
+  }
+
+  /** Starts a daemon's configuration without waiting for its first complete read. */
+  async add(vm: string, snapshotEveryMs = 600_000): Promise<ConfigurationNode> {
+    const kernel = Kernel.create();
+    const handlers: PeerHandlers = {};
+    const settings = createSettings(snapshotEveryMs);
+    const configuration = FoldedConfiguration.create(kernel, settings, clock);
+    const address = { host: '127.0.0.1', port: this.nodes.length + 1 };
+    const view = LogView.create(this.log);
+    const node = { vm, kernel, configuration, handlers, address, view };
+    this.registerFakes(node);
+    kernel.register('configuration', configuration);
+    this.nodes.push(node);
+    await kernel.start();
+    return node;
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.nodes.map((node) => node.kernel.stop()));
+  }
+
+  private registerFakes(node: ConfigurationNode): void {
+    const { kernel, vm, handlers, address } = node;
+    registerFake(kernel, 'log', node.view);
+    registerFake(kernel, 'logs', { warn: () => undefined });
+    registerFake(kernel, 'membership', {
+      self: () => createMember(vm, address),
+      current: () => ({ epoch: 1, members: this.membersKnown ? this.listMembers() : [] }),
+    });
+    registerFake(kernel, 'vm-list', {
+      current: () => ({
+        vms: this.nodes.map((other) => ({
+          name: other.vm,
+          host: other.address.host,
+          peerPort: other.address.port,
+        })),
+        servers: [],
+      }),
+    });
+    registerFake(kernel, 'peers', {
+      handle: (added: PeerHandlers) => Object.assign(handlers, added),
+      client: (target: Address) => this.createClient(vm, target),
+    });
+  }
+
+  private listMembers(): unknown[] {
+    return this.nodes.map((node) => createMember(node.vm, node.address));
+  }
+
+  private createClient(from: string, target: Address): PeerClient {
+    const call = (name: keyof PeerHandlers) => async (request: unknown) => {
+      await clock.sleep(1);
+      const node = this.nodes.find((other) => other.address.port === target.port);
+      if (!node || this.unreachable.has(node.vm) || this.unreachable.has(from)) {
+        throw new ConnectError('unreachable', Code.Unavailable);
+      }
+      const handler = node.handlers[name] as (value: unknown) => unknown;
+      return handler(request);
+    };
+    const names = ['fetchRecords', 'fetchSnapshot', 'withdrawKeys'] as const;
+    return Object.fromEntries(names.map((name) => [name, call(name)])) as unknown as PeerClient;
+  }
+}
--- /dev/null
+++ b/src/configuration/change-appender.ts
@@ -0,0 +1,108 @@
+import { randomUUID } from 'node:crypto';
+
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import { Backoff } from './backoff.js';
+import { type Change, subjectOf } from './change.js';
+import type { ChangeVerdict } from './configuration.js';
+import type { FoldTask } from './fold-task.js';
+import type { LogFollower } from './log-follower.js';
+import { encodeChange } from './record.js';
+import { CONFIGURATION_STREAM } from './stream-name.js';
+
+const VERDICT_MS = 5000;
+/** Time to find a record by reading before a lost append is repeated. */
+const SEARCH_MS = 1000;
+
+/** Appends changes and finds their verdicts. */
+export class ChangeAppender {
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly clock: Clock,
+    private readonly task: FoldTask,
+    private readonly follower: LogFollower,
+  ) {}
+
+  /**
+   * Creates an appender.
+   *
+   * @param kernel - where the log is found
+   * @param clock - for deadlines
+   * @param task - where verdicts are found
+   * @param follower - reads the records back
+   * @returns a new appender
+   */
+  static create(
+    kernel: Kernel,
+    clock: Clock,
+    task: FoldTask,
+    follower: LogFollower,
+  ): ChangeAppender {
+    return new ChangeAppender(kernel, clock, task, follower);
+  }
+
+  /**
+   * Appends a change and waits for its verdict.
+   *
+   * @param change - the change
+   * @param base - version of the subject that the edit was made on; undefined takes the current one
+   * @param operator - who made the edit
+   * @returns the verdict; `unknown` when none was found within 5 s
+   */
+  async append(change: Change, base: number | undefined, operator: string): Promise<ChangeVerdict> {
+    const changeId = randomUUID();
+    const { state } = this.task;
+    if (!state)
+      return createUnknown(changeId, 'not appended: this daemon has no configuration yet');
+    const version = base ?? state.subjects.get(subjectOf(change)) ?? 0;
+    const data = encodeChange(changeId, version, operator, change);
+    const ending = new AbortController();
+    const expiry = this.clock.sleep(VERDICT_MS, ending.signal).then(() => ending.abort());
+    const verdict = await this.appendUntilFolded(changeId, data, ending.signal);
+    ending.abort();
+    await expiry;
+    return verdict;
+  }
+
+  /** A repeated append is harmless: the second record's base is stale and the first verdict stands. */
+  private async appendUntilFolded(
+    changeId: string,
+    data: string,
+    signal: AbortSignal,
+  ): Promise<ChangeVerdict> {
+    const backoff = Backoff.create(this.clock, 100, 1000);
+    let reason = 'the log did not answer in time';
+    let appended = false;
+    while (!signal.aborted) {
+      const outcome = await this.kernel.find('log').append(CONFIGURATION_STREAM, [data]);
+      this.follower.wake();
+      const known = outcome.kind === 'ok' || outcome.failure.reason === 'unknown';
+      appended ||= known;
+      if (outcome.kind === 'failed') reason = outcome.failure.message;
+      const waitMs = outcome.kind === 'ok' ? VERDICT_MS : SEARCH_MS;
+      const verdict = known ? await this.search(changeId, waitMs, signal) : undefined;
+      if (verdict) return verdict;
+      if (!known) await backoff.wait(signal);
+    }
+    const prefix = appended ? 'no verdict in time' : 'not appended';
+    return this.task.verdictOf(changeId) ?? createUnknown(changeId, `${prefix}: ${reason}`);
+  }
+
+  private async search(
+    changeId: string,
+    ms: number,
+    signal: AbortSignal,
+  ): Promise<ChangeVerdict | undefined> {
+    const ending = new AbortController();
+    const any = AbortSignal.any([signal, ending.signal]);
+    const expiry = this.clock.sleep(ms, any).then(() => ending.abort());
+    const verdict = await this.task.waitForVerdict(changeId, any);
+    ending.abort();
+    await expiry;
+    return verdict;
+  }
+}
+
+function createUnknown(changeId: string, reason: string): ChangeVerdict {
+  return { verdict: 'unknown', reason, version: 0, changeId };
+}
--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -75,9 +75,10 @@
    * Makes withdrawals effective at this VM at once and appends those that are not in the log yet.
    *
    * @param keyIds - withdrawn keys
+   * @param operator - who withdrew them; default: this VM
    * @returns the ids that were new here
    */
-  abstract withdraw(keyIds: readonly string[]): readonly string[];
+  abstract withdraw(keyIds: readonly string[], operator?: string): readonly string[];
 
   /**
    * Lists all withdrawn keys that this VM knows, in the log or not.
@@ -131,6 +132,15 @@
    * @param vm - name of the peer
    */
   abstract noticeOffset(offset: number, vm: string): void;
+
+  /**
+   * Compares a peer's digest of withdrawn keys; when it differs, the peer is sent the keys that are
+   * not in the log yet.
+   *
+   * @param digest - the peer's digest
+   * @param vm - name of the peer
+   */
+  abstract noticeDigest(digest: string, vm: string): void;
 }
 
 declare module '../kernel/service.js' {
--- /dev/null
+++ b/src/configuration/fold-json.ts
@@ -0,0 +1,103 @@
+import { z } from 'zod';
+
+import { fail, type Outcome, succeed } from '../kernel/outcome.js';
+import {
+  keySchema,
+  modelSchema,
+  presetSchema,
+  routeSchema,
+  serverSchema,
+  teamSchema,
+} from './change.js';
+import type { ConfigurationState } from './configuration.js';
+import type { Fold } from './fold.js';
+
+const verdictSchema = z.strictObject({
+  verdict: z.enum(['accepted', 'stale', 'invalid', 'unknown']),
+  reason: z.string(),
+  version: z.int().min(0),
+  changeId: z.string(),
+});
+
+const foldSchema = z
+  .strictObject({
+    version: z.int().min(0),
+    teams: z.array(teamSchema),
+    keys: z.array(keySchema),
+    withdrawnKeyIds: z.array(keySchema.shape.keyId),
+    presets: z.array(presetSchema),
+    presetInForce: z.string(),
+    models: z.array(modelSchema),
+    routes: z.array(routeSchema),
+    servers: z.array(serverSchema),
+    subjects: z.record(z.string(), z.int().positive()),
+    verdicts: z.array(verdictSchema),
+  })
+  .refine((state) => state.presets.some((preset) => preset.name === state.presetInForce), {
+    message: 'a preset in force that exists',
+  });
+
+/**
+ * Lists a state in plain JSON values, for snapshots and for people.
+ *
+ * @param state - the state
+ * @returns an object that JSON can hold
+ */
+export function listState(state: ConfigurationState): Record<string, unknown> {
+  return {
+    version: state.version,
+    teams: [...state.teams.values()],
+    keys: [...state.keys.values()],
+    withdrawnKeyIds: [...state.withdrawnKeyIds],
+    presets: [...state.presets.values()],
+    presetInForce: state.presetInForce,
+    models: [...state.models.values()],
+    routes: [...state.routes.values()],
+    servers: [...state.servers.values()],
+    subjects: Object.fromEntries(state.subjects),
+  };
+}
+
+/**
+ * Writes a fold as JSON.
+ *
+ * @param fold - the fold
+ * @returns JSON that `readFold` reads
+ */
+export function writeFold(fold: Fold): string {
+  return JSON.stringify({ ...listState(fold.state), verdicts: [...fold.verdicts.values()] });
+}
+
+/**
+ * Reads a fold from JSON.
+ *
+ * @param json - what `writeFold` wrote
+ * @returns the fold, or why it cannot be read
+ */
+export function readFold(json: string): Outcome<Fold, Error> {
+  try {
+    const stored = foldSchema.parse(JSON.parse(json));
+    const state: ConfigurationState = {
+      version: stored.version,
+      teams: indexBy(stored.teams, (team) => team.name),
+      keys: indexBy(stored.keys, (key) => key.keyId),
+      withdrawnKeyIds: new Set(stored.withdrawnKeyIds),
+      presets: indexBy(stored.presets, (preset) => preset.name),
+      presetInForce: stored.presetInForce,
+      models: indexBy(stored.models, (model) => model.name),
+      routes: indexBy(stored.routes, (route) => route.path),
+      servers: indexBy(stored.servers, (server) => server.name),
+      subjects: new Map(Object.entries(stored.subjects)),
+    };
+    return succeed({ state, verdicts: indexBy(stored.verdicts, (verdict) => verdict.changeId) });
+  } catch (error) {
+    return fail(error as Error);
+  }
+}
+
+function indexBy<Item>(
+  items: readonly Item[],
+  nameOf: (item: Item) => string,
+): ReadonlyMap<string, Item> {
+  return new Map(items.map((item) => [nameOf(item), item]));
+}
--- /dev/null
+++ b/src/configuration/fold-task.ts
@@ -0,0 +1,202 @@
+import type { Stream } from 'most';
+
+import { Task } from '../kernel/task.js';
+import type { LogRecord } from '../platform/log-service.js';
+import type { ChangeVerdict, ConfigurationState } from './configuration.js';
+import { EventSource } from './event-source.js';
+import { createFold, type Fold, foldRecords } from './fold.js';
+import { RecentRecords } from './recent-records.js';
+import { decodeRecord } from './record.js';
+import type { WithdrawnKeys } from './withdrawn-keys.js';
+
+type FoldMessage =
+  | {
+      readonly kind: 'fold';
+      readonly records: readonly LogRecord[];
+      /** True when the records reach the end of the stream as its source sees it. */
+      readonly complete: boolean;
+      readonly reply: (version: number) => void;
+    }
+  | {
+      readonly kind: 'adopt';
+      readonly fold: Fold;
+      readonly complete: boolean;
+      readonly reply: (version: number) => void;
+    };
+
+/** Owns the fold: takes records and snapshots from any source, in order and never back. */
+export class FoldTask extends Task<FoldMessage> {
+  private fold = createFold();
+
+  private completed = false;
+
+  private loggedWithdrawals = 0;
+
+  private snapshotMs: number | undefined;
+
+  private readonly recent = RecentRecords.create();
+
+  private readonly states = EventSource.create<ConfigurationState>();
+
+  private readonly waiting = new Map<string, (verdict: ChangeVerdict) => void>();
+
+  private constructor(private readonly withdrawn: WithdrawnKeys) {
+    super();
+  }
+
+  /**
+   * Creates a task with the fold of the empty stream.
+   *
+   * @param withdrawn - set that learns of each withdrawal in the log
+   * @returns a new task; `run` starts it
+   */
+  static create(withdrawn: WithdrawnKeys): FoldTask {
+    return new FoldTask(withdrawn);
+  }
+
+  /** Offset of the last folded record, also before the first complete read. */
+  get version(): number {
+    return this.fold.state.version;
+  }
+
+  /** The state, or undefined before the first complete read. */
+  get state(): ConfigurationState | undefined {
+    return this.completed ? this.fold.state : undefined;
+  }
+
+  /** The fold, or undefined before the first complete read. */
+  get wholeFold(): Fold | undefined {
+    return this.completed ? this.fold : undefined;
+  }
+
+  /** Log time of the newest snapshot record seen, or of the first record; undefined before both. */
+  get newestSnapshotMs(): number | undefined {
+    return this.snapshotMs;
+  }
+
+  /**
+   * Follows the state.
+   *
+   * @returns a stream with an event for each new state after the first complete read
+   */
+  changes(): Stream<ConfigurationState> {
+    return this.states.stream();
+  }
+
+  /**
+   * Folds the records that follow the present version; others are ignored.
+   *
+   * @param records - records in ascending order
+   * @param complete - whether they reach the end of the stream as the source sees it
+   * @returns the version after the records
+   */
+  take(records: readonly LogRecord[], complete: boolean): Promise<number> {
+    return this.ask((reply) => ({ kind: 'fold', records, complete, reply }));
+  }
+
+  /**
+   * Replaces the fold by a newer one from a snapshot; an older one is ignored.
+   *
+   * @param fold - the fold of the snapshot
+   * @param complete - whether its source had read the whole stream
+   * @returns the version afterwards
+   */
+  adopt(fold: Fold, complete: boolean): Promise<number> {
+    return this.ask((reply) => ({ kind: 'adopt', fold, complete, reply }));
+  }
+
+  /**
+   * Reads kept records.
+   *
+   * @param from - first offset
+   * @param limit - most records
+   * @returns the records that are still kept
+   */
+  records(from: number, limit: number): readonly LogRecord[] {
+    return this.recent.read(from, limit);
+  }
+
+  /**
+   * Finds the verdict on a change.
+   *
+   * @param changeId - the change
+   * @returns the verdict, or undefined when its record has not been folded
+   */
+  verdictOf(changeId: string): ChangeVerdict | undefined {
+    return this.fold.verdicts.get(changeId);
+  }
+
+  /**
+   * Waits until the record of a change has been folded.
+   *
+   * @param changeId - the change
+   * @param signal - ends the wait
+   * @returns the verdict, or undefined when the signal came first
+   */
+  waitForVerdict(changeId: string, signal: AbortSignal): Promise<ChangeVerdict | undefined> {
+    const known = this.verdictOf(changeId);
+    if (known) return Promise.resolve(known);
+    return new Promise((resolve) => {
+      const settle = (verdict: ChangeVerdict | undefined) => {
+        this.waiting.delete(changeId);
+        resolve(verdict);
+      };
+      if (signal.aborted) settle(undefined);
+      else {
+        this.waiting.set(changeId, settle);
+        signal.addEventListener('abort', () => settle(undefined), { once: true });
+      }
+    });
+  }
+
+  override close(): void {
+    super.close();
+    this.states.end();
+  }
+
+  protected override receive(message: FoldMessage): void {
+    const before = this.state;
+    if (message.kind === 'fold') this.foldInOrder(message.records);
+    else this.replace(message.fold);
+    if (message.complete) this.completed = true;
+    this.announce(before);
+    message.reply(this.version);
+  }
+
+  private foldInOrder(records: readonly LogRecord[]): void {
+    let next = this.version + 1;
+    const following = records.filter((record) => {
+      if (record.offset !== next) return false;
+      next += 1;
+      return true;
+    });
+    if (following.length === 0) return;
+    this.fold = foldRecords(this.fold, following);
+    this.recent.add(following);
+    this.snapshotMs ??= following[0]?.timestampMs;
+    following
+      .filter((record) => decodeRecord(record.data).kind === 'snapshot')
+      .forEach((record) => {
+        this.snapshotMs = record.timestampMs;
+      });
+  }
+
+  private replace(fold: Fold): void {
+    if (fold.state.version <= this.version) return;
+    this.fold = fold;
+    this.recent.clear();
+  }
+
+  private announce(before: ConfigurationState | undefined): void {
+    const { state, verdicts } = this.fold;
+    if (state.withdrawnKeyIds.size !== this.loggedWithdrawals) {
+      this.loggedWithdrawals = state.withdrawnKeyIds.size;
+      this.withdrawn.addLogged(state.withdrawnKeyIds);
+    }
+    this.waiting.forEach((settle, changeId) => {
+      const verdict = verdicts.get(changeId);
+      if (verdict) settle(verdict);
+    });
+    if (this.completed && before !== state) this.states.push(state);
+  }
+}
--- /dev/null
+++ b/src/configuration/fold.ts
@@ -0,0 +1,97 @@
+import type { LogRecord } from '../platform/log-service.js';
+import { presetSchema, subjectOf } from './change.js';
+import type { ChangeVerdict, ConfigurationState } from './configuration.js';
+import { Draft } from './draft.js';
+import { type ChangeEnvelope, decodeRecord } from './record.js';
+
+/** Enough for the changes of half a day at the design size of 1,000 a day. */
+const KEPT_VERDICTS = 512;
+
+const FIRST_PRESET = 'ordinary';
+
+/** What a prefix of the configuration stream amounts to. */
+export interface Fold {
+  readonly state: ConfigurationState;
+  /** Verdicts of recent changes by change id, the oldest first. */
+  readonly verdicts: ReadonlyMap<string, ChangeVerdict>;
+}
+
+/**
+ * Creates the fold of the empty stream.
+ *
+ * @returns a fold at version 0 with the preset `ordinary` in force
+ */
+export function createFold(): Fold {
+  const preset = presetSchema.parse({ name: FIRST_PRESET });
+  return {
+    state: {
+      version: 0,
+      teams: new Map(),
+      keys: new Map(),
+      withdrawnKeyIds: new Set(),
+      presets: new Map([[FIRST_PRESET, preset]]),
+      presetInForce: FIRST_PRESET,
+      models: new Map(),
+      routes: new Map(),
+      servers: new Map(),
+      subjects: new Map(),
+    },
+    verdicts: new Map(),
+  };
+}
+
+/**
+ * Folds records in the order of their offsets; records at or below the present version are skipped.
+ *
+ * @param fold - the fold so far, which stays as it is
+ * @param records - the records that follow, in ascending order
+ * @returns the fold after the records
+ */
+export function foldRecords(fold: Fold, records: readonly LogRecord[]): Fold {
+  const fresh = records.filter((record) => record.offset > fold.state.version);
+  if (fresh.length === 0) return fold;
+  const draft = Draft.create(fold.state);
+  const verdicts = new Map(fold.verdicts);
+  fresh.forEach((record) => foldRecord(draft, verdicts, record));
+  return { state: draft.finish(), verdicts };
+}
+
+function foldRecord(draft: Draft, verdicts: Map<string, ChangeVerdict>, record: LogRecord): void {
+  if (record.offset <= draft.version) return;
+  draft.advance(record.offset);
+  const decoded = decodeRecord(record.data);
+  if (decoded.kind === 'snapshot') return;
+  if (decoded.kind === 'malformed') {
+    const { changeId, reason } = decoded;
+    if (changeId === undefined) return;
+    keepVerdict(verdicts, { verdict: 'invalid', reason, version: record.offset, changeId });
+    return;
+  }
+  keepVerdict(verdicts, judge(draft, decoded.envelope, record.offset));
+}
+
+/** A base is checked before references, so that the loser of a race learns that it was stale. */
+function judge(draft: Draft, envelope: ChangeEnvelope, offset: number): ChangeVerdict {
+  const { changeId, base, change } = envelope;
+  const subject = subjectOf(change);
+  const current = draft.subjects.get(subject) ?? 0;
+  if (change.kind !== 'withdraw-key' && base !== current) {
+    const reason = `${subject} is at version ${current}, and the edit was made on ${base}`;
+    return { verdict: 'stale', reason, version: offset, changeId };
+  }
+  const invalid = draft.apply(change);
+  if (invalid !== undefined) {
+    return { verdict: 'invalid', reason: invalid, version: offset, changeId };
+  }
+  draft.subjects.set(subject, offset);
+  return { verdict: 'accepted', reason: '', version: offset, changeId };
+}
+
+/** The first verdict stands: a change that was appended twice has taken effect once. */
+function keepVerdict(verdicts: Map<string, ChangeVerdict>, verdict: ChangeVerdict): void {
+  if (verdicts.has(verdict.changeId)) return;
+  verdicts.set(verdict.changeId, verdict);
+  if (verdicts.size <= KEPT_VERDICTS) return;
+  const [oldest] = verdicts.keys();
+  if (oldest !== undefined) verdicts.delete(oldest);
+}
--- /dev/null
+++ b/src/configuration/folded-configuration.ts
@@ -0,0 +1,207 @@
+import type { Stream } from 'most';
+
+import type { Refusal } from '../domain/refusal.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import type { Outcome } from '../kernel/outcome.js';
+import type { PeerHandlers } from '../peers/peers.js';
+import type { LogRecord } from '../platform/log-service.js';
+import type { Settings } from '../settings/schema.js';
+import { authenticateKey } from './authenticate.js';
+import type { Change } from './change.js';
+import { ChangeAppender } from './change-appender.js';
+import {
+  type ChangeVerdict,
+  Configuration,
+  type ConfigurationState,
+  type Identity,
+} from './configuration.js';
+import { writeFold } from './fold-json.js';
+import { FoldTask } from './fold-task.js';
+import { LogFollower } from './log-follower.js';
+import { type Peer, PeerSource } from './peer-source.js';
+import { SnapshotWriter } from './snapshot-writer.js';
+import { CONFIGURATION_STREAM } from './stream-name.js';
+import { WithdrawalSpreader } from './withdrawal-spreader.js';
+import { WithdrawnKeys } from './withdrawn-keys.js';
+
+/** Time that the log has to deliver a record before a peer is asked; half a second of the 4 s. */
+const LOG_HEAD_START_MS = 500;
+const REPEAT_MS = 1000;
+
+/** Follows the configuration stream of the log, with the peers as the second source. */
+export class FoldedConfiguration extends Configuration {
+  private readonly withdrawnKeys = WithdrawnKeys.create();
+
+  private readonly task: FoldTask;
+
+  private readonly source: PeerSource;
+
+  private readonly follower: LogFollower;
+
+  private readonly appender: ChangeAppender;
+
+  private readonly spreader: WithdrawalSpreader;
+
+  private readonly writer: SnapshotWriter;
+
+  private readonly stopping = new AbortController();
+
+  private catchingUp: Promise<void> | undefined;
+
+  private readonly repeatedMs = new Map<string, number>();
+
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly clock: Clock,
+    settings: Settings,
+  ) {
+    super();
+    this.task = FoldTask.create(this.withdrawnKeys);
+    this.source = PeerSource.create(kernel, this.task);
+    this.follower = LogFollower.create(kernel, clock, this.task, this.source, this.withdrawnKeys);
+    this.appender = ChangeAppender.create(kernel, clock, this.task, this.follower);
+    this.spreader = WithdrawalSpreader.create(
+      kernel,
+      clock,
+      this.task,
+      this.source,
+      this.withdrawnKeys,
+    );
+    this.writer = SnapshotWriter.create(kernel, clock, this.task, settings.snapshots.everyMs);
+  }
+
+  /**
+   * Creates the service.
+   *
+   * @param kernel - where log, peers, membership, VM list and logs are found
+   * @param settings - the daemon's settings
+   * @param clock - time source
+   * @returns a new service
+   */
+  static create(kernel: Kernel, settings: Settings, clock: Clock): FoldedConfiguration {
+    return new FoldedConfiguration(kernel, clock, settings);
+  }
+
+  /** Starts reading; the first complete read may come later, see `current`. */
+  override async start(): Promise<void> {
+    this.kernel.find('peers').handle(this.createHandlers());
+    this.task.run();
+    this.follower.start();
+    this.writer.start();
+    await Promise.resolve();
+  }
+
+  override async stop(): Promise<void> {
+    this.stopping.abort();
+    await Promise.all([this.follower.stop(), this.writer.stop(), this.spreader.stop()]);
+    await this.catchingUp;
+    this.task.close();
+    this.withdrawnKeys.close();
+  }
+
+  override current(): ConfigurationState | undefined {
+    return this.task.state;
+  }
+
+  override changes(): Stream<ConfigurationState> {
+    return this.task.changes();
+  }
+
+  override async change(
+    change: Change,
+    base: number | undefined,
+    operator: string,
+  ): Promise<ChangeVerdict> {
+    return this.appender.append(change, base, operator);
+  }
+
+  override withdraw(keyIds: readonly string[], operator?: string): readonly string[] {
+    const by = operator ?? `vm/${this.kernel.find('membership').self().vm}`;
+    const fresh = this.withdrawnKeys.add(keyIds, by);
+    this.spreader.spread(fresh, true);
+    return fresh;
+  }
+
+  override withdrawn(): ReadonlySet<string> {
+    return this.withdrawnKeys.all;
+  }
+
+  override withdrawnDigest(): string {
+    return this.withdrawnKeys.digest();
+  }
+
+  override withdrawals(): Stream<string> {
+    return this.withdrawnKeys.additions();
+  }
+
+  override authenticate(authorization: string | undefined): Outcome<Identity, Refusal> {
+    return authenticateKey(this.task.state, this.withdrawnKeys.all, authorization);
+  }
+
+  override records(from: number, limit: number): readonly LogRecord[] {
+    return this.task.records(from, limit);
+  }
+
+  override snapshot(): { readonly offset: number; readonly stateJson: string } | undefined {
+    const fold = this.task.wholeFold;
+    return fold && { offset: fold.state.version, stateJson: writeFold(fold) };
+  }
+
+  override noticeOffset(offset: number, vm: string): void {
+    if (offset <= this.task.version || this.catchingUp || this.stopping.signal.aborted) return;
+    this.catchingUp = this.catchUp(offset, vm).finally(() => {
+      this.catchingUp = undefined;
+    });
+  }
+
+  override noticeDigest(digest: string, vm: string): void {
+    if (digest === this.withdrawnDigest() || this.stopping.signal.aborted) return;
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs - (this.repeatedMs.get(vm) ?? -Infinity) < REPEAT_MS) return;
+    const peer = this.findPeer(vm);
+    if (!peer) return;
+    this.repeatedMs.set(vm, nowMs);
+    this.spreader.repeat(peer);
+  }
+
+  private async catchUp(offset: number, vm: string): Promise<void> {
+    await this.clock.sleep(LOG_HEAD_START_MS, this.stopping.signal);
+    while (this.task.version < offset && !this.stopping.signal.aborted) {
+      const peer = this.findPeer(vm);
+      if (!peer || !(await this.source.fetchFrom(peer, 'snapshot'))) return;
+    }
+  }
+
+  private findPeer(vm: string): Peer | undefined {
+    return this.source.list().find((peer) => peer.vm === vm);
+  }
+
+  private createHandlers(): PeerHandlers {
+    return {
+      fetchRecords: (request) => {
+        if (request.stream !== CONFIGURATION_STREAM) return { records: [] };
+        const records = this.records(Number(request.fromOffset), request.limit);
+        return {
+          records: records.map((record) => ({
+            offset: BigInt(record.offset),
+            timestampMs: BigInt(Math.trunc(record.timestampMs)),
+            data: record.data,
+          })),
+        };
+      },
+      fetchSnapshot: (request) => {
+        const snapshot = request.stream === CONFIGURATION_STREAM ? this.snapshot() : undefined;
+        if (!snapshot) return { available: false };
+        const { offset, stateJson } = snapshot;
+        return { available: true, offset: BigInt(offset), stateJson };
+      },
+      withdrawKeys: (request) => {
+        const fresh = this.withdrawnKeys.add(request.keyIds, `vm/${request.sender?.vm ?? 'peer'}`);
+        this.spreader.spread(fresh, false);
+        const sent = new Set(request.keyIds);
+        return { keyIds: [...this.withdrawnKeys.unlogged.keys()].filter((id) => !sent.has(id)) };
+      },
+    };
+  }
+}
--- /dev/null
+++ b/src/configuration/keys.ts
@@ -0,0 +1,74 @@
+import { createHash, randomBytes, timingSafeEqual } from 'node:crypto';
+
+const KEY = /^ck_([a-z0-9]{4,32})_([A-Za-z0-9_-]{1,128})$/;
+const KEY_ID_BYTES = 6;
+const SECRET_BYTES = 24;
+
+/** A key as a caller sends it. */
+export interface ParsedKey {
+  readonly keyId: string;
+  readonly secret: string;
+}
+
+/** A new key; the text is shown once and not stored. */
+export interface NewKey {
+  readonly keyId: string;
+  readonly text: string;
+  /** SHA-256 of the secret, hexadecimal. */
+  readonly secretHash: string;
+}
+
+/**
+ * Generates a key of the form `ck_<keyId>_<secret>`.
+ *
+ * @returns the key and what is stored of it
+ */
+export function createKey(): NewKey {
+  const keyId = randomBytes(KEY_ID_BYTES).toString('hex');
+  const secret = randomBytes(SECRET_BYTES).toString('hex');
+  return { keyId, text: `ck_${keyId}_${secret}`, secretHash: hashSecret(secret) };
+}
+
+/**
+ * Takes a key apart.
+ *
+ * @param text - the key as sent
+ * @returns id and secret, or undefined when the text is not a key
+ */
+export function parseKey(text: string): ParsedKey | undefined {
+  const [, keyId, secret] = KEY.exec(text) ?? [];
+  return keyId && secret ? { keyId, secret } : undefined;
+}
+
+/**
+ * Hashes a secret for storage.
+ *
+ * @param secret - the secret in clear text
+ * @returns SHA-256, hexadecimal
+ */
+export function hashSecret(secret: string): string {
+  return createHash('sha256').update(secret).digest('hex');
+}
+
+/**
+ * Compares a secret with a stored hash in constant time.
+ *
+ * @param secret - the secret in clear text
+ * @param secretHash - SHA-256 as 64 hexadecimal digits
+ * @returns true when they match
+ */
+export function matchesHash(secret: string, secretHash: string): boolean {
+  const expected = Buffer.from(secretHash, 'hex');
+  const actual = Buffer.from(hashSecret(secret), 'hex');
+  return expected.length === actual.length && timingSafeEqual(actual, expected);
+}
+
+/**
+ * Reads the credential of a bearer Authorization header.
+ *
+ * @param authorization - value of the header
+ * @returns the credential, or undefined when the header has another form
+ */
+export function readBearer(authorization: string | undefined): string | undefined {
+  return /^Bearer +(\S+)$/i.exec(authorization ?? '')?.[1];
+}
--- /dev/null
+++ b/src/configuration/peer-source.ts
@@ -0,0 +1,174 @@
+import type { Address } from '../domain/vm.js';
+import type { LogRecord as PeerRecord } from '../gen/cuminspar/peer/v1/peer_pb.js';
+import type { Kernel } from '../kernel/kernel.js';
+import type { PeerClient } from '../peers/peers.js';
+import type { LogRecord } from '../platform/log-service.js';
+import { readFold } from './fold-json.js';
+import type { FoldTask } from './fold-task.js';
+import { CONFIGURATION_STREAM } from './stream-name.js';
+
+const CALL_TIMEOUT_MS = 1000;
+const FETCH_LIMIT = 500;
+const MOST_PEERS_ASKED = 3;
+
+/** What a fetch may bring: single records, or also a snapshot, which is far larger. */
+export type FetchScope = 'records' | 'snapshot';
+
+/** Another daemon that can be asked. */
+export interface Peer {
+  readonly vm: string;
+  readonly address: Address;
+}
+
+/** Reaches the other daemons, for records that the log does not supply and for withdrawals. */
+export class PeerSource {
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly task: FoldTask,
+  ) {}
+
+  /**
+   * Creates a source.
+   *
+   * @param kernel - where membership, VM list and peers are found
+   * @param task - what takes the records
+   * @returns a new source
+   */
+  static create(kernel: Kernel, task: FoldTask): PeerSource {
+    return new PeerSource(kernel, task);
+  }
+
+  /**
+   * Lists the other daemons in random order: the members, or the platform's list while no members
+   * are known.
+   *
+   * @returns the peers
+   */
+  list(): readonly Peer[] {
+    const membership = this.kernel.find('membership');
+    const self = membership.self().vm;
+    const members = membership.current().members.map((member) => ({
+      vm: member.vm,
+      address: member.peers,
+    }));
+    const listed = (this.kernel.find('vm-list').current()?.vms ?? []).map((vm) => ({
+      vm: vm.name,
+      address: { host: vm.host, port: vm.peerPort },
+    }));
+    const others = (peers: readonly Peer[]) => peers.filter((peer) => peer.vm !== self);
+    const known = others(members);
+    return shuffle(known.length > 0 ? known : others(listed));
+  }
+
+  /**
+   * Fetches what is missing from a few peers, until one has something newer.
+   *
+   * @param scope - `snapshot` also fetches whole states, for a daemon that is known to be behind
+   * @returns true when the version grew or the first complete read succeeded
+   */
+  async fetchFromAny(scope: FetchScope): Promise<boolean> {
+    for (const peer of this.list().slice(0, MOST_PEERS_ASKED)) {
+      if (await this.fetchFrom(peer, scope)) return true;
+    }
+    return false;
+  }
+
+  /**
+   * Fetches what is missing from one peer.
+   *
+   * @param peer - whom to ask
+   * @param scope - `snapshot` fetches the whole state when the peer no longer has the records
+   * @returns true when the version grew or the first complete read succeeded
+   */
+  async fetchFrom(peer: Peer, scope: FetchScope): Promise<boolean> {
+    try {
+      if (await this.fetchRecords(peer)) return true;
+      return scope === 'snapshot' && (await this.fetchSnapshot(peer));
+    } catch {
+      return false;
+    }
+  }
+
+  /**
+   * Asks a few peers for records and withdrawals that a lagging log replica did not show.
+   *
+   * @returns the withdrawals that are not in the log yet
+   */
+  async consult(): Promise<readonly string[]> {
+    const peers = this.list().slice(0, MOST_PEERS_ASKED);
+    const answers = await Promise.all(
+      peers.map(async (peer) => {
+        await this.fetchFrom(peer, 'records');
+        return this.withdraw(peer, []);
+      }),
+    );
+    return answers.flatMap((keyIds) => keyIds ?? []);
+  }
+
+  /**
+   * Sends withdrawn keys to a peer.
+   *
+   * @param peer - whom to tell
+   * @param keyIds - withdrawn keys
+   * @returns the peer's withdrawals that are not in its log yet, or undefined when it did not answer
+   */
+  async withdraw(peer: Peer, keyIds: readonly string[]): Promise<readonly string[] | undefined> {
+    try {
+      const request = { sender: this.sender(), keyIds: [...keyIds] };
+      const response = await this.client(peer).withdrawKeys(request, {
+        timeoutMs: CALL_TIMEOUT_MS,
+      });
+      return response.keyIds;
+    } catch {
+      return undefined;
+    }
+  }
+
+  private async fetchRecords(peer: Peer): Promise<boolean> {
+    const before = this.task.version;
+    const request = {
+      sender: this.sender(),
+      stream: CONFIGURATION_STREAM,
+      fromOffset: BigInt(before + 1),
+      limit: FETCH_LIMIT,
+    };
+    const response = await this.client(peer).fetchRecords(request, { timeoutMs: CALL_TIMEOUT_MS });
+    const after = await this.task.take(response.records.map(readRecord), false);
+    return after > before;
+  }
+
+  private async fetchSnapshot(peer: Peer): Promise<boolean> {
+    const before = { version: this.task.version, complete: this.task.state !== undefined };
+    const request = { sender: this.sender(), stream: CONFIGURATION_STREAM };
+    const response = await this.client(peer).fetchSnapshot(request, { timeoutMs: CALL_TIMEOUT_MS });
+    if (!response.available || Number(response.offset) < before.version) return false;
+    const fold = readFold(response.stateJson);
+    if (fold.kind === 'failed') return false;
+    const after = await this.task.adopt(fold.value, true);
+    return after > before.version || !before.complete;
+  }
+
+  private client(peer: Peer): PeerClient {
+    return this.kernel.find('peers').client(peer.address);
+  }
+
+  private sender(): { vm: string; incarnation: string } {
+    const { vm, incarnation } = this.kernel.find('membership').self();
+    return { vm, incarnation };
+  }
+}
+
+function readRecord(record: PeerRecord): LogRecord {
+  return {
+    offset: Number(record.offset),
+    timestampMs: Number(record.timestampMs),
+    data: record.data,
+  };
+}
+
+function shuffle<Item>(items: readonly Item[]): Item[] {
+  return items
+    .map((item) => ({ item, order: Math.random() }))
+    .sort((left, right) => left.order - right.order)
+    .map(({ item }) => item);
+}
--- /dev/null
+++ b/src/configuration/snapshot-writer.ts
@@ -0,0 +1,81 @@
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import { writeFold } from './fold-json.js';
+import type { FoldTask } from './fold-task.js';
+import { encodeSnapshot } from './record.js';
+import { CONFIGURATION_STREAM } from './stream-name.js';
+
+const CHECKS_PER_PERIOD = 10;
+const MOST_CHECK_MS = 60_000;
+/** Spreads the daemons, so that one appends and the others see it before their own turn. */
+const DELAY_SHARE = 0.25;
+
+/** Appends a snapshot when the newest one grows old, before retention drops what it replaces. */
+export class SnapshotWriter {
+  private readonly stopping = new AbortController();
+
+  private running: Promise<void> = Promise.resolve();
+
+  private startedMs = 0;
+
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly clock: Clock,
+    private readonly task: FoldTask,
+    private readonly everyMs: number,
+  ) {}
+
+  /**
+   * Creates a writer.
+   *
+   * @param kernel - where the log is found
+   * @param clock - for ages and delays
+   * @param task - the fold
+   * @param everyMs - age of the newest snapshot at which another one is due, in milliseconds
+   * @returns a new writer
+   */
+  static create(kernel: Kernel, clock: Clock, task: FoldTask, everyMs: number): SnapshotWriter {
+    return new SnapshotWriter(kernel, clock, task, everyMs);
+  }
+
+  /** Starts the loop. */
+  start(): void {
+    this.startedMs = this.clock.wallMs();
+    this.running = this.watch();
+  }
+
+  /**
+   * Ends the loop.
+   *
+   * @returns a promise that resolves when the loop has ended
+   */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    await this.running;
+  }
+
+  private async watch(): Promise<void> {
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      await this.clock.sleep(Math.min(MOST_CHECK_MS, this.everyMs / CHECKS_PER_PERIOD), signal);
+      if (!this.isDue()) continue;
+      await this.clock.sleep(Math.random() * this.everyMs * DELAY_SHARE, signal);
+      if (!signal.aborted && this.isDue()) await this.write();
+    }
+  }
+
+  private isDue(): boolean {
+    const newestMs = this.task.newestSnapshotMs ?? this.startedMs;
+    return this.task.version > 0 && this.clock.wallMs() - newestMs >= this.everyMs;
+  }
+
+  private async write(): Promise<void> {
+    const fold = this.task.wholeFold;
+    if (!fold) return;
+    const records = encodeSnapshot(fold.state.version, writeFold(fold));
+    const outcome = await this.kernel.find('log').append(CONFIGURATION_STREAM, records);
+    if (outcome.kind === 'ok') return;
+    const { reason } = outcome.failure;
+    this.kernel.find('logs').warn('configuration snapshot was not appended', { reason });
+  }
+}
--- /dev/null
+++ b/src/configuration/withdrawal-spreader.ts
@@ -0,0 +1,141 @@
+import { randomUUID } from 'node:crypto';
+
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import { Backoff } from './backoff.js';
+import type { FoldTask } from './fold-task.js';
+import type { Peer, PeerSource } from './peer-source.js';
+import { encodeChange } from './record.js';
+import { CONFIGURATION_STREAM } from './stream-name.js';
+import type { WithdrawnKeys } from './withdrawn-keys.js';
+
+/** With 8 random targets at each hop all of 390 daemons hear of a key within three hops. */
+const MOST_TARGETS = 8;
+const SEND_TRIES = 3;
+const RECORDS_PER_APPEND = 100;
+/** Daemons that only heard of a withdrawal leave the append to its origin for this long. */
+const HEARD_DELAY_MS = 5000;
+
+/** Brings withdrawn keys to the other daemons and into the log. */
+export class WithdrawalSpreader {
+  private readonly stopping = new AbortController();
+
+  private readonly running = new Set<Promise<void>>();
+
+  private appending = false;
+
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly clock: Clock,
+    private readonly task: FoldTask,
+    private readonly source: PeerSource,
+    private readonly withdrawn: WithdrawnKeys,
+  ) {}
+
+  /**
+   * Creates a spreader.
+   *
+   * @param kernel - where the log is found
+   * @param clock - for backoff
+   * @param task - tells which base the log is at
+   * @param source - the other daemons
+   * @param withdrawn - the keys
+   * @returns a new spreader
+   */
+  static create(
+    kernel: Kernel,
+    clock: Clock,
+    task: FoldTask,
+    source: PeerSource,
+    withdrawn: WithdrawnKeys,
+  ): WithdrawalSpreader {
+    return new WithdrawalSpreader(kernel, clock, task, source, withdrawn);
+  }
+
+  /**
+   * Tells a few peers and appends, both in the background.
+   *
+   * @param keyIds - keys that became withdrawn here
+   * @param origin - true when an operator withdrew them here, false when a peer told
+   */
+  spread(keyIds: readonly string[], origin: boolean): void {
+    if (keyIds.length === 0) return;
+    const targets = this.source.list().slice(0, MOST_TARGETS);
+    targets.forEach((peer) => this.track(this.send(peer, keyIds)));
+    this.track(this.appendLater(origin ? 0 : HEARD_DELAY_MS * (1 + Math.random())));
+  }
+
+  /**
+   * Sends a peer the keys that are not in the log yet.
+   *
+   * @param peer - whom to tell
+   */
+  repeat(peer: Peer): void {
+    const keyIds = [...this.withdrawn.unlogged.keys()];
+    if (keyIds.length > 0) this.track(this.send(peer, keyIds));
+  }
+
+  /**
+   * Ends the background work.
+   *
+   * @returns a promise that resolves when nothing runs any more
+   */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    await Promise.all(this.running);
+  }
+
+  private track(work: Promise<void>): void {
+    this.running.add(work);
+    void work.finally(() => this.running.delete(work));
+  }
+
+  private async send(peer: Peer, keyIds: readonly string[]): Promise<void> {
+    const backoff = Backoff.create(this.clock, 200, 1000);
+    for (let tries = 0; tries < SEND_TRIES && !this.stopping.signal.aborted; tries += 1) {
+      const answer = await this.source.withdraw(peer, keyIds);
+      if (answer) {
+        this.spread(this.withdrawn.add(answer, `vm/${peer.vm}`), false);
+        return;
+      }
+      await backoff.wait(this.stopping.signal);
+    }
+  }
+
+  private async appendLater(delayMs: number): Promise<void> {
+    if (delayMs > 0) await this.clock.sleep(delayMs, this.stopping.signal);
+    if (this.appending) return;
+    this.appending = true;
+    const backoff = Backoff.create(this.clock, 200, 5000);
+    while (this.withdrawn.unlogged.size > 0 && !this.stopping.signal.aborted) {
+      const appended = await this.appendUnlogged();
+      if (appended) backoff.reset();
+      await backoff.wait(this.stopping.signal);
+    }
+    this.appending = false;
+  }
+
+  private async appendUnlogged(): Promise<boolean> {
+    const entries = [...this.withdrawn.unlogged].slice(0, RECORDS_PER_APPEND);
+    const records = entries.map(([keyId, operator]) =>
+      encodeChange(randomUUID(), this.baseOf(keyId), operator, { kind: 'withdraw-key', keyId }),
+    );
+    const outcome = await this.kernel.find('log').append(CONFIGURATION_STREAM, records);
+    if (outcome.kind === 'failed') return false;
+    await this.waitUntilFolded(outcome.value + records.length - 1);
+    return true;
+  }
+
+  /** Without this wait the same keys would be appended again before they were read back. */
+  private async waitUntilFolded(offset: number): Promise<void> {
+    const deadlineMs = this.clock.monotonicMs() + HEARD_DELAY_MS;
+    while (this.task.version < offset && this.clock.monotonicMs() < deadlineMs) {
+      if (this.stopping.signal.aborted) return;
+      await this.clock.sleep(50, this.stopping.signal);
+    }
+  }
+
+  private baseOf(keyId: string): number {
+    return this.task.state?.subjects.get(`key/${keyId}`) ?? 0;
+  }
+}
