feat(operators): add the operator entry and cuminsparctl

Cause: operators change teams, keys, rates and presets on a running fleet and need verdicts that programs can act on. Change: ConnectOperatorEntry serves OperatorService over HTTP/2 with a bearer token; status and wait ask the members with the caller's token; withdrawals are confirmed by every member. cuminsparctl has table and JSON output and an exit code per outcome.

--- a/features/support/configuration-fixtures.ts
+++ b/features/support/configuration-fixtures.ts
@@ -25,8 +25,8 @@
   else kernel.register(name, Object.assign(new (class extends Service {})(), fake));
 }
 
-/** Makes a member whose listeners share one address. */
-export function createMember(vm: string, address: Address): object {
+/** Makes a member; its listeners share one address unless it has an own one for operators. */
+export function createMember(vm: string, address: Address, operators = address): object {
   return {
     name: vm,
     vm,
@@ -35,7 +35,7 @@
     availabilityZone: 'sando',
     peers: address,
     callers: address,
-    operators: address,
+    operators,
   };
 }
 
--- a/features/support/configuration-fleet.ts
+++ b/features/support/configuration-fleet.ts
@@ -1,9 +1,11 @@
 import { Code, ConnectError } from '@connectrpc/connect';
 
 import { FoldedConfiguration } from '../../src/configuration/folded-configuration.js';
+import { hashSecret } from '../../src/configuration/keys.js';
 import type { Address } from '../../src/domain/vm.js';
 import { Kernel } from '../../src/kernel/kernel.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
+import { ConnectOperatorEntry } from '../../src/operators/connect-operator-entry.js';
 import type { PeerClient, PeerHandlers } from '../../src/peers/peers.js';
 import { createMember, createSettings, registerFake } from './configuration-fixtures.js';
 import { FakeLog } from './fake-log.js';
@@ -19,6 +21,8 @@
   readonly handlers: PeerHandlers;
   readonly address: Address;
   readonly view: LogView;
+  /** Operator listener, when the daemon has one. */
+  operators: Address;
 }
 
 /** Daemons that share a log and reach one another in memory. */
@@ -27,6 +31,8 @@
 
   readonly nodes: ConfigurationNode[] = [];
 
+  private readonly entries: ConnectOperatorEntry[] = [];
+
   readonly unreachable = new Set<string>();
 
   /** Whether the member list is known; without it peers come from the VM list. */
@@ -36,6 +42,21 @@
     return new ConfigurationFleet();
   }
 
+  /** Starts a daemon with an operator listener, and with fakes for what the listener reads. */
+  async addWithOperators(vm: string, token: string, decisions: object): Promise<ConfigurationNode> {
+    const node = await this.add(vm);
+    const { kernel } = node;
+    registerFake(kernel, 'callers', { active: () => 3, unreadyReason: () => undefined });
+    registerFake(kernel, 'decisions', decisions);
+    const settings = createSettings(600_000);
+    const operators = { host: '127.0.0.1', port: 0, tokenSha256: hashSecret(token) };
+    const entry = ConnectOperatorEntry.create(kernel, { ...settings, operators }, clock);
+    await entry.start();
+    this.entries.push(entry);
+    node.operators = { host: '127.0.0.1', port: entry.port };
+    return node;
+  }
+
   /** Starts a daemon's configuration without waiting for its first complete read. */
   async add(vm: string, snapshotEveryMs = 600_000): Promise<ConfigurationNode> {
     const kernel = Kernel.create();
@@ -44,7 +65,7 @@
     const configuration = FoldedConfiguration.create(kernel, settings, clock);
     const address = { host: '127.0.0.1', port: this.nodes.length + 1 };
     const view = LogView.create(this.log);
-    const node = { vm, kernel, configuration, handlers, address, view };
+    const node = { vm, kernel, configuration, handlers, address, view, operators: address };
     this.registerFakes(node);
     kernel.register('configuration', configuration);
     this.nodes.push(node);
@@ -53,6 +74,7 @@
   }
 
   async stop(): Promise<void> {
+    await Promise.all(this.entries.map((entry) => entry.stop()));
     await Promise.all(this.nodes.map((node) => node.kernel.stop()));
   }
 
@@ -81,7 +103,7 @@
   }
 
   private listMembers(): unknown[] {
-    return this.nodes.map((node) => createMember(node.vm, node.address));
+    return this.nodes.map((node) => createMember(node.vm, node.address, node.operators));
   }
 
   private createClient(from: string, target: Address): PeerClient {
--- /dev/null
+++ b/src/cli/preset-commands.ts
@@ -0,0 +1,76 @@
+import type { Command } from './command.js';
+import { EXIT_CODE } from './exit-code.js';
+import { runChange } from './send-change.js';
+import { showConfiguration } from './shown-configuration.js';
+
+const NAME = { name: 'name of the preset' };
+
+/** Commands about presets. */
+export const PRESET_COMMANDS: readonly Command[] = [
+  {
+    words: 'preset create <name>',
+    describe: 'create a preset or replace its values; it is not in force until switched to',
+    example: 'preset create peak --rateFactor 0.8 --queueMs 500',
+    positionals: NAME,
+    options: {
+      rateFactor: { type: 'number', describe: 'multiplies every rate and burst' },
+      queueMs: { type: 'number', describe: 'longest wait before a refusal, in ms' },
+      firstTokenMs: { type: 'number', describe: 'target for the first token, in ms' },
+      betweenTokensMs: { type: 'number', describe: 'target between two tokens, in ms' },
+      affinityTokens: {
+        type: 'number',
+        describe: 'tokens by which a cached prefix outweighs load',
+      },
+      maintenance: { type: 'boolean', default: false, describe: 'refuse keyed requests' },
+    },
+    run: (context, args) => {
+      const name = args.text('name');
+      const fields = ['rateFactor', 'queueMs', 'firstTokenMs', 'betweenTokensMs', 'affinityTokens'];
+      const numbers = Object.fromEntries(fields.map((field) => [field, args.number(field)]));
+      const preset = { name, ...numbers, maintenance: args.flag('maintenance') };
+      return runChange(context, { kind: 'put-preset', preset }, `preset/${name}`);
+    },
+  },
+  {
+    words: 'preset switch <name>',
+    describe: 'put a preset in force in place of the present one',
+    example: 'preset switch peak',
+    positionals: NAME,
+    run: (context, args) => {
+      const name = args.text('name');
+      return runChange(context, { kind: 'switch-preset', name }, 'preset-in-force');
+    },
+  },
+  {
+    words: 'preset show [name]',
+    describe: 'show a preset; without a name, the one in force',
+    example: 'preset show',
+    positionals: NAME,
+    run: async (context, args) => {
+      const { presets, presetInForce } = await showConfiguration(context);
+      const name = args.optionalText('name') ?? presetInForce;
+      const preset = presets.find((other) => other.name === name);
+      if (!preset) {
+        context.print([], { error: `preset ${name} is unknown` });
+        return EXIT_CODE.failed;
+      }
+      const rows = Object.entries(preset).map(([field, value]) => ({
+        field,
+        value: String(value),
+      }));
+      context.print(rows, preset);
+      return EXIT_CODE.done;
+    },
+  },
+  {
+    words: 'preset list',
+    describe: 'list the presets and mark the one in force',
+    example: 'preset list',
+    run: async (context) => {
+      const { presets, presetInForce } = await showConfiguration(context);
+      const rows = presets.map((preset) => ({ ...preset, inForce: preset.name === presetInForce }));
+      context.print(rows, rows);
+      return EXIT_CODE.done;
+    },
+  },
+];
--- /dev/null
+++ b/src/cli/run.ts
@@ -0,0 +1,160 @@
+import { Code, ConnectError } from '@connectrpc/connect';
+import yargs, { type Argv } from 'yargs';
+
+import { MemberClients } from '../operators/member-clients.js';
+import { Arguments } from './arguments.js';
+import type { Command } from './command.js';
+import { findToken, parseAddress, TOKEN_VARIABLE } from './connect.js';
+import { EXIT_CODE, EXIT_CODE_HELP, type ExitCode } from './exit-code.js';
+import { FILE_COMMANDS } from './file-commands.js';
+import { FLEET_COMMANDS } from './fleet-commands.js';
+import { KEY_COMMANDS } from './key-commands.js';
+import { PRESET_COMMANDS } from './preset-commands.js';
+import { formatTable, type Row } from './table.js';
+import { TEAM_COMMANDS } from './team-commands.js';
+
+const NAME = 'cuminsparctl';
+const COMMANDS = [
+  ...FILE_COMMANDS,
+  ...TEAM_COMMANDS,
+  ...KEY_COMMANDS,
+  ...PRESET_COMMANDS,
+  ...FLEET_COMMANDS,
+];
+
+/**
+ * Runs the tool.
+ *
+ * @param words - command line without the program
+ * @returns the exit code
+ */
+export async function runTool(words: readonly string[]): Promise<ExitCode> {
+  let code: ExitCode = EXIT_CODE.done;
+  const parser = createParser(async (command, values) => {
+    code = await runCommand(command, values);
+  });
+  try {
+    await parser.parseAsync([...words]);
+  } catch (error) {
+    console.error((error as Error).message);
+    return EXIT_CODE.usage;
+  }
+  return code;
+}
+
+type Runner = (command: Command, values: Record<string, unknown>) => Promise<void>;
+
+function createParser(run: Runner): Argv {
+  const parser = addGlobalOptions(yargs().scriptName(NAME))
+    .usage('$0 COMMAND [OPTIONS]\n\nOperates the daemons of cuminspar.')
+    .epilogue(EXIT_CODE_HELP)
+    .demandCommand(1, 'Name a command; --help lists them.')
+    .strict()
+    .version(false)
+    .wrap(100)
+    .exitProcess(false)
+    .fail((message, error) => {
+      throw error ?? new Error(`${message}\nSee ${NAME} --help.`);
+    });
+  const groups = new Map<string, Command[]>();
+  COMMANDS.forEach((command) => {
+    const [first = ''] = command.words.split(' ');
+    groups.set(first, [...(groups.get(first) ?? []), command]);
+    parser.example(`$0 ${command.example}`, command.describe);
+  });
+  groups.forEach((commands, first) => addGroup(parser, first, commands, run));
+  return parser;
+}
+
+function addGroup(parser: Argv, first: string, commands: readonly Command[], run: Runner): void {
+  const [only] = commands;
+  if (only && commands.length === 1 && !/^\S+ [a-z]/.test(only.words)) {
+    addCommand(parser, only.words, only, run);
+    return;
+  }
+  const verbs = commands.map((command) => command.words.split(' ')[1]).join(', ');
+  parser.command(first, `${first} commands: ${verbs}`, (group) => {
+    commands.forEach((command) => {
+      addCommand(group, command.words.slice(first.length + 1), command, run);
+    });
+    return group.demandCommand(1, `Name one of: ${verbs}.`);
+  });
+}
+
+function addCommand(parser: Argv, words: string, command: Command, run: Runner): void {
+  parser.command(
+    words,
+    command.describe,
+    (builder) => {
+      Object.entries(command.positionals ?? {}).forEach(([name, describe]) => {
+        builder.positional(name, { type: 'string', describe });
+      });
+      return builder.options(command.options ?? {}).example(`$0 ${command.example}`, '');
+    },
+    (values) => run(command, values),
+  );
+}
+
+function addGlobalOptions(parser: Argv): Argv {
+  return parser.options({
+    daemon: {
+      type: 'string',
+      default: '127.0.0.1:8082',
+      describe: 'operator listener of any daemon, host:port',
+    },
+    'token-file': {
+      type: 'string',
+      describe: `file with the operator token; else the variable ${TOKEN_VARIABLE}`,
+    },
+    json: { type: 'boolean', default: false, describe: 'print JSON for programs' },
+    base: {
+      type: 'number',
+      describe: 'version that the edit was made on; default: the daemon’s present one',
+    },
+    operator: {
+      type: 'string',
+      default: process.env.USER ?? 'unnamed',
+      describe: 'name that is recorded with the change',
+    },
+  });
+}
+
+async function runCommand(command: Command, values: Record<string, unknown>): Promise<ExitCode> {
+  const args = Arguments.create(values);
+  const address = parseAddress(args.text('daemon'));
+  const base = args.number('base');
+  if (!address || (base !== undefined && !(Number.isSafeInteger(base) && base >= 0))) {
+    console.error('--daemon takes host:port, and --base a whole number of at least 0');
+    return EXIT_CODE.usage;
+  }
+  const token = await findToken(args.optionalText('token-file'));
+  if (token.kind === 'failed') {
+    console.error(`the token file cannot be read: ${token.failure.message}`);
+    return EXIT_CODE.usage;
+  }
+  const clients = MemberClients.create(`Bearer ${token.value}`);
+  const print = createPrinter(args.flag('json'));
+  const operator = args.text('operator');
+  try {
+    return await command.run({ client: clients.open(address), base, operator, print }, args);
+  } catch (error) {
+    return reportFailure(error, args.text('daemon'));
+  } finally {
+    clients.close();
+  }
+}
+
+function createPrinter(json: boolean): (rows: readonly Row[], value: unknown) => void {
+  return (rows, value) => console.log(json ? JSON.stringify(value) : formatTable(rows));
+}
+
+function reportFailure(error: unknown, daemon: string): ExitCode {
+  const failure = ConnectError.from(error);
+  const unreachable = [Code.Unavailable, Code.DeadlineExceeded, Code.Aborted];
+  if (unreachable.includes(failure.code)) {
+    console.error(`the daemon at ${daemon} cannot be reached: ${failure.rawMessage}`);
+    return EXIT_CODE.unreachable;
+  }
+  console.error(failure.rawMessage);
+  return failure.code === Code.InvalidArgument ? EXIT_CODE.invalid : EXIT_CODE.failed;
+}
--- /dev/null
+++ b/src/cli/send-change.ts
@@ -0,0 +1,54 @@
+import type { CommandContext } from './command.js';
+import { type ExitCode, exitCodeOf } from './exit-code.js';
+
+/** Verdict on a change in plain values. */
+export interface SentChange {
+  readonly subject: string;
+  readonly verdict: string;
+  readonly version: number;
+  readonly reason: string;
+}
+
+/**
+ * Sends a change without printing the verdict.
+ *
+ * @param context - the command's surroundings
+ * @param change - the change as JSON values; the daemon validates it
+ * @param subject - what to call it in the output
+ * @param base - version of the subject that the edit was made on; undefined takes the present one
+ * @returns the verdict
+ */
+export async function sendChange(
+  context: CommandContext,
+  change: object,
+  subject: string,
+  base = context.base,
+): Promise<SentChange> {
+  const response = await context.client.change({
+    changeJson: JSON.stringify(change),
+    base: BigInt(base ?? -1),
+    operator: context.operator,
+  });
+  const { verdict, reason } = response;
+  return { subject, verdict, version: Number(response.version), reason };
+}
+
+/**
+ * Sends a change and prints the verdict.
+ *
+ * @param context - the command's surroundings
+ * @param change - the change as JSON values
+ * @param subject - what to call it in the output
+ * @param base - version of the subject that the edit was made on; undefined takes the present one
+ * @returns the exit code for the verdict
+ */
+export async function runChange(
+  context: CommandContext,
+  change: object,
+  subject: string,
+  base = context.base,
+): Promise<ExitCode> {
+  const sent = await sendChange(context, change, subject, base);
+  context.print([{ ...sent }], sent);
+  return exitCodeOf(sent.verdict);
+}
--- /dev/null
+++ b/src/operators/bearer-token.ts
@@ -0,0 +1,19 @@
+import { Code, ConnectError, type Interceptor } from '@connectrpc/connect';
+
+import { matchesHash, readBearer } from '../configuration/keys.js';
+
+/**
+ * Refuses calls without the operators' token.
+ *
+ * @param tokenSha256 - SHA-256 of the token, hexadecimal
+ * @returns an interceptor for the server
+ */
+export function createTokenCheck(tokenSha256: string): Interceptor {
+  return (next) => async (request) => {
+    const token = readBearer(request.header.get('authorization') ?? undefined);
+    if (token === undefined || !matchesHash(token, tokenSha256)) {
+      throw new ConnectError('the operator token is missing or wrong', Code.Unauthenticated);
+    }
+    return next(request);
+  };
+}
--- /dev/null
+++ b/src/operators/connect-operator-entry.ts
@@ -0,0 +1,77 @@
+import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
+import type { AddressInfo } from 'node:net';
+
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+
+import { OperatorService } from '../gen/cuminspar/operator/v1/operator_pb.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import type { Settings } from '../settings/schema.js';
+import { createTokenCheck } from './bearer-token.js';
+import { createOperatorCalls } from './operator-calls.js';
+import { OperatorEntry } from './operator-entry.js';
+
+/** Largest request, in bytes; a change is far smaller. */
+const MOST_REQUEST_BYTES = 1_048_576;
+
+/** Serves cuminsparctl by connect over HTTP/2 without TLS. */
+export class ConnectOperatorEntry extends OperatorEntry {
+  private readonly sessions = new Set<ServerHttp2Session>();
+
+  private readonly server: Http2Server;
+
+  private constructor(
+    kernel: Kernel,
+    clock: Clock,
+    private readonly listener: { readonly host: string; readonly port: number },
+    tokenSha256: string,
+  ) {
+    super();
+    const handler = connectNodeAdapter({
+      routes: (router) => router.service(OperatorService, createOperatorCalls(kernel, clock)),
+      interceptors: [createTokenCheck(tokenSha256)],
+      readMaxBytes: MOST_REQUEST_BYTES,
+    });
+    this.server = createServer(handler);
+    this.server.on('session', (session) => {
+      this.sessions.add(session);
+      session.on('close', () => this.sessions.delete(session));
+      session.on('error', () => session.destroy());
+    });
+  }
+
+  /**
+   * Creates the entry.
+   *
+   * @param kernel - where the other services are found
+   * @param settings - the daemon's settings
+   * @param clock - for waits
+   * @returns a new entry
+   */
+  static create(kernel: Kernel, settings: Settings, clock: Clock): ConnectOperatorEntry {
+    const { tokenSha256, ...listener } = settings.operators;
+    return new ConnectOperatorEntry(kernel, clock, listener, tokenSha256);
+  }
+
+  /** Port that the entry listens on. */
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  override start(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.listener.port, this.listener.host, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  override stop(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.close(() => resolve());
+      this.sessions.forEach((session) => session.destroy());
+    });
+  }
+}
