feat: add the peer calls and the pure modules of membership

Cause: daemons need calls between each other, and every VM must compute the same members, witnesses, lease and fence. Change: connect over HTTP/2 with pings, deadlines and size limits; a registry of streams that peers may read; the member fold, witness choice, share lease and fence as pure modules. A fenced removal names the newest epoch that the fence covers; the fold ignores it when a later epoch has other witnesses.

--- /dev/null
+++ b/src/membership/member-fold.ts
@@ -0,0 +1,199 @@
+import type { Incarnation } from '../domain/vm.js';
+import type { LogRecord } from '../platform/log-service.js';
+import {
+  type MemberChange,
+  type MemberImage,
+  type MemberRecord,
+  parseMemberRecord,
+} from './member-record.js';
+import type { Member, MemberEpoch } from './membership.js';
+import { chooseWitnesses, describeWitnesses } from './witness-set.js';
+
+/** Changes kept for past epochs; 64 changes take about four hours on an ordinary day. */
+const CHANGES_KEPT = 64;
+
+/** A member and the offset of its join. */
+export interface JoinedMember {
+  readonly member: Member;
+  readonly joinedAt: number;
+}
+
+/** The member list at one offset of the stream; never modified, only replaced. */
+export interface MemberState {
+  /** Offset of the last record that was folded. */
+  readonly offset: number;
+  /** Offset of the last record that changed the list. */
+  readonly epoch: number;
+  readonly members: ReadonlyMap<string, JoinedMember>;
+  /** The newest changes, oldest first. */
+  readonly changes: readonly MemberChange[];
+  /** Time of the newest snapshot on the log's clock; 0 when there is none. */
+  readonly snapshotMs: number;
+}
+
+/** The state before the first record. */
+export const EMPTY_MEMBERS: MemberState = {
+  offset: 0,
+  epoch: 0,
+  members: new Map(),
+  changes: [],
+  snapshotMs: 0,
+};
+
+/**
+ * Folds one record. Records at or below the folded offset and unreadable ones change no member.
+ *
+ * @param state - the state before
+ * @param record - the next record
+ * @returns the state after
+ */
+export function foldMember(state: MemberState, record: LogRecord): MemberState {
+  if (record.offset <= state.offset) return state;
+  const parsed = parseMemberRecord(record.data);
+  const next = { ...state, offset: record.offset };
+  if (!parsed) return next;
+  if (parsed.kind === 'joined') return join(next, parsed.member);
+  if (parsed.kind === 'removed') return remove(next, parsed);
+  return { ...next, snapshotMs: record.timestampMs };
+}
+
+/**
+ * Folds the records that are left of a stream, from the newest snapshot among them where the
+ * first ones are missing.
+ *
+ * @param records - all readable records, in the order of their offsets
+ * @returns the state after the last one
+ */
+export function foldMembers(records: readonly LogRecord[]): MemberState {
+  const complete = records[0]?.offset === 1;
+  const start = complete ? EMPTY_MEMBERS : findSnapshot(records);
+  return records.reduce(foldMember, start);
+}
+
+/**
+ * Reads a snapshot's state.
+ *
+ * @param offset - offset of the last record that the snapshot covers
+ * @param image - the state in the snapshot
+ * @returns the state at that offset
+ */
+export function loadMembers(offset: number, image: MemberImage): MemberState {
+  const members = new Map(image.members.map((entry) => [entry.member.vm, entry]));
+  const { epoch, changes } = image;
+  return { offset, epoch, members, changes, snapshotMs: 0 };
+}
+
+/**
+ * Writes a state as a snapshot holds it.
+ *
+ * @param state - the state
+ * @returns its image
+ */
+export function saveMembers({ epoch, members, changes }: MemberState): MemberImage {
+  const entries = [...members.values()].map(({ member, joinedAt }) => ({ member, joinedAt }));
+  return { epoch, members: entries, changes: [...changes] };
+}
+
+/**
+ * Lists the present members.
+ *
+ * @param state - the state
+ * @returns the members in the order of their names
+ */
+export function listMembers(state: MemberState): readonly Member[] {
+  return sortMembers([...state.members.values()].map(({ member }) => member));
+}
+
+/**
+ * Rebuilds the epochs that the kept changes reach back to.
+ *
+ * @param state - the state
+ * @returns the epochs, oldest first, ending with the present one
+ */
+export function listEpochs(state: MemberState): readonly MemberEpoch[] {
+  const members = new Map(listMembers(state).map((member) => [member.vm, member]));
+  const epochs: MemberEpoch[] = [];
+  [...state.changes].reverse().forEach(({ epoch, joined, removed }) => {
+    epochs.push({ epoch, members: sortMembers([...members.values()]) });
+    if (joined) members.delete(joined.vm);
+    if (removed) members.set(removed.vm, removed);
+  });
+  return epochs.reverse();
+}
+
+/**
+ * Tells whether the list once held an incarnation that it does not hold any more.
+ *
+ * @param state - the state
+ * @param owner - the incarnation
+ * @returns true when a kept change removed or replaced it
+ */
+export function isRemoved(state: MemberState, owner: Incarnation): boolean {
+  return state.changes.some(({ removed }) => removed !== undefined && isSame(removed, owner));
+}
+
+/**
+ * Compares two incarnations.
+ *
+ * @param a - one incarnation
+ * @param b - another
+ * @returns true when they are the same run on the same VM
+ */
+export function isSame(a: Incarnation, b: Incarnation): boolean {
+  return a.vm === b.vm && a.incarnation === b.incarnation;
+}
+
+function join(state: MemberState, member: Member): MemberState {
+  const removed = state.members.get(member.vm)?.member;
+  // An append whose result was unknown may take effect twice, the second time after a removal.
+  if ((removed && isSame(removed, member)) || isRemoved(state, member)) return state;
+  const members = new Map(state.members);
+  members.set(member.vm, { member, joinedAt: state.offset });
+  return changed(state, members, { epoch: state.offset, joined: member, removed });
+}
+
+function remove(state: MemberState, record: MemberRecord & { kind: 'removed' }): MemberState {
+  const known = state.members.get(record.vm)?.member;
+  if (!known || !isSame(known, record)) return state;
+  if (record.evidence === 'fenced' && !coversWitnesses(state, record.vm, record.epoch))
+    return state;
+  const members = new Map(state.members);
+  members.delete(record.vm);
+  return changed(state, members, { epoch: state.offset, removed: known });
+}
+
+/**
+ * A fence covers the epochs up to the one that its author knew. A newer epoch with other witnesses
+ * may have renewed the lease since, so such a removal has no effect and the fence is repeated.
+ */
+function coversWitnesses(state: MemberState, vm: string, covered: number | undefined): boolean {
+  if (covered === undefined) return false;
+  const epochs = listEpochs(state);
+  const from = epochs.findIndex(({ epoch }) => epoch === covered);
+  if (from < 0) return false;
+  const sets = epochs.slice(from).map(({ members }) => chooseWitnesses(members, vm));
+  return new Set(sets.map(describeWitnesses)).size === 1;
+}
+
+function changed(
+  state: MemberState,
+  members: ReadonlyMap<string, JoinedMember>,
+  change: MemberChange,
+): MemberState {
+  const changes = [...state.changes, change].slice(-CHANGES_KEPT);
+  return { ...state, epoch: change.epoch, members, changes };
+}
+
+function findSnapshot(records: readonly LogRecord[]): MemberState {
+  const [first] = records;
+  for (const record of [...records].reverse()) {
+    const parsed = parseMemberRecord(record.data);
+    if (parsed?.kind !== 'snapshot') continue;
+    if (first && parsed.upTo + 1 >= first.offset) return loadMembers(parsed.upTo, parsed.state);
+  }
+  return EMPTY_MEMBERS;
+}
+
+function sortMembers(members: Member[]): readonly Member[] {
+  return members.sort((a, b) => (a.vm < b.vm ? -1 : 1));
+}
--- /dev/null
+++ b/src/membership/member-record.ts
@@ -0,0 +1,83 @@
+import { z } from 'zod';
+
+import type { Member } from './membership.js';
+
+const address = z.object({ host: z.string(), port: z.int() });
+
+const member = z.object({
+  name: z.string(),
+  region: z.string(),
+  availabilityZone: z.string(),
+  vm: z.string(),
+  incarnation: z.string(),
+  peers: address,
+  callers: address,
+  operators: address,
+});
+
+const change = z.object({
+  epoch: z.int(),
+  joined: member.optional(),
+  removed: member.optional(),
+});
+
+const image = z.object({
+  epoch: z.int(),
+  members: z.array(z.object({ member, joinedAt: z.int() })),
+  changes: z.array(change),
+});
+
+const recordSchema = z.discriminatedUnion('kind', [
+  z.object({ format: z.literal(1), kind: z.literal('joined'), member }),
+  z.object({
+    format: z.literal(1),
+    kind: z.literal('removed'),
+    vm: z.string(),
+    incarnation: z.string(),
+    evidence: z.enum(['fenced', 'left', 'replaced', 'unlisted']),
+    /** Newest epoch that the fence covers; required for the evidence `fenced`. */
+    epoch: z.int().optional(),
+  }),
+  z.object({ format: z.literal(1), kind: z.literal('snapshot'), upTo: z.int(), state: image }),
+]);
+
+/** A record of the stream `membership`. */
+export type MemberRecord = z.infer<typeof recordSchema>;
+
+/** How one record changed the member list. */
+export interface MemberChange {
+  readonly epoch: number;
+  readonly joined?: Member;
+  readonly removed?: Member;
+}
+
+/** The member list as it is written into a snapshot. */
+export type MemberImage = z.infer<typeof image>;
+
+/**
+ * Reads a record; a record of another format is none.
+ *
+ * @param data - data of the log record
+ * @returns the record, or undefined when it is not of format 1
+ */
+export function parseMemberRecord(data: string): MemberRecord | undefined {
+  return parseJson(data, recordSchema);
+}
+
+/**
+ * Reads the state of a snapshot.
+ *
+ * @param data - the state as JSON
+ * @returns the state, or undefined when it is malformed
+ */
+export function parseMemberImage(data: string): MemberImage | undefined {
+  return parseJson(data, image);
+}
+
+function parseJson<Value>(data: string, schema: z.ZodType<Value>): Value | undefined {
+  try {
+    return schema.safeParse(JSON.parse(data)).data;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/membership/share-lease.ts
@@ -0,0 +1,112 @@
+import type { Incarnation } from '../domain/vm.js';
+import { countMajority } from './witness-set.js';
+
+/** Length of a share lease from the send time of its heartbeat, in milliseconds. */
+export const SHARE_LEASE_MS = 3000;
+
+/** A backward step of the wall clock beyond this ends the lease: the clocks disagree. */
+const WALL_STEP_MS = 1000;
+
+/** One reading of both clocks, in milliseconds. */
+export interface Instant {
+  readonly monotonicMs: number;
+  readonly wallMs: number;
+}
+
+interface EpochRound {
+  readonly witnesses: ReadonlySet<string>;
+  readonly answered: Map<string, Instant>;
+  lastSentMs: number;
+}
+
+/**
+ * Derives the lease from heartbeats and their answers. Every epoch is counted for itself: a
+ * majority must lie within the witness set of the epoch at which the heartbeats were sent.
+ */
+export class ShareLease {
+  private rounds = new Map<number, EpochRound>();
+
+  private constructor(private readonly self: Incarnation) {}
+
+  /**
+   * Creates a lease that has lapsed.
+   *
+   * @param self - the incarnation that holds it
+   * @returns a new lease
+   */
+  static create(self: Incarnation): ShareLease {
+    return new ShareLease(self);
+  }
+
+  /**
+   * Notes that heartbeats are being sent. The holder counts as its own witness.
+   *
+   * @param epoch - the epoch that the heartbeats carry
+   * @param witnesses - the witness set of the holder at that epoch
+   * @param at - time before the first one is sent
+   */
+  sent(epoch: number, witnesses: readonly Incarnation[], at: Instant): void {
+    this.dropOldRounds(at);
+    const names = new Set(witnesses.map(nameIncarnation));
+    const self = nameIncarnation(this.self);
+    if (!names.has(self)) return;
+    const known = this.rounds.get(epoch);
+    const round = known ?? { witnesses: names, answered: new Map(), lastSentMs: 0 };
+    round.answered.set(self, at);
+    round.lastSentMs = at.monotonicMs;
+    this.rounds.set(epoch, round);
+  }
+
+  /**
+   * Notes that a witness has renewed the lease.
+   *
+   * @param epoch - the epoch that the heartbeat carried
+   * @param witness - the incarnation that answered
+   * @param sentAt - time at which the heartbeat was sent
+   */
+  answered(epoch: number, witness: Incarnation, sentAt: Instant): void {
+    const round = this.rounds.get(epoch);
+    const name = nameIncarnation(witness);
+    if (!round?.witnesses.has(name)) return;
+    const before = round.answered.get(name);
+    if (before && before.monotonicMs >= sentAt.monotonicMs) return;
+    round.answered.set(name, sentAt);
+  }
+
+  /**
+   * Compares both clocks with the lease.
+   *
+   * @param now - the present time
+   * @returns true while the lease runs
+   */
+  live(now: Instant): boolean {
+    return [...this.rounds.values()].some((round) => isRoundLive(round, now));
+  }
+
+  private dropOldRounds(now: Instant): void {
+    this.rounds.forEach((round, epoch) => {
+      if (now.monotonicMs - round.lastSentMs >= SHARE_LEASE_MS) this.rounds.delete(epoch);
+    });
+  }
+}
+
+function isRoundLive(round: EpochRound, now: Instant): boolean {
+  const fresh = [...round.answered.values()].filter((at) => isFresh(at, now));
+  return fresh.length >= countMajority(round.witnesses.size);
+}
+
+function isFresh(at: Instant, now: Instant): boolean {
+  const monotonicMs = now.monotonicMs - at.monotonicMs;
+  const wallMs = now.wallMs - at.wallMs;
+  return monotonicMs < SHARE_LEASE_MS && wallMs < SHARE_LEASE_MS && wallMs > -WALL_STEP_MS;
+}
+
+/**
+ * Names an incarnation in one text.
+ *
+ * @param incarnation - the incarnation
+ * @returns a text that is equal for equal incarnations
+ */
+export function nameIncarnation({ vm, incarnation }: Incarnation): string {
+  return `${vm}/${incarnation}`;
+}
--- /dev/null
+++ b/src/peers/connect-peers.ts
@@ -0,0 +1,160 @@
+import { once } from 'node:events';
+import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
+
+import {
+  Code,
+  ConnectError,
+  createClient,
+  type Interceptor,
+  type ServiceImpl,
+} from '@connectrpc/connect';
+import {
+  connectNodeAdapter,
+  createConnectTransport,
+  Http2SessionManager,
+} from '@connectrpc/connect-node';
+
+import type { Address } from '../domain/vm.js';
+import { PeerService } from '../gen/cuminspar/peer/v1/peer_pb.js';
+import { assertInvariant } from '../kernel/invariant.js';
+import type { Kernel } from '../kernel/kernel.js';
+import type { Settings } from '../settings/schema.js';
+import { type PeerClient, type PeerHandlers, Peers } from './peers.js';
+
+/** Deadline of a call that sets none, in milliseconds. */
+export const PEER_DEADLINE_MS = 1000;
+
+/** A ping and its time-out fit into one deadline, so that the next call uses a new connection. */
+const PING_INTERVAL_MS = 500;
+const PING_TIMEOUT_MS = 300;
+
+/** Requests carry at most a batch of decisions or key ids; responses may carry a whole snapshot. */
+const REQUEST_MAX_BYTES = 4 * 1024 * 1024;
+const RESPONSE_MAX_BYTES = 32 * 1024 * 1024;
+
+type Handler = (request: unknown, context: unknown) => unknown;
+
+interface Connection {
+  readonly client: PeerClient;
+  readonly sessions: Http2SessionManager;
+}
+
+/** Peer calls by connect over HTTP/2. */
+export class ConnectPeers extends Peers {
+  private readonly handlers = new Map<string, Handler>();
+
+  private readonly connections = new Map<string, Connection>();
+
+  private readonly sessions = new Set<ServerHttp2Session>();
+
+  private readonly server: Http2Server;
+
+  private constructor(private readonly address: Address) {
+    super();
+    this.server = createServer(
+      connectNodeAdapter({
+        routes: (router) => {
+          router.service(PeerService, this.createDispatch());
+        },
+        readMaxBytes: REQUEST_MAX_BYTES,
+        writeMaxBytes: RESPONSE_MAX_BYTES,
+      }),
+    );
+    this.server.on('session', (session) => this.track(session));
+  }
+
+  /**
+   * Creates the service; it listens after its start.
+   *
+   * @param _kernel - unused, all services are created alike
+   * @param settings - names the listener for peers
+   * @returns a new service
+   */
+  static create(_kernel: Kernel, settings: Pick<Settings, 'peers'>): ConnectPeers {
+    return new ConnectPeers(settings.peers);
+  }
+
+  override async start(): Promise<void> {
+    this.server.listen(this.address.port, this.address.host);
+    await once(this.server, 'listening');
+  }
+
+  override async stop(): Promise<void> {
+    this.connections.forEach(({ sessions }) => sessions.abort());
+    this.connections.clear();
+    if (!this.server.listening) return;
+    const closed = once(this.server, 'close');
+    this.server.close();
+    this.sessions.forEach((session) => session.destroy());
+    await closed;
+  }
+
+  override handle(handlers: PeerHandlers): void {
+    Object.entries(handlers).forEach(([name, handler]) => {
+      assertInvariant(!this.handlers.has(name), `peer call ${name} has two handlers`);
+      this.handlers.set(name, handler as Handler);
+    });
+  }
+
+  override client(address: Address): PeerClient {
+    const url = createUrl(address);
+    const known = this.connections.get(url);
+    if (known) return known.client;
+    const connection = connect(url);
+    this.connections.set(url, connection);
+    return connection.client;
+  }
+
+  private track(session: ServerHttp2Session): void {
+    this.sessions.add(session);
+    session.on('close', () => this.sessions.delete(session));
+    session.on('error', () => session.destroy());
+  }
+
+  private createDispatch(): ServiceImpl<typeof PeerService> {
+    const entries = PeerService.methods.map(({ localName }) => [
+      localName,
+      (request: unknown, context: unknown) => this.dispatch(localName, request, context),
+    ]);
+    return Object.fromEntries(entries) as ServiceImpl<typeof PeerService>;
+  }
+
+  private dispatch(name: string, request: unknown, context: unknown): unknown {
+    const handler = this.handlers.get(name);
+    if (!handler) throw new ConnectError(`${name} has no handler`, Code.Unimplemented);
+    return handler(request, context);
+  }
+}
+
+function createUrl({ host, port }: Address): string {
+  return host.includes(':') ? `http://[${host}]:${port}` : `http://${host}:${port}`;
+}
+
+function connect(url: string): Connection {
+  const sessions = new Http2SessionManager(url, {
+    pingIntervalMs: PING_INTERVAL_MS,
+    pingTimeoutMs: PING_TIMEOUT_MS,
+  });
+  const transport = createConnectTransport({
+    baseUrl: url,
+    httpVersion: '2',
+    sessionManager: sessions,
+    defaultTimeoutMs: PEER_DEADLINE_MS,
+    readMaxBytes: RESPONSE_MAX_BYTES,
+    writeMaxBytes: REQUEST_MAX_BYTES,
+    interceptors: [createReconnector(sessions)],
+  });
+  return { client: createClient(PeerService, transport), sessions };
+}
+
+/** Pings begin only on an open connection, so an attempt to connect that hangs is ended here. */
+function createReconnector(sessions: Http2SessionManager): Interceptor {
+  return (next) => async (request) => {
+    try {
+      return await next(request);
+    } catch (error) {
+      if (sessions.state() === 'connecting') sessions.abort();
+      throw error;
+    }
+  };
+}
--- /dev/null
+++ b/src/peers/record-sources.ts
@@ -0,0 +1,80 @@
+import { Code, ConnectError } from '@connectrpc/connect';
+
+import { Service } from '../kernel/service.js';
+import type { Kernel } from '../kernel/kernel.js';
+import type { LogRecord } from '../platform/log-service.js';
+
+/** A folded stream that peers may read when the log does not supply it. */
+export interface RecordSource {
+  /** Reads recent folded records from an offset, at most `limit` of them. */
+  records(from: number, limit: number): readonly LogRecord[];
+  /** Reads the folded state, or undefined before the first complete read. */
+  snapshot(): { readonly offset: number; readonly stateJson: string } | undefined;
+}
+
+/** Most records in one answer, so that an answer stays below the size limit of a message. */
+const RECORDS_MAX = 100;
+
+/** Answers `FetchRecords` and `FetchSnapshot` from the module that folds the stream. */
+export class RecordSources extends Service {
+  private readonly sources = new Map<string, RecordSource>();
+
+  private constructor(private readonly kernel: Kernel) {
+    super();
+  }
+
+  /**
+   * Creates a registry; the stream `configuration` is served by the service of that name.
+   *
+   * @param kernel - finds the peers and the configuration
+   * @returns a new registry
+   */
+  static create(kernel: Kernel): RecordSources {
+    return new RecordSources(kernel);
+  }
+
+  /**
+   * Serves a stream from a source; a later source replaces an earlier one.
+   *
+   * @param stream - name of the stream
+   * @param source - what answers for it
+   */
+  add(stream: string, source: RecordSource): void {
+    this.sources.set(stream, source);
+  }
+
+  override async start(): Promise<void> {
+    this.kernel.find('peers').handle({
+      fetchRecords: (request) => {
+        const limit = Math.min(request.limit, RECORDS_MAX);
+        const records = this.find(request.stream).records(Number(request.fromOffset), limit);
+        return {
+          records: records.map((record) => ({
+            offset: BigInt(record.offset),
+            timestampMs: BigInt(Math.trunc(record.timestampMs)),
+            data: record.data,
+          })),
+        };
+      },
+      fetchSnapshot: (request) => {
+        const snapshot = this.find(request.stream).snapshot();
+        if (!snapshot) return { available: false };
+        const { offset, stateJson } = snapshot;
+        return { available: true, offset: BigInt(offset), stateJson };
+      },
+    });
+  }
+
+  private find(stream: string): RecordSource {
+    const source = this.sources.get(stream);
+    if (source) return source;
+    if (stream === 'configuration') return this.kernel.find('configuration');
+    throw new ConnectError(`stream ${stream} is not served`, Code.NotFound);
+  }
+}
+
+declare module '../kernel/service.js' {
+  interface Services {
+    'record-sources': RecordSources;
+  }
+}
