feat: add the membership with witnesses

Cause: shares may move only with proof that the old holder can spend no more. Result: type check and lint pass; behaviour is not tested yet.

--- /dev/null
+++ b/src/membership/fencing.ts
@@ -0,0 +1,172 @@
+import type { Incarnation } from '../domain/vm.js';
+import {
+  type FenceEvidence,
+  type FencePromise,
+  findFenceEnd,
+  listFenceWitnesses,
+} from './fence.js';
+import { isSame } from './member-fold.js';
+import type { Member } from './membership.js';
+import {
+  appendMemberRecord,
+  attempt,
+  createSender,
+  type MembershipContext,
+  repeat,
+} from './membership-context.js';
+import type { FenceState, PromiseAnswer } from './membership-message.js';
+
+const CHECK_MS = 500;
+
+/** Several witnesses complete the same fence; the spread lets most of them see the first append. */
+const APPEND_SPREAD_MS = 300;
+
+/** Fences the members that this VM witnesses and does not hear any more. */
+export class Fencing {
+  private readonly busy = new Set<string>();
+
+  private constructor(private readonly context: MembershipContext) {}
+
+  /**
+   * Creates the fencing of one VM.
+   *
+   * @param context - finds the peers and the log
+   * @returns a new object
+   */
+  static create(context: MembershipContext): Fencing {
+    return new Fencing(context);
+  }
+
+  /**
+   * Looks for suspects until the service stops.
+   *
+   * @returns a promise that resolves after the stop
+   */
+  async watch(): Promise<void> {
+    await repeat(this.context, CHECK_MS, () => this.check());
+  }
+
+  /**
+   * Asks the witnesses of a member whether its fence is complete, for use while the log is down.
+   *
+   * @param suspect - the incarnation
+   * @returns true when every epoch that matters has a majority of expired promises
+   */
+  async isFenced(suspect: Incarnation): Promise<boolean> {
+    const { task } = this.context;
+    const joined = task.members().members.get(suspect.vm);
+    if (!joined || !isSame(joined.member, suspect)) return false;
+    const known = task.report(suspect)?.epoch ?? 0;
+    const evidence: FenceEvidence = {
+      suspect,
+      joinedAt: Math.max(joined.joinedAt, known),
+      epochs: task.listEpochs(),
+      promises: [],
+    };
+    const states = await Promise.all(
+      listFenceWitnesses(evidence).map((witness) => this.askState(witness, suspect)),
+    );
+    const promises = states.flatMap((promise) => promise ?? []);
+    return findFenceEnd({ ...evidence, promises }) !== undefined;
+  }
+
+  private async check(): Promise<void> {
+    const { task } = this.context;
+    // A VM that hears no majority itself is the one that is cut off.
+    if (!task.leaseLive()) return;
+    const fences = await task.ask<readonly FenceEvidence[]>((reply) => ({
+      kind: 'suspects',
+      reply,
+    }));
+    fences.forEach((evidence) => {
+      void this.pursue(evidence);
+    });
+  }
+
+  private async pursue(evidence: FenceEvidence): Promise<void> {
+    const { vm } = evidence.suspect;
+    if (this.busy.has(vm)) return;
+    this.busy.add(vm);
+    const endMs = findFenceEnd(evidence);
+    if (endMs === undefined) await this.collect(evidence);
+    else if (this.context.clock.monotonicMs() >= endMs) await this.remove(evidence);
+    this.busy.delete(vm);
+  }
+
+  private async collect(evidence: FenceEvidence): Promise<void> {
+    const known = new Set(evidence.promises.map(({ witness }) => witness.incarnation));
+    await Promise.all(
+      listFenceWitnesses(evidence)
+        .filter(({ incarnation }) => !known.has(incarnation))
+        .map((witness) => this.askPromise(witness, evidence.suspect)),
+    );
+  }
+
+  private async askPromise(witness: Incarnation, suspect: Incarnation): Promise<void> {
+    const { task } = this.context;
+    const answer = isSame(witness, task.self())
+      ? await task.ask<PromiseAnswer>((reply) => ({ kind: 'promise', suspect, reply }))
+      : await this.requestPromise(witness, suspect);
+    if (!answer?.promised) return;
+    const { reportedEpoch } = answer;
+    const atMs = this.context.clock.monotonicMs();
+    task.send({ kind: 'promised', suspect, promise: { witness, atMs, reportedEpoch } });
+  }
+
+  private async requestPromise(
+    witness: Incarnation,
+    { vm, incarnation }: Incarnation,
+  ): Promise<PromiseAnswer | undefined> {
+    const member = this.findMember(witness);
+    if (!member) return undefined;
+    const client = this.context.kernel.find('peers').client(member.peers);
+    const sender = createSender(this.context);
+    const answer = await attempt(client.promiseFence({ sender, vm, incarnation }));
+    if (!answer) return undefined;
+    return { promised: answer.promised, reportedEpoch: Number(answer.reportedEpoch) };
+  }
+
+  private async askState(
+    witness: Incarnation,
+    suspect: Incarnation,
+  ): Promise<FencePromise | undefined> {
+    const { task, clock } = this.context;
+    const state = isSame(witness, task.self())
+      ? await task.ask<FenceState>((reply) => ({ kind: 'fence-state', suspect, reply }))
+      : await this.requestState(witness, suspect);
+    if (!state?.fenced || !state.expired) return undefined;
+    return { witness, atMs: clock.monotonicMs(), reportedEpoch: 0 };
+  }
+
+  private async requestState(
+    witness: Incarnation,
+    { vm, incarnation }: Incarnation,
+  ): Promise<FenceState | undefined> {
+    const member = this.findMember(witness);
+    if (!member) return undefined;
+    const client = this.context.kernel.find('peers').client(member.peers);
+    return attempt(client.fenceStatus({ sender: createSender(this.context), vm, incarnation }));
+  }
+
+  /** Only an incarnation that still runs can answer; the others have left every list. */
+  private findMember(witness: Incarnation): Member | undefined {
+    const member = this.context.task.members().members.get(witness.vm)?.member;
+    return member && isSame(member, witness) ? member : undefined;
+  }
+
+  private async remove({ suspect, epochs }: FenceEvidence): Promise<void> {
+    const { clock, signal, task } = this.context;
+    const epoch = epochs.at(-1)?.epoch;
+    await clock.sleep(Math.random() * APPEND_SPREAD_MS, signal);
+    if (signal.aborted || task.isRemoved(suspect) || task.members().epoch !== epoch) return;
+    const { vm, incarnation } = suspect;
+    await appendMemberRecord(this.context, {
+      format: 1,
+      kind: 'removed',
+      vm,
+      incarnation,
+      evidence: 'fenced',
+      epoch,
+    });
+  }
+}
--- /dev/null
+++ b/src/membership/heartbeats.ts
@@ -0,0 +1,148 @@
+import type { Incarnation } from '../domain/vm.js';
+import type { HeartbeatRequest, HeartbeatResponse } from '../gen/cuminspar/peer/v1/peer_pb.js';
+import type { PeerClient } from '../peers/peers.js';
+import { isSame } from './member-fold.js';
+import type { MemberStream } from './member-stream.js';
+import type { Member } from './membership.js';
+import { attempt, type MembershipContext, repeat } from './membership-context.js';
+import type { HeartbeatRound } from './membership-message.js';
+import type { Instant } from './share-lease.js';
+
+/** Time between two heartbeats to a witness, in milliseconds. */
+const HEARTBEAT_MS = 1000;
+
+/** Sends and answers heartbeats, and exchanges offsets and withdrawn keys with them. */
+export class Heartbeats {
+  private draining = false;
+
+  private constructor(
+    private readonly context: MembershipContext,
+    private readonly stream: MemberStream,
+  ) {}
+
+  /**
+   * Creates the exchange.
+   *
+   * @param context - finds the peers and the configuration
+   * @param stream - is told of newer epochs
+   * @returns a new exchange
+   */
+  static create(context: MembershipContext, stream: MemberStream): Heartbeats {
+    return new Heartbeats(context, stream);
+  }
+
+  /** Makes the following heartbeats say that this VM is draining. */
+  drain(): void {
+    this.draining = true;
+  }
+
+  /**
+   * Sends a round every second until the service stops.
+   *
+   * @returns a promise that resolves after the stop
+   */
+  async send(): Promise<void> {
+    await repeat(this.context, HEARTBEAT_MS, () => this.beginRound());
+  }
+
+  /**
+   * Answers a witness's side of a heartbeat.
+   *
+   * @param request - the heartbeat
+   * @returns the answer
+   */
+  async answer(request: HeartbeatRequest) {
+    const { task, kernel } = this.context;
+    const { vm = '', incarnation = '' } = request.sender ?? {};
+    const report = {
+      vm,
+      incarnation,
+      epoch: Number(request.epoch),
+      draining: request.draining,
+    };
+    const renewed = await task.ask<boolean>((reply) => ({ kind: 'heartbeat', report, reply }));
+    kernel.find('configuration').noticeOffset(Number(request.configurationOffset), vm);
+    const sender = task.members().members.get(vm)?.member;
+    if (sender) void this.stream.notice(report.epoch, sender.peers);
+    return { renewed, incarnation: task.self().incarnation, ...this.describe() };
+  }
+
+  private describe() {
+    const { task, kernel } = this.context;
+    const configuration = kernel.find('configuration');
+    return {
+      epoch: BigInt(task.members().epoch),
+      configurationOffset: BigInt(configuration.current()?.version ?? 0),
+      withdrawnDigest: configuration.withdrawnDigest(),
+      draining: this.draining,
+    };
+  }
+
+  /** A round does not wait for its answers, so that a slow witness does not delay the next one. */
+  private async beginRound(): Promise<void> {
+    const { task } = this.context;
+    const sentAt = task.now();
+    const round = await task.ask<HeartbeatRound>((reply) => ({ kind: 'round', at: sentAt, reply }));
+    round.witnesses.forEach((witness) => {
+      void this.exchange(round, witness, sentAt);
+    });
+  }
+
+  private async exchange(round: HeartbeatRound, witness: Member, sentAt: Instant): Promise<void> {
+    const { vm, incarnation } = round.self;
+    const client = this.context.kernel.find('peers').client(witness.peers);
+    const response = await attempt(
+      client.heartbeat({
+        ...this.describe(),
+        sender: { vm, incarnation },
+        epoch: BigInt(round.epoch),
+      }),
+    );
+    if (!response || this.context.signal.aborted) return;
+    this.take(round, witness, sentAt, response);
+    await this.exchangeWithdrawals(client, response);
+  }
+
+  private take(
+    round: HeartbeatRound,
+    witness: Member,
+    sentAt: Instant,
+    response: HeartbeatResponse,
+  ): void {
+    const { task, kernel } = this.context;
+    const { vm } = witness;
+    const { incarnation, draining } = response;
+    const epoch = Number(response.epoch);
+    task.send({ kind: 'reported', report: { vm, incarnation, epoch, draining } });
+    kernel.find('configuration').noticeOffset(Number(response.configurationOffset), vm);
+    void this.stream.notice(epoch, witness.peers);
+    if (!response.renewed) this.learnFence(round.self);
+    else if (isSame(witness, { vm, incarnation })) {
+      const { self } = round;
+      task.send({ kind: 'renewed', self, witness, epoch: round.epoch, sentAt });
+    }
+  }
+
+  /**
+   * A single promise does not end a lease. While the log is out a new incarnation could not join,
+   * so a lease that a majority still renews is kept until the log is back.
+   */
+  private learnFence(self: Incarnation): void {
+    const { task } = this.context;
+    if (task.leaseLive() && !this.stream.logReachable()) return;
+    task.send({ kind: 'reincarnate', self });
+  }
+
+  private async exchangeWithdrawals(
+    client: PeerClient,
+    response: HeartbeatResponse,
+  ): Promise<void> {
+    const configuration = this.context.kernel.find('configuration');
+    if (response.withdrawnDigest === configuration.withdrawnDigest()) return;
+    const { vm, incarnation } = this.context.task.self();
+    const answer = await attempt(
+      client.withdrawKeys({ sender: { vm, incarnation }, keyIds: [...configuration.withdrawn()] }),
+    );
+    if (answer && answer.keyIds.length > 0) configuration.withdraw(answer.keyIds);
+  }
+}
--- /dev/null
+++ b/src/membership/member-stream.ts
@@ -0,0 +1,178 @@
+import type { Address } from '../domain/vm.js';
+import type { LogPage, LogRecord } from '../platform/log-service.js';
+import { foldMembers, listMembers, loadMembers } from './member-fold.js';
+import { parseMemberImage } from './member-record.js';
+import {
+  attempt,
+  createSender,
+  MEMBERSHIP_STREAM,
+  type MembershipContext,
+} from './membership-context.js';
+
+const PAGE_RECORDS = 500;
+const POLL_MS = 1000;
+const RETRY_MS = 250;
+const SNAPSHOT_DEADLINE_MS = 3000;
+
+/** The long poll usually brings a new epoch within this time, so that no peer is asked. */
+const LOG_GRACE_MS = 300;
+
+/** Reads the stream of members from the log, and from peers what the log does not supply. */
+export class MemberStream {
+  private complete = false;
+
+  private reachable = false;
+
+  private newestHeard = 0;
+
+  private constructor(private readonly context: MembershipContext) {}
+
+  /**
+   * Creates a reader.
+   *
+   * @param context - finds the log and the peers
+   * @returns a reader that has read nothing
+   */
+  static create(context: MembershipContext): MemberStream {
+    return new MemberStream(context);
+  }
+
+  /** Tells whether the last read of the log succeeded. */
+  logReachable(): boolean {
+    return this.reachable;
+  }
+
+  /** Tells whether the log was read to its end at least once. */
+  readToEnd(): boolean {
+    return this.complete;
+  }
+
+  /**
+   * Follows the stream until the service stops.
+   *
+   * @returns a promise that resolves after the stop
+   */
+  async follow(): Promise<void> {
+    const { clock, signal } = this.context;
+    while (!signal.aborted) {
+      const startedMs = clock.monotonicMs();
+      const page = await this.read(this.offset() + 1);
+      this.reachable = page !== undefined;
+      const progressed = page ? await this.apply(page) : await this.askPeers();
+      if (progressed || signal.aborted) continue;
+      const restMs = startedMs + RETRY_MS - clock.monotonicMs();
+      if (restMs > 0) await clock.sleep(restMs, signal);
+    }
+  }
+
+  /**
+   * Reacts to a peer that has folded a newer epoch: the log is given a short time to supply it.
+   *
+   * @param epoch - the peer's epoch
+   * @param address - the peer
+   * @returns a promise that resolves when this VM has caught up or the attempt was given up
+   */
+  async notice(epoch: number, address: Address): Promise<void> {
+    if (epoch <= this.offset() || epoch <= this.newestHeard) return;
+    this.newestHeard = epoch;
+    const { clock, signal } = this.context;
+    await clock.sleep(LOG_GRACE_MS, signal);
+    while (this.offset() < epoch && !signal.aborted) {
+      if (!(await this.fetchRecords(address))) break;
+    }
+    this.newestHeard = 0;
+  }
+
+  private offset(): number {
+    return this.context.task.members().offset;
+  }
+
+  private async read(from: number): Promise<LogPage | undefined> {
+    const { kernel, signal } = this.context;
+    const query = { stream: MEMBERSHIP_STREAM, from, limit: PAGE_RECORDS, waitMs: POLL_MS, signal };
+    const outcome = await kernel.find('log').read(query);
+    return outcome.kind === 'ok' ? outcome.value : undefined;
+  }
+
+  private async apply(page: LogPage): Promise<boolean> {
+    const before = this.offset();
+    const [first] = page.records;
+    if (first && first.offset > before + 1) await this.rebase();
+    else this.context.task.send({ kind: 'records', records: page.records });
+    // A lagging replica may report an older end, which says nothing about the stream's real end.
+    if (page.endOffset === this.offset()) this.complete = true;
+    return this.offset() > before;
+  }
+
+  /** Retention has dropped records that were not folded here; the newest snapshot replaces them. */
+  private async rebase(): Promise<void> {
+    const records: LogRecord[] = [];
+    let from = 1;
+    for (;;) {
+      const page = await this.read(from);
+      if (!page) return;
+      records.push(...page.records);
+      const last = records.at(-1)?.offset ?? 0;
+      if (page.records.length === 0 || last >= page.endOffset) break;
+      from = last + 1;
+    }
+    this.context.task.send({ kind: 'state', state: foldMembers(records) });
+  }
+
+  private async askPeers(): Promise<boolean> {
+    const address = this.choosePeer();
+    if (!address) return false;
+    if (this.offset() > 0 && (await this.fetchRecords(address))) return true;
+    return this.fetchSnapshot(address);
+  }
+
+  private choosePeer(): Address | undefined {
+    const { kernel, task } = this.context;
+    const self = task.self().vm;
+    const members = listMembers(task.members()).filter(({ vm }) => vm !== self);
+    const listed = (kernel.find('vm-list').current()?.vms ?? []).filter(
+      ({ name }) => name !== self,
+    );
+    const addresses = [
+      ...members.map(({ peers }) => peers),
+      ...listed.map(({ host, peerPort }) => ({ host, port: peerPort })),
+    ];
+    return addresses[Math.floor(Math.random() * addresses.length)];
+  }
+
+  private async fetchRecords(address: Address): Promise<boolean> {
+    const before = this.offset();
+    const answer = await attempt(
+      this.context.kernel
+        .find('peers')
+        .client(address)
+        .fetchRecords({
+          sender: createSender(this.context),
+          stream: MEMBERSHIP_STREAM,
+          fromOffset: BigInt(before + 1),
+          limit: PAGE_RECORDS,
+        }),
+    );
+    const records = (answer?.records ?? []).map(({ offset, timestampMs, data }) => ({
+      offset: Number(offset),
+      timestampMs: Number(timestampMs),
+      data,
+    }));
+    this.context.task.send({ kind: 'records', records });
+    return this.offset() > before;
+  }
+
+  private async fetchSnapshot(address: Address): Promise<boolean> {
+    const before = this.offset();
+    const request = { sender: createSender(this.context), stream: MEMBERSHIP_STREAM };
+    const client = this.context.kernel.find('peers').client(address);
+    const answer = await attempt(
+      client.fetchSnapshot(request, { timeoutMs: SNAPSHOT_DEADLINE_MS }),
+    );
+    if (!answer?.available || Number(answer.offset) <= before) return false;
+    const image = parseMemberImage(answer.stateJson);
+    if (!image) return false;
+    this.context.task.send({ kind: 'state', state: loadMembers(Number(answer.offset), image) });
+    return this.offset() > before;
+  }
+}
--- /dev/null
+++ b/src/membership/unlisted-vms.ts
@@ -0,0 +1,113 @@
+import type { Incarnation } from '../domain/vm.js';
+import { listMembers } from './member-fold.js';
+import { appendMemberRecord, type MembershipContext, repeat } from './membership-context.js';
+import { nameIncarnation } from './share-lease.js';
+import { chooseWitnesses } from './witness-set.js';
+
+/** Time for which the VM list must lack a VM, in milliseconds. */
+export const UNLISTED_MS = 10_000;
+
+/** Time after which any member removes it, in case all of its witnesses are gone too. */
+const UNWITNESSED_MS = 2 * UNLISTED_MS;
+
+const CHECK_MS = 1000;
+
+/** Members append at different times, so that most find the record in the log already. */
+const APPEND_SPREAD_MS = 2000;
+
+/**
+ * Removes members whose VM the VM list has dropped. The list lags behind reality, so a VM that it
+ * has never shown is not taken as dropped.
+ */
+export class UnlistedVms {
+  private readonly seen = new Set<string>();
+
+  private readonly missingSince = new Map<string, number>();
+
+  private constructor(private readonly context: MembershipContext) {}
+
+  /**
+   * Creates the check of one VM.
+   *
+   * @param context - finds the VM list and the log
+   * @returns a new check
+   */
+  static create(context: MembershipContext): UnlistedVms {
+    return new UnlistedVms(context);
+  }
+
+  /**
+   * Compares the members with the VM list until the service stops.
+   *
+   * @returns a promise that resolves after the stop
+   */
+  async watch(): Promise<void> {
+    await repeat(this.context, CHECK_MS, () => this.check());
+  }
+
+  /**
+   * Tells whether the VM list has dropped a member's VM.
+   *
+   * @param member - the incarnation
+   * @param forMs - least time for which it is missing, in milliseconds
+   * @returns true when it was listed and is missing for that time
+   */
+  isDropped(member: Incarnation, forMs = UNLISTED_MS): boolean {
+    const since = this.missingSince.get(nameIncarnation(member));
+    return since !== undefined && this.context.clock.monotonicMs() - since >= forMs;
+  }
+
+  private async check(): Promise<void> {
+    const { task } = this.context;
+    if (!this.update() || !task.joined()) return;
+    const members = listMembers(task.members());
+    const self = task.self().vm;
+    for (const member of members) {
+      const witnessed = chooseWitnesses(members, member.vm).some(({ vm }) => vm === self);
+      const forMs = witnessed ? UNLISTED_MS : UNWITNESSED_MS;
+      if (member.vm !== self && this.isDropped(member, forMs)) await this.remove(member);
+    }
+  }
+
+  private update(): boolean {
+    const listing = this.context.kernel.find('vm-list').current();
+    // A list without any VM is a fault of the list: this VM exists.
+    if (!listing || listing.vms.length === 0) return false;
+    const listed = new Set(listing.vms.map(({ name }) => name));
+    const members = listMembers(this.context.task.members());
+    const names = new Set(members.map(nameIncarnation));
+    members.forEach((member) => this.updateMember(nameIncarnation(member), listed.has(member.vm)));
+    [...this.seen].filter((name) => !names.has(name)).forEach((name) => this.forget(name));
+    return true;
+  }
+
+  private updateMember(name: string, listed: boolean): void {
+    if (listed) {
+      this.seen.add(name);
+      this.missingSince.delete(name);
+      return;
+    }
+    if (!this.seen.has(name) || this.missingSince.has(name)) return;
+    this.missingSince.set(name, this.context.clock.monotonicMs());
+  }
+
+  private forget(name: string): void {
+    this.seen.delete(name);
+    this.missingSince.delete(name);
+  }
+
+  private async remove(member: Incarnation): Promise<void> {
+    const { clock, signal, task } = this.context;
+    await clock.sleep(Math.random() * APPEND_SPREAD_MS, signal);
+    this.update();
+    if (signal.aborted || task.isRemoved(member) || !this.isDropped(member)) return;
+    const { vm, incarnation } = member;
+    await appendMemberRecord(this.context, {
+      format: 1,
+      kind: 'removed',
+      vm,
+      incarnation,
+      evidence: 'unlisted',
+    });
+  }
+}
--- /dev/null
+++ b/src/membership/witnessed-membership.ts
@@ -0,0 +1,298 @@
+import { randomUUID } from 'node:crypto';
+
+import type { Stream } from 'most';
+
+import type { Address, Incarnation } from '../domain/vm.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import { SystemClock } from '../kernel/system-clock.js';
+import type { PeerHandlers } from '../peers/peers.js';
+import type { Settings } from '../settings/schema.js';
+import { Fencing } from './fencing.js';
+import { Heartbeats } from './heartbeats.js';
+import { isSame, listMembers, saveMembers } from './member-fold.js';
+import { MemberSnapshots } from './member-snapshots.js';
+import { MemberStream } from './member-stream.js';
+import { type Member, type MemberEpoch, Membership, type MemberStatus } from './membership.js';
+import {
+  appendMemberRecord,
+  attempt,
+  createSender,
+  MEMBERSHIP_STREAM,
+  type MembershipContext,
+  repeat,
+} from './membership-context.js';
+import type { FenceState, PromiseAnswer } from './membership-message.js';
+import { MembershipTask } from './membership-task.js';
+import { UnlistedVms } from './unlisted-vms.js';
+
+const JOIN_RETRY_MS = 500;
+
+/** Time within which an appended join is expected in the stream before it is appended again. */
+const JOIN_FOLD_MS = 2000;
+
+const LEAVE_ATTEMPTS = 4;
+const LEAVE_RETRY_MS = 500;
+
+/** The settings that the membership reads. */
+export type MembershipSettings = Pick<
+  Settings,
+  'vm' | 'peers' | 'callers' | 'operators' | 'snapshots'
+>;
+
+/** Membership by a log stream, with a share lease that witnesses renew. */
+export class WitnessedMembership extends Membership {
+  private readonly stopping = new AbortController();
+
+  private readonly context: MembershipContext;
+
+  private readonly task: MembershipTask;
+
+  private readonly stream: MemberStream;
+
+  private readonly heartbeats: Heartbeats;
+
+  private readonly fencing: Fencing;
+
+  private readonly unlisted: UnlistedVms;
+
+  private readonly snapshots: MemberSnapshots;
+
+  private leaving = false;
+
+  private loops: Promise<void>[] = [];
+
+  private constructor(kernel: Kernel, settings: MembershipSettings, clock: Clock) {
+    super();
+    this.task = MembershipTask.create(createMember(settings), clock);
+    this.context = { kernel, task: this.task, clock, signal: this.stopping.signal };
+    this.stream = MemberStream.create(this.context);
+    this.heartbeats = Heartbeats.create(this.context, this.stream);
+    this.fencing = Fencing.create(this.context);
+    this.unlisted = UnlistedVms.create(this.context);
+    const { everyMs } = settings.snapshots;
+    this.snapshots = MemberSnapshots.create(this.context, this.stream, everyMs);
+  }
+
+  /**
+   * Creates the membership of a daemon with a new incarnation.
+   *
+   * @param kernel - finds the log, the peers, the VM list and the configuration
+   * @param settings - names this VM and its listeners
+   * @param clock - both clocks
+   * @returns a membership that begins to join when it starts
+   */
+  static create(
+    kernel: Kernel,
+    settings: MembershipSettings,
+    clock: Clock = SystemClock.create(),
+  ): WitnessedMembership {
+    return new WitnessedMembership(kernel, settings, clock);
+  }
+
+  override async start(): Promise<void> {
+    const { kernel } = this.context;
+    this.task.run();
+    kernel.find('peers').handle(this.createHandlers());
+    kernel.find('record-sources').add(MEMBERSHIP_STREAM, {
+      records: (from, limit) => this.task.records(from, limit),
+      snapshot: () => this.takeSnapshot(),
+    });
+    this.loops = [
+      this.stream.follow(),
+      this.heartbeats.send(),
+      this.fencing.watch(),
+      this.unlisted.watch(),
+      this.snapshots.keep(),
+      repeat(this.context, JOIN_RETRY_MS, () => this.ensureJoined()),
+    ];
+  }
+
+  override async stop(): Promise<void> {
+    this.stopping.abort();
+    await Promise.all(this.loops);
+    this.task.close();
+    this.task.epochs.end();
+    this.task.reincarnations.end();
+  }
+
+  override self(): Member {
+    return this.task.self();
+  }
+
+  override joined(): boolean {
+    return this.task.joined();
+  }
+
+  override current(): MemberEpoch {
+    const state = this.task.members();
+    return this.task.listEpochs().at(-1) ?? { epoch: state.epoch, members: listMembers(state) };
+  }
+
+  override history(): readonly MemberEpoch[] {
+    const { members } = this.task.members();
+    const epochs = this.task.listEpochs();
+    // A member has no share of an epoch before its own join, so it needs not confirm that one.
+    const confirmed = [...members.values()].map(({ member, joinedAt }) =>
+      Math.max(joinedAt, this.confirmedEpoch(member)),
+    );
+    const oldest = Math.min(...confirmed);
+    const start = epochs.findLastIndex(({ epoch }) => epoch <= oldest);
+    return epochs.length === 0 ? [this.current()] : epochs.slice(Math.max(0, start));
+  }
+
+  override changes(): Stream<MemberEpoch> {
+    return this.task.epochs.stream();
+  }
+
+  override reincarnations(): Stream<Member> {
+    return this.task.reincarnations.stream();
+  }
+
+  override leaseLive(): boolean {
+    return this.task.leaseLive();
+  }
+
+  override confirmedEpoch(member: Incarnation): number {
+    if (isSame(member, this.self())) return this.task.members().epoch;
+    return this.task.report(member)?.epoch ?? 0;
+  }
+
+  override async askEpoch(member: Incarnation): Promise<number> {
+    if (isSame(member, this.self())) return this.task.members().epoch;
+    const listed = this.task.members().members.get(member.vm)?.member;
+    if (!listed) return 0;
+    const answer = await this.confirm(listed.peers);
+    if (!answer || answer.incarnation !== member.incarnation) return 0;
+    const { vm, incarnation } = member;
+    const epoch = Number(answer.epoch);
+    const draining = this.task.report(member)?.draining ?? false;
+    this.task.send({ kind: 'reported', report: { vm, incarnation, epoch, draining } });
+    return epoch;
+  }
+
+  override async isGone(owner: Incarnation): Promise<boolean> {
+    if (isSame(owner, this.self())) return false;
+    // This process runs only its present incarnation on this VM.
+    if (owner.vm === this.self().vm || this.task.isRemoved(owner)) return true;
+    if (this.unlisted.isDropped(owner)) return true;
+    if (await this.isSuperseded(owner)) return true;
+    return !this.stream.logReachable() && this.fencing.isFenced(owner);
+  }
+
+  override statuses(): readonly MemberStatus[] {
+    const self = this.self().vm;
+    return listMembers(this.task.members())
+      .filter(({ vm }) => vm !== self)
+      .map((member) => ({
+        member,
+        draining: this.task.report(member)?.draining ?? false,
+        confirmedEpoch: this.confirmedEpoch(member),
+      }));
+  }
+
+  override drain(): void {
+    this.heartbeats.drain();
+  }
+
+  override async leave(): Promise<void> {
+    this.leaving = true;
+    this.drain();
+    this.task.send({ kind: 'surrender' });
+    const { clock, signal } = this.context;
+    const { vm, incarnation } = this.self();
+    for (let tries = 0; tries < LEAVE_ATTEMPTS && !signal.aborted; tries += 1) {
+      const outcome = await appendMemberRecord(this.context, {
+        format: 1,
+        kind: 'removed',
+        vm,
+        incarnation,
+        evidence: 'left',
+      });
+      if (outcome.kind === 'ok') return;
+      await clock.sleep(LEAVE_RETRY_MS, signal);
+    }
+  }
+
+  private createHandlers(): PeerHandlers {
+    const { task } = this;
+    return {
+      heartbeat: (request) => this.heartbeats.answer(request),
+      promiseFence: async ({ vm, incarnation }) => {
+        const suspect = { vm, incarnation };
+        const answer = await task.ask<PromiseAnswer>((reply) => ({
+          kind: 'promise',
+          suspect,
+          reply,
+        }));
+        return { promised: answer.promised, reportedEpoch: BigInt(answer.reportedEpoch) };
+      },
+      fenceStatus: ({ vm, incarnation }) => {
+        const suspect = { vm, incarnation };
+        return task.ask<FenceState>((reply) => ({ kind: 'fence-state', suspect, reply }));
+      },
+      confirmEpoch: () => ({
+        epoch: BigInt(task.members().epoch),
+        incarnation: task.self().incarnation,
+      }),
+    };
+  }
+
+  private takeSnapshot(): { offset: number; stateJson: string } | undefined {
+    const state = this.task.members();
+    if (state.offset === 0) return undefined;
+    return { offset: state.offset, stateJson: JSON.stringify(saveMembers(state)) };
+  }
+
+  private async ensureJoined(): Promise<void> {
+    if (this.leaving || this.joined()) return;
+    if (!this.stream.readToEnd() || !this.stream.logReachable()) return;
+    const member = this.self();
+    const outcome = await appendMemberRecord(this.context, { format: 1, kind: 'joined', member });
+    if (outcome.kind === 'failed' && outcome.failure.reason !== 'unknown') return;
+    const { clock, signal } = this.context;
+    const deadlineMs = clock.monotonicMs() + JOIN_FOLD_MS;
+    while (!this.joined() && clock.monotonicMs() < deadlineMs && !signal.aborted) {
+      await clock.sleep(JOIN_RETRY_MS / 10, signal);
+    }
+  }
+
+  /** Another incarnation that answers at the VM's address proves that the asked one has ended. */
+  private async isSuperseded(owner: Incarnation): Promise<boolean> {
+    const address = this.findAddress(owner.vm);
+    if (!address) return false;
+    const answer = await this.confirm(address);
+    return answer !== undefined && answer.incarnation !== owner.incarnation;
+  }
+
+  private findAddress(vm: string): Address | undefined {
+    const member = this.task.members().members.get(vm)?.member;
+    if (member) return member.peers;
+    const listed = this.context.kernel
+      .find('vm-list')
+      .current()
+      ?.vms.find(({ name }) => name === vm);
+    return listed && { host: listed.host, port: listed.peerPort };
+  }
+
+  private confirm(address: Address) {
+    const sender = createSender(this.context);
+    return attempt(this.context.kernel.find('peers').client(address).confirmEpoch({ sender }));
+  }
+}
+
+function createMember(settings: MembershipSettings): Member {
+  const { vm, peers, callers, operators } = settings;
+  return {
+    ...vm,
+    vm: vm.name,
+    incarnation: randomUUID(),
+    peers: pickAddress(peers),
+    callers: pickAddress(callers),
+    operators: pickAddress(operators),
+  };
+}
+
+function pickAddress({ host, port }: Address): Address {
+  return { host, port };
+}
