--- /dev/null
+++ b/features/steps/membership-property-steps.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict';
+
+import { Then } from '@cucumber/cucumber';
+import fc from 'fast-check';
+
+import {
+  EMPTY_MEMBERS,
+  foldMember,
+  foldMembers,
+  type MemberState,
+  saveMembers,
+} from '../../src/membership/member-fold.js';
+import type { MemberRecord } from '../../src/membership/member-record.js';
+import { chooseWitnesses } from '../../src/membership/witness-set.js';
+import type { LogRecord } from '../../src/platform/log-service.js';
+import { createTestMember, LeaseSimulation, schedules } from '../support/lease-simulation.js';
+
+const seed = Number(process.env.SEED ?? Math.floor(Math.random() * 2 ** 31));
+
+const member = fc
+  .tuple(fc.nat({ max: 9 }), fc.nat({ max: 3 }))
+  .map(([index, run]) => createTestMember(index, `run-${run}`));
+
+const memberRecord: fc.Arbitrary<MemberRecord> = fc.oneof(
+  member.map((each) => ({ format: 1 as const, kind: 'joined' as const, member: each })),
+  fc
+    .record({
+      member,
+      evidence: fc.constantFrom('fenced', 'left', 'replaced', 'unlisted'),
+      epoch: fc.nat({ max: 80 }),
+    })
+    .map(({ member: { vm, incarnation }, evidence, epoch }) => ({
+      format: 1 as const,
+      kind: 'removed' as const,
+      vm,
+      incarnation,
+      evidence,
+      epoch,
+    })),
+);
+
+const data = fc.oneof(
+  { weight: 20, arbitrary: memberRecord.map((record) => JSON.stringify(record)) },
+  { weight: 1, arbitrary: fc.constantFrom('', '{"format":2}', '{"format":1,"kind":"joined"}') },
+);
+
+const streams = fc
+  .array(data, { minLength: 1, maxLength: 120 })
+  .map((records): LogRecord[] =>
+    records.map((each, index) => ({ offset: index + 1, timestampMs: index, data: each })),
+  );
+
+function check<Values extends [unknown, ...unknown[]]>(
+  property: fc.IProperty<Values>,
+  numRuns: number,
+): void {
+  process.stdout.write(`\nseed ${seed}, ${numRuns} runs\n`);
+  fc.assert(property, { seed, numRuns });
+}
+
+/** Describes a state without the order of its map. */
+function describeState(state: MemberState): unknown {
+  const image = saveMembers(state);
+  const members = image.members.sort((a, b) => (a.member.vm < b.member.vm ? -1 : 1));
+  return JSON.parse(JSON.stringify({ ...image, members, offset: state.offset }));
+}
+
+Then(
+  'in {int} arbitrary lease schedules no member has a live lease after its fence',
+  { timeout: 60_000 },
+  (runs: number) => {
+    let fences = 0;
+    check(
+      fc.property(schedules, ({ members, rates, steps }) => {
+        const simulation = LeaseSimulation.create(members, rates);
+        steps.forEach((step) => simulation.step(step));
+        fences += simulation.completedFences;
+      }),
+      runs,
+    );
+    process.stdout.write(`fences completed: ${fences}\n`);
+    // Schedules in which no fence completes would prove nothing.
+    assert.ok(fences > runs / 100, `only ${fences} fences in ${runs} schedules`);
+  },
+);
+
+Then('{int} arbitrary member streams fold alike in parts of any size', (runs: number) => {
+  check(
+    fc.property(streams, fc.nat(), (records, at) => {
+      const split = at % records.length;
+      const whole = records.reduce(foldMember, EMPTY_MEMBERS);
+      const part = records.slice(0, split).reduce(foldMember, EMPTY_MEMBERS);
+      // A record that is read twice must not count twice.
+      const resumed = records.slice(Math.max(0, split - 3)).reduce(foldMember, part);
+      assert.deepEqual(describeState(resumed), describeState(whole));
+    }),
+    runs,
+  );
+});
+
+Then('{int} arbitrary member streams fold alike from a snapshot', (runs: number) => {
+  check(
+    fc.property(streams, fc.nat(), fc.nat(), (records, at, dropped) => {
+      const upTo = at % records.length;
+      const state = saveMembers(records.slice(0, upTo).reduce(foldMember, EMPTY_MEMBERS));
+      const snapshot: MemberRecord = { format: 1, kind: 'snapshot', upTo, state };
+      const last = { offset: records.length + 1, timestampMs: 1, data: JSON.stringify(snapshot) };
+      const all = [...records, last];
+      const kept = all.slice(Math.min(dropped % all.length, upTo));
+      const whole = all.reduce(foldMember, EMPTY_MEMBERS);
+      assert.deepEqual(describeState(foldMembers(kept)), describeState(whole));
+    }),
+    runs,
+  );
+});
+
+Then('the witnesses of {int} arbitrary fleets depend on no member that was not chosen', (runs) => {
+  check(
+    fc.property(fc.uniqueArray(fc.nat({ max: 40 }), { minLength: 2 }), fc.nat(), (names, at) => {
+      const members = names.map((index) => createTestMember(index));
+      const vm = members[0]?.vm ?? '';
+      const chosen = chooseWitnesses(members, vm);
+      const left = members[at % members.length];
+      if (!left || chosen.includes(left)) return;
+      assert.deepEqual(
+        chooseWitnesses(
+          members.filter((each) => each !== left),
+          vm,
+        ),
+        chosen,
+      );
+    }),
+    runs,
+  );
+});
--- /dev/null
+++ b/features/support/lease-simulation.ts
@@ -0,0 +1,344 @@
+import fc from 'fast-check';
+
+import { type FencePromise, findFenceEnd, listFenceWitnesses } from '../../src/membership/fence.js';
+import {
+  EMPTY_MEMBERS,
+  foldMember,
+  isSame,
+  listEpochs,
+  listMembers,
+  type MemberState,
+} from '../../src/membership/member-fold.js';
+import type { MemberRecord } from '../../src/membership/member-record.js';
+import type { Member } from '../../src/membership/membership.js';
+import { type Instant, nameIncarnation, ShareLease } from '../../src/membership/share-lease.js';
+import { chooseWitnesses } from '../../src/membership/witness-set.js';
+import type { LogRecord } from '../../src/platform/log-service.js';
+
+/** One step of a schedule; the numbers select members and messages modulo their count. */
+export interface ScheduleStep {
+  readonly action:
+    | 'advance'
+    | 'beat'
+    | 'beat-all'
+    | 'deliver'
+    | 'deliver-all'
+    | 'learn'
+    | 'learn-all'
+    | 'change'
+    | 'ask'
+    | 'append'
+    | 'pause'
+    | 'suspend'
+    | 'resume';
+  readonly first: number;
+  readonly second: number;
+  readonly ms: number;
+}
+
+const WEIGHTED: readonly [ScheduleStep['action'], number][] = [
+  ['advance', 6],
+  ['beat', 4],
+  ['beat-all', 3],
+  ['deliver', 6],
+  ['deliver-all', 3],
+  ['learn', 3],
+  ['learn-all', 1],
+  ['change', 1],
+  ['ask', 6],
+  ['append', 5],
+  ['pause', 1],
+  ['suspend', 1],
+  ['resume', 2],
+];
+
+const number = fc.nat({ max: 30 });
+
+const arbitraryStep: fc.Arbitrary<ScheduleStep> = fc.record({
+  action: fc.oneof(
+    ...WEIGHTED.map(([action, weight]) => ({ weight, arbitrary: fc.constant(action) })),
+  ),
+  first: number,
+  second: number,
+  ms: fc.integer({ min: 0, max: 1500 }),
+});
+
+/**
+ * One member's attempt to fence another amid other steps. Purely arbitrary steps complete a fence
+ * in one of 300 schedules only.
+ */
+const fenceAttempt = fc
+  .tuple(
+    number,
+    number,
+    fc.array(arbitraryStep, { maxLength: 8 }),
+    fc.integer({ min: 0, max: 4000 }),
+  )
+  .map(([first, second, noise, ms]): ScheduleStep[] => {
+    const ask = { action: 'ask' as const, first, second, ms: 0 };
+    const half = Math.floor(noise.length / 2);
+    return [
+      ask,
+      ...noise.slice(0, half),
+      { ...ask, action: 'deliver-all' },
+      ...noise.slice(half),
+      { ...ask, action: 'advance', ms },
+      { ...ask, action: 'append' },
+    ];
+  });
+
+/** Arbitrary schedules over a small fleet. */
+export const schedules = fc.record({
+  members: fc.integer({ min: 1, max: 7 }),
+  rates: fc.array(fc.double({ min: 0.955, max: 1.045, noNaN: true }), {
+    minLength: 7,
+    maxLength: 7,
+  }),
+  steps: fc
+    .array(
+      fc.oneof(
+        { weight: 3, arbitrary: arbitraryStep.map((step) => [step]) },
+        { weight: 1, arbitrary: fenceAttempt },
+      ),
+      { minLength: 10, maxLength: 60 },
+    )
+    .map((parts) => parts.flat()),
+});
+
+/** Creates a member of a small fleet with three zones. */
+export function createTestMember(index: number, incarnation = 'first'): Member {
+  const name = `vm-${index}`;
+  const address = { host: '127.0.0.1', port: 1 };
+  return {
+    name,
+    vm: name,
+    region: 'region',
+    availabilityZone: `zone-${index % 3}`,
+    incarnation,
+    peers: address,
+    callers: address,
+    operators: address,
+  };
+}
+
+interface Node {
+  readonly member: Member;
+  readonly rate: number;
+  readonly lease: ShareLease;
+  readonly promised: Set<string>;
+  readonly reported: Map<string, number>;
+  readonly fences: Map<string, FencePromise[]>;
+  state: MemberState;
+  pausedAtMs: number | undefined;
+  suspended: boolean;
+  frozenMs: number;
+}
+
+interface Delivery {
+  readonly to: Node;
+  readonly run: () => void;
+}
+
+/** Runs a schedule over the pure modules; each member sees the log and the clocks in its own way. */
+export class LeaseSimulation {
+  readonly log: LogRecord[] = [];
+
+  completedFences = 0;
+
+  private truth = EMPTY_MEMBERS;
+
+  private nowMs = 0;
+
+  private joins = 0;
+
+  private nodes: Node[] = [];
+
+  private network: Delivery[] = [];
+
+  private readonly fenced: Node[] = [];
+
+  private constructor(private readonly rates: readonly number[]) {}
+
+  static create(members: number, rates: readonly number[]): LeaseSimulation {
+    const simulation = new LeaseSimulation(rates);
+    for (let index = 0; index < members; index += 1) simulation.join(index);
+    simulation.nodes.forEach((node) => simulation.learn(node, Infinity));
+    return simulation;
+  }
+
+  /** Runs one step and checks that no fenced member believes in its lease. */
+  step({ action, first, second, ms }: ScheduleStep): void {
+    const node = this.nodes[first % this.nodes.length];
+    if (node) this.act(action, node, second, ms);
+    this.fenced.forEach((each) => {
+      if (each.lease.live(this.read(each))) {
+        throw new Error(`${nameIncarnation(each.member)} has a live lease after its fence`);
+      }
+    });
+  }
+
+  private act(action: ScheduleStep['action'], node: Node, second: number, ms: number): void {
+    if (action === 'advance') this.nowMs += ms;
+    else if (action === 'beat') this.beat(node);
+    else if (action === 'beat-all') this.nodes.forEach((each) => this.beat(each));
+    else if (action === 'deliver') this.deliver(second);
+    else if (action === 'deliver-all') this.deliverAll();
+    else if (action === 'learn') this.learn(node, 1 + (second % 3));
+    else if (action === 'learn-all') this.nodes.forEach((each) => this.learn(each, Infinity));
+    else if (action === 'change') this.change(node, second);
+    else if (action === 'ask') this.ask(node, second);
+    else if (action === 'append') this.append(node, second);
+    else if (action === 'resume') this.resume(node);
+    else this.pause(node, action === 'suspend');
+  }
+
+  private read(node: Node): Instant {
+    const frozenNowMs = node.suspended ? this.nowMs - (node.pausedAtMs ?? this.nowMs) : 0;
+    const monotonicMs = (this.nowMs - node.frozenMs - frozenNowMs) * node.rate;
+    return { monotonicMs, wallMs: this.nowMs * node.rate };
+  }
+
+  private write(record: MemberRecord): boolean {
+    const offset = this.truth.offset + 1;
+    const entry = { offset, timestampMs: this.nowMs, data: JSON.stringify(record) };
+    const { epoch } = this.truth;
+    this.log.push(entry);
+    this.truth = foldMember(this.truth, entry);
+    return this.truth.epoch !== epoch;
+  }
+
+  private join(index: number): void {
+    this.joins += 1;
+    const member = createTestMember(index, `run-${this.joins}`);
+    this.write({ format: 1, kind: 'joined', member });
+    this.nodes = this.nodes.filter((node) => node.member.vm !== member.vm);
+    this.nodes.push({
+      member,
+      rate: this.rates[index % this.rates.length] ?? 1,
+      lease: ShareLease.create(member),
+      promised: new Set(),
+      reported: new Map(),
+      fences: new Map(),
+      state: EMPTY_MEMBERS,
+      pausedAtMs: undefined,
+      suspended: false,
+      frozenMs: 0,
+    });
+  }
+
+  private beat(node: Node): void {
+    if (node.pausedAtMs !== undefined) return;
+    const { epoch } = node.state;
+    const sentAt = this.read(node);
+    const witnesses = chooseWitnesses(listMembers(node.state), node.member.vm);
+    node.lease.sent(epoch, witnesses, sentAt);
+    witnesses.forEach((witness) => {
+      const to = this.nodes.find(({ member }) => isSame(member, witness));
+      if (to && to !== node) this.sendHeartbeat(node, to, epoch, sentAt);
+    });
+  }
+
+  private sendHeartbeat(from: Node, to: Node, epoch: number, sentAt: Instant): void {
+    const name = nameIncarnation(from.member);
+    const run = () => {
+      if (to.promised.has(name)) return;
+      to.reported.set(name, Math.max(epoch, to.reported.get(name) ?? 0));
+      const answer = () => from.lease.answered(epoch, to.member, sentAt);
+      this.network.push({ to: from, run: answer });
+    };
+    this.network.push({ to, run });
+  }
+
+  private ask(fencer: Node, second: number): void {
+    const suspect = this.findSuspect(fencer, second);
+    if (!suspect || fencer.pausedAtMs !== undefined) return;
+    const name = nameIncarnation(suspect);
+    listFenceWitnesses(this.describeFence(fencer, suspect)).forEach((witness) => {
+      const to = this.nodes.find(({ member }) => isSame(member, witness));
+      if (!to) return;
+      const run = () => {
+        to.promised.add(name);
+        const reportedEpoch = to.reported.get(name) ?? 0;
+        this.network.push({
+          to: fencer,
+          run: () => this.notePromise(fencer, name, to.member, reportedEpoch),
+        });
+      };
+      this.network.push({ to, run });
+    });
+  }
+
+  private notePromise(fencer: Node, name: string, witness: Member, reportedEpoch: number): void {
+    const atMs = this.read(fencer).monotonicMs;
+    const promises = fencer.fences.get(name) ?? [];
+    fencer.fences.set(name, [...promises, { witness, atMs, reportedEpoch }]);
+  }
+
+  private append(fencer: Node, second: number): void {
+    const suspect = this.findSuspect(fencer, second);
+    if (!suspect || fencer.pausedAtMs !== undefined) return;
+    const endMs = findFenceEnd(this.describeFence(fencer, suspect));
+    if (endMs === undefined || this.read(fencer).monotonicMs < endMs) return;
+    const { vm, incarnation } = suspect;
+    const { epoch } = fencer.state;
+    const evidence = 'fenced';
+    if (!this.write({ format: 1, kind: 'removed', vm, incarnation, evidence, epoch })) return;
+    this.completedFences += 1;
+    const node = this.nodes.find(({ member }) => isSame(member, suspect));
+    if (node) this.fenced.push(node);
+  }
+
+  private findSuspect(fencer: Node, second: number): Member | undefined {
+    const others = listMembers(fencer.state).filter(({ vm }) => vm !== fencer.member.vm);
+    // Few distinct suspects, so that several steps of a schedule work on the same fence.
+    return others[second % Math.min(2, others.length)];
+  }
+
+  private describeFence(fencer: Node, suspect: Member) {
+    const joinedAt = fencer.state.members.get(suspect.vm)?.joinedAt ?? 0;
+    const promises = fencer.fences.get(nameIncarnation(suspect)) ?? [];
+    return { suspect, joinedAt, epochs: listEpochs(fencer.state), promises };
+  }
+
+  private deliver(index: number): void {
+    const running = this.network.filter(({ to }) => to.pausedAtMs === undefined);
+    const delivery = running[index % running.length];
+    if (!delivery) return;
+    this.network = this.network.filter((each) => each !== delivery);
+    delivery.run();
+  }
+
+  private deliverAll(): void {
+    for (let count = this.network.length * 2; count > 0; count -= 1) this.deliver(0);
+  }
+
+  private learn(node: Node, count: number): void {
+    if (node.pausedAtMs !== undefined) return;
+    const next = this.log.slice(node.state.offset).slice(0, count);
+    Object.assign(node, { state: next.reduce(foldMember, node.state) });
+  }
+
+  private change(node: Node, second: number): void {
+    const index = second % 7;
+    if (second % 2 === 0) {
+      this.join(index);
+      return;
+    }
+    if (this.nodes.length < 4) return;
+    const { vm, incarnation } = node.member;
+    this.nodes = this.nodes.filter((each) => each !== node);
+    this.write({ format: 1, kind: 'removed', vm, incarnation, evidence: 'left' });
+  }
+
+  private pause(node: Node, suspended: boolean): void {
+    if (node.pausedAtMs !== undefined) return;
+    Object.assign(node, { pausedAtMs: this.nowMs, suspended });
+  }
+
+  private resume(node: Node): void {
+    if (node.pausedAtMs === undefined) return;
+    const pausedMs = this.nowMs - node.pausedAtMs;
+    const frozenMs = node.frozenMs + (node.suspended ? pausedMs : 0);
+    Object.assign(node, { pausedAtMs: undefined, suspended: false, frozenMs });
+  }
+}
