--- /dev/null
+++ b/features/support/membership/fake-configuration.ts
@@ -0,0 +1,32 @@
+import { Service } from '../../../src/kernel/service.js';
+
+/** A configuration that has withdrawn keys and an offset, and nothing else. */
+export class FakeConfiguration extends Service {
+  readonly keys = new Set<string>();
+
+  readonly noticed = new Map<string, number>();
+
+  version = 0;
+
+  current() {
+    return { version: this.version };
+  }
+
+  noticeOffset(offset: number, vm: string): void {
+    this.noticed.set(vm, offset);
+  }
+
+  withdrawn(): ReadonlySet<string> {
+    return this.keys;
+  }
+
+  withdrawnDigest(): string {
+    return [...this.keys].sort().join();
+  }
+
+  withdraw(keyIds: readonly string[]): readonly string[] {
+    const fresh = keyIds.filter((keyId) => !this.keys.has(keyId));
+    fresh.forEach((keyId) => this.keys.add(keyId));
+    return fresh;
+  }
+}
--- /dev/null
+++ b/features/support/membership/fake-log.ts
@@ -0,0 +1,55 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { fail, type Outcome, succeed } from '../../../src/kernel/outcome.js';
+import { LogFailure } from '../../../src/platform/log-failure.js';
+import { type LogPage, type LogQuery, LogService } from '../../../src/platform/log-service.js';
+import type { FakeLogStore } from './fake-log-store.js';
+import type { FaultyClock } from './faulty-clock.js';
+import { SPEED } from './waits.js';
+
+/** One VM's access to the log. */
+export class FakeLog extends LogService {
+  cut = false;
+
+  constructor(
+    private readonly store: FakeLogStore,
+    private readonly clock: FaultyClock,
+  ) {
+    super();
+  }
+
+  override async append(
+    _stream: string,
+    records: readonly string[],
+  ): Promise<Outcome<number, LogFailure>> {
+    await this.clock.gate();
+    if (this.cut || this.store.out) return fail(LogFailure.create('unavailable', 'out'));
+    const first = this.store.records.length + 1;
+    this.store.appends += 1;
+    records.forEach((data, index) => {
+      this.store.records.push({ offset: first + index, timestampMs: this.clock.wallMs(), data });
+    });
+    return succeed(first);
+  }
+
+  override async read({ from, limit, waitMs, signal }: LogQuery) {
+    const deadlineMs = performance.now() + waitMs / SPEED;
+    for (;;) {
+      if (this.cut || this.store.out) return fail(LogFailure.create('unavailable', 'out'));
+      const page = this.createPage(from, limit);
+      if (page.records.length > 0 || performance.now() > deadlineMs || signal?.aborted) {
+        await this.clock.gate();
+        return succeed(page);
+      }
+      await delay(5);
+    }
+  }
+
+  private createPage(from: number, limit: number): LogPage {
+    const { records, lag, earliest } = this.store;
+    const kept = records.slice(0, records.length - lag);
+    const start = Math.max(from, earliest);
+    const page = kept.filter(({ offset }) => offset >= start).slice(0, limit);
+    return { records: page, endOffset: kept.length, earliestOffset: earliest };
+  }
+}
--- /dev/null
+++ b/features/support/membership/fake-vm-list.ts
@@ -0,0 +1,18 @@
+import { empty, type Stream } from 'most';
+
+import { VmList, type VmListing } from '../../../src/platform/vm-list.js';
+
+/** A list that a test changes in place. */
+export class FakeVmList extends VmList {
+  constructor(private readonly listing: VmListing) {
+    super();
+  }
+
+  override current(): VmListing {
+    return this.listing;
+  }
+
+  override changes(): Stream<VmListing> {
+    return empty();
+  }
+}
--- /dev/null
+++ b/features/support/membership/faulty-clock.ts
@@ -0,0 +1,59 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { Clock } from '../../../src/kernel/clock.js';
+import { SPEED } from './waits.js';
+
+/** A clock that runs fast, and whose process can be paused or whose VM can be suspended. */
+export class FaultyClock extends Clock {
+  private frozenMs = 0;
+
+  private pausedAtMs: number | undefined;
+
+  private suspended = false;
+
+  private resumed = Promise.resolve();
+
+  private wake: () => void = () => undefined;
+
+  static create(): FaultyClock {
+    return new FaultyClock();
+  }
+
+  override monotonicMs(): number {
+    const nowMs = performance.now() * SPEED;
+    const frozenNowMs = this.suspended ? nowMs - (this.pausedAtMs ?? nowMs) : 0;
+    return nowMs - this.frozenMs - frozenNowMs;
+  }
+
+  override wallMs(): number {
+    return Date.now() * SPEED;
+  }
+
+  override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    await delay(ms / SPEED, undefined, { signal }).catch(() => undefined);
+    await this.gate();
+  }
+
+  /** Waits while the process does not run. */
+  async gate(): Promise<void> {
+    await this.resumed;
+  }
+
+  /** Stops the process; a suspended VM's monotonic clock stops too. */
+  pause(suspended: boolean): void {
+    this.pausedAtMs = performance.now() * SPEED;
+    this.suspended = suspended;
+    this.resumed = new Promise((resolve) => {
+      this.wake = resolve;
+    });
+  }
+
+  /** Lets the process run again. */
+  resume(): void {
+    const nowMs = performance.now() * SPEED;
+    if (this.suspended) this.frozenMs += nowMs - (this.pausedAtMs ?? nowMs);
+    this.pausedAtMs = undefined;
+    this.suspended = false;
+    this.wake();
+  }
+}
