fix: keep an error listener on every peer connection

Cause: the session manager removes its listener from a connection that it replaces; the error after GOAWAY then stopped the process. Change: a session wrapper keeps a listener on each connection; the lease schedules use up to 12 VMs, so that witness sets differ between epochs.

--- a/features/support/lease-simulation.ts
+++ b/features/support/lease-simulation.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 
+import type { Incarnation } from '../../src/domain/vm.js';
 import { type FencePromise, findFenceEnd, listFenceWitnesses } from '../../src/membership/fence.js';
 import {
   EMPTY_MEMBERS,
@@ -44,7 +45,7 @@
   ['deliver-all', 3],
   ['learn', 3],
   ['learn-all', 1],
-  ['change', 1],
+  ['change', 3],
   ['ask', 6],
   ['append', 5],
   ['pause', 1],
@@ -52,6 +53,9 @@
   ['resume', 2],
 ];
 
+/** VMs of the fleet; witness sets differ between epochs only when there are many more than five. */
+const VMS = 12;
+
 const number = fc.nat({ max: 30 });
 
 const arbitraryStep: fc.Arbitrary<ScheduleStep> = fc.record({
@@ -89,10 +93,10 @@
 
 /** Arbitrary schedules over a small fleet. */
 export const schedules = fc.record({
-  members: fc.integer({ min: 1, max: 7 }),
+  members: fc.integer({ min: 1, max: 9 }),
   rates: fc.array(fc.double({ min: 0.955, max: 1.045, noNaN: true }), {
-    minLength: 7,
-    maxLength: 7,
+    minLength: VMS,
+    maxLength: VMS,
   }),
   steps: fc
     .array(
@@ -233,7 +237,7 @@
     const witnesses = chooseWitnesses(listMembers(node.state), node.member.vm);
     node.lease.sent(epoch, witnesses, sentAt);
     witnesses.forEach((witness) => {
-      const to = this.nodes.find(({ member }) => isSame(member, witness));
+      const to = this.findAddressee(witness);
       if (to && to !== node) this.sendHeartbeat(node, to, epoch, sentAt);
     });
   }
@@ -254,21 +258,31 @@
     if (!suspect || fencer.pausedAtMs !== undefined) return;
     const name = nameIncarnation(suspect);
     listFenceWitnesses(this.describeFence(fencer, suspect)).forEach((witness) => {
-      const to = this.nodes.find(({ member }) => isSame(member, witness));
+      const to = this.findAddressee(witness);
       if (!to) return;
       const run = () => {
         to.promised.add(name);
         const reportedEpoch = to.reported.get(name) ?? 0;
         this.network.push({
           to: fencer,
-          run: () => this.notePromise(fencer, name, to.member, reportedEpoch),
+          run: () => this.notePromise(fencer, name, witness, reportedEpoch),
         });
       };
       this.network.push({ to, run });
     });
   }
 
-  private notePromise(fencer: Node, name: string, witness: Member, reportedEpoch: number): void {
+  /** A message reaches the process that runs at the address now, whatever its incarnation. */
+  private findAddressee({ vm }: Incarnation): Node | undefined {
+    return this.nodes.find(({ member }) => member.vm === vm);
+  }
+
+  private notePromise(
+    fencer: Node,
+    name: string,
+    witness: Incarnation,
+    reportedEpoch: number,
+  ): void {
     const atMs = this.read(fencer).monotonicMs;
     const promises = fencer.fences.get(name) ?? [];
     fencer.fences.set(name, [...promises, { witness, atMs, reportedEpoch }]);
@@ -319,14 +333,13 @@
   }
 
   private change(node: Node, second: number): void {
-    const index = second % 7;
+    const index = second % VMS;
     if (second % 2 === 0) {
       this.join(index);
       return;
     }
-    if (this.nodes.length < 4) return;
+    if (this.truth.members.size < 4) return;
     const { vm, incarnation } = node.member;
-    this.nodes = this.nodes.filter((each) => each !== node);
     this.write({ format: 1, kind: 'removed', vm, incarnation, evidence: 'left' });
   }
 
--- a/src/peers/connect-peers.ts
+++ b/src/peers/connect-peers.ts
@@ -8,26 +8,19 @@
   type Interceptor,
   type ServiceImpl,
 } from '@connectrpc/connect';
-import {
-  connectNodeAdapter,
-  createConnectTransport,
-  Http2SessionManager,
-} from '@connectrpc/connect-node';
+import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node';
 
 import type { Address } from '../domain/vm.js';
 import { PeerService } from '../gen/cuminspar/peer/v1/peer_pb.js';
 import { assertInvariant } from '../kernel/invariant.js';
 import type { Kernel } from '../kernel/kernel.js';
 import type { Settings } from '../settings/schema.js';
+import { PeerSession } from './peer-session.js';
 import { type PeerClient, type PeerHandlers, Peers } from './peers.js';
 
 /** Deadline of a call that sets none, in milliseconds. */
 export const PEER_DEADLINE_MS = 1000;
 
-/** A ping and its time-out fit into one deadline, so that the next call uses a new connection. */
-const PING_INTERVAL_MS = 500;
-const PING_TIMEOUT_MS = 300;
-
 /** Requests carry at most a batch of decisions or key ids; responses may carry a whole snapshot. */
 const REQUEST_MAX_BYTES = 4 * 1024 * 1024;
 const RESPONSE_MAX_BYTES = 32 * 1024 * 1024;
@@ -36,7 +29,7 @@
 
 interface Connection {
   readonly client: PeerClient;
-  readonly sessions: Http2SessionManager;
+  readonly session: PeerSession;
 }
 
 /** Peer calls by connect over HTTP/2. */
@@ -80,7 +73,7 @@
   }
 
   override async stop(): Promise<void> {
-    this.connections.forEach(({ sessions }) => sessions.abort());
+    this.connections.forEach(({ session }) => session.close());
     this.connections.clear();
     if (!this.server.listening) return;
     const closed = once(this.server, 'close');
@@ -131,29 +124,25 @@
 }
 
 function connect(url: string): Connection {
-  const sessions = new Http2SessionManager(url, {
-    pingIntervalMs: PING_INTERVAL_MS,
-    pingTimeoutMs: PING_TIMEOUT_MS,
-  });
+  const session = PeerSession.create(url);
   const transport = createConnectTransport({
     baseUrl: url,
     httpVersion: '2',
-    sessionManager: sessions,
+    sessionManager: session,
     defaultTimeoutMs: PEER_DEADLINE_MS,
     readMaxBytes: RESPONSE_MAX_BYTES,
     writeMaxBytes: REQUEST_MAX_BYTES,
-    interceptors: [createReconnector(sessions)],
+    interceptors: [createReconnector(session)],
   });
-  return { client: createClient(PeerService, transport), sessions };
+  return { client: createClient(PeerService, transport), session };
 }
 
-/** Pings begin only on an open connection, so an attempt to connect that hangs is ended here. */
-function createReconnector(sessions: Http2SessionManager): Interceptor {
+function createReconnector(session: PeerSession): Interceptor {
   return (next) => async (request) => {
     try {
       return await next(request);
     } catch (error) {
-      if (sessions.state() === 'connecting') sessions.abort();
+      session.abortConnecting();
       throw error;
     }
   };
