feat: add decision records in memory with a copy in another zone

Cause: every decision must be explained later, also after its VM has died. Change: two rings of 20000 entries, batches copied once a second to one peer, questions to all members, eight at a time; scenarios for the peer calls.

--- /dev/null
+++ b/features/peers/peers.feature
@@ -0,0 +1,47 @@
+Feature: Calls between peers
+
+  Scenario: a call without a handler answers that it is not implemented
+    Given a peer listener without handlers
+    Then the peer call "confirmEpoch" fails with "unimplemented" within 1000 ms
+
+  Scenario Outline: a peer that <fault> fails a call within its deadline
+    Given a peer listener behind a relay
+    When the peer relay <fault>
+    Then the peer call "confirmEpoch" fails with "<code>" within 1500 ms
+
+    Examples:
+      | fault                     | code              |
+      | goes silent               | unavailable |
+      | refuses connections       | unavailable       |
+
+  Scenario: a silent connection is replaced while new ones work
+    Given a peer listener behind a relay
+    When the open connections of the peer relay go silent
+    Then peer calls succeed again within 3000 ms
+
+  Scenario: a peer that restarts under calls stops no process
+    Given a peer listener without handlers
+    Then the peer listener restarts 20 times under calls and answers again
+
+  Scenario: a message above the size limit is refused
+    Given a peer listener behind a relay
+    Then a peer request of 5 MiB fails with "resource_exhausted"
+
+  Scenario: the streams of other modules are read from their sources
+    Given a peer listener that serves the stream "things" with 250 records
+    Then peers read 100 records of the stream "things" from offset 5
+    And peers get a snapshot of the stream "things" at offset 250
+    And peers are told that the stream "nothing" is not served
+
+  Scenario: decisions are explained by a peer after their VM has died
+    Given decision peers on 3 VMs in the zones "a,a,b"
+    When the decision peer 0 decides "decode-server" for request "r1"
+    Then the decision peer 1 explains request "r1" by "decode-server" within 3000 ms
+    When the decision peer 0 is gone after its copy
+    Then the decision peer 1 explains request "r1" by "decode-server" within 3000 ms
+    And the decision peer 2 holds the copy
+
+  Scenario: the ring of decisions keeps the newest 20000
+    Given decision peers on 1 VMs in the zones "a"
+    When the decision peer 0 decides 20001 times
+    Then the decision peer 0 has forgotten only the oldest decision
--- /dev/null
+++ b/src/observability/decision-ring.ts
@@ -0,0 +1,41 @@
+import type { DecisionEntry } from './decisions.js';
+
+/** The newest decisions, found by request. */
+export class DecisionRing {
+  private readonly entries: DecisionEntry[] = [];
+
+  private next = 0;
+
+  private constructor(private readonly capacity: number) {}
+
+  /**
+   * Creates an empty ring.
+   *
+   * @param capacity - most entries; a further one replaces the oldest
+   * @returns a new ring
+   */
+  static create(capacity: number): DecisionRing {
+    return new DecisionRing(capacity);
+  }
+
+  /**
+   * Adds an entry.
+   *
+   * @param entry - the decision
+   */
+  add(entry: DecisionEntry): void {
+    this.entries[this.next] = entry;
+    this.next = (this.next + 1) % this.capacity;
+  }
+
+  /**
+   * Finds the entries of one request. The search reads the whole ring, which is rare and takes well
+   * under a millisecond, whereas an index would cost time and memory for each decision.
+   *
+   * @param requestId - the request
+   * @returns its entries
+   */
+  find(requestId: string): readonly DecisionEntry[] {
+    return this.entries.filter((entry) => entry.requestId === requestId);
+  }
+}
--- /dev/null
+++ b/src/observability/ring-decisions.ts
@@ -0,0 +1,165 @@
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import { SystemClock } from '../kernel/system-clock.js';
+import type { DecisionRecord } from '../gen/cuminspar/peer/v1/peer_pb.js';
+import type { Member } from '../membership/membership.js';
+import { weigh } from '../membership/rendezvous.js';
+import type { Settings } from '../settings/schema.js';
+import { DecisionRing } from './decision-ring.js';
+import { type DecisionEntry, Decisions } from './decisions.js';
+
+/** Entries kept of this VM, and entries kept as copies of others. */
+const RING_ENTRIES = 20_000;
+
+const COPY_MS = 1000;
+
+/** Entries in one message; about 300 bytes each. */
+const BATCH_ENTRIES = 2000;
+
+/** Entries that wait for a copy; while no peer takes them, the oldest are not copied. */
+const PENDING_ENTRIES = 4000;
+
+/** Peers that are asked at the same time. */
+const PARALLEL_QUESTIONS = 8;
+
+/** A decision as it is sent between peers. */
+type SentDecision = Omit<DecisionRecord, '$typeName' | '$unknown'>;
+
+/** Decision records in memory, copied to one peer in another zone. */
+export class RingDecisions extends Decisions {
+  private readonly own = DecisionRing.create(RING_ENTRIES);
+
+  private readonly copies = DecisionRing.create(RING_ENTRIES);
+
+  private readonly stopping = new AbortController();
+
+  private pending: DecisionEntry[] = [];
+
+  private loop: Promise<void> = Promise.resolve();
+
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly vm: string,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  /**
+   * Creates the service.
+   *
+   * @param kernel - finds the peers and the members
+   * @param settings - names this VM
+   * @param clock - time of the decisions
+   * @returns a service that copies its entries after its start
+   */
+  static create(
+    kernel: Kernel,
+    settings: Pick<Settings, 'vm'>,
+    clock: Clock = SystemClock.create(),
+  ): RingDecisions {
+    return new RingDecisions(kernel, settings.vm.name, clock);
+  }
+
+  override async start(): Promise<void> {
+    this.kernel.find('peers').handle({
+      copyDecisions: ({ records }) => {
+        records.forEach((record) => this.copies.add(receiveDecision(record)));
+        return {};
+      },
+      findDecisions: ({ requestId }) => ({ records: this.findHere(requestId).map(sendDecision) }),
+    });
+    this.loop = this.copy();
+  }
+
+  override async stop(): Promise<void> {
+    this.stopping.abort();
+    await this.loop;
+  }
+
+  override record(entry: Omit<DecisionEntry, 'atMs' | 'vm'>): void {
+    const complete = { ...entry, atMs: Math.trunc(this.clock.wallMs()), vm: this.vm };
+    this.own.add(complete);
+    this.pending.push(complete);
+    if (this.pending.length > 2 * PENDING_ENTRIES) {
+      this.pending = this.pending.slice(-PENDING_ENTRIES);
+    }
+  }
+
+  override async explain(requestId: string): Promise<readonly DecisionEntry[]> {
+    const found = [...this.findHere(requestId)];
+    const members = [...this.listOthers()];
+    const ask = async () => {
+      for (let member = members.pop(); member; member = members.pop()) {
+        found.push(...(await this.ask(member, requestId)));
+      }
+    };
+    await Promise.all(Array.from({ length: PARALLEL_QUESTIONS }, ask));
+    const distinct = new Map(found.map((entry) => [JSON.stringify(entry), entry]));
+    return [...distinct.values()].sort((a, b) => a.atMs - b.atMs);
+  }
+
+  private findHere(requestId: string): readonly DecisionEntry[] {
+    return [...this.own.find(requestId), ...this.copies.find(requestId)];
+  }
+
+  private listOthers(): readonly Member[] {
+    const { members } = this.kernel.find('membership').current();
+    return members.filter(({ vm }) => vm !== this.vm);
+  }
+
+  private createSender() {
+    const { vm, incarnation } = this.kernel.find('membership').self();
+    return { vm, incarnation };
+  }
+
+  private async ask(member: Member, requestId: string): Promise<readonly DecisionEntry[]> {
+    const client = this.kernel.find('peers').client(member.peers);
+    const question = client.findDecisions({ sender: this.createSender(), requestId });
+    const answer = await question.catch(() => undefined);
+    return (answer?.records ?? []).map(receiveDecision);
+  }
+
+  private async copy(): Promise<void> {
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      await this.clock.sleep(COPY_MS, signal);
+      await this.copyPending();
+    }
+  }
+
+  /** A batch that was not taken stays for the next second, when another peer may be chosen. */
+  private async copyPending(): Promise<void> {
+    const peer = this.choosePeer();
+    while (peer && this.pending.length > 0) {
+      const batch = this.pending.slice(0, BATCH_ENTRIES);
+      const client = this.kernel.find('peers').client(peer.peers);
+      const records = batch.map(sendDecision);
+      const call = client.copyDecisions({ sender: this.createSender(), records });
+      if (!(await call.catch(() => undefined))) return;
+      const sent = new Set(batch);
+      this.pending = this.pending.filter((entry) => !sent.has(entry));
+    }
+  }
+
+  private choosePeer(): Member | undefined {
+    const { availabilityZone, region } = this.kernel.find('membership').self();
+    const rank = (member: Member) => {
+      const near = member.region === region ? 1 : 0;
+      const apart = member.availabilityZone === availabilityZone ? 0 : 2;
+      return (apart + near) * 2 ** 32 + weigh(this.vm, member.vm);
+    };
+    return [...this.listOthers()].sort((a, b) => rank(b) - rank(a))[0];
+  }
+}
+
+function sendDecision(entry: DecisionEntry): SentDecision {
+  const { facts, atMs, ...rest } = entry;
+  return { ...rest, atMs: BigInt(atMs), factsJson: JSON.stringify(facts) };
+}
+
+function receiveDecision(record: SentDecision): DecisionEntry {
+  const { requestId, vm, step, choice, reason } = record;
+  const facts = JSON.parse(record.factsJson || '{}') as DecisionEntry['facts'];
+  return { requestId, atMs: Number(record.atMs), vm, step, choice, reason, facts };
+}
