--- /dev/null
+++ b/src/backends/http-connections.ts
@@ -0,0 +1,149 @@
+import { Pool } from 'undici';
+
+import type { Address } from '../domain/vm.js';
+import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+import type { ProgressDeadline } from './progress-deadline.js';
+
+/** Largest answer that is read whole, in bytes. */
+export const MAX_ANSWER_BYTES = 1_048_576;
+
+/** Limits of the connections to one address, in milliseconds. */
+export interface ConnectionLimits {
+  readonly connectMs: number;
+  readonly idleMs: number;
+}
+
+/** A request as it goes out. */
+export interface Exchange {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string | Buffer | undefined;
+  readonly deadline: ProgressDeadline;
+}
+
+/** An answer whose body has not been read. */
+export interface OpenAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: AsyncIterable<Buffer>;
+}
+
+/** Why an exchange failed. */
+export type ExchangeFailure = 'refused' | 'broken' | 'silent' | 'cancelled' | 'too-large';
+
+// Errors that come before the connection exists; only they prove that nothing was sent.
+const CONNECT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
+
+/**
+ * Finds out why an exchange failed.
+ *
+ * @param error - what undici threw
+ * @param deadline - deadline of the exchange
+ * @returns the reason
+ */
+export function classifyError(error: unknown, deadline: ProgressDeadline): ExchangeFailure {
+  const { code } = error as { code?: string };
+  if (code && CONNECT_CODES.has(code)) return 'refused';
+  if (deadline.expired) return 'silent';
+  if (deadline.signal.aborted) return 'cancelled';
+  return 'broken';
+}
+
+/** Connections to one address: one request at a time on each, no retries. */
+export class HttpConnections {
+  private constructor(private readonly pool: Pool) {}
+
+  /**
+   * Prepares connections; they are opened when needed.
+   *
+   * @param address - where to connect
+   * @param limits - limits of the connections
+   * @returns the connections
+   */
+  static create(address: Address, limits: ConnectionLimits): HttpConnections {
+    const host = address.host.includes(':') ? `[${address.host}]` : address.host;
+    return new HttpConnections(
+      new Pool(`http://${host}:${address.port}`, {
+        allowH2: false,
+        pipelining: 1,
+        connect: { timeout: limits.connectMs },
+        keepAliveTimeout: limits.idleMs,
+        keepAliveMaxTimeout: limits.idleMs,
+        // The progress deadline of each call covers both waits.
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      }),
+    );
+  }
+
+  /**
+   * Sends a request once. An aborted deadline destroys the connection.
+   *
+   * @param exchange - the request
+   * @returns the answer up to its headers, or the reason of the failure
+   */
+  async open(exchange: Exchange): Promise<Outcome<OpenAnswer, ExchangeFailure>> {
+    const { deadline } = exchange;
+    try {
+      const answer = await this.pool.request({
+        method: exchange.method,
+        path: exchange.path,
+        headers: exchange.headers,
+        body: exchange.body,
+        signal: deadline.signal,
+      });
+      deadline.progress();
+      const headers = flattenHeaders(answer.headers);
+      return succeed({ status: answer.statusCode, headers, body: answer.body });
+    } catch (error) {
+      return fail(classifyError(error, deadline));
+    }
+  }
+
+  /** Closes the connections when the calls on them have ended. */
+  async close(): Promise<void> {
+    await this.pool.close();
+  }
+
+  /** Closes every connection at once. */
+  async destroy(): Promise<void> {
+    await this.pool.destroy();
+  }
+}
+
+/**
+ * Reads a whole body.
+ *
+ * @param answer - the answer
+ * @param deadline - deadline of the exchange
+ * @returns the body, or the reason of the failure
+ */
+export async function readBody(
+  answer: OpenAnswer,
+  deadline: ProgressDeadline,
+): Promise<Outcome<Buffer, ExchangeFailure>> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of answer.body) {
+      deadline.progress();
+      size += chunk.length;
+      if (size > MAX_ANSWER_BYTES) return fail('too-large');
+      chunks.push(chunk);
+    }
+  } catch (error) {
+    return fail(classifyError(error, deadline));
+  }
+  return succeed(Buffer.concat(chunks, size));
+}
+
+function flattenHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string> {
+  const flat: Record<string, string> = {};
+  Object.entries(headers).forEach(([name, value]) => {
+    if (value !== undefined) flat[name] = Array.isArray(value) ? value.join(', ') : value;
+  });
+  return flat;
+}
--- /dev/null
+++ b/src/backends/http-engine.ts
@@ -0,0 +1,345 @@
+import type { Stream } from 'most';
+import { z } from 'zod';
+
+import type { Incarnation } from '../domain/vm.js';
+import { Channel } from '../kernel/channel.js';
+import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+import type { EngineLoad } from '../routing/routing.js';
+import { DecodeReader } from './decode-reader.js';
+import {
+  Engine,
+  type CacheEvent,
+  type DecodeEvent,
+  type EngineCall,
+  type HoldList,
+  type Order,
+  type Prefill,
+  type Reservation,
+} from './engine.js';
+import { EngineFailure, type EngineFailureReason } from './engine-failure.js';
+import {
+  classifyError,
+  readBody,
+  type ExchangeFailure,
+  type HttpConnections,
+  type OpenAnswer,
+} from './http-connections.js';
+import { parseLoadHeader } from './load-header.js';
+import { ProgressDeadline } from './progress-deadline.js';
+
+const count = z.int().min(0);
+const reservationSchema = z.object({ reservationId: z.string().min(1), expiresInMs: z.number() });
+const prefillSchema = z.object({
+  attemptId: z.string(),
+  prefillId: z.string().min(1),
+  promptTokens: count,
+  cachedTokens: count,
+  kvBytes: z.number(),
+  expiresInMs: z.number(),
+});
+const transferSchema = z.object({ attemptId: z.string(), reservationId: z.string() });
+const anySchema = z.unknown();
+const holdsSchema = z.object({
+  incarnation: z.string(),
+  holds: z.array(
+    z.object({
+      requestId: z.string(),
+      attemptId: z.string(),
+      owner: z.object({ vm: z.string(), incarnation: z.string() }),
+      kind: z.enum(['prefill', 'transfer', 'decode']),
+      blocks: z.number(),
+      ageMs: z.number(),
+    }),
+  ),
+});
+const loadSchema = z.object({
+  slotsFree: count,
+  blocksFree: count,
+  queuedPrefillTokens: count,
+  level: z.int().min(0).max(4),
+  draining: z.union([z.boolean(), z.literal(0), z.literal(1)]).transform(Boolean),
+  incarnation: z.string(),
+});
+const cacheEventsSchema = z.object({
+  events: z.array(
+    z.object({ sequence: count, kind: z.enum(['stored', 'evicted']), prefixHash: z.string() }),
+  ),
+});
+
+/** What an engine client tells about the answers that it gets. */
+export interface EngineListener {
+  /** Called with the load that an answer carried. */
+  readonly loaded: (load: EngineLoad) => void;
+  /** Called when a call was refused, lost or made no progress. */
+  readonly failed: (died: boolean) => void;
+  /** Called when an answer or event was dropped. */
+  readonly dropped: (kind: 'foreign' | 'duplicate') => void;
+}
+
+interface Send<Value> {
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly body?: unknown;
+  readonly schema: z.ZodType<Value>;
+  readonly progressMs: number;
+  readonly signal?: AbortSignal;
+  readonly traceparent?: string | undefined;
+  readonly statuses?: Readonly<Record<number, EngineFailureReason>>;
+}
+
+const ROOM: Send<unknown>['statuses'] = { 429: 'busy' };
+const PRESENCE: Send<unknown>['statuses'] = { 404: 'gone', 409: 'gone', 429: 'busy' };
+
+/** Client of one model engine over HTTP; see docs/interfaces.md. */
+export class HttpEngine extends Engine {
+  private constructor(
+    private readonly connections: HttpConnections,
+    private readonly engineMs: number,
+    private readonly listener: EngineListener,
+  ) {
+    super();
+  }
+
+  /**
+   * Creates a client.
+   *
+   * @param connections - connections to the engine
+   * @param engineMs - progress deadline of calls that do not belong to a request, in milliseconds
+   * @param listener - told about loads, failures and dropped answers
+   * @returns a new client
+   */
+  static create(
+    connections: HttpConnections,
+    engineMs: number,
+    listener: EngineListener,
+  ): HttpEngine {
+    return new HttpEngine(connections, engineMs, listener);
+  }
+
+  override reserve(
+    call: EngineCall,
+    model: string,
+    blocks: number,
+  ): Promise<Outcome<Reservation, EngineFailure>> {
+    const body = { ...tagOf(call), model, blocks };
+    return this.post(call, '/v1/reservations', body, reservationSchema, ROOM);
+  }
+
+  override async prefill(
+    call: EngineCall,
+    model: string,
+    prompt: string,
+    priority: number,
+  ): Promise<Outcome<Prefill, EngineFailure>> {
+    const body = { ...tagOf(call), model, prompt, priority };
+    const outcome = await this.post(call, '/v1/prefill', body, prefillSchema, ROOM);
+    return this.checkAttempt(call, outcome);
+  }
+
+  override async transfer(
+    call: EngineCall,
+    reservationId: string,
+    prefillId: string,
+    source: string,
+  ): Promise<Outcome<void, EngineFailure>> {
+    const body = { ...tagOf(call), reservationId, prefillId, source };
+    const outcome = await this.post(call, '/v1/transfers', body, transferSchema, PRESENCE);
+    return ignoreValue(this.checkAttempt(call, outcome));
+  }
+
+  override decode(
+    call: EngineCall,
+    reservationId: string,
+    maxTokens: number,
+    fromIndex: number,
+  ): Stream<DecodeEvent> {
+    const channel = Channel.create<DecodeEvent>();
+    const body = { ...tagOf(call), reservationId, maxTokens, fromIndex };
+    void this.readDecode(call, body, channel);
+    return channel.stream();
+  }
+
+  override async cancel(
+    attemptId: string,
+    owner: Incarnation,
+  ): Promise<Outcome<void, EngineFailure>> {
+    const path = `/v1/attempts/${encodeURIComponent(attemptId)}/cancel`;
+    const body = { owner: { vm: owner.vm, incarnation: owner.incarnation } };
+    const send = { method: 'POST', path, body, schema: anySchema } as const;
+    return ignoreValue(await this.send({ ...send, progressMs: this.engineMs }));
+  }
+
+  override holds(): Promise<Outcome<HoldList, EngineFailure>> {
+    return this.get('/v1/holds', holdsSchema);
+  }
+
+  override async load(): Promise<Outcome<EngineLoad, EngineFailure>> {
+    return this.get('/v1/load', loadSchema);
+  }
+
+  override async cacheEvents(
+    after: number,
+  ): Promise<Outcome<readonly CacheEvent[], EngineFailure>> {
+    const outcome = await this.get(`/v1/cache-events?after=${after}`, cacheEventsSchema);
+    return outcome.kind === 'ok' ? succeed(outcome.value.events) : outcome;
+  }
+
+  override async order(order: Order): Promise<Outcome<void, EngineFailure>> {
+    const send = { method: 'POST', path: '/v1/orders', body: order, schema: anySchema } as const;
+    return ignoreValue(await this.send({ ...send, progressMs: this.engineMs }));
+  }
+
+  private get<Value>(
+    path: string,
+    schema: z.ZodType<Value>,
+  ): Promise<Outcome<Value, EngineFailure>> {
+    return this.send({ method: 'GET', path, schema, progressMs: this.engineMs });
+  }
+
+  private post<Value>(
+    call: EngineCall,
+    path: string,
+    body: unknown,
+    schema: z.ZodType<Value>,
+    statuses: Send<unknown>['statuses'],
+  ): Promise<Outcome<Value, EngineFailure>> {
+    const { signal, traceparent, progressMs } = call;
+    const options = { schema, statuses, signal, traceparent, progressMs };
+    return this.send({ method: 'POST', path, body, ...options });
+  }
+
+  private async send<Value>(request: Send<Value>): Promise<Outcome<Value, EngineFailure>> {
+    const deadline = ProgressDeadline.create(request.progressMs, request.signal);
+    try {
+      return await this.exchange(request, deadline);
+    } finally {
+      deadline.clear();
+    }
+  }
+
+  private async exchange<Value>(
+    request: Send<Value>,
+    deadline: ProgressDeadline,
+  ): Promise<Outcome<Value, EngineFailure>> {
+    const opened = await this.openAnswer(request, deadline);
+    if (opened.kind === 'failed') return opened;
+    const body = await readBody(opened.value, deadline);
+    if (body.kind === 'failed') return fail(this.noteFailure(request.path, body.failure));
+    const { status } = opened.value;
+    if (status !== 200) return fail(statusFailure(request, status));
+    return parseAnswer(request, body.value);
+  }
+
+  private async openAnswer(
+    request: Omit<Send<unknown>, 'schema'>,
+    deadline: ProgressDeadline,
+  ): Promise<Outcome<OpenAnswer, EngineFailure>> {
+    const { method, path, body, traceparent } = request;
+    const headers: Record<string, string> = traceparent ? { traceparent } : {};
+    if (body !== undefined) headers['content-type'] = 'application/json';
+    const text = body === undefined ? undefined : JSON.stringify(body);
+    const opened = await this.connections.open({ method, path, headers, body: text, deadline });
+    if (opened.kind === 'failed') return fail(this.noteFailure(path, opened.failure));
+    const load = parseLoadHeader(opened.value.headers['x-engine-load']);
+    if (load) this.listener.loaded(load);
+    return opened;
+  }
+
+  private async readDecode(
+    call: EngineCall,
+    body: unknown,
+    channel: Channel<DecodeEvent>,
+  ): Promise<void> {
+    const deadline = ProgressDeadline.create(call.progressMs, call.signal);
+    const request = { method: 'POST', path: '/v1/decode', body, statuses: PRESENCE } as const;
+    try {
+      const { traceparent, progressMs } = call;
+      const opened = await this.openAnswer({ ...request, traceparent, progressMs }, deadline);
+      const failure = await this.streamFailure(request, opened, deadline);
+      if (failure) channel.push({ kind: 'failed', failure });
+      else if (opened.kind === 'ok')
+        await this.readStream(call, body, opened.value, deadline, channel);
+    } finally {
+      deadline.clear();
+      channel.end();
+    }
+  }
+
+  private async streamFailure(
+    request: Pick<Send<unknown>, 'path' | 'statuses'>,
+    opened: Outcome<OpenAnswer, EngineFailure>,
+    deadline: ProgressDeadline,
+  ): Promise<EngineFailure | undefined> {
+    if (opened.kind === 'failed') return opened.failure;
+    if (opened.value.status === 200) return undefined;
+    await readBody(opened.value, deadline);
+    return statusFailure(request, opened.value.status);
+  }
+
+  private async readStream(
+    call: EngineCall,
+    body: unknown,
+    answer: OpenAnswer,
+    deadline: ProgressDeadline,
+    channel: Channel<DecodeEvent>,
+  ): Promise<void> {
+    const { fromIndex } = body as { fromIndex: number };
+    const reader = DecodeReader.create(call.attemptId, fromIndex, this.listener.dropped);
+    const decoder = new TextDecoder();
+    try {
+      for await (const chunk of answer.body) {
+        const events = reader.read(decoder.decode(chunk, { stream: true }));
+        // Events of other attempts are no progress of this one.
+        if (events.length > 0) deadline.progress();
+        events.forEach((event) => channel.push(event));
+        if (events.at(-1)?.kind === 'failed') break;
+      }
+      reader.close().forEach((event) => channel.push(event));
+    } catch (error) {
+      if (reader.ended) return;
+      const failure = this.noteFailure('/v1/decode', classifyError(error, deadline));
+      channel.push({ kind: 'failed', failure });
+    }
+  }
+
+  private checkAttempt<Value extends { readonly attemptId: string }>(
+    call: EngineCall,
+    outcome: Outcome<Value, EngineFailure>,
+  ): Outcome<Value, EngineFailure> {
+    if (outcome.kind === 'failed' || outcome.value.attemptId === call.attemptId) return outcome;
+    this.listener.dropped('foreign');
+    return fail(EngineFailure.create('broken', 'the answer belongs to another attempt'));
+  }
+
+  private noteFailure(path: string, failure: ExchangeFailure): EngineFailure {
+    const reason = failure === 'too-large' ? 'broken' : failure;
+    if (reason !== 'cancelled') this.listener.failed(reason === 'refused');
+    return EngineFailure.create(reason, `${path}: ${failure}`);
+  }
+}
+
+function tagOf(call: EngineCall): Record<string, unknown> {
+  const { requestId, attemptId, owner, team } = call;
+  const { vm, incarnation } = owner;
+  return { requestId, attemptId, owner: { vm, incarnation }, team };
+}
+
+function statusFailure(
+  request: Pick<Send<unknown>, 'path' | 'statuses'>,
+  status: number,
+): EngineFailure {
+  const reason = request.statuses?.[status] ?? 'rejected';
+  return EngineFailure.create(reason, `${request.path}: status ${status}`);
+}
+
+function parseAnswer<Value>(request: Send<Value>, body: Buffer): Outcome<Value, EngineFailure> {
+  try {
+    return succeed(request.schema.parse(JSON.parse(body.toString('utf8'))));
+  } catch {
+    return fail(EngineFailure.create('broken', `${request.path}: malformed answer`));
+  }
+}
+
+function ignoreValue<Failure>(outcome: Outcome<unknown, Failure>): Outcome<void, Failure> {
+  return outcome.kind === 'ok' ? succeed(undefined) : outcome;
+}
--- /dev/null
+++ b/src/backends/load-header.ts
@@ -0,0 +1,33 @@
+import type { EngineLoad } from '../routing/routing.js';
+
+const COUNT = /^\d{1,12}$/;
+
+/**
+ * Reads the header `x-engine-load`.
+ *
+ * @param value - `slotsFree,blocksFree,queuedPrefillTokens,level,draining,incarnation`
+ * @returns the load, or undefined when the value is malformed
+ */
+export function parseLoadHeader(value: string | undefined): EngineLoad | undefined {
+  const parts = value?.split(',');
+  if (parts?.length !== 6) return undefined;
+  const [slots, blocks, queued, level, draining, incarnation] = parts as [
+    string,
+    string,
+    string,
+    string,
+    string,
+    string,
+  ];
+  if (![slots, blocks, queued, level].every((part) => COUNT.test(part)) || !incarnation) {
+    return undefined;
+  }
+  return {
+    slotsFree: Number(slots),
+    blocksFree: Number(blocks),
+    queuedPrefillTokens: Number(queued),
+    level: Math.min(4, Number(level)),
+    draining: draining === '1',
+    incarnation,
+  };
+}
