--- /dev/null
+++ b/src/routing/prefill-speed.ts
@@ -0,0 +1,39 @@
+const WEIGHT = 0.1;
+
+/** Moving estimate of how fast a model's prompts are prefilled on one engine. */
+export class PrefillSpeed {
+  private tokensPerMs = 0;
+
+  /**
+   * Creates an estimate without samples.
+   *
+   * @returns a new estimate
+   */
+  static create(): PrefillSpeed {
+    return new PrefillSpeed();
+  }
+
+  /**
+   * Adds a sample.
+   *
+   * @param tokens - prompt tokens that were computed
+   * @param elapsedMs - how long it took
+   */
+  add(tokens: number, elapsedMs: number): void {
+    if (tokens <= 0 || elapsedMs <= 0) return;
+    const sample = tokens / elapsedMs;
+    this.tokensPerMs = this.tokensPerMs
+      ? this.tokensPerMs * (1 - WEIGHT) + sample * WEIGHT
+      : sample;
+  }
+
+  /**
+   * Converts queued tokens to a wait.
+   *
+   * @param tokens - prompt tokens ahead
+   * @returns milliseconds; 0 before the first sample, so that nothing is refused on a guess
+   */
+  waitMs(tokens: number): number {
+    return this.tokensPerMs ? tokens / this.tokensPerMs : 0;
+  }
+}
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -93,8 +93,30 @@
    *
    * @param attemptId - the attempt
    * @param server - name of the server
+   * @param phase - the phase that ended; undefined ends both
    */
-  abstract unassign(attemptId: string, server: string): void;
+  abstract unassign(attemptId: string, server: string, phase?: Assignment['phase']): void;
+
+  /**
+   * Notes how long a prefill took that was assigned and is not unassigned yet.
+   *
+   * @param attemptId - the attempt
+   * @param server - name of the server
+   * @param computedTokens - prompt tokens that were not cached
+   */
+  // eslint-disable-next-line @typescript-eslint/no-unused-vars
+  observePrefill(attemptId: string, server: string, computedTokens: number): void {}
+
+  /**
+   * Reads the incarnation that an engine last reported.
+   *
+   * @param server - name of the server
+   * @returns the incarnation, or undefined when none was reported
+   */
+  // eslint-disable-next-line @typescript-eslint/no-unused-vars
+  incarnation(server: string): string | undefined {
+    return undefined;
+  }
 
   /**
    * Notes the load that came with an answer.
--- /dev/null
+++ b/src/routing/subset.ts
@@ -0,0 +1,30 @@
+import type { EngineServer } from '../domain/backend-server.js';
+import { rankByRendezvous } from './rendezvous.js';
+
+/** Servers of one model and role that one VM uses. */
+export const SUBSET_SIZE = 16;
+
+// A part of the subset lies in other zones, so that a VM keeps servers when its own zone's fail.
+const OTHER_ZONES = 4;
+
+/**
+ * Selects the servers that a VM uses for a model and role.
+ *
+ * @param key - model, role and VM
+ * @param servers - all servers of the model and role
+ * @param zone - availability zone of the VM, preferred
+ * @returns all servers when there are at most 16, else 16 of them
+ */
+export function selectSubset(
+  key: string,
+  servers: readonly EngineServer[],
+  zone: string,
+): readonly EngineServer[] {
+  if (servers.length <= SUBSET_SIZE) return servers;
+  const ranked = rankByRendezvous(key, servers, (server) => server.name);
+  const own = ranked.filter((server) => server.availabilityZone === zone);
+  const others = ranked.filter((server) => server.availabilityZone !== zone);
+  const ownCount = Math.max(SUBSET_SIZE - others.length, SUBSET_SIZE - OTHER_ZONES);
+  const chosen = own.slice(0, ownCount);
+  return [...chosen, ...others.slice(0, SUBSET_SIZE - chosen.length)];
+}
