--- /dev/null
+++ b/src/execution/model-run.ts
@@ -0,0 +1,464 @@
+import { randomUUID } from 'node:crypto';
+
+import type { Grant } from '../admission/grant.js';
+import type { EngineCall, Prefill, Reservation } from '../backends/engine.js';
+import type { EngineFailure } from '../backends/engine-failure.js';
+import type { EngineServer } from '../domain/backend-server.js';
+import { Refusal, type RefusalCode } from '../domain/refusal.js';
+import type { AnswerEvent, ModelAnswer, ModelRequest } from '../domain/request.js';
+import type { Model, Preset } from '../domain/route.js';
+import type { Incarnation } from '../domain/vm.js';
+import { Channel } from '../kernel/channel.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+import type { HopSpan } from '../observability/hop-span.js';
+import type { Hop } from '../observability/traces.js';
+import type { Settings } from '../settings/schema.js';
+import type { AttemptAction, AttemptEvent } from './attempt-events.js';
+import { AttemptMachine } from './attempt-machine.js';
+import type { DeathWatch } from './death-watch.js';
+import type { Releases } from './releases.js';
+
+const PAUSE_MS = 10;
+
+/** What a run shares with the other runs of this VM. */
+export interface RunContext {
+  readonly kernel: Kernel;
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly releases: Releases;
+  readonly deaths: DeathWatch;
+}
+
+/** One attempt: its id, and what it has at the engines. */
+interface Round {
+  readonly attemptId: string;
+  readonly owner: Incarnation;
+  readonly servers: Map<string, EngineServer>;
+  decodeServer?: EngineServer;
+  reservation?: Reservation;
+  prefillServer?: EngineServer;
+  prefill?: Prefill;
+}
+
+type Actions = {
+  readonly [Kind in AttemptAction['kind']]: (
+    action: Extract<AttemptAction, { readonly kind: Kind }>,
+  ) => unknown;
+};
+
+/** Carries out the actions of one request's state machine. */
+export class ModelRun {
+  private readonly machine: AttemptMachine;
+
+  private readonly answer = Channel.create<AnswerEvent>();
+
+  private readonly ending = new AbortController();
+
+  private readonly grants = new Map<number, Grant>();
+
+  private readonly firstTokenDeadlineMs: number;
+
+  private round: Round;
+
+  private grant: Grant | undefined;
+
+  private settleFirst: ((outcome: Outcome<ModelAnswer, Refusal>) => void) | undefined;
+
+  private settleDone: (() => void) | undefined;
+
+  private readonly done: Promise<void>;
+
+  private readonly actions: Actions = {
+    admit: ({ step }) => this.admit(step),
+    reserve: ({ step }) => this.reserve(step),
+    prefill: ({ step }) => this.prefill(step),
+    extend: ({ step, tokens }) => this.extend(step, tokens),
+    transfer: ({ step }) => this.transfer(step),
+    decode: ({ step, fromIndex }) => this.decode(step, fromIndex),
+    pause: ({ step }) => this.pause(step),
+    emit: ({ event }) => this.emit(event),
+    close: ({ release }) => this.closeRound(release),
+    settle: ({ grant, tokens }) => this.settle(grant, tokens),
+    waste: ({ tokens, cause }) => this.countWaste(tokens, cause),
+  };
+
+  private constructor(
+    private readonly context: RunContext,
+    readonly request: ModelRequest,
+    private readonly model: Model,
+    preset: Preset,
+  ) {
+    const { arrivedMs, promptTokens } = request;
+    this.firstTokenDeadlineMs = arrivedMs + Math.max(preset.firstTokenMs, preset.queueMs);
+    this.machine = AttemptMachine.create({
+      promptTokens,
+      capacityDeadlineMs: this.firstTokenDeadlineMs,
+      retryDeadlineMs: arrivedMs + preset.queueMs + context.settings.timeouts.prefillMs,
+    });
+    this.round = this.createRound();
+    this.done = new Promise((resolve) => {
+      this.settleDone = resolve;
+    });
+  }
+
+  /**
+   * Prepares a run.
+   *
+   * @param context - what all runs share
+   * @param request - the request
+   * @param model - its model
+   * @param preset - the preset in force
+   * @returns a run that has not begun
+   */
+  static create(
+    context: RunContext,
+    request: ModelRequest,
+    model: Model,
+    preset: Preset,
+  ): ModelRun {
+    return new ModelRun(context, request, model, preset);
+  }
+
+  /** Id of the present attempt. */
+  get attemptId(): string {
+    return this.round.attemptId;
+  }
+
+  /**
+   * Begins the run.
+   *
+   * @returns the answer once its first event is there, or a refusal
+   */
+  begin(): Promise<Outcome<ModelAnswer, Refusal>> {
+    return new Promise((resolve) => {
+      this.settleFirst = resolve;
+      this.dispatch({ kind: 'start' });
+    });
+  }
+
+  /**
+   * Ends the run early; has no effect after its end.
+   *
+   * @param code - code of the refusal or of the error event
+   * @param message - explanation for the caller
+   */
+  abort(code: RefusalCode, message: string): void {
+    this.dispatch({ kind: 'abort', code, message });
+  }
+
+  /**
+   * Waits for the end of the run.
+   *
+   * @returns a promise that resolves after the last event
+   */
+  finished(): Promise<void> {
+    return this.done;
+  }
+
+  private dispatch(event: AttemptEvent): void {
+    const actions = this.machine.handle(event, this.context.clock.monotonicMs());
+    actions.forEach((action) => this.perform(action));
+  }
+
+  private perform<Kind extends AttemptAction['kind']>(
+    action: Extract<AttemptAction, { readonly kind: Kind }>,
+  ): void {
+    this.actions[action.kind](action);
+  }
+
+  private async admit(step: number): Promise<void> {
+    const { kernel, deaths } = this.context;
+    // Admission can tell a suspect only after the death that made it one has been reported.
+    if (this.machine.roundNumber > 0) await deaths.settled();
+    if (!this.machine.expects(step)) return;
+    const { requestId, team, model, promptTokens, maxTokens, fingerprint, arrivedMs } =
+      this.request;
+    const span = this.beginSpan('admission');
+    const outcome = await kernel.find('admission').admit({
+      ...{ requestId, team, model, promptTokens, maxTokens, fingerprint, arrivedMs },
+      signal: this.ending.signal,
+    });
+    span.end({ outcome: outcome.kind });
+    if (outcome.kind === 'failed') {
+      this.dispatch({ kind: 'refused', step, refusal: outcome.failure });
+      return;
+    }
+    this.grants.set(step, outcome.value);
+    this.grant = outcome.value;
+    this.dispatch({ kind: 'admitted', step });
+  }
+
+  private async reserve(step: number): Promise<void> {
+    const { kernel, settings } = this.context;
+    const { request, round } = this;
+    const blocks = this.countBlocks();
+    const suspect = this.grant?.suspect ?? false;
+    const { excluded } = this.machine;
+    const server = kernel.find('routing').chooseDecode(request, blocks, excluded, suspect);
+    if (!server) {
+      this.lackServer(step, 'decode');
+      return;
+    }
+    this.recordChoice('decode-server', server, { blocks, excluded: excluded.size });
+    round.decodeServer = server;
+    this.send(step, server);
+    this.assign(server, 'decode');
+    const call = this.createCall(settings.timeouts.engineMs, request.traceparent);
+    const engine = kernel.find('backends').engine(server);
+    const outcome = await engine.reserve(call, request.model, blocks);
+    if (outcome.kind === 'ok') {
+      round.reservation = outcome.value;
+      this.dispatch({ kind: 'reserved', step });
+      return;
+    }
+    kernel.find('routing').unassign(round.attemptId, server.name, 'decode');
+    this.failCall(step, server, outcome.failure);
+  }
+
+  private async prefill(step: number): Promise<void> {
+    const { kernel, settings, clock } = this.context;
+    const { request, round } = this;
+    const routing = kernel.find('routing');
+    if (clock.monotonicMs() + routing.prefillWaitMs(request.model) > this.firstTokenDeadlineMs) {
+      this.dispatch({ kind: 'late', step });
+      return;
+    }
+    const { excluded } = this.machine;
+    const server = routing.choosePrefill(request, excluded, this.grant?.suspect ?? false);
+    if (!server) {
+      this.lackServer(step, 'prefill');
+      return;
+    }
+    if (!this.grant?.sendable()) {
+      this.record('admission', 'again', 'the debit is too old to send');
+      this.dispatch({ kind: 'unsendable', step });
+      return;
+    }
+    this.recordChoice('prefill-server', server, { excluded: excluded.size });
+    round.prefillServer = server;
+    this.send(step, server);
+    this.assign(server, 'prefill');
+    this.context.deaths.board(server.name, round.attemptId, request.fingerprint);
+    const span = this.beginSpan('prefill', server);
+    const call = this.createCall(settings.timeouts.prefillMs, span.traceparent);
+    const engine = kernel.find('backends').engine(server);
+    // A request that runs again has waited longest, so it goes first.
+    const priority = this.machine.roundNumber > 0 ? 0 : 1;
+    const outcome = await engine.prefill(call, request.model, request.prompt, priority);
+    span.end({ outcome: outcomeName(outcome) });
+    if (outcome.kind === 'ok') this.takePrefill(round, server, outcome.value);
+    else this.noteLoss(server, outcome.failure);
+    this.context.deaths.leave(server.name, round.attemptId);
+    routing.unassign(round.attemptId, server.name, 'prefill');
+    if (outcome.kind === 'failed') this.failCall(step, server, outcome.failure);
+    else this.dispatch({ kind: 'prefilled', step, promptTokens: outcome.value.promptTokens });
+  }
+
+  private takePrefill(round: Round, server: EngineServer, prefill: Prefill): void {
+    Object.assign(round, { prefill });
+    const computed = Math.max(0, prefill.promptTokens - prefill.cachedTokens);
+    this.context.kernel.find('routing').observePrefill(round.attemptId, server.name, computed);
+  }
+
+  private async extend(step: number, tokens: number): Promise<void> {
+    const outcome = await this.grant?.extend(tokens);
+    if (outcome?.kind === 'failed') {
+      this.dispatch({ kind: 'refused', step, refusal: outcome.failure });
+    } else this.dispatch({ kind: 'extended', step });
+  }
+
+  private async transfer(step: number): Promise<void> {
+    const { kernel, settings, deaths } = this.context;
+    const { round } = this;
+    const { decodeServer, prefillServer, reservation, prefill } = round;
+    if (!decodeServer || !prefillServer || !reservation || !prefill) return;
+    this.send(step, decodeServer);
+    deaths.board(decodeServer.name, round.attemptId, this.request.fingerprint);
+    const span = this.beginSpan('transfer', decodeServer);
+    const call = this.createCall(settings.timeouts.transferMs, span.traceparent);
+    const engine = kernel.find('backends').engine(decodeServer);
+    const source = formatAddress(prefillServer);
+    const { reservationId } = reservation;
+    const outcome = await engine.transfer(call, reservationId, prefill.prefillId, source);
+    span.end({ outcome: outcomeName(outcome) });
+    if (outcome.kind === 'ok') this.dispatch({ kind: 'transferred', step });
+    else this.failCall(step, decodeServer, outcome.failure);
+  }
+
+  private async decode(step: number, fromIndex: number): Promise<void> {
+    const { kernel, settings } = this.context;
+    const { decodeServer, reservation } = this.round;
+    if (!decodeServer || !reservation) return;
+    this.send(step, decodeServer);
+    const span = this.beginSpan('decode', decodeServer);
+    const call = this.createCall(settings.timeouts.betweenTokensMs, span.traceparent);
+    const engine = kernel.find('backends').engine(decodeServer);
+    const { maxTokens } = this.request;
+    const events = engine.decode(call, reservation.reservationId, maxTokens, fromIndex);
+    await events.forEach((event) => {
+      if (event.kind === 'failed') {
+        span.end({ outcome: event.failure.reason });
+        this.failCall(step, decodeServer, event.failure);
+      } else {
+        if (event.kind === 'end') span.end({ outcome: 'ok', tokens: event.completionTokens });
+        this.dispatch({ ...event, step });
+      }
+    });
+    span.end({ outcome: 'broken' });
+    // Has no effect when the stream has ended with an event.
+    this.dispatch({ kind: 'failed', step, reason: 'broken' });
+  }
+
+  private async pause(step: number): Promise<void> {
+    await this.context.clock.sleep(PAUSE_MS, this.ending.signal);
+    this.dispatch({ kind: 'paused', step });
+  }
+
+  private emit(event: AnswerEvent): void {
+    const { settleFirst } = this;
+    this.settleFirst = undefined;
+    if (settleFirst && event.kind === 'error') settleFirst(fail(event.refusal));
+    else settleFirst?.(succeed({ events: this.answer.stream() }));
+    if (settleFirst && event.kind !== 'error') this.countFirstToken();
+    this.answer.push(event);
+    if (event.kind === 'token') return;
+    this.answer.end();
+    this.finish(event);
+  }
+
+  private finish(event: Exclude<AnswerEvent, { kind: 'token' }>): void {
+    const code = event.kind === 'error' ? event.refusal.code : event.reason;
+    const reason = event.kind === 'error' ? event.refusal.message : 'the answer is complete';
+    this.record('outcome', code, reason);
+    this.context.kernel.find('metrics').increment('execution.finished', { outcome: code });
+    // Calls are open only when the run ends with an error; the end marker closes the last one.
+    if (event.kind === 'error') this.ending.abort();
+    this.settleDone?.();
+  }
+
+  private closeRound(release: readonly string[]): void {
+    const { kernel, releases, deaths } = this.context;
+    const { round } = this;
+    for (const server of round.servers.values()) {
+      kernel.find('routing').unassign(round.attemptId, server.name);
+      deaths.leave(server.name, round.attemptId);
+      if (release.includes(server.name)) releases.release(server, round.attemptId, round.owner);
+    }
+    this.round = this.createRound();
+  }
+
+  private settle(step: number, tokens: number): void {
+    this.grants.get(step)?.settle(tokens);
+    this.grants.delete(step);
+  }
+
+  private countWaste(tokens: number, cause: string): void {
+    const metrics = this.context.kernel.find('metrics');
+    metrics.increment('execution.wasted_prefill_tokens', { cause }, tokens);
+    this.record('prefill', 'wasted', cause, { tokens });
+  }
+
+  private countFirstToken(): void {
+    const { kernel, clock } = this.context;
+    const ms = clock.monotonicMs() - this.request.arrivedMs;
+    kernel.find('metrics').timing('execution.first_token', ms);
+  }
+
+  private lackServer(step: number, phase: 'prefill' | 'decode'): void {
+    if (this.hasServer(phase)) {
+      this.dispatch({ kind: 'no-server', step });
+      return;
+    }
+    const refusal = Refusal.create('no_server', `no ${phase} engine serves the model`);
+    this.dispatch({ kind: 'refused', step, refusal });
+  }
+
+  private hasServer(phase: 'prefill' | 'decode'): boolean {
+    const servers = this.context.kernel.find('configuration').current()?.servers.values() ?? [];
+    return [...servers].some(
+      (server) =>
+        server.kind === 'engine' &&
+        server.models.includes(this.request.model) &&
+        (server.role === phase || server.role === 'both'),
+    );
+  }
+
+  private send(step: number, server: EngineServer): void {
+    this.round.servers.set(server.name, server);
+    this.dispatch({ kind: 'sent', step, server: server.name });
+  }
+
+  private failCall(step: number, server: EngineServer, failure: EngineFailure): void {
+    this.noteLoss(server, failure);
+    if (!this.machine.expects(step)) return;
+    this.record('failure', server.name, failure.message, { reason: failure.reason });
+    this.dispatch({ kind: 'failed', step, reason: failure.reason });
+  }
+
+  private noteLoss(server: EngineServer, failure: EngineFailure): void {
+    const lost = failure.reason === 'broken' || failure.reason === 'refused';
+    if (lost) this.context.deaths.lost(server);
+  }
+
+  private assign(server: EngineServer, phase: 'prefill' | 'decode'): void {
+    const { fingerprint, promptTokens } = this.request;
+    this.context.kernel.find('routing').assign({
+      server: server.name,
+      attemptId: this.round.attemptId,
+      fingerprint,
+      phase,
+      blocks: this.countBlocks(),
+      promptTokens,
+      suspect: this.grant?.suspect ?? false,
+    });
+  }
+
+  private countBlocks(): number {
+    const { promptTokens, maxTokens } = this.request;
+    return Math.ceil((promptTokens + maxTokens) / this.model.kvBlockTokens);
+  }
+
+  private createCall(progressMs: number, traceparent: string | undefined): EngineCall {
+    const { requestId, team } = this.request;
+    const { attemptId, owner } = this.round;
+    const { signal } = this.ending;
+    return { requestId, attemptId, owner, team, traceparent, progressMs, signal };
+  }
+
+  private createRound(): Round {
+    const { vm, incarnation } = this.context.kernel.find('membership').self();
+    return { attemptId: randomUUID(), owner: { vm, incarnation }, servers: new Map() };
+  }
+
+  private beginSpan(hop: Hop, server?: EngineServer): HopSpan {
+    const facts = { requestId: this.request.requestId, attemptId: this.round.attemptId };
+    const attributes = server ? { ...facts, server: server.name } : facts;
+    return this.context.kernel.find('traces').begin(hop, this.request.traceparent, attributes);
+  }
+
+  private recordChoice(step: string, server: EngineServer, facts: Record<string, number>): void {
+    this.record(step, server.name, 'chosen by load, zone and cached prefixes', facts);
+  }
+
+  private record(
+    step: string,
+    choice: string,
+    reason: string,
+    facts: Readonly<Record<string, string | number | boolean>> = {},
+  ): void {
+    const { requestId } = this.request;
+    const all = { ...facts, attemptId: this.round.attemptId };
+    this.context.kernel.find('decisions').record({ requestId, step, choice, reason, facts: all });
+  }
+}
+
+function outcomeName(outcome: Outcome<unknown, EngineFailure>): string {
+  return outcome.kind === 'ok' ? 'ok' : outcome.failure.reason;
+}
+
+function formatAddress({ address }: EngineServer): string {
+  const { host, port } = address;
+  return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+}
--- /dev/null
+++ b/src/execution/observing-hold-reaper.ts
@@ -0,0 +1,162 @@
+import type { Hold, HoldList } from '../backends/engine.js';
+import type { BackendServer, EngineServer } from '../domain/backend-server.js';
+import type { Incarnation } from '../domain/vm.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import type { Member } from '../membership/membership.js';
+import { scoreRendezvous } from '../routing/rendezvous.js';
+import { HoldReaper } from './hold-reaper.js';
+
+const ROUND_MS = 1000;
+
+// An attempt may hold memory at an engine before its owner has noted the attempt.
+const ASK_AGE_MS = 3000;
+
+/** Lists the holds of the engines that this VM observes and cancels those without an owner. */
+export class ObservingHoldReaper extends HoldReaper {
+  private readonly stopping = new AbortController();
+
+  private readonly open = new Set<string>();
+
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  /**
+   * Creates the service.
+   *
+   * @param kernel - where other services are found
+   * @param clock - time between rounds
+   * @returns a new service
+   */
+  static create(kernel: Kernel, clock: Clock): ObservingHoldReaper {
+    return new ObservingHoldReaper(kernel, clock);
+  }
+
+  override async start(): Promise<void> {
+    this.kernel.find('peers').handle({
+      unknownAttempts: ({ attemptIds }) => ({
+        incarnation: this.kernel.find('membership').self().incarnation,
+        unknownAttemptIds: [...this.kernel.find('model-execution').unknownAttempts(attemptIds)],
+      }),
+    });
+    void this.repeat();
+  }
+
+  override async stop(): Promise<void> {
+    this.stopping.abort();
+  }
+
+  override observed(): readonly string[] {
+    return this.observedEngines().map((server) => server.name);
+  }
+
+  private async repeat(): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      this.observedEngines().forEach((server) => {
+        void this.inspectOnce(server);
+      });
+      await this.clock.sleep(ROUND_MS, this.stopping.signal);
+    }
+  }
+
+  private observedEngines(): readonly EngineServer[] {
+    const membership = this.kernel.find('membership');
+    const self = membership.self().vm;
+    const vms = membership.current().members.map((member) => member.vm);
+    const servers = this.kernel.find('configuration').current()?.servers.values() ?? [];
+    return [...servers].filter(isEngine).filter((server) => selectObserver(server, vms) === self);
+  }
+
+  private async inspectOnce(server: EngineServer): Promise<void> {
+    if (this.open.has(server.name)) return;
+    this.open.add(server.name);
+    try {
+      const outcome = await this.kernel.find('backends').engine(server).holds();
+      if (outcome.kind === 'ok') await this.inspect(server, outcome.value);
+    } finally {
+      this.open.delete(server.name);
+    }
+  }
+
+  private async inspect(server: EngineServer, { holds }: HoldList): Promise<void> {
+    const groups = new Map<string, Hold[]>();
+    holds.forEach((hold) => {
+      const key = `${hold.owner.vm}/${hold.owner.incarnation}`;
+      groups.set(key, [...(groups.get(key) ?? []), hold]);
+    });
+    await Promise.all([...groups.values()].map((group) => this.inspectOwner(server, group)));
+  }
+
+  private async inspectOwner(server: EngineServer, holds: readonly Hold[]): Promise<void> {
+    const owner = holds[0]?.owner;
+    if (!owner) return;
+    const orphans = await this.selectOrphans(owner, holds);
+    const attempts = new Set(orphans.map((hold) => hold.attemptId));
+    await Promise.all([...attempts].map((attemptId) => this.cancel(server, attemptId, owner)));
+  }
+
+  private async selectOrphans(
+    owner: Incarnation,
+    holds: readonly Hold[],
+  ): Promise<readonly Hold[]> {
+    const membership = this.kernel.find('membership');
+    const self = membership.self();
+    // This VM runs one incarnation at a time, so holds of another one have no owner any more.
+    if (owner.vm === self.vm && owner.incarnation !== self.incarnation) return holds;
+    if (owner.vm !== self.vm && (await membership.isGone(owner))) return holds;
+    const old = holds.filter((hold) => hold.ageMs > ASK_AGE_MS);
+    if (old.length === 0) return [];
+    const unknown = new Set(await this.askUnknown(owner, old));
+    return old.filter((hold) => unknown.has(hold.attemptId));
+  }
+
+  private async askUnknown(owner: Incarnation, holds: readonly Hold[]): Promise<readonly string[]> {
+    const membership = this.kernel.find('membership');
+    const attemptIds = [...new Set(holds.map((hold) => hold.attemptId))];
+    if (owner.vm === membership.self().vm) {
+      return this.kernel.find('model-execution').unknownAttempts(attemptIds);
+    }
+    const member = membership.current().members.find(({ vm }) => vm === owner.vm);
+    return member ? this.askMember(member, owner, attemptIds) : [];
+  }
+
+  private async askMember(
+    member: Member,
+    owner: Incarnation,
+    attemptIds: string[],
+  ): Promise<readonly string[]> {
+    const { vm, incarnation } = this.kernel.find('membership').self();
+    try {
+      const client = this.kernel.find('peers').client(member.peers);
+      const answer = await client.unknownAttempts({ sender: { vm, incarnation }, attemptIds });
+      // An answer of another incarnation says nothing about the owner's attempts.
+      return answer.incarnation === owner.incarnation ? answer.unknownAttemptIds : [];
+    } catch {
+      // An owner that cannot be reached keeps its holds until it is fenced.
+      return [];
+    }
+  }
+
+  private async cancel(server: EngineServer, attemptId: string, owner: Incarnation): Promise<void> {
+    const outcome = await this.kernel.find('backends').engine(server).cancel(attemptId, owner);
+    const result = outcome.kind === 'ok' ? 'released' : 'failed';
+    this.kernel.find('metrics').increment('holds.cancelled', { result });
+  }
+}
+
+function isEngine(server: BackendServer): server is EngineServer {
+  return server.kind === 'engine';
+}
+
+function selectObserver({ name }: EngineServer, vms: readonly string[]): string | undefined {
+  let best: { vm: string; score: number } | undefined;
+  for (const vm of vms) {
+    const score = scoreRendezvous(`observer/${name}`, vm);
+    if (!best || score > best.score || (score === best.score && vm < best.vm)) best = { vm, score };
+  }
+  return best?.vm;
+}
--- /dev/null
+++ b/src/execution/phased-model-execution.ts
@@ -0,0 +1,127 @@
+import { Refusal, type RefusalCode } from '../domain/refusal.js';
+import type { ModelAnswer, ModelRequest } from '../domain/request.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import { fail, type Outcome } from '../kernel/outcome.js';
+import type { Settings } from '../settings/schema.js';
+import { DeathWatch } from './death-watch.js';
+import { ModelExecution } from './model-execution.js';
+import { ModelRun, type RunContext } from './model-run.js';
+import { Releases } from './releases.js';
+
+/** Runs model requests, each with its own state machine; see docs/design.md, 6.6 and 6.7. */
+export class PhasedModelExecution extends ModelExecution {
+  private readonly runs = new Set<ModelRun>();
+
+  private readonly context: RunContext;
+
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly settings: Settings,
+    private readonly clock: Clock,
+  ) {
+    super();
+    const backends = () => kernel.find('backends');
+    const releases = Releases.create(backends, (server) => this.isConfigured(server), clock);
+    const deaths = DeathWatch.create(
+      {
+        backends,
+        incarnation: (server) => kernel.find('routing').incarnation(server),
+        report: (server, prints) => kernel.find('admission').reportDeath(server, prints),
+      },
+      clock,
+    );
+    this.context = { kernel, settings, clock, releases, deaths };
+  }
+
+  /**
+   * Creates the service without requests.
+   *
+   * @param kernel - where other services are found
+   * @param settings - timeouts
+   * @param clock - source of time
+   * @returns a new service
+   */
+  static create(kernel: Kernel, settings: Settings, clock: Clock): PhasedModelExecution {
+    return new PhasedModelExecution(kernel, settings, clock);
+  }
+
+  override async start(): Promise<void> {
+    const withdrawals = this.kernel.find('configuration').withdrawals();
+    const reincarnations = this.kernel.find('membership').reincarnations();
+    void withdrawals.forEach((keyId) => this.endWithdrawn(keyId));
+    void reincarnations.forEach(() =>
+      this.endAll('isolated', 'this VM was removed from the members and joins again'),
+    );
+  }
+
+  /** Waits for the requests in progress and their cancel orders, up to the shutdown deadline. */
+  override async stop(): Promise<void> {
+    const deadline = new AbortController();
+    const timeout = this.clock.sleep(this.settings.timeouts.shutdownMs, deadline.signal);
+    await Promise.race([timeout, this.finishAll()]);
+    this.endAll('draining', 'this VM shuts down');
+    await Promise.race([timeout, this.context.releases.drain(deadline.signal)]);
+    deadline.abort();
+  }
+
+  override async run(
+    request: ModelRequest,
+    signal: AbortSignal,
+  ): Promise<Outcome<ModelAnswer, Refusal>> {
+    const state = this.kernel.find('configuration').current();
+    const model = state?.models.get(request.model);
+    const preset = state?.presets.get(state.presetInForce);
+    if (!state || !preset) return refuse('not_ready', 'there is no configuration yet');
+    if (!model) return refuse('model_unknown', `no model is named ${request.model}`);
+    if (this.isWithdrawn(request.keyId)) return refuse('key_withdrawn', 'the key was withdrawn');
+    const run = ModelRun.create(this.context, request, model, preset);
+    this.follow(run, signal);
+    return run.begin();
+  }
+
+  override unknownAttempts(attemptIds: readonly string[]): readonly string[] {
+    const known = new Set([...this.runs].map((run) => run.attemptId));
+    return attemptIds.filter((attemptId) => !known.has(attemptId));
+  }
+
+  override active(): number {
+    return this.runs.size;
+  }
+
+  private follow(run: ModelRun, signal: AbortSignal): void {
+    const abort = () => run.abort('cancelled', 'the caller closed the connection');
+    this.runs.add(run);
+    signal.addEventListener('abort', abort, { once: true });
+    if (signal.aborted) queueMicrotask(abort);
+    void run.finished().then(() => {
+      signal.removeEventListener('abort', abort);
+      this.runs.delete(run);
+    });
+  }
+
+  private async finishAll(): Promise<void> {
+    while (this.runs.size > 0) await Promise.all([...this.runs].map((run) => run.finished()));
+  }
+
+  private endWithdrawn(keyId: string): void {
+    const withdrawn = [...this.runs].filter((run) => run.request.keyId === keyId);
+    withdrawn.forEach((run) => run.abort('key_withdrawn', 'the key was withdrawn'));
+  }
+
+  private endAll(code: RefusalCode, message: string): void {
+    [...this.runs].forEach((run) => run.abort(code, message));
+  }
+
+  private isWithdrawn(keyId: string | undefined): boolean {
+    return keyId !== undefined && this.kernel.find('configuration').withdrawn().has(keyId);
+  }
+
+  private isConfigured(server: string): boolean {
+    return this.kernel.find('configuration').current()?.servers.has(server) ?? false;
+  }
+}
+
+async function refuse(code: RefusalCode, message: string): Promise<Outcome<ModelAnswer, Refusal>> {
+  return fail(Refusal.create(code, message));
+}
--- /dev/null
+++ b/src/execution/releases.ts
@@ -0,0 +1,76 @@
+import type { Backends } from '../backends/backends.js';
+import type { EngineServer } from '../domain/backend-server.js';
+import type { Incarnation } from '../domain/vm.js';
+import type { Clock } from '../kernel/clock.js';
+
+const FIRST_DELAY_MS = 50;
+const LONGEST_DELAY_MS = 2000;
+
+/** Sends cancel orders until the engines acknowledge them. */
+export class Releases {
+  private readonly open = new Set<Promise<void>>();
+
+  private readonly stopping = new AbortController();
+
+  private constructor(
+    private readonly backends: () => Backends,
+    private readonly configured: (server: string) => boolean,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Creates an empty list of orders.
+   *
+   * @param backends - finds the clients
+   * @param configured - whether a server is still in the configuration
+   * @param clock - time between tries
+   * @returns a new list
+   */
+  static create(
+    backends: () => Backends,
+    configured: (server: string) => boolean,
+    clock: Clock,
+  ): Releases {
+    return new Releases(backends, configured, clock);
+  }
+
+  /** Orders that have not been acknowledged. */
+  get size(): number {
+    return this.open.size;
+  }
+
+  /**
+   * Releases the holds of an attempt at an engine.
+   *
+   * @param server - the engine
+   * @param attemptId - the attempt
+   * @param owner - owner of the attempt
+   */
+  release(server: EngineServer, attemptId: string, owner: Incarnation): void {
+    const work = this.repeat(server, attemptId, owner);
+    this.open.add(work);
+    void work.finally(() => this.open.delete(work));
+  }
+
+  /**
+   * Waits until every order is acknowledged.
+   *
+   * @param signal - gives up the rest; other VMs then release the holds
+   */
+  async drain(signal: AbortSignal): Promise<void> {
+    signal.addEventListener('abort', () => this.stopping.abort(), { once: true });
+    if (signal.aborted) this.stopping.abort();
+    await Promise.all([...this.open]);
+  }
+
+  private async repeat(server: EngineServer, attemptId: string, owner: Incarnation): Promise<void> {
+    const { signal } = this.stopping;
+    let delayMs = FIRST_DELAY_MS;
+    while (!signal.aborted) {
+      const outcome = await this.backends().engine(server).cancel(attemptId, owner);
+      if (outcome.kind === 'ok' || !this.configured(server.name)) return;
+      await this.clock.sleep(delayMs, signal);
+      delayMs = Math.min(LONGEST_DELAY_MS, delayMs * 2);
+    }
+  }
+}
