test(execution): check attempts over interleavings and engine faults

Cause: execution had no tests. Change: add a fast-check property of the attempt machine and scenarios of phased execution against a small HTTP engine with faults.

--- /dev/null
+++ b/features/execution/phased-execution.feature
@@ -0,0 +1,104 @@
+Feature: Model requests in phases
+
+  Scenario Outline: an answer is complete in spite of <fault> on <path>
+    Given phased execution over 2 engines
+    And phased execution meets the faults "<fault>" on "<path>"
+    When phased execution runs a request
+    Then phased execution answers "t0 t1 t2 t3"
+    And phased execution leaves no holds and settles each grant once
+    And phased execution counted <wasted> wasted prompt tokens
+
+    Examples:
+      | path         | fault               | wasted |
+      | none         | none                | 0      |
+      | reservations | busy                | 0      |
+      | reservations | reset               | 0      |
+      | reservations | lost                | 0      |
+      | reservations | silent              | 0      |
+      | reservations | headers-only        | 0      |
+      | reservations | half-body           | 0      |
+      | prefill      | busy                | 0      |
+      | prefill      | reset               | 0      |
+      | prefill      | lost                | 0      |
+      | prefill      | silent              | 0      |
+      | prefill      | headers-only        | 0      |
+      | prefill      | half-body           | 0      |
+      | prefill      | crossed             | 0      |
+      | transfers    | expired             | 10     |
+      | transfers    | reset               | 10     |
+      | transfers    | silent              | 10     |
+      | transfers    | crossed             | 10     |
+      | decode       | reset               | 0      |
+      | decode       | silent              | 0      |
+      | decode       | cut                 | 0      |
+      | decode       | no-end              | 0      |
+      | decode       | stall               | 0      |
+      | decode       | gap                 | 0      |
+      | decode       | late                | 0      |
+      | decode       | crossed             | 0      |
+      | decode       | duplicate           | 0      |
+      | decode       | cut, cut            | 0      |
+      | decode       | expired             | 0      |
+      | decode       | reset, reset, reset | 0      |
+
+  Scenario: an answer that cannot be resumed ends with an error event
+    Given phased execution over 2 engines
+    And phased execution meets the faults "cut, reset, reset" on "decode"
+    When phased execution runs a request
+    Then phased execution ends with the error "server_failed" and run "unknown"
+    And phased execution leaves no holds and settles each grant once
+
+  Scenario: a failure before decode is reported as not run
+    Given phased execution over 1 engines
+    And phased execution meets the faults "reset" on "prefill"
+    When phased execution runs a request on engines that then refuse
+    Then phased execution ends with the error "server_failed" and run "not run"
+
+  Scenario: a debit that is too old to send is given back and made again
+    Given phased execution over 2 engines
+    And phased execution gets 2 grants that cannot be sent
+    When phased execution runs a request
+    Then phased execution answers "t0 t1 t2 t3"
+    And phased execution was admitted 3 times in the same place
+    And phased execution leaves no holds and settles each grant once
+
+  Scenario Outline: <event> in mid-answer releases everything
+    Given phased execution over 2 engines
+    And phased execution meets the faults "stall, stall, stall" on "decode"
+    When phased execution runs a request and "<event>" comes in mid-answer
+    Then phased execution ends with the error "<code>" and run "unknown"
+    And phased execution leaves no holds and settles each grant once
+
+    Examples:
+      | event          | code          |
+      | client abort   | cancelled     |
+      | key withdrawal | key_withdrawn |
+      | reincarnation  | isolated      |
+
+  Scenario Outline: a lost cancel order is repeated after <fault>
+    Given phased execution over 2 engines
+    And phased execution meets the faults "<fault>" on "cancel"
+    And phased execution meets the faults "lost" on "prefill"
+    When phased execution runs a request
+    Then phased execution answers "t0 t1 t2 t3"
+    And phased execution leaves no holds and settles each grant once
+
+    Examples:
+      | fault         |
+      | reset, reset  |
+      | silent, reset |
+      | lost          |
+
+  Scenario: the death of an engine counts once against the request aboard
+    Given phased execution over 2 engines
+    And phased execution meets the faults "stall" on "decode"
+    When phased execution runs a request and "engine death" comes in mid-answer
+    Then phased execution ends with the error "server_failed" and run "unknown"
+    And phased execution reported 1 death with the fingerprint
+
+  Scenario: stopping waits for the requests in progress
+    Given phased execution over 2 engines
+    And phased execution meets the faults "silent" on "prefill"
+    When phased execution runs a request while it stops
+    Then phased execution answers "t0 t1 t2 t3"
+    And phased execution has stopped with 0 requests in progress
--- /dev/null
+++ b/features/steps/execution-machine-steps.ts
@@ -0,0 +1,262 @@
+import assert from 'node:assert/strict';
+
+import { Then } from '@cucumber/cucumber';
+import fc from 'fast-check';
+
+import type { EngineFailureReason } from '../../src/backends/engine-failure.js';
+import { Refusal } from '../../src/domain/refusal.js';
+import type { AnswerEvent } from '../../src/domain/request.js';
+import type { AttemptAction, AttemptEvent } from '../../src/execution/attempt-events.js';
+import { AttemptMachine } from '../../src/execution/attempt-machine.js';
+
+interface Command {
+  readonly pick: number;
+  readonly choice: number;
+  readonly server: string;
+  readonly reason: EngineFailureReason;
+  readonly advanceMs: number;
+  readonly crossed: boolean;
+  readonly abort: boolean;
+}
+
+type Ask = Extract<AttemptAction, { readonly step: number }>;
+
+interface Send {
+  readonly step: number;
+  readonly kind: Ask['kind'];
+  readonly round: number;
+  readonly server: string;
+  endedByItself: boolean;
+}
+
+const REASONS: readonly EngineFailureReason[] = [
+  'busy',
+  'gone',
+  'refused',
+  'broken',
+  'silent',
+  'rejected',
+];
+
+const commands: fc.Arbitrary<Command[]> = fc.array(
+  fc.record({
+    pick: fc.oneof({ weight: 6, arbitrary: fc.constant(0) }, fc.nat(5)),
+    choice: fc.oneof({ weight: 3, arbitrary: fc.constant(0) }, fc.nat(9)),
+    server: fc.constantFrom('a', 'b', 'c'),
+    reason: fc.constantFrom(...REASONS),
+    advanceMs: fc.oneof({ weight: 9, arbitrary: fc.constant(1) }, fc.nat(400)),
+    crossed: fc.integer({ min: 0, max: 12 }).map((value) => value === 0),
+    abort: fc.integer({ min: 0, max: 60 }).map((value) => value === 0),
+  }),
+  { minLength: 1, maxLength: 60 },
+);
+
+/** Plays the part of admission and of the engines, and notes what a correct run must show. */
+class World {
+  private readonly machine = AttemptMachine.create({
+    promptTokens: 10,
+    capacityDeadlineMs: 1000,
+    retryDeadlineMs: 1500,
+  });
+
+  private readonly asks: Ask[] = [];
+
+  private readonly sends: Send[] = [];
+
+  private readonly emitted: AnswerEvent[] = [];
+
+  private readonly granted = new Set<number>();
+
+  private readonly settled: number[] = [];
+
+  private readonly released = new Map<number, readonly string[]>();
+
+  private nowMs = 0;
+
+  play(list: readonly Command[]): void {
+    this.handle({ kind: 'start' });
+    list.forEach((command) => this.apply(command));
+    this.handle({ kind: 'abort', code: 'cancelled', message: 'the caller has gone' });
+    // A grant that comes after the end must be given back.
+    this.asks.filter((ask) => ask.kind === 'admit').forEach(({ step }) => this.grant(step));
+    this.check();
+  }
+
+  private apply(command: Command): void {
+    this.nowMs += command.advanceMs;
+    if (command.abort) this.handle({ kind: 'abort', code: 'key_withdrawn', message: 'withdrawn' });
+    const ask = this.asks.at(-1 - (command.pick % this.asks.length));
+    if (!ask) return;
+    const event = command.crossed
+      ? createCrossed(ask.step, command)
+      : this.createAnswer(ask, command);
+    if (event.kind === 'admitted') this.grant(event.step);
+    else if (event.kind === 'sent') this.send(ask, event.server);
+    else this.deliver(event, ask);
+  }
+
+  private grant(step: number): void {
+    const asked = this.asks.some((ask) => ask.kind === 'admit' && ask.step === step);
+    if (!asked) return;
+    this.granted.add(step);
+    this.handle({ kind: 'admitted', step });
+  }
+
+  private send(ask: Ask, server: string): void {
+    const { step, kind } = ask;
+    if (!this.machine.expects(step) || this.findSend(step)) return;
+    if (kind !== 'reserve' && kind !== 'prefill') {
+      const reserved = this.sends.findLast((send) => send.kind === 'reserve');
+      if (!reserved) return;
+      this.note(ask, reserved.server);
+      return;
+    }
+    if (this.machine.excluded.has(server)) return;
+    this.note(ask, server);
+  }
+
+  private note({ step, kind }: Ask, server: string): void {
+    const round = this.machine.roundNumber;
+    this.sends.push({ step, kind, round, server, endedByItself: false });
+    this.handle({ kind: 'sent', step, server });
+  }
+
+  private deliver(event: AttemptEvent, ask: Ask): void {
+    const current = this.machine.expects(ask.step);
+    const send = this.findSend(ask.step);
+    if (current && send) this.noteEnd(event, send);
+    this.handle(event);
+  }
+
+  private noteEnd(event: AttemptEvent, send: Send): void {
+    const engineStep = send.kind === 'reserve' || send.kind === 'prefill';
+    if (event.kind === 'failed' && (event.reason === 'refused' || event.reason === 'busy')) {
+      Object.assign(send, { endedByItself: engineStep || send.kind === 'decode' });
+    }
+    if (event.kind === 'failed' && event.reason === 'gone' && send.kind === 'decode') {
+      Object.assign(send, { endedByItself: true });
+    }
+    if (event.kind === 'transferred' && send.kind === 'transfer') {
+      this.sends
+        .filter((other) => other.kind === 'prefill' && other.round === send.round)
+        .forEach((other) => Object.assign(other, { endedByItself: true }));
+    }
+  }
+
+  private createAnswer(ask: Ask, command: Command): AttemptEvent {
+    const { step, kind } = ask;
+    if (kind === 'admit') {
+      return command.choice < 9 ? { kind: 'admitted', step } : createRefused(step);
+    }
+    if (kind === 'pause') return { kind: 'paused', step };
+    if (kind === 'extend')
+      return command.choice < 8 ? { kind: 'extended', step } : createRefused(step);
+    if (!this.findSend(step)) return createUnsent(ask, command);
+    if (command.choice > 5) return { kind: 'failed', step, reason: command.reason };
+    if (kind === 'reserve') return { kind: 'reserved', step };
+    if (kind === 'transfer') return { kind: 'transferred', step };
+    if (kind === 'prefill') return { kind: 'prefilled', step, promptTokens: 8 + command.choice };
+    return this.createDecoded(step, command);
+  }
+
+  private createDecoded(step: number, { choice }: Command): AttemptEvent {
+    const index = this.emitted.filter((event) => event.kind === 'token').length;
+    if (choice < 3) return { kind: 'token', step, index, text: String(index) };
+    if (choice === 3) return { kind: 'token', step, index: Math.max(0, index - 1), text: 'again' };
+    if (choice === 4) return { kind: 'token', step, index: index + 1, text: 'gap' };
+    return { kind: 'end', step, reason: 'stop', promptTokens: 10, completionTokens: index };
+  }
+
+  private findSend(step: number): Send | undefined {
+    return this.sends.find((send) => send.step === step);
+  }
+
+  private handle(event: AttemptEvent): void {
+    this.machine.handle(event, this.nowMs).forEach((action) => this.perform(action));
+  }
+
+  private perform(action: AttemptAction): void {
+    if ('step' in action) this.asks.push(action);
+    if (action.kind === 'emit') this.emitted.push(action.event);
+    if (action.kind === 'settle') this.settled.push(action.grant);
+    if (action.kind === 'close') {
+      assert.ok(!this.released.has(action.round), 'a round was closed twice');
+      this.released.set(action.round, action.release);
+    }
+  }
+
+  private check(): void {
+    const last = this.emitted.at(-1);
+    assert.ok(last && last.kind !== 'token', 'an end or error event comes last');
+    const tokens = this.emitted.slice(0, -1).map((event) => {
+      assert.equal(event.kind, 'token', 'only one end event');
+      return event.kind === 'token' ? event.index : -1;
+    });
+    assert.deepEqual(tokens, [...tokens.keys()], 'tokens in order without gap or duplicate');
+    assert.deepEqual(
+      this.settled.toSorted((a, b) => a - b),
+      [...this.granted].toSorted((a, b) => a - b),
+      'each grant is settled exactly once',
+    );
+    this.checkReleases(last);
+    this.checkRunState(last);
+  }
+
+  private checkReleases(last: AnswerEvent): void {
+    const lastRound = this.machine.roundNumber;
+    this.sends.forEach(({ server, round, kind, endedByItself }) => {
+      const decoded = last.kind === 'end' && round === lastRound && kind !== 'prefill';
+      const released = this.released.get(round)?.includes(server) ?? false;
+      assert.ok(
+        released || endedByItself || decoded,
+        `${kind} of round ${round} at ${server} was neither cancelled nor ended`,
+      );
+    });
+  }
+
+  private checkRunState(last: AnswerEvent): void {
+    if (last.kind !== 'error' || last.refusal.run !== 'not run') return;
+    const run = this.sends.filter((send) => send.kind === 'decode' && !send.endedByItself);
+    assert.equal(run.length, 0, '"not run" although a decode may have run');
+  }
+}
+
+function createRefused(step: number): AttemptEvent {
+  return { kind: 'refused', step, refusal: Refusal.create('rate_exceeded', 'no tokens') };
+}
+
+function createUnsent({ step, kind }: Ask, { choice, server }: Command): AttemptEvent {
+  if (kind === 'transfer' || kind === 'decode' || choice < 7) return { kind: 'sent', step, server };
+  if (choice === 7) return { kind: 'no-server', step };
+  if (kind === 'reserve') return { kind: 'sent', step, server };
+  return choice === 8 ? { kind: 'unsendable', step } : { kind: 'late', step };
+}
+
+function createCrossed(step: number, { choice, reason }: Command): AttemptEvent {
+  const crossed: readonly AttemptEvent[] = [
+    { kind: 'reserved', step },
+    { kind: 'prefilled', step, promptTokens: 11 },
+    { kind: 'extended', step },
+    { kind: 'transferred', step },
+    { kind: 'token', step, index: choice % 3, text: 'crossed' },
+    { kind: 'paused', step },
+    { kind: 'failed', step, reason },
+    { kind: 'end', step, reason: 'stop', promptTokens: 1, completionTokens: choice % 3 },
+    { kind: 'no-server', step },
+    { kind: 'refused', step, refusal: Refusal.create('overloaded', 'crossed') },
+  ];
+  return crossed[choice % crossed.length] as AttemptEvent;
+}
+
+Then(
+  'the attempt machine keeps its guarantees over {int} interleavings',
+  { timeout: 60_000 },
+  (runs: number) => {
+    const seed = Number(process.env.SEED ?? Date.now() % 2 ** 31);
+    const property = fc.property(commands, (list) => {
+      // Guards against lost, repeated or disordered answers, leaked holds and double settlements.
+      new World().play(list);
+    });
+    fc.assert(property, { numRuns: runs, seed });
+  },
+);
--- /dev/null
+++ b/features/steps/execution-phased-steps.ts
@@ -0,0 +1,224 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+
+import { HttpBackends } from '../../src/backends/http-backends.js';
+import type { Refusal } from '../../src/domain/refusal.js';
+import type { AnswerEvent, ModelAnswer, ModelRequest } from '../../src/domain/request.js';
+import { PhasedModelExecution } from '../../src/execution/phased-model-execution.js';
+import type { Outcome } from '../../src/kernel/outcome.js';
+import { SystemClock } from '../../src/kernel/system-clock.js';
+import { SubsetRouting } from '../../src/routing/subset-routing.js';
+import { FakeEngine, type EngineFault } from '../support/fake-engine.js';
+import { createFakeServices, waitUntil, type FakeServices } from '../support/fake-services.js';
+
+interface PhasedWorld {
+  phased?: {
+    engines: FakeEngine[];
+    faults: EngineFault[];
+    fakes: FakeServices;
+    execution: PhasedModelExecution;
+    clock: SystemClock;
+    events: AnswerEvent[];
+    refusal?: Refusal;
+    abort: AbortController;
+    stop: () => Promise<void>;
+  };
+}
+
+function worldOf(world: PhasedWorld): NonNullable<PhasedWorld['phased']> {
+  assert.ok(world.phased);
+  return world.phased;
+}
+
+function createRequest(arrivedMs: number): ModelRequest {
+  return {
+    requestId: 'q1',
+    team: 'oval',
+    keyId: 'key1',
+    model: 'planner',
+    prompt: 'a prompt',
+    promptTokens: 8,
+    maxTokens: 8,
+    fingerprint: 'print1',
+    arrivedMs,
+    traceparent: undefined,
+  };
+}
+
+async function collect(
+  phased: NonNullable<PhasedWorld['phased']>,
+  outcome: Outcome<ModelAnswer, Refusal>,
+): Promise<void> {
+  if (outcome.kind === 'failed') {
+    Object.assign(phased, { refusal: outcome.failure });
+    return;
+  }
+  await outcome.value.events.forEach((event) => {
+    phased.events.push(event);
+    if (event.kind === 'error') Object.assign(phased, { refusal: event.refusal });
+  });
+}
+
+async function runRequest(phased: NonNullable<PhasedWorld['phased']>): Promise<void> {
+  const request = createRequest(phased.clock.monotonicMs());
+  await collect(phased, await phased.execution.run(request, phased.abort.signal));
+}
+
+Given(
+  'phased execution over {int} engines',
+  async function given(this: PhasedWorld, count: number) {
+    const faults: EngineFault[] = [];
+    const names = Array.from({ length: count }, (_, index) => `engine${index}`);
+    const engines = await Promise.all(names.map((name) => FakeEngine.create(name, faults)));
+    const fakes = createFakeServices(engines.map((engine) => engine.describe()));
+    const clock = SystemClock.create();
+    const { kernel, settings } = fakes;
+    const backends = HttpBackends.create(kernel, settings);
+    const routing = SubsetRouting.create(kernel, settings, clock);
+    const execution = PhasedModelExecution.create(kernel, settings, clock);
+    kernel.register('backends', backends);
+    kernel.register('routing', routing);
+    kernel.register('model-execution', execution);
+    await kernel.start();
+    const abort = new AbortController();
+    const stop = async () => {
+      await kernel.stop();
+      await Promise.all(engines.map((engine) => engine.stop()));
+    };
+    this.phased = { engines, faults, fakes, execution, clock, events: [], abort, stop };
+  },
+);
+
+After(async function after(this: PhasedWorld) {
+  await this.phased?.stop();
+});
+
+Given(
+  'phased execution meets the faults {string} on {string}',
+  function given(this: PhasedWorld, kinds: string, path: string) {
+    const { faults } = worldOf(this);
+    const list = kinds.split(', ').filter((kind) => kind !== 'none');
+    faults.push(...list.map((kind) => ({ path: `/${path}`, kind })));
+  },
+);
+
+Given(
+  'phased execution gets {int} grants that cannot be sent',
+  function given(this: PhasedWorld, count: number) {
+    worldOf(this).fakes.unsendable = count;
+  },
+);
+
+When('phased execution runs a request', async function when(this: PhasedWorld) {
+  await runRequest(worldOf(this));
+});
+
+When(
+  'phased execution runs a request on engines that then refuse',
+  async function when(this: PhasedWorld) {
+    const phased = worldOf(this);
+    const running = runRequest(phased);
+    const prefilled = () =>
+      phased.engines.some((engine) => engine.calls.some(({ path }) => path === '/v1/prefill'));
+    await waitUntil(prefilled, 'the prefill was sent');
+    await Promise.all(phased.engines.map((engine) => engine.stop()));
+    await running;
+  },
+);
+
+When(
+  'phased execution runs a request and {string} comes in mid-answer',
+  async function when(this: PhasedWorld, event: string) {
+    const phased = worldOf(this);
+    const running = runRequest(phased);
+    await waitUntil(() => phased.events.length === 2, 'two tokens came');
+    if (event === 'client abort') phased.abort.abort();
+    if (event === 'key withdrawal') phased.fakes.withdrawals.push('key1');
+    if (event === 'reincarnation') phased.fakes.reincarnations.push({});
+    if (event === 'engine death') {
+      const engine = phased.engines.find(({ holds }) => holds.size > 0);
+      await engine?.stop();
+    }
+    await running;
+  },
+);
+
+When('phased execution runs a request while it stops', async function when(this: PhasedWorld) {
+  const phased = worldOf(this);
+  const running = runRequest(phased);
+  await phased.execution.stop();
+  await running;
+});
+
+Then('phased execution answers {string}', function then(this: PhasedWorld, text: string) {
+  const { events, refusal } = worldOf(this);
+  assert.equal(refusal, undefined);
+  const tokens = events.map((event) => (event.kind === 'token' ? event.text : ''));
+  assert.equal(tokens.join('').trim(), text);
+  assert.equal(events.at(-1)?.kind, 'end');
+  assert.equal(events.length, 5);
+});
+
+Then(
+  'phased execution ends with the error {string} and run {string}',
+  function then(this: PhasedWorld, code: string, run: string) {
+    const { refusal } = worldOf(this);
+    assert.equal(refusal?.code, code, refusal?.message);
+    assert.equal(refusal?.run, run);
+  },
+);
+
+Then(
+  'phased execution leaves no holds and settles each grant once',
+  async function then(this: PhasedWorld) {
+    const { engines, fakes, execution } = worldOf(this);
+    await waitUntil(() => engines.every(({ holds }) => holds.size === 0), 'no holds are left');
+    assert.ok(fakes.grants.length > 0);
+    assert.deepEqual(
+      fakes.grants.map(({ settled }) => settled.length),
+      fakes.grants.map(() => 1),
+    );
+    await waitUntil(() => execution.active() === 0, 'no request is in progress');
+  },
+);
+
+Then(
+  'phased execution counted {int} wasted prompt tokens',
+  function then(this: PhasedWorld, tokens: number) {
+    const { metrics } = worldOf(this).fakes;
+    assert.equal(metrics.get('execution.wasted_prefill_tokens') ?? 0, tokens);
+  },
+);
+
+Then(
+  'phased execution was admitted {int} times in the same place',
+  function then(this: PhasedWorld, times: number) {
+    const { admitted, grants } = worldOf(this).fakes;
+    assert.equal(admitted.length, times);
+    assert.equal(new Set(admitted.map(({ arrivedMs }) => arrivedMs)).size, 1);
+    assert.deepEqual(
+      grants.slice(0, -1).map(({ settled }) => settled[0]),
+      grants.slice(0, -1).map(() => 0),
+    );
+  },
+);
+
+Then(
+  'phased execution reported {int} death with the fingerprint',
+  async function then(this: PhasedWorld, count: number) {
+    const { deaths } = worldOf(this).fakes;
+    await waitUntil(() => deaths.length >= count, 'the death is reported');
+    assert.deepEqual(
+      deaths.map(({ fingerprints }) => fingerprints),
+      Array.from({ length: count }, () => ['print1']),
+    );
+  },
+);
+
+Then(
+  'phased execution has stopped with {int} requests in progress',
+  function then(this: PhasedWorld, count: number) {
+    assert.equal(worldOf(this).execution.active(), count);
+  },
+);
--- /dev/null
+++ b/features/support/fake-services.ts
@@ -0,0 +1,181 @@
+import type { AdmissionRequest } from '../../src/admission/admission.js';
+import type { Grant } from '../../src/admission/grant.js';
+import type { ConfigurationState } from '../../src/configuration/configuration.js';
+import type { BackendServer } from '../../src/domain/backend-server.js';
+import { Channel } from '../../src/kernel/channel.js';
+import { Kernel } from '../../src/kernel/kernel.js';
+import { succeed } from '../../src/kernel/outcome.js';
+import { Service, type Services } from '../../src/kernel/service.js';
+import type { VmListing } from '../../src/platform/vm-list.js';
+import { settingsSchema, type Settings } from '../../src/settings/schema.js';
+
+/** A grant that counts how often it was settled. */
+export interface FakeGrant extends Grant {
+  readonly settled: number[];
+}
+
+/** Services around the modules under test, and what was told to them. */
+export interface FakeServices {
+  readonly kernel: Kernel;
+  readonly settings: Settings;
+  readonly withdrawals: Channel<string>;
+  readonly reincarnations: Channel<unknown>;
+  readonly changes: Channel<ConfigurationState>;
+  readonly listings: Channel<VmListing>;
+  readonly grants: FakeGrant[];
+  readonly admitted: AdmissionRequest[];
+  readonly deaths: { server: string; fingerprints: readonly string[] }[];
+  readonly metrics: Map<string, number>;
+  /** Grants that say that they cannot be sent, before those that can. */
+  unsendable: number;
+  capacityChanges: number;
+  state: ConfigurationState;
+}
+
+export function createState(servers: readonly BackendServer[], version = 1): ConfigurationState {
+  const preset = {
+    name: 'ordinary',
+    rateFactor: 1,
+    queueMs: 1000,
+    firstTokenMs: 330,
+    betweenTokensMs: 78,
+    affinityTokens: 4096,
+    maintenance: false,
+  };
+  const model = {
+    name: 'planner',
+    bytesPerToken: 4,
+    kvBytesPerToken: 1,
+    kvBlockTokens: 16,
+    maxOutputTokens: 100,
+  };
+  return {
+    version,
+    teams: new Map(),
+    keys: new Map(),
+    withdrawnKeyIds: new Set(),
+    presets: new Map([[preset.name, preset]]),
+    presetInForce: preset.name,
+    models: new Map([[model.name, model]]),
+    routes: new Map(),
+    servers: new Map(servers.map((server) => [server.name, server])),
+    subjects: new Map(),
+  };
+}
+
+export function createSettings(): Settings {
+  const listener = { host: '127.0.0.1', port: 1 };
+  return settingsSchema.parse({
+    vm: { name: 'vm1', region: 'r', availabilityZone: 'a' },
+    callers: listener,
+    peers: listener,
+    operators: { ...listener, tokenSha256: '0'.repeat(64) },
+    platform: {
+      log: { urls: ['http://127.0.0.1:1'] },
+      vmList: { url: 'http://127.0.0.1:1' },
+    },
+    timeouts: {
+      connectMs: 200,
+      engineMs: 150,
+      prefillMs: 200,
+      transferMs: 150,
+      betweenTokensMs: 150,
+      shutdownMs: 2000,
+    },
+  });
+}
+
+export function registerFake(kernel: Kernel, name: keyof Services, members: object): void {
+  const service = Object.assign(new (class extends Service {})(), members);
+  kernel.register(name, service);
+}
+
+export function createFakeServices(servers: readonly BackendServer[]): FakeServices {
+  const fakes: FakeServices = {
+    kernel: Kernel.create(),
+    settings: createSettings(),
+    withdrawals: Channel.create(),
+    reincarnations: Channel.create(),
+    changes: Channel.create(),
+    listings: Channel.create(),
+    grants: [],
+    admitted: [],
+    deaths: [],
+    metrics: new Map(),
+    unsendable: 0,
+    capacityChanges: 0,
+    state: createState(servers),
+  };
+  registerPlatform(fakes);
+  registerObservability(fakes);
+  registerAdmission(fakes);
+  return fakes;
+}
+
+function registerPlatform(fakes: FakeServices): void {
+  registerFake(fakes.kernel, 'configuration', {
+    current: () => fakes.state,
+    changes: () => fakes.changes.stream(),
+    withdrawals: () => fakes.withdrawals.stream(),
+    withdrawn: () => new Set<string>(),
+  });
+  registerFake(fakes.kernel, 'membership', {
+    self: () => ({ vm: 'vm1', incarnation: 'i1' }),
+    reincarnations: () => fakes.reincarnations.stream(),
+  });
+  registerFake(fakes.kernel, 'vm-list', {
+    current: () => undefined,
+    changes: () => fakes.listings.stream(),
+  });
+}
+
+function registerObservability({ kernel, metrics }: FakeServices): void {
+  registerFake(kernel, 'metrics', {
+    increment: (name: string, _tags: object, value = 1) => {
+      metrics.set(name, (metrics.get(name) ?? 0) + value);
+    },
+    gauge: () => {},
+    timing: () => {},
+  });
+  registerFake(kernel, 'traces', { begin: () => ({ traceparent: '00-1-2-01', end: () => {} }) });
+  registerFake(kernel, 'decisions', { record: () => {} });
+}
+
+function registerAdmission(fakes: FakeServices): void {
+  const { kernel } = fakes;
+  registerFake(kernel, 'admission', {
+    admit: async (request: AdmissionRequest) => {
+      fakes.admitted.push(request);
+      const grant = createGrant(fakes.unsendable <= 0);
+      Object.assign(fakes, { unsendable: fakes.unsendable - 1 });
+      fakes.grants.push(grant);
+      return succeed(grant);
+    },
+    reportDeath: (server: string, fingerprints: readonly string[]) =>
+      fakes.deaths.push({ server, fingerprints }),
+    capacityChanged: () => Object.assign(fakes, { capacityChanges: fakes.capacityChanges + 1 }),
+  });
+}
+
+function createGrant(sendable: boolean): FakeGrant {
+  const settled: number[] = [];
+  return {
+    tokens: 100,
+    suspect: false,
+    settled,
+    sendable: () => sendable,
+    extend: async () => succeed(undefined),
+    settle: (tokens) => settled.push(tokens),
+  };
+}
+
+/** Waits for a condition, up to a deadline. */
+export async function waitUntil(condition: () => boolean, what: string, ms = 3000): Promise<void> {
+  const deadline = performance.now() + ms;
+  while (!condition()) {
+    if (performance.now() > deadline) throw new Error(`timed out waiting until ${what}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5);
+    });
+  }
+}
--- a/src/execution/attempt-machine.ts
+++ b/src/execution/attempt-machine.ts
@@ -238,7 +238,7 @@
 
   private inTransferring(event: Stepped, nowMs: number): readonly AttemptAction[] {
     if (event.kind === 'sent') return this.touch(event, 'decode');
-    if (event.kind === 'transferred') return this.afterTransfer();
+    if (event.kind === 'transferred') return this.server ? this.afterTransfer() : [];
     if (event.kind !== 'failed') return [];
     if (event.reason !== 'gone') {
       this.exclude(event.reason, undefined);
