--- a/features/support/fake-engine.ts
+++ b/features/support/fake-engine.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 
 import type { EngineServer } from '../../src/domain/backend-server.js';
 
@@ -14,6 +14,7 @@
   readonly path: string;
   readonly headers: Readonly<Record<string, unknown>>;
   readonly attemptId: string;
+  readonly socket: Socket;
 }
 
 const LOAD = '20,256,0,1,0,run1';
@@ -77,7 +78,8 @@
     const body = await readJson(request);
     const url = request.url ?? '';
     const attemptId = /attempts\/([^/]+)/.exec(url)?.[1] ?? String(body.attemptId);
-    this.calls.push({ path: url, headers: request.headers, attemptId });
+    const { headers, socket } = request;
+    this.calls.push({ path: url, headers, attemptId, socket });
     response.setHeader('x-engine-load', this.load);
     const fault = this.takeFault(url);
     if (breakAnswer(response, fault)) return;
