--- /dev/null
+++ b/features/steps/routing-property-steps.ts
@@ -0,0 +1,177 @@
+import assert from 'node:assert/strict';
+
+import { Then } from '@cucumber/cucumber';
+import fc from 'fast-check';
+
+import type { CacheEvent } from '../../src/backends/engine.js';
+import { EngineView } from '../../src/routing/engine-view.js';
+import { PrefixIndex } from '../../src/routing/prefix-index.js';
+import {
+  selectAny,
+  selectDecode,
+  selectPrefill,
+  type Candidate,
+  type ChoiceRule,
+} from '../../src/routing/server-choice.js';
+
+function readSeed(): number {
+  return Number(process.env.SEED ?? Date.now() % 2 ** 31);
+}
+
+const fleets = fc
+  .array(
+    fc.record({
+      estimate: fc.record({
+        slotsFree: fc.nat(3),
+        blocksFree: fc.nat(8),
+        queuedPrefillTokens: fc.nat(10_000),
+      }),
+      draining: fc.boolean(),
+      avoided: fc.boolean(),
+      ownZone: fc.boolean(),
+      suspects: fc.nat(1),
+      cachedTokens: fc.nat(100),
+      excluded: fc.boolean(),
+    }),
+    { maxLength: 20 },
+  )
+  .map((list) => list.map((item, index) => ({ ...item, server: index, name: `s${index}` })));
+
+type Fleet = (Candidate<number> & { excluded: boolean })[];
+
+function checkChoice(fleet: Fleet, rule: ChoiceRule): void {
+  const allowed = fleet.filter(
+    (one) => !one.draining && !one.excluded && !(rule.suspect && one.suspects > 0),
+  );
+  const roomy = allowed.filter(
+    ({ estimate }) => estimate.slotsFree > 0 && estimate.blocksFree >= rule.blocks,
+  );
+  checkOne(selectDecode(fleet, rule), roomy);
+  checkOne(selectPrefill(fleet, rule), allowed);
+  checkOne(selectAny(fleet, rule), allowed);
+}
+
+function checkOne(
+  choice: Candidate<number> | undefined,
+  allowed: readonly Candidate<number>[],
+): void {
+  if (!choice) {
+    assert.equal(allowed.length, 0, 'a server was usable');
+    return;
+  }
+  assert.ok(allowed.includes(choice), `${choice.name} must not be chosen`);
+  if (choice.avoided) assert.ok(allowed.every(({ avoided }) => avoided));
+}
+
+Then(
+  'routing choices respect their rules over {int} fleets',
+  { timeout: 30_000 },
+  (numRuns: number) => {
+    const randoms = fc.array(fc.double({ min: 0, max: 0.999, noNaN: true }), { minLength: 1 });
+    const property = fc.property(
+      fleets,
+      fc.boolean(),
+      fc.nat(8),
+      randoms,
+      (fleet, suspect, blocks, numbers) => {
+        let used = 0;
+        const random = () => {
+          used += 1;
+          return numbers[used % numbers.length] ?? 0;
+        };
+        const excluded = new Set(fleet.filter((one) => one.excluded).map(({ name }) => name));
+        // Guards against work for a server that leaves, failed in this request, or is full.
+        checkChoice(fleet, { excluded, suspect, blocks, affinityTokens: 4096, random });
+      },
+    );
+    fc.assert(property, { numRuns, seed: readSeed() });
+  },
+);
+
+const viewEvents = fc.array(
+  fc.record({
+    kind: fc.constantFrom('assign', 'unassign', 'observe'),
+    attempt: fc.nat(5),
+    phase: fc.constantFrom('prefill', 'decode'),
+    amount: fc.nat(300),
+    waitMs: fc.nat(40),
+  }),
+);
+
+Then(
+  'routing load estimates stay within bounds over {int} histories',
+  { timeout: 30_000 },
+  (numRuns: number) => {
+    const property = fc.property(viewEvents, (events) => {
+      const view = EngineView.create();
+      const size = { decodeSlots: 3, kvBlocks: 256 };
+      let nowMs = 0;
+      events.forEach(({ kind, attempt, phase, amount, waitMs }) => {
+        nowMs += waitMs;
+        const attemptId = `a${attempt}`;
+        const work = { attemptId, phase, blocks: amount };
+        if (kind === 'assign') {
+          const rest = { server: 's', fingerprint: 'f', promptTokens: amount, suspect: false };
+          view.assign({ ...work, ...rest }, nowMs);
+        } else if (kind === 'unassign') view.unassign(attemptId, work.phase);
+        else {
+          const rest = { level: 0, draining: false, incarnation: 'i' };
+          const load = { slotsFree: amount % 4, blocksFree: amount, queuedPrefillTokens: amount };
+          view.observe({ ...load, ...rest }, nowMs);
+        }
+        // Guards against negative room, which would hide a server for good, and invented room.
+        const { slotsFree, blocksFree, queuedPrefillTokens } = view.estimate(size);
+        assert.ok(slotsFree >= 0 && slotsFree <= size.decodeSlots);
+        assert.ok(blocksFree >= 0 && blocksFree <= size.kvBlocks);
+        assert.ok(queuedPrefillTokens >= 0);
+      });
+    });
+    fc.assert(property, { numRuns, seed: readSeed() });
+  },
+);
+
+const cacheHistories = fc.array(
+  fc.record({
+    kind: fc.constantFrom('stored', 'evicted'),
+    prefix: fc.nat(4),
+    lost: fc.integer({ min: 0, max: 6 }).map((value) => value === 0),
+    fetch: fc.boolean(),
+  }),
+  { maxLength: 40 },
+);
+
+Then(
+  'the routing prefix index never claims more than a model of it over {int} histories',
+  { timeout: 30_000 },
+  (numRuns: number) => {
+    const property = fc.property(cacheHistories, (history) => {
+      const index = PrefixIndex.create(3);
+      const truth = new Set<string>();
+      const unread: CacheEvent[] = [];
+      let complete = true;
+      history.forEach(({ kind, prefix, lost, fetch }, position) => {
+        const prefixHash = `prefix-${prefix}`.padEnd(64, '0');
+        const event = { sequence: position + 1, kind, prefixHash } as CacheEvent;
+        if (kind === 'stored') truth.add(prefixHash);
+        else truth.delete(prefixHash);
+        if (lost) complete = false;
+        else {
+          unread.push(event);
+          complete = true;
+        }
+        if (!fetch) return;
+        // The newest events come first and some twice, as after a repeated poll.
+        index.apply('s', [...unread].reverse());
+        index.apply('s', unread.slice(-1));
+        unread.length = 0;
+        assert.ok(index.size <= 3, 'the index is bounded');
+        if (!complete) return;
+        // Guards against choices for a prefix whose eviction was among missing events.
+        Array.from({ length: 5 }, (_, number) => `prefix-${number}`.padEnd(64, '0'))
+          .filter((hash) => !truth.has(hash))
+          .forEach((hash) => assert.equal(index.countCached('s', [hash.slice(0, 16)]), 0));
+      });
+    });
+    fc.assert(property, { numRuns, seed: readSeed() });
+  },
+);
