--- /dev/null
+++ b/src/admission/debit-ledger.ts
@@ -0,0 +1,94 @@
+import type { TokenBucket } from './token-bucket.js';
+
+/** How long a debit can be repeated or refunded; longer than the longest answer. */
+const KEPT_MS = 300_000;
+
+/** Bound on remembered debits; the oldest are forgotten first. */
+const MOST_DEBITS = 20_000;
+
+/** A debit that this VM granted from its own share. */
+export interface LedgerEntry {
+  readonly granted: number;
+  /** Place in the history of the bucket. */
+  readonly sequence: number;
+  /** Bucket that gave the tokens; undefined when nothing was granted. */
+  readonly bucket: TokenBucket | undefined;
+  readonly atMs: number;
+  readonly refunded: boolean;
+}
+
+/** Remembers debits by id, so that a repeated call is neither charged nor refunded twice. */
+export class DebitLedger {
+  private readonly entries = new Map<string, LedgerEntry>();
+
+  /**
+   * Creates an empty ledger.
+   *
+   * @returns a new ledger
+   */
+  static create(): DebitLedger {
+    return new DebitLedger();
+  }
+
+  /** Number of remembered debits. */
+  get size(): number {
+    return this.entries.size;
+  }
+
+  /**
+   * Finds a debit.
+   *
+   * @param debitId - id of the debit
+   * @returns the debit, or undefined when it is not known
+   */
+  find(debitId: string): LedgerEntry | undefined {
+    return this.entries.get(debitId);
+  }
+
+  /**
+   * Notes a debit.
+   *
+   * @param debitId - id of the debit
+   * @param entry - what was granted
+   */
+  add(debitId: string, entry: LedgerEntry): void {
+    this.forget(entry.atMs);
+    this.entries.set(debitId, entry);
+  }
+
+  /**
+   * Gives tokens of a debit back; the first refund of a debit counts. A refund that overtakes its
+   * debit cancels it.
+   *
+   * @param debitId - id of the debit
+   * @param tokens - tokens not used
+   * @param nowMs - monotonic time in milliseconds
+   * @returns the bucket that got tokens back, or undefined
+   */
+  refund(debitId: string, tokens: number, nowMs: number): TokenBucket | undefined {
+    const entry = this.entries.get(debitId);
+    if (entry?.refunded) return undefined;
+    if (!entry) {
+      const cancelled = { granted: 0, sequence: 0, bucket: undefined, atMs: nowMs, refunded: true };
+      this.add(debitId, cancelled);
+      return undefined;
+    }
+    this.entries.set(debitId, { ...entry, refunded: true });
+    const returned = Math.max(0, Math.min(tokens, entry.granted));
+    entry.bucket?.refund(returned, entry.sequence, nowMs);
+    return entry.bucket;
+  }
+
+  /** Forgets all debits. */
+  clear(): void {
+    this.entries.clear();
+  }
+
+  private forget(nowMs: number): void {
+    for (const [debitId, entry] of this.entries) {
+      const kept = nowMs - entry.atMs < KEPT_MS && this.entries.size < MOST_DEBITS;
+      if (kept) return;
+      this.entries.delete(debitId);
+    }
+  }
+}
--- /dev/null
+++ b/src/admission/epoch-log.ts
@@ -0,0 +1,90 @@
+import type { MemberEpoch } from '../membership/membership.js';
+
+/** Bound on remembered epochs; finding the start of a share reads them all. */
+const MOST_EPOCHS = 16;
+
+interface Checkpoint {
+  readonly epoch: number;
+  readonly atMs: number;
+}
+
+/**
+ * The epochs that this VM has applied one after another, and when it saw that all members had
+ * confirmed one. A share held since such a time needs no state of its own until it is first used.
+ */
+export class EpochLog {
+  private epochs: MemberEpoch[] = [];
+
+  private checkpoints: Checkpoint[] = [];
+
+  /**
+   * Creates an empty log.
+   *
+   * @returns a new log
+   */
+  static create(): EpochLog {
+    return new EpochLog();
+  }
+
+  /** The epoch that was applied last. */
+  get last(): MemberEpoch | undefined {
+    return this.epochs.at(-1);
+  }
+
+  /** Forgets everything. */
+  clear(): void {
+    this.epochs = [];
+    this.checkpoints = [];
+  }
+
+  /**
+   * Selects the epochs that have not been applied yet.
+   *
+   * @param history - epochs, oldest first
+   * @returns the later epochs, or undefined when epochs may be missing between the last one and them
+   */
+  selectLater(history: readonly MemberEpoch[]): readonly MemberEpoch[] | undefined {
+    const { last } = this;
+    if (!last) return history;
+    const known = history.some((epoch) => epoch.epoch === last.epoch);
+    const later = history.filter((epoch) => epoch.epoch > last.epoch);
+    return known || later.length === 0 ? later : undefined;
+  }
+
+  /**
+   * Adds the next epoch.
+   *
+   * @param epoch - the epoch
+   */
+  append(epoch: MemberEpoch): void {
+    this.epochs.push(epoch);
+    if (this.epochs.length > MOST_EPOCHS) this.epochs.shift();
+    const first = this.epochs[0]!.epoch;
+    this.checkpoints = this.checkpoints.filter((checkpoint) => checkpoint.epoch >= first);
+  }
+
+  /**
+   * Notes that every member has confirmed the present epoch.
+   *
+   * @param atMs - monotonic time in milliseconds
+   */
+  markConfirmed(atMs: number): void {
+    const epoch = this.last?.epoch;
+    if (epoch === undefined || this.checkpoints.at(-1)?.epoch === epoch) return;
+    this.checkpoints.push({ epoch, atMs });
+  }
+
+  /**
+   * Finds a time since which a share has been held unchanged with nobody else able to spend it.
+   *
+   * @param holds - tells whether the share was held unchanged in an epoch
+   * @returns monotonic time in milliseconds, or undefined when there is no proof
+   */
+  findHeldSince(holds: (epoch: MemberEpoch) => boolean): number | undefined {
+    if (this.checkpoints.length === 0) return undefined;
+    let from = this.epochs.length;
+    while (from > 0 && holds(this.epochs[from - 1]!)) from -= 1;
+    const first = this.epochs[from]?.epoch ?? Infinity;
+    return this.checkpoints.find((checkpoint) => checkpoint.epoch >= first)?.atMs;
+  }
+}
--- /dev/null
+++ b/src/admission/quarantine.ts
@@ -0,0 +1,145 @@
+/** How long a suspect stays suspect and a quarantined fingerprint is refused. */
+export const QUARANTINE_MS = 600_000;
+
+/** Reports about one server within this time are parts of one death, seen by several VMs. */
+export const DEATH_MERGE_MS = 3000;
+
+/** Bound on remembered fingerprints and deaths; the oldest are forgotten first. */
+const MOST_REMEMBERED = 10_000;
+
+interface Suspicion {
+  readonly sinceMs: number;
+  readonly death: Death;
+  quarantinedMs: number | undefined;
+}
+
+interface Death {
+  readonly atMs: number;
+  readonly suspects: Set<string>;
+  readonly others: Set<string>;
+}
+
+/** Finds the requests that crash servers, from the deaths that they were aboard. */
+export class Quarantine {
+  private readonly suspicions = new Map<string, Suspicion>();
+
+  private readonly deaths = new Map<string, Death>();
+
+  private readonly reports = new Set<string>();
+
+  /**
+   * Creates an empty record.
+   *
+   * @returns a new record
+   */
+  static create(): Quarantine {
+    return new Quarantine();
+  }
+
+  /**
+   * Counts a death. Without a suspect aboard every fingerprint becomes a suspect; with exactly one
+   * suspect aboard that one is quarantined and the others are not blamed.
+   *
+   * @param reportId - identifies the report; a repeated one is ignored
+   * @param server - name of the server
+   * @param fingerprints - fingerprints of the requests that were aboard
+   * @param nowMs - monotonic time in milliseconds
+   * @returns true when the report was new
+   */
+  record(
+    reportId: string,
+    server: string,
+    fingerprints: readonly string[],
+    nowMs: number,
+  ): boolean {
+    if (this.reports.has(reportId)) return false;
+    this.reports.add(reportId);
+    this.forget(nowMs);
+    const death = this.findDeath(server, nowMs);
+    fingerprints.forEach((fingerprint) => this.aboard(death, fingerprint, nowMs));
+    this.judge(death, nowMs);
+    return true;
+  }
+
+  /**
+   * Tells whether a fingerprint must run alone among suspects.
+   *
+   * @param fingerprint - the fingerprint
+   * @param nowMs - monotonic time in milliseconds
+   * @returns true after a death aboard
+   */
+  suspects(fingerprint: string, nowMs: number): boolean {
+    return this.find(fingerprint, nowMs) !== undefined;
+  }
+
+  /**
+   * Tells how long a fingerprint is still refused.
+   *
+   * @param fingerprint - the fingerprint
+   * @param nowMs - monotonic time in milliseconds
+   * @returns milliseconds, or undefined when it is not quarantined
+   */
+  remainingMs(fingerprint: string, nowMs: number): number | undefined {
+    const quarantinedMs = this.find(fingerprint, nowMs)?.quarantinedMs;
+    return quarantinedMs === undefined ? undefined : quarantinedMs + QUARANTINE_MS - nowMs;
+  }
+
+  private findDeath(server: string, nowMs: number): Death {
+    const known = this.deaths.get(server);
+    if (known && nowMs - known.atMs <= DEATH_MERGE_MS) return known;
+    const death = { atMs: nowMs, suspects: new Set<string>(), others: new Set<string>() };
+    this.deaths.delete(server);
+    this.deaths.set(server, death);
+    return death;
+  }
+
+  private aboard(death: Death, fingerprint: string, nowMs: number): void {
+    const known = this.find(fingerprint, nowMs);
+    if (known && known.death !== death) death.suspects.add(fingerprint);
+    else death.others.add(fingerprint);
+  }
+
+  private judge(death: Death, nowMs: number): void {
+    death.others.forEach((fingerprint) => this.judgeOther(death, fingerprint));
+    death.suspects.forEach((fingerprint) => {
+      const suspicion = this.suspicions.get(fingerprint);
+      if (!suspicion) return;
+      if (death.suspects.size === 1) suspicion.quarantinedMs = nowMs;
+      else if (suspicion.quarantinedMs !== undefined && suspicion.quarantinedMs >= death.atMs) {
+        suspicion.quarantinedMs = undefined;
+      }
+    });
+  }
+
+  private judgeOther(death: Death, fingerprint: string): void {
+    if (death.suspects.size > 0) {
+      if (this.suspicions.get(fingerprint)?.death === death) this.suspicions.delete(fingerprint);
+      return;
+    }
+    if (this.suspicions.has(fingerprint)) return;
+    this.suspicions.set(fingerprint, { sinceMs: death.atMs, death, quarantinedMs: undefined });
+  }
+
+  private find(fingerprint: string, nowMs: number): Suspicion | undefined {
+    const known = this.suspicions.get(fingerprint);
+    if (!known) return undefined;
+    if (nowMs - (known.quarantinedMs ?? known.sinceMs) < QUARANTINE_MS) return known;
+    this.suspicions.delete(fingerprint);
+    return undefined;
+  }
+
+  private forget(nowMs: number): void {
+    dropOldest(this.suspicions);
+    dropOldest(this.reports);
+    dropOldest(this.deaths);
+    const [oldest] = this.suspicions.keys();
+    if (oldest !== undefined) this.find(oldest, nowMs);
+  }
+}
+
+function dropOldest(entries: Map<string, unknown> | Set<string>): void {
+  while (entries.size > MOST_REMEMBERED) {
+    const [oldest] = entries.keys();
+    entries.delete(oldest!);
+  }
+}
--- /dev/null
+++ b/src/admission/share-table.ts
@@ -0,0 +1,154 @@
+import { createHash } from 'node:crypto';
+
+import type { Incarnation } from '../domain/vm.js';
+import type { Member, MemberEpoch } from '../membership/membership.js';
+
+/** Bound on cached home lists; the cache is emptied when it is reached. */
+const MOST_CACHED_TEAMS = 10_000;
+
+/** Bound on cached member hashes; the cache is emptied when it is reached. */
+const MOST_CACHED_VMS = 4096;
+
+interface Candidate {
+  readonly member: Member;
+  readonly score: number;
+}
+
+/**
+ * Tells whether two names mean the same run of a daemon.
+ *
+ * @param left - one incarnation
+ * @param right - the other
+ * @returns true when VM and incarnation are equal
+ */
+export function sameIncarnation(left: Incarnation, right: Incarnation): boolean {
+  return left.vm === right.vm && left.incarnation === right.incarnation;
+}
+
+/** Assigns home VMs to teams by rendezvous hash, spread over availability zones. */
+export class ShareTable {
+  private readonly cache = new Map<string, readonly Member[]>();
+
+  private readonly vmHashes = new Map<string, number>();
+
+  private cachedEpoch: MemberEpoch | undefined;
+
+  private constructor(private readonly homeCount: number) {}
+
+  /**
+   * Creates a table.
+   *
+   * @param homeCount - most homes of a team
+   * @returns a new table
+   */
+  static create(homeCount: number): ShareTable {
+    return new ShareTable(homeCount);
+  }
+
+  /**
+   * Finds a team's homes; the lists of one epoch are cached for the teams that were asked for.
+   *
+   * @param team - name of the team
+   * @param epoch - the member list
+   * @returns the homes, the one with the highest score first
+   */
+  homes(team: string, epoch: MemberEpoch): readonly Member[] {
+    if (this.cachedEpoch !== epoch || this.cache.size >= MOST_CACHED_TEAMS) this.cache.clear();
+    this.cachedEpoch = epoch;
+    const known = this.cache.get(team);
+    if (known) return known;
+    const homes = this.computeHomes(team, epoch.members);
+    this.cache.set(team, homes);
+    return homes;
+  }
+
+  /**
+   * Computes the part of a team's limits that a member holds in an epoch.
+   *
+   * @param team - name of the team
+   * @param epoch - the member list
+   * @param member - the member
+   * @returns 1 / number of homes, or 0 when the member is no home
+   */
+  part(team: string, epoch: MemberEpoch, member: Incarnation): number {
+    const homes = this.homesIn(team, epoch);
+    return homes.some((home) => sameIncarnation(home, member)) ? 1 / homes.length : 0;
+  }
+
+  /**
+   * Finds the present members that held a larger part in an earlier epoch than they hold now. Until
+   * they have confirmed the present epoch they may still spend the difference.
+   *
+   * @param team - name of the team
+   * @param history - epochs that a present member may still apply, the present one last
+   * @returns the members to be asked
+   */
+  displaced(team: string, history: readonly MemberEpoch[]): readonly Member[] {
+    const present = history.at(-1);
+    if (!present) return [];
+    const earlier = history.slice(0, -1).flatMap((epoch) => this.computeParts(team, epoch));
+    return present.members.filter((member) => {
+      const largest = earlier
+        .filter((holder) => sameIncarnation(holder.member, member))
+        .reduce((most, holder) => Math.max(most, holder.part), 0);
+      return largest > 0 && largest > this.part(team, present, member);
+    });
+  }
+
+  private homesIn(team: string, epoch: MemberEpoch): readonly Member[] {
+    return this.cachedEpoch === epoch
+      ? this.homes(team, epoch)
+      : this.computeHomes(team, epoch.members);
+  }
+
+  private computeParts(team: string, epoch: MemberEpoch): { member: Member; part: number }[] {
+    const homes = this.homesIn(team, epoch);
+    return homes.map((member) => ({ member, part: 1 / homes.length }));
+  }
+
+  private computeHomes(team: string, members: readonly Member[]): readonly Member[] {
+    const teamHash = hash(team);
+    const candidates = members.map((member) => ({
+      member,
+      score: mix(teamHash, this.vmHash(member.vm)),
+    }));
+    const homes: Member[] = [];
+    while (homes.length < Math.min(this.homeCount, members.length)) {
+      const zones = new Set(homes.map((home) => home.availabilityZone));
+      const free = candidates.filter((candidate) => !homes.includes(candidate.member));
+      const elsewhere = free.filter(({ member }) => !zones.has(member.availabilityZone));
+      homes.push(findBest(elsewhere.length > 0 ? elsewhere : free).member);
+    }
+    return homes;
+  }
+
+  private vmHash(vm: string): number {
+    const known = this.vmHashes.get(vm);
+    if (known !== undefined) return known;
+    if (this.vmHashes.size >= MOST_CACHED_VMS) this.vmHashes.clear();
+    const computed = hash(vm);
+    this.vmHashes.set(vm, computed);
+    return computed;
+  }
+}
+
+function findBest(candidates: readonly Candidate[]): Candidate {
+  return candidates.reduce((best, candidate) => {
+    if (candidate.score !== best.score) return candidate.score > best.score ? candidate : best;
+    return candidate.member.vm < best.member.vm ? candidate : best;
+  });
+}
+
+function hash(text: string): number {
+  return createHash('sha256').update(text).digest().readUInt32BE(0);
+}
+
+/* eslint-disable no-bitwise -- integer mixing needs bit operations */
+function mix(left: number, right: number): number {
+  let value = Math.imul(left ^ Math.imul(right, 0x9e3779b1), 0x85ebca6b);
+  value = Math.imul(value ^ (value >>> 15), 0xc2b2ae35);
+  value = Math.imul(value ^ (value >>> 13), 0x27d4eb2f) ^ right;
+  value = Math.imul(value ^ (value >>> 16), 0x85ebca6b);
+  return (value ^ (value >>> 14)) >>> 0;
+}
+/* eslint-enable no-bitwise */
