feat(admission): admit requests against shared rates

Cause: the admission contract has no implementation. Change: SharedAdmission with a task that owns buckets and queues, debits at homes by peer call, refunds, metrics, decision records and death reports. Result: types and lint pass; behaviour is not tested yet.

--- /dev/null
+++ b/src/admission/admission-statistics.ts
@@ -0,0 +1,94 @@
+const SLOT_MS = 10_000;
+const SLOTS = 6;
+
+interface Slot {
+  readonly index: number;
+  admitted: number;
+  refused: number;
+  tokens: number;
+}
+
+/** A team and its service over the last minute. */
+export interface TeamService {
+  readonly team: string;
+  /** Requests admitted / requests within the team's rate, 0 to 1. */
+  readonly share: number;
+}
+
+/** Counts what each team asked of this VM and what it got over the last minute. */
+export class AdmissionStatistics {
+  private readonly teams = new Map<string, Slot[]>();
+
+  /**
+   * Creates empty statistics.
+   *
+   * @returns new statistics
+   */
+  static create(): AdmissionStatistics {
+    return new AdmissionStatistics();
+  }
+
+  /**
+   * Counts a request whose wait has ended.
+   *
+   * @param team - name of the team
+   * @param tokens - tokens that it asked for
+   * @param admitted - false when it was refused for want of tokens or capacity
+   * @param nowMs - monotonic time in milliseconds
+   */
+  count(team: string, tokens: number, admitted: boolean, nowMs: number): void {
+    const slots = this.teams.get(team) ?? [];
+    this.teams.set(team, slots);
+    const index = Math.floor(nowMs / SLOT_MS);
+    if (slots.at(-1)?.index !== index) slots.push({ index, admitted: 0, refused: 0, tokens: 0 });
+    if (slots.length > SLOTS) slots.shift();
+    const slot = slots.at(-1)!;
+    slot.tokens += tokens;
+    if (admitted) slot.admitted += 1;
+    else slot.refused += 1;
+  }
+
+  /**
+   * Finds the team with the lowest service. Where a team asked for more than its rate over a minute,
+   * only the part of its requests that the rate covers is expected to be admitted.
+   *
+   * @param rateOf - tokens a second of a team
+   * @param nowMs - monotonic time in milliseconds
+   * @returns the team, or undefined when no team asked for anything
+   */
+  findWorstServed(rateOf: (team: string) => number, nowMs: number): TeamService | undefined {
+    let worst: TeamService | undefined;
+    this.teams.forEach((slots, team) => {
+      const share = this.computeShare(team, slots, rateOf(team), nowMs);
+      if (share !== undefined && (!worst || share < worst.share)) worst = { team, share };
+    });
+    return worst;
+  }
+
+  private computeShare(
+    team: string,
+    slots: readonly Slot[],
+    rate: number,
+    nowMs: number,
+  ): number | undefined {
+    const oldest = Math.floor(nowMs / SLOT_MS) - SLOTS;
+    const recent = slots.filter((slot) => slot.index > oldest);
+    const sum = (pick: (slot: Slot) => number) =>
+      recent.reduce((total, slot) => total + pick(slot), 0);
+    const admitted = sum((slot) => slot.admitted);
+    const asked = admitted + sum((slot) => slot.refused);
+    if (asked === 0) {
+      this.teams.delete(team);
+      return undefined;
+    }
+    const covered =
+      (rate * SLOT_MS * SLOTS) /
+      1000 /
+      Math.max(
+        1,
+        sum((slot) => slot.tokens),
+      );
+    const expected = asked * Math.min(1, covered);
+    return expected > 0 ? Math.min(1, admitted / expected) : 1;
+  }
+}
--- a/src/admission/fair-queue.ts
+++ b/src/admission/fair-queue.ts
@@ -90,6 +90,16 @@
     return this.ready.peek()?.bySlack.peek();
   }
 
+  /**
+   * Reads a team's next request, whether or not the team is blocked.
+   *
+   * @param team - name of the team
+   * @returns the request, or undefined when none waits
+   */
+  head(team: string): Entry | undefined {
+    return this.lines.get(team)?.bySlack.peek();
+  }
+
   /**
    * Takes a request out and charges its team.
    *
--- /dev/null
+++ b/src/admission/remote-debits.ts
@@ -0,0 +1,173 @@
+import type { Clock } from '../kernel/clock.js';
+import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+import type { Kernel } from '../kernel/kernel.js';
+import type { Member } from '../membership/membership.js';
+import type { ShareGrant } from './home-shares.js';
+
+/** Longest wait for one debit; leaves time to send the request within the dispatch delay. */
+const DEBIT_TIMEOUT_MS = 80;
+
+/** Longest wait for one refund. */
+const REFUND_TIMEOUT_MS = 1000;
+
+/** A home that did not answer is passed over for this long. */
+const SILENT_PAUSE_MS = 500;
+
+/** Longest pause of a home that granted nothing; it may get refunds or a share at any time. */
+const EMPTY_PAUSE_MS = 250;
+
+const REFUND_ATTEMPTS = 4;
+
+/** Bound on remembered pauses; all are forgotten when it is reached. */
+const MOST_PAUSES = 10_000;
+
+/** Calls the homes of teams on other VMs. */
+export class RemoteDebits {
+  private readonly pauses = new Map<string, number>();
+
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Creates the calls.
+   *
+   * @param kernel - finds `peers` and `membership`
+   * @param clock - source of time
+   * @returns new calls
+   */
+  static create(kernel: Kernel, clock: Clock): RemoteDebits {
+    return new RemoteDebits(kernel, clock);
+  }
+
+  /**
+   * Tells when a home may be asked for tokens of a team again.
+   *
+   * @param team - name of the team
+   * @param home - the home
+   * @returns monotonic time in milliseconds; 0 when it may be asked now
+   */
+  pausedUntil(team: string, home: Member): number {
+    const untilMs = Math.max(
+      this.pauses.get(keyOf(home)) ?? 0,
+      this.pauses.get(keyOf(home, team)) ?? 0,
+    );
+    return untilMs > this.clock.monotonicMs() ? untilMs : 0;
+  }
+
+  /**
+   * Asks a home for tokens. A call that breaks is repeated once with the same id; when the result
+   * stays unknown, whatever was granted is refunded.
+   *
+   * @param home - the home
+   * @param team - name of the team
+   * @param tokens - tokens wanted
+   * @param debitId - identifies the debit
+   * @returns what was granted, or `unanswered`
+   */
+  async debit(
+    home: Member,
+    team: string,
+    tokens: number,
+    debitId: string,
+  ): Promise<Outcome<ShareGrant, 'unanswered'>> {
+    const deadlineMs = this.clock.monotonicMs() + DEBIT_TIMEOUT_MS;
+    for (let attempt = 0; attempt < 2; attempt += 1) {
+      const leftMs = deadlineMs - this.clock.monotonicMs();
+      if (leftMs <= 0) break;
+      const grant = await this.callDebit(home, team, tokens, debitId, leftMs);
+      if (grant) {
+        if (grant.granted === 0) this.pauseEmpty(home, team, grant.retryAfterMs);
+        return succeed(grant);
+      }
+    }
+    this.pause(keyOf(home), SILENT_PAUSE_MS);
+    this.refund(home, team, tokens, debitId);
+    return fail('unanswered');
+  }
+
+  /**
+   * Gives tokens back to a home; repeats the call until it is answered or some attempts failed.
+   *
+   * @param home - the home that granted them
+   * @param team - name of the team
+   * @param tokens - tokens not used
+   * @param debitId - the debit
+   */
+  refund(home: Member, team: string, tokens: number, debitId: string): void {
+    void this.repeatRefund(home, team, tokens, debitId);
+  }
+
+  private async repeatRefund(
+    home: Member,
+    team: string,
+    tokens: number,
+    debitId: string,
+  ): Promise<void> {
+    for (let attempt = 0; attempt < REFUND_ATTEMPTS; attempt += 1) {
+      if (attempt > 0) await this.clock.sleep(100 * 3 ** attempt);
+      const answer = await this.limit(REFUND_TIMEOUT_MS, (signal) =>
+        this.client(home).refund(
+          { sender: this.sender(), team, tokens: BigInt(tokens), debitId },
+          { signal, timeoutMs: REFUND_TIMEOUT_MS },
+        ),
+      );
+      if (answer) return;
+    }
+  }
+
+  private async callDebit(
+    home: Member,
+    team: string,
+    tokens: number,
+    debitId: string,
+    timeoutMs: number,
+  ): Promise<ShareGrant | undefined> {
+    const answer = await this.limit(timeoutMs, (signal) =>
+      this.client(home).debit(
+        { sender: this.sender(), team, tokens: BigInt(tokens), debitId },
+        { signal },
+      ),
+    );
+    if (!answer) return undefined;
+    const granted = Math.min(tokens, Number(answer.granted));
+    return { granted, retryAfterMs: answer.retryAfterMs };
+  }
+
+  /** Waits for a call; the answer is undefined when it fails or takes too long. */
+  private async limit<Answer>(
+    timeoutMs: number,
+    call: (signal: AbortSignal) => Promise<Answer>,
+  ): Promise<Answer | undefined> {
+    const abort = new AbortController();
+    const answered = new AbortController();
+    const late = this.clock.sleep(timeoutMs, answered.signal).then(() => undefined);
+    const answer = await Promise.race([call(abort.signal).catch(() => undefined), late]);
+    answered.abort();
+    if (answer === undefined) abort.abort();
+    return answer;
+  }
+
+  private pauseEmpty(home: Member, team: string, retryAfterMs: number): void {
+    this.pause(keyOf(home, team), Math.min(retryAfterMs, EMPTY_PAUSE_MS));
+  }
+
+  private pause(key: string, ms: number): void {
+    if (this.pauses.size >= MOST_PAUSES) this.pauses.clear();
+    this.pauses.set(key, this.clock.monotonicMs() + ms);
+  }
+
+  private client(home: Member) {
+    return this.kernel.find('peers').client(home.peers);
+  }
+
+  private sender(): { vm: string; incarnation: string } {
+    const { vm, incarnation } = this.kernel.find('membership').self();
+    return { vm, incarnation };
+  }
+}
+
+function keyOf(home: Member, team = ''): string {
+  return `${home.vm}/${home.incarnation}/${team}`;
+}
--- /dev/null
+++ b/src/admission/shared-admission.ts
@@ -0,0 +1,300 @@
+import { randomUUID } from 'node:crypto';
+
+import { Refusal } from '../domain/refusal.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+import type { PeerHandlers } from '../peers/peers.js';
+import type { Settings } from '../settings/schema.js';
+import { AdmissionStatistics } from './admission-statistics.js';
+import { AdmissionTask } from './admission-task.js';
+import { Admission, type AdmissionRequest } from './admission.js';
+import { DeathReports } from './death-reports.js';
+import { FleetFacts } from './fleet-facts.js';
+import type { Grant } from './grant.js';
+import type { ShareGrant } from './home-shares.js';
+import { ShareTable } from './share-table.js';
+import { SharedGrant } from './shared-grant.js';
+import type { Admitted, DebitPart, WaitingRequest } from './waiting-request.js';
+
+/** How often gauges are sent and unused state is dropped. */
+const TICK_MS = 1000;
+
+/** Wait before a sender that has been removed could succeed. */
+const GONE_RETRY_MS = 1000;
+
+/** Codes that mean that a team wanted service and did not get it. */
+const UNSERVED = new Set<string>(['rate_exceeded', 'overloaded']);
+
+/** Admission whose team rates are shared by home VMs; see docs/design.md, section 6.1. */
+export class SharedAdmission extends Admission {
+  private readonly table: ShareTable;
+
+  private readonly task: AdmissionTask;
+
+  private readonly deaths: DeathReports;
+
+  private readonly facts: FleetFacts;
+
+  private readonly statistics = AdmissionStatistics.create();
+
+  private readonly ended = new AbortController();
+
+  private constructor(
+    private readonly kernel: Kernel,
+    settings: Pick<Settings, 'rates'>,
+    private readonly clock: Clock,
+  ) {
+    super();
+    this.table = ShareTable.create(settings.rates.homeCount);
+    this.task = AdmissionTask.create(kernel, clock, this.table);
+    this.deaths = DeathReports.create(kernel, clock);
+    this.facts = FleetFacts.create(kernel, clock, () => undefined);
+  }
+
+  /**
+   * Creates the service.
+   *
+   * @param kernel - finds the other services
+   * @param settings - number of homes of a team
+   * @param clock - source of time
+   * @returns a new service
+   */
+  static create(kernel: Kernel, settings: Pick<Settings, 'rates'>, clock: Clock): SharedAdmission {
+    return new SharedAdmission(kernel, settings, clock);
+  }
+
+  /** Number of teams that have a bucket on this VM. */
+  get buckets(): number {
+    return this.task.buckets;
+  }
+
+  override async start(): Promise<void> {
+    const membership = this.kernel.find('membership');
+    this.kernel.find('peers').handle(this.createHandlers());
+    this.task.run();
+    void membership.changes().forEach(() => this.task.send({ kind: 'facts-changed' }));
+    void membership.reincarnations().forEach(() => this.task.send({ kind: 'reset' }));
+    const configuration = this.kernel.find('configuration');
+    void configuration.changes().forEach(() => this.task.send({ kind: 'facts-changed' }));
+    void this.tick();
+    await Promise.resolve();
+  }
+
+  override async stop(): Promise<void> {
+    this.ended.abort();
+    this.task.send({ kind: 'stop' });
+    await Promise.resolve();
+  }
+
+  override async admit(request: AdmissionRequest): Promise<Outcome<Grant, Refusal>> {
+    const sinceMs = this.clock.monotonicMs();
+    const tokens = request.promptTokens + request.maxTokens;
+    const refusal = this.check(request, tokens);
+    const outcome = refusal ? fail(refusal) : await this.wait(request, tokens, sinceMs);
+    this.report(request, tokens, sinceMs, outcome);
+    if (outcome.kind === 'failed') return outcome;
+    return succeed(this.createGrant(request, outcome.value));
+  }
+
+  override homes(team: string): readonly string[] {
+    const epoch = this.kernel.find('membership').current();
+    return this.table.homes(team, epoch).map((home) => home.vm);
+  }
+
+  override reportDeath(server: string, fingerprints: readonly string[]): void {
+    this.deaths.add({ deathId: randomUUID(), server, fingerprints });
+  }
+
+  override capacityChanged(): void {
+    this.task.send({ kind: 'wake' });
+  }
+
+  /** Finds the reason to refuse a request without a wait, if there is one. */
+  private check(request: AdmissionRequest, tokens: number): Refusal | undefined {
+    if (request.signal.aborted) return Refusal.create('cancelled', 'the caller has gone');
+    if (!this.kernel.find('membership').leaseLive()) {
+      return Refusal.create('isolated', 'this VM has lost contact with the others');
+    }
+    const preset = this.facts.preset();
+    if (!preset) return Refusal.create('not_ready', 'the configuration has not been read yet');
+    if (preset.maintenance) return Refusal.create('maintenance', 'the system is under maintenance');
+    const retryAfterMs = this.deaths.remainingMs(request.fingerprint);
+    if (retryAfterMs !== undefined) {
+      const message = 'servers died while they ran this request';
+      return Refusal.create('quarantined', message, { retryAfterMs });
+    }
+    return this.checkSize(request.team, tokens);
+  }
+
+  private checkSize(team: string, tokens: number): Refusal | undefined {
+    const limits = this.facts.limitsOf(team);
+    if (!limits) return Refusal.create('key_unknown', 'the team of this key does not exist');
+    const homes = Math.max(1, this.homes(team).length);
+    const most = homes * Math.floor(limits.burst / homes);
+    if (tokens <= most) return undefined;
+    const message = `the request needs ${tokens} tokens, the team can use at most ${most} at once`;
+    return Refusal.create('prompt_exceeds_burst', message);
+  }
+
+  private wait(
+    request: AdmissionRequest,
+    tokens: number,
+    sinceMs: number,
+  ): Promise<Outcome<Admitted, Refusal>> {
+    const preset = this.facts.preset();
+    return this.enqueue(request.signal, {
+      requestId: request.requestId,
+      team: request.team,
+      weight: this.facts.team(request.team)?.weight ?? 1,
+      cost: tokens,
+      refundable: request.maxTokens,
+      dueMs: request.arrivedMs + (preset?.firstTokenMs ?? 0),
+      lane: request.model ?? '',
+      sinceMs,
+      deadlineMs: Math.max(sinceMs, request.arrivedMs + (preset?.queueMs ?? 0)),
+      waitsFor: 'capacity',
+      finished: false,
+    });
+  }
+
+  private enqueue(
+    signal: AbortSignal | undefined,
+    request: Omit<WaitingRequest, 'finish'>,
+  ): Promise<Outcome<Admitted, Refusal>> {
+    return new Promise((resolve) => {
+      const waiting: WaitingRequest = Object.assign(request, { finish: resolve });
+      const abandon = () => this.task.send({ kind: 'abandon', request: waiting });
+      signal?.addEventListener('abort', abandon, { once: true });
+      Object.assign(waiting, {
+        finish: (outcome: Outcome<Admitted, Refusal>) => {
+          signal?.removeEventListener('abort', abandon);
+          resolve(outcome);
+        },
+      });
+      this.task.send({ kind: 'wait', request: waiting });
+    });
+  }
+
+  private createGrant(request: AdmissionRequest, admitted: Admitted): Grant {
+    const { team } = request;
+    let refundable = request.maxTokens;
+    return SharedGrant.create(admitted, this.deaths.suspects(request.fingerprint), {
+      clock: this.clock,
+      leaseLive: () => this.kernel.find('membership').leaseLive(),
+      refund: (parts: readonly DebitPart[], unusedTokens: number) => {
+        this.task.send({ kind: 'settle', team, parts, unusedTokens, refundable });
+        refundable = 0;
+      },
+      debit: (tokens: number) => this.extend(request, tokens),
+    });
+  }
+
+  /** Debits more tokens for a request that runs; it goes before all waiting requests of its team. */
+  private extend(request: AdmissionRequest, tokens: number): Promise<Outcome<Admitted, Refusal>> {
+    const sinceMs = this.clock.monotonicMs();
+    const refusal = this.checkSize(request.team, tokens);
+    if (refusal) return Promise.resolve(fail(refusal));
+    return this.enqueue(undefined, {
+      requestId: request.requestId,
+      team: request.team,
+      weight: this.facts.team(request.team)?.weight ?? 1,
+      cost: tokens,
+      refundable: 0,
+      dueMs: -Infinity,
+      lane: '',
+      sinceMs,
+      deadlineMs: sinceMs + (this.facts.preset()?.queueMs ?? 0),
+      waitsFor: 'tokens',
+      finished: false,
+    });
+  }
+
+  private createHandlers(): PeerHandlers {
+    return {
+      debit: async (call) => {
+        const epoch = () => BigInt(this.kernel.find('membership').current().epoch);
+        if (!call.sender || (await this.kernel.find('membership').isGone(call.sender))) {
+          return { granted: 0n, retryAfterMs: GONE_RETRY_MS, epoch: epoch() };
+        }
+        const debit = { team: call.team, tokens: Number(call.tokens), debitId: call.debitId };
+        const grant = await this.task.ask<ShareGrant>((reply) => ({
+          kind: 'peer-debit',
+          debit,
+          reply,
+        }));
+        const { granted, retryAfterMs } = grant;
+        return { granted: BigInt(granted), retryAfterMs, epoch: epoch() };
+      },
+      refund: async (call) => {
+        const refund = { team: call.team, tokens: Number(call.tokens), debitId: call.debitId };
+        await this.task.ask<void>((reply) => ({ kind: 'peer-refund', refund, reply }));
+        return {};
+      },
+      reportDeaths: async (call) => {
+        const { sender } = call;
+        if (!sender || (await this.kernel.find('membership').isGone(sender))) return {};
+        call.deaths.forEach((death) => this.deaths.add(death));
+        return {};
+      },
+    };
+  }
+
+  private report(
+    request: AdmissionRequest,
+    tokens: number,
+    sinceMs: number,
+    outcome: Outcome<Admitted, Refusal>,
+  ): void {
+    const nowMs = this.clock.monotonicMs();
+    const code = outcome.kind === 'ok' ? 'admitted' : outcome.failure.code;
+    const metrics = this.kernel.find('metrics');
+    if (outcome.kind === 'ok') metrics.increment('admission.admitted');
+    else metrics.increment('admission.refused', { code });
+    metrics.timing('admission.wait', nowMs - sinceMs);
+    const served = outcome.kind === 'ok';
+    if (served || UNSERVED.has(code)) {
+      this.statistics.count(request.team, tokens, served, nowMs);
+    }
+    this.kernel.find('decisions').record({
+      requestId: request.requestId,
+      step: 'admission',
+      choice: outcome.kind === 'ok' ? 'admitted' : 'refused',
+      reason: outcome.kind === 'ok' ? 'the homes gave the tokens' : outcome.failure.message,
+      facts: { code, tokens, ...this.collectFacts(request, nowMs - sinceMs, outcome) },
+    });
+  }
+
+  private collectFacts(
+    request: AdmissionRequest,
+    waitedMs: number,
+    outcome: Outcome<Admitted, Refusal>,
+  ): Record<string, string | number | boolean> {
+    const limits = this.facts.limitsOf(request.team);
+    const parts = outcome.kind === 'ok' ? outcome.value.funding.parts : [];
+    return {
+      team: request.team,
+      model: request.model ?? '',
+      waitedMs: Math.round(waitedMs),
+      waiting: this.task.waiting,
+      rate: limits?.rate ?? 0,
+      burst: limits?.burst ?? 0,
+      homes: this.homes(request.team).join(' '),
+      parts: parts.map((part) => `${part.home.vm}=${part.granted}`).join(' '),
+      retryAfterMs: outcome.kind === 'failed' ? (outcome.failure.retryAfterMs ?? 0) : 0,
+    };
+  }
+
+  private async tick(): Promise<void> {
+    while (!this.ended.signal.aborted) {
+      this.task.send({ kind: 'tick' });
+      const metrics = this.kernel.find('metrics');
+      metrics.gauge('admission.queue_length', this.task.waiting);
+      metrics.gauge('admission.buckets', this.task.buckets);
+      const rateOf = (team: string) => this.facts.limitsOf(team)?.rate ?? 0;
+      const worst = this.statistics.findWorstServed(rateOf, this.clock.monotonicMs());
+      if (worst) metrics.gauge('admission.worst_served', worst.share, { team: worst.team });
+      await this.clock.sleep(TICK_MS, this.ended.signal);
+    }
+  }
+}
--- /dev/null
+++ b/src/admission/shared-grant.ts
@@ -0,0 +1,75 @@
+import type { Refusal } from '../domain/refusal.js';
+import type { Clock } from '../kernel/clock.js';
+import { succeed, type Outcome } from '../kernel/outcome.js';
+import { Grant } from './grant.js';
+import { DISPATCH_DELAY_MS } from './share-limits.js';
+import type { Admitted, DebitPart } from './waiting-request.js';
+
+/** What a grant needs from the module that made it. */
+export interface GrantHooks {
+  readonly clock: Clock;
+  readonly leaseLive: () => boolean;
+  /** Gives unused tokens back to the homes of the parts. */
+  readonly refund: (parts: readonly DebitPart[], unusedTokens: number) => void;
+  readonly debit: (tokens: number) => Promise<Outcome<Admitted, Refusal>>;
+}
+
+/** Tokens from the homes of a team. */
+export class SharedGrant extends Grant {
+  private readonly parts: DebitPart[];
+
+  private settled = false;
+
+  private constructor(
+    private readonly admitted: Admitted,
+    override readonly suspect: boolean,
+    private readonly hooks: GrantHooks,
+  ) {
+    super();
+    this.parts = [...admitted.funding.parts];
+  }
+
+  /**
+   * Creates a grant.
+   *
+   * @param admitted - the tokens and the turn
+   * @param suspect - true when the request must run alone among suspects
+   * @param hooks - what the grant needs from its maker
+   * @returns a new grant
+   */
+  static create(admitted: Admitted, suspect: boolean, hooks: GrantHooks): SharedGrant {
+    return new SharedGrant(admitted, suspect, hooks);
+  }
+
+  override get tokens(): number {
+    return this.parts.reduce((sum, part) => sum + part.granted, 0);
+  }
+
+  override sendable(): boolean {
+    const { startedMs, startedWallMs } = this.admitted.funding;
+    const elapsedMs = this.hooks.clock.monotonicMs() - startedMs;
+    // A paused process may have stopped one clock; a wall clock that was set back proves nothing.
+    const wallMs = Math.abs(this.hooks.clock.wallMs() - startedWallMs);
+    const recent = elapsedMs <= DISPATCH_DELAY_MS && wallMs <= DISPATCH_DELAY_MS;
+    if (this.settled || !recent || !this.hooks.leaseLive()) return false;
+    this.admitted.turn.close();
+    return true;
+  }
+
+  override async extend(tokens: number): Promise<Outcome<void, Refusal>> {
+    const outcome = await this.hooks.debit(tokens);
+    if (outcome.kind === 'failed') return outcome;
+    const { parts } = outcome.value.funding;
+    outcome.value.turn.close();
+    if (this.settled) this.hooks.refund(parts, tokens);
+    else this.parts.push(...parts);
+    return succeed(undefined);
+  }
+
+  override settle(usedTokens: number): void {
+    if (this.settled) return;
+    this.settled = true;
+    this.admitted.turn.close();
+    this.hooks.refund(this.parts, Math.max(0, this.tokens - usedTokens));
+  }
+}
