feat: assemble the daemon and show the whole path in a demo

Cause: the path from caller to servers and back must run as real processes before anything is measured on it. Change: cuminspard with ordered start and drain, a harness that starts stand-ins and daemons on loopback addresses of their own, and npm run demo with one request of each kind. Test fixtures for processes and relays move to harness/, which the demo and the bench share. Framing headers of a plain server's answer are no longer passed on: an answer with both Content-Length and Transfer-Encoding was rejected by callers.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,15 +30,23 @@
     },
   },
   {
-    files: ['demo/**', 'bench/**', 'src/cli/**', 'src/ctl.ts'],
-    rules: { 'no-console': 'off', 'n/no-process-exit': 'off' },
+    files: ['demo/**', 'bench/**', 'src/cli/**', 'src/ctl.ts', 'src/daemon.ts'],
+    rules: { 'no-console': 'off', 'n/no-process-exit': 'off', 'n/hashbang': 'off' },
   },
   {
     files: ['.ci/*.js', 'eslint.config.js'],
     rules: { 'n/no-sync': 'off', 'no-console': 'off' },
   },
   {
-    files: ['features/**', 'demo/**', 'bench/**', 'stand-ins/**', '.ci/*.js', 'eslint.config.js'],
+    files: [
+      'features/**',
+      'harness/**',
+      'demo/**',
+      'bench/**',
+      'stand-ins/**',
+      '.ci/*.js',
+      'eslint.config.js',
+    ],
     rules: { 'import-x/no-extraneous-dependencies': 'off' },
   },
 ];
--- a/features/steps/engine-stand-in-steps.ts
+++ b/features/steps/engine-stand-in-steps.ts
@@ -12,9 +12,9 @@
   type JsonAnswer,
   type ReadStream,
 } from '../support/engine-client.js';
-import type { FaultOrder } from '../support/recorder.js';
-import { launchStandIn, type LaunchedStandIn } from '../support/stand-in-launcher.js';
-import { waitFor } from '../support/wait-for.js';
+import type { FaultOrder } from '../../harness/recorder.js';
+import { launchStandIn, type LaunchedStandIn } from '../../harness/stand-in-launcher.js';
+import { waitFor } from '../../harness/wait-for.js';
 
 type EngineName = 'prefill' | 'decode';
 
--- a/features/steps/idempotency-steps.ts
+++ b/features/steps/idempotency-steps.ts
@@ -11,7 +11,7 @@
 import { ExecutionLedger } from '../../src/execution/execution-ledger.js';
 import type { ExecutionRecord } from '../../src/execution/execution-record.js';
 import { readIssueTime } from '../../src/execution/idempotency-key.js';
-import { createIdempotencyKey } from '../support/idempotency-key.js';
+import { createIdempotencyKey } from '../../harness/idempotency-key.js';
 import { ScheduledClock } from '../support/scheduled-clock.js';
 import { ScheduledLog, type LogFault } from '../support/scheduled-log.js';
 
--- a/features/steps/platform-steps.ts
+++ b/features/steps/platform-steps.ts
@@ -14,11 +14,11 @@
 import type { VmListing } from '../../src/platform/vm-list.js';
 import type { WeightFile } from '../../src/platform/weight-store.js';
 import { openFixedServer } from '../support/fixed-server.js';
-import { findFreePorts } from '../support/free-ports.js';
-import type { FaultOrder } from '../support/recorder.js';
-import { launchStandIn, type LaunchedStandIn } from '../support/stand-in-launcher.js';
-import { createTcpRelay, type TcpRelay } from '../support/tcp-relay.js';
-import { waitFor } from '../support/wait-for.js';
+import { findFreePorts } from '../../harness/free-ports.js';
+import type { FaultOrder } from '../../harness/recorder.js';
+import { launchStandIn, type LaunchedStandIn } from '../../harness/stand-in-launcher.js';
+import { createTcpRelay, type TcpRelay } from '../../harness/tcp-relay.js';
+import { waitFor } from '../../harness/wait-for.js';
 
 const TIMEOUT_MS = 400;
 const STREAM = 's';
--- a/features/steps/stand-ins-steps.ts
+++ b/features/steps/stand-ins-steps.ts
@@ -5,12 +5,12 @@
 import { request } from 'undici';
 
 import { callJson } from '../support/engine-client.js';
-import type { FaultOrder } from '../support/recorder.js';
+import type { FaultOrder } from '../../harness/recorder.js';
 import {
   launchStandIn,
   type LaunchedStandIn,
   type StandInName,
-} from '../support/stand-in-launcher.js';
+} from '../../harness/stand-in-launcher.js';
 
 /** Silence after which a call is counted as never answered. */
 const SILENCE_MS = 300;
--- a/features/support/configuration-fleet.ts
+++ b/features/support/configuration-fleet.ts
@@ -7,6 +7,7 @@
 import { SystemClock } from '../../src/kernel/system-clock.js';
 import { ConnectOperatorEntry } from '../../src/operators/connect-operator-entry.js';
 import type { PeerClient, PeerHandlers } from '../../src/peers/peers.js';
+import { RecordSources } from '../../src/peers/record-sources.js';
 import { createMember, createSettings, registerFake } from './configuration-fixtures.js';
 import { FakeLog } from './fake-log.js';
 import { LogView } from './log-view.js';
@@ -67,6 +68,7 @@
     const view = LogView.create(this.log);
     const node = { vm, kernel, configuration, handlers, address, view, operators: address };
     this.registerFakes(node);
+    kernel.register('record-sources', RecordSources.create(kernel));
     kernel.register('configuration', configuration);
     this.nodes.push(node);
     await kernel.start();
--- /dev/null
+++ b/harness/caller-client.ts
@@ -0,0 +1,213 @@
+import { request } from 'undici';
+
+import type { Address } from '../src/domain/vm.js';
+
+/** What a caller sees of an answer. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: Record<string, string | string[] | undefined>;
+  /** Text of a completion or body of a service answer. */
+  readonly text: string;
+  /** Code of a refusal, also of one that ends a stream. */
+  readonly code: string | undefined;
+  readonly run: string | undefined;
+  readonly requestId: string;
+  /** Tokens that were received. */
+  readonly tokens: number;
+  /** True when the answer came with its end. */
+  readonly whole: boolean;
+  /** Time to the first token, in milliseconds; undefined when there was none. */
+  readonly firstTokenMs: number | undefined;
+  /** Longest time between two tokens, in milliseconds. */
+  readonly longestGapMs: number;
+  readonly elapsedMs: number;
+}
+
+/** A request to a plain service. */
+export interface ServiceCall {
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  readonly path: string;
+  readonly key?: string;
+  readonly body?: string;
+  readonly idempotencyKey?: string;
+  readonly signal?: AbortSignal;
+}
+
+/** A completion request. */
+export interface CompletionCall {
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly key?: string;
+  readonly stream?: boolean;
+  readonly signal?: AbortSignal;
+  /** Called for each token of a stream. */
+  readonly onToken?: (count: number) => void;
+}
+
+interface Refused {
+  readonly error?: { readonly code?: string; readonly run?: string };
+}
+
+interface Chunk extends Refused {
+  readonly choices?: readonly { readonly text?: string; readonly finish_reason?: string | null }[];
+}
+
+/** Longest wait for the head of an answer and between its parts, in milliseconds. */
+const TIMEOUT_MS = 30_000;
+
+/**
+ * Calls a plain service through a daemon.
+ *
+ * @param address - the daemon's listener for callers
+ * @param call - the request
+ * @returns the answer; rejects when the connection breaks
+ */
+export async function callService(address: Address, call: ServiceCall): Promise<CallerAnswer> {
+  const startMs = performance.now();
+  const response = await request(`${baseUrl(address)}${call.path}`, {
+    method: call.method,
+    body: call.body,
+    signal: call.signal,
+    headersTimeout: TIMEOUT_MS,
+    bodyTimeout: TIMEOUT_MS,
+    reset: true,
+    headers: {
+      ...authorize(call.key),
+      ...(call.idempotencyKey ? { 'idempotency-key': call.idempotencyKey } : {}),
+    },
+  });
+  const text = await response.body.text();
+  return describe(response, text, startMs, { whole: true });
+}
+
+/**
+ * Asks for a completion through a daemon.
+ *
+ * @param address - the daemon's listener for callers
+ * @param call - the request
+ * @returns the answer; rejects when the connection breaks
+ */
+export async function callCompletion(
+  address: Address,
+  call: CompletionCall,
+): Promise<CallerAnswer> {
+  const startMs = performance.now();
+  const response = await request(`${baseUrl(address)}/v1/completions`, {
+    method: 'POST',
+    signal: call.signal,
+    headersTimeout: TIMEOUT_MS,
+    bodyTimeout: TIMEOUT_MS,
+    reset: true,
+    headers: { ...authorize(call.key), 'content-type': 'application/json' },
+    body: JSON.stringify({
+      model: call.model,
+      prompt: call.prompt,
+      max_tokens: call.maxTokens,
+      stream: call.stream ?? false,
+    }),
+  });
+  const streamed = String(response.headers['content-type']).startsWith('text/event-stream');
+  if (!streamed) {
+    const text = await response.body.text();
+    const completion = response.statusCode === 200 ? readCompletion(text) : text;
+    return describe(response, completion, startMs, { whole: response.statusCode === 200 });
+  }
+  return readStream(response, startMs, call.onToken);
+}
+
+type Response = Awaited<ReturnType<typeof request>>;
+
+/** What has been read of a stream. */
+interface StreamProgress {
+  text: string;
+  tokens: number;
+  whole: boolean;
+  firstTokenMs: number | undefined;
+  longestGapMs: number;
+  lastMs: number;
+  refused: Refused | undefined;
+}
+
+async function readStream(
+  response: Response,
+  startMs: number,
+  onToken: ((count: number) => void) | undefined,
+): Promise<CallerAnswer> {
+  const progress: StreamProgress = {
+    ...{ text: '', tokens: 0, whole: false, firstTokenMs: undefined, longestGapMs: 0, lastMs: 0 },
+    refused: undefined,
+  };
+  const readLine = (line: string) => {
+    const { tokens } = progress;
+    readData(progress, line.slice('data: '.length), startMs);
+    if (progress.tokens > tokens) onToken?.(progress.tokens);
+  };
+  let rest = '';
+  for await (const piece of response.body.setEncoding('utf8')) {
+    const lines = (rest + String(piece)).split('\n');
+    rest = lines.pop() ?? '';
+    lines.filter((line) => line.startsWith('data: ')).forEach(readLine);
+  }
+  const { text, tokens, whole, firstTokenMs, longestGapMs, refused } = progress;
+  return {
+    ...describe(response, text, startMs, { whole, refused }),
+    ...{ tokens, firstTokenMs, longestGapMs },
+  };
+}
+
+/** Takes in the data of one server-sent event. */
+function readData(progress: StreamProgress, data: string, startMs: number): void {
+  if (data === '[DONE]') {
+    Object.assign(progress, { whole: true });
+    return;
+  }
+  const chunk = JSON.parse(data) as Chunk;
+  const text = chunk.choices?.[0]?.text ?? '';
+  if (chunk.error) Object.assign(progress, { refused: chunk });
+  if (text === '') return;
+  const nowMs = performance.now();
+  const gapMs = progress.tokens === 0 ? 0 : nowMs - progress.lastMs;
+  Object.assign(progress, {
+    text: progress.text + text,
+    tokens: progress.tokens + 1,
+    firstTokenMs: progress.firstTokenMs ?? nowMs - startMs,
+    longestGapMs: Math.max(progress.longestGapMs, gapMs),
+    lastMs: nowMs,
+  });
+}
+
+function describe(
+  response: Response,
+  text: string,
+  startMs: number,
+  end: { whole: boolean; refused?: Refused | undefined },
+): CallerAnswer {
+  const run = response.headers['x-cuminspar-run'];
+  const refused = end.refused ?? (run === undefined ? undefined : (JSON.parse(text) as Refused));
+  return {
+    status: response.statusCode,
+    headers: response.headers,
+    text,
+    code: refused?.error?.code,
+    run: refused?.error?.run,
+    requestId: String(response.headers['x-request-id'] ?? ''),
+    tokens: 0,
+    whole: end.whole,
+    firstTokenMs: undefined,
+    longestGapMs: 0,
+    elapsedMs: performance.now() - startMs,
+  };
+}
+
+function readCompletion(text: string): string {
+  return (JSON.parse(text) as Chunk).choices?.[0]?.text ?? '';
+}
+
+function authorize(key: string | undefined): Record<string, string> {
+  return key ? { authorization: `Bearer ${key}` } : {};
+}
+
+function baseUrl(address: Address): string {
+  return `http://${address.host}:${address.port}`;
+}
--- /dev/null
+++ b/harness/fleet.ts
@@ -0,0 +1,244 @@
+import { createHash } from 'node:crypto';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { request } from 'undici';
+
+import { createKey } from '../src/configuration/keys.js';
+import type { Address } from '../src/domain/vm.js';
+import { findFreePorts } from './free-ports.js';
+import { createOperatorClient, type OperatorClient } from './operator-client.js';
+import { launchProcess, type LaunchedProcess } from './process-launcher.js';
+import { launchStandIn, type LaunchedStandIn } from './stand-in-launcher.js';
+import { waitFor } from './wait-for.js';
+
+/** Operator token of every fleet that is started here. */
+export const OPERATOR_TOKEN = 'operator-token-of-the-test-fleet';
+
+/** A change of the configuration as JSON. */
+export type JsonChange = Readonly<Record<string, unknown>>;
+
+/** An engine or plain server that a fleet starts. */
+export interface ServerPlan {
+  readonly name: string;
+  readonly availabilityZone: string;
+  /** Options of the stand-in besides its ports. */
+  readonly args?: readonly string[];
+  /** Fields of the server in the configuration, besides name, address and zone. */
+  readonly fields: JsonChange;
+}
+
+/** What a fleet consists of. */
+export interface FleetPlan {
+  readonly region: string;
+  readonly zones: readonly string[];
+  /** Number of daemons; they are spread over the zones. */
+  readonly daemons: number;
+  readonly servers: readonly ServerPlan[];
+  /** Changes besides the servers, which are added with their real addresses. */
+  readonly changes: readonly JsonChange[];
+  /** Options of the log service. */
+  readonly logArgs?: readonly string[];
+  /** Top-level fields of each daemon's settings that replace the usual ones. */
+  readonly settings?: JsonChange;
+}
+
+/** A daemon of a fleet. */
+export interface FleetDaemon {
+  readonly name: string;
+  readonly settingsFile: string;
+  readonly callers: Address;
+  readonly operators: Address;
+  process: LaunchedProcess;
+}
+
+/** A running fleet. */
+export interface Fleet {
+  readonly log: LaunchedStandIn;
+  readonly vmList: LaunchedStandIn;
+  readonly servers: ReadonlyMap<string, LaunchedStandIn>;
+  readonly daemons: FleetDaemon[];
+  /** Starts one more daemon, without waiting until it is ready for callers. */
+  readonly addDaemon: () => Promise<FleetDaemon>;
+  /** Starts a daemon that has ended again, with the same settings. */
+  readonly restartDaemon: (daemon: FleetDaemon) => Promise<void>;
+  /** Creates a client of a daemon's operator listener. */
+  readonly operator: (daemon: FleetDaemon) => OperatorClient;
+  /** Applies changes through a daemon, one after another; each must be accepted. */
+  readonly apply: (changes: readonly JsonChange[], daemon?: FleetDaemon) => Promise<number>;
+  /** Gives a team a new key and returns its text. */
+  readonly giveKey: (team: string) => Promise<{ keyId: string; text: string }>;
+  /** Waits until a daemon serves callers. */
+  readonly waitReady: (daemon: FleetDaemon) => Promise<void>;
+  readonly stop: () => Promise<void>;
+}
+
+/** Values of the second and third part of a loopback IP number that tell runs apart. */
+const RUNS_A = 250;
+const RUNS_B = 250;
+
+/**
+ * Chooses an IP number of its own for each daemon. Listening ports on it do not collide with the
+ * ports of outgoing connections, which use 127.0.0.1, nor with another run on the same machine.
+ */
+function chooseHost(index: number): string {
+  const run = process.pid % (RUNS_A * RUNS_B);
+  return `127.${1 + (run % RUNS_A)}.${Math.floor(run / RUNS_A)}.${index + 1}`;
+}
+
+const PORTS_OF_A_DAEMON = 3;
+
+/**
+ * Starts stand-ins and daemons, each a process of its own, and applies the configuration.
+ *
+ * @param plan - what the fleet consists of
+ * @returns the fleet, whose daemons serve callers
+ */
+export async function startFleet(plan: FleetPlan): Promise<Fleet> {
+  const directory = await mkdtemp(join(tmpdir(), 'cuminspar-'));
+  const [log, vmList, ...servers] = await Promise.all([
+    launchStandIn('log-service', plan.logArgs),
+    launchStandIn('vm-list'),
+    ...plan.servers.map((server) => launchServer(server)),
+  ]);
+  const daemons: FleetDaemon[] = [];
+  const clients = new Map<FleetDaemon, OperatorClient>();
+  const operator = (daemon: FleetDaemon) => {
+    const client = clients.get(daemon) ?? createOperatorClient(daemon.operators, OPERATOR_TOKEN);
+    clients.set(daemon, client);
+    return client;
+  };
+  let launched = 0;
+  const addDaemon = async () => {
+    launched += 1;
+    const index = launched - 1;
+    const platform = { log: { urls: [log.url] }, vmList: { url: vmList.url } };
+    const daemon = await launchDaemon(plan, index, directory, platform);
+    daemons.push(daemon);
+    return daemon;
+  };
+  const apply = async (changes: readonly JsonChange[], daemon = daemons[0]) => {
+    if (!daemon) throw new Error('the fleet has no daemon');
+    return applyChanges(operator(daemon), changes);
+  };
+  const fleet: Fleet = {
+    ...{ log, vmList, daemons, operator, addDaemon, apply, waitReady },
+    servers: new Map(plan.servers.map(({ name }, index) => [name, pick(servers, index)])),
+    restartDaemon: async (daemon) => {
+      Object.assign(daemon, { process: await runDaemon(daemon.settingsFile) });
+    },
+    giveKey: async (team) => {
+      const { keyId, text, secretHash } = createKey();
+      await apply([{ kind: 'give-key', key: { keyId, team, secretHash } }]);
+      return { keyId, text };
+    },
+    stop: async () => {
+      clients.forEach((client) => client.close());
+      const all = [...daemons.map((daemon) => daemon.process), log.process, vmList.process];
+      await Promise.all([...all, ...servers.map((server) => server.process)].map(endProcess));
+      await rm(directory, { recursive: true, force: true });
+    },
+  };
+  await Promise.all(Array.from({ length: plan.daemons }, addDaemon));
+  const version = await apply([...plan.changes, ...describeServers(plan.servers, servers)]);
+  await Promise.all(daemons.map((daemon) => waitForVersion(operator(daemon), version)));
+  await Promise.all(daemons.map(waitReady));
+  return fleet;
+}
+
+async function launchServer(server: ServerPlan): Promise<LaunchedStandIn> {
+  const name = server.fields.kind === 'engine' ? 'model-engine' : 'plain-service';
+  return launchStandIn(name, server.args);
+}
+
+function describeServers(
+  plans: readonly ServerPlan[],
+  servers: readonly LaunchedStandIn[],
+): JsonChange[] {
+  return plans.map(({ name, availabilityZone, fields }, index) => {
+    const [host, port] = pick(servers, index).address.split(':');
+    const address = { host, port: Number(port) };
+    return { kind: 'put-server', server: { ...fields, name, availabilityZone, address } };
+  });
+}
+
+async function launchDaemon(
+  plan: FleetPlan,
+  index: number,
+  directory: string,
+  platform: JsonChange,
+): Promise<FleetDaemon> {
+  const name = `vm-${index + 1}`;
+  const host = chooseHost(index);
+  const ports = await findFreePorts(PORTS_OF_A_DAEMON, host);
+  const [callers, peers, operators] = ports.map((port) => ({ host, port }));
+  if (!callers || !peers || !operators) throw new Error('no free ports');
+  const tokenSha256 = createHash('sha256').update(OPERATOR_TOKEN).digest('hex');
+  const settings = {
+    vm: { name, region: plan.region, availabilityZone: plan.zones[index % plan.zones.length] },
+    ...{ callers, peers, operators: { ...operators, tokenSha256 }, platform },
+    traces: { file: join(directory, `${name}.spans`) },
+    ...plan.settings,
+  };
+  const settingsFile = join(directory, `${name}.json`);
+  await writeFile(settingsFile, JSON.stringify(settings));
+  return { name, settingsFile, callers, operators, process: await runDaemon(settingsFile) };
+}
+
+function runDaemon(settingsFile: string): Promise<LaunchedProcess> {
+  return launchProcess('src/daemon', {
+    args: ['--settings', settingsFile],
+    isReady: (line) => line.message === 'ready',
+  });
+}
+
+async function applyChanges(
+  client: OperatorClient,
+  changes: readonly JsonChange[],
+): Promise<number> {
+  let version = 0;
+  for (const change of changes) {
+    const answer = await client.calls.change({
+      changeJson: JSON.stringify(change),
+      base: -1n,
+      operator: 'harness',
+    });
+    if (answer.verdict !== 'accepted') {
+      throw new Error(`${JSON.stringify(change)}: ${answer.verdict}, ${answer.reason}`);
+    }
+    version = Number(answer.version);
+  }
+  return version;
+}
+
+async function waitForVersion(client: OperatorClient, version: number): Promise<void> {
+  await waitFor(`configuration version ${version}`, async () => {
+    const shown = await client.calls.showConfiguration({});
+    return Number(shown.version) >= version;
+  });
+}
+
+async function waitReady(daemon: FleetDaemon): Promise<void> {
+  const { host, port } = daemon.callers;
+  await waitFor(
+    `${daemon.name} to be ready`,
+    async () => {
+      const response = await request(`http://${host}:${port}/readyz`, { reset: true });
+      const text = await response.body.text();
+      if (response.statusCode === 200) return true;
+      throw new Error(text);
+    },
+    { deadlineMs: 15_000 },
+  );
+}
+
+async function endProcess(launched: LaunchedProcess): Promise<void> {
+  await launched.kill();
+}
+
+function pick<Item>(items: readonly Item[], index: number): Item {
+  const item = items[index];
+  if (item === undefined) throw new Error(`no item ${index}`);
+  return item;
+}
--- a/features/support/process-launcher.ts
+++ b/harness/process-launcher.ts
@@ -2,8 +2,6 @@
 import { once } from 'node:events';
 import { access } from 'node:fs/promises';
 
-import { After } from '@cucumber/cucumber';
-
 import { waitFor } from './wait-for.js';
 
 /** The JSON line that a process prints when it can be used. */
@@ -147,7 +145,5 @@
   }
 }
 
-After(endLaunchedProcesses);
-
 // A run that ends early, for example by an exception outside a scenario, leaves no process behind.
 process.once('exit', () => running.forEach((child) => child.kill('SIGKILL')));
--- a/features/support/tcp-relay.ts
+++ b/harness/tcp-relay.ts
@@ -1,9 +1,7 @@
 import { createServer, connect, type AddressInfo, type Server, type Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { After } from '@cucumber/cucumber';
-
-import type { Address } from '../../src/domain/vm.js';
+import type { Address } from '../src/domain/vm.js';
 
 /** Direction of bytes through a relay. */
 export type Direction = 'to-target' | 'to-client';
@@ -91,6 +89,15 @@
   return relay;
 }
 
+/**
+ * Closes every relay that is open.
+ *
+ * @returns a promise that resolves when all are closed
+ */
+export async function closeRelays(): Promise<void> {
+  await Promise.all([...relays].map((relay) => relay.close()));
+}
+
 function healthyDelays(): Record<Direction, number> {
   return { 'to-target': 0, 'to-client': 0 };
 }
@@ -149,7 +156,3 @@
   const isHeld = () => !to.destroyed && (pair.forGood || weather.state === 'silent');
   while (isHeld()) await delay(SILENT_CHECK_MS);
 }
-
-After(async () => {
-  await Promise.all([...relays].map((relay) => relay.close()));
-});
--- /dev/null
+++ b/src/assembly.ts
@@ -0,0 +1,57 @@
+import { SharedAdmission } from './admission/shared-admission.js';
+import { HttpBackends } from './backends/http-backends.js';
+import { HttpCallerEntry } from './callers/http-caller-entry.js';
+import { FoldedConfiguration } from './configuration/folded-configuration.js';
+import { ObservingHoldReaper } from './execution/observing-hold-reaper.js';
+import { PhasedModelExecution } from './execution/phased-model-execution.js';
+import { RoutedServiceExecution } from './execution/routed-service-execution.js';
+import type { Clock } from './kernel/clock.js';
+import type { Kernel } from './kernel/kernel.js';
+import { WitnessedMembership } from './membership/witnessed-membership.js';
+import { JsonLogs } from './observability/json-logs.js';
+import { OtelTraces } from './observability/otel-traces.js';
+import { RingDecisions } from './observability/ring-decisions.js';
+import { StatsdMetrics } from './observability/statsd-metrics.js';
+import { ConnectOperatorEntry } from './operators/connect-operator-entry.js';
+import { ConnectPeers } from './peers/connect-peers.js';
+import { RecordSources } from './peers/record-sources.js';
+import { HttpLogService } from './platform/http-log-service.js';
+import { HttpVmList } from './platform/http-vm-list.js';
+import { SubsetRouting } from './routing/subset-routing.js';
+import type { Settings } from './settings/schema.js';
+
+/** Longest wait for the list, in milliseconds; an older list is used meanwhile. */
+const VM_LIST_TIMEOUT_MS = 2000;
+
+/**
+ * Registers the services of a daemon. They start in this order and stop in reverse, so that callers
+ * are served last and are the first to be drained.
+ *
+ * @param kernel - an empty kernel
+ * @param settings - the daemon's settings
+ * @param clock - time for all services
+ */
+export function assembleDaemon(kernel: Kernel, settings: Settings, clock: Clock): void {
+  const { vm, platform, statsd, logs, traces } = settings;
+  kernel.register('logs', JsonLogs.create(logs.level, vm.name));
+  kernel.register('metrics', StatsdMetrics.create(statsd, { vm: vm.name }));
+  kernel.register('traces', OtelTraces.create(vm.name, traces.file));
+  kernel.register('log', HttpLogService.create(platform.log));
+  kernel.register(
+    'vm-list',
+    HttpVmList.create({ timeoutMs: VM_LIST_TIMEOUT_MS, ...platform.vmList }, clock),
+  );
+  kernel.register('peers', ConnectPeers.create(kernel, settings));
+  kernel.register('record-sources', RecordSources.create(kernel));
+  kernel.register('decisions', RingDecisions.create(kernel, settings, clock));
+  kernel.register('configuration', FoldedConfiguration.create(kernel, settings, clock));
+  kernel.register('membership', WitnessedMembership.create(kernel, settings, clock));
+  kernel.register('admission', SharedAdmission.create(kernel, settings, clock));
+  kernel.register('backends', HttpBackends.create(kernel, settings));
+  kernel.register('routing', SubsetRouting.create(kernel, settings, clock));
+  kernel.register('model-execution', PhasedModelExecution.create(kernel, settings, clock));
+  kernel.register('service-execution', RoutedServiceExecution.create(kernel, settings, clock));
+  kernel.register('holds', ObservingHoldReaper.create(kernel, clock));
+  kernel.register('operators', ConnectOperatorEntry.create(kernel, settings, clock));
+  kernel.register('callers', HttpCallerEntry.create(kernel, settings, clock));
+}
--- a/src/backends/http-plain-service.ts
+++ b/src/backends/http-plain-service.ts
@@ -66,7 +66,8 @@
     if (body.kind === 'failed') return fail(this.note(body.failure));
     const draining = answer.headers['x-draining'] === '1';
     if (draining) this.listener.draining();
-    return succeed({ status: answer.status, headers: answer.headers, body: body.value, draining });
+    const headers = selectHeaders(answer.headers);
+    return succeed({ status: answer.status, headers, body: body.value, draining });
   }
 
   private note(failure: ExchangeFailure): PlainFailure {
@@ -75,7 +76,7 @@
   }
 }
 
-// The connection sets its own framing headers; the key must never reach a server.
+// Framing headers belong to one connection, and the key must never reach a server.
 const DROPPED_HEADERS = new Set([
   'authorization',
   'connection',
--- a/src/configuration/folded-configuration.ts
+++ b/src/configuration/folded-configuration.ts
@@ -21,7 +21,6 @@
 import { LogFollower } from './log-follower.js';
 import { type Peer, PeerSource } from './peer-source.js';
 import { SnapshotWriter } from './snapshot-writer.js';
-import { CONFIGURATION_STREAM } from './stream-name.js';
 import { WithdrawalSpreader } from './withdrawal-spreader.js';
 import { WithdrawnKeys } from './withdrawn-keys.js';
 
@@ -179,23 +178,6 @@
 
   private createHandlers(): PeerHandlers {
     return {
-      fetchRecords: (request) => {
-        if (request.stream !== CONFIGURATION_STREAM) return { records: [] };
-        const records = this.records(Number(request.fromOffset), request.limit);
-        return {
-          records: records.map((record) => ({
-            offset: BigInt(record.offset),
-            timestampMs: BigInt(Math.trunc(record.timestampMs)),
-            data: record.data,
-          })),
-        };
-      },
-      fetchSnapshot: (request) => {
-        const snapshot = request.stream === CONFIGURATION_STREAM ? this.snapshot() : undefined;
-        if (!snapshot) return { available: false };
-        const { offset, stateJson } = snapshot;
-        return { available: true, offset: BigInt(offset), stateJson };
-      },
       withdrawKeys: (request) => {
         const fresh = this.withdrawnKeys.add(request.keyIds, `vm/${request.sender?.vm ?? 'peer'}`);
         this.spreader.spread(fresh, false);
--- /dev/null
+++ b/src/daemon.ts
@@ -0,0 +1,66 @@
+#!/usr/bin/env node
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+
+import { assembleDaemon } from './assembly.js';
+import { Kernel } from './kernel/kernel.js';
+import { SystemClock } from './kernel/system-clock.js';
+import { loadSettings } from './settings/load.js';
+import type { Settings } from './settings/schema.js';
+
+const EXIT_SETTINGS = 2;
+const EXIT_FORCED = 1;
+
+const options = await yargs(hideBin(process.argv))
+  .scriptName('cuminspard')
+  .usage('$0 --settings FILE\n\nRoutes requests of several teams to prefill and decode pools.')
+  .option('settings', {
+    type: 'string',
+    demandOption: true,
+    describe: 'JSON file with addresses, availability zone, platform and limits of this VM',
+  })
+  .example('$0 --settings examples/savannah-stripe/settings.json', 'start the daemon of one VM')
+  .epilogue(
+    'Signals: SIGTERM or SIGINT finishes requests and exits with 0; a second one exits with 1.\n' +
+      'Exit codes: 0 shut down, 1 forced or failed, 2 settings are wrong.',
+  )
+  .strict()
+  .parse();
+
+const loaded = await loadSettings(options.settings);
+if (loaded.kind === 'failed') {
+  process.stderr.write(`${loaded.failure.message}\n`);
+  process.exit(EXIT_SETTINGS);
+}
+await runDaemon(loaded.value);
+
+async function runDaemon(settings: Settings): Promise<void> {
+  const kernel = Kernel.create();
+  assembleDaemon(kernel, settings, SystemClock.create());
+  const logs = kernel.find('logs');
+  let stopping = false;
+  const stop = async (signal: string) => {
+    if (stopping) process.exit(EXIT_FORCED);
+    stopping = true;
+    logs.info('shutting down', { signal });
+    kernel.find('membership').drain();
+    await kernel.stop();
+    logs.info('stopped');
+    process.exit(0);
+  };
+  const onSignal = (signal: string) => {
+    void stop(signal);
+  };
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
+  process.on('uncaughtException', (error) => {
+    logs.error('broken invariant', { error: error.message, stack: error.stack });
+    process.exit(EXIT_FORCED);
+  });
+  await kernel.start();
+  logs.info('ready', {
+    callers: `${settings.callers.host}:${settings.callers.port}`,
+    peers: `${settings.peers.host}:${settings.peers.port}`,
+    operators: `${settings.operators.host}:${settings.operators.port}`,
+  });
+}
