test: cover healed networks and restarted processes

Cause: healing a relay and restarting a process on its port were used by no scenario, and engine scenarios started engines that were replaced at once. Change: scenarios for both; engines start together and only with their last options, through a hook that is limited to the engine's feature.

--- a/features/platform/platform-adapters.feature
+++ b/features/platform/platform-adapters.feature
@@ -67,6 +67,29 @@
       | state   |
       | silent  |
       | one-way |
+      | cut     |
+
+  Scenario Outline: the adapter works again when a <state> network has healed
+    Given the platform log runs with "" behind a relay
+    When the platform adapter appends "a"
+    And the platform relay becomes <state>
+    And the platform adapter appends "b"
+    And the platform relay becomes healthy
+    Then the platform log holds "<stored>" in the end
+    When the platform adapter appends "c"
+    Then the platform adapter got the offset <offset>
+
+    Examples:
+      | state  | stored | offset |
+      | silent | a, b   | 3      |
+      | cut    | a      | 2      |
+
+  Scenario: the adapter reaches a log that was restarted on its port
+    Given the platform log runs with ""
+    When the platform adapter appends "a"
+    And the platform log is restarted
+    And the platform adapter appends "b"
+    Then the platform adapter got the offset 1
 
   Scenario: an open connection that went silent is not used again
     Given the platform log runs with "" behind a relay
--- a/features/stand-ins/model-engine.feature
+++ b/features/stand-ins/model-engine.feature
@@ -1,3 +1,4 @@
+@engine-stand-in
 Feature: Model engine stand-in
 
   Background:
--- a/features/steps/engine-stand-in-steps.ts
+++ b/features/steps/engine-stand-in-steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { Given, Then, When } from '@cucumber/cucumber';
+import { BeforeStep, Given, Then, When } from '@cucumber/cucumber';
 
 import { computeAnswer } from '../../stand-ins/answer-text.js';
 import {
@@ -25,6 +25,8 @@
 }
 
 interface EngineWorld {
+  /** Options of engines that have not been started. */
+  engineOptions: Partial<Record<EngineName, string>> | undefined;
   engines: Record<EngineName, LaunchedStandIn>;
   engineAnswers: JsonAnswer[];
   decodings: Record<string, Decoding>;
@@ -125,13 +127,29 @@
   return attempts.find((attempt) => attempt.attemptId === attemptId);
 }
 
+async function startEngines(world: EngineWorld): Promise<void> {
+  const entries = Object.entries(world.engineOptions ?? {});
+  Object.assign(world, { engineOptions: undefined });
+  const started = await Promise.all(
+    entries.map(
+      async ([name, options]) =>
+        [name, await launchStandIn('model-engine', options.split(' '))] as const,
+    ),
+  );
+  Object.assign(world, { engines: { ...world.engines, ...Object.fromEntries(started) } });
+}
+
+// Engines start together, and only with their last options, because each start takes 0.4 s.
+BeforeStep({ tags: '@engine-stand-in' }, async function before(this: EngineWorld, { pickleStep }) {
+  if (!pickleStep.text.includes(' engine runs with ')) await startEngines(this);
+});
+
 Given(
   'the {word} engine runs with {string}',
-  async function given(this: EngineWorld, name: string, options: string) {
-    this.engines ??= {} as EngineWorld['engines'];
+  function given(this: EngineWorld, name: string, options: string) {
     this.engineAnswers = [];
     this.decodings = {};
-    this.engines[name as EngineName] = await launchStandIn('model-engine', options.split(' '));
+    this.engineOptions = { ...this.engineOptions, [name]: options };
   },
 );
 
--- a/features/steps/platform-steps.ts
+++ b/features/steps/platform-steps.ts
@@ -166,6 +166,10 @@
   },
 );
 
+When('the platform log is restarted', async function when(this: PlatformWorld) {
+  this.platformLog = await this.platformLog.restart();
+});
+
 When('the platform log is killed', async function when(this: PlatformWorld) {
   await this.platformLog.process.kill();
 });
@@ -182,8 +186,10 @@
 When('the platform relay becomes {word}', async function when(this: PlatformWorld, state: string) {
   // undici offers a connection for reuse only after the turn in which its last answer ended.
   await delay(50);
-  assert.equal(this.platformRelay.countOpen(), 1);
+  if (state !== 'healthy') assert.equal(this.platformRelay.countOpen(), 1);
   const relay = this.platformRelay;
+  if (state === 'healthy') relay.heal();
+  if (state === 'cut') relay.cut();
   if (state === 'silent') relay.silence();
   if (state === 'silent-open') relay.silenceOpen();
   if (state === 'one-way') relay.delay('to-client', 2 * TIMEOUT_MS);
