--- a/features/configuration/folded-configuration.feature
+++ b/features/configuration/folded-configuration.feature
@@ -90,6 +90,15 @@
     When the configuration log is back
     Then the configuration log holds the withdrawal of "k001"
 
+  Scenario: a daemon that starts in an outage knows the withdrawals that are not logged yet
+    Given configuration daemons "a"
+    And the configuration key "k001" of the team "oval"
+    When the configuration log has the fault "outage"
+    And the key "k001" is withdrawn through configuration daemon "a"
+    And configuration daemon "b" starts
+    Then the configuration daemons "b" know the team "oval"
+    And configuration daemon "b" refuses the key "k001" at once with "key_withdrawn"
+
   Scenario: a withdrawal that a peer missed is repeated when its digest differs
     Given configuration daemons "a, b"
     And the configuration key "k001" of the team "oval"
--- a/features/operators/operators.feature
+++ b/features/operators/operators.feature
@@ -29,6 +29,8 @@
       | settings check examples/nicovale/configuration.json | 4 | (file)                  |
       | teem list                                    | 2    | teem                        |
       | team put oval-crew                           | 2    | rate                        |
+      | apply examples/nicovale/configuration.json --base 3 | 2 | --base goes with a file of one change |
+      | preset create peak --rate-factor 0.5         | 0    | accepted                    |
       | team list --daemon nowhere                   | 2    | host:port                   |
       | team list --daemon 127.0.0.1:1               | 5    | cannot be reached           |
       | --help                                       | 0    | not in force on every member |
--- a/src/cli/file-commands.ts
+++ b/src/cli/file-commands.ts
@@ -1,12 +1,19 @@
 import { subjectOf } from '../configuration/change.js';
 import { loadChanges } from '../configuration/load-changes.js';
 import { loadSettings } from '../settings/load.js';
-import type { Command } from './command.js';
-import { EXIT_CODE, exitCodeOf } from './exit-code.js';
+import type { FileFailure } from '../settings/file-failure.js';
+import type { Command, CommandContext } from './command.js';
+import { EXIT_CODE, type ExitCode, exitCodeOf } from './exit-code.js';
 import { sendChange, type SentChange } from './send-change.js';
 
 const FILE = { file: 'path of the JSON file' };
 
+function printFaults(context: CommandContext, { faults }: FileFailure): ExitCode {
+  const rows = faults.map((fault) => ({ ...fault }));
+  context.print(rows, { faults });
+  return EXIT_CODE.invalid;
+}
+
 /** Commands that read files. */
 export const FILE_COMMANDS: readonly Command[] = [
   {
@@ -20,12 +27,7 @@
         context.print([{ file: args.text('file'), faults: 0 }], { faults: [] });
         return EXIT_CODE.done;
       }
-      const { faults } = loaded.failure;
-      context.print(
-        faults.map((fault) => ({ ...fault })),
-        { faults },
-      );
-      return EXIT_CODE.invalid;
+      return printFaults(context, loaded.failure);
     },
   },
   {
@@ -35,13 +37,10 @@
     positionals: FILE,
     run: async (context, args) => {
       const loaded = await loadChanges(args.text('file'));
-      if (loaded.kind === 'failed') {
-        const { faults } = loaded.failure;
-        context.print(
-          faults.map((fault) => ({ ...fault })),
-          { faults },
-        );
-        return EXIT_CODE.invalid;
+      if (loaded.kind === 'failed') return printFaults(context, loaded.failure);
+      if (context.base !== undefined && loaded.value.length !== 1) {
+        console.error('--base goes with a file of one change: each subject has its own version');
+        return EXIT_CODE.usage;
       }
       const sent: SentChange[] = [];
       for (const change of loaded.value) {
--- a/src/cli/preset-commands.ts
+++ b/src/cli/preset-commands.ts
@@ -10,14 +10,14 @@
   {
     words: 'preset create <name>',
     describe: 'create a preset or replace its values; it is not in force until switched to',
-    example: 'preset create peak --rateFactor 0.8 --queueMs 500',
+    example: 'preset create peak --rate-factor 0.8 --queue-ms 500',
     positionals: NAME,
     options: {
-      rateFactor: { type: 'number', describe: 'multiplies every rate and burst' },
-      queueMs: { type: 'number', describe: 'longest wait before a refusal, in ms' },
-      firstTokenMs: { type: 'number', describe: 'target for the first token, in ms' },
-      betweenTokensMs: { type: 'number', describe: 'target between two tokens, in ms' },
-      affinityTokens: {
+      'rate-factor': { type: 'number', describe: 'multiplies every rate and burst' },
+      'queue-ms': { type: 'number', describe: 'longest wait before a refusal, in ms' },
+      'first-token-ms': { type: 'number', describe: 'target for the first token, in ms' },
+      'between-tokens-ms': { type: 'number', describe: 'target between two tokens, in ms' },
+      'affinity-tokens': {
         type: 'number',
         describe: 'tokens by which a cached prefix outweighs load',
       },
--- a/src/configuration/log-follower.ts
+++ b/src/configuration/log-follower.ts
@@ -3,6 +3,7 @@
 import type { Outcome } from '../kernel/outcome.js';
 import type { LogFailure } from '../platform/log-failure.js';
 import type { LogPage, LogRecord } from '../platform/log-service.js';
+import { BackgroundLoop } from './background-loop.js';
 import { Backoff } from './backoff.js';
 import type { FoldTask } from './fold-task.js';
 import type { FetchScope, PeerSource } from './peer-source.js';
@@ -18,15 +19,11 @@
 const MOST_SEARCHED = 200_000;
 
 /** Reads the configuration stream by long poll and falls back to peers when the log fails. */
-export class LogFollower {
-  private readonly stopping = new AbortController();
-
+export class LogFollower extends BackgroundLoop {
   private pause = new AbortController();
 
   private readonly backoff: Backoff;
 
-  private running: Promise<void> = Promise.resolve();
-
   private constructor(
     private readonly kernel: Kernel,
     private readonly clock: Clock,
@@ -34,6 +31,7 @@
     private readonly source: PeerSource,
     private readonly withdrawn: WithdrawnKeys,
   ) {
+    super();
     this.backoff = Backoff.create(clock, 200, 2000);
   }
 
@@ -57,53 +55,37 @@
     return new LogFollower(kernel, clock, task, source, withdrawn);
   }
 
-  /** Starts the loop. */
-  start(): void {
-    this.running = this.follow();
-  }
-
-  /**
-   * Ends the loop.
-   *
-   * @returns a promise that resolves when the loop has ended
-   */
-  async stop(): Promise<void> {
-    this.stopping.abort();
-    this.pause.abort();
-    await this.running;
-  }
-
   /** Ends the present wait between two attempts. */
   wake(): void {
     this.pause.abort();
   }
 
-  private async follow(): Promise<void> {
-    while (!this.stopping.signal.aborted) await this.step();
+  protected override async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) await this.step(signal);
   }
 
-  private async step(): Promise<void> {
+  private async step(signal: AbortSignal): Promise<void> {
     const from = this.task.version + 1;
-    const page = await this.read(from, this.task.state ? POLL_MS : 0);
-    if (this.stopping.signal.aborted) return;
+    const page = await this.read(from, this.task.state ? POLL_MS : 0, signal);
+    if (signal.aborted) return;
     if (page.kind === 'failed') {
-      await this.useOtherSource(this.task.state ? 'records' : 'snapshot');
+      await this.useOtherSource(this.task.state ? 'records' : 'snapshot', signal);
       return;
     }
     if (page.value.earliestOffset > from && page.value.endOffset >= from) {
-      await this.skipDroppedRecords(page.value.earliestOffset);
+      await this.skipDroppedRecords(page.value.earliestOffset, signal);
       return;
     }
     this.backoff.reset();
-    await this.take(from, page.value);
+    await this.take(from, page.value, signal);
   }
 
-  private async take(from: number, page: LogPage): Promise<void> {
+  private async take(from: number, page: LogPage, signal: AbortSignal): Promise<void> {
     const last = page.records.at(-1)?.offset ?? from - 1;
     const complete = last >= page.endOffset;
     if (complete && !this.task.state) await this.completeFirstRead(page.records);
     else await this.task.take(page.records, complete);
-    if (page.records.length === 0) await this.rest(EMPTY_PAGE_MS);
+    if (this.task.version < from) await this.pauseFor(EMPTY_PAGE_MS, signal);
   }
 
   /** A replica may lag behind, so the peers are consulted before this daemon serves. */
@@ -113,44 +95,51 @@
     await this.task.take([], true);
   }
 
-  private read(from: number, waitMs: number): Promise<Outcome<LogPage, LogFailure>> {
+  private read(
+    from: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Outcome<LogPage, LogFailure>> {
     return this.kernel.find('log').read({
       stream: CONFIGURATION_STREAM,
       from,
       limit: PAGE_LIMIT,
       waitMs,
-      signal: this.stopping.signal,
+      signal,
     });
   }
 
-  private async useOtherSource(scope: FetchScope): Promise<void> {
+  private async useOtherSource(scope: FetchScope, signal: AbortSignal): Promise<void> {
+    if (!this.task.state) this.withdrawn.add(await this.source.consult(), 'peers');
     if (await this.source.fetchFromAny(scope)) {
       this.backoff.reset();
       return;
     }
     this.pause = new AbortController();
-    await this.backoff.wait(AbortSignal.any([this.pause.signal, this.stopping.signal]));
+    await this.backoff.wait(AbortSignal.any([this.pause.signal, signal]));
   }
 
-  private async skipDroppedRecords(earliest: number): Promise<void> {
-    const records = await this.readAll(earliest);
+  private async skipDroppedRecords(earliest: number, signal: AbortSignal): Promise<void> {
+    const records = await this.readAll(earliest, signal);
     const fold = records && findNewestSnapshot(records);
     if (!records || !fold || fold.state.version <= this.task.version) {
-      await this.useOtherSource('snapshot');
+      await this.useOtherSource('snapshot', signal);
       return;
     }
     await this.task.adopt(fold, false);
-    await this.task.take(
-      records.filter((record) => record.offset > fold.state.version),
-      true,
-    );
+    const rest = records.filter((record) => record.offset > fold.state.version);
+    if (this.task.state) await this.task.take(rest, true);
+    else await this.completeFirstRead(rest);
   }
 
-  private async readAll(earliest: number): Promise<readonly LogRecord[] | undefined> {
+  private async readAll(
+    earliest: number,
+    signal: AbortSignal,
+  ): Promise<readonly LogRecord[] | undefined> {
     const records: LogRecord[] = [];
     let from = earliest;
     while (records.length < MOST_SEARCHED) {
-      const page = await this.read(from, 0);
+      const page = await this.read(from, 0, signal);
       if (page.kind === 'failed') return undefined;
       records.push(...page.value.records);
       const last = page.value.records.at(-1)?.offset;
@@ -160,8 +149,8 @@
     return undefined;
   }
 
-  private async rest(ms: number): Promise<void> {
+  private async pauseFor(ms: number, signal: AbortSignal): Promise<void> {
     this.pause = new AbortController();
-    await this.clock.sleep(ms, AbortSignal.any([this.pause.signal, this.stopping.signal]));
+    await this.clock.sleep(ms, AbortSignal.any([this.pause.signal, signal]));
   }
 }
--- a/src/configuration/snapshot-writer.ts
+++ b/src/configuration/snapshot-writer.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
+import { BackgroundLoop } from './background-loop.js';
 import { writeFold } from './fold-json.js';
 import type { FoldTask } from './fold-task.js';
 import { encodeSnapshot } from './record.js';
@@ -11,11 +12,7 @@
 const DELAY_SHARE = 0.25;
 
 /** Appends a snapshot when the newest one grows old, before retention drops what it replaces. */
-export class SnapshotWriter {
-  private readonly stopping = new AbortController();
-
-  private running: Promise<void> = Promise.resolve();
-
+export class SnapshotWriter extends BackgroundLoop {
   private startedMs = 0;
 
   private constructor(
@@ -23,7 +20,9 @@
     private readonly clock: Clock,
     private readonly task: FoldTask,
     private readonly everyMs: number,
-  ) {}
+  ) {
+    super();
+  }
 
   /**
    * Creates a writer.
@@ -38,24 +37,8 @@
     return new SnapshotWriter(kernel, clock, task, everyMs);
   }
 
-  /** Starts the loop. */
-  start(): void {
+  protected override async run(signal: AbortSignal): Promise<void> {
     this.startedMs = this.clock.wallMs();
-    this.running = this.watch();
-  }
-
-  /**
-   * Ends the loop.
-   *
-   * @returns a promise that resolves when the loop has ended
-   */
-  async stop(): Promise<void> {
-    this.stopping.abort();
-    await this.running;
-  }
-
-  private async watch(): Promise<void> {
-    const { signal } = this.stopping;
     while (!signal.aborted) {
       await this.clock.sleep(Math.min(MOST_CHECK_MS, this.everyMs / CHECKS_PER_PERIOD), signal);
       if (!this.isDue()) continue;
