--- a/features/configuration/fold.feature
+++ b/features/configuration/fold.feature
@@ -48,6 +48,12 @@
     Given a configuration fold of the records "team oval 0; key k001 oval 0; remove-team oval 1; team oval 3"
     Then the configuration fold refuses the key "k001" with "key_withdrawn"
 
+  Scenario: a snapshot that does not fit into one record is stored in pieces
+    Given a configuration fold of 3000 teams
+    Then the configuration snapshot has several records of at most 262144 bytes
+    And the configuration fold is the same after reading the snapshot back
+    But without one of its records the configuration snapshot is not used
+
   Scenario Outline: properties of the fold over arbitrary records
     Then over arbitrary configuration records <property>
 
--- a/features/steps/configuration-steps.ts
+++ b/features/steps/configuration-steps.ts
@@ -5,12 +5,20 @@
 import { authenticateKey } from '../../src/configuration/authenticate.js';
 import type { ChangeVerdict } from '../../src/configuration/configuration.js';
 import { createFold, type Fold, foldRecords } from '../../src/configuration/fold.js';
-import { encodeChange } from '../../src/configuration/record.js';
+import { writeFold } from '../../src/configuration/fold-json.js';
+import { encodeChange, encodeSnapshot } from '../../src/configuration/record.js';
+import { findNewestSnapshot } from '../../src/configuration/snapshot-assembly.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
+import type { LogRecord } from '../../src/platform/log-service.js';
 import { waitFor } from '../support/configuration-fixtures.js';
 import { ConfigurationFleet, type ConfigurationNode } from '../support/configuration-fleet.js';
 import { FOLD_PROPERTIES } from '../support/configuration-properties.js';
-import { createChange, createRecords, SECRET } from '../support/configuration-records.js';
+import {
+  createChange,
+  createRecord,
+  createRecords,
+  SECRET,
+} from '../support/configuration-records.js';
 
 interface ConfigurationWorld {
   fold: Fold;
@@ -102,6 +110,47 @@
   },
 );
 
+Given(
+  'a configuration fold of {int} teams',
+  function given(this: ConfigurationWorld, count: number) {
+    const lines = Array.from({ length: count }, (_, index) => `team team-${index} 0`);
+    this.fold = foldRecords(createFold(), createRecords(lines.join('; ')));
+  },
+);
+
+function createSnapshotRecords({ state }: Fold, pieces: readonly string[]): LogRecord[] {
+  return pieces.map((data, index) => createRecord(state.version + 1 + index, data));
+}
+
+Then(
+  'the configuration snapshot has several records of at most {int} bytes',
+  function then(this: ConfigurationWorld, bytes: number) {
+    const pieces = encodeSnapshot(this.fold.state.version, writeFold(this.fold));
+    assert.ok(pieces.length > 1);
+    pieces.forEach((piece) => assert.ok(Buffer.byteLength(piece) <= bytes));
+  },
+);
+
+Then(
+  'the configuration fold is the same after reading the snapshot back',
+  function then(this: ConfigurationWorld) {
+    const pieces = encodeSnapshot(this.fold.state.version, writeFold(this.fold));
+    const records = createSnapshotRecords(this.fold, pieces);
+    assert.deepEqual(findNewestSnapshot(records), this.fold);
+  },
+);
+
+Then(
+  'without one of its records the configuration snapshot is not used',
+  function then(this: ConfigurationWorld) {
+    const pieces = encodeSnapshot(this.fold.state.version, writeFold(this.fold));
+    pieces.forEach((_, missing) => {
+      const rest = pieces.filter((_piece, index) => index !== missing);
+      assert.equal(findNewestSnapshot(createSnapshotRecords(this.fold, rest)), undefined);
+    });
+  },
+);
+
 Then(/^over arbitrary configuration records (.*)$/, (property: string) => {
   const check = FOLD_PROPERTIES[property];
   assert.ok(check, `no property "${property}"`);
