perf(configuration): copy only the collections that a batch modifies

Cause: folding one record copied every collection: 50 ms for a stale change at 37,000 teams and keys. Change: Draft copies a collection at its first modification.

--- a/src/configuration/draft.ts
+++ b/src/configuration/draft.ts
@@ -4,40 +4,41 @@
 import type { Change } from './change.js';
 import type { ConfigurationState } from './configuration.js';
 
-/** A copy of a configuration state that is modified while a batch of records is folded. */
-export class Draft implements ConfigurationState {
-  private constructor(
-    public version: number,
-    public presetInForce: string,
-    readonly teams: Map<string, Team>,
-    readonly keys: Map<string, TeamKey>,
-    readonly withdrawnKeyIds: Set<string>,
-    readonly presets: Map<string, Preset>,
-    readonly models: Map<string, Model>,
-    readonly routes: Map<string, Route>,
-    readonly servers: Map<string, BackendServer>,
-    readonly subjects: Map<string, number>,
-  ) {}
+/** The collections of a state in a form that can be modified. */
+interface Collections {
+  teams: Map<string, Team>;
+  keys: Map<string, TeamKey>;
+  withdrawnKeyIds: Set<string>;
+  presets: Map<string, Preset>;
+  models: Map<string, Model>;
+  routes: Map<string, Route>;
+  servers: Map<string, BackendServer>;
+  subjects: Map<string, number>;
+}
+
+/**
+ * A configuration state that is modified while a batch of records is folded. A collection is copied
+ * at its first modification, because copying all of them takes tens of milliseconds with 37,000
+ * teams.
+ */
+export class Draft {
+  private readonly copied = new Set<object>();
+
+  private constructor(private state: ConfigurationState) {}
 
   /**
-   * Copies a state for modification.
+   * Begins a modification.
    *
    * @param state - the state, which stays as it is
    * @returns a draft with the same content
    */
   static create(state: ConfigurationState): Draft {
-    return new Draft(
-      state.version,
-      state.presetInForce,
-      new Map(state.teams),
-      new Map(state.keys),
-      new Set(state.withdrawnKeyIds),
-      new Map(state.presets),
-      new Map(state.models),
-      new Map(state.routes),
-      new Map(state.servers),
-      new Map(state.subjects),
-    );
+    return new Draft(state);
+  }
+
+  /** Offset of the last record that was folded. */
+  get version(): number {
+    return this.state.version;
   }
 
   /**
@@ -46,7 +47,7 @@
    * @param offset - offset of the record that is being folded
    */
   advance(offset: number): void {
-    this.version = offset;
+    this.state = { ...this.state, version: offset };
   }
 
   /**
@@ -55,7 +56,7 @@
    * @returns the state; the draft is not used after this
    */
   finish(): ConfigurationState {
-    return { ...this };
+    return this.state;
   }
 
   /**
@@ -67,7 +68,7 @@
   apply(change: Change): string | undefined {
     switch (change.kind) {
       case 'put-team':
-        this.teams.set(change.team.name, change.team);
+        this.own('teams').set(change.team.name, change.team);
         return undefined;
       case 'remove-team':
         return this.removeTeam(change.name);
@@ -77,67 +78,102 @@
         this.withdrawKey(change.keyId);
         return undefined;
       case 'put-preset':
-        this.presets.set(change.preset.name, change.preset);
+        this.own('presets').set(change.preset.name, change.preset);
         return undefined;
       case 'switch-preset':
         return this.switchPreset(change.name);
       case 'put-model':
-        this.models.set(change.model.name, change.model);
+        this.own('models').set(change.model.name, change.model);
         return undefined;
       case 'put-route':
-        this.routes.set(change.route.path, change.route);
+        this.own('routes').set(change.route.path, change.route);
         return undefined;
       case 'remove-route':
-        return this.routes.delete(change.path) ? undefined : `route ${change.path} is unknown`;
+        return this.remove('routes', change.path) ? undefined : `route ${change.path} is unknown`;
       case 'put-server':
         return this.putServer(change.server);
       case 'remove-server':
-        return this.servers.delete(change.name) ? undefined : `server ${change.name} is unknown`;
+        return this.remove('servers', change.name) ? undefined : `server ${change.name} is unknown`;
       default:
         return this.setDraining(change.name, change.kind === 'drain-server');
     }
   }
 
+  /**
+   * Reads the version of a subject.
+   *
+   * @param subject - the subject
+   * @returns offset of the last accepted change to it; 0 when there is none
+   */
+  versionOf(subject: string): number {
+    return this.state.subjects.get(subject) ?? 0;
+  }
+
+  /**
+   * Records an accepted change.
+   *
+   * @param subject - what was changed
+   */
+  mark(subject: string): void {
+    this.own('subjects').set(subject, this.version);
+  }
+
+  /** Copies a collection at its first modification. */
+  private own<Name extends keyof Collections>(name: Name): Collections[Name] {
+    const present = this.state[name] as Collections[Name];
+    if (this.copied.has(present)) return present;
+    const copy = (
+      present instanceof Set ? new Set(present) : new Map(present as Map<unknown, unknown>)
+    ) as Collections[Name];
+    this.copied.add(copy);
+    this.state = { ...this.state, [name]: copy };
+    return copy;
+  }
+
+  private remove(name: 'routes' | 'servers' | 'teams', item: string): boolean {
+    return this.state[name].has(item) && this.own(name).delete(item);
+  }
+
   /** Keys of a removed team are withdrawn, so that they stay dead when the name is used again. */
   private removeTeam(name: string): string | undefined {
-    if (!this.teams.delete(name)) return `team ${name} is unknown`;
-    [...this.keys.values()]
+    if (!this.remove('teams', name)) return `team ${name} is unknown`;
+    [...this.state.keys.values()]
       .filter((key) => key.team === name)
       .forEach((key) => this.withdrawKey(key.keyId));
     return undefined;
   }
 
   private giveKey(key: TeamKey): string | undefined {
-    if (!this.teams.has(key.team)) return `team ${key.team} is unknown`;
-    if (this.withdrawnKeyIds.has(key.keyId)) return `key ${key.keyId} was withdrawn`;
-    if (this.keys.has(key.keyId)) return `key ${key.keyId} was given before`;
-    this.keys.set(key.keyId, key);
+    if (!this.state.teams.has(key.team)) return `team ${key.team} is unknown`;
+    if (this.state.withdrawnKeyIds.has(key.keyId)) return `key ${key.keyId} was withdrawn`;
+    if (this.state.keys.has(key.keyId)) return `key ${key.keyId} was given before`;
+    this.own('keys').set(key.keyId, key);
     return undefined;
   }
 
   private withdrawKey(keyId: string): void {
-    this.keys.delete(keyId);
-    this.withdrawnKeyIds.add(keyId);
+    if (this.state.keys.has(keyId)) this.own('keys').delete(keyId);
+    if (!this.state.withdrawnKeyIds.has(keyId)) this.own('withdrawnKeyIds').add(keyId);
   }
 
   private switchPreset(name: string): string | undefined {
-    if (!this.presets.has(name)) return `preset ${name} is unknown`;
-    this.presetInForce = name;
+    if (!this.state.presets.has(name)) return `preset ${name} is unknown`;
+    this.state = { ...this.state, presetInForce: name };
     return undefined;
   }
 
   private putServer(server: BackendServer): string | undefined {
     const models = server.kind === 'engine' ? server.models : [];
-    const unknown = models.find((model) => !this.models.has(model));
+    const unknown = models.find((model) => !this.state.models.has(model));
     if (unknown !== undefined) return `model ${unknown} is unknown`;
-    this.servers.set(server.name, server);
+    this.own('servers').set(server.name, server);
     return undefined;
   }
 
   private setDraining(name: string, draining: boolean): string | undefined {
-    const server = this.servers.get(name);
+    const server = this.state.servers.get(name);
     if (!server) return `server ${name} is unknown`;
-    this.servers.set(name, { ...server, draining });
+    this.own('servers').set(name, { ...server, draining });
     return undefined;
   }
 }
--- a/src/configuration/fold.ts
+++ b/src/configuration/fold.ts
@@ -74,7 +74,7 @@
 function judge(draft: Draft, envelope: ChangeEnvelope, offset: number): ChangeVerdict {
   const { changeId, base, change } = envelope;
   const subject = subjectOf(change);
-  const current = draft.subjects.get(subject) ?? 0;
+  const current = draft.versionOf(subject);
   if (change.kind !== 'withdraw-key' && base !== current) {
     const reason = `${subject} is at version ${current}, and the edit was made on ${base}`;
     return { verdict: 'stale', reason, version: offset, changeId };
@@ -83,7 +83,7 @@
   if (invalid !== undefined) {
     return { verdict: 'invalid', reason: invalid, version: offset, changeId };
   }
-  draft.subjects.set(subject, offset);
+  draft.mark(subject);
   return { verdict: 'accepted', reason: '', version: offset, changeId };
 }
 
