test(admission): check rates, fairness, quarantine and faults

Cause: the promise tokens <= burst + rate x window must hold in every interleaving of joins, deaths, rate changes, pauses and lost messages. Change: generated schedules over the home shares, five deliberate defects that the check must notice, properties of queue and quarantine, fault tables with six SharedAdmission instances on one manual clock.

--- /dev/null
+++ b/features/admission/properties.feature
@@ -0,0 +1,40 @@
+Feature: Properties of admission
+
+  Scenario: no interleaving sends more tokens than burst + rate × window
+    Then admission schedules keep every window within the rate in 5000 runs
+
+  Scenario Outline: the schedule check notices a broken rule
+    Then admission schedules with the defect "<defect>" exceed a window within 6000 runs
+
+    Examples:
+      | defect                                |
+      | displaced homes are not asked         |
+      | a gained share starts full            |
+      | an old debit is sent                  |
+      | a repeated call is refunded twice     |
+      | a refund ignores what the burst lost  |
+
+  Scenario: a backlogged team gets its weighted share up to one request
+    Then admission queues serve backlogged teams by weight in 1000 runs
+
+  Scenario: a full queue refuses the newest request of the longest team
+    Then an admission queue bounded at 3 with the requests "a1, b1, a2, a3" refuses "a3"
+
+  Scenario: a request that is admitted again keeps its place within the team
+    Then an admission queue with the targets "late 20, again 10" serves "again, late"
+
+  Scenario: only a fingerprint that was the single suspect of a second death is quarantined
+    Then admission quarantine blames no innocent fingerprint in 2000 runs
+
+  Scenario: homes are spread over zones and few of them move when a VM joins
+    Then admission homes of 1000 teams on 9 VMs in 3 zones use distinct zones and move little on a join
+
+  Scenario Outline: usable burst and rate keep the promise for any team
+    Then an admission team with rate <rate> and burst <burst> may grant <usableRate> a second and <usableBurst> at once
+
+    Examples:
+      | rate | burst | usableRate | usableBurst |
+      | 1000 | 1000  | 1000       | 750         |
+      | 1000 | 500   | 1000       | 250         |
+      | 1000 | 200   | 400        | 100         |
+      | 10   | 1000  | 10         | 997.5       |
--- /dev/null
+++ b/features/steps/admission-steps.ts
@@ -0,0 +1,390 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When, type World } from '@cucumber/cucumber';
+
+import type { Team } from '../../src/domain/team.js';
+import {
+  AdmissionFleet,
+  type FleetResult,
+  type FleetVm,
+  type PeerFault,
+} from '../support/admission-fleet.js';
+
+interface AdmissionWorld extends World {
+  fleet: AdmissionFleet | undefined;
+  result: FleetResult;
+  teams: Team[];
+  changedMs: number;
+  carriedMs: number;
+  startedMs: number;
+}
+
+const REQUEST_TOKENS = 100;
+
+After(async function after(this: AdmissionWorld) {
+  await this.fleet?.stop();
+});
+
+function createTeam(name: string, rate: number, burst: number): Team {
+  return { name, rate, burst, weight: 1 };
+}
+
+async function askAndWait(world: AdmissionWorld, vm: FleetVm, team: string, tokens: number) {
+  const fleet = world.fleet!;
+  let ended = false;
+  const asked = fleet.ask(vm, team, tokens, { model: 'planner', fingerprint: 'probe' });
+  void asked.then(() => {
+    ended = true;
+  });
+  await fleet.settle();
+  for (let step = 0; !ended && step < 2000; step += 1) await fleet.advance(1, 1);
+  Object.assign(world, { result: await asked });
+}
+
+/** Sends requests of one team evenly over the given VMs; returns without waiting for the answers. */
+async function carry(
+  fleet: AdmissionFleet,
+  loads: readonly { team: string; perSecond: number }[],
+  choose: (index: number) => FleetVm,
+  ms: number,
+  onStep: (passedMs: number) => void = () => undefined,
+): Promise<void> {
+  const owed = loads.map(() => 0);
+  let count = 0;
+  const send = (team: string) => {
+    const vm = choose(count);
+    count += 1;
+    void fleet.ask(vm, team, REQUEST_TOKENS, { model: 'planner', runMs: 50 });
+  };
+  for (let passed = 0; passed < ms; passed += 2) {
+    for (const [index, { team, perSecond }] of loads.entries()) {
+      owed[index]! += (perSecond * 2) / 1000;
+      for (; owed[index]! >= REQUEST_TOKENS; owed[index]! -= REQUEST_TOKENS) send(team);
+    }
+    onStep(passed);
+    await fleet.advance(2);
+  }
+}
+
+Given(
+  'an admission fleet of {int} VMs with the team {string} at rate {int} and burst {int}',
+  async function given(
+    this: AdmissionWorld,
+    vms: number,
+    name: string,
+    rate: number,
+    burst: number,
+  ) {
+    this.teams = [createTeam(name, rate, burst)];
+    this.fleet = await AdmissionFleet.create(vms, this.teams);
+  },
+);
+
+Given(
+  'an admission fleet of {int} VMs with {int} teams at rate {int} and burst {int}',
+  async function given(
+    this: AdmissionWorld,
+    vms: number,
+    teams: number,
+    rate: number,
+    burst: number,
+  ) {
+    this.teams = Array.from({ length: teams }, (_, n) => createTeam(`team-${n}`, rate, burst));
+    this.fleet = await AdmissionFleet.create(vms, this.teams);
+  },
+);
+
+Given(
+  'admission meets the state {string}',
+  async function given(this: AdmissionWorld, state: string) {
+    const fleet = this.fleet!;
+    const vm = fleet.find('oval-crew', 2);
+    switch (state) {
+      case 'a lapsed lease':
+        vm.lease = false;
+        break;
+      case 'maintenance':
+        fleet.configure({ preset: { maintenance: true } });
+        break;
+      case 'a quarantined fingerprint':
+        vm.admission.reportDeath('planner-1', ['probe', 'other']);
+        await fleet.advance(4000, 100);
+        vm.admission.reportDeath('planner-1', ['probe']);
+        break;
+      case 'no capacity':
+        fleet.headroom = 0;
+        break;
+      case 'an empty bucket':
+        await askAndWait(this, fleet.find('oval-crew', 0), 'oval-crew', 1750);
+        assert.equal(this.result.code, 'admitted');
+        break;
+      case 'a removed team':
+        fleet.configure({ removed: 'oval-crew' });
+        break;
+      case 'both homes silent':
+        fleet.find('oval-crew', 0).fault = 'silent';
+        fleet.find('oval-crew', 1).fault = 'silent';
+        break;
+      default:
+        assert.equal(state, 'a prompt beyond the burst');
+    }
+  },
+);
+
+When(
+  'admission at the {word} home of {string} has the fault {string}',
+  function when(this: AdmissionWorld, place: string, team: string, fault: string) {
+    const vm = this.fleet!.find(team, place === 'first' ? 0 : 1);
+    if (fault !== 'none') vm.fault = fault as PeerFault;
+  },
+);
+
+When(
+  'admission is asked on the VM at place {int} for {int} tokens of {string}',
+  async function when(this: AdmissionWorld, place: number, tokens: number, team: string) {
+    await askAndWait(this, this.fleet!.find(team, place), team, tokens);
+  },
+);
+
+When('admission time passes for {int} ms', async function when(this: AdmissionWorld, ms: number) {
+  await this.fleet!.advance(ms);
+});
+
+Then(
+  'admission answers {string} within {int} ms',
+  function then(this: AdmissionWorld, code: string, ms: number) {
+    const { result, fleet } = this;
+    assert.equal(result.code, code);
+    const elapsedMs = result.endedMs - result.askedMs;
+    assert.ok(elapsedMs <= ms + 1, `answered after ${elapsedMs} ms`);
+    assert.equal(result.sendable, code === 'admitted');
+    if (result.refusal) assert.equal(result.refusal.run, 'not run');
+    if (code === 'rate_exceeded') assert.ok(result.refusal!.retryAfterMs! > 0);
+    const expected = code === 'admitted' ? 'admitted' : 'refused';
+    assert.equal(fleet!.decisions.at(-1)!.choice, expected);
+  },
+);
+
+Then(
+  'admission homes have granted {int} tokens of {string} in all',
+  async function then(this: AdmissionWorld, tokens: number, team: string) {
+    const fleet = this.fleet!;
+    // Drains what is left, right away: what the homes still grant shows what they have charged.
+    const usable = 1750;
+    fleet.vms.forEach((vm) => Object.assign(vm, { fault: undefined }));
+    await fleet.advance(1);
+    const since = fleet.clock.monotonicMs();
+    const homes = [fleet.find(team, 0), fleet.find(team, 1)];
+    const { vm, incarnation } = fleet.find(team, 2).member;
+    let left = 0;
+    for (const [index, home] of homes.entries()) {
+      const call = { sender: { vm, incarnation }, team, tokens: 5000n, debitId: `drain-${index}` };
+      const debit = home.handlers.debit as unknown as (
+        call: object,
+      ) => Promise<{ granted: bigint }>;
+      left += Number((await debit(call)).granted);
+    }
+    const refilled = since - this.result.askedMs;
+    const charged = usable - left;
+    assert.ok(charged <= tokens + 1 && charged >= tokens - refilled - 2, `charged ${charged}`);
+  },
+);
+
+Then(
+  'the admission grant can be sent after {int} ms but not after {int} ms',
+  async function then(this: AdmissionWorld, before: number, after: number) {
+    const { fleet, result } = this;
+    await fleet!.advance(result.askedMs + before - fleet!.clock.monotonicMs(), 1);
+    assert.equal(result.grant!.sendable(), true);
+    await fleet!.advance(after - before, 1);
+    assert.equal(result.grant!.sendable(), false);
+  },
+);
+
+Then(
+  'the admission grant cannot be sent once the lease has lapsed',
+  function then(this: AdmissionWorld) {
+    assert.equal(this.result.grant!.sendable(), true);
+    this.fleet!.find('oval-crew', 2).lease = false;
+    assert.equal(this.result.grant!.sendable(), false);
+  },
+);
+
+When(
+  'admission carries {int} times the rate of {string} on the VMs at places {string} for {int} ms',
+  async function when(
+    this: AdmissionWorld,
+    times: number,
+    team: string,
+    places: string,
+    ms: number,
+  ) {
+    const fleet = this.fleet!;
+    const vms = places.split(', ').map((place) => fleet.find(team, Number(place)));
+    const perSecond = this.teams[0]!.rate * times;
+    this.startedMs = fleet.clock.monotonicMs();
+    fleet.debitCalls.clear();
+    await carry(fleet, [{ team, perSecond }], (index) => vms[index % vms.length]!, ms);
+    this.carriedMs = ms;
+  },
+);
+
+When(
+  'admission applies the rate {int} and burst {int} to {string}',
+  function when(this: AdmissionWorld, rate: number, burst: number, name: string) {
+    this.teams = [createTeam(name, rate, burst)];
+    this.changedMs = this.fleet!.clock.monotonicMs();
+    this.fleet!.configure({ team: this.teams[0]! });
+  },
+);
+
+Then(
+  'admission of {string} stays within burst + rate × window',
+  function then(this: AdmissionWorld, _team: string) {
+    assert.deepEqual(this.fleet!.findExcess(this.teams[0]!), []);
+  },
+);
+
+Then(
+  'admission of {string} stays within burst + rate × window since the change',
+  function then(this: AdmissionWorld, _team: string) {
+    const { results } = this.fleet!;
+    assert.ok(results.some((result) => result.endedMs > this.changedMs && result.sendable));
+    assert.deepEqual(this.fleet!.findExcess(this.teams[0]!, this.changedMs + 1), []);
+  },
+);
+
+Then(
+  'admission of every team stays within burst + rate × window',
+  function then(this: AdmissionWorld) {
+    this.teams.forEach((team) => assert.deepEqual(this.fleet!.findExcess(team), []));
+  },
+);
+
+Then(
+  'admission of {string} reaches {int} percent of rate × time',
+  function then(this: AdmissionWorld, team: string, percent: number) {
+    const sent = this.fleet!.results.filter((result) => result.team === team && result.sendable);
+    const tokens = sent.reduce((sum, result) => sum + result.tokens, 0);
+    const expected = (this.teams[0]!.rate * this.carriedMs) / 1000;
+    process.stdout.write(`admission: admitted ${tokens} tokens of ${expected} + burst\n`);
+    assert.ok(tokens >= (expected * percent) / 100, `admitted ${tokens} tokens`);
+  },
+);
+
+Then(
+  'admission made at most {int} debit calls a second for each VM and home',
+  function then(this: AdmissionWorld, most: number) {
+    const calls = Math.max(...this.fleet!.debitCalls.values());
+    const perSecond = calls / (this.carriedMs / 1000);
+    process.stdout.write(`admission: ${calls} debit calls by one VM at one home\n`);
+    assert.ok(perSecond <= most, `${perSecond} calls a second`);
+  },
+);
+
+When(
+  'admission capacity is {int} requests a VM and one of {int} teams sends {int} times its rate for {int} ms',
+  async function when(
+    this: AdmissionWorld,
+    capacity: number,
+    _teams: number,
+    times: number,
+    ms: number,
+  ) {
+    const fleet = this.fleet!;
+    fleet.headroom = capacity;
+    const loads = this.teams.map(({ name, rate }, index) => ({
+      team: name,
+      perSecond: index === 0 ? rate * times : rate * 0.9,
+    }));
+    await carry(fleet, loads, (index) => fleet.vms[index % fleet.vms.length]!, ms);
+    await fleet.advance(1200);
+  },
+);
+
+Then(
+  "admission serves at least {int} percent of the other teams' requests",
+  function then(this: AdmissionWorld, percent: number) {
+    this.teams.slice(1).forEach(({ name }) => {
+      const asked = this.fleet!.results.filter((result) => result.team === name);
+      const admitted = asked.filter((result) => result.sendable);
+      process.stdout.write(`admission: ${name} ${admitted.length} of ${asked.length}\n`);
+      assert.ok(asked.length > 0 && admitted.length >= (asked.length * percent) / 100);
+    });
+  },
+);
+
+When(
+  'admission carries {int} percent of the rate of {int} teams for {int} ms while VMs join and die',
+  { timeout: 60_000 },
+  async function when(this: AdmissionWorld, percent: number, _teams: number, ms: number) {
+    const fleet = this.fleet!;
+    const loads = this.teams.map(({ name, rate }) => ({
+      team: name,
+      perSecond: (rate * percent) / 100,
+    }));
+    let joined = 6;
+    const changeFleet = (passedMs: number) => {
+      if (passedMs % 4000 === 1000) {
+        joined += 1;
+        void fleet.join(joined);
+      }
+      if (passedMs % 4000 === 3000) void fleet.remove(fleet.vms[0]!);
+      if (passedMs % 1000 === 100) fleet.fold();
+    };
+    await carry(fleet, loads, (index) => fleet.vms[index % fleet.vms.length]!, ms, changeFleet);
+    await fleet.advance(1200);
+  },
+);
+
+Then(
+  'admission refuses at most {int} of those requests',
+  function then(this: AdmissionWorld, most: number) {
+    // Requests on a VM that dies while they wait end with it; the caller sends them again.
+    const { results } = this.fleet!;
+    const refused = results.filter((result) => !['admitted', 'draining'].includes(result.code));
+    const codes = [...new Set(refused.map((result) => result.code))].join(' ');
+    process.stdout.write(`admission: refused ${refused.length} of ${results.length} ${codes}\n`);
+    assert.ok(refused.length <= most, `refused ${refused.length} of ${results.length}: ${codes}`);
+  },
+);
+
+When(
+  'the admission grant is settled with {int} used tokens',
+  async function when(this: AdmissionWorld, used: number) {
+    this.result.grant!.settle(used);
+    await this.fleet!.advance(4, 1);
+  },
+);
+
+When('every admission VM takes a new incarnation', async function when(this: AdmissionWorld) {
+  this.fleet!.vms.forEach((vm) => vm.reincarnations.push(vm.member));
+  await this.fleet!.settle();
+});
+
+Then(
+  'the admission grant can be extended by {int} tokens but not by {int}',
+  async function then(this: AdmissionWorld, few: number, many: number) {
+    const extended = this.result.grant!.extend(few);
+    await this.fleet!.advance(20);
+    assert.equal((await extended).kind, 'ok');
+    assert.equal(this.result.grant!.tokens, this.result.tokens + few);
+    const refused = this.result.grant!.extend(many);
+    await this.fleet!.advance(1200);
+    const outcome = await refused;
+    assert.equal(outcome.kind === 'failed' && outcome.failure.code, 'rate_exceeded');
+  },
+);
+
+Then('admission has waited at least {int} ms', function then(this: AdmissionWorld, ms: number) {
+  assert.ok(this.result.endedMs - this.result.askedMs >= ms);
+});
+
+Then(
+  'admission reports the worst-served team with a share of at most {float}',
+  async function then(this: AdmissionWorld, share: number) {
+    await this.fleet!.advance(1000);
+    const reported = this.fleet!.gauges.get('admission.worst_served');
+    assert.ok(reported !== undefined && reported <= share, `reported ${reported}`);
+  },
+);
--- /dev/null
+++ b/features/support/admission-schedule.ts
@@ -0,0 +1,406 @@
+import fc from 'fast-check';
+
+import { HomeShares, type ShareFacts } from '../../src/admission/home-shares.js';
+import { computeTeamLimits, DISPATCH_DELAY_MS } from '../../src/admission/share-limits.js';
+import { ShareTable } from '../../src/admission/share-table.js';
+import { SharedGrant } from '../../src/admission/shared-grant.js';
+import { fail } from '../../src/kernel/outcome.js';
+import { Refusal } from '../../src/domain/refusal.js';
+import type { Member, MemberEpoch } from '../../src/membership/membership.js';
+import { SkewedClock } from './skewed-clock.js';
+
+const TEAM = 'oval-crew';
+const ZONES = ['sando', 'couva', 'penal'];
+
+/** One step of a schedule; `who`, `whom` and `amount` are reduced to what exists. */
+export interface ScheduleStep {
+  readonly kind: StepKind;
+  readonly who: number;
+  readonly whom: number;
+  readonly amount: number;
+  readonly afterMs: number;
+}
+
+const STEP_WEIGHTS = {
+  request: 16,
+  debit: 8,
+  deliver: 8,
+  lose: 1,
+  repeat: 3,
+  dispatch: 8,
+  finish: 5,
+  fold: 5,
+  hear: 6,
+  join: 2,
+  die: 2,
+  'change-rate': 1,
+  'fold-rate': 2,
+  suspend: 1,
+  resume: 4,
+  'set-wall': 1,
+} as const;
+
+type StepKind = keyof typeof STEP_WEIGHTS;
+
+const kindArbitrary = fc.oneof(
+  ...Object.entries(STEP_WEIGHTS).map(([kind, weight]) => ({
+    weight,
+    arbitrary: fc.constant(kind as StepKind),
+  })),
+);
+
+/** Generates steps; times are in milliseconds of the simulated fleet. */
+export const scheduleArbitrary = fc.array(
+  fc.record({
+    kind: kindArbitrary,
+    who: fc.nat(11),
+    whom: fc.nat(11),
+    amount: fc.integer({ min: 1, max: 700 }),
+    afterMs: fc.oneof(
+      { weight: 6, arbitrary: fc.constant(0) },
+      { weight: 3, arbitrary: fc.nat(30) },
+      { weight: 1, arbitrary: fc.nat(600) },
+    ),
+  }),
+  { minLength: 40, maxLength: 120, size: 'max' },
+);
+
+/** Ways in which the rules can be broken on purpose, to show that the check notices. */
+export interface Defects {
+  /** Displaced holders are not asked. */
+  readonly unconfirmed?: boolean;
+  /** The age of the debit is not checked before sending. */
+  readonly lateDispatch?: boolean;
+  /** A repeated debit call is refunded as if it had been charged again. */
+  readonly refundedTwice?: boolean;
+}
+
+interface Setting {
+  readonly rate: number;
+  readonly burst: number;
+  fromMs: number;
+  toMs: number;
+}
+
+interface Debit {
+  readonly id: string;
+  readonly from: SimulatedVm;
+  readonly home: SimulatedVm;
+  readonly tokens: number;
+  readonly startedMs: number;
+  readonly startedWallMs: number;
+  granted: number;
+  state: 'sent' | 'granted' | 'dispatched' | 'ended';
+  entry?: { atMs: number; tokens: number };
+}
+
+interface SimulatedVm {
+  readonly member: Member;
+  readonly clock: SkewedClock;
+  readonly shares: HomeShares;
+  readonly heard: Map<string, number>;
+  epoch: number;
+  setting: number;
+  alive: boolean;
+}
+
+/** Several VMs with their own clocks and views, and the record of what was sent for one team. */
+export class AdmissionSchedule {
+  private nowMs = 10_000;
+
+  private readonly epochs: MemberEpoch[] = [];
+
+  private readonly vms: SimulatedVm[] = [];
+
+  private readonly debits: Debit[] = [];
+
+  private readonly settings: Setting[] = [{ rate: 1000, burst: 1000, fromMs: 0, toMs: Infinity }];
+
+  private readonly sent: { atMs: number; tokens: number }[] = [];
+
+  private readonly table = ShareTable.create(2);
+
+  private nextId = 0;
+
+  private constructor(private readonly defects: Defects) {}
+
+  /** Runs a schedule and returns the windows in which too many tokens were sent. */
+  static run(steps: readonly ScheduleStep[], defects: Defects = {}): readonly string[] {
+    const schedule = new AdmissionSchedule(defects);
+    for (let count = 0; count < 3; count += 1) schedule.join(count);
+    schedule.vms.forEach((vm) => schedule.fold(vm, 3));
+    schedule.vms.forEach((vm) => schedule.vms.forEach((other) => schedule.hear(vm, other)));
+    schedule.vms.forEach((vm) => vm.shares.applyEpochs(schedule.facts(vm)));
+    schedule.nowMs += 2000;
+    steps.forEach((step) => schedule.step(step));
+    return schedule.findExcess();
+  }
+
+  private step(step: ScheduleStep): void {
+    this.nowMs += step.afterMs;
+    const running = this.vms.filter((vm) => vm.alive && vm.clock.suspendedSinceMs === undefined);
+    const living = this.vms.filter((vm) => vm.alive);
+    const who = pick(running, step.who);
+    const whom = pick(running, step.whom);
+    if (step.kind === 'join') this.join(step.who);
+    if (step.kind === 'resume') pick(living, step.who)?.clock.resume();
+    if (step.kind === 'change-rate') this.changeRate(step.amount, step.who);
+    if (!who || !whom) return;
+    switch (step.kind) {
+      case 'request':
+        this.debit(who, step.whom, step.amount);
+        this.settleNewest();
+        break;
+      case 'debit':
+        this.debit(who, step.whom, step.amount);
+        break;
+      case 'deliver':
+        this.deliver(step.who, true);
+        break;
+      case 'lose':
+        this.deliver(step.who, false);
+        break;
+      case 'repeat':
+        this.repeat(step.who);
+        break;
+      case 'dispatch':
+        this.dispatch(step.who);
+        break;
+      case 'finish':
+        this.finish(step.who, step.amount);
+        break;
+      case 'fold':
+        this.fold(who, 1 + (step.amount % 3));
+        break;
+      case 'hear':
+        this.hear(who, whom);
+        break;
+      case 'die':
+        this.die(who);
+        break;
+      case 'fold-rate':
+        this.foldRate(who);
+        break;
+      case 'suspend':
+        who.clock.suspendedSinceMs = this.nowMs;
+        break;
+      case 'set-wall':
+        who.clock.wallOffsetMs += step.amount * 10;
+        break;
+      default:
+    }
+  }
+
+  private join(seed: number): void {
+    const living = this.vms.filter((vm) => vm.alive);
+    if (living.length >= 6) return;
+    this.nextId += 1;
+    const names = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i', 'j'];
+    const free = names.filter((name) => !living.some((vm) => vm.member.vm === name));
+    const name = free[seed % free.length]!;
+    const address = { host: '127.0.0.1', port: 1 };
+    const member: Member = {
+      name,
+      vm: name,
+      incarnation: `${this.nextId}`,
+      region: 'tt-south',
+      availabilityZone: ZONES[name.charCodeAt(0) % ZONES.length]!,
+      peers: address,
+      callers: address,
+      operators: address,
+    };
+    this.append([...(this.epochs.at(-1)?.members ?? []), member]);
+    const vm: SimulatedVm = {
+      member,
+      clock: new SkewedClock(() => this.nowMs),
+      shares: HomeShares.create(this.table),
+      heard: new Map(),
+      epoch: this.epochs.length,
+      setting: this.settings.length - 1,
+      alive: true,
+    };
+    this.vms.push(vm);
+  }
+
+  private append(members: readonly Member[]): void {
+    this.epochs.push({ epoch: this.epochs.length + 1, members });
+  }
+
+  private die(vm: SimulatedVm): void {
+    if (this.vms.filter((other) => other.alive).length <= 1) return;
+    Object.assign(vm, { alive: false });
+    this.append(this.epochs.at(-1)!.members.filter((member) => member !== vm.member));
+    this.closeSettings();
+  }
+
+  private fold(vm: SimulatedVm, count: number): void {
+    Object.assign(vm, { epoch: Math.min(this.epochs.length, vm.epoch + count) });
+  }
+
+  private hear(vm: SimulatedVm, other: SimulatedVm): void {
+    vm.heard.set(other.member.incarnation, other.epoch);
+  }
+
+  private changeRate(amount: number, seed: number): void {
+    this.settings.push({
+      rate: 200 + amount * 4,
+      burst: 300 + seed * 200,
+      fromMs: this.nowMs,
+      toMs: Infinity,
+    });
+  }
+
+  private foldRate(vm: SimulatedVm): void {
+    Object.assign(vm, { setting: Math.min(this.settings.length - 1, vm.setting + 1) });
+    vm.shares.applyLimits(this.facts(vm));
+    this.closeSettings();
+  }
+
+  private closeSettings(): void {
+    const oldest = Math.min(...this.vms.filter((vm) => vm.alive).map((vm) => vm.setting));
+    this.settings.slice(0, oldest).forEach((setting) => {
+      Object.assign(setting, { toMs: Math.min(setting.toMs, this.nowMs) });
+    });
+  }
+
+  private facts(vm: SimulatedVm): ShareFacts {
+    const present = this.epochs[vm.epoch - 1]!;
+    const heard = (member: Member) =>
+      member === vm.member ? vm.epoch : (vm.heard.get(member.incarnation) ?? 0);
+    const oldest = Math.max(1, Math.min(vm.epoch, ...present.members.map(heard)));
+    const setting = this.settings[vm.setting]!;
+    return {
+      self: vm.member,
+      history: this.epochs.slice(oldest - 1, vm.epoch),
+      nowMs: vm.clock.monotonicMs(),
+      limitsOf: () => computeTeamLimits({ name: TEAM, weight: 1, ...setting }, 1),
+      hasConfirmed: (member, epoch) => this.defects.unconfirmed === true || heard(member) >= epoch,
+    };
+  }
+
+  private debit(from: SimulatedVm, seed: number, tokens: number): void {
+    const homes = this.table.homes(TEAM, this.epochs[from.epoch - 1]!);
+    const member = homes[seed % homes.length];
+    const home = this.vms.find((vm) => vm.member === member);
+    if (!home) return;
+    this.nextId += 1;
+    this.debits.push({
+      id: `${this.nextId}`,
+      from,
+      home,
+      tokens,
+      startedMs: from.clock.monotonicMs(),
+      startedWallMs: from.clock.wallMs(),
+      granted: 0,
+      state: 'sent',
+    });
+  }
+
+  /** Handles the newest debit and sends its request without delay. */
+  private settleNewest(): void {
+    const newest = this.debits.at(-1);
+    if (newest?.state !== 'sent' || !isRunning(newest.home)) return;
+    this.deliver(this.select('sent').length - 1, true);
+    if (newest.granted > 0) this.dispatch(this.select('granted').length - 1);
+  }
+
+  /** Lets a home handle a debit; when the answer is lost the tokens are charged and never sent. */
+  private deliver(seed: number, answered: boolean): void {
+    const debit = pick(this.select('sent'), seed);
+    if (!debit || !isRunning(debit.home)) return;
+    const granted = this.charge(debit, debit.id);
+    if (!answered) return;
+    Object.assign(debit, { granted, state: granted > 0 ? 'granted' : 'ended' });
+  }
+
+  private repeat(seed: number): void {
+    const debit = pick(this.select('granted'), seed);
+    if (!debit || !isRunning(debit.home)) return;
+    if (!this.defects.refundedTwice) {
+      this.charge(debit, debit.id);
+      return;
+    }
+    debit.home.shares.refund(debit.id, debit.granted, debit.home.clock.monotonicMs());
+  }
+
+  private charge(debit: Debit, id: string): number {
+    const { shares } = debit.home;
+    return shares.debit(TEAM, debit.tokens, id, this.facts(debit.home)).granted;
+  }
+
+  private dispatch(seed: number): void {
+    const debit = pick(this.select('granted'), seed);
+    if (!debit || !isRunning(debit.from)) return;
+    if (!this.defects.lateDispatch && !this.isSendable(debit)) {
+      this.end(debit, debit.granted);
+      return;
+    }
+    const entry = { atMs: this.nowMs, tokens: debit.granted };
+    this.sent.push(entry);
+    Object.assign(debit, { entry, state: 'dispatched' });
+  }
+
+  private isSendable(debit: Debit): boolean {
+    const { startedMs, startedWallMs } = debit;
+    const funding = { parts: [], startedMs, startedWallMs };
+    const turn = { openedMs: 0, close: () => undefined };
+    return SharedGrant.create({ funding, turn }, false, {
+      clock: debit.from.clock,
+      leaseLive: () => true,
+      refund: () => undefined,
+      debit: async () => fail(Refusal.create('overloaded', 'not used')),
+    }).sendable();
+  }
+
+  /** Ends a request that did not use all of its tokens; only used tokens count as run. */
+  private finish(seed: number, amount: number): void {
+    const debit = pick(this.select('dispatched'), seed);
+    if (!debit) return;
+    const unused = amount % (debit.granted + 1);
+    if (debit.home.alive && isRunning(debit.home)) debit.entry!.tokens -= unused;
+    this.end(debit, unused);
+  }
+
+  private end(debit: Debit, unused: number): void {
+    const { home } = debit;
+    if (isRunning(home)) home.shares.refund(debit.id, unused, home.clock.monotonicMs());
+    Object.assign(debit, { state: 'ended' });
+  }
+
+  private select(state: Debit['state']): readonly Debit[] {
+    return this.debits.filter((debit) => debit.state === state);
+  }
+
+  private findExcess(): readonly string[] {
+    const excess: string[] = [];
+    this.sent.forEach((first, from) => {
+      let tokens = 0;
+      this.sent.slice(from).forEach((last) => {
+        tokens += last.tokens;
+        const allowed = this.computeAllowed(first.atMs, last.atMs);
+        if (tokens > allowed + 1e-6) {
+          excess.push(`${tokens} tokens in ${last.atMs - first.atMs} ms, allowed ${allowed}`);
+        }
+      });
+    });
+    return excess;
+  }
+
+  /** The largest rate and burst that a VM applied in the window bound what may run in it. */
+  private computeAllowed(fromMs: number, toMs: number): number {
+    const applied = this.settings.filter(
+      (setting) => setting.fromMs <= toMs && setting.toMs >= fromMs - DISPATCH_DELAY_MS,
+    );
+    const rate = Math.max(...applied.map((setting) => setting.rate));
+    const burst = Math.max(...applied.map((setting) => setting.burst));
+    return burst + (rate * (toMs - fromMs)) / 1000;
+  }
+}
+
+function isRunning(vm: SimulatedVm): boolean {
+  return vm.alive && vm.clock.suspendedSinceMs === undefined;
+}
+
+function pick<Item>(items: readonly Item[], seed: number): Item | undefined {
+  return items.length > 0 ? items[seed % items.length] : undefined;
+}
--- a/src/admission/shared-admission.ts
+++ b/src/admission/shared-admission.ts
@@ -38,7 +38,9 @@
 
   private readonly statistics = AdmissionStatistics.create();
 
-  private readonly ended = new AbortController();
+  private stopped = false;
+
+  private pause = new AbortController();
 
   private constructor(
     private readonly kernel: Kernel,
@@ -82,7 +84,8 @@
   }
 
   override async stop(): Promise<void> {
-    this.ended.abort();
+    this.stopped = true;
+    this.pause.abort();
     this.task.send({ kind: 'stop' });
     await Promise.resolve();
   }
@@ -286,7 +289,7 @@
   }
 
   private async tick(): Promise<void> {
-    while (!this.ended.signal.aborted) {
+    while (!this.stopped) {
       this.task.send({ kind: 'tick' });
       const metrics = this.kernel.find('metrics');
       metrics.gauge('admission.queue_length', this.task.waiting);
@@ -294,7 +297,8 @@
       const rateOf = (team: string) => this.facts.limitsOf(team)?.rate ?? 0;
       const worst = this.statistics.findWorstServed(rateOf, this.clock.monotonicMs());
       if (worst) metrics.gauge('admission.worst_served', worst.share, { team: worst.team });
-      await this.clock.sleep(TICK_MS, this.ended.signal);
+      this.pause = new AbortController();
+      await this.clock.sleep(TICK_MS, this.pause.signal);
     }
   }
 }
