test(admission): try random faults against whole instances

Cause: the schedules cover the shares, not queue, retries and refunds together. Change: random faults, joins, deaths and lapsed leases over five instances; a bucket is dropped when the incarnation differs, before the event arrives.

--- a/features/admission/faults.feature
+++ b/features/admission/faults.feature
@@ -110,3 +110,6 @@
     When admission is asked on the VM at place 2 for 10 tokens of "oval-crew"
     Then admission answers "overloaded" within 1002 ms
     And admission reports the worst-served team with a share of at most 0
+
+  Scenario: random faults, joins, deaths and lapsed leases never let a team exceed its rate
+    Then admission fleets under random faults stay within burst + rate × window in 60 runs
--- a/features/support/admission-fleet.ts
+++ b/features/support/admission-fleet.ts
@@ -39,6 +39,7 @@
 export interface FleetResult {
   readonly vm: string;
   readonly team: string;
+  /** Tokens that the request used when it ran. */
   readonly tokens: number;
   readonly askedMs: number;
   readonly endedMs: number;
@@ -146,7 +147,7 @@
       arrivedMs: askedMs,
       signal: new AbortController().signal,
     });
-    const result = this.note(vm, team, tokens, askedMs, outcome);
+    const result = this.note(vm, team, options.used ?? tokens, askedMs, outcome);
     if (result.grant && options.runMs !== undefined) {
       Object.assign(vm, { running: vm.running + 1 });
       void this.clock.sleep(options.runMs).then(() => {
--- a/src/admission/home-shares.ts
+++ b/src/admission/home-shares.ts
@@ -3,7 +3,7 @@
 import { DebitLedger } from './debit-ledger.js';
 import { EpochLog } from './epoch-log.js';
 import { DISPATCH_DELAY_MS, divideLimits } from './share-limits.js';
-import type { ShareTable } from './share-table.js';
+import { sameIncarnation, type ShareTable } from './share-table.js';
 import { TokenBucket, type BucketLimits } from './token-bucket.js';
 
 /** Wait before a home is asked again whose share waits for confirmations. */
@@ -51,6 +51,8 @@
 
   private readonly log = EpochLog.create();
 
+  private holder: Incarnation | undefined;
+
   private constructor(private readonly table: ShareTable) {}
 
   /**
@@ -82,6 +84,8 @@
    * @param facts - fleet and configuration
    */
   applyEpochs(facts: ShareFacts): void {
+    if (this.holder && !sameIncarnation(this.holder, facts.self)) this.reset();
+    this.holder = facts.self;
     const later = this.log.selectLater(facts.history);
     if (!later) {
       this.shares.clear();
--- a/src/admission/shared-admission.ts
+++ b/src/admission/shared-admission.ts
@@ -92,7 +92,7 @@
 
   override async admit(request: AdmissionRequest): Promise<Outcome<Grant, Refusal>> {
     const sinceMs = this.clock.monotonicMs();
-    const tokens = request.promptTokens + request.maxTokens;
+    const tokens = Math.ceil(request.promptTokens + request.maxTokens);
     const refusal = this.check(request, tokens);
     const outcome = refusal ? fail(refusal) : await this.wait(request, tokens, sinceMs);
     this.report(request, tokens, sinceMs, outcome);
@@ -189,7 +189,7 @@
         this.task.send({ kind: 'settle', team, parts, unusedTokens, refundable });
         refundable = 0;
       },
-      debit: (tokens: number) => this.extend(request, tokens),
+      debit: (tokens: number) => this.extend(request, Math.ceil(tokens)),
     });
   }
 
--- a/src/admission/shared-grant.ts
+++ b/src/admission/shared-grant.ts
@@ -61,7 +61,7 @@
     if (outcome.kind === 'failed') return outcome;
     const { parts } = outcome.value.funding;
     outcome.value.turn.close();
-    if (this.settled) this.hooks.refund(parts, tokens);
+    if (this.settled) this.hooks.refund(parts, Math.ceil(tokens));
     else this.parts.push(...parts);
     return succeed(undefined);
   }
@@ -70,6 +70,6 @@
     if (this.settled) return;
     this.settled = true;
     this.admitted.turn.close();
-    this.hooks.refund(this.parts, Math.max(0, this.tokens - usedTokens));
+    this.hooks.refund(this.parts, Math.max(0, Math.floor(this.tokens - usedTokens)));
   }
 }
