feat(admission): record the headroom of refused requests

Cause: an overloaded refusal could not be explained from its decision record. Change: the record of a refusal carries retryAfterMs and the headroom.

--- a/src/admission/shared-admission.ts
+++ b/src/admission/shared-admission.ts
@@ -284,10 +284,20 @@
       burst: limits?.burst ?? 0,
       homes: this.homes(request.team).join(' '),
       parts: parts.map((part) => `${part.home.vm}=${part.granted}`).join(' '),
-      retryAfterMs: outcome.kind === 'failed' ? (outcome.failure.retryAfterMs ?? 0) : 0,
+      ...this.collectRefusalFacts(request, outcome),
     };
   }
 
+  private collectRefusalFacts(
+    request: AdmissionRequest,
+    outcome: Outcome<Admitted, Refusal>,
+  ): Record<string, number> {
+    if (outcome.kind === 'ok') return {};
+    const retryAfterMs = outcome.failure.retryAfterMs ?? 0;
+    if (!request.model) return { retryAfterMs };
+    return { retryAfterMs, headroom: this.kernel.find('routing').headroom(request.model) };
+  }
+
   private async tick(): Promise<void> {
     while (!this.stopped) {
       this.task.send({ kind: 'tick' });
