perf(admission): choose homes without a list of candidates

Cause: each epoch computes the homes of every team in use, and lists of candidates were made anew for each home. Change: one pass over the members for each home.

--- a/src/admission/share-table.ts
+++ b/src/admission/share-table.ts
@@ -9,10 +9,8 @@
 /** Bound on cached member hashes; the cache is emptied when it is reached. */
 const MOST_CACHED_VMS = 4096;
 
-interface Candidate {
-  readonly member: Member;
-  readonly score: number;
-}
+/** Score of a member that is already a home; real scores are not negative. */
+const CHOSEN = -1;
 
 /**
  * Tells whether two names mean the same run of a daemon.
@@ -108,16 +106,14 @@
 
   private computeHomes(team: string, members: readonly Member[]): readonly Member[] {
     const teamHash = hash(team);
-    const candidates = members.map((member) => ({
-      member,
-      score: mix(teamHash, this.vmHash(member.vm)),
-    }));
+    const scores = members.map((member) => mix(teamHash, this.vmHash(member.vm)));
+    const zones = new Set<string>();
     const homes: Member[] = [];
     while (homes.length < Math.min(this.homeCount, members.length)) {
-      const zones = new Set(homes.map((home) => home.availabilityZone));
-      const free = candidates.filter((candidate) => !homes.includes(candidate.member));
-      const elsewhere = free.filter(({ member }) => !zones.has(member.availabilityZone));
-      homes.push(findBest(elsewhere.length > 0 ? elsewhere : free).member);
+      const best = findBest(members, scores, zones);
+      homes.push(members[best]!);
+      zones.add(members[best]!.availabilityZone);
+      scores[best] = CHOSEN;
     }
     return homes;
   }
@@ -132,11 +128,37 @@
   }
 }
 
-function findBest(candidates: readonly Candidate[]): Candidate {
-  return candidates.reduce((best, candidate) => {
-    if (candidate.score !== best.score) return candidate.score > best.score ? candidate : best;
-    return candidate.member.vm < best.member.vm ? candidate : best;
-  });
+/** Finds the highest score, in a zone without a home where there is one; equal scores go by name. */
+function findBest(
+  members: readonly Member[],
+  scores: readonly number[],
+  zones: ReadonlySet<string>,
+): number {
+  let best = -1;
+  let bestIsElsewhere = false;
+  for (let index = 0; index < members.length; index += 1) {
+    if (scores[index] === CHOSEN) continue;
+    const elsewhere = !zones.has(members[index]!.availabilityZone);
+    const better =
+      best === -1 ||
+      (elsewhere === bestIsElsewhere
+        ? precedes(members, scores, index, best)
+        : elsewhere && !bestIsElsewhere);
+    if (!better) continue;
+    best = index;
+    bestIsElsewhere = elsewhere;
+  }
+  return best;
+}
+
+function precedes(
+  members: readonly Member[],
+  scores: readonly number[],
+  left: number,
+  right: number,
+): boolean {
+  if (scores[left] !== scores[right]) return scores[left]! > scores[right]!;
+  return members[left]!.vm < members[right]!.vm;
 }
 
 function hash(text: string): number {
