--- a/src/admission/shared-admission.ts
+++ b/src/admission/shared-admission.ts
@@ -38,7 +38,9 @@
 
   private readonly statistics = AdmissionStatistics.create();
 
-  private readonly ended = new AbortController();
+  private stopped = false;
+
+  private pause = new AbortController();
 
   private constructor(
     private readonly kernel: Kernel,
@@ -82,14 +84,15 @@
   }
 
   override async stop(): Promise<void> {
-    this.ended.abort();
+    this.stopped = true;
+    this.pause.abort();
     this.task.send({ kind: 'stop' });
     await Promise.resolve();
   }
 
   override async admit(request: AdmissionRequest): Promise<Outcome<Grant, Refusal>> {
     const sinceMs = this.clock.monotonicMs();
-    const tokens = request.promptTokens + request.maxTokens;
+    const tokens = Math.ceil(request.promptTokens + request.maxTokens);
     const refusal = this.check(request, tokens);
     const outcome = refusal ? fail(refusal) : await this.wait(request, tokens, sinceMs);
     this.report(request, tokens, sinceMs, outcome);
@@ -186,7 +189,7 @@
         this.task.send({ kind: 'settle', team, parts, unusedTokens, refundable });
         refundable = 0;
       },
-      debit: (tokens: number) => this.extend(request, tokens),
+      debit: (tokens: number) => this.extend(request, Math.ceil(tokens)),
     });
   }
 
@@ -281,12 +284,22 @@
       burst: limits?.burst ?? 0,
       homes: this.homes(request.team).join(' '),
       parts: parts.map((part) => `${part.home.vm}=${part.granted}`).join(' '),
-      retryAfterMs: outcome.kind === 'failed' ? (outcome.failure.retryAfterMs ?? 0) : 0,
+      ...this.collectRefusalFacts(request, outcome),
     };
   }
 
+  private collectRefusalFacts(
+    request: AdmissionRequest,
+    outcome: Outcome<Admitted, Refusal>,
+  ): Record<string, number> {
+    if (outcome.kind === 'ok') return {};
+    const retryAfterMs = outcome.failure.retryAfterMs ?? 0;
+    if (!request.model) return { retryAfterMs };
+    return { retryAfterMs, headroom: this.kernel.find('routing').headroom(request.model) };
+  }
+
   private async tick(): Promise<void> {
-    while (!this.ended.signal.aborted) {
+    while (!this.stopped) {
       this.task.send({ kind: 'tick' });
       const metrics = this.kernel.find('metrics');
       metrics.gauge('admission.queue_length', this.task.waiting);
@@ -294,7 +307,8 @@
       const rateOf = (team: string) => this.facts.limitsOf(team)?.rate ?? 0;
       const worst = this.statistics.findWorstServed(rateOf, this.clock.monotonicMs());
       if (worst) metrics.gauge('admission.worst_served', worst.share, { team: worst.team });
-      await this.clock.sleep(TICK_MS, this.ended.signal);
+      this.pause = new AbortController();
+      await this.clock.sleep(TICK_MS, this.pause.signal);
     }
   }
 }
