perf: measure the cost of membership and check only dropped VMs

Cause: the capacity of a VM is computed from measured slopes, and the check of the VM list chose the witnesses of every member each second. Change: bench/membership-cost.ts for heartbeats and the member fold; witnesses are chosen only for members whose VM is missing in the list.

--- /dev/null
+++ b/bench/membership-cost.ts
@@ -0,0 +1,213 @@
+import { once } from 'node:events';
+import { createServer } from 'node:net';
+import { PerformanceObserver } from 'node:perf_hooks';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { Kernel } from '../src/kernel/kernel.js';
+import { SystemClock } from '../src/kernel/system-clock.js';
+import type { Member } from '../src/membership/membership.js';
+import type { HeartbeatRound } from '../src/membership/membership-message.js';
+import { MembershipTask } from '../src/membership/membership-task.js';
+import { ConnectPeers } from '../src/peers/connect-peers.js';
+
+/** Senders per run; each costs what one VM costs, and many together rise above the noise. */
+const SENDERS = 40;
+const ROUNDS = 4;
+const ROUND_MS = 1000;
+const WARM_UP_CALLS = 1500;
+const WITNESSES = [2, 4, 8];
+const MEMBERS = [8, 100, 200, 390];
+const EPOCHS = 20;
+
+const INCARNATION = '0f8fad5b-d9cb-469f-a165-70867728950e';
+const STATE = {
+  epoch: 12_345n,
+  configurationOffset: 123_456n,
+  withdrawnDigest: 'd'.repeat(64),
+  draining: false,
+};
+
+/** What Node reports of a closed HTTP/2 session; its types leave the detail out. */
+interface Http2Entry {
+  readonly name: string;
+  readonly detail: {
+    readonly type?: string;
+    readonly bytesRead: number;
+    readonly bytesWritten: number;
+  };
+}
+
+interface Point {
+  readonly x: number;
+  readonly y: number;
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as { port: number };
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
+async function startWitness(): Promise<{ peers: ConnectPeers; port: number }> {
+  const port = await findFreePort();
+  const peers = ConnectPeers.create(Kernel.create(), { peers: { host: '127.0.0.1', port } });
+  peers.handle({ heartbeat: () => ({ ...STATE, renewed: true, incarnation: INCARNATION }) });
+  await peers.start();
+  return { peers, port };
+}
+
+/** Counts the bytes of HTTP/2 on connections that have been closed, on the client's side. */
+function countBytes(): { total: () => number; stop: () => void } {
+  let bytes = 0;
+  const observer = new PerformanceObserver((list) => {
+    list.getEntries().forEach((entry) => {
+      const { name, detail: session } = entry as unknown as Http2Entry;
+      if (name !== 'Http2Session' || session.type !== 'client') return;
+      bytes += session.bytesRead + session.bytesWritten;
+    });
+  });
+  observer.observe({ entryTypes: ['http2'] });
+  return { total: () => bytes, stop: () => observer.disconnect() };
+}
+
+async function sendRounds(
+  sender: ConnectPeers,
+  ports: readonly number[],
+  index: number,
+  rounds: number,
+): Promise<void> {
+  await delay((index * ROUND_MS) / SENDERS);
+  for (let round = 0; round < rounds; round += 1) {
+    const rest = delay(ROUND_MS);
+    const request = { ...STATE, sender: { vm: `vm-${index}`, incarnation: INCARNATION } };
+    const calls = ports.map((port) =>
+      sender.client({ host: '127.0.0.1', port }).heartbeat(request),
+    );
+    await Promise.all([...calls, rest]);
+  }
+}
+
+/** Compiles the code of the calls, which a daemon does within its first minutes. */
+async function warmUp(): Promise<void> {
+  const { peers, port } = await startWitness();
+  const sender = ConnectPeers.create(Kernel.create(), { peers: { host: '127.0.0.1', port: 1 } });
+  const client = sender.client({ host: '127.0.0.1', port });
+  for (let call = 0; call < WARM_UP_CALLS; call += 1) {
+    const request = { ...STATE, sender: { vm: 'vm', incarnation: INCARNATION } };
+    await Promise.all(Array.from({ length: 4 }, () => client.heartbeat(request)));
+  }
+  await sender.stop();
+  await peers.stop();
+}
+
+/** Sender and witnesses share the process: each VM is as often the one as the other. */
+async function measureHeartbeats(count: number) {
+  const witnesses = await Promise.all(Array.from({ length: count }, startWitness));
+  const ports = witnesses.map(({ port }) => port);
+  const senders = Array.from({ length: SENDERS }, () =>
+    ConnectPeers.create(Kernel.create(), { peers: { host: '127.0.0.1', port: 1 } }),
+  );
+  const counter = countBytes();
+  const send = (rounds: number) =>
+    Promise.all(senders.map((sender, index) => sendRounds(sender, ports, index, rounds)));
+  // The first round opens the connections, which happens once in the life of a daemon.
+  await send(1);
+  const before = process.cpuUsage();
+  await send(ROUNDS);
+  const { user, system } = process.cpuUsage(before);
+  await Promise.all(senders.map((sender) => sender.stop()));
+  await Promise.all(witnesses.map(({ peers }) => peers.stop()));
+  await delay(100);
+  counter.stop();
+  const vmSeconds = SENDERS * ROUNDS;
+  return {
+    cpuMs: (user + system) / 1000 / vmSeconds,
+    // A VM carries the bytes of its own heartbeats and as many of those that it answers.
+    bytes: (2 * counter.total()) / (SENDERS * (ROUNDS + 1)),
+  };
+}
+
+function createMember(index: number, run: number): Member {
+  const name = `router-${String(index).padStart(3, '0')}`;
+  const address = { host: '10.20.30.40', port: 7401 };
+  return {
+    name,
+    vm: name,
+    region: `region-${index % 2}`,
+    availabilityZone: `zone-${index % 7}`,
+    incarnation: `${INCARNATION}-${run}`,
+    peers: address,
+    callers: address,
+    operators: address,
+  };
+}
+
+function createRecord(offset: number, index: number, run: number) {
+  const data = JSON.stringify({ format: 1, kind: 'joined', member: createMember(index, run) });
+  return { offset, timestampMs: offset, data };
+}
+
+async function measureFold(count: number) {
+  const task = MembershipTask.create(createMember(0, 0), SystemClock.create());
+  task.run();
+  const joins = Array.from({ length: count }, (_, index) => createRecord(index + 1, index, 0));
+  task.send({ kind: 'records', records: joins });
+  const before = process.cpuUsage();
+  for (let epoch = 1; epoch <= EPOCHS; epoch += 1) {
+    const record = createRecord(count + epoch, 1 + (epoch % (count - 1)), epoch);
+    task.send({ kind: 'records', records: [record] });
+  }
+  const epochs = process.cpuUsage(before);
+  const start = process.cpuUsage();
+  for (let round = 0; round < EPOCHS; round += 1) {
+    await task.ask<HeartbeatRound>((reply) => ({ kind: 'round', at: task.now(), reply }));
+  }
+  const rounds = process.cpuUsage(start);
+  task.close();
+  return {
+    epochMs: (epochs.user + epochs.system) / 1000 / EPOCHS,
+    roundMs: (rounds.user + rounds.system) / 1000 / EPOCHS,
+  };
+}
+
+/** Least squares. */
+function findSlope(points: readonly Point[]): number {
+  const meanX = points.reduce((sum, { x }) => sum + x, 0) / points.length;
+  const meanY = points.reduce((sum, { y }) => sum + y, 0) / points.length;
+  const over = points.reduce((sum, { x, y }) => sum + (x - meanX) * (y - meanY), 0);
+  return over / points.reduce((sum, { x }) => sum + (x - meanX) ** 2, 0);
+}
+
+async function main(): Promise<void> {
+  await measureFold(100);
+  await warmUp();
+  console.log('heartbeats of one VM, sent and answered, once a second');
+  console.log('witnesses  cpu ms/s  bytes/s');
+  const cpu: Point[] = [];
+  const bytes: Point[] = [];
+  for (const count of WITNESSES) {
+    const cost = await measureHeartbeats(count);
+    cpu.push({ x: count, y: cost.cpuMs });
+    bytes.push({ x: count, y: cost.bytes });
+    console.log(`${count}  ${cost.cpuMs.toFixed(3)}  ${cost.bytes.toFixed(0)}`);
+  }
+  console.log(`slope per witness: ${findSlope(cpu).toFixed(3)} ms/s of processor time`);
+  console.log(`slope per witness: ${findSlope(bytes).toFixed(0)} bytes/s of HTTP/2`);
+  console.log('member list: one changed member, one round of heartbeats before sending');
+  console.log('members  epoch ms  round ms');
+  const epochs: Point[] = [];
+  const rounds: Point[] = [];
+  for (const count of MEMBERS) {
+    const cost = await measureFold(count);
+    epochs.push({ x: count, y: cost.epochMs });
+    rounds.push({ x: count, y: cost.roundMs });
+    console.log(`${count}  ${cost.epochMs.toFixed(3)}  ${cost.roundMs.toFixed(3)}`);
+  }
+  console.log(`slope per member: ${(findSlope(epochs) * 1000).toFixed(1)} us an epoch`);
+  console.log(`slope per member: ${(findSlope(rounds) * 1000).toFixed(2)} us a round`);
+}
+
+await main();
--- a/src/membership/unlisted-vms.ts
+++ b/src/membership/unlisted-vms.ts
@@ -62,10 +62,10 @@
     if (!this.update() || !task.joined()) return;
     const members = listMembers(task.members());
     const self = task.self().vm;
-    for (const member of members) {
+    const dropped = members.filter((member) => member.vm !== self && this.isDropped(member));
+    for (const member of dropped) {
       const witnessed = chooseWitnesses(members, member.vm).some(({ vm }) => vm === self);
-      const forMs = witnessed ? UNLISTED_MS : UNWITNESSED_MS;
-      if (member.vm !== self && this.isDropped(member, forMs)) await this.remove(member);
+      if (witnessed || this.isDropped(member, UNWITNESSED_MS)) await this.remove(member);
     }
   }
 
