--- a/features/steps/execution-machine-steps.ts
+++ b/features/steps/execution-machine-steps.ts
@@ -41,14 +41,14 @@
 const commands: fc.Arbitrary<Command[]> = fc.array(
   fc.record({
     pick: fc.oneof({ weight: 6, arbitrary: fc.constant(0) }, fc.nat(5)),
-    choice: fc.oneof({ weight: 3, arbitrary: fc.constant(0) }, fc.nat(9)),
+    choice: fc.oneof({ weight: 3, arbitrary: fc.constant(0) }, { weight: 2, arbitrary: fc.nat(9) }),
     server: fc.constantFrom('a', 'b', 'c'),
     reason: fc.constantFrom(...REASONS),
     advanceMs: fc.oneof({ weight: 9, arbitrary: fc.constant(1) }, fc.nat(400)),
     crossed: fc.integer({ min: 0, max: 12 }).map((value) => value === 0),
-    abort: fc.integer({ min: 0, max: 60 }).map((value) => value === 0),
+    abort: fc.integer({ min: 0, max: 200 }).map((value) => value === 0),
   }),
-  { minLength: 1, maxLength: 60 },
+  { minLength: 1, maxLength: 120, size: 'max' },
 );
 
 /** Plays the part of admission and of the engines, and notes what a correct run must show. */
@@ -71,6 +71,8 @@
 
   private readonly released = new Map<number, readonly string[]>();
 
+  private readonly tokenRounds = new Set<number>();
+
   private nowMs = 0;
 
   play(list: readonly Command[]): void {
@@ -159,12 +161,13 @@
     return this.createDecoded(step, command);
   }
 
-  private createDecoded(step: number, { choice }: Command): AttemptEvent {
+  private createDecoded(step: number, { choice, pick }: Command): AttemptEvent {
     const index = this.emitted.filter((event) => event.kind === 'token').length;
     if (choice < 3) return { kind: 'token', step, index, text: String(index) };
     if (choice === 3) return { kind: 'token', step, index: Math.max(0, index - 1), text: 'again' };
     if (choice === 4) return { kind: 'token', step, index: index + 1, text: 'gap' };
-    return { kind: 'end', step, reason: 'stop', promptTokens: 10, completionTokens: index };
+    const completionTokens = index + (pick % 2);
+    return { kind: 'end', step, reason: 'stop', promptTokens: 10, completionTokens };
   }
 
   private findSend(step: number): Send | undefined {
@@ -177,7 +180,7 @@
 
   private perform(action: AttemptAction): void {
     if ('step' in action) this.asks.push(action);
-    if (action.kind === 'emit') this.emitted.push(action.event);
+    if (action.kind === 'emit') this.emit(action.event);
     if (action.kind === 'settle') this.settled.push(action.grant);
     if (action.kind === 'close') {
       assert.ok(!this.released.has(action.round), 'a round was closed twice');
@@ -185,6 +188,11 @@
     }
   }
 
+  private emit(event: AnswerEvent): void {
+    this.emitted.push(event);
+    if (event.kind === 'token') this.tokenRounds.add(this.machine.roundNumber);
+  }
+
   private check(): void {
     const last = this.emitted.at(-1);
     assert.ok(last && last.kind !== 'token', 'an end or error event comes last');
@@ -198,14 +206,20 @@
       [...this.granted].toSorted((a, b) => a - b),
       'each grant is settled exactly once',
     );
+    if (last.kind === 'end') assert.equal(last.usage.completionTokens, tokens.length);
+    // Tokens of two generations must not be joined to one answer.
+    const [tokenRound = this.machine.roundNumber, ...otherRounds] = this.tokenRounds;
+    assert.equal(otherRounds.length, 0, 'tokens of one round only');
+    assert.equal(tokenRound, this.machine.roundNumber, 'no new round after a token');
     this.checkReleases(last);
     this.checkRunState(last);
   }
 
   private checkReleases(last: AnswerEvent): void {
     const lastRound = this.machine.roundNumber;
+    const decodeServer = this.sends.findLast((send) => send.kind === 'decode')?.server;
     this.sends.forEach(({ server, round, kind, endedByItself }) => {
-      const decoded = last.kind === 'end' && round === lastRound && kind !== 'prefill';
+      const decoded = last.kind === 'end' && round === lastRound && server === decodeServer;
       const released = this.released.get(round)?.includes(server) ?? false;
       assert.ok(
         released || endedByItself || decoded,
--- a/features/steps/routing-steps.ts
+++ b/features/steps/routing-steps.ts
@@ -16,6 +16,7 @@
   registerFake,
   type FakeServices,
 } from '../support/fake-services.js';
+import { createEngineServer } from '../support/servers.js';
 
 interface RoutingState {
   fakes: FakeServices;
@@ -37,22 +38,6 @@
   return world.routing;
 }
 
-function createEngine(name: string, availabilityZone = 'a'): EngineServer {
-  return {
-    kind: 'engine',
-    name,
-    address: { host: '127.0.0.1', port: 1 },
-    availabilityZone,
-    draining: false,
-    role: 'both',
-    models: ['planner'],
-    decodeSlots: 20,
-    kvBlocks: 256,
-    checksFencing: false,
-    checksCommander: false,
-  };
-}
-
 function createPlain(name: string): PlainServer {
   const address = { host: '127.0.0.1', port: 1 };
   return { kind: 'service', name, address, availabilityZone: 'a', draining: false, pool: 'yard' };
@@ -127,7 +112,7 @@
 }
 
 Given('routing over the engines {string}', async function given(this: RoutingWorld, names: string) {
-  this.routing = await createRouting(names.split(' ').map((name) => createEngine(name)));
+  this.routing = await createRouting(names.split(' ').map((name) => createEngineServer(name)));
 });
 
 Given(
@@ -348,7 +333,7 @@
 function createFleet(count: number): EngineServer[] {
   const zones = ['a', 'b', 'c'];
   return Array.from({ length: count }, (_, index) =>
-    createEngine(`server-${index}`, zones[index % 3] ?? 'a'),
+    createEngineServer(`server-${index}`, 1, zones[index % 3]),
   );
 }
 
--- a/features/support/fake-engine.ts
+++ b/features/support/fake-engine.ts
@@ -1,8 +1,8 @@
-import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 
 import type { EngineServer } from '../../src/domain/backend-server.js';
+import { createEngineServer } from './servers.js';
 
 /** A fault of one call, consumed by the first call whose path matches. */
 export interface EngineFault {
@@ -52,19 +52,7 @@
   }
 
   describe(): EngineServer {
-    return {
-      kind: 'engine',
-      name: this.name,
-      address: { host: '127.0.0.1', port: this.port },
-      availabilityZone: 'a',
-      draining: false,
-      role: 'both',
-      models: ['planner'],
-      decodeSlots: 20,
-      kvBlocks: 256,
-      checksFencing: false,
-      checksCommander: false,
-    };
+    return createEngineServer(this.name, this.port);
   }
 
   async stop(): Promise<void> {
@@ -182,8 +170,3 @@
   const text = Buffer.concat(chunks).toString('utf8');
   return text ? (JSON.parse(text) as Record<string, unknown>) : {};
 }
-
-/** SHA-256 of a text, hexadecimal. */
-export function hashText(text: string): string {
-  return createHash('sha256').update(text).digest('hex');
-}
--- a/src/execution/attempt-machine.ts
+++ b/src/execution/attempt-machine.ts
@@ -125,6 +125,7 @@
     if (event.kind === 'start') return this.start();
     if (event.kind === 'abort') return this.abort(event.code, event.message);
     if (!this.expects(event.step)) return this.discard(event);
+    if (this.contradictsSend(event)) return [];
     switch (this.current) {
       case 'admitting':
         return this.inAdmitting(event);
@@ -154,6 +155,12 @@
     return this.finish(Refusal.create(code, message));
   }
 
+  /** Events that say that nothing was sent cannot follow the call of their step. */
+  private contradictsSend({ kind }: Stepped): boolean {
+    const unsent = kind === 'no-server' || kind === 'late' || kind === 'unsendable';
+    return unsent && this.server !== undefined;
+  }
+
   private discard(event: Stepped): readonly AttemptAction[] {
     if (event.kind !== 'admitted' || this.grants.has(event.step)) return [];
     this.grants.add(event.step);
