test(execution): check crashes of engines and the death watch

Cause: deaths by restart, deaths of prefill engines and the order of report and second admission were not covered. Change: add the fault 'crash' and two outlines.

--- a/features/execution/phased-execution.feature
+++ b/features/execution/phased-execution.feature
@@ -96,9 +96,36 @@
     Then phased execution ends with the error "server_failed" and run "unknown"
     And phased execution reported 1 death with the fingerprint
 
+  Scenario Outline: a request that crashes an engine on <path> is admitted again after the report
+    Given phased execution over 3 engines
+    And phased execution meets the faults "crash" on "<path>"
+    When phased execution runs a request
+    Then phased execution answers "t0 t1 t2 t3"
+    And phased execution reported 1 death with the fingerprint
+    And phased execution knew of "0, 1" deaths at its admissions
+    And phased execution leaves no holds and settles each grant once
+
+    Examples:
+      | path      |
+      | prefill   |
+      | transfers |
+      | decode    |
+
   Scenario: stopping waits for the requests in progress
     Given phased execution over 2 engines
     And phased execution meets the faults "silent" on "prefill"
     When phased execution runs a request while it stops
     Then phased execution answers "t0 t1 t2 t3"
     And phased execution has stopped with 0 requests in progress
+
+  Scenario Outline: the watch reports <deaths> deaths when a lost engine then is <state>
+    Given a death watch with the requests "one, two" aboard the engine
+    When the death watch loses 2 connections and finds the engine "<state>"
+    Then the death watch reported "<reported>"
+
+    Examples:
+      | state     | deaths | reported |
+      | refusing  | 1      | one two  |
+      | restarted | 1      | one two  |
+      | alive     | 0      |          |
+      | silent    | 0      |          |
--- /dev/null
+++ b/features/steps/execution-death-steps.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+
+import type { Backends } from '../../src/backends/backends.js';
+import { EngineFailure } from '../../src/backends/engine-failure.js';
+import { DeathWatch } from '../../src/execution/death-watch.js';
+import { fail, succeed } from '../../src/kernel/outcome.js';
+import { SystemClock } from '../../src/kernel/system-clock.js';
+import { createEngineServer } from '../support/servers.js';
+
+interface DeathWorld {
+  watch: DeathWatch;
+  engineState: string;
+  reports: string[];
+}
+
+const SERVER = createEngineServer('engine1');
+
+function answerLoad(state: string) {
+  if (state === 'refusing') return fail(EngineFailure.create('refused', 'refused'));
+  if (state === 'silent') return fail(EngineFailure.create('silent', 'silent'));
+  return succeed({ incarnation: state === 'restarted' ? 'run2' : 'run1' });
+}
+
+Given(
+  'a death watch with the requests {string} aboard the engine',
+  function given(this: DeathWorld, prints: string) {
+    const engine = { load: async () => answerLoad(this.engineState) };
+    const backends = { engine: () => engine } as unknown as Backends;
+    this.reports = [];
+    const target = {
+      backends: () => backends,
+      incarnation: () => 'run1',
+      report: (_server: string, all: readonly string[]) => this.reports.push(all.join(' ')),
+    };
+    this.watch = DeathWatch.create(target, SystemClock.create());
+    prints.split(', ').forEach((print) => this.watch.board('engine1', `attempt-${print}`, print));
+  },
+);
+
+When(
+  'the death watch loses {int} connections and finds the engine {string}',
+  async function when(this: DeathWorld, losses: number, state: string) {
+    this.engineState = state;
+    // The second loss comes after the verdict on the first, as with connections that end late.
+    for (let count = 0; count < losses; count += 1) {
+      this.watch.lost(SERVER);
+      await this.watch.settled();
+    }
+  },
+);
+
+Then('the death watch reported {string}', function then(this: DeathWorld, reported: string) {
+  assert.equal(this.reports.join('; '), reported);
+});
--- a/features/steps/execution-phased-steps.ts
+++ b/features/steps/execution-phased-steps.ts
@@ -222,3 +222,11 @@
     assert.equal(worldOf(this).execution.active(), count);
   },
 );
+
+Then(
+  'phased execution knew of {string} deaths at its admissions',
+  function then(this: PhasedWorld, counts: string) {
+    // Admission tells a suspect only when it knows of the death before it admits again.
+    assert.equal(worldOf(this).fakes.deathsAtAdmission.join(', '), counts);
+  },
+);
--- a/features/support/fake-engine.ts
+++ b/features/support/fake-engine.ts
@@ -70,6 +70,11 @@
     this.calls.push({ path: url, headers, attemptId, socket });
     response.setHeader('x-engine-load', this.load);
     const fault = this.takeFault(url);
+    if (fault === 'crash') {
+      this.holds.clear();
+      await this.stop();
+      return;
+    }
     if (breakAnswer(response, fault)) return;
     this.hold(url, attemptId);
     if (breakAnswerAfterEffect(response, fault)) return;
--- a/features/support/fake-services.ts
+++ b/features/support/fake-services.ts
@@ -25,6 +25,8 @@
   readonly grants: FakeGrant[];
   readonly admitted: AdmissionRequest[];
   readonly deaths: { server: string; fingerprints: readonly string[] }[];
+  /** Deaths that had been reported at each admission. */
+  readonly deathsAtAdmission: number[];
   readonly metrics: Map<string, number>;
   /** Grants that say that they cannot be sent, before those that can. */
   unsendable: number;
@@ -80,7 +82,7 @@
       prefillMs: 200,
       transferMs: 150,
       betweenTokensMs: 150,
-      shutdownMs: 2000,
+      shutdownMs: 700,
     },
   });
 }
@@ -101,6 +103,7 @@
     grants: [],
     admitted: [],
     deaths: [],
+    deathsAtAdmission: [],
     metrics: new Map(),
     unsendable: 0,
     capacityChanges: 0,
@@ -146,6 +149,7 @@
   registerFake(kernel, 'admission', {
     admit: async (request: AdmissionRequest) => {
       fakes.admitted.push(request);
+      fakes.deathsAtAdmission.push(fakes.deaths.length);
       const grant = createGrant(fakes.unsendable <= 0);
       Object.assign(fakes, { unsendable: fakes.unsendable - 1 });
       fakes.grants.push(grant);
--- a/src/routing/prefix-index.ts
+++ b/src/routing/prefix-index.ts
@@ -15,10 +15,11 @@
  */
 export function hashPrefixes(prompt: string, blockBytes: number): readonly string[] {
   const bytes = Buffer.from(prompt, 'utf8');
-  const count = Math.min(MAX_PREFIXES, Math.floor(bytes.length / blockBytes));
+  const step = Math.max(1, Math.floor(blockBytes));
+  const count = Math.min(MAX_PREFIXES, Math.floor(bytes.length / step));
   const hash = createHash('sha256');
   return Array.from({ length: count }, (_, index) => {
-    hash.update(bytes.subarray(index * blockBytes, (index + 1) * blockBytes));
+    hash.update(bytes.subarray(index * step, (index + 1) * step));
     return shortenHash(hash.copy().digest('hex'));
   });
 }
