fix(execution): cancel again after a call that was open at the end

Cause: a cancel order can reach an engine before a reservation that is still on its way on another connection; the hold then stayed until the observer found it. Change: when a call was open as its attempt closed, a second cancel order follows 500 ms later. Measured result: a scenario with a reservation that takes effect 60 ms after the cancel order failed before the change and passes now.

--- a/features/execution/phased-execution.feature
+++ b/features/execution/phased-execution.feature
@@ -89,6 +89,14 @@
       | silent, reset |
       | lost          |
 
+  Scenario: a call that takes effect after its cancel order is cancelled again
+    Given phased execution over 1 engines
+    And phased execution meets the faults "late-effect" on "reservations"
+    When phased execution runs a request that is aborted during its reservation
+    Then phased execution ends with the error "cancelled" and run "not run"
+    And phased execution held memory after its first cancel order
+    And phased execution leaves no holds and settles each grant once
+
   Scenario: the death of an engine counts once against the request aboard
     Given phased execution over 2 engines
     And phased execution meets the faults "stall" on "decode"
--- a/features/steps/execution-phased-steps.ts
+++ b/features/steps/execution-phased-steps.ts
@@ -9,7 +9,7 @@
 import type { Outcome } from '../../src/kernel/outcome.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
 import { SubsetRouting } from '../../src/routing/subset-routing.js';
-import { FakeEngine, type EngineFault } from '../support/fake-engine.js';
+import { FakeEngine, type EngineCallRecord, type EngineFault } from '../support/fake-engine.js';
 import { createFakeServices, waitUntil, type FakeServices } from '../support/fake-services.js';
 
 interface PhasedWorld {
@@ -46,6 +46,10 @@
   };
 }
 
+function isReservation({ path }: EngineCallRecord): boolean {
+  return path === '/v1/reservations';
+}
+
 async function collect(
   phased: NonNullable<PhasedWorld['phased']>,
   outcome: Outcome<ModelAnswer, Refusal>,
@@ -144,6 +148,30 @@
   },
 );
 
+When(
+  'phased execution runs a request that is aborted during its reservation',
+  async function when(this: PhasedWorld) {
+    const phased = worldOf(this);
+    const running = runRequest(phased);
+    await waitUntil(
+      () => phased.engines[0]?.calls.some(isReservation) === true,
+      'the reservation was sent',
+    );
+    phased.abort.abort();
+    await running;
+  },
+);
+
+Then(
+  'phased execution held memory after its first cancel order',
+  async function then(this: PhasedWorld) {
+    const engine = worldOf(this).engines[0];
+    const cancelled = () => engine?.calls.some(({ path }) => path.endsWith('/cancel')) ?? false;
+    await waitUntil(cancelled, 'the first cancel order came');
+    await waitUntil(() => engine?.holds.size === 1, 'the reservation took effect');
+  },
+);
+
 When('phased execution runs a request while it stops', async function when(this: PhasedWorld) {
   const phased = worldOf(this);
   const running = runRequest(phased);
--- a/features/support/fake-engine.ts
+++ b/features/support/fake-engine.ts
@@ -76,6 +76,11 @@
       return;
     }
     if (breakAnswer(response, fault)) return;
+    if (fault === 'late-effect') {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 60);
+      });
+    }
     this.hold(url, attemptId);
     if (breakAnswerAfterEffect(response, fault)) return;
     if (url === '/v1/decode') this.stream(response, body, fault);
--- a/src/execution/model-run.ts
+++ b/src/execution/model-run.ts
@@ -22,6 +22,9 @@
 
 const PAUSE_MS = 10;
 
+// An engine may handle a cancel order before a call that was open on another connection.
+const SECOND_CANCEL_MS = 500;
+
 /** What a run shares with the other runs of this VM. */
 export interface RunContext {
   readonly kernel: Kernel;
@@ -214,7 +217,7 @@
       return;
     }
     kernel.find('routing').unassign(round.attemptId, server.name, 'decode');
-    this.failCall(step, server, outcome.failure);
+    this.failCall(step, round, server, outcome.failure);
   }
 
   private async prefill(step: number): Promise<void> {
@@ -252,7 +255,7 @@
     else this.noteLoss(server, outcome.failure);
     this.context.deaths.leave(server.name, round.attemptId);
     routing.unassign(round.attemptId, server.name, 'prefill');
-    if (outcome.kind === 'failed') this.failCall(step, server, outcome.failure);
+    if (outcome.kind === 'failed') this.failCall(step, round, server, outcome.failure);
     else this.dispatch({ kind: 'prefilled', step, promptTokens: outcome.value.promptTokens });
   }
 
@@ -284,12 +287,13 @@
     const outcome = await engine.transfer(call, reservationId, prefill.prefillId, source);
     span.end({ outcome: outcomeName(outcome) });
     if (outcome.kind === 'ok') this.dispatch({ kind: 'transferred', step });
-    else this.failCall(step, decodeServer, outcome.failure);
+    else this.failCall(step, round, decodeServer, outcome.failure);
   }
 
   private async decode(step: number, fromIndex: number): Promise<void> {
     const { kernel, settings } = this.context;
-    const { decodeServer, reservation } = this.round;
+    const { round } = this;
+    const { decodeServer, reservation } = round;
     if (!decodeServer || !reservation) return;
     this.send(step, decodeServer);
     const span = this.beginSpan('decode', decodeServer);
@@ -300,7 +304,7 @@
     await events.forEach((event) => {
       if (event.kind === 'failed') {
         span.end({ outcome: event.failure.reason });
-        this.failCall(step, decodeServer, event.failure);
+        this.failCall(step, round, decodeServer, event.failure);
       } else {
         if (event.kind === 'end') span.end({ outcome: 'ok', tokens: event.completionTokens });
         this.dispatch({ ...event, step });
@@ -390,9 +394,12 @@
     this.dispatch({ kind: 'sent', step, server: server.name });
   }
 
-  private failCall(step: number, server: EngineServer, failure: EngineFailure): void {
+  private failCall(step: number, round: Round, server: EngineServer, failure: EngineFailure): void {
     this.noteLoss(server, failure);
-    if (!this.machine.expects(step)) return;
+    if (!this.machine.expects(step)) {
+      this.context.releases.release(server, round.attemptId, round.owner, SECOND_CANCEL_MS);
+      return;
+    }
     this.record('failure', server.name, failure.message, { reason: failure.reason });
     this.dispatch({ kind: 'failed', step, reason: failure.reason });
   }
--- a/src/execution/releases.ts
+++ b/src/execution/releases.ts
@@ -45,9 +45,10 @@
    * @param server - the engine
    * @param attemptId - the attempt
    * @param owner - owner of the attempt
+   * @param afterMs - time before the first order, in milliseconds
    */
-  release(server: EngineServer, attemptId: string, owner: Incarnation): void {
-    const work = this.repeat(server, attemptId, owner);
+  release(server: EngineServer, attemptId: string, owner: Incarnation, afterMs = 0): void {
+    const work = this.repeat(server, attemptId, owner, afterMs);
     this.open.add(work);
     void work.finally(() => this.open.delete(work));
   }
@@ -63,9 +64,15 @@
     await Promise.all([...this.open]);
   }
 
-  private async repeat(server: EngineServer, attemptId: string, owner: Incarnation): Promise<void> {
+  private async repeat(
+    server: EngineServer,
+    attemptId: string,
+    owner: Incarnation,
+    afterMs: number,
+  ): Promise<void> {
     const { signal } = this.stopping;
     let delayMs = FIRST_DELAY_MS;
+    if (afterMs > 0) await this.clock.sleep(afterMs, signal);
     while (!signal.aborted) {
       const outcome = await this.backends().engine(server).cancel(attemptId, owner);
       if (outcome.kind === 'ok' || !this.configured(server.name)) return;
