test(execution): check early refusals and extended grants

Cause: the early refusal and the debit beyond the estimate were not checked. Change: add two scenarios with fakes that record extensions.

--- a/features/execution/phased-execution.feature
+++ b/features/execution/phased-execution.feature
@@ -62,6 +62,25 @@
     And phased execution was admitted 3 times in the same place
     And phased execution leaves no holds and settles each grant once
 
+  Scenario: a first token that can no longer come in time is refused before the prefill
+    Given phased execution over 2 engines
+    When phased execution runs a request that arrived 2000 ms ago
+    Then phased execution ends with the error "overloaded" and run "not run"
+    And phased execution sent no prefill
+    And phased execution leaves no holds and settles each grant once
+
+  Scenario Outline: tokens beyond the estimate are debited, <debit>
+    Given phased execution over 2 engines
+    And phased execution has tokens to extend a grant: "<tokens>"
+    When phased execution runs a request
+    Then phased execution extended its grant by 2 and settled <used> tokens
+    And phased execution leaves no holds and settles each grant once
+
+    Examples:
+      | debit       | tokens | used |
+      | granted     | yes    | 14   |
+      | not granted | no     | 10   |
+
   Scenario Outline: <event> in mid-answer releases everything
     Given phased execution over 2 engines
     And phased execution meets the faults "stall, stall, stall" on "decode"
--- a/features/steps/execution-phased-steps.ts
+++ b/features/steps/execution-phased-steps.ts
@@ -64,8 +64,8 @@
   });
 }
 
-async function runRequest(phased: NonNullable<PhasedWorld['phased']>): Promise<void> {
-  const request = createRequest(phased.clock.monotonicMs());
+async function runRequest(phased: NonNullable<PhasedWorld['phased']>, ageMs = 0): Promise<void> {
+  const request = createRequest(phased.clock.monotonicMs() - ageMs);
   await collect(phased, await phased.execution.run(request, phased.abort.signal));
 }
 
@@ -258,3 +258,33 @@
     assert.equal(worldOf(this).fakes.deathsAtAdmission.join(', '), counts);
   },
 );
+
+Given(
+  'phased execution has tokens to extend a grant: {string}',
+  function given(this: PhasedWorld, answer: string) {
+    worldOf(this).fakes.extendable = answer === 'yes';
+  },
+);
+
+When(
+  'phased execution runs a request that arrived {int} ms ago',
+  async function when(this: PhasedWorld, ageMs: number) {
+    await runRequest(worldOf(this), ageMs);
+  },
+);
+
+Then('phased execution sent no prefill', function then(this: PhasedWorld) {
+  const calls = worldOf(this).engines.flatMap((engine) => engine.calls);
+  assert.ok(calls.every(({ path }) => path !== '/v1/prefill'));
+});
+
+Then(
+  'phased execution extended its grant by {int} and settled {int} tokens',
+  function then(this: PhasedWorld, extended: number, used: number) {
+    const { grants } = worldOf(this).fakes;
+    assert.deepEqual(
+      grants.map((grant) => [grant.extended, grant.settled]),
+      [[[extended], [used]]],
+    );
+  },
+);
--- a/features/support/fake-services.ts
+++ b/features/support/fake-services.ts
@@ -2,9 +2,10 @@
 import type { Grant } from '../../src/admission/grant.js';
 import type { ConfigurationState } from '../../src/configuration/configuration.js';
 import type { BackendServer } from '../../src/domain/backend-server.js';
+import { Refusal } from '../../src/domain/refusal.js';
 import { Channel } from '../../src/kernel/channel.js';
 import { Kernel } from '../../src/kernel/kernel.js';
-import { succeed } from '../../src/kernel/outcome.js';
+import { fail, succeed } from '../../src/kernel/outcome.js';
 import { Service, type Services } from '../../src/kernel/service.js';
 import type { VmListing } from '../../src/platform/vm-list.js';
 import { settingsSchema, type Settings } from '../../src/settings/schema.js';
@@ -12,6 +13,7 @@
 /** A grant that counts how often it was settled. */
 export interface FakeGrant extends Grant {
   readonly settled: number[];
+  readonly extended: number[];
 }
 
 /** Services around the modules under test, and what was told to them. */
@@ -30,6 +32,7 @@
   readonly metrics: Map<string, number>;
   /** Grants that say that they cannot be sent, before those that can. */
   unsendable: number;
+  extendable: boolean;
   capacityChanges: number;
   state: ConfigurationState;
 }
@@ -106,6 +109,7 @@
     deathsAtAdmission: [],
     metrics: new Map(),
     unsendable: 0,
+    extendable: true,
     capacityChanges: 0,
     state: createState(servers),
   };
@@ -150,7 +154,7 @@
     admit: async (request: AdmissionRequest) => {
       fakes.admitted.push(request);
       fakes.deathsAtAdmission.push(fakes.deaths.length);
-      const grant = createGrant(fakes.unsendable <= 0);
+      const grant = createGrant(fakes.unsendable <= 0, fakes.extendable);
       Object.assign(fakes, { unsendable: fakes.unsendable - 1 });
       fakes.grants.push(grant);
       return succeed(grant);
@@ -161,14 +165,19 @@
   });
 }
 
-function createGrant(sendable: boolean): FakeGrant {
+function createGrant(sendable: boolean, extendable: boolean): FakeGrant {
   const settled: number[] = [];
+  const extended: number[] = [];
   return {
     tokens: 100,
     suspect: false,
     settled,
+    extended,
     sendable: () => sendable,
-    extend: async () => succeed(undefined),
+    extend: async (tokens) => {
+      extended.push(tokens);
+      return extendable ? succeed(undefined) : fail(Refusal.create('rate_exceeded', 'no tokens'));
+    },
     settle: (tokens) => settled.push(tokens),
   };
 }
