--- a/features/execution/phased-execution.feature
+++ b/features/execution/phased-execution.feature
@@ -62,6 +62,25 @@
     And phased execution was admitted 3 times in the same place
     And phased execution leaves no holds and settles each grant once
 
+  Scenario: a first token that can no longer come in time is refused before the prefill
+    Given phased execution over 2 engines
+    When phased execution runs a request that arrived 2000 ms ago
+    Then phased execution ends with the error "overloaded" and run "not run"
+    And phased execution sent no prefill
+    And phased execution leaves no holds and settles each grant once
+
+  Scenario Outline: tokens beyond the estimate are debited, <debit>
+    Given phased execution over 2 engines
+    And phased execution has tokens to extend a grant: "<tokens>"
+    When phased execution runs a request
+    Then phased execution extended its grant by 2 and settled <used> tokens
+    And phased execution leaves no holds and settles each grant once
+
+    Examples:
+      | debit       | tokens | used |
+      | granted     | yes    | 14   |
+      | not granted | no     | 10   |
+
   Scenario Outline: <event> in mid-answer releases everything
     Given phased execution over 2 engines
     And phased execution meets the faults "stall, stall, stall" on "decode"
@@ -89,6 +108,14 @@
       | silent, reset |
       | lost          |
 
+  Scenario: a call that takes effect after its cancel order is cancelled again
+    Given phased execution over 1 engines
+    And phased execution meets the faults "late-effect" on "reservations"
+    When phased execution runs a request that is aborted during its reservation
+    Then phased execution ends with the error "cancelled" and run "not run"
+    And phased execution held memory after its first cancel order
+    And phased execution leaves no holds and settles each grant once
+
   Scenario: the death of an engine counts once against the request aboard
     Given phased execution over 2 engines
     And phased execution meets the faults "stall" on "decode"
@@ -96,9 +123,36 @@
     Then phased execution ends with the error "server_failed" and run "unknown"
     And phased execution reported 1 death with the fingerprint
 
+  Scenario Outline: a request that crashes an engine on <path> is admitted again after the report
+    Given phased execution over 3 engines
+    And phased execution meets the faults "crash" on "<path>"
+    When phased execution runs a request
+    Then phased execution answers "t0 t1 t2 t3"
+    And phased execution reported 1 death with the fingerprint
+    And phased execution knew of "0, 1" deaths at its admissions
+    And phased execution leaves no holds and settles each grant once
+
+    Examples:
+      | path      |
+      | prefill   |
+      | transfers |
+      | decode    |
+
   Scenario: stopping waits for the requests in progress
     Given phased execution over 2 engines
     And phased execution meets the faults "silent" on "prefill"
     When phased execution runs a request while it stops
     Then phased execution answers "t0 t1 t2 t3"
     And phased execution has stopped with 0 requests in progress
+
+  Scenario Outline: the watch reports <deaths> deaths when a lost engine then is <state>
+    Given a death watch with the requests "one, two" aboard the engine
+    When the death watch loses 2 connections and finds the engine "<state>"
+    Then the death watch reported "<reported>"
+
+    Examples:
+      | state     | deaths | reported |
+      | refusing  | 1      | one two  |
+      | restarted | 1      | one two  |
+      | alive     | 0      |          |
+      | silent    | 0      |          |
--- a/features/steps/execution-phased-steps.ts
+++ b/features/steps/execution-phased-steps.ts
@@ -9,7 +9,7 @@
 import type { Outcome } from '../../src/kernel/outcome.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
 import { SubsetRouting } from '../../src/routing/subset-routing.js';
-import { FakeEngine, type EngineFault } from '../support/fake-engine.js';
+import { FakeEngine, type EngineCallRecord, type EngineFault } from '../support/fake-engine.js';
 import { createFakeServices, waitUntil, type FakeServices } from '../support/fake-services.js';
 
 interface PhasedWorld {
@@ -46,6 +46,10 @@
   };
 }
 
+function isReservation({ path }: EngineCallRecord): boolean {
+  return path === '/v1/reservations';
+}
+
 async function collect(
   phased: NonNullable<PhasedWorld['phased']>,
   outcome: Outcome<ModelAnswer, Refusal>,
@@ -60,8 +64,8 @@
   });
 }
 
-async function runRequest(phased: NonNullable<PhasedWorld['phased']>): Promise<void> {
-  const request = createRequest(phased.clock.monotonicMs());
+async function runRequest(phased: NonNullable<PhasedWorld['phased']>, ageMs = 0): Promise<void> {
+  const request = createRequest(phased.clock.monotonicMs() - ageMs);
   await collect(phased, await phased.execution.run(request, phased.abort.signal));
 }
 
@@ -144,6 +148,30 @@
   },
 );
 
+When(
+  'phased execution runs a request that is aborted during its reservation',
+  async function when(this: PhasedWorld) {
+    const phased = worldOf(this);
+    const running = runRequest(phased);
+    await waitUntil(
+      () => phased.engines[0]?.calls.some(isReservation) === true,
+      'the reservation was sent',
+    );
+    phased.abort.abort();
+    await running;
+  },
+);
+
+Then(
+  'phased execution held memory after its first cancel order',
+  async function then(this: PhasedWorld) {
+    const engine = worldOf(this).engines[0];
+    const cancelled = () => engine?.calls.some(({ path }) => path.endsWith('/cancel')) ?? false;
+    await waitUntil(cancelled, 'the first cancel order came');
+    await waitUntil(() => engine?.holds.size === 1, 'the reservation took effect');
+  },
+);
+
 When('phased execution runs a request while it stops', async function when(this: PhasedWorld) {
   const phased = worldOf(this);
   const running = runRequest(phased);
@@ -222,3 +250,41 @@
     assert.equal(worldOf(this).execution.active(), count);
   },
 );
+
+Then(
+  'phased execution knew of {string} deaths at its admissions',
+  function then(this: PhasedWorld, counts: string) {
+    // Admission tells a suspect only when it knows of the death before it admits again.
+    assert.equal(worldOf(this).fakes.deathsAtAdmission.join(', '), counts);
+  },
+);
+
+Given(
+  'phased execution has tokens to extend a grant: {string}',
+  function given(this: PhasedWorld, answer: string) {
+    worldOf(this).fakes.extendable = answer === 'yes';
+  },
+);
+
+When(
+  'phased execution runs a request that arrived {int} ms ago',
+  async function when(this: PhasedWorld, ageMs: number) {
+    await runRequest(worldOf(this), ageMs);
+  },
+);
+
+Then('phased execution sent no prefill', function then(this: PhasedWorld) {
+  const calls = worldOf(this).engines.flatMap((engine) => engine.calls);
+  assert.ok(calls.every(({ path }) => path !== '/v1/prefill'));
+});
+
+Then(
+  'phased execution extended its grant by {int} and settled {int} tokens',
+  function then(this: PhasedWorld, extended: number, used: number) {
+    const { grants } = worldOf(this).fakes;
+    assert.deepEqual(
+      grants.map((grant) => [grant.extended, grant.settled]),
+      [[[extended], [used]]],
+    );
+  },
+);
--- a/features/support/fake-services.ts
+++ b/features/support/fake-services.ts
@@ -2,9 +2,10 @@
 import type { Grant } from '../../src/admission/grant.js';
 import type { ConfigurationState } from '../../src/configuration/configuration.js';
 import type { BackendServer } from '../../src/domain/backend-server.js';
+import { Refusal } from '../../src/domain/refusal.js';
 import { Channel } from '../../src/kernel/channel.js';
 import { Kernel } from '../../src/kernel/kernel.js';
-import { succeed } from '../../src/kernel/outcome.js';
+import { fail, succeed } from '../../src/kernel/outcome.js';
 import { Service, type Services } from '../../src/kernel/service.js';
 import type { VmListing } from '../../src/platform/vm-list.js';
 import { settingsSchema, type Settings } from '../../src/settings/schema.js';
@@ -12,6 +13,7 @@
 /** A grant that counts how often it was settled. */
 export interface FakeGrant extends Grant {
   readonly settled: number[];
+  readonly extended: number[];
 }
 
 /** Services around the modules under test, and what was told to them. */
@@ -25,9 +27,12 @@
   readonly grants: FakeGrant[];
   readonly admitted: AdmissionRequest[];
   readonly deaths: { server: string; fingerprints: readonly string[] }[];
+  /** Deaths that had been reported at each admission. */
+  readonly deathsAtAdmission: number[];
   readonly metrics: Map<string, number>;
   /** Grants that say that they cannot be sent, before those that can. */
   unsendable: number;
+  extendable: boolean;
   capacityChanges: number;
   state: ConfigurationState;
 }
@@ -80,7 +85,7 @@
       prefillMs: 200,
       transferMs: 150,
       betweenTokensMs: 150,
-      shutdownMs: 2000,
+      shutdownMs: 700,
     },
   });
 }
@@ -101,8 +106,10 @@
     grants: [],
     admitted: [],
     deaths: [],
+    deathsAtAdmission: [],
     metrics: new Map(),
     unsendable: 0,
+    extendable: true,
     capacityChanges: 0,
     state: createState(servers),
   };
@@ -146,7 +153,8 @@
   registerFake(kernel, 'admission', {
     admit: async (request: AdmissionRequest) => {
       fakes.admitted.push(request);
-      const grant = createGrant(fakes.unsendable <= 0);
+      fakes.deathsAtAdmission.push(fakes.deaths.length);
+      const grant = createGrant(fakes.unsendable <= 0, fakes.extendable);
       Object.assign(fakes, { unsendable: fakes.unsendable - 1 });
       fakes.grants.push(grant);
       return succeed(grant);
@@ -157,14 +165,19 @@
   });
 }
 
-function createGrant(sendable: boolean): FakeGrant {
+function createGrant(sendable: boolean, extendable: boolean): FakeGrant {
   const settled: number[] = [];
+  const extended: number[] = [];
   return {
     tokens: 100,
     suspect: false,
     settled,
+    extended,
     sendable: () => sendable,
-    extend: async () => succeed(undefined),
+    extend: async (tokens) => {
+      extended.push(tokens);
+      return extendable ? succeed(undefined) : fail(Refusal.create('rate_exceeded', 'no tokens'));
+    },
     settle: (tokens) => settled.push(tokens),
   };
 }
