test: let the fleet harness separate daemons, the log and servers by relays

Cause: proofs under failure need cuts between chosen daemons, the log and servers. Change: relayed plans put a relay before each daemon's peer listener, its log access and each server; a relay can block one source address.

--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -11,6 +11,7 @@
 import { createOperatorClient, type OperatorClient } from './operator-client.js';
 import { launchProcess, type LaunchedProcess } from './process-launcher.js';
 import { launchStandIn, type LaunchedStandIn } from './stand-in-launcher.js';
+import { createTcpRelay, type TcpRelay } from './tcp-relay.js';
 import { waitFor } from './wait-for.js';
 
 /** Operator token of every fleet that is started here. */
@@ -40,13 +41,25 @@
   readonly changes: readonly JsonChange[];
   /** Options of the log service. */
   readonly logArgs?: readonly string[];
+  /** True: peers, log and servers are reached through relays that can be cut. */
+  readonly relayed?: boolean;
   /** Top-level fields of each daemon's settings that replace the usual ones. */
   readonly settings?: JsonChange;
 }
 
+/** Relays before one daemon's listener for peers and before its access to the log. */
+export interface DaemonLinks {
+  readonly peers: TcpRelay;
+  readonly log: TcpRelay;
+}
+
 /** A daemon of a fleet. */
 export interface FleetDaemon {
   readonly name: string;
+  /** IP number of its listeners, from which it also connects to peers. */
+  readonly host: string;
+  /** Undefined unless the plan is relayed. */
+  readonly links: DaemonLinks | undefined;
   readonly settingsFile: string;
   readonly callers: Address;
   readonly operators: Address;
@@ -58,9 +71,14 @@
   readonly log: LaunchedStandIn;
   readonly vmList: LaunchedStandIn;
   readonly servers: ReadonlyMap<string, LaunchedStandIn>;
+  /** Relays before the servers, by name; empty unless the plan is relayed. */
+  readonly serverLinks: ReadonlyMap<string, TcpRelay>;
   readonly daemons: FleetDaemon[];
   /** Starts one more daemon, without waiting until it is ready for callers. */
   readonly addDaemon: () => Promise<FleetDaemon>;
+  /** Cuts the connections between two daemons in both directions, until `join`. */
+  readonly separate: (one: FleetDaemon, other: FleetDaemon) => void;
+  readonly join: (one: FleetDaemon, other: FleetDaemon) => void;
   /** Starts a daemon that has ended again, with the same settings. */
   readonly restartDaemon: (daemon: FleetDaemon) => Promise<void>;
   /** Creates a client of a daemon's operator listener. */
@@ -77,14 +95,18 @@
 /** Values of the second and third part of a loopback IP number that tell runs apart. */
 const RUNS_A = 250;
 const RUNS_B = 250;
+const HOSTS_OF_A_RUN = 250;
+
+let hostsChosen = 0;
 
 /**
  * Chooses an IP number of its own for each daemon. Listening ports on it do not collide with the
  * ports of outgoing connections, which use 127.0.0.1, nor with another run on the same machine.
  */
-function chooseHost(index: number): string {
+function chooseHost(): string {
   const run = process.pid % (RUNS_A * RUNS_B);
-  return `127.${1 + (run % RUNS_A)}.${Math.floor(run / RUNS_A)}.${index + 1}`;
+  hostsChosen = (hostsChosen % HOSTS_OF_A_RUN) + 1;
+  return `127.${1 + (run % RUNS_A)}.${Math.floor(run / RUNS_A)}.${hostsChosen}`;
 }
 
 const PORTS_OF_A_DAEMON = 3;
@@ -102,6 +124,10 @@
     launchStandIn('vm-list'),
     ...plan.servers.map((server) => launchServer(server)),
   ]);
+  const addresses = new Map(
+    plan.servers.map(({ name }, index) => [name, parseAddress(pick(servers, index).address)]),
+  );
+  const serverLinks = plan.relayed ? await relayAll(addresses) : new Map<string, TcpRelay>();
   const daemons: FleetDaemon[] = [];
   const clients = new Map<FleetDaemon, OperatorClient>();
   const operator = (daemon: FleetDaemon) => {
@@ -113,8 +139,7 @@
   const addDaemon = async () => {
     launched += 1;
     const index = launched - 1;
-    const platform = { log: { urls: [log.url] }, vmList: { url: vmList.url } };
-    const daemon = await launchDaemon(plan, index, directory, platform);
+    const daemon = await launchDaemon(plan, index, directory, { log, vmList });
     daemons.push(daemon);
     return daemon;
   };
@@ -125,6 +150,15 @@
   const fleet: Fleet = {
     ...{ log, vmList, daemons, operator, addDaemon, apply, waitReady },
     servers: new Map(plan.servers.map(({ name }, index) => [name, pick(servers, index)])),
+    serverLinks,
+    separate: (one, other) => {
+      one.links?.peers.block(other.host);
+      other.links?.peers.block(one.host);
+    },
+    join: (one, other) => {
+      one.links?.peers.unblock(other.host);
+      other.links?.peers.unblock(one.host);
+    },
     restartDaemon: async (daemon) => {
       Object.assign(daemon, { process: await runDaemon(daemon.settingsFile) });
     },
@@ -141,7 +175,10 @@
     },
   };
   await Promise.all(Array.from({ length: plan.daemons }, addDaemon));
-  const version = await apply([...plan.changes, ...describeServers(plan.servers, servers)]);
+  const version = await apply([
+    ...plan.changes,
+    ...describeServers(plan.servers, new Map([...addresses, ...serverLinks])),
+  ]);
   await Promise.all(daemons.map((daemon) => waitForVersion(operator(daemon), version)));
   await Promise.all(daemons.map(waitReady));
   return fleet;
@@ -154,36 +191,63 @@
 
 function describeServers(
   plans: readonly ServerPlan[],
-  servers: readonly LaunchedStandIn[],
+  addresses: ReadonlyMap<string, Address>,
 ): JsonChange[] {
-  return plans.map(({ name, availabilityZone, fields }, index) => {
-    const [host, port] = pick(servers, index).address.split(':');
-    const address = { host, port: Number(port) };
+  return plans.map(({ name, availabilityZone, fields }) => {
+    const { host, port } = addresses.get(name) ?? { host: '', port: 0 };
+    const address = { host, port };
     return { kind: 'put-server', server: { ...fields, name, availabilityZone, address } };
   });
 }
 
+async function relayAll(addresses: ReadonlyMap<string, Address>): Promise<Map<string, TcpRelay>> {
+  const entries = [...addresses].map(async ([name, address]): Promise<[string, TcpRelay]> => [
+    name,
+    await createTcpRelay(address),
+  ]);
+  return new Map(await Promise.all(entries));
+}
+
+function parseAddress(text: string): Address {
+  const [host = '', port] = text.split(':');
+  return { host, port: Number(port) };
+}
+
 async function launchDaemon(
   plan: FleetPlan,
   index: number,
   directory: string,
-  platform: JsonChange,
+  platform: { readonly log: LaunchedStandIn; readonly vmList: LaunchedStandIn },
 ): Promise<FleetDaemon> {
   const name = `vm-${index + 1}`;
-  const host = chooseHost(index);
+  const host = chooseHost();
   const ports = await findFreePorts(PORTS_OF_A_DAEMON, host);
   const [callers, peers, operators] = ports.map((port) => ({ host, port }));
   if (!callers || !peers || !operators) throw new Error('no free ports');
+  const logAddress = parseAddress(platform.log.address);
+  const links = plan.relayed
+    ? { peers: await createTcpRelay(peers), log: await createTcpRelay(logAddress) }
+    : undefined;
+  const log = links?.log ?? logAddress;
   const tokenSha256 = createHash('sha256').update(OPERATOR_TOKEN).digest('hex');
   const settings = {
     vm: { name, region: plan.region, availabilityZone: plan.zones[index % plan.zones.length] },
-    ...{ callers, peers, operators: { ...operators, tokenSha256 }, platform },
+    callers,
+    peers: links
+      ? { ...peers, advertised: { host: links.peers.host, port: links.peers.port } }
+      : peers,
+    operators: { ...operators, tokenSha256 },
+    platform: {
+      log: { urls: [`http://${log.host}:${log.port}`] },
+      vmList: { url: platform.vmList.url },
+    },
     traces: { file: join(directory, `${name}.spans`) },
     ...plan.settings,
   };
   const settingsFile = join(directory, `${name}.json`);
   await writeFile(settingsFile, JSON.stringify(settings));
-  return { name, settingsFile, callers, operators, process: await runDaemon(settingsFile) };
+  const launched = await runDaemon(settingsFile);
+  return { ...{ name, host, links, settingsFile, callers, operators }, process: launched };
 }
 
 function runDaemon(settingsFile: string): Promise<LaunchedProcess> {
--- a/harness/plans.ts
+++ b/harness/plans.ts
@@ -20,6 +20,8 @@
   readonly serviceArgs?: readonly string[];
   readonly logArgs?: readonly string[];
   readonly settings?: JsonChange;
+  /** True: peers, log and servers are reached through relays that can be cut. */
+  readonly relayed?: boolean;
 }
 
 /**
@@ -45,7 +47,7 @@
   });
   return {
     ...{ region: 'tt-south', zones, daemons, logArgs: size.logArgs ?? [] },
-    settings: size.settings ?? {},
+    ...{ settings: size.settings ?? {}, relayed: size.relayed ?? false },
     servers: [
       ...times(prefills, engine('prefill')),
       ...times(decodes, engine('decode')),
--- a/harness/tcp-relay.ts
+++ b/harness/tcp-relay.ts
@@ -15,6 +15,8 @@
 /** Silent connections stay silent for good when `forGood` is set; new ones then work. */
 interface Pair {
   readonly sockets: readonly Socket[];
+  /** IP number that the connection came from. */
+  readonly source: string;
   forGood: boolean;
 }
 
@@ -37,6 +39,9 @@
   readonly silenceOpen: () => void;
   /** Delays bytes in one direction, in milliseconds. */
   readonly delay: (direction: Direction, ms: number) => void;
+  /** Resets connections from one IP number, open and new ones, until `unblock`. */
+  readonly block: (source: string) => void;
+  readonly unblock: (source: string) => void;
   /** Ends `cut`, `silence` and delays. */
   readonly heal: () => void;
   /** Counts connections that are open now. */
@@ -55,8 +60,10 @@
 export async function createTcpRelay(target: Address): Promise<TcpRelay> {
   const weather: Weather = { state: 'healthy', delayMs: { 'to-target': 0, 'to-client': 0 } };
   const pairs = new Set<Pair>();
+  const blocked = new Set<string>();
   const server = createServer({ allowHalfOpen: true }, (client) => {
-    if (weather.state === 'cut') client.resetAndDestroy();
+    const isBlocked = blocked.has(client.remoteAddress ?? '');
+    if (weather.state === 'cut' || isBlocked) client.resetAndDestroy();
     else connectPair(client, target, weather, pairs);
   });
   const port = await listen(server);
@@ -75,6 +82,11 @@
     delay: (direction, ms) => {
       weather.delayMs[direction] = ms;
     },
+    block: (source) => {
+      blocked.add(source);
+      pairs.forEach((pair) => pair.source === source && reset(pair));
+    },
+    unblock: (source) => blocked.delete(source),
     heal: () => Object.assign(weather, { state: 'healthy', delayMs: healthyDelays() }),
     countOpen: () => pairs.size,
     close: async () => {
@@ -110,7 +122,8 @@
 
 function connectPair(client: Socket, target: Address, weather: Weather, pairs: Set<Pair>): void {
   const upstream = connect({ ...target, allowHalfOpen: true });
-  const pair: Pair = { sockets: [client, upstream], forGood: false };
+  const source = client.remoteAddress ?? '';
+  const pair: Pair = { sockets: [client, upstream], source, forGood: false };
   pairs.add(pair);
   for (const socket of pair.sockets) {
     socket.setNoDelay(true);
