fix: let the last of repeated stand-in options count, and show each decision once

Cause: an option given twice became a list, so an engine's end marker carried no token count and every decode was retried as broken; a decision and its copy at a peer list their fields in another order, so explain showed both. Ruled out: the decode reader (a raw stream of the stand-in was well formed with one option) and the time between tokens.

--- a/harness/tcp-relay.ts
+++ b/harness/tcp-relay.ts
@@ -6,8 +6,9 @@
 /** Direction of bytes through a relay. */
 export type Direction = 'to-target' | 'to-client';
 
-/** What a relay does to bytes at present. */
+/** What a relay has passed, and what it does to bytes at present. */
 interface Weather {
+  bytes: number;
   state: 'healthy' | 'cut' | 'silent';
   readonly delayMs: Record<Direction, number>;
 }
@@ -44,6 +45,8 @@
   readonly unblock: (source: string) => void;
   /** Ends `cut`, `silence` and delays. */
   readonly heal: () => void;
+  /** Counts the bytes passed in both directions since the relay was opened. */
+  readonly countBytes: () => number;
   /** Counts connections that are open now. */
   readonly countOpen: () => number;
   readonly close: () => Promise<void>;
@@ -58,7 +61,7 @@
  * @returns the relay
  */
 export async function createTcpRelay(target: Address): Promise<TcpRelay> {
-  const weather: Weather = { state: 'healthy', delayMs: { 'to-target': 0, 'to-client': 0 } };
+  const weather: Weather = { bytes: 0, state: 'healthy', delayMs: healthyDelays() };
   const pairs = new Set<Pair>();
   const blocked = new Set<string>();
   const server = createServer({ allowHalfOpen: true }, (client) => {
@@ -88,6 +91,7 @@
     },
     unblock: (source) => blocked.delete(source),
     heal: () => Object.assign(weather, { state: 'healthy', delayMs: healthyDelays() }),
+    countBytes: () => weather.bytes,
     countOpen: () => pairs.size,
     close: async () => {
       relays.delete(relay);
@@ -150,6 +154,7 @@
     passing = true;
     for (let piece = queue.shift(); piece; piece = queue.shift()) {
       await waitForTurn(piece, weather, pair, to);
+      Object.assign(weather, { bytes: weather.bytes + (piece.bytes?.length ?? 0) });
       if (piece.bytes) to.write(piece.bytes);
       else to.end();
     }
--- a/src/observability/ring-decisions.ts
+++ b/src/observability/ring-decisions.ts
@@ -95,7 +95,7 @@
       }
     };
     await Promise.all(Array.from({ length: PARALLEL_QUESTIONS }, ask));
-    const distinct = new Map(found.map((entry) => [JSON.stringify(entry), entry]));
+    const distinct = new Map(found.map((entry) => [identify(entry), entry]));
     return [...distinct.values()].sort((a, b) => a.atMs - b.atMs);
   }
 
@@ -163,3 +163,8 @@
   const facts = JSON.parse(record.factsJson || '{}') as DecisionEntry['facts'];
   return { requestId, atMs: Number(record.atMs), vm, step, choice, reason, facts };
 }
+
+/** A copy lists its fields in another order than the original, so they are compared in a fixed one. */
+function identify({ requestId, atMs, vm, step, choice, reason, facts }: DecisionEntry): string {
+  return JSON.stringify([requestId, atMs, vm, step, choice, reason, facts]);
+}
--- a/stand-ins/shared/start-stand-in.ts
+++ b/stand-ins/shared/start-stand-in.ts
@@ -33,12 +33,16 @@
  * @returns a parser that knows the common options
  */
 export function parseCommonOptions(name: string) {
-  return yargs(hideBin(process.argv))
-    .scriptName(name)
-    .strict()
-    .option('host', { type: 'string', default: '127.0.0.1', describe: 'IP number to listen on' })
-    .option('port', { type: 'number', default: 0, describe: 'protocol port, 0 picks a free one' })
-    .option('admin-port', { type: 'number', default: 0, describe: 'admin port' });
+  return (
+    yargs(hideBin(process.argv))
+      // The last value counts, so that a caller can append to a list of usual options.
+      .parserConfiguration({ 'duplicate-arguments-array': false })
+      .scriptName(name)
+      .strict()
+      .option('host', { type: 'string', default: '127.0.0.1', describe: 'IP number to listen on' })
+      .option('port', { type: 'number', default: 0, describe: 'protocol port, 0 picks a free one' })
+      .option('admin-port', { type: 'number', default: 0, describe: 'admin port' })
+  );
 }
 
 /**
