test: check that engines hold nothing of requests that are gone

No test ended real daemons in each phase and read the engines' records afterwards.

A client cancels, or a daemon is killed or frozen, while the request is queued, reserving, in prefill, in transfer or in decode; the phase is read in the engines' record first. Streams of the other daemons run on and have to be whole and uncancelled. Reservations live for 60 s, so that their expiry does not hide a missing release.

--- /dev/null
+++ b/features/support/guarantees-phases.ts
@@ -0,0 +1,92 @@
+import { waitFor } from '../../harness/wait-for.js';
+import { daemonAt, VISITORS, type EngineOptions, type GuaranteeWorld } from './guarantees-fleet.js';
+import { listAttempts } from './guarantees-records.js';
+
+/** Phase in which a request can be when it goes away. */
+export type HeldPhase = 'queued' | 'reserving' | 'in prefill' | 'in transfer' | 'in decode';
+
+/** How a request is kept in a phase. */
+interface PhasePlan {
+  readonly engine: EngineOptions;
+  readonly promptTokens: number;
+  /** Phase that the engines record; undefined when no engine knows the request. */
+  readonly recorded: string | undefined;
+}
+
+/** Streams that run beside the request; in the phase `queued` they fill the only engine. */
+export const CREW_STREAMS = 4;
+
+const PHASES: Readonly<Record<HeldPhase, PhasePlan>> = {
+  queued: { engine: { slots: CREW_STREAMS }, promptTokens: 10, recorded: undefined },
+  reserving: { engine: {}, promptTokens: 10, recorded: 'reserved' },
+  'in prefill': {
+    engine: { 'prefill-tokens-per-second': 500 },
+    ...{ promptTokens: 20_000, recorded: 'prefill' },
+  },
+  'in transfer': {
+    engine: { 'link-bytes-per-second': 50_000 },
+    ...{ promptTokens: 8000, recorded: 'transfer' },
+  },
+  'in decode': { engine: {}, promptTokens: 10, recorded: 'decode' },
+};
+
+/** Longer than any scenario, so that the engine's answer does not come. */
+const DELAY_MS = 60_000;
+
+const BYTES_PER_TOKEN = 4;
+
+/**
+ * Tells how engines are started so that a request stays in a phase.
+ *
+ * @param phase - the phase
+ * @returns options of the engines
+ */
+export function enginesFor(phase: HeldPhase): EngineOptions {
+  return PHASES[phase].engine;
+}
+
+/**
+ * Makes a prompt that keeps its request in a phase.
+ *
+ * @param phase - the phase
+ * @returns the prompt
+ */
+export function promptFor(phase: HeldPhase): string {
+  return 'visiting drum'.padEnd(PHASES[phase].promptTokens * BYTES_PER_TOKEN, '.');
+}
+
+/**
+ * Orders the faults that keep a request in a phase.
+ *
+ * @param world - the scenario
+ * @param phase - the phase
+ */
+export async function keepIn(world: GuaranteeWorld, phase: HeldPhase): Promise<void> {
+  if (phase !== 'reserving') return;
+  const fault = { path: '/v1/reservations', kind: 'delay', delayMs: DELAY_MS };
+  await world.fleet.servers.get('decode-1')?.addFault(fault);
+}
+
+/**
+ * Waits until the engines' records show a visiting request in a phase. A queued request is in no
+ * record, so its daemon is asked whether it has arrived.
+ *
+ * @param world - the scenario
+ * @param phase - the phase
+ * @param daemon - place of the daemon that has the request
+ */
+export async function waitForPhase(
+  world: GuaranteeWorld,
+  phase: HeldPhase,
+  daemon = 0,
+): Promise<void> {
+  const { recorded } = PHASES[phase];
+  const vm = daemonAt(world.fleet, daemon);
+  await waitFor(`a visiting request that is ${phase}`, async () => {
+    const attempts = await listAttempts(world.fleet, VISITORS);
+    const own = attempts.filter((attempt) => attempt.owner.vm === vm.name && !attempt.ended);
+    if (recorded) return own.some((attempt) => attempt.phase === recorded);
+    const { vms } = await world.fleet.operator(vm).calls.status({ local: true });
+    return own.length === 0 && vms[0]?.activeRequests === 1;
+  });
+}
--- /dev/null
+++ b/features/support/guarantees-records.ts
@@ -0,0 +1,62 @@
+import {
+  readEngines,
+  type EngineRecord,
+  type RecordedAttempt,
+} from '../../harness/engine-record.js';
+import type { Fleet } from '../../harness/fleet.js';
+import { waitFor } from '../../harness/wait-for.js';
+
+/** An attempt with the engine that recorded it. */
+export interface PlacedAttempt extends RecordedAttempt {
+  readonly server: string;
+}
+
+/**
+ * Lists what the engines recorded of one team's attempts.
+ *
+ * @param fleet - a running fleet
+ * @param team - the team
+ * @returns the attempts at all engines
+ */
+export async function listAttempts(fleet: Fleet, team: string): Promise<PlacedAttempt[]> {
+  const records = await readEngines(fleet);
+  return [...records].flatMap(([server, { attempts }]) =>
+    attempts.filter((attempt) => attempt.team === team).map((attempt) => ({ ...attempt, server })),
+  );
+}
+
+/**
+ * Counts what the engines hold for one team.
+ *
+ * @param fleet - a running fleet
+ * @param team - the team
+ * @returns number of holds at all engines
+ */
+export async function countTeamHolds(fleet: Fleet, team: string): Promise<number> {
+  const records = await readEngines(fleet);
+  return [...records.values()].reduce((sum, record) => sum + countHeld(record, team), 0);
+}
+
+/**
+ * Waits until the engines hold nothing for one team.
+ *
+ * @param fleet - a running fleet
+ * @param team - the team
+ * @param deadlineMs - longest wait, in milliseconds
+ * @returns how long it took, in milliseconds
+ */
+export async function waitForRelease(
+  fleet: Fleet,
+  team: string,
+  deadlineMs: number,
+): Promise<number> {
+  const startMs = performance.now();
+  const check = async () => (await countTeamHolds(fleet, team)) === 0;
+  await waitFor(`the engines to hold nothing of ${team}`, check, { deadlineMs });
+  return Math.round(performance.now() - startMs);
+}
+
+function countHeld({ attempts, holds }: EngineRecord, team: string): number {
+  const ids = new Set(attempts.filter((each) => each.team === team).map((each) => each.attemptId));
+  return (holds as { attemptId: string }[]).filter(({ attemptId }) => ids.has(attemptId)).length;
+}
--- /dev/null
+++ b/features/support/guarantees-streams.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict';
+
+import { callCompletion, type CallerAnswer } from '../../harness/caller-client.js';
+import type { FleetDaemon } from '../../harness/fleet.js';
+import { MODEL } from '../../harness/plans.js';
+import { waitFor } from '../../harness/wait-for.js';
+import { computeAnswer } from '../../stand-ins/answer-text.js';
+
+/** A streamed completion to ask for. */
+export interface StreamPlan {
+  readonly key: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+}
+
+/** A streamed completion in progress. */
+export interface RunningStream extends StreamPlan {
+  /** The answer, or the error with which the connection broke. */
+  readonly answer: Promise<CallerAnswer | Error>;
+  readonly tokens: () => number;
+  readonly cancel: () => void;
+}
+
+/** Longest time from the request to the first token, in milliseconds. */
+const BEGIN_MS = 10_000;
+
+/**
+ * Asks a daemon for a streamed completion.
+ *
+ * @param daemon - the daemon
+ * @param plan - key, prompt and length
+ * @returns the stream
+ */
+export function beginStream(daemon: FleetDaemon, plan: StreamPlan): RunningStream {
+  const abort = new AbortController();
+  let tokens = 0;
+  const answer = callCompletion(daemon.callers, {
+    ...{ model: MODEL, stream: true, signal: abort.signal },
+    ...plan,
+    onToken: (count) => {
+      tokens = count;
+    },
+  }).catch((error: unknown) => error as Error);
+  return { ...plan, answer, tokens: () => tokens, cancel: () => abort.abort() };
+}
+
+/**
+ * Waits until every stream has brought tokens.
+ *
+ * @param streams - the streams
+ */
+export async function waitForTokens(streams: readonly RunningStream[]): Promise<void> {
+  const begun = waitFor(
+    'every stream to bring tokens',
+    () => streams.every(({ tokens }) => tokens() > 0),
+    { deadlineMs: BEGIN_MS },
+  );
+  await Promise.race([begun, ...streams.map(assertWhole)]);
+  await begun;
+}
+
+/**
+ * Waits for the end of a stream and checks that it brought every token of its own request.
+ *
+ * @param stream - the stream
+ * @returns the answer
+ */
+export async function assertWhole(stream: RunningStream): Promise<CallerAnswer> {
+  const answer = await stream.answer;
+  if (answer instanceof Error) throw answer;
+  const { prompt, maxTokens } = stream;
+  assert.equal(answer.code, undefined, `the stream ended with ${answer.code}`);
+  assert.ok(answer.whole, 'the stream ended without its end marker');
+  assert.equal(answer.text, computeAnswer(MODEL, prompt, maxTokens));
+  return answer;
+}
--- a/harness/engine-record.ts
+++ b/harness/engine-record.ts
@@ -4,6 +4,7 @@
 export interface RecordedAttempt {
   readonly attemptId: string;
   readonly requestId: string;
+  readonly owner: { readonly vm: string; readonly incarnation: string };
   readonly team?: string;
   readonly promptTokens: number;
   readonly completionTokens: number;
