fix(membership): append the record of a member that leaves, and tell all members

Cause: no code called Membership.leave(), so a daemon that ended by SIGTERM stayed in the member list until its witnesses fenced it. Draining was told to the witnesses only, with the next heartbeat, so the other members went on naming the daemon to callers until then, and the wait for entry answers began before they had stopped.

Change: a member that drains sends one heartbeat to every member, 200 at a time, repeated for up to 3 s until all have answered.

--- a/features/steps/membership-steps.ts
+++ b/features/steps/membership-steps.ts
@@ -157,8 +157,8 @@
   await left;
 });
 
-When('member {int} drains', function when(this: MembershipWorld, index: number) {
-  find(this, index).membership.drain();
+When('member {int} drains', async function when(this: MembershipWorld, index: number) {
+  await find(this, index).membership.drain();
 });
 
 When(
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -43,7 +43,9 @@
     if (stopping) process.exit(EXIT_FORCED);
     stopping = true;
     logs.info('shutting down', { signal });
-    kernel.find('membership').drain();
+    kernel.find('callers').drain();
+    // Entry answers stay valid for a while, counted from the last one that names this VM.
+    await kernel.find('membership').drain();
     await kernel.stop();
     logs.info('stopped');
     process.exit(0);
--- a/src/membership/heartbeats.ts
+++ b/src/membership/heartbeats.ts
@@ -1,6 +1,6 @@
 import type { Incarnation } from '../domain/vm.js';
 import type { HeartbeatRequest, HeartbeatResponse } from '../gen/cuminspar/peer/v1/peer_pb.js';
-import { isSame } from './member-fold.js';
+import { isSame, listMembers } from './member-fold.js';
 import type { MemberStream } from './member-stream.js';
 import type { Member } from './membership.js';
 import { attempt, type MembershipContext, repeat } from './membership-context.js';
@@ -10,10 +10,22 @@
 /** Time between two heartbeats to a witness, in milliseconds. */
 const HEARTBEAT_MS = 1000;
 
+/** Members that are told in one round that this VM drains; bounds the calls open at a time. */
+const NOTICES_OF_A_ROUND = 200;
+
+/** Wait before members that did not answer are told again, in milliseconds. */
+const NOTICE_RETRY_MS = 100;
+
+/** Longest wait until the other members know that this VM drains, in milliseconds. */
+const NOTICE_DEADLINE_MS = 3000;
+
 /** Sends and answers heartbeats, and exchanges offsets and withdrawn keys with them. */
 export class Heartbeats {
   private draining = false;
 
+  /** Incarnations that have answered a heartbeat that said that this VM drains. */
+  private readonly told = new Set<string>();
+
   private constructor(
     private readonly context: MembershipContext,
     private readonly stream: MemberStream,
@@ -30,9 +42,22 @@
     return new Heartbeats(context, stream);
   }
 
-  /** Makes the following heartbeats say that this VM is draining. */
-  drain(): void {
+  /**
+   * Makes the following heartbeats say that this VM is draining, and sends one to every member,
+   * because members that are not its witnesses would go on naming it to callers.
+   *
+   * @returns a promise that resolves when every member knows, or after a deadline
+   */
+  async drain(): Promise<void> {
     this.draining = true;
+    const { clock, signal } = this.context;
+    const deadlineMs = clock.monotonicMs() + NOTICE_DEADLINE_MS;
+    while (clock.monotonicMs() < deadlineMs && !signal.aborted) {
+      const untold = this.listUntold().slice(0, NOTICES_OF_A_ROUND);
+      if (untold.length === 0) return;
+      await Promise.all(untold.map((member) => this.tell(member)));
+      if (this.listUntold().length > 0) await clock.sleep(NOTICE_RETRY_MS, signal);
+    }
   }
 
   /**
@@ -79,6 +104,22 @@
     };
   }
 
+  private listUntold(): readonly Member[] {
+    const { task } = this.context;
+    const { vm } = task.self();
+    return listMembers(task.members()).filter(
+      (member) => member.vm !== vm && !this.told.has(member.incarnation),
+    );
+  }
+
+  private async tell(member: Member): Promise<void> {
+    const { vm, incarnation } = this.context.task.self();
+    const client = this.context.kernel.find('peers').client(member.peers);
+    const call = client.heartbeat({ ...this.describe(), sender: { vm, incarnation } });
+    const response = await attempt(call);
+    if (response) this.told.add(member.incarnation);
+  }
+
   /** A round does not wait for its answers, so that a slow witness does not delay the next one. */
   private async beginRound(): Promise<void> {
     const { task } = this.context;
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -108,8 +108,12 @@
    */
   abstract statuses(): readonly MemberStatus[];
 
-  /** Makes this VM's heartbeats say that it is draining. */
-  abstract drain(): void;
+  /**
+   * Makes this VM's heartbeats say that it is draining, and tells every member at once.
+   *
+   * @returns a promise that resolves when every member knows, or after a deadline
+   */
+  abstract drain(): Promise<void>;
 
   /**
    * Ends this VM's membership; its shares are not spent any more.
--- a/src/membership/witnessed-membership.ts
+++ b/src/membership/witnessed-membership.ts
@@ -60,6 +60,8 @@
 
   private leaving = false;
 
+  private draining: Promise<void> | undefined;
+
   private loops: Promise<void>[] = [];
 
   private constructor(kernel: Kernel, settings: MembershipSettings, clock: Clock) {
@@ -108,7 +110,9 @@
     ];
   }
 
+  /** A member that was told to drain leaves; any other one is found out by its witnesses. */
   override async stop(): Promise<void> {
+    if (this.draining && this.joined()) await this.leave();
     this.stopping.abort();
     await Promise.all(this.loops);
     this.task.close();
@@ -191,13 +195,15 @@
       }));
   }
 
-  override drain(): void {
-    this.heartbeats.drain();
+  override drain(): Promise<void> {
+    this.draining ??= this.heartbeats.drain();
+    return this.draining;
   }
 
   override async leave(): Promise<void> {
+    if (this.leaving) return;
     this.leaving = true;
-    this.drain();
+    void this.drain();
     this.task.send({ kind: 'surrender' });
     const { clock, signal } = this.context;
     const { vm, incarnation } = this.self();
