fix(admission): wait after a debit that fell short, however high the rate

Cause: a debit that the team's homes could not fill was put back, and the team was passed over for the time in which its tokens should have grown. With a share of 500,000 tokens a second, 22 tokens grow in 44 microseconds, less than the time since the reading, so the wait was 0 and the debit was repeated at once. While the own share could not be used and the other home was paused, this never ended: the task gave no turn to the event loop, the daemon answered nothing, and its peers lost their leases. Streams of healthy daemons in the new scenarios then brought no token for 10 s and longer.

Ruled out: peer connections and the listener (the kernel had accepted the connections and queued the bytes); a stack taken from three hung daemons showed the loop of serveLane each time.

Change: the team is always passed over for at least SHORTEST_WAIT_MS (5 ms) after such a debit.

The 22 admission scenarios pass.

--- a/src/admission/admission-task.ts
+++ b/src/admission/admission-task.ts
@@ -13,7 +13,7 @@
 import { IndexedHeap } from './indexed-heap.js';
 import { RemoteDebits } from './remote-debits.js';
 import { sameIncarnation, type ShareTable } from './share-table.js';
-import { TeamSupply } from './team-supply.js';
+import { SHORTEST_WAIT_MS, TeamSupply } from './team-supply.js';
 import type { DebitPart, Funding, Turn, WaitingRequest } from './waiting-request.js';
 
 /** How often capacity is read again while requests wait for it; load also changes without notice. */
@@ -269,8 +269,11 @@
       this.refuseRate(head, supply.msUntil(head.cost, nowMs));
       head = lane.queue.head(supply.team);
     }
-    const waitMs = head ? supply.msUntil(head.cost, nowMs) : 0;
-    if (waitMs > 0) this.blockUntil(supply, nowMs + Math.min(waitMs, LONGEST_BLOCK_MS));
+    if (!head) return;
+    // Homes that give nothing yet may seem to have grown enough meanwhile when the rate is high.
+    // Without a wait the debit would be repeated at once and for ever, and nothing else would run.
+    const waitMs = Math.max(SHORTEST_WAIT_MS, supply.msUntil(head.cost, nowMs));
+    this.blockUntil(supply, nowMs + Math.min(waitMs, LONGEST_BLOCK_MS));
   }
 
   private blockUntil(supply: TeamSupply, untilMs: number): void {
--- a/src/admission/team-supply.ts
+++ b/src/admission/team-supply.ts
@@ -1,5 +1,5 @@
 /** Shortest wait before a team's homes are asked again, so that short waits do not become polling. */
-const SHORTEST_WAIT_MS = 5;
+export const SHORTEST_WAIT_MS = 5;
 
 /** A reading older than this is not used in place of asking. */
 const FRESH_MS = 250;
