fix(admission): let peers know of a server death before its requests run again

Cause: a death was reported to peers without waiting. A caller whose request had just been refused as quarantined could send it to another daemon before that one knew, and a third server died.

Ruled out: the first daemon's own count; its decision records showed the refusal right after the second death.

Change: the report of a death resolves when the peers that were told have answered, at most after 250 ms. The watch waits for it, and admission of a request that runs again already waits for the watch. New scenarios: requests that crash engines in prefill and in decode, sent nine times through three daemons, with engines that are started again; and connections to engines, plain services, the log and peers that go silent for good.

--- /dev/null
+++ b/features/steps/crash-prone-steps.ts
@@ -0,0 +1,103 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+
+import { callCompletion, type CallerAnswer } from '../../harness/caller-client.js';
+import { MODEL } from '../../harness/plans.js';
+import { daemonAt, startGuaranteeFleet, type GuaranteeWorld } from '../support/guarantees-fleet.js';
+import {
+  assertWhole,
+  beginStream,
+  waitForTokens,
+  type RunningStream,
+} from '../support/guarantees-streams.js';
+import { EngineSupervisor } from '../support/guarantees-supervisor.js';
+
+interface CrashWorld extends GuaranteeWorld {
+  supervisor: EngineSupervisor;
+  bystanders: RunningStream[];
+  answers: CallerAnswer[];
+}
+
+const DAEMONS = 3;
+
+const BYSTANDERS = 9;
+
+/** Sendings of the request after which a caller gives up. */
+const SENDINGS = 9;
+
+const CRASH_TEXT = 'unreadable drawing';
+
+Given(
+  'a crash-prone fleet whose engines end at {}',
+  async function given(this: CrashWorld, path: string) {
+    await startGuaranteeFleet(this, { daemons: DAEMONS, prefills: 3, decodes: 3, services: 0 });
+    const fault = { path, kind: 'crash-on', text: CRASH_TEXT };
+    this.supervisor = await EngineSupervisor.create(this.fleet, fault);
+  },
+);
+
+Given('crash-prone bystanders that run on the engines', async function given(this: CrashWorld) {
+  this.bystanders = Array.from({ length: BYSTANDERS }, (_, index) =>
+    beginStream(daemonAt(this.fleet, index % DAEMONS), {
+      ...{ key: this.crewKey, prompt: `bystander ${index}`, maxTokens: 80 },
+    }),
+  );
+  await waitForTokens(this.bystanders);
+});
+
+When(
+  'the crash-prone request is sent again and again through all daemons',
+  async function when(this: CrashWorld) {
+    this.answers = [];
+    for (let index = 0; index < SENDINGS; index += 1) {
+      const answer = await callCompletion(daemonAt(this.fleet, index % DAEMONS).callers, {
+        ...{ model: MODEL, key: this.visitorKey, prompt: CRASH_TEXT, maxTokens: 20 },
+      });
+      this.answers.push(answer);
+    }
+  },
+);
+
+Then(
+  'it is refused as quarantined after at most {int} crash-prone engine deaths',
+  function then(this: CrashWorld, most: number) {
+    const codes = this.answers.map(({ code }) => code);
+    this.log(`${this.supervisor.deaths} deaths, answers ${codes.join(' ')}`);
+    assert.ok(this.supervisor.deaths > 0, 'no engine died');
+    assert.ok(this.supervisor.deaths <= most, `${this.supervisor.deaths} engines died`);
+    assert.equal(codes.at(-1), 'quarantined');
+    assert.ok(this.answers.every(({ status }) => status !== 200));
+  },
+);
+
+Then(
+  'every crash-prone bystander is answered whole, at the latest when it is sent again',
+  async function then(this: CrashWorld) {
+    const ends = await Promise.all(
+      this.bystanders.map((bystander) => endOnceAgain(this, bystander)),
+    );
+    this.log(`${ends.filter((end) => end === 'again').length} bystanders were sent again`);
+    // The same bodies run once more: neither they nor their team are blamed.
+    await Promise.all(this.bystanders.map((bystander) => sendAgain(this, bystander)));
+  },
+);
+
+async function endOnceAgain(world: CrashWorld, bystander: RunningStream): Promise<string> {
+  const answer = await bystander.answer;
+  assert.ok(!(answer instanceof Error), String(answer));
+  if (answer.whole) {
+    await assertWhole(bystander);
+    return 'whole';
+  }
+  assert.equal(answer.code, 'server_failed');
+  await sendAgain(world, bystander);
+  return 'again';
+}
+
+async function sendAgain(world: CrashWorld, { key, prompt, maxTokens }: RunningStream) {
+  const index = Number(prompt.split(' ').at(-1)) + 1;
+  await assertWhole(
+    beginStream(daemonAt(world.fleet, index % DAEMONS), { key, prompt, maxTokens }),
+  );
+}
--- a/features/steps/execution-death-steps.ts
+++ b/features/steps/execution-death-steps.ts
@@ -32,7 +32,9 @@
     const target = {
       backends: () => backends,
       incarnation: () => 'run1',
-      report: (_server: string, all: readonly string[]) => this.reports.push(all.join(' ')),
+      report: async (_server: string, all: readonly string[]) => {
+        this.reports.push(all.join(' '));
+      },
     };
     this.watch = DeathWatch.create(target, SystemClock.create());
     prints.split(', ').forEach((print) => this.watch.board('engine1', `attempt-${print}`, print));
--- /dev/null
+++ b/features/steps/silence-prone-steps.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+
+import type { FleetDaemon } from '../../harness/fleet.js';
+import type { TcpRelay } from '../../harness/tcp-relay.js';
+import { waitFor } from '../../harness/wait-for.js';
+import { startGuaranteeFleet, type GuaranteeWorld } from '../support/guarantees-fleet.js';
+import { lookUpJob, placeOrder } from '../support/guarantees-services.js';
+import { assertWhole, beginStream } from '../support/guarantees-streams.js';
+
+interface SilenceWorld extends GuaranteeWorld {
+  silencedMs: number;
+  pending: Promise<unknown>[];
+}
+
+type Target = 'engines' | 'plain services' | 'the log' | 'peers';
+
+/** Requests of a kind that are open together, so that each daemon keeps several connections. */
+const TOGETHER = 4;
+
+const STREAM_TOKENS = 5;
+
+function listRelays({ fleet }: SilenceWorld, target: Target): TcpRelay[] {
+  const servers = [...fleet.serverLinks];
+  if (target === 'engines') {
+    return servers.filter(([name]) => !name.startsWith('yard')).map(([, relay]) => relay);
+  }
+  if (target === 'plain services') {
+    return servers.filter(([name]) => name.startsWith('yard')).map(([, relay]) => relay);
+  }
+  const kind = target === 'the log' ? 'log' : 'peers';
+  return fleet.daemons.flatMap(({ links }) => (links ? [links[kind]] : []));
+}
+
+async function assertStatus(answer: ReturnType<typeof lookUpJob>): Promise<void> {
+  const { status, text } = await answer;
+  assert.equal(status, 200, text);
+}
+
+function askAllKinds({ crewKey }: SilenceWorld, daemon: FleetDaemon): Promise<void>[] {
+  const stream = async (index: number) => {
+    const plan = { key: crewKey, prompt: `silent ${index}`, maxTokens: STREAM_TOKENS };
+    await assertWhole(beginStream(daemon, plan));
+  };
+  return Array.from({ length: TOGETHER }, (_, index) => [
+    stream(index),
+    assertStatus(lookUpJob(daemon, crewKey)),
+    assertStatus(placeOrder(daemon, crewKey)),
+  ]).flat();
+}
+
+Given('a silence-prone fleet with connections in use', async function given(this: SilenceWorld) {
+  const settings = {
+    timeouts: {
+      ...{ connectMs: 500, engineMs: 500, prefillMs: 1000, transferMs: 1000 },
+      betweenTokensMs: 500,
+    },
+  };
+  await startGuaranteeFleet(this, { relayed: true, prefills: 2, settings });
+  await Promise.all(this.fleet.daemons.flatMap((daemon) => askAllKinds(this, daemon)));
+});
+
+When(
+  'the silence-prone connections to {} go silent for good',
+  function when(this: SilenceWorld, target: Target) {
+    const relays = listRelays(this, target);
+    assert.ok(relays.some((relay) => relay.countOpen() > 0) || target === 'plain services');
+    relays.forEach((relay) => relay.silenceOpen());
+    this.silencedMs = performance.now();
+    this.pending = this.fleet.daemons.flatMap((daemon) => askAllKinds(this, daemon));
+  },
+);
+
+Then(
+  'every silence-prone request ends within {int} s',
+  async function then(this: SilenceWorld, seconds: number) {
+    const ends = await Promise.allSettled(this.pending);
+    const elapsedMs = Math.round(performance.now() - this.silencedMs);
+    const failed = ends.filter(({ status }) => status === 'rejected').length;
+    this.log(`all ${ends.length} ended after ${elapsedMs} ms, ${failed} with an error`);
+    assert.ok(elapsedMs <= seconds * 1000, `the last one ended after ${elapsedMs} ms`);
+  },
+);
+
+Then(
+  'every silence-prone daemon answers all kinds of requests within {int} s',
+  async function then(this: SilenceWorld, seconds: number) {
+    const startMs = performance.now();
+    await waitFor('readiness', async () => {
+      await Promise.all(this.fleet.daemons.map((daemon) => this.fleet.waitReady(daemon)));
+      return true;
+    });
+    await Promise.all(this.fleet.daemons.flatMap((daemon) => askAllKinds(this, daemon)));
+    const elapsedMs = Math.round(performance.now() - startMs);
+    this.log(`all kinds answered after ${elapsedMs} ms`);
+    assert.ok(elapsedMs <= seconds * 1000, `the answers took ${elapsedMs} ms`);
+  },
+);
+
+Then('no silence-prone member is removed', async function then(this: SilenceWorld) {
+  const { streams } = await this.fleet.log.readRecord<{
+    streams: Record<string, { data: string }[]>;
+  }>();
+  const removed = (streams.membership ?? []).filter(({ data }) => data.includes('"removed"'));
+  assert.deepEqual(removed, []);
+});
--- a/features/support/fake-services.ts
+++ b/features/support/fake-services.ts
@@ -159,8 +159,9 @@
       fakes.grants.push(grant);
       return succeed(grant);
     },
-    reportDeath: (server: string, fingerprints: readonly string[]) =>
-      fakes.deaths.push({ server, fingerprints }),
+    reportDeath: async (server: string, fingerprints: readonly string[]) => {
+      fakes.deaths.push({ server, fingerprints });
+    },
     capacityChanged: () => Object.assign(fakes, { capacityChanges: fakes.capacityChanges + 1 }),
   });
 }
--- /dev/null
+++ b/features/support/guarantees-supervisor.ts
@@ -0,0 +1,60 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import type { Fleet } from '../../harness/fleet.js';
+import type { FaultOrder } from '../../harness/recorder.js';
+import type { LaunchedStandIn } from '../../harness/stand-in-launcher.js';
+
+/** Time from the end of an engine to its next start, in milliseconds. */
+const RESTART_MS = 200;
+
+/** Starts engines again that have ended, on the same ports and with the same fault. */
+export class EngineSupervisor {
+  private stopped = false;
+
+  private count = 0;
+
+  private constructor(private readonly fault: FaultOrder) {}
+
+  /**
+   * Orders a fault at every engine of a fleet and begins to watch them.
+   *
+   * @param fleet - a running fleet
+   * @param fault - fault that every run of an engine has
+   * @returns the supervisor
+   */
+  static async create(fleet: Fleet, fault: FaultOrder): Promise<EngineSupervisor> {
+    const supervisor = new EngineSupervisor(fault);
+    const engines = [...fleet.servers].filter(([name]) => !name.startsWith('yard'));
+    await Promise.all(engines.map(([, engine]) => engine.addFault(fault)));
+    engines.forEach(([, engine]) => {
+      void supervisor.watch(engine);
+    });
+    // The end of the scenario ends all processes, which is no death of an engine.
+    void fleet.daemons[0]?.process.ended.then(() => supervisor.stop());
+    return supervisor;
+  }
+
+  /** Engines that have ended since the beginning. */
+  get deaths(): number {
+    return this.count;
+  }
+
+  /** Ends the supervision; engines that end later stay down. */
+  stop(): void {
+    this.stopped = true;
+  }
+
+  private async watch(engine: LaunchedStandIn): Promise<void> {
+    let running = engine;
+    for (;;) {
+      await running.process.ended;
+      this.count += 1;
+      await delay(RESTART_MS);
+      if (this.stopped) return;
+      const started = await running.restart().catch(() => undefined);
+      if (!started) return;
+      running = started;
+      await running.addFault(this.fault);
+    }
+  }
+}
--- a/src/admission/death-reports.ts
+++ b/src/admission/death-reports.ts
@@ -7,6 +7,9 @@
 
 const REPORT_TIMEOUT_MS = 1000;
 
+/** Longest wait for peers to know of a death, so that a silent one does not hold up re-runs. */
+const SPREAD_MS = 250;
+
 /** Bound on the fingerprints that one report may carry. */
 const MOST_FINGERPRINTS = 1000;
 
@@ -41,13 +44,16 @@
    * Counts a death and passes it on to peers when it was not known.
    *
    * @param report - the death
+   * @returns a promise that resolves when the peers that were told know, or after a deadline
    */
-  add(report: DeathReport): void {
+  async add(report: DeathReport): Promise<void> {
     const fingerprints = report.fingerprints.slice(0, MOST_FINGERPRINTS);
     const { deathId, server } = report;
     const nowMs = this.clock.monotonicMs();
     if (!this.quarantine.record(deathId, server, fingerprints, nowMs)) return;
-    void this.passOn({ deathId, server, fingerprints });
+    const told = new AbortController();
+    const passed = this.passOn({ deathId, server, fingerprints }).finally(() => told.abort());
+    await Promise.race([passed, this.clock.sleep(SPREAD_MS, told.signal)]);
   }
 
   /**
--- a/src/admission/shared-admission.ts
+++ b/src/admission/shared-admission.ts
@@ -105,8 +105,8 @@
     return this.table.homes(team, epoch).map((home) => home.vm);
   }
 
-  override reportDeath(server: string, fingerprints: readonly string[]): void {
-    this.deaths.add({ deathId: randomUUID(), server, fingerprints });
+  override reportDeath(server: string, fingerprints: readonly string[]): Promise<void> {
+    return this.deaths.add({ deathId: randomUUID(), server, fingerprints });
   }
 
   override capacityChanged(): void {
@@ -237,7 +237,9 @@
       reportDeaths: async (call) => {
         const { sender } = call;
         if (!sender || (await this.kernel.find('membership').isGone(sender))) return {};
-        call.deaths.forEach((death) => this.deaths.add(death));
+        call.deaths.forEach((death) => {
+          void this.deaths.add(death);
+        });
         return {};
       },
     };
--- a/src/execution/death-watch.ts
+++ b/src/execution/death-watch.ts
@@ -10,7 +10,8 @@
   readonly backends: () => Backends;
   /** Incarnation that an engine last reported. */
   readonly incarnation: (server: string) => string | undefined;
-  readonly report: (server: string, fingerprints: readonly string[]) => void;
+  /** Reports a death; resolves when peers know, or after a short deadline. */
+  readonly report: (server: string, fingerprints: readonly string[]) => Promise<void>;
 }
 
 interface Passenger {
@@ -91,18 +92,20 @@
       const verdict = await this.ask(server, passengers);
       if (verdict === 'alive') return;
       if (verdict === 'dead') {
-        this.reportDeath(server.name, passengers);
+        // Peers have to know before the request may come to them, sent again by its caller.
+        await this.reportDeath(server.name, passengers);
         return;
       }
       await this.clock.sleep(PROBE_DELAY_MS);
     }
   }
 
-  private reportDeath(server: string, passengers: readonly Passenger[]): void {
+  private async reportDeath(server: string, passengers: readonly Passenger[]): Promise<void> {
     const fingerprints = new Set(passengers.map(({ fingerprint }) => fingerprint));
-    this.target.report(server, [...fingerprints]);
+    const reported = this.target.report(server, [...fingerprints]);
     // The other requests learn later that their connections are lost; that is the same death.
     passengers.forEach(({ attemptId }) => this.leave(server, attemptId));
+    await reported;
   }
 
   private async ask(
