test: check lost cancel orders, stalled transfers, restarts and two lost daemons

Cause: P1 also has to hold when a cancel order is lost, a transfer stalls, an engine restarts, or two daemons go at once.

--- a/features/guarantees/engine-memory.feature
+++ b/features/guarantees/engine-memory.feature
@@ -40,3 +40,44 @@
       | frozen | in prefill  |
       | frozen | in transfer |
       | frozen | in decode   |
+
+  Scenario Outline: a cancel order that meets <kind> is repeated until the engine has taken it
+    Given an engine-memory fleet of 2 daemons where requests stay in decode
+    And engine-memory streams of 120 tokens at the other daemons from the 2. on
+    And an engine-memory visit that has come that far at daemon 1
+    When the engine-memory engine "decode-1" meets 2 times "<kind>" on "/v1/attempts"
+    And the engine-memory client of that visit cancels
+    Then the engine-memory records show no hold of a visit within 10 s
+    And every engine-memory stream is whole and uncancelled
+    And no engine-memory visit comes back
+
+    Examples:
+      | kind   |
+      | reset  |
+      | silent |
+
+  Scenario: a transfer that stalls is released and run again
+    Given an engine-memory fleet of 2 daemons where requests stay in decode
+    And engine-memory streams of 120 tokens at the other daemons from the 2. on
+    When the engine-memory engine "prefill-1" meets 1 times "silent" on "/v1/export"
+    And an engine-memory visit of 20 tokens is sent to daemon 1
+    Then the engine-memory visit ends whole
+    And the engine-memory records show no hold of a visit within 10 s
+    And every engine-memory stream is whole and uncancelled
+
+  Scenario: two daemons that go away at once, one killed and one frozen, leave nothing behind
+    Given an engine-memory fleet of 5 daemons where requests stay in decode
+    And engine-memory streams of 400 tokens at the other daemons from the 3. on
+    And an engine-memory visit that has come that far at daemon 1
+    And an engine-memory visit that has come that far at daemon 2
+    When engine-memory daemon 1 is killed
+    And engine-memory daemon 2 is frozen
+    Then the engine-memory records show no hold of a visit within 10 s
+    And every engine-memory stream is whole and uncancelled
+
+  Scenario: an engine that restarts keeps nothing of a request that ran on it
+    Given an engine-memory fleet of 2 daemons where requests stay in decode
+    And an engine-memory visit that has come that far at daemon 1
+    When the engine-memory engine "decode-1" restarts
+    Then the engine-memory visit ends with an error event
+    And the engine-memory records show no hold of a visit within 10 s
--- a/features/steps/engine-memory-steps.ts
+++ b/features/steps/engine-memory-steps.ts
@@ -46,7 +46,8 @@
 Given(
   'an engine-memory fleet of {int} daemons where requests stay {}',
   async function given(this: MemoryWorld, daemons: number, phase: HeldPhase) {
-    const settings = { timeouts: { transferMs: 20_000, prefillMs: 20_000 } };
+    const transferMs = phase === 'in transfer' ? 20_000 : 1500;
+    const settings = { timeouts: { transferMs, prefillMs: 20_000 } };
     const engine = enginesFor(phase);
     await startGuaranteeFleet(this, { daemons, decodes: 1, services: 0, engine, settings });
     Object.assign(this, { phase, visits: [], killed: [], frozen: [] });
@@ -76,6 +77,14 @@
   },
 );
 
+When(
+  'an engine-memory visit of {int} tokens is sent to daemon {int}',
+  function when(this: MemoryWorld, maxTokens: number, daemon: number) {
+    const plan = { key: this.visitorKey, prompt: promptFor(this.phase), maxTokens };
+    this.visits.push(beginStream(daemonAt(this.fleet, daemon - 1), plan));
+  },
+);
+
 When('the engine-memory client of that visit cancels', function when(this: MemoryWorld) {
   this.visits.forEach(({ cancel }) => cancel());
 });
