test: check team rates and keys against what the engines recorded

Cause: P3 and P4 of the design had no test with real daemons in separate processes.

Change: features/guarantees/team-rates.feature floods a fleet and compares the engines' records with burst + rate x window for all pairs of start times. features/guarantees/keys.feature sends keys of twelve wrong forms, and withdraws a key while streams run and parts of the fleet are out.

--- /dev/null
+++ b/features/steps/guarantees-key-refusal-steps.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+
+import { readEffects, readEngines } from '../../harness/engine-record.js';
+import { startFleet, type Fleet } from '../../harness/fleet.js';
+import { planSmallFleet } from '../../harness/plans.js';
+import { waitFor } from '../../harness/wait-for.js';
+import {
+  sendOnKeyedRoutes,
+  sendWithHeader,
+  type KeyAnswer,
+} from '../support/guarantees-key-requests.js';
+
+/** Makes the Authorization header of a case from a key that works. */
+type HeaderMaker = (fleet: Fleet, text: string) => Promise<string | undefined>;
+
+const HEADERS: ReadonlyMap<string, HeaderMaker> = new Map<string, HeaderMaker>([
+  ['no key', async () => undefined],
+  ['an empty header', async () => ''],
+  ['the secret of another key', swapSecret],
+  ['a secret that is one character short', async (_fleet, text) => `Bearer ${text.slice(0, -1)}`],
+  ['an unknown key id', async (_fleet, text) => `Bearer ${text.replace(/_[^_]+_/, '_0000abcd_')}`],
+  ['a text that is no key', async () => 'Bearer groundstaff'],
+  ['a key without a secret', async (_fleet, text) => `Bearer ${text.replace(/_[^_]+$/, '_')}`],
+  ['a key in another scheme', async (_fleet, text) => `Basic ${btoa(`${text}:`)}`],
+  ['two keys in one header', async (_fleet, text) => `Bearer ${text}, Bearer ${text}`],
+  ['a key with a trailing word', async (_fleet, text) => `Bearer ${text} again`],
+  ['a withdrawn key', withdraw],
+  ['a key of a removed team', removeTeam],
+]);
+
+interface RefusedWorld {
+  refusing?: { readonly fleet: Fleet; readonly text: string; answers: KeyAnswer[] };
+}
+
+function refusingOf(world: RefusedWorld) {
+  assert.ok(world.refusing);
+  return world.refusing;
+}
+
+async function swapSecret(fleet: Fleet, text: string): Promise<string> {
+  const other = await fleet.giveKey('school-grounds');
+  const [, secret] = /_([^_]+)$/.exec(other.text) ?? [];
+  return `Bearer ${text.replace(/[^_]+$/, secret ?? '')}`;
+}
+
+async function withdraw(fleet: Fleet): Promise<string> {
+  const { keyId, text } = await fleet.giveKey('oval-crew');
+  await fleet.apply([{ kind: 'withdraw-key', keyId }]);
+  return `Bearer ${text}`;
+}
+
+async function removeTeam(fleet: Fleet): Promise<string> {
+  await fleet.apply([{ kind: 'put-team', team: { name: 'guests', rate: 100, burst: 100 } }]);
+  const { text } = await fleet.giveKey('guests');
+  await fleet.apply([{ kind: 'remove-team', name: 'guests' }]);
+  return `Bearer ${text}`;
+}
+
+async function waitUntilInForce(fleet: Fleet): Promise<void> {
+  await waitFor('one configuration version at all daemons', async () => {
+    const shown = await Promise.all(
+      fleet.daemons.map((daemon) => fleet.operator(daemon).calls.showConfiguration({})),
+    );
+    return new Set(shown.map(({ version }) => version)).size === 1;
+  });
+}
+
+After(async function stop(this: RefusedWorld) {
+  await this.refusing?.fleet.stop();
+});
+
+Given('a key-refusing fleet', async function start(this: RefusedWorld) {
+  const fleet = await startFleet(planSmallFleet({ daemons: 2, decodes: 1, services: 1 }));
+  const { text } = await fleet.giveKey('oval-crew');
+  this.refusing = { fleet, text, answers: [] };
+});
+
+When(
+  'key-refusing daemons get requests with {string} on all keyed routes',
+  async function send(this: RefusedWorld, name: string) {
+    const refusing = refusingOf(this);
+    const { fleet, text } = refusing;
+    const authorization = await HEADERS.get(name)?.(fleet, text);
+    assert.ok(HEADERS.has(name), `no header "${name}"`);
+    await waitUntilInForce(fleet);
+    const answers = await Promise.all(
+      fleet.daemons.map((daemon) => sendOnKeyedRoutes(daemon, authorization)),
+    );
+    refusing.answers = answers.flat();
+  },
+);
+
+Then(
+  'key-refusing daemons answer {int} {string}, not run',
+  function check(this: RefusedWorld, status: number, code: string) {
+    const { answers } = refusingOf(this);
+    assert.equal(answers.length, 6);
+    answers.forEach((answer) =>
+      assert.deepEqual(answer, { route: answer.route, status, code, run: 'not run' }),
+    );
+  },
+);
+
+Then(
+  'key-refusing fleet has run nothing, and runs the same requests with a good key',
+  async function check(this: RefusedWorld) {
+    const { fleet, text } = refusingOf(this);
+    const count = async () => {
+      const engines = [...(await readEngines(fleet)).values()];
+      return engines.flatMap(({ attempts }) => attempts).length + (await readEffects(fleet)).length;
+    };
+    assert.equal(await count(), 0);
+    const answers = await Promise.all(
+      fleet.daemons.map((daemon) => sendOnKeyedRoutes(daemon, `Bearer ${text}`)),
+    );
+    assert.deepEqual([...new Set(answers.flat().map(({ status }) => status))], [200]);
+    assert.ok((await count()) >= 6);
+    const [daemon] = fleet.daemons;
+    assert.ok(daemon);
+    const entry = await sendWithHeader(daemon, '/v1/entry-addresses', 'Bearer groundstaff');
+    assert.equal(entry.status, 401);
+  },
+);
--- /dev/null
+++ b/features/steps/guarantees-withdrawal-steps.ts
@@ -0,0 +1,195 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+
+import { startFleet, type Fleet, type FleetDaemon } from '../../harness/fleet.js';
+import { planSmallFleet } from '../../harness/plans.js';
+import { waitFor } from '../../harness/wait-for.js';
+import { readReadiness, reconnect, waitForIsolation } from '../support/guarantees-fleet.js';
+import {
+  OPEN_ROUTE,
+  sendOnKeyedRoutes,
+  sendWithHeader,
+} from '../support/guarantees-key-requests.js';
+import { openStream, type OpenStream } from '../support/guarantees-key-streams.js';
+import { reportFigure, type Reporting } from '../support/guarantees-report.js';
+import { WITHDRAWAL_WEATHER } from '../support/guarantees-withdrawal-weather.js';
+
+/** Bound on the time from a withdrawal until the key has stopped working, in milliseconds. */
+const WITHDRAWAL_MS = 4000;
+
+/** Ten seconds at the engines' 5 ms for a token, so that a stream outlasts the bound. */
+const LONG_ANSWER = 2000;
+
+interface Key {
+  readonly keyId: string;
+  readonly text: string;
+}
+
+interface WithdrawalWorld extends Reporting {
+  withdrawing?: {
+    readonly fleet: Fleet;
+    readonly key: Key;
+    readonly kept: Key;
+    streams: OpenStream[];
+    keptStreams: OpenStream[];
+    withdrawnMs: number;
+  };
+}
+
+function withdrawingOf(world: WithdrawalWorld) {
+  assert.ok(world.withdrawing);
+  return world.withdrawing;
+}
+
+function lastOf(fleet: Fleet): FleetDaemon {
+  const daemon = fleet.daemons.at(-1);
+  assert.ok(daemon);
+  return daemon;
+}
+
+async function isRefused(daemon: FleetDaemon, { text }: Key, code: string): Promise<boolean> {
+  const answers = await sendOnKeyedRoutes(daemon, `Bearer ${text}`);
+  return answers.every((answer) => answer.code === code);
+}
+
+async function isServed(daemon: FleetDaemon, { text }: Key): Promise<boolean> {
+  const answers = await sendOnKeyedRoutes(daemon, `Bearer ${text}`);
+  return answers.every(({ status }) => status === 200);
+}
+
+After(async function stop(this: WithdrawalWorld) {
+  const { streams = [], keptStreams = [] } = this.withdrawing ?? {};
+  [...streams, ...keptStreams].forEach((stream) => stream.abort());
+  await this.withdrawing?.fleet.stop();
+});
+
+Given(
+  'a key-withdrawing fleet of {int} daemons with two keys of one team',
+  async function start(this: WithdrawalWorld, daemons: number) {
+    const plan = planSmallFleet({ daemons, services: 1, relayed: true });
+    const fleet = await startFleet(plan);
+    const key = await fleet.giveKey('oval-crew');
+    const kept = await fleet.giveKey('oval-crew');
+    await waitFor('both keys to work at every daemon', async () => {
+      const served = fleet.daemons.flatMap((daemon) => [key, kept].map((k) => isServed(daemon, k)));
+      return (await Promise.all(served)).every(Boolean);
+    });
+    this.withdrawing = { fleet, key, kept, streams: [], keptStreams: [], withdrawnMs: 0 };
+  },
+);
+
+Given(
+  'key-withdrawing callers read a stream with each key through every daemon',
+  async function open(this: WithdrawalWorld) {
+    const withdrawing = withdrawingOf(this);
+    const { fleet, key, kept } = withdrawing;
+    const openAll = ({ text }: Key) =>
+      Promise.all(fleet.daemons.map((daemon) => openStream(daemon, text, LONG_ANSWER)));
+    [withdrawing.streams, withdrawing.keptStreams] = await Promise.all([
+      openAll(key),
+      openAll(kept),
+    ]);
+  },
+);
+
+When(
+  'the key-withdrawing operator withdraws one key while {string}',
+  async function withdraw(this: WithdrawalWorld, name: string) {
+    const withdrawing = withdrawingOf(this);
+    const { fleet, key } = withdrawing;
+    const weather = WITHDRAWAL_WEATHER.get(name);
+    assert.ok(weather, `no weather "${name}"`);
+    await weather(fleet);
+    withdrawing.withdrawnMs = performance.now();
+    const [first] = fleet.daemons;
+    assert.ok(first);
+    // The answer waits for the log; the bound counts from the order.
+    void fleet
+      .operator(first)
+      .calls.withdrawKey({ keyId: key.keyId, operator: 'harness' })
+      .catch(() => undefined);
+  },
+);
+
+Then(
+  'the key-withdrawing streams of that key end with an error event in time',
+  async function check(this: WithdrawalWorld) {
+    const { streams, withdrawnMs } = withdrawingOf(this);
+    const leftMs = WITHDRAWAL_MS - (performance.now() - withdrawnMs);
+    const haveEnded = () => streams.every((stream) => stream.endedMs() !== undefined);
+    await waitFor('the streams to end', haveEnded, { deadlineMs: leftMs, everyMs: 5 });
+    const answers = await Promise.all(streams.map(({ answer }) => answer));
+    answers.forEach((answer) => {
+      assert.equal(answer?.whole, false);
+      assert.match(answer.code ?? '', /^(?:key_withdrawn|isolated)$/);
+    });
+    const lastMs = Math.max(...streams.map((stream) => stream.endedMs() ?? Infinity));
+    reportFigure(this, `streams ended ${Math.round(lastMs - withdrawnMs)} ms after the withdrawal`);
+  },
+);
+
+Then(
+  'key-withdrawing daemons refuse that key in time with {string}, the last one with {string}',
+  async function check(this: WithdrawalWorld, code: string, lastCode: string) {
+    const { fleet, key, withdrawnMs } = withdrawingOf(this);
+    const leftMs = WITHDRAWAL_MS - (performance.now() - withdrawnMs);
+    await waitFor(
+      'every daemon to refuse the key',
+      async () => {
+        const refused = fleet.daemons.map((daemon) =>
+          isRefused(daemon, key, daemon === lastOf(fleet) ? lastCode : code),
+        );
+        return (await Promise.all(refused)).every(Boolean);
+      },
+      { deadlineMs: Math.max(0, leftMs) },
+    );
+    const elapsedMs = Math.round(performance.now() - withdrawnMs);
+    reportFigure(this, `refused by all daemons ${elapsedMs} ms after the withdrawal`);
+  },
+);
+
+Then(
+  'the key-withdrawing streams of the other key go on through {int} daemons',
+  async function check(this: WithdrawalWorld, daemons: number) {
+    const running = withdrawingOf(this).keptStreams.slice(0, daemons);
+    const counts = running.map((stream) => stream.tokens());
+    await waitFor('more tokens of each stream', () =>
+      running.every((stream, index) => stream.tokens() > (counts[index] ?? 0)),
+    );
+    running.forEach((stream) => assert.equal(stream.endedMs(), undefined));
+  },
+);
+
+Then(
+  'the key-withdrawing daemon that is cut off is not ready and still serves open routes',
+  async function check(this: WithdrawalWorld) {
+    const { fleet, kept, withdrawnMs } = withdrawingOf(this);
+    const daemon = lastOf(fleet);
+    const leftMs = WITHDRAWAL_MS - (performance.now() - withdrawnMs);
+    await waitForIsolation(daemon, Math.max(1, leftMs));
+    assert.ok(await isRefused(daemon, kept, 'isolated'));
+    const open = await sendWithHeader(daemon, OPEN_ROUTE, undefined);
+    assert.equal(open.status, 200);
+  },
+);
+
+Then(
+  'the key-withdrawing daemon refuses that key as withdrawn when it is connected again',
+  async function check(this: WithdrawalWorld) {
+    const { fleet, key, kept } = withdrawingOf(this);
+    const daemon = lastOf(fleet);
+    reconnect(fleet, daemon);
+    // Until it is ready it must not run the key either.
+    await waitFor(
+      'the daemon to be ready again',
+      async () => {
+        assert.equal(await isServed(daemon, key), false);
+        return (await readReadiness(daemon)) === 'ready';
+      },
+      { deadlineMs: 10_000 },
+    );
+    assert.ok(await isRefused(daemon, key, 'key_withdrawn'));
+    await waitFor('the other key to work', () => isServed(daemon, kept));
+  },
+);
--- /dev/null
+++ b/features/support/guarantees-bound.ts
@@ -0,0 +1,66 @@
+/** Tokens that one attempt ran, counted at its start. */
+export interface TokenRun {
+  readonly startedMs: number;
+  readonly tokens: number;
+}
+
+/** Rate and burst of a team from one time until the next limits. */
+export interface LimitPhase {
+  /** Start of the phase, in milliseconds since the Unix epoch. */
+  readonly fromMs: number;
+  /** Tokens a second. */
+  readonly rate: number;
+  readonly burst: number;
+}
+
+/** The window whose tokens come closest to the bound, or exceed it most. */
+export interface TightestWindow {
+  readonly tokens: number;
+  readonly allowed: number;
+  readonly windowMs: number;
+  /** Tokens run divided by tokens allowed. */
+  readonly ratio: number;
+}
+
+/** Start times are whole milliseconds, so a window may be one longer than it looks. */
+const ROUNDING_MS = 1;
+
+/**
+ * Finds the tightest window over all pairs of start times.
+ *
+ * @param runs - what ran for one team
+ * @param phases - limits in the order of their start
+ * @returns the window with the largest ratio of tokens run to burst + rate × window
+ */
+export function findTightestWindow(
+  runs: readonly TokenRun[],
+  phases: readonly LimitPhase[],
+): TightestWindow {
+  const sorted = runs.toSorted((one, other) => one.startedMs - other.startedMs);
+  let tightest: TightestWindow = { tokens: 0, allowed: 0, windowMs: 0, ratio: 0 };
+  sorted.forEach((first, index) => {
+    let tokens = 0;
+    for (const last of sorted.slice(index)) {
+      tokens += last.tokens;
+      const allowed = allow(first.startedMs, last.startedMs + ROUNDING_MS, phases);
+      const ratio = tokens / allowed;
+      const windowMs = last.startedMs - first.startedMs;
+      if (ratio > tightest.ratio) tightest = { tokens, allowed, windowMs, ratio };
+    }
+  });
+  return tightest;
+}
+
+/** Adds the largest burst of the phases that a window touches to the rate over the window. */
+function allow(startMs: number, endMs: number, phases: readonly LimitPhase[]): number {
+  let burst = 0;
+  let grown = 0;
+  phases.forEach((phase, index) => {
+    const from = Math.max(startMs, phase.fromMs);
+    const to = Math.min(endMs, phases[index + 1]?.fromMs ?? Infinity);
+    if (to <= from) return;
+    burst = Math.max(burst, phase.burst);
+    grown += (phase.rate * (to - from)) / 1000;
+  });
+  return burst + grown;
+}
--- /dev/null
+++ b/features/support/guarantees-fleet.ts
@@ -0,0 +1,129 @@
+import { request } from 'undici';
+
+import type { Fleet, FleetDaemon } from '../../harness/fleet.js';
+import { waitFor } from '../../harness/wait-for.js';
+
+/** What a daemon answers to `GET /v1/entry-addresses`. */
+export interface EntryAnswer {
+  readonly addresses: readonly { readonly vm: string; host: string; port: number }[];
+  readonly validForMs: number;
+}
+
+/**
+ * Asks a daemon which addresses a caller should use.
+ *
+ * @param daemon - the daemon
+ * @param key - key of the caller
+ * @param signal - ends the call
+ * @returns the answer; rejects when the daemon refuses or cannot be reached
+ */
+export async function askEntryAddresses(
+  daemon: Pick<FleetDaemon, 'callers'>,
+  key: string,
+  signal?: AbortSignal,
+): Promise<EntryAnswer> {
+  const { host, port } = daemon.callers;
+  const answer = await request(`http://${host}:${port}/v1/entry-addresses`, {
+    headers: { authorization: `Bearer ${key}` },
+    reset: true,
+    signal,
+  });
+  const text = await answer.body.text();
+  if (answer.statusCode !== 200) throw new Error(`${answer.statusCode}: ${text}`);
+  return JSON.parse(text) as EntryAnswer;
+}
+
+/**
+ * Finds the VMs that hold a team's shares; the entry answer names them first.
+ *
+ * @param fleet - a fleet whose daemons know one another
+ * @param key - a key of the team
+ * @param homeCount - number of homes
+ * @returns the homes and the other daemons
+ */
+export async function findHomes(
+  fleet: Fleet,
+  key: string,
+  homeCount = 2,
+): Promise<{ homes: FleetDaemon[]; others: FleetDaemon[] }> {
+  const names = await waitFor('all daemons to name the same homes', async () => {
+    const answers = await Promise.all(fleet.daemons.map((one) => askEntryAddresses(one, key)));
+    const lists = answers.map(({ addresses }) => addresses.slice(0, homeCount).map(({ vm }) => vm));
+    const agree = new Set(lists.map((list) => list.join())).size === 1;
+    return agree && lists[0]?.length === homeCount && lists[0];
+  });
+  const homes = names.flatMap((name) => fleet.daemons.filter((daemon) => daemon.name === name));
+  return { homes, others: fleet.daemons.filter((daemon) => !homes.includes(daemon)) };
+}
+
+/**
+ * Waits until a daemon counts a VM as a member, or no longer does.
+ *
+ * @param fleet - a running fleet
+ * @param at - the daemon that is asked
+ * @param vm - name of the VM
+ * @param isMember - what is waited for
+ */
+export async function waitForMember(
+  fleet: Fleet,
+  at: FleetDaemon,
+  vm: string,
+  isMember: boolean,
+): Promise<void> {
+  const what = `${at.name} to count ${vm} as ${isMember ? 'a' : 'no'} member`;
+  await waitFor(
+    what,
+    async () => {
+      const { vms } = await fleet.operator(at).calls.status({});
+      return vms.some((status) => status.vm === vm) === isMember;
+    },
+    { deadlineMs: 15_000, everyMs: 100 },
+  );
+}
+
+/**
+ * Reads why a daemon is not ready.
+ *
+ * @param daemon - the daemon
+ * @returns the reason, or `ready`
+ */
+export async function readReadiness({ callers }: FleetDaemon): Promise<string> {
+  const answer = await request(`http://${callers.host}:${callers.port}/readyz`, { reset: true });
+  const { reason = 'ready' } = (await answer.body.json()) as { reason?: string };
+  return reason;
+}
+
+/**
+ * Waits until a daemon is not ready because it is isolated.
+ *
+ * @param daemon - the daemon
+ * @param deadlineMs - longest wait, in milliseconds
+ */
+export async function waitForIsolation(daemon: FleetDaemon, deadlineMs: number): Promise<void> {
+  const isIsolated = async () => (await readReadiness(daemon)) === 'isolated';
+  await waitFor(`${daemon.name} to be isolated`, isIsolated, { deadlineMs });
+}
+
+/**
+ * Cuts a daemon from all other daemons and from the log.
+ *
+ * @param fleet - a fleet with relays
+ * @param daemon - the daemon
+ */
+export function isolate(fleet: Fleet, daemon: FleetDaemon): void {
+  fleet.daemons
+    .filter((other) => other !== daemon)
+    .forEach((other) => fleet.separate(daemon, other));
+  daemon.links?.log.cut();
+}
+
+/**
+ * Ends the cut of {@link isolate}.
+ *
+ * @param fleet - a fleet with relays
+ * @param daemon - the daemon
+ */
+export function reconnect(fleet: Fleet, daemon: FleetDaemon): void {
+  fleet.daemons.filter((other) => other !== daemon).forEach((other) => fleet.join(daemon, other));
+  daemon.links?.log.heal();
+}
--- /dev/null
+++ b/features/support/guarantees-load.ts
@@ -0,0 +1,84 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { callCompletion } from '../../harness/caller-client.js';
+import type { FleetDaemon } from '../../harness/fleet.js';
+import { MODEL } from '../../harness/plans.js';
+
+/** Callers that send one request after another, as fast as they are answered. */
+export interface FloodPlan {
+  readonly key: string;
+  readonly callers: number;
+  /** Daemons that are called now; the load follows changes of the answer. */
+  readonly targets: () => readonly FleetDaemon[];
+}
+
+/** A load in progress. */
+export interface Flood {
+  /** Number of answers by refusal code, `ok` or `broken`. */
+  readonly counts: ReadonlyMap<string, number>;
+  readonly stop: () => Promise<void>;
+}
+
+/** Wait before a caller that was refused sends again. */
+const REFUSED_PAUSE_MS = 50;
+
+/** A caller gives up a daemon that does not answer, for example a frozen one. */
+const CALLER_PATIENCE_MS = 3000;
+
+const PROMPT = 'survey of the outfield before the second match day '.repeat(14);
+
+const OUTPUT_TOKENS = 20;
+
+/** Every second answer ends early, so that unused tokens are refunded. */
+const EARLY_END = 'stop-after=5';
+
+/**
+ * Starts callers.
+ *
+ * @param plan - key, number and targets
+ * @returns the load
+ */
+export function startFlood(plan: FloodPlan): Flood {
+  const ended = new AbortController();
+  const counts = new Map<string, number>();
+  const callers = Array.from({ length: plan.callers }, (_, caller) =>
+    runCaller(plan, caller, ended.signal, counts),
+  );
+  return {
+    counts,
+    stop: async () => {
+      ended.abort();
+      await Promise.all(callers);
+    },
+  };
+}
+
+async function runCaller(
+  plan: FloodPlan,
+  caller: number,
+  ended: AbortSignal,
+  counts: Map<string, number>,
+): Promise<void> {
+  for (let turn = caller; !ended.aborted; turn += 1) {
+    const targets = plan.targets();
+    const target = targets[turn % targets.length];
+    const seen = target ? await ask(target, plan.key, turn, ended) : 'none';
+    counts.set(seen, (counts.get(seen) ?? 0) + 1);
+    if (seen !== 'ok') await delay(REFUSED_PAUSE_MS, undefined, { signal: ended }).catch(() => {});
+  }
+}
+
+async function ask(
+  target: FleetDaemon,
+  key: string,
+  turn: number,
+  ended: AbortSignal,
+): Promise<string> {
+  const early = turn % 2 === 0 ? EARLY_END : '';
+  const signal = AbortSignal.any([ended, AbortSignal.timeout(CALLER_PATIENCE_MS)]);
+  const call = { model: MODEL, prompt: `${turn} ${PROMPT}${early}`, maxTokens: OUTPUT_TOKENS };
+  const answer = await callCompletion(target.callers, { ...call, key, signal, stream: true }).catch(
+    () => undefined,
+  );
+  return answer ? (answer.code ?? 'ok') : 'broken';
+}
--- /dev/null
+++ b/features/support/guarantees-rate-events.ts
@@ -0,0 +1,162 @@
+import type { Fleet, FleetDaemon, JsonChange } from '../../harness/fleet.js';
+import { waitFor } from '../../harness/wait-for.js';
+import { isolate, reconnect, waitForIsolation, waitForMember } from './guarantees-fleet.js';
+
+/** What an event may read and do while the load runs. */
+export interface EventStage {
+  readonly fleet: Fleet;
+  /** Daemons that hold the team's shares when the load starts. */
+  readonly homes: readonly FleetDaemon[];
+  readonly others: readonly FleetDaemon[];
+  /** Sends the load to these daemons from now on. */
+  readonly aim: (targets: readonly FleetDaemon[]) => void;
+  /** Waits until the engines have run this many seconds' worth of the rate more. */
+  readonly run: (seconds: number) => Promise<void>;
+  /** Applies a change of the team and notes its limits. */
+  readonly changeTeam: (fields: JsonChange) => Promise<void>;
+}
+
+/** Something that happens to the fleet while the load runs. */
+export type RateEvent = (stage: EventStage) => Promise<void>;
+
+/** Longest wait of a VM that lost its lease, in milliseconds. */
+const ISOLATION_MS = 4000;
+
+function first(daemons: readonly FleetDaemon[]): FleetDaemon {
+  const [daemon] = daemons;
+  if (!daemon) throw new Error('no daemon');
+  return daemon;
+}
+
+async function moveTraffic({ fleet, aim, run }: EventStage): Promise<void> {
+  for (const daemon of fleet.daemons) {
+    aim([daemon]);
+    await run(1);
+  }
+}
+
+async function killHome({ fleet, homes, others }: EventStage): Promise<void> {
+  await first(homes).process.kill();
+  await waitForMember(fleet, first(others), first(homes).name, false);
+}
+
+async function restartHome({ fleet, homes }: EventStage): Promise<void> {
+  await first(homes).process.kill();
+  await fleet.restartDaemon(first(homes));
+  await fleet.waitReady(first(homes));
+}
+
+async function restartAllHomes({ fleet, homes }: EventStage): Promise<void> {
+  await Promise.all(homes.map((home) => home.process.kill()));
+  await Promise.all(homes.map((home) => fleet.restartDaemon(home)));
+  await Promise.all(homes.map((home) => fleet.waitReady(home)));
+}
+
+async function freezeHome({ fleet, homes, others }: EventStage): Promise<void> {
+  first(homes).process.pause();
+  await waitForMember(fleet, first(others), first(homes).name, false);
+  first(homes).process.resume();
+  await fleet.waitReady(first(homes));
+}
+
+async function freezeHomeBriefly({ homes, run }: EventStage): Promise<void> {
+  first(homes).process.pause();
+  await run(0.5);
+  first(homes).process.resume();
+}
+
+async function addDaemon({ fleet, aim }: EventStage): Promise<void> {
+  const added = await fleet.addDaemon();
+  aim(fleet.daemons);
+  await fleet.waitReady(added);
+}
+
+async function addHome(stage: EventStage): Promise<void> {
+  await addDaemon(stage);
+  await stage.run(1);
+  await addDaemon(stage);
+}
+
+async function separateHomes({ fleet, homes, run }: EventStage): Promise<void> {
+  const [one, other] = homes;
+  if (!one || !other) throw new Error('the team has fewer than two homes');
+  fleet.separate(one, other);
+  await run(2);
+  fleet.join(one, other);
+}
+
+async function isolateHome({ fleet, homes, others, run }: EventStage): Promise<void> {
+  const home = first(homes);
+  isolate(fleet, home);
+  await waitForIsolation(home, ISOLATION_MS);
+  await waitForMember(fleet, first(others), home.name, false);
+  await run(0.5);
+  reconnect(fleet, home);
+  await fleet.waitReady(home);
+}
+
+async function cutLog({ fleet, run }: EventStage): Promise<void> {
+  fleet.daemons.forEach((daemon) => daemon.links?.log.cut());
+  await run(2);
+  fleet.daemons.forEach((daemon) => daemon.links?.log.heal());
+}
+
+async function killHomeWithoutLog({ fleet, homes, run }: EventStage): Promise<void> {
+  fleet.daemons.forEach((daemon) => daemon.links?.log.cut());
+  await first(homes).process.kill();
+  await run(1);
+  fleet.daemons.forEach((daemon) => daemon.links?.log.heal());
+}
+
+async function lowerRate({ changeTeam, run }: EventStage): Promise<void> {
+  await changeTeam({ rate: 600, burst: 800 });
+  // Longer than the time for which the older bound holds.
+  await run(2);
+}
+
+async function breakPrefills({ fleet, run }: EventStage): Promise<void> {
+  const prefill = fleet.servers.get('prefill-1');
+  await prefill?.addFault({ path: '/v1/prefill', kind: 'lost-answer', count: 30 });
+  const decode = fleet.servers.get('decode-1');
+  await decode?.addFault({ path: '/v1/decode', kind: 'cut', count: 30 });
+  await run(2);
+}
+
+async function restartEngine({ fleet, run }: EventStage): Promise<void> {
+  await run(0.5);
+  await fleet.servers.get('decode-1')?.setState({ restart: true });
+  await run(0.5);
+  await fleet.servers.get('prefill-1')?.setState({ restart: true });
+}
+
+/** Events by the words of the feature. */
+export const RATE_EVENTS: ReadonlyMap<string, RateEvent> = new Map([
+  ['nothing happens', ({ run }) => run(2)],
+  ['the traffic moves from daemon to daemon', moveTraffic],
+  ['a home is killed', killHome],
+  ['a home is frozen for less than its lease', freezeHomeBriefly],
+  ['a home is frozen until it is removed', freezeHome],
+  ['two daemons are added', addHome],
+  ['a home restarts', restartHome],
+  ['all homes restart', restartAllHomes],
+  ['the homes are cut from each other', separateHomes],
+  ['a home is cut off until it is removed', isolateHome],
+  ['the log is cut off', cutLog],
+  ['a home is killed while the log is cut off', killHomeWithoutLog],
+  ['the rate is lowered', lowerRate],
+  ['attempts break off and run again', breakPrefills],
+  ['engines restart', restartEngine],
+]);
+
+/**
+ * Waits until the engines have run a number of tokens.
+ *
+ * @param count - counts the tokens run
+ * @param tokens - number to reach
+ */
+export async function waitForTokens(count: () => Promise<number>, tokens: number): Promise<void> {
+  await waitFor(`${tokens} tokens to run`, async () => (await count()) >= tokens, {
+    deadlineMs: 12_000,
+    everyMs: 50,
+  });
+}
--- /dev/null
+++ b/features/support/guarantees-report.ts
@@ -0,0 +1,15 @@
+/** The part of a cucumber world that takes in text. */
+export interface Reporting {
+  readonly log: (text: string) => void;
+}
+
+/**
+ * Prints a measured figure and adds it to the report of the run.
+ *
+ * @param world - world of the scenario
+ * @param text - the figure with its unit
+ */
+export function reportFigure(world: Reporting, text: string): void {
+  world.log(text);
+  process.stdout.write(`    ${text}\n`);
+}
--- /dev/null
+++ b/features/support/guarantees-withdrawal-weather.ts
@@ -0,0 +1,52 @@
+import type { Fleet, FleetDaemon } from '../../harness/fleet.js';
+import { isolate } from './guarantees-fleet.js';
+
+/** What is wrong with the fleet while a key is withdrawn. */
+export type Weather = (fleet: Fleet) => Promise<void> | void;
+
+function ends(fleet: Fleet): { first: FleetDaemon; last: FleetDaemon } {
+  const [first] = fleet.daemons;
+  const last = fleet.daemons.at(-1);
+  if (!first || !last) throw new Error('the fleet has no daemon');
+  return { first, last };
+}
+
+/** Conditions by the words of the feature; the first daemon is told of the withdrawal. */
+export const WITHDRAWAL_WEATHER: ReadonlyMap<string, Weather> = new Map<string, Weather>([
+  ['nothing is wrong', () => {}],
+  ['the log is out', (fleet) => fleet.log.addFault({ kind: 'unavailable' })],
+  ['the log never answers', (fleet) => fleet.log.addFault({ kind: 'silent' })],
+  [
+    'the log loses its answers to appends',
+    (fleet) => fleet.log.addFault({ kind: 'lost-answer', path: '/v1/streams/configuration' }),
+  ],
+  [
+    'one daemon cannot reach the one that was told',
+    (fleet) => {
+      const { first, last } = ends(fleet);
+      fleet.separate(first, last);
+    },
+  ],
+  [
+    'one daemon cannot reach the log nor the one that was told',
+    (fleet) => {
+      const { first, last } = ends(fleet);
+      fleet.separate(first, last);
+      last.links?.log.cut();
+    },
+  ],
+  [
+    'the log is out, and one daemon cannot reach the one that was told',
+    async (fleet) => {
+      const { first, last } = ends(fleet);
+      fleet.separate(first, last);
+      await fleet.log.addFault({ kind: 'unavailable' });
+    },
+  ],
+  [
+    'one daemon is cut off',
+    (fleet) => {
+      isolate(fleet, ends(fleet).last);
+    },
+  ],
+]);
