fix(execution): end model requests when the share lease has lapsed

Cause: a VM that is cut off refuses new requests as isolated, but its streams went on, so a key that was withdrawn elsewhere kept working there until its answers ended. Ruled out: the spread of withdrawals, since no path to that VM is left while it is cut off.

Relays can record the bytes that pass them. The harness waits until a daemon has read the configuration before it applies changes.

--- a/features/guarantees/keys.feature
+++ b/features/guarantees/keys.feature
@@ -51,3 +51,10 @@
     And the key-withdrawing daemon that is cut off is not ready and still serves open routes
     And the key-withdrawing streams of the other key go on through 3 daemons
     And the key-withdrawing daemon refuses that key as withdrawn when it is connected again
+
+  # Guards P3: the text of a key stays between the caller and the daemon that it calls.
+  Scenario: a key is written nowhere and sent to nobody
+    Given a confidential fleet of 3 daemons that log everything and send metrics
+    When confidential keys are used in a mixture of requests at every daemon
+    And a confidential key is withdrawn by its id, and its text is given to an operator by mistake
+    Then no confidential key is in any record, log line, trace, datagram, stream or message
--- a/features/guarantees/team-rates.feature
+++ b/features/guarantees/team-rates.feature
@@ -25,3 +25,16 @@
       | the rate is lowered                       | 4       | 20    |
       | attempts break off and run again          | 4       | 30    |
       | engines restart                           | 4       | 40    |
+
+  # Guards the other side of P4: a team inside its rate is not refused. A connection that breaks with
+  # its daemon is no refusal and is counted apart.
+  Scenario Outline: a team at 60% of its rate is served while <event>
+    Given an inside-rate fleet of 4 daemons
+    When inside-rate callers follow the entry addresses while "<event>"
+    Then inside-rate callers are refused in less than 0.1 percent of their requests
+
+    Examples:
+      | event               |
+      | nothing happens     |
+      | a home dies         |
+      | another daemon dies |
--- /dev/null
+++ b/features/steps/guarantees-confidentiality-steps.ts
@@ -0,0 +1,157 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+
+import { callCompletion, callService } from '../../harness/caller-client.js';
+import { startFleet, type Fleet, type FleetDaemon } from '../../harness/fleet.js';
+import { createIdempotencyKey } from '../../harness/idempotency-key.js';
+import { MODEL, planSmallFleet } from '../../harness/plans.js';
+import { waitFor } from '../../harness/wait-for.js';
+import { receiveDatagrams, type DatagramReceiver } from '../support/guarantees-datagrams.js';
+import { askEntryAddresses } from '../support/guarantees-fleet.js';
+import {
+  KEYED_ROUTES,
+  OPEN_ROUTE,
+  sendOnKeyedRoutes,
+  sendWithHeader,
+} from '../support/guarantees-key-requests.js';
+import { openStream } from '../support/guarantees-key-streams.js';
+import { collectPlaces, listForms, type Place } from '../support/guarantees-traces-of-keys.js';
+import { reportFigure, type Reporting } from '../support/guarantees-report.js';
+
+interface ConfidentialWorld extends Reporting {
+  confidential?: {
+    readonly fleet: Fleet;
+    readonly datagrams: DatagramReceiver;
+    readonly keys: string[];
+  };
+}
+
+function confidentialOf(world: ConfidentialWorld) {
+  assert.ok(world.confidential);
+  return world.confidential;
+}
+
+/** Sends requests of all kinds, some of them wrong, with a key that works. */
+async function sendMixture(daemon: FleetDaemon, text: string): Promise<void> {
+  const bearer = `Bearer ${text}`;
+  const call = { model: MODEL, prompt: 'roll the square', maxTokens: 10, key: text };
+  const spare = { 'proxy-authorization': bearer, cookie: `key=${text}` };
+  const cancelled = await openStream(daemon, text, 100);
+  cancelled.abort();
+  await Promise.all([
+    callCompletion(daemon.callers, { ...call, stream: true }),
+    callCompletion(daemon.callers, { ...call, model: 'no-such-model' }),
+    callCompletion(daemon.callers, { ...call, maxTokens: 1_000_000 }),
+    sendOnKeyedRoutes(daemon, bearer),
+    sendOnKeyedRoutes(daemon, `Basic ${btoa(`${text}:`)}`),
+    ...[OPEN_ROUTE, ...KEYED_ROUTES].map((route) => sendWithHeader(daemon, route, bearer, spare)),
+    sendWithHeader(daemon, '/no-such-route', bearer),
+    sendWithHeader(daemon, '/services/yard/jobs/%2e%2e/1', bearer),
+    askEntryAddresses(daemon, text),
+    callService(daemon.callers, {
+      ...{ method: 'POST', path: '/services/yard/orders', body: '{"drums":3}', key: text },
+      idempotencyKey: createIdempotencyKey(),
+    }),
+  ]);
+}
+
+After(async function stop(this: ConfidentialWorld) {
+  this.confidential?.datagrams.close();
+  await this.confidential?.fleet.stop();
+});
+
+Given(
+  'a confidential fleet of {int} daemons that log everything and send metrics',
+  async function start(this: ConfidentialWorld, daemons: number) {
+    const datagrams = await receiveDatagrams();
+    const settings = {
+      logs: { level: 'debug' },
+      statsd: { host: '127.0.0.1', port: datagrams.port },
+    };
+    const plan = planSmallFleet({ daemons, relayed: true, recorded: true, settings });
+    this.confidential = { fleet: await startFleet(plan), datagrams, keys: [] };
+  },
+);
+
+When(
+  'confidential keys are used in a mixture of requests at every daemon',
+  async function send(this: ConfidentialWorld) {
+    const { fleet, keys } = confidentialOf(this);
+    for (const team of ['oval-crew', 'school-grounds']) {
+      const { text } = await fleet.giveKey(team);
+      keys.push(text, `${text.slice(0, -4)}0000`);
+      await waitFor('the key to work at every daemon', async () => {
+        const answers = await Promise.all(
+          fleet.daemons.map((one) => sendWithHeader(one, KEYED_ROUTES[2] ?? '', `Bearer ${text}`)),
+        );
+        return answers.every(({ status }) => status === 200);
+      });
+      await Promise.all(fleet.daemons.map((daemon) => sendMixture(daemon, text)));
+    }
+    const wrong = keys.filter((_, index) => index % 2 === 1);
+    await Promise.all(
+      fleet.daemons.flatMap((one) => wrong.map((text) => sendOnKeyedRoutes(one, `Bearer ${text}`))),
+    );
+  },
+);
+
+When(
+  'a confidential key is withdrawn by its id, and its text is given to an operator by mistake',
+  async function withdraw(this: ConfidentialWorld) {
+    const { fleet, keys } = confidentialOf(this);
+    const [daemon] = fleet.daemons;
+    const [text] = keys;
+    assert.ok(daemon && text);
+    const { calls } = fleet.operator(daemon);
+    await assert.rejects(calls.withdrawKey({ keyId: text, operator: 'harness' }));
+    const changeJson = JSON.stringify({ kind: 'withdraw-key', keyId: text });
+    const { verdict } = await calls.change({ changeJson, base: -1n, operator: 'harness' });
+    assert.equal(verdict, 'invalid');
+    const [, keyId = ''] = text.split('_');
+    await calls.withdrawKey({ keyId, operator: 'harness' });
+    await Promise.all(fleet.daemons.map((one) => sendOnKeyedRoutes(one, `Bearer ${text}`)));
+  },
+);
+
+Then(
+  'no confidential key is in any record, log line, trace, datagram, stream or message',
+  async function check(this: ConfidentialWorld) {
+    const { fleet, datagrams, keys } = confidentialOf(this);
+    await waitFor('metrics of every daemon', () =>
+      fleet.daemons.every(({ name }) => datagrams.text().includes(name)),
+    );
+    const places: Place[] = [
+      ...(await collectPlaces(fleet)),
+      { name: 'datagrams', text: datagrams.text() },
+    ];
+    const forms = keys.flatMap(listForms);
+    const found = places.filter(({ text }) => forms.some((form) => text.includes(form)));
+    assert.deepEqual(
+      found.map(({ name }) => name),
+      [],
+    );
+    const characters = places.reduce((sum, { text }) => sum + text.length, 0);
+    reportFigure(this, `${forms.length} forms of keys, ${places.length} places, ${characters} B`);
+    // The search proves nothing where nothing was collected.
+    const mustHold: [RegExp, string][] = [
+      [/^record of decode/, 'oval-crew'],
+      [/^record of yard/, 'oval-crew'],
+      [/^record of log/, 'give-key'],
+      [/^log lines/, 'request refused'],
+      [/^traces/, 'traceId'],
+      [/^requests of peers/, '/cuminspar.peer.v1.'],
+      [/^bytes to-target of (?:decode|prefill)/, 'roll the square'],
+      [/^bytes to-target of yard/, 'x-team'],
+      [/^bytes to-target of log access/, '/v1/streams/'],
+    ];
+    mustHold.forEach(([name, content]) => {
+      const matching = places.filter((place) => name.test(place.name));
+      assert.ok(matching.length > 0, String(name));
+      assert.ok(
+        matching.some(({ text }) => text.includes(content)),
+        `${name}: ${content}`,
+      );
+    });
+  },
+);
--- a/features/steps/guarantees-withdrawal-steps.ts
+++ b/features/steps/guarantees-withdrawal-steps.ts
@@ -71,10 +71,15 @@
     const fleet = await startFleet(plan);
     const key = await fleet.giveKey('oval-crew');
     const kept = await fleet.giveKey('oval-crew');
-    await waitFor('both keys to work at every daemon', async () => {
-      const served = fleet.daemons.flatMap((daemon) => [key, kept].map((k) => isServed(daemon, k)));
-      return (await Promise.all(served)).every(Boolean);
-    });
+    await waitFor(
+      'both keys to work at every daemon',
+      async () => {
+        const keys = [key, kept];
+        const served = fleet.daemons.flatMap((daemon) => keys.map((one) => isServed(daemon, one)));
+        return (await Promise.all(served)).every(Boolean);
+      },
+      { deadlineMs: 10_000 },
+    );
     this.withdrawing = { fleet, key, kept, streams: [], keptStreams: [], withdrawnMs: 0 };
   },
 );
--- a/features/support/fake-services.ts
+++ b/features/support/fake-services.ts
@@ -127,6 +127,7 @@
     withdrawn: () => new Set<string>(),
   });
   registerFake(fakes.kernel, 'membership', {
+    leaseLive: () => true,
     self: () => ({ vm: 'vm1', incarnation: 'i1' }),
     reincarnations: () => fakes.reincarnations.stream(),
   });
--- /dev/null
+++ b/features/support/guarantees-datagrams.ts
@@ -0,0 +1,28 @@
+import { createSocket, type Socket } from 'node:dgram';
+import { once } from 'node:events';
+
+/** A receiver of StatsD datagrams. */
+export interface DatagramReceiver {
+  readonly port: number;
+  /** Everything received, as text. */
+  readonly text: () => string;
+  readonly close: () => void;
+}
+
+/**
+ * Binds a receiver to a free port.
+ *
+ * @returns the receiver
+ */
+export async function receiveDatagrams(): Promise<DatagramReceiver> {
+  const socket: Socket = createSocket('udp4');
+  const received: string[] = [];
+  socket.on('message', (message) => received.push(message.toString('latin1')));
+  socket.bind(0, '127.0.0.1');
+  await once(socket, 'listening');
+  return {
+    port: socket.address().port,
+    text: () => received.join('\n'),
+    close: () => socket.close(),
+  };
+}
--- /dev/null
+++ b/features/support/guarantees-followers.ts
@@ -0,0 +1,143 @@
+import { setMaxListeners } from 'node:events';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { callCompletion } from '../../harness/caller-client.js';
+import type { FleetDaemon } from '../../harness/fleet.js';
+import { MODEL } from '../../harness/plans.js';
+import { askEntryAddresses, type EntryAnswer } from './guarantees-fleet.js';
+
+/** Callers that send at a fixed pace to the addresses that the fleet names. */
+export interface FollowerPlan {
+  readonly key: string;
+  readonly callers: number;
+  /** Requests of one caller in a second. */
+  readonly perSecond: number;
+  /** Addresses that a caller knows from the start. */
+  readonly known: readonly Pick<FleetDaemon, 'callers'>[];
+}
+
+/** What the followers have seen. */
+export interface FollowerCounts {
+  sent: number;
+  whole: number;
+  /** Connections that broke; not a refusal. */
+  broken: number;
+  /** Refusals by code. */
+  readonly refused: Map<string, number>;
+  /** Daemons that were called. */
+  readonly hosts: Set<string>;
+}
+
+/** Followers at work. */
+export interface Followers {
+  readonly counts: FollowerCounts;
+  readonly stop: () => Promise<void>;
+}
+
+/** 40 bytes, ten tokens, three times. */
+const PROMPT = 'roll the square before the second match.'.repeat(3);
+
+const OUTPUT_TOKENS = 5;
+
+/** Tokens of one request of a follower. */
+export const FOLLOWER_TOKENS = 35;
+
+const ENTRY_TIMEOUT_MS = 500;
+
+const ANSWER_TIMEOUT_MS = 5000;
+
+/** One caller; it keeps an entry answer for as long as the answer allows. */
+class Follower {
+  private answer: EntryAnswer | undefined;
+
+  private expiresMs = 0;
+
+  private known: readonly Pick<FleetDaemon, 'callers'>[];
+
+  private constructor(
+    private readonly plan: FollowerPlan,
+    private readonly counts: FollowerCounts,
+    private readonly place: number,
+  ) {
+    this.known = plan.known;
+  }
+
+  static create(plan: FollowerPlan, counts: FollowerCounts, place: number): Follower {
+    return new Follower(plan, counts, place);
+  }
+
+  async run(ended: AbortSignal): Promise<void> {
+    const open = new Set<Promise<void>>();
+    const paceMs = 1000 / this.plan.perSecond;
+    let dueMs = performance.now() + (paceMs * this.place) / this.plan.callers;
+    for (let turn = this.place; !ended.aborted; turn += 1) {
+      const waitMs = dueMs - performance.now();
+      if (waitMs > 0) await delay(waitMs, undefined, { signal: ended }).catch(() => {});
+      if (ended.aborted) break;
+      dueMs += paceMs;
+      const { addresses } = await this.follow();
+      const address = addresses[turn % addresses.length];
+      if (!address) continue;
+      const sending = this.send(address).finally(() => open.delete(sending));
+      open.add(sending);
+    }
+    await Promise.all(open);
+  }
+
+  private async follow(): Promise<EntryAnswer> {
+    if (this.answer && performance.now() < this.expiresMs) return this.answer;
+    for (const daemon of this.known) {
+      const signal = AbortSignal.timeout(ENTRY_TIMEOUT_MS);
+      const answer = await askEntryAddresses(daemon, this.plan.key, signal).catch(() => undefined);
+      if (!answer?.addresses.length) continue;
+      this.answer = answer;
+      this.expiresMs = performance.now() + answer.validForMs;
+      const named = answer.addresses.map(({ host, port }) => ({ callers: { host, port } }));
+      this.known = [...named, ...this.plan.known];
+      return answer;
+    }
+    return { addresses: [], validForMs: 0 };
+  }
+
+  private async send(address: { vm: string; host: string; port: number }): Promise<void> {
+    const { counts } = this;
+    const signal = AbortSignal.timeout(ANSWER_TIMEOUT_MS);
+    const call = { model: MODEL, prompt: PROMPT, maxTokens: OUTPUT_TOKENS, key: this.plan.key };
+    counts.sent += 1;
+    counts.hosts.add(address.vm);
+    const answer = await callCompletion(address, { ...call, signal, stream: true }).catch(
+      () => undefined,
+    );
+    if (!answer) {
+      counts.broken += 1;
+      this.answer = undefined;
+    } else if (answer.code) {
+      counts.refused.set(answer.code, (counts.refused.get(answer.code) ?? 0) + 1);
+    } else counts.whole += 1;
+  }
+}
+
+/**
+ * Starts callers that follow the entry answers.
+ *
+ * @param plan - key, number and pace
+ * @returns the callers
+ */
+export function startFollowers(plan: FollowerPlan): Followers {
+  const ended = new AbortController();
+  setMaxListeners(plan.callers, ended.signal);
+  const counts: FollowerCounts = {
+    ...{ sent: 0, whole: 0, broken: 0 },
+    ...{ refused: new Map<string, number>(), hosts: new Set<string>() },
+  };
+  const runs = Array.from({ length: plan.callers }, (_, place) =>
+    Follower.create(plan, counts, place).run(ended.signal),
+  );
+  return {
+    counts,
+    stop: async () => {
+      ended.abort();
+      await Promise.all(runs);
+    },
+  };
+}
--- a/features/support/guarantees-load.ts
+++ b/features/support/guarantees-load.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { callCompletion } from '../../harness/caller-client.js';
@@ -40,6 +41,7 @@
  */
 export function startFlood(plan: FloodPlan): Flood {
   const ended = new AbortController();
+  setMaxListeners(2 * plan.callers, ended.signal);
   const counts = new Map<string, number>();
   const callers = Array.from({ length: plan.callers }, (_, caller) =>
     runCaller(plan, caller, ended.signal, counts),
--- /dev/null
+++ b/features/support/guarantees-traces-of-keys.ts
@@ -0,0 +1,70 @@
+import { readFile } from 'node:fs/promises';
+
+import type { Fleet } from '../../harness/fleet.js';
+import type { Direction, TcpRelay } from '../../harness/tcp-relay.js';
+import { decodeRequests } from './guarantees-peer-traffic.js';
+
+/** A place where a key must not be found. */
+export interface Place {
+  readonly name: string;
+  readonly text: string;
+}
+
+/**
+ * Lists the forms in which a key could be written somewhere.
+ *
+ * @param text - text of a key
+ * @returns the key, its secret, and the key as Basic credentials, alone and before a colon
+ */
+export function listForms(text: string): string[] {
+  const secret = text.slice(text.lastIndexOf('_') + 1);
+  const unpadded = (plain: string) => btoa(plain).replace(/=+$/, '');
+  return [text, secret, unpadded(text), unpadded(`${text}:`), unpadded(`Bearer ${text}`)];
+}
+
+/**
+ * Collects everything that stand-ins recorded, that daemons wrote and that passed the relays.
+ *
+ * @param fleet - a fleet whose relays record
+ * @returns places with their text
+ */
+export async function collectPlaces(fleet: Fleet): Promise<Place[]> {
+  const standIns = [['log', fleet.log] as const, ['vm list', fleet.vmList] as const];
+  const records = [...standIns, ...fleet.servers].map(async ([name, standIn]) => ({
+    name: `record of ${name}`,
+    text: JSON.stringify(await standIn.readRecord()),
+  }));
+  const daemons = fleet.daemons.map(async ({ name, settingsFile, links, process }) => [
+    { name: `log lines of ${name}`, text: process.stdout() + process.stderr() },
+    { name: `traces of ${name}`, text: await readSpans(settingsFile) },
+    { name: `requests of peers to ${name}`, text: await decodePeers(links?.peers) },
+    ...listRelayed(`peers of ${name}`, links?.peers),
+    ...listRelayed(`log access of ${name}`, links?.log),
+  ]);
+  const servers = [...fleet.serverLinks].flatMap(([name, relay]) => listRelayed(name, relay));
+  return [...(await Promise.all(records)), ...(await Promise.all(daemons)).flat(), ...servers];
+}
+
+function readSpans(settingsFile: string): Promise<string> {
+  return readFile(settingsFile.replace(/\.json$/, '.spans'), 'utf8');
+}
+
+function listRelayed(name: string, relay: TcpRelay | undefined): Place[] {
+  return (['to-target', 'to-client'] as const).map((direction) => ({
+    name: `bytes ${direction} of ${name}`,
+    text: joinPieces(relay, direction).join('\n'),
+  }));
+}
+
+function joinPieces(relay: TcpRelay | undefined, direction: Direction): string[] {
+  const connections = relay?.recorded ?? [];
+  return connections.map(({ pieces }) => Buffer.concat(pieces[direction]).toString('latin1'));
+}
+
+async function decodePeers(relay: TcpRelay | undefined): Promise<string> {
+  const connections = relay?.recorded ?? [];
+  const decoded = connections.map(({ pieces }) =>
+    decodeRequests(Buffer.concat(pieces['to-target'])),
+  );
+  return (await Promise.all(decoded)).join('\n');
+}
--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -43,6 +43,8 @@
   readonly logArgs?: readonly string[];
   /** True: peers, log and servers are reached through relays that can be cut. */
   readonly relayed?: boolean;
+  /** True: the relays of a relayed plan keep the bytes that pass them. */
+  readonly recorded?: boolean;
   /** Top-level fields of each daemon's settings that replace the usual ones. */
   readonly settings?: JsonChange;
 }
@@ -127,7 +129,7 @@
   const addresses = new Map(
     plan.servers.map(({ name }, index) => [name, parseAddress(pick(servers, index).address)]),
   );
-  const serverLinks = plan.relayed ? await relayAll(addresses) : new Map<string, TcpRelay>();
+  const serverLinks = plan.relayed ? await relayAll(addresses, plan) : new Map<string, TcpRelay>();
   const daemons: FleetDaemon[] = [];
   const clients = new Map<FleetDaemon, OperatorClient>();
   const operator = (daemon: FleetDaemon) => {
@@ -175,6 +177,8 @@
     },
   };
   await Promise.all(Array.from({ length: plan.daemons }, addDaemon));
+  // A daemon prints its ready line before it has read the log, and rejects changes until then.
+  await Promise.all(daemons.map((daemon) => waitForVersion(operator(daemon), 0)));
   const version = await apply([
     ...plan.changes,
     ...describeServers(plan.servers, new Map([...addresses, ...serverLinks])),
@@ -200,10 +204,13 @@
   });
 }
 
-async function relayAll(addresses: ReadonlyMap<string, Address>): Promise<Map<string, TcpRelay>> {
+async function relayAll(
+  addresses: ReadonlyMap<string, Address>,
+  { recorded }: FleetPlan,
+): Promise<Map<string, TcpRelay>> {
   const entries = [...addresses].map(async ([name, address]): Promise<[string, TcpRelay]> => [
     name,
-    await createTcpRelay(address),
+    await createTcpRelay(address, { record: recorded }),
   ]);
   return new Map(await Promise.all(entries));
 }
@@ -225,8 +232,9 @@
   const [callers, peers, operators] = ports.map((port) => ({ host, port }));
   if (!callers || !peers || !operators) throw new Error('no free ports');
   const logAddress = parseAddress(platform.log.address);
+  const relay = (target: Address) => createTcpRelay(target, { record: plan.recorded });
   const links = plan.relayed
-    ? { peers: await createTcpRelay(peers), log: await createTcpRelay(logAddress) }
+    ? { peers: await relay(peers), log: await relay(logAddress) }
     : undefined;
   const log = links?.log ?? logAddress;
   const tokenSha256 = createHash('sha256').update(OPERATOR_TOKEN).digest('hex');
--- a/harness/plans.ts
+++ b/harness/plans.ts
@@ -22,6 +22,8 @@
   readonly settings?: JsonChange;
   /** True: peers, log and servers are reached through relays that can be cut. */
   readonly relayed?: boolean;
+  /** True: the relays keep the bytes that pass them. */
+  readonly recorded?: boolean;
 }
 
 /**
@@ -48,6 +50,7 @@
   return {
     ...{ region: 'tt-south', zones, daemons, logArgs: size.logArgs ?? [] },
     ...{ settings: size.settings ?? {}, relayed: size.relayed ?? false },
+    recorded: size.recorded ?? false,
     servers: [
       ...times(prefills, engine('prefill')),
       ...times(decodes, engine('decode')),
--- a/harness/tcp-relay.ts
+++ b/harness/tcp-relay.ts
@@ -26,6 +26,18 @@
   readonly dueMs: number;
 }
 
+/** Bytes that passed a relay on one connection. */
+export interface RecordedConnection {
+  /** Bytes in the order of their arrival, by direction. */
+  readonly pieces: Readonly<Record<Direction, Buffer[]>>;
+}
+
+/** What a relay does besides passing bytes. */
+export interface RelayOptions {
+  /** True: keeps all bytes of all connections, for tests that search them. */
+  readonly record?: boolean;
+}
+
 /** How often a silent direction looks whether it may go on. */
 const SILENT_CHECK_MS = 10;
 
@@ -46,6 +58,8 @@
   readonly heal: () => void;
   /** Counts connections that are open now. */
   readonly countOpen: () => number;
+  /** Bytes of all connections since the start; empty unless the relay records. */
+  readonly recorded: readonly RecordedConnection[];
   readonly close: () => Promise<void>;
 }
 
@@ -55,16 +69,24 @@
  * Opens a relay on a free port.
  *
  * @param target - where the bytes go
+ * @param options - whether bytes are recorded
  * @returns the relay
  */
-export async function createTcpRelay(target: Address): Promise<TcpRelay> {
+export async function createTcpRelay(
+  target: Address,
+  options: RelayOptions = {},
+): Promise<TcpRelay> {
   const weather: Weather = { state: 'healthy', delayMs: { 'to-target': 0, 'to-client': 0 } };
   const pairs = new Set<Pair>();
   const blocked = new Set<string>();
+  const recorded: RecordedConnection[] = [];
   const server = createServer({ allowHalfOpen: true }, (client) => {
     const isBlocked = blocked.has(client.remoteAddress ?? '');
     if (weather.state === 'cut' || isBlocked) client.resetAndDestroy();
-    else connectPair(client, target, weather, pairs);
+    else {
+      const pair = connectPair(client, target, weather, pairs);
+      if (options.record) recorded.push(recordPair(pair));
+    }
   });
   const port = await listen(server);
   const resetAll = () => pairs.forEach((pair) => reset(pair));
@@ -89,6 +111,7 @@
     unblock: (source) => blocked.delete(source),
     heal: () => Object.assign(weather, { state: 'healthy', delayMs: healthyDelays() }),
     countOpen: () => pairs.size,
+    recorded,
     close: async () => {
       relays.delete(relay);
       resetAll();
@@ -120,7 +143,7 @@
   });
 }
 
-function connectPair(client: Socket, target: Address, weather: Weather, pairs: Set<Pair>): void {
+function connectPair(client: Socket, target: Address, weather: Weather, pairs: Set<Pair>): Pair {
   const upstream = connect({ ...target, allowHalfOpen: true });
   const source = client.remoteAddress ?? '';
   const pair: Pair = { sockets: [client, upstream], source, forGood: false };
@@ -135,6 +158,14 @@
   }
   pump(client, upstream, 'to-target', weather, pair);
   pump(upstream, client, 'to-client', weather, pair);
+  return pair;
+}
+
+function recordPair({ sockets: [client, upstream] }: Pair): RecordedConnection {
+  const pieces: Record<Direction, Buffer[]> = { 'to-target': [], 'to-client': [] };
+  client?.on('data', (bytes: Buffer) => pieces['to-target'].push(bytes));
+  upstream?.on('data', (bytes: Buffer) => pieces['to-client'].push(bytes));
+  return { pieces };
 }
 
 function reset({ sockets }: Pair): void {
--- a/src/execution/phased-model-execution.ts
+++ b/src/execution/phased-model-execution.ts
@@ -5,6 +5,7 @@
 import { fail, type Outcome } from '../kernel/outcome.js';
 import type { Settings } from '../settings/schema.js';
 import { DeathWatch } from './death-watch.js';
+import { LeaseWatch } from './lease-watch.js';
 import { ModelExecution } from './model-execution.js';
 import { ModelRun, type RunContext } from './model-run.js';
 import { Releases } from './releases.js';
@@ -15,6 +16,8 @@
 
   private readonly context: RunContext;
 
+  private readonly leaseWatch: LeaseWatch;
+
   private constructor(
     private readonly kernel: Kernel,
     private readonly settings: Settings,
@@ -32,6 +35,10 @@
       clock,
     );
     this.context = { kernel, settings, clock, releases, deaths };
+    // A VM that nobody hears cannot learn that a key was withdrawn.
+    this.leaseWatch = LeaseWatch.create(kernel, clock, () =>
+      this.endAll('isolated', 'this VM has lost contact with the others'),
+    );
   }
 
   /**
@@ -53,6 +60,7 @@
     void reincarnations.forEach(() =>
       this.endAll('isolated', 'this VM was removed from the members and joins again'),
     );
+    this.leaseWatch.start();
   }
 
   /** Waits for the requests in progress and their cancel orders, up to the shutdown deadline. */
@@ -60,6 +68,7 @@
     const deadline = new AbortController();
     const timeout = this.clock.sleep(this.settings.timeouts.shutdownMs, deadline.signal);
     await Promise.race([timeout, this.finishAll()]);
+    this.leaseWatch.stop();
     this.endAll('draining', 'this VM shuts down');
     await Promise.race([timeout, this.context.releases.drain(deadline.signal)]);
     deadline.abort();
