--- a/features/guarantees/keys.feature
+++ b/features/guarantees/keys.feature
@@ -52,6 +52,24 @@
     And the key-withdrawing streams of the other key go on through 3 daemons
     And the key-withdrawing daemon refuses that key as withdrawn when it is connected again
 
+  # Guards P3: a daemon must not learn of a key without learning of its withdrawal.
+  Scenario Outline: a daemon that starts after a withdrawal does not run the key, <condition>
+    Given a key-withdrawing fleet of 3 daemons with two keys of one team
+    When the key-withdrawing operator withdraws one key while "<condition>"
+    And a key-withdrawing daemon is added
+    Then the key-withdrawing daemon that was added never runs that key
+
+    Examples:
+      | condition        |
+      | nothing is wrong |
+      | the log is out   |
+
+  # Guards P3: the team comes from the key and from nothing else in the request.
+  Scenario: a key of one team never runs for another
+    Given a team-separating fleet of 2 daemons
+    When team-separating callers of two teams send 5 rounds at once and claim the other team
+    Then every team-separating attempt and effect ran for the team of its key
+
   # Guards P3: the text of a key stays between the caller and the daemon that it calls.
   Scenario: a key is written nowhere and sent to nobody
     Given a confidential fleet of 3 daemons that log everything and send metrics
--- /dev/null
+++ b/features/steps/guarantees-team-steps.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+
+import { callCompletion } from '../../harness/caller-client.js';
+import { readEffects, readEngines } from '../../harness/engine-record.js';
+import { startFleet, type Fleet, type FleetDaemon } from '../../harness/fleet.js';
+import { MODEL, planSmallFleet } from '../../harness/plans.js';
+import { sendWithHeader } from '../support/guarantees-key-requests.js';
+
+const TEAMS = ['oval-crew', 'school-grounds'];
+
+interface SeparatingWorld {
+  separating?: {
+    readonly fleet: Fleet;
+    /** Team whose key was sent, by request id of a completion. */
+    readonly senders: Map<string, string>;
+  };
+}
+
+function separatingOf(world: SeparatingWorld) {
+  assert.ok(world.separating);
+  return world.separating;
+}
+
+/** Sends requests of one team that claim to be of another one. */
+async function sendAs(
+  daemon: FleetDaemon,
+  team: string,
+  key: string,
+  senders: Map<string, string>,
+): Promise<void> {
+  const claimed = { 'x-team': TEAMS.find((other) => other !== team) ?? '' };
+  const path = `/services/yard/jobs/of-${team}`;
+  const call = { model: MODEL, prompt: 'roll the square', maxTokens: 5, key };
+  const [answer] = await Promise.all([
+    callCompletion(daemon.callers, { ...call, stream: true }),
+    sendWithHeader(daemon, path, `Bearer ${key}`, claimed),
+  ]);
+  senders.set(answer.requestId, team);
+}
+
+After(async function stop(this: SeparatingWorld) {
+  await this.separating?.fleet.stop();
+});
+
+Given('a team-separating fleet of {int} daemons', async function start(this: SeparatingWorld, n) {
+  const fleet = await startFleet(planSmallFleet({ daemons: Number(n), services: 1 }));
+  this.separating = { fleet, senders: new Map() };
+});
+
+When(
+  'team-separating callers of two teams send {int} rounds at once and claim the other team',
+  async function send(this: SeparatingWorld, rounds: number) {
+    const { fleet, senders } = separatingOf(this);
+    const keys = new Map<string, string>();
+    for (const team of TEAMS) keys.set(team, (await fleet.giveKey(team)).text);
+    const sendings = Array.from({ length: rounds }, () =>
+      fleet.daemons.flatMap((daemon) =>
+        [...keys].map(([team, key]) => sendAs(daemon, team, key, senders)),
+      ),
+    );
+    await Promise.all(sendings.flat());
+  },
+);
+
+Then(
+  'every team-separating attempt and effect ran for the team of its key',
+  async function check(this: SeparatingWorld) {
+    const { fleet, senders } = separatingOf(this);
+    const engines = await readEngines(fleet);
+    const attempts = [...engines.values()].flatMap((engine) => engine.attempts);
+    const effects = await readEffects(fleet);
+    assert.deepEqual(new Set(attempts.map(({ team }) => team)), new Set(TEAMS));
+    assert.deepEqual(new Set(effects.map(({ team }) => team)), new Set(TEAMS));
+    attempts.forEach(({ requestId, team }) => assert.equal(team, senders.get(requestId)));
+    effects.forEach(({ path, team }) => assert.equal(path, `/services/yard/jobs/of-${team}`));
+  },
+);
--- a/features/steps/guarantees-withdrawal-steps.ts
+++ b/features/steps/guarantees-withdrawal-steps.ts
@@ -198,3 +198,31 @@
     await waitFor('the other key to work', () => isServed(daemon, kept));
   },
 );
+
+When('a key-withdrawing daemon is added', async function add(this: WithdrawalWorld) {
+  const { fleet } = withdrawingOf(this);
+  await fleet.addDaemon();
+});
+
+Then(
+  'the key-withdrawing daemon that was added never runs that key',
+  async function check(this: WithdrawalWorld) {
+    const { fleet, key, kept } = withdrawingOf(this);
+    const daemon = lastOf(fleet);
+    const looks = Array.from({ length: 20 }, () => sendOnKeyedRoutes(daemon, `Bearer ${key.text}`));
+    const early = (await Promise.all(looks)).flat().map(({ code }) => code);
+    reportFigure(this, `answers of the new daemon at first: ${[...new Set(early)].join(', ')}`);
+    assert.ok(early.every((code) => code !== undefined));
+    await fleet.log.clearFaults();
+    await waitFor(
+      'the new daemon to be ready',
+      async () => {
+        assert.equal(await isServed(daemon, key), false);
+        return (await readReadiness(daemon)) === 'ready';
+      },
+      { deadlineMs: 10_000 },
+    );
+    assert.ok(await isRefused(daemon, key, 'key_withdrawn'));
+    await waitFor('the other key to work', () => isServed(daemon, kept));
+  },
+);
--- a/features/support/guarantees-rate-events.ts
+++ b/features/support/guarantees-rate-events.ts
@@ -110,8 +110,8 @@
 
 async function lowerRate({ changeTeam, run }: EventStage): Promise<void> {
   await changeTeam({ rate: 600, burst: 800 });
-  // Longer than the time for which the older bound holds.
-  await run(2);
+  // Longer than the 4 s for which the older bound holds.
+  await run(6);
 }
 
 async function breakPrefills({ fleet, run }: EventStage): Promise<void> {
