test: prove that orders run at most once, and accept late intents as abandoned

Cause: when the network holds an intent's append back until its owner has given it up, the `abandoned` record reaches the log before the intent. The fold ignored the record, so the intent stayed open for good: the caller was told "not run" and every repetition with the same key was answered outcome_unknown. Ruled out: a failure of the owner to append the record (it is in the stream) and a lag of the reader (the answer stays the same later). The harness sent its first change before a daemon had read the empty configuration, which made fleets fail to start on a busy machine.

Change: the ledger remembers an abandonment whose intent is still to come. The relay tells which bytes it holds, and startFleet waits for the empty configuration.

--- /dev/null
+++ b/features/support/guarantees-order-phases.ts
@@ -0,0 +1,104 @@
+import { waitFor } from '../../harness/wait-for.js';
+import {
+  EXECUTION_STREAMS,
+  daemonOf,
+  readOrderEffects,
+  readOrderRecords,
+  sendOrder,
+  type OrderWorld,
+} from './guarantees-orders.js';
+
+/** Longer than any scenario waits for an answer that a fault holds back, in milliseconds. */
+const HELD_MS = 20_000;
+
+/** Time that the yard takes when a later phase has to be prepared meanwhile, in milliseconds. */
+const YARD_MS = 600;
+
+/** Sends the order to daemon 1 and resolves when it is provably in the phase. */
+type Phase = (world: OrderWorld) => Promise<void>;
+
+/** The moments of an order at which its daemon is disturbed. */
+export const ORDER_PHASES: Readonly<Record<string, Phase>> = {
+  'before the intent': async (world) => {
+    const {links} = daemonOf(world.fleet, 1);
+    links?.log.silence();
+    sendOrder(world, 1);
+    const append = `POST ${EXECUTION_STREAMS}`;
+    await waitFor('the append to be on its way', () => links?.log.holds(append));
+    await expectCounts(world, { intents: 0, effects: 0 });
+  },
+  'after the intent': async (world) => {
+    await addLogDelay(world);
+    sendOrder(world, 1);
+    await waitForRecord(world, 'intent');
+    await expectCounts(world, { intents: 1, effects: 0 });
+  },
+  'after the dispatch': async (world) => {
+    await addYardDelay(world, HELD_MS);
+    sendOrder(world, 1);
+    await waitForEffect(world);
+    await expectCounts(world, { intents: 1, effects: 1 });
+  },
+  'before the answer': async (world) => {
+    await addYardDelay(world, YARD_MS);
+    sendOrder(world, 1);
+    await waitForEffect(world);
+    await addLogDelay(world);
+    await waitForRecord(world, 'outcome');
+  },
+};
+
+/**
+ * Waits until the log has a record of the order.
+ *
+ * @param world - the scenario
+ * @param kind - kind of the record
+ */
+export async function waitForRecord(world: OrderWorld, kind: string): Promise<void> {
+  await waitFor(`a record of kind ${kind}`, async () =>
+    (await readOrderRecords(world)).some((record) => record.kind === kind),
+  );
+}
+
+/**
+ * Waits until a yard server has recorded the effect of the order.
+ *
+ * @param world - the scenario
+ */
+export async function waitForEffect(world: OrderWorld): Promise<void> {
+  await waitFor('the effect', async () => (await readOrderEffects(world)).length > 0);
+}
+
+/**
+ * Makes every yard server answer late.
+ *
+ * @param world - the scenario
+ * @param delayMs - time from the effect to the answer, in milliseconds
+ */
+export async function addYardDelay(world: OrderWorld, delayMs: number): Promise<void> {
+  const yards = [...world.fleet.servers.values()];
+  await Promise.all(yards.map((yard) => yard.addFault({ kind: 'delay', count: 1, delayMs })));
+}
+
+/** The append takes effect at once, and its answer is held back. */
+function addLogDelay(world: OrderWorld): Promise<void> {
+  const fault = { path: EXECUTION_STREAMS, kind: 'delay', count: 1, delayMs: HELD_MS };
+  return world.fleet.log.addFault(fault);
+}
+
+async function expectCounts(
+  world: OrderWorld,
+  expected: { readonly intents: number; readonly effects: number },
+): Promise<void> {
+  const records = await readOrderRecords(world);
+  const effects = await readOrderEffects(world);
+  const seen = {
+    intents: records.filter(({ kind }) => kind === 'intent').length,
+    effects: effects.length,
+  };
+  const outcomes = records.filter(({ kind }) => kind === 'outcome').length;
+  if (seen.intents === expected.intents && seen.effects === expected.effects && outcomes === 0) {
+    return;
+  }
+  throw new Error(`the phase was missed: ${JSON.stringify({ ...seen, outcomes })}`);
+}
--- /dev/null
+++ b/features/support/guarantees-orders.ts
@@ -0,0 +1,178 @@
+import assert from 'node:assert/strict';
+
+import { callService, type CallerAnswer } from '../../harness/caller-client.js';
+import type { RecordedEffect } from '../../harness/engine-record.js';
+import { startFleet, type Fleet, type FleetDaemon } from '../../harness/fleet.js';
+import { createIdempotencyKey } from '../../harness/idempotency-key.js';
+import { planChanges, planSmallFleet, type SmallFleet } from '../../harness/plans.js';
+import {
+  parseExecutionRecord,
+  type ExecutionRecord,
+} from '../../src/execution/execution-record.js';
+import { hashKey } from '../../src/execution/idempotency-key.js';
+
+/** Route of requests that must not be repeated. */
+export const ORDERS = '/services/yard/orders';
+
+/** Prefix of the log's calls for the streams of intents and outcomes. */
+export const EXECUTION_STREAMS = '/v1/streams/executions-';
+
+/** Longest wait for a yard server, in milliseconds; short, so that scenarios are. */
+export const ORDER_TIMEOUT_MS = 1500;
+
+/** Time from an intent within which its order may be sent, in milliseconds. */
+export const INTENT_MS = 1000;
+
+const TEAM = 'oval-crew';
+
+/** An order that was sent, and what became of it. */
+export interface SentOrder {
+  readonly daemon: number;
+  readonly body: string;
+  /** Undefined when the connection broke before the answer. */
+  readonly answer: Promise<CallerAnswer | undefined>;
+}
+
+/** What the steps on paint orders share. */
+export interface OrderWorld {
+  fleet: Fleet;
+  callerKey: string;
+  idempotencyKey: string;
+  sent: SentOrder[];
+}
+
+/** An effect with the headers that the service received. */
+type Effect = RecordedEffect & { readonly headers: Readonly<Record<string, string>> };
+
+/**
+ * Starts a fleet for paint orders.
+ *
+ * @param world - receives the fleet, a caller's key and a new idempotency key
+ * @param size - what differs from the usual fleet
+ */
+export async function startOrderFleet(world: OrderWorld, size: SmallFleet = {}): Promise<void> {
+  const route = { path: ORDERS, pool: 'yard', methods: ['POST'], repeatable: false };
+  const changes = planChanges().filter(({ route: one }) => (one as typeof route)?.path !== ORDERS);
+  const plan = planSmallFleet({
+    ...{ prefills: 0, decodes: 0, relayed: true },
+    ...size,
+    changes: [
+      ...changes,
+      { kind: 'put-route', route: { ...route, timeoutMs: ORDER_TIMEOUT_MS } },
+      ...(size.changes ?? []),
+    ],
+    settings: { idempotency: { intentMs: INTENT_MS }, ...size.settings },
+  });
+  const fleet = await startFleet(plan);
+  const { text } = await fleet.giveKey(TEAM);
+  const idempotencyKey = createIdempotencyKey();
+  Object.assign(world, { fleet, callerKey: text, idempotencyKey, sent: [] });
+}
+
+/**
+ * Picks a daemon.
+ *
+ * @param fleet - a running fleet
+ * @param number - its number, from 1
+ * @returns the daemon
+ */
+export function daemonOf(fleet: Fleet, number: number): FleetDaemon {
+  const daemon = fleet.daemons[number - 1];
+  assert.ok(daemon, `no daemon ${number}`);
+  return daemon;
+}
+
+/**
+ * Sends the order of a scenario.
+ *
+ * @param world - the scenario
+ * @param daemon - number of the daemon, from 1
+ * @param options - body and idempotency key when they differ from the usual ones
+ * @returns the order; its answer is undefined when the connection broke
+ */
+export function sendOrder(
+  world: OrderWorld,
+  daemon: number,
+  options: { readonly body?: string; readonly idempotencyKey?: string } = {},
+): SentOrder {
+  const { body = 'three drums of white', idempotencyKey = world.idempotencyKey } = options;
+  const answer = callService(daemonOf(world.fleet, daemon).callers, {
+    ...{ method: 'POST', path: ORDERS, key: world.callerKey, body, idempotencyKey },
+  }).catch(() => undefined);
+  const order = { daemon, body, answer };
+  world.sent.push(order);
+  return order;
+}
+
+/**
+ * Reads what the log has about one idempotency key, in order.
+ *
+ * @param world - the scenario
+ * @param idempotencyKey - the key as the caller sent it
+ * @returns intents, outcomes and abandonments
+ */
+export async function readOrderRecords(
+  world: OrderWorld,
+  idempotencyKey = world.idempotencyKey,
+): Promise<ExecutionRecord[]> {
+  const { streams } = await world.fleet.log.readRecord<{
+    streams: Record<string, { data: string }[]>;
+  }>();
+  const key = hashKey(TEAM, ORDERS, idempotencyKey);
+  return Object.entries(streams)
+    .filter(([name]) => name.startsWith('executions-'))
+    .flatMap(([, records]) => records.map(({ data }) => parseExecutionRecord(data)))
+    .filter((record) => record?.key === key) as ExecutionRecord[];
+}
+
+/**
+ * Reads the effects that the yard servers recorded for one idempotency key.
+ *
+ * @param world - the scenario
+ * @param idempotencyKey - the key as the caller sent it
+ * @returns the effects at all yard servers
+ */
+export async function readOrderEffects(
+  world: OrderWorld,
+  idempotencyKey = world.idempotencyKey,
+): Promise<Effect[]> {
+  const yards = [...world.fleet.servers].filter(([name]) => name.startsWith('yard'));
+  const records = yards.map(([, yard]) => yard.readRecord<{ effects: Effect[] }>());
+  const effects = (await Promise.all(records)).flatMap((record) => record.effects);
+  return effects.filter(({ headers }) => headers['idempotency-key'] === idempotencyKey);
+}
+
+/**
+ * Checks the invariant of at-most-once execution over all orders of a scenario with one key: at
+ * most one effect; an answer that says "not run" belongs to a request without an effect; all
+ * answers with status 200 are equal.
+ *
+ * @param world - the scenario
+ * @returns the effects
+ */
+export async function checkOrders(world: OrderWorld): Promise<Effect[]> {
+  const answers = await Promise.all(world.sent.map(({ answer }) => answer));
+  const effects = await readOrderEffects(world);
+  assert.ok(effects.length <= 1, `${effects.length} effects of one idempotency key`);
+  for (const answer of answers) {
+    if (answer?.run !== 'not run') continue;
+    const ran = effects.some(({ requestId }) => requestId === answer.requestId);
+    assert.ok(!ran, `${answer.code} says "not run", but ${answer.requestId} had an effect`);
+  }
+  const bodies = answers.filter((answer) => answer?.status === 200).map((answer) => answer?.text);
+  assert.ok(new Set(bodies).size <= 1, `answers differ: ${bodies.join(' ')}`);
+  return effects;
+}
+
+/**
+ * Describes an answer in the words of the features.
+ *
+ * @param answer - undefined when the connection broke
+ * @returns for example `200`, `200 replayed` or `outcome_unknown (unknown)`
+ */
+export function describeAnswer(answer: CallerAnswer | undefined): string {
+  if (!answer) return 'connection broken';
+  if (answer.code) return `${answer.code} (${answer.run})`;
+  const replayed = answer.headers['x-cuminspar-replayed'] === 'true';
+  return replayed ? `${answer.status} replayed` : String(answer.status);
+}
--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -175,6 +175,8 @@
     },
   };
   await Promise.all(Array.from({ length: plan.daemons }, addDaemon));
+  // A daemon takes no change before it has read the configuration, which is empty at first.
+  await Promise.all(daemons.map((daemon) => waitForVersion(operator(daemon), 0)));
   const version = await apply([
     ...plan.changes,
     ...describeServers(plan.servers, new Map([...addresses, ...serverLinks])),
@@ -277,10 +279,11 @@
 }
 
 async function waitForVersion(client: OperatorClient, version: number): Promise<void> {
-  await waitFor(`configuration version ${version}`, async () => {
+  const isInForce = async () => {
     const shown = await client.calls.showConfiguration({});
     return Number(shown.version) >= version;
-  });
+  };
+  await waitFor(`configuration version ${version}`, isInForce, { deadlineMs: 15_000 });
 }
 
 async function waitReady(daemon: FleetDaemon): Promise<void> {
--- a/harness/tcp-relay.ts
+++ b/harness/tcp-relay.ts
@@ -17,6 +17,8 @@
   readonly sockets: readonly Socket[];
   /** IP number that the connection came from. */
   readonly source: string;
+  /** Bytes that have arrived and have not been passed on. */
+  readonly held: Set<Piece>;
   forGood: boolean;
 }
 
@@ -46,6 +48,8 @@
   readonly heal: () => void;
   /** Counts connections that are open now. */
   readonly countOpen: () => number;
+  /** Tells whether bytes with this text have arrived and have not been passed on. */
+  readonly holds: (text: string) => boolean;
   readonly close: () => Promise<void>;
 }
 
@@ -89,6 +93,8 @@
     unblock: (source) => blocked.delete(source),
     heal: () => Object.assign(weather, { state: 'healthy', delayMs: healthyDelays() }),
     countOpen: () => pairs.size,
+    holds: (text) =>
+      [...pairs].some(({ held }) => [...held].some(({ bytes }) => bytes?.includes(text))),
     close: async () => {
       relays.delete(relay);
       resetAll();
@@ -123,7 +129,7 @@
 function connectPair(client: Socket, target: Address, weather: Weather, pairs: Set<Pair>): void {
   const upstream = connect({ ...target, allowHalfOpen: true });
   const source = client.remoteAddress ?? '';
-  const pair: Pair = { sockets: [client, upstream], source, forGood: false };
+  const pair: Pair = { sockets: [client, upstream], source, held: new Set(), forGood: false };
   pairs.add(pair);
   for (const socket of pair.sockets) {
     socket.setNoDelay(true);
@@ -150,13 +156,16 @@
     passing = true;
     for (let piece = queue.shift(); piece; piece = queue.shift()) {
       await waitForTurn(piece, weather, pair, to);
+      pair.held.delete(piece);
       if (piece.bytes) to.write(piece.bytes);
       else to.end();
     }
     passing = false;
   };
   const add = (bytes: Buffer | undefined) => {
-    queue.push({ bytes, dueMs: performance.now() + weather.delayMs[direction] });
+    const piece = { bytes, dueMs: performance.now() + weather.delayMs[direction] };
+    queue.push(piece);
+    pair.held.add(piece);
     void passAll();
   };
   from.on('data', add);
--- a/src/execution/execution-ledger.ts
+++ b/src/execution/execution-ledger.ts
@@ -7,6 +7,8 @@
 
 interface Entry {
   readonly attempts: Attempt[];
+  /** Attempts that were given up before their intent arrived. */
+  readonly givenUp: Set<string>;
   outcome: StoredOutcome | undefined;
 }
 
@@ -46,9 +48,12 @@
       this.addIntent(record);
       return;
     }
-    const entry = this.entries.get(record.key);
-    const attempt = entry?.attempts.find(({ intent }) => intent.attemptId === record.attemptId);
-    if (!entry || !attempt) return;
+    const entry = this.entry(record.key);
+    const attempt = entry.attempts.find(({ intent }) => intent.attemptId === record.attemptId);
+    if (!attempt) {
+      if (record.kind === 'abandoned') entry.givenUp.add(record.attemptId);
+      return;
+    }
     if (attempt.state === 'done') return;
     if (record.kind === 'outcome') {
       attempt.state = 'done';
@@ -96,10 +101,19 @@
   }
 
   private addIntent(intent: Intent): void {
-    const entry = this.entries.get(intent.key) ?? { attempts: [], outcome: undefined };
-    this.entries.set(intent.key, entry);
+    const entry = this.entry(intent.key);
     // A batch whose answer was lost may be appended twice; the first copy counts.
     if (entry.attempts.some((attempt) => attempt.intent.attemptId === intent.attemptId)) return;
-    entry.attempts.push({ intent, state: 'open' });
+    // An append that the network held back may reach the log after its owner has given it up.
+    const isGivenUp = entry.givenUp.delete(intent.attemptId);
+    entry.attempts.push({ intent, state: isGivenUp ? 'abandoned' : 'open' });
+  }
+
+  private entry(key: string): Entry {
+    const known = this.entries.get(key);
+    if (known) return known;
+    const created: Entry = { attempts: [], givenUp: new Set(), outcome: undefined };
+    this.entries.set(key, created);
+    return created;
   }
 }
