fix(callers): answer malformed bytes only when no request is in progress

Cause: when Node's parser rejected bytes, the daemon wrote a response with "not run" to the connection whatever else was on it. Ruled out: the order was sent once and its effect is in the yard's record, and the response carries none of the headers of a service's answer.

Change: MalformedInput knows the responses that are open on each connection. While a received request is unanswered or a response has begun, it closes the connection without a response. Otherwise it refuses with a request id. The relay of the harness can end a connection at a place of a request or answer.

--- a/features/support/guarantees-order-phases.ts
+++ b/features/support/guarantees-order-phases.ts
@@ -20,7 +20,7 @@
 /** The moments of an order at which its daemon is disturbed. */
 export const ORDER_PHASES: Readonly<Record<string, Phase>> = {
   'before the intent': async (world) => {
-    const {links} = daemonOf(world.fleet, 1);
+    const { links } = daemonOf(world.fleet, 1);
     links?.log.silence();
     sendOrder(world, 1);
     const append = `POST ${EXECUTION_STREAMS}`;
--- /dev/null
+++ b/features/support/guarantees-raw-caller.ts
@@ -0,0 +1,96 @@
+import { connect, type Socket } from 'node:net';
+
+import { waitFor } from '../../harness/wait-for.js';
+import type { Address } from '../../src/domain/vm.js';
+
+/** What came back on one connection. */
+export interface RawAnswer {
+  /** Status of each response that came. */
+  readonly statuses: readonly number[];
+  readonly text: string;
+  readonly code: string | undefined;
+  readonly run: string | undefined;
+  readonly requestId: string | undefined;
+}
+
+/** A connection to a daemon's listener for callers, on which a test writes bytes as it likes. */
+export interface RawCaller {
+  readonly write: (text: string) => void;
+  readonly isConnected: () => boolean;
+  /** Ends the connection after the bytes that were written. */
+  readonly cut: () => void;
+  /** What came so far. */
+  readonly received: () => string;
+  /** Waits until the daemon has closed the connection or a whole response has come. */
+  readonly readAnswer: () => Promise<RawAnswer>;
+}
+
+/** Longest wait for a response, in milliseconds. */
+const ANSWER_MS = 10_000;
+
+/**
+ * Connects to a daemon.
+ *
+ * @param address - its listener for callers
+ * @returns the connection
+ */
+export function connectRawCaller(address: Address): RawCaller {
+  const socket: Socket = connect(address);
+  let received = '';
+  let ended = false;
+  socket.setEncoding('utf8');
+  socket.on('data', (text: string) => {
+    received += text;
+  });
+  socket.on('close', () => {
+    ended = true;
+  });
+  // A daemon that closes early makes later writes fail, which is no fault of the test.
+  socket.on('error', () => undefined);
+  return {
+    write: (text) => {
+      socket.write(text);
+    },
+    isConnected: () => !socket.connecting,
+    cut: () => socket.destroySoon(),
+    received: () => received,
+    readAnswer: async () => {
+      await waitFor('a response', () => ended || isWhole(received), { deadlineMs: ANSWER_MS });
+      socket.destroy();
+      return parseAnswer(received);
+    },
+  };
+}
+
+/**
+ * Writes a request as text.
+ *
+ * @param line - method and target, for example `GET /healthz`
+ * @param headers - header lines besides `Host`
+ * @param body - the body; its length is announced unless a header frames it
+ * @returns the request
+ */
+export function writeRequest(line: string, headers: readonly string[], body = ''): string {
+  const framed = headers.some((header) => /^(?:content-length|transfer-encoding):/i.test(header));
+  const length = framed ? [] : [`content-length: ${Buffer.byteLength(body)}`];
+  const head = [`${line} HTTP/1.1`, 'host: daemon', ...headers, ...length];
+  return `${head.join('\r\n')}\r\n\r\n${body}`;
+}
+
+function isWhole(received: string): boolean {
+  const [head = '', body] = received.split('\r\n\r\n', 2);
+  const length = /content-length: (\d+)/i.exec(head)?.[1];
+  return body !== undefined && length !== undefined && Buffer.byteLength(body) >= Number(length);
+}
+
+function parseAnswer(text: string): RawAnswer {
+  const statuses = [...text.matchAll(/HTTP\/1\.1 (\d{3})/g)].map(([, status]) => Number(status));
+  const error = /\{"error":\{.*?\}\}/.exec(text)?.[0];
+  const parsed = error === undefined ? undefined : (JSON.parse(error) as RefusalBody);
+  const { code, run, requestId } = parsed?.error ?? {};
+  return { statuses, text, code, run, requestId };
+}
+
+interface RefusalBody {
+  readonly error: { readonly code?: string; readonly run?: string; readonly requestId?: string };
+}
--- a/harness/tcp-relay.ts
+++ b/harness/tcp-relay.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
 import type { Address } from '../src/domain/vm.js';
+import { CutTracker, type CutRule } from './cut-rule.js';
 
 /** Direction of bytes through a relay. */
 export type Direction = 'to-target' | 'to-client';
@@ -10,6 +11,7 @@
 interface Weather {
   state: 'healthy' | 'cut' | 'silent';
   readonly delayMs: Record<Direction, number>;
+  readonly rules: { rule: CutRule; left: number }[];
 }
 
 /** Silent connections stay silent for good when `forGood` is set; new ones then work. */
@@ -19,6 +21,7 @@
   readonly source: string;
   /** Bytes that have arrived and have not been passed on. */
   readonly held: Set<Piece>;
+  readonly tracker: CutTracker;
   forGood: boolean;
 }
 
@@ -39,6 +42,8 @@
   readonly silence: () => void;
   /** Makes the open connections silent for good; new connections work. */
   readonly silenceOpen: () => void;
+  /** Ends connections at a place of a request or of its answer. */
+  readonly cutAt: (rule: CutRule) => void;
   /** Delays bytes in one direction, in milliseconds. */
   readonly delay: (direction: Direction, ms: number) => void;
   /** Resets connections from one IP number, open and new ones, until `unblock`. */
@@ -62,7 +67,11 @@
  * @returns the relay
  */
 export async function createTcpRelay(target: Address): Promise<TcpRelay> {
-  const weather: Weather = { state: 'healthy', delayMs: { 'to-target': 0, 'to-client': 0 } };
+  const weather: Weather = {
+    state: 'healthy',
+    delayMs: { 'to-target': 0, 'to-client': 0 },
+    rules: [],
+  };
   const pairs = new Set<Pair>();
   const blocked = new Set<string>();
   const server = createServer({ allowHalfOpen: true }, (client) => {
@@ -83,6 +92,9 @@
       weather.state = 'silent';
     },
     silenceOpen: () => pairs.forEach((pair) => Object.assign(pair, { forGood: true })),
+    cutAt: (rule) => {
+      weather.rules.push({ rule, left: rule.count });
+    },
     delay: (direction, ms) => {
       weather.delayMs[direction] = ms;
     },
@@ -129,7 +141,13 @@
 function connectPair(client: Socket, target: Address, weather: Weather, pairs: Set<Pair>): void {
   const upstream = connect({ ...target, allowHalfOpen: true });
   const source = client.remoteAddress ?? '';
-  const pair: Pair = { sockets: [client, upstream], source, held: new Set(), forGood: false };
+  const pair: Pair = {
+    sockets: [client, upstream],
+    source,
+    held: new Set(),
+    tracker: CutTracker.create((head) => takeRule(weather, head)),
+    forGood: false,
+  };
   pairs.add(pair);
   for (const socket of pair.sockets) {
     socket.setNoDelay(true);
@@ -157,7 +175,7 @@
     for (let piece = queue.shift(); piece; piece = queue.shift()) {
       await waitForTurn(piece, weather, pair, to);
       pair.held.delete(piece);
-      if (piece.bytes) to.write(piece.bytes);
+      if (piece.bytes) pass(piece.bytes, to, direction, pair);
       else to.end();
     }
     passing = false;
@@ -172,6 +190,22 @@
   from.on('end', () => add(undefined));
 }
 
+function takeRule({ rules }: Weather, head: string): CutRule | undefined {
+  const found = rules.find(({ rule, left }) => left > 0 && head.includes(rule.request));
+  if (found) found.left -= 1;
+  return found?.rule;
+}
+
+function pass(bytes: Buffer, to: Socket, direction: Direction, pair: Pair): void {
+  const isRequest = direction === 'to-target';
+  const { passed, cut } = isRequest
+    ? pair.tracker.inspectRequest(bytes)
+    : pair.tracker.inspectAnswer(bytes);
+  if (!cut) to.write(passed);
+  // What passes must arrive before the connection ends, which a reset does not ensure.
+  else to.end(passed, () => pair.sockets.forEach((socket) => socket.destroy()));
+}
+
 async function waitForTurn(piece: Piece, weather: Weather, pair: Pair, to: Socket): Promise<void> {
   const waitMs = piece.dueMs - performance.now();
   if (waitMs > 0) await delay(waitMs);
--- a/src/callers/http-caller-entry.ts
+++ b/src/callers/http-caller-entry.ts
@@ -19,6 +19,7 @@
   type CompletionKind,
 } from './completion-body.js';
 import { chooseEntryAddresses } from './entry-addresses.js';
+import { MalformedInput } from './malformed-input.js';
 import { checkAnnouncedSize, readBody } from './request-body.js';
 import { isPlainPath, matchRoute } from './route-match.js';
 import { StreamedAnswer } from './streamed-answer.js';
@@ -41,6 +42,8 @@
 export class HttpCallerEntry extends CallerEntry {
   private readonly server: Server;
 
+  private readonly malformed = MalformedInput.create();
+
   private running = 0;
 
   private drainStartMs: number | undefined;
@@ -65,7 +68,9 @@
       },
     );
     this.server.maxConnections = callerConnections;
-    this.server.on('clientError', refuseMalformedRequest);
+    this.server.on('clientError', (error, socket) =>
+      this.malformed.refuse(error, socket as Socket),
+    );
   }
 
   /**
@@ -122,6 +127,7 @@
     const span = this.kernel.find('traces').begin('entry', readTraceparent(incoming));
     const request = CallerRequest.create(incoming, response, span, this.clock.monotonicMs());
     if (this.drainStartMs !== undefined) response.setHeader('connection', 'close');
+    this.malformed.begin(incoming, response);
     this.running += 1;
     response.on('close', () => {
       this.running -= 1;
@@ -307,23 +313,3 @@
 function refuseMethod(allowed: readonly string[]): Refusal {
   return Refusal.create('method_not_allowed', `allowed methods: ${allowed.join(', ')}`);
 }
-
-/** Answers a request that Node's parser rejected, or whose head did not arrive in time. */
-function refuseMalformedRequest(error: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const statuses: Record<string, string> = {
-    HPE_HEADER_OVERFLOW: '431 headers_too_large',
-    ERR_HTTP_REQUEST_TIMEOUT: '408 request_timeout',
-  };
-  const [status, code] = (statuses[error.code ?? ''] ?? '400 request_malformed').split(' ');
-  const body = JSON.stringify({
-    error: { code, message: 'the request could not be read', run: 'not run' },
-  });
-  socket.end(
-    `HTTP/1.1 ${status} Refused\r\ncontent-type: application/json\r\nx-cuminspar-run: not run\r\n` +
-      `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
-  );
-}
--- /dev/null
+++ b/src/callers/malformed-input.ts
@@ -0,0 +1,75 @@
+import { randomUUID } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+import { Refusal } from '../domain/refusal.js';
+import { describeRefusal } from './refusal-response.js';
+
+const MESSAGE = 'the request could not be read';
+
+/** Refuses input that Node's parser rejects, and tells it from requests on the same connection. */
+export class MalformedInput {
+  private readonly open = new WeakMap<Socket, Set<ServerResponse>>();
+
+  /**
+   * Creates an object for one server.
+   *
+   * @returns a new object without requests
+   */
+  static create(): MalformedInput {
+    return new MalformedInput();
+  }
+
+  /**
+   * Notes a request until its response is closed.
+   *
+   * @param incoming - the request
+   * @param response - its response
+   */
+  begin({ socket }: IncomingMessage, response: ServerResponse): void {
+    const responses = this.open.get(socket) ?? new Set();
+    this.open.set(socket, responses.add(response));
+    response.on('close', () => responses.delete(response));
+  }
+
+  /**
+   * Answers input that could not be read, or whose head did not arrive in time. The connection is
+   * closed without an answer when the caller would take it for the answer to another request.
+   *
+   * @param error - the error of the parser
+   * @param socket - the caller's connection
+   */
+  refuse(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable || error.code === 'ECONNRESET' || this.isAnswering(socket)) {
+      socket.destroy();
+      return;
+    }
+    socket.end(writeRefusal(createRefusal(error)));
+  }
+
+  /** A request whose body has not been received has not been run, so it may be refused. */
+  private isAnswering(socket: Socket): boolean {
+    const responses = [...(this.open.get(socket) ?? [])];
+    return responses.some(({ req, headersSent }) => req.complete || headersSent);
+  }
+}
+
+function createRefusal({ code }: NodeJS.ErrnoException): Refusal {
+  if (code === 'HPE_HEADER_OVERFLOW') return Refusal.create('headers_too_large', MESSAGE);
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return Refusal.create('request_timeout', MESSAGE);
+  return Refusal.create('request_malformed', MESSAGE);
+}
+
+function writeRefusal(refusal: Refusal): string {
+  const requestId = `req-${randomUUID()}`;
+  const body = JSON.stringify(describeRefusal(refusal, requestId));
+  const head = [
+    `HTTP/1.1 ${refusal.status} Refused`,
+    'content-type: application/json',
+    `x-request-id: ${requestId}`,
+    `x-cuminspar-run: ${refusal.run}`,
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+  ];
+  return `${head.join('\r\n')}\r\n\r\n${body}`;
+}
