test: check whole answers under faults of engines, cuts and overload

Change: whole-answers.feature checks each answer against the text that belongs to its request, and each "not run" against the records of engines and yard servers, while engines and connections fail.

--- /dev/null
+++ b/features/steps/guarantees-whole-answer-steps.ts
@@ -0,0 +1,128 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+
+import { countHolds } from '../../harness/engine-record.js';
+import { startFleet } from '../../harness/fleet.js';
+import { planSmallFleet } from '../../harness/plans.js';
+import { waitFor } from '../../harness/wait-for.js';
+import {
+  askCompletions,
+  checkCompletions,
+  countCodes,
+  type CompletionWorld,
+} from '../support/guarantees-completions.js';
+import { addCut } from '../support/guarantees-cuts.js';
+import { startOrderFleet, type OrderWorld } from '../support/guarantees-orders.js';
+
+type WholeAnswerWorld = CompletionWorld & OrderWorld;
+
+/** Longest time between two tokens; short, so that stalled streams are resumed soon. */
+const BETWEEN_TOKENS_MS = 400;
+
+/** Bound on the time until memory of ended requests is free, in milliseconds. */
+const RELEASE_MS = 10_000;
+
+/** Time enough to run a request again after the servers that failed have been avoided. */
+const PATIENT_PRESET = { name: 'ordinary', queueMs: 8000, firstTokenMs: 8000 };
+
+/** Connections cut at each server; a stream is resumed twice before it is given up. */
+const CUTS = 2;
+
+/** Faults of each kind at each engine. */
+const FAULTS_OF_A_KIND = 2;
+
+const ENGINES = ['prefill-2', 'prefill-1', 'decode-1', 'decode-2'];
+
+Given(
+  'the whole answers of a fleet with {int} daemon(s)',
+  async function given(this: WholeAnswerWorld, daemons: number) {
+    const settings = { timeouts: { betweenTokensMs: BETWEEN_TOKENS_MS } };
+    await startOrderFleet(this, {
+      ...{ daemons, prefills: 2, decodes: 2, settings },
+      changes: [{ kind: 'put-preset', preset: PATIENT_PRESET }],
+    });
+  },
+);
+
+Given(
+  'the whole answers of a fleet with {int} daemon(s) and {int} decode slots',
+  async function given(this: WholeAnswerWorld, daemons: number, slots: number) {
+    const plan = planSmallFleet({ daemons, decodes: 1, services: 0 });
+    const servers = plan.servers.map((server) => ({
+      ...server,
+      args: (server.args ?? []).map((arg, index, args) =>
+        args[index - 1] === '--slots' ? String(slots) : arg,
+      ),
+      fields: { ...server.fields, decodeSlots: slots },
+    }));
+    this.fleet = await startFleet({ ...plan, servers });
+    this.callerKey = (await this.fleet.giveKey('oval-crew')).text;
+  },
+);
+
+When(
+  'the whole answers to {int} completions are asked for',
+  async function when(this: WholeAnswerWorld, count: number) {
+    await askCompletions(this, count);
+  },
+);
+
+When(
+  'the whole answers to {int} completions are asked for while engines answer {string} with {string}',
+  async function when(this: WholeAnswerWorld, count: number, path: string, kinds: string) {
+    for (const kind of kinds.split(', ')) {
+      await addEngineFault(this, { path, kind, count: FAULTS_OF_A_KIND });
+    }
+    await askCompletions(this, count);
+  },
+);
+
+When(
+  'the whole answers to {int} completions are asked for while engines answer around their time-out',
+  async function when(this: WholeAnswerWorld, count: number) {
+    for (const early of [-20, -5, 0, 5, 20]) {
+      const delayMs = BETWEEN_TOKENS_MS + early;
+      await addEngineFault(this, { path: '/v1/decode', kind: 'delay', count: 1, delayMs });
+    }
+    await askCompletions(this, count);
+  },
+);
+
+When(
+  /^the whole answers to (\d+) completions are asked for while connections are cut (.+)$/,
+  async function when(this: WholeAnswerWorld, count: string, place: string) {
+    this.fleet.serverLinks.forEach((link) => addCut(link, place, 'POST /v1/decode', CUTS));
+    await askCompletions(this, Number(count));
+  },
+);
+
+Then(
+  'the whole answers are {int}, each to its own request',
+  async function then(this: WholeAnswerWorld, count: number) {
+    const whole = await checkCompletions(this);
+    assert.equal(whole, count, JSON.stringify(countCodes(this)));
+  },
+);
+
+Then(
+  'the whole answers are fewer than {int}, and the others are refused truly',
+  async function then(this: WholeAnswerWorld, count: number) {
+    const whole = await checkCompletions(this);
+    assert.ok(whole > 0 && whole < count, JSON.stringify(countCodes(this)));
+  },
+);
+
+Then('the whole answers hold no memory afterwards', async function then(this: WholeAnswerWorld) {
+  await waitFor('no holds', async () => (await countHolds(this.fleet)) === 0, {
+    deadlineMs: RELEASE_MS,
+  });
+});
+
+async function addEngineFault(
+  world: WholeAnswerWorld,
+  fault: { path: string; kind: string; count: number; delayMs?: number },
+): Promise<void> {
+  const engines = ENGINES.map((name) => world.fleet.servers.get(name));
+  await Promise.all(engines.map((engine) => engine?.addFault(fault)));
+}
--- /dev/null
+++ b/features/steps/guarantees-whole-service-steps.ts
@@ -0,0 +1,104 @@
+import assert from 'node:assert/strict';
+
+import { Then, When } from '@cucumber/cucumber';
+
+import { callService, type CallerAnswer } from '../../harness/caller-client.js';
+import { readEffects } from '../../harness/engine-record.js';
+import { createIdempotencyKey } from '../../harness/idempotency-key.js';
+import { addCut } from '../support/guarantees-cuts.js';
+import {
+  ORDERS,
+  ORDER_TIMEOUT_MS,
+  checkOrders,
+  daemonOf,
+  sendOrder,
+  type OrderWorld,
+} from '../support/guarantees-orders.js';
+
+interface WholeServiceWorld extends OrderWorld {
+  lookups: { readonly path: string; readonly answer: CallerAnswer }[];
+  /** One world for each order, which has its own idempotency key. */
+  orders: OrderWorld[];
+}
+
+const JOBS = '/services/yard/jobs';
+
+const CUTS_OF_A_KIND = 3;
+
+When(
+  /^the whole answers to (\d+) lookups and (\d+) orders are asked for while connections are cut (.+)$/,
+  async function when(this: WholeServiceWorld, lookups: string, orders: string, place: string) {
+    this.fleet.serverLinks.forEach((link) => {
+      addCut(link, place, `GET ${JOBS}`, CUTS_OF_A_KIND);
+      addCut(link, place, `POST ${ORDERS}`, CUTS_OF_A_KIND);
+    });
+    await Promise.all([askLookups(this, Number(lookups)), sendOrders(this, Number(orders))]);
+  },
+);
+
+When(
+  'the whole answers to {int} orders are asked for while the yard answers around its time-out',
+  async function when(this: WholeServiceWorld, count: number) {
+    const yards = [...this.fleet.servers].filter(([name]) => name.startsWith('yard'));
+    for (const early of [-100, -20, -5, 0, 5, 20]) {
+      const fault = { kind: 'delay', count: 1, delayMs: ORDER_TIMEOUT_MS + early };
+      await Promise.all(yards.map(([, yard]) => yard.addFault(fault)));
+    }
+    await sendOrders(this, count);
+  },
+);
+
+Then(
+  'the whole answers to lookups are those that the yard gave',
+  async function then(this: WholeServiceWorld) {
+    const effects = await readEffects(this.fleet);
+    this.lookups.forEach(({ path, answer }) => {
+      if (answer.run === 'not run') {
+        assert.ok(!effects.some(({ requestId }) => requestId === answer.requestId), answer.text);
+      }
+      if (answer.status !== 200) return;
+      const given = JSON.parse(answer.text) as { path: string; attemptId: string };
+      const effect = effects.find(({ attemptId }) => attemptId === given.attemptId);
+      assert.deepEqual([given.path, effect?.requestId], [path, answer.requestId]);
+    });
+    const answered = this.lookups.filter(({ answer }) => answer.status === 200);
+    assert.ok(answered.length > 0, JSON.stringify(this.lookups.map(({ answer }) => answer.code)));
+  },
+);
+
+Then(
+  'the whole answers to orders have at most one effect each, also when they are sent again',
+  async function then(this: WholeServiceWorld) {
+    await Promise.all(
+      this.orders.map(async (order, index) => {
+        const first = await order.sent[0]?.answer;
+        const again = await sendOrder(order, 1 + ((index + 1) % 2)).answer;
+        const effects = await checkOrders(order);
+        if (first?.run === 'unknown') assert.equal(again?.code, 'outcome_unknown', again?.text);
+        else assert.deepEqual([again?.status, effects.length], [200, 1], again?.text);
+      }),
+    );
+  },
+);
+
+async function askLookups(world: WholeServiceWorld, count: number): Promise<void> {
+  const ask = async (_: unknown, index: number) => {
+    const path = `${JOBS}/${index}`;
+    const call = { method: 'GET' as const, path, key: world.callerKey };
+    const { callers } = daemonOf(world.fleet, 1 + (index % 2));
+    return { path, answer: await callService(callers, call) };
+  };
+  Object.assign(world, { lookups: await Promise.all(Array.from({ length: count }, ask)) });
+}
+
+async function sendOrders(world: WholeServiceWorld, count: number): Promise<void> {
+  const { fleet, callerKey } = world;
+  const orders = Array.from({ length: count }, (): OrderWorld => ({
+    fleet,
+    callerKey,
+    idempotencyKey: createIdempotencyKey(),
+    sent: [],
+  }));
+  Object.assign(world, { orders });
+  await Promise.all(orders.map((order, index) => sendOrder(order, 1 + (index % 2)).answer));
+}
--- /dev/null
+++ b/features/support/guarantees-completions.ts
@@ -0,0 +1,99 @@
+import assert from 'node:assert/strict';
+
+import { callCompletion, type CallerAnswer } from '../../harness/caller-client.js';
+import { readEngines } from '../../harness/engine-record.js';
+import type { Fleet } from '../../harness/fleet.js';
+import { MODEL } from '../../harness/plans.js';
+import { computeAnswer } from '../../stand-ins/answer-text.js';
+
+/** A completion that was asked for, and what came of it. */
+export interface SentCompletion {
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly streamed: boolean;
+  /** Undefined when the connection broke before the end. */
+  readonly answer: CallerAnswer | undefined;
+}
+
+/** A fleet whose completions are checked. */
+export interface CompletionWorld {
+  fleet: Fleet;
+  callerKey: string;
+  completions: SentCompletion[];
+}
+
+/** Lengths differ, so that an answer that is mixed up with another one is seen. */
+const SHORTEST = 8;
+
+/**
+ * Asks all daemons for completions at once, half of them streamed, each with its own prompt.
+ *
+ * @param world - receives the answers
+ * @param count - number of completions
+ */
+export async function askCompletions(world: CompletionWorld, count: number): Promise<void> {
+  const { daemons } = world.fleet;
+  const ask = async (_: unknown, index: number): Promise<SentCompletion> => {
+    const daemon = daemons[index % daemons.length];
+    assert.ok(daemon);
+    const prompt = `plan ${index} of the outfield`;
+    const maxTokens = SHORTEST + (index % 5);
+    const streamed = index % 4 < 2;
+    const call = { model: MODEL, prompt, maxTokens, stream: streamed, key: world.callerKey };
+    const answer = await callCompletion(daemon.callers, call).catch(() => undefined);
+    return { prompt, maxTokens, streamed, answer };
+  };
+  Object.assign(world, { completions: await Promise.all(Array.from({ length: count }, ask)) });
+}
+
+/**
+ * Checks that each whole answer is the one to its own request, that each broken stream is a true
+ * beginning of it with an error event, and that no request refused as "not run" was decoded.
+ *
+ * @param world - completions that have been answered
+ * @returns the number of whole answers
+ */
+export async function checkCompletions(world: CompletionWorld): Promise<number> {
+  const decoded = await findDecoded(world.fleet);
+  world.completions.forEach((completion) => checkCompletion(completion, decoded));
+  return world.completions.filter(({ answer }) => answer?.whole).length;
+}
+
+/**
+ * Counts completions by their code.
+ *
+ * @param world - completions that have been answered
+ * @returns number of completions by code and run state; whole answers are counted as `whole`
+ */
+export function countCodes({ completions }: CompletionWorld): Record<string, number> {
+  const counts: Record<string, number> = {};
+  completions.forEach(({ answer }) => {
+    const code = answer?.whole ? 'whole' : `${answer?.code} (${answer?.run})`;
+    counts[code] = (counts[code] ?? 0) + 1;
+  });
+  return counts;
+}
+
+function checkCompletion(completion: SentCompletion, decoded: ReadonlySet<string>): void {
+  const { prompt, maxTokens, streamed, answer } = completion;
+  assert.ok(answer, `the connection of "${prompt}" broke without an end`);
+  const own = computeAnswer(MODEL, prompt, maxTokens);
+  if (answer.whole) {
+    assert.equal(answer.status, 200);
+    assert.equal(answer.text, own);
+    return;
+  }
+  assert.ok(answer.code, `"${prompt}" ended without a code: ${answer.text}`);
+  if (streamed && answer.status === 200) assert.ok(own.startsWith(answer.text), answer.text);
+  if (answer.run !== 'not run') return;
+  assert.ok(!decoded.has(answer.requestId), `${answer.code} of a request that was decoded`);
+}
+
+/** Requests of which an engine generated or may have generated output. */
+async function findDecoded(fleet: Fleet): Promise<Set<string>> {
+  const attempts = [...(await readEngines(fleet)).values()].flatMap((record) => record.attempts);
+  const ran = attempts.filter(({ phase, completionTokens }) =>
+    Boolean(phase === 'decode' || completionTokens > 0),
+  );
+  return new Set(ran.map(({ requestId }) => requestId));
+}
