--- a/harness/tcp-relay.ts
+++ b/harness/tcp-relay.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
 import type { Address } from '../src/domain/vm.js';
+import { CutTracker, type CutRule } from './cut-rule.js';
 
 /** Direction of bytes through a relay. */
 export type Direction = 'to-target' | 'to-client';
@@ -11,6 +12,7 @@
   bytes: number;
   state: 'healthy' | 'cut' | 'silent';
   readonly delayMs: Record<Direction, number>;
+  readonly rules: { rule: CutRule; left: number }[];
 }
 
 /** Silent connections stay silent for good when `forGood` is set; new ones then work. */
@@ -18,6 +20,9 @@
   readonly sockets: readonly Socket[];
   /** IP number that the connection came from. */
   readonly source: string;
+  /** Bytes that have arrived and have not been passed on. */
+  readonly held: Set<Piece>;
+  readonly tracker: CutTracker;
   forGood: boolean;
 }
 
@@ -50,6 +55,8 @@
   readonly silence: () => void;
   /** Makes the open connections silent for good; new connections work. */
   readonly silenceOpen: () => void;
+  /** Ends connections at a place of a request or of its answer. */
+  readonly cutAt: (rule: CutRule) => void;
   /** Delays bytes in one direction, in milliseconds. */
   readonly delay: (direction: Direction, ms: number) => void;
   /** Resets connections from one IP number, open and new ones, until `unblock`. */
@@ -63,6 +70,8 @@
   readonly countOpen: () => number;
   /** Bytes of all connections since the start; empty unless the relay records. */
   readonly recorded: readonly RecordedConnection[];
+  /** Tells whether bytes with this text have arrived and have not been passed on. */
+  readonly holds: (text: string) => boolean;
   readonly close: () => Promise<void>;
 }
 
@@ -79,7 +88,7 @@
   target: Address,
   options: RelayOptions = {},
 ): Promise<TcpRelay> {
-  const weather: Weather = { bytes: 0, state: 'healthy', delayMs: healthyDelays() };
+  const weather: Weather = { bytes: 0, state: 'healthy', delayMs: healthyDelays(), rules: [] };
   const pairs = new Set<Pair>();
   const blocked = new Set<string>();
   const recorded: RecordedConnection[] = [];
@@ -104,6 +113,9 @@
       weather.state = 'silent';
     },
     silenceOpen: () => pairs.forEach((pair) => Object.assign(pair, { forGood: true })),
+    cutAt: (rule) => {
+      weather.rules.push({ rule, left: rule.count });
+    },
     delay: (direction, ms) => {
       weather.delayMs[direction] = ms;
     },
@@ -116,6 +128,8 @@
     countBytes: () => weather.bytes,
     countOpen: () => pairs.size,
     recorded,
+    holds: (text) =>
+      [...pairs].some(({ held }) => [...held].some(({ bytes }) => bytes?.includes(text))),
     close: async () => {
       relays.delete(relay);
       resetAll();
@@ -150,7 +164,13 @@
 function connectPair(client: Socket, target: Address, weather: Weather, pairs: Set<Pair>): Pair {
   const upstream = connect({ ...target, allowHalfOpen: true });
   const source = client.remoteAddress ?? '';
-  const pair: Pair = { sockets: [client, upstream], source, forGood: false };
+  const pair: Pair = {
+    sockets: [client, upstream],
+    source,
+    held: new Set(),
+    tracker: CutTracker.create((head) => takeRule(weather, head)),
+    forGood: false,
+  };
   pairs.add(pair);
   for (const socket of pair.sockets) {
     socket.setNoDelay(true);
@@ -186,19 +206,38 @@
     for (let piece = queue.shift(); piece; piece = queue.shift()) {
       await waitForTurn(piece, weather, pair, to);
       Object.assign(weather, { bytes: weather.bytes + (piece.bytes?.length ?? 0) });
-      if (piece.bytes) to.write(piece.bytes);
+      pair.held.delete(piece);
+      if (piece.bytes) pass(piece.bytes, to, direction, pair);
       else to.end();
     }
     passing = false;
   };
   const add = (bytes: Buffer | undefined) => {
-    queue.push({ bytes, dueMs: performance.now() + weather.delayMs[direction] });
+    const piece = { bytes, dueMs: performance.now() + weather.delayMs[direction] };
+    queue.push(piece);
+    pair.held.add(piece);
     void passAll();
   };
   from.on('data', add);
   from.on('end', () => add(undefined));
 }
 
+function takeRule({ rules }: Weather, head: string): CutRule | undefined {
+  const found = rules.find(({ rule, left }) => left > 0 && head.includes(rule.request));
+  if (found) found.left -= 1;
+  return found?.rule;
+}
+
+function pass(bytes: Buffer, to: Socket, direction: Direction, pair: Pair): void {
+  const isRequest = direction === 'to-target';
+  const { passed, cut } = isRequest
+    ? pair.tracker.inspectRequest(bytes)
+    : pair.tracker.inspectAnswer(bytes);
+  if (!cut) to.write(passed);
+  // What passes must arrive before the connection ends, which a reset does not ensure.
+  else to.end(passed, () => pair.sockets.forEach((socket) => socket.destroy()));
+}
+
 async function waitForTurn(piece: Piece, weather: Weather, pair: Pair, to: Socket): Promise<void> {
   const waitMs = piece.dueMs - performance.now();
   if (waitMs > 0) await delay(waitMs);
