fix(configuration): bring a starting daemon level with its peers before it serves

Cause: a daemon that started on a log replica with an older end took that end for the whole stream. It asked its peers for records before the VM list had been read, so it knew no peer, and it showed version 0 after its earlier process had shown version 14. Ruled out: a fold that goes back (each process only went forward) and the log adapter (the replica answered with its older end as documented).

Withdrawals that are not in the log are taken before, so that no withdrawn key is accepted.

--- a/src/configuration/folded-configuration.ts
+++ b/src/configuration/folded-configuration.ts
@@ -57,7 +57,7 @@
   ) {
     super();
     this.task = FoldTask.create(this.withdrawnKeys);
-    this.source = PeerSource.create(kernel, this.task);
+    this.source = PeerSource.create(kernel, clock, this.task);
     this.follower = LogFollower.create(kernel, clock, this.task, this.source, this.withdrawnKeys);
     this.appender = ChangeAppender.create(kernel, clock, this.task, this.follower);
     this.spreader = WithdrawalSpreader.create(
--- a/src/configuration/log-follower.ts
+++ b/src/configuration/log-follower.ts
@@ -83,15 +83,20 @@
   private async take(from: number, page: LogPage, signal: AbortSignal): Promise<void> {
     const last = page.records.at(-1)?.offset ?? from - 1;
     const complete = last >= page.endOffset;
-    if (complete && !this.task.state) await this.completeFirstRead(page.records);
+    if (complete && !this.task.state) await this.completeFirstRead(page.records, signal);
     else await this.task.take(page.records, complete);
     if (this.task.version < from) await this.pauseFor(EMPTY_PAGE_MS, signal);
   }
 
   /** A replica may lag behind, so the peers are consulted before this daemon serves. */
-  private async completeFirstRead(records: readonly LogRecord[]): Promise<void> {
+  private async completeFirstRead(
+    records: readonly LogRecord[],
+    signal: AbortSignal,
+  ): Promise<void> {
     await this.task.take(records, false);
+    await this.source.waitUntilListed(signal);
     this.withdrawn.add(await this.source.consult(), 'peers');
+    await this.source.catchUp();
     await this.task.take([], true);
   }
 
@@ -129,7 +134,7 @@
     await this.task.adopt(fold, false);
     const rest = records.filter((record) => record.offset > fold.state.version);
     if (this.task.state) await this.task.take(rest, true);
-    else await this.completeFirstRead(rest);
+    else await this.completeFirstRead(rest, signal);
   }
 
   private async readAll(
--- a/src/configuration/peer-source.ts
+++ b/src/configuration/peer-source.ts
@@ -1,5 +1,6 @@
 import type { Address } from '../domain/vm.js';
 import type { LogRecord as PeerRecord } from '../gen/cuminspar/peer/v1/peer_pb.js';
+import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import type { PeerClient } from '../peers/peers.js';
 import type { LogRecord } from '../platform/log-service.js';
@@ -10,6 +11,9 @@
 const CALL_TIMEOUT_MS = 1000;
 const FETCH_LIMIT = 500;
 const MOST_PEERS_ASKED = 3;
+/** Longest wait for the VM list at start; a read of the list takes up to 2 s. */
+const LISTED_MS = 2500;
+const LISTED_CHECK_MS = 20;
 
 /** What a fetch may bring: single records, or also a snapshot, which is far larger. */
 export type FetchScope = 'records' | 'snapshot';
@@ -24,6 +28,7 @@
 export class PeerSource {
   private constructor(
     private readonly kernel: Kernel,
+    private readonly clock: Clock,
     private readonly task: FoldTask,
   ) {}
 
@@ -31,11 +36,12 @@
    * Creates a source.
    *
    * @param kernel - where membership, VM list and peers are found
+   * @param clock - for waits
    * @param task - what takes the records
    * @returns a new source
    */
-  static create(kernel: Kernel, task: FoldTask): PeerSource {
-    return new PeerSource(kernel, task);
+  static create(kernel: Kernel, clock: Clock, task: FoldTask): PeerSource {
+    return new PeerSource(kernel, clock, task);
   }
 
   /**
@@ -90,21 +96,35 @@
   }
 
   /**
-   * Asks a few peers for records and withdrawals that a lagging log replica did not show.
+   * Waits until it is known which peers there are, or until the VM list has had time to answer.
+   *
+   * @param signal - ends the wait
+   */
+  async waitUntilListed(signal: AbortSignal): Promise<void> {
+    const deadlineMs = this.clock.monotonicMs() + LISTED_MS;
+    const isUnknown = () => this.list().length === 0 && !this.kernel.find('vm-list').current();
+    while (isUnknown() && this.clock.monotonicMs() < deadlineMs && !signal.aborted) {
+      await this.clock.sleep(LISTED_CHECK_MS, signal);
+    }
+  }
+
+  /**
+   * Asks a few peers for withdrawals.
    *
    * @returns the withdrawals that are not in the log yet
    */
   async consult(): Promise<readonly string[]> {
     const peers = this.list().slice(0, MOST_PEERS_ASKED);
-    const answers = await Promise.all(
-      peers.map(async (peer) => {
-        await this.fetchFrom(peer, 'records');
-        return this.withdraw(peer, []);
-      }),
-    );
+    const answers = await Promise.all(peers.map((peer) => this.withdraw(peer, [])));
     return answers.flatMap((keyIds) => keyIds ?? []);
   }
 
+  /** Brings this daemon level with a few peers, which may know more than a lagging log replica. */
+  async catchUp(): Promise<void> {
+    const peers = this.list().slice(0, MOST_PEERS_ASKED);
+    await Promise.all(peers.map((peer) => this.catchUpWith(peer)));
+  }
+
   /**
    * Sends withdrawn keys to a peer.
    *
@@ -124,17 +144,37 @@
     }
   }
 
+  private async catchUpWith(peer: Peer): Promise<void> {
+    let grows = true;
+    while (grows) grows = await this.fetchFrom(peer, 'records');
+    if (await this.mayBeAhead(peer)) await this.fetchFrom(peer, 'snapshot');
+  }
+
+  /** A peer that keeps the newest record of this daemon and none after it is not ahead. */
+  private async mayBeAhead(peer: Peer): Promise<boolean> {
+    try {
+      const records = await this.readRecords(peer, this.task.version);
+      return records.at(-1)?.offset !== this.task.version;
+    } catch {
+      return false;
+    }
+  }
+
   private async fetchRecords(peer: Peer): Promise<boolean> {
     const before = this.task.version;
+    const after = await this.task.take(await this.readRecords(peer, before + 1), false);
+    return after > before;
+  }
+
+  private async readRecords(peer: Peer, from: number): Promise<readonly LogRecord[]> {
     const request = {
       sender: this.sender(),
       stream: CONFIGURATION_STREAM,
-      fromOffset: BigInt(before + 1),
+      fromOffset: BigInt(from),
       limit: FETCH_LIMIT,
     };
     const response = await this.client(peer).fetchRecords(request, { timeoutMs: CALL_TIMEOUT_MS });
-    const after = await this.task.take(response.records.map(readRecord), false);
-    return after > before;
+    return response.records.map(readRecord);
   }
 
   private async fetchSnapshot(peer: Peer): Promise<boolean> {
