test(guarantees): prove that an accepted configuration stays in force everywhere (P10)

Cause: P10 was checked with fakes in one process only.

Every daemon is polled through the whole scenario: no version goes back and exactly one preset is in force.

--- /dev/null
+++ b/features/support/guarantees-configuration-fleet.ts
@@ -0,0 +1,189 @@
+import { readFile, writeFile } from 'node:fs/promises';
+
+import { request } from 'undici';
+
+import type { Fleet, FleetDaemon, FleetPlan, JsonChange } from '../../harness/fleet.js';
+import { planChanges, planSmallFleet, type SmallFleet } from '../../harness/plans.js';
+import { waitFor } from '../../harness/wait-for.js';
+import type { ConfigurationWatch } from './guarantees-configuration-watch.js';
+
+/** Bound of P10 at the design size, in milliseconds. */
+export const IN_FORCE_MS = 4000;
+
+/** A record of the configuration stream as the log stand-in keeps it. */
+export interface LoggedRecord {
+  readonly offset: number;
+  readonly data: string;
+}
+
+/** What a daemon answered to a change. */
+export interface ChangeAnswer {
+  readonly verdict: string;
+  readonly reason: string;
+  readonly version: number;
+  /** When the answer came, on the monotonic clock. */
+  readonly atMs: number;
+}
+
+const PRESETS: readonly JsonChange[] = [
+  { kind: 'put-preset', preset: { name: 'peak', queueMs: 500 } },
+  { kind: 'put-preset', preset: { name: 'quiet', queueMs: 2000 } },
+  { kind: 'put-preset', preset: { name: 'maintenance', maintenance: true } },
+];
+
+/**
+ * Plans a fleet of few servers with three presets besides the ordinary one.
+ *
+ * @param size - what differs from four daemons, one engine of each role and one plain service
+ * @returns a plan with relays
+ */
+export function planConfiguredFleet(size: SmallFleet = {}): FleetPlan {
+  return planSmallFleet({
+    ...{ daemons: 4, prefills: 1, decodes: 1, services: 1, relayed: true },
+    changes: [...planChanges(), ...PRESETS],
+    ...size,
+  });
+}
+
+/**
+ * Picks a daemon.
+ *
+ * @param fleet - a running fleet
+ * @param number - counted from 1
+ * @returns the daemon
+ */
+export function daemonOf(fleet: Fleet, number: number): FleetDaemon {
+  const daemon = fleet.daemons[number - 1];
+  if (!daemon) throw new Error(`no daemon ${number}`);
+  return daemon;
+}
+
+/**
+ * Puts the daemons on the platform's list of VMs, by which a starting daemon finds its peers while
+ * the log shows it no members.
+ *
+ * @param fleet - a running fleet
+ */
+export async function listVms(fleet: Fleet): Promise<void> {
+  const { region, zones } = planConfiguredFleet();
+  const vms = fleet.daemons.map(({ name, links, callers }, index) => ({
+    ...{ name, region, availabilityZone: zones[index % zones.length], state: 'live' },
+    ...{ host: links?.peers.host, peerPort: links?.peers.port, callerPort: callers.port },
+  }));
+  await fleet.vmList.setState({ vms });
+}
+
+/**
+ * Sends a change as an operator.
+ *
+ * @param fleet - a running fleet
+ * @param number - daemon that is asked, counted from 1
+ * @param change - the change
+ * @param base - version of the subject; -1 takes the one that the daemon has
+ * @returns the daemon's answer
+ */
+export async function sendChange(
+  fleet: Fleet,
+  number: number,
+  change: JsonChange,
+  base = -1,
+): Promise<ChangeAnswer> {
+  const { calls } = fleet.operator(daemonOf(fleet, number));
+  const answer = await calls.change({
+    ...{ changeJson: JSON.stringify(change), base: BigInt(base), operator: `operator-${number}` },
+  });
+  const { verdict, reason, version } = answer;
+  return { verdict, reason, version: Number(version), atMs: performance.now() };
+}
+
+/**
+ * Reads the version of the last accepted change to a subject.
+ *
+ * @param fleet - a running fleet
+ * @param subject - for example `preset-in-force`
+ * @returns the version, or 0 for a new subject
+ */
+export async function readBase(fleet: Fleet, subject: string): Promise<number> {
+  const shown = await fleet.operator(daemonOf(fleet, 1)).calls.showConfiguration({});
+  const state = JSON.parse(shown.configurationJson) as { subjects: Record<string, number> };
+  return state.subjects[subject] ?? 0;
+}
+
+/**
+ * Reads the configuration of every daemon, without its version.
+ *
+ * @param fleet - a running fleet
+ * @returns one JSON text for each daemon
+ */
+export async function readAllConfigurations(fleet: Fleet): Promise<string[]> {
+  const shown = fleet.daemons.map((one) => fleet.operator(one).calls.showConfiguration({}));
+  return (await Promise.all(shown)).map(({ configurationJson }) => {
+    const state = JSON.parse(configurationJson) as Record<string, unknown>;
+    return JSON.stringify({ ...state, version: 0 });
+  });
+}
+
+/**
+ * Reads the configuration stream as the log stand-in keeps it.
+ *
+ * @param fleet - a running fleet
+ * @returns the records that retention has not dropped
+ */
+export async function readLoggedRecords(fleet: Fleet): Promise<readonly LoggedRecord[]> {
+  const record = await fleet.log.readRecord<{ streams: Record<string, LoggedRecord[]> }>();
+  return record.streams.configuration ?? [];
+}
+
+/**
+ * Appends records to the configuration stream without any daemon.
+ *
+ * @param fleet - a running fleet
+ * @param records - data of each record
+ */
+export async function appendDirectly(fleet: Fleet, records: readonly string[]): Promise<void> {
+  const url = `${fleet.log.url}/v1/streams/configuration/records`;
+  const body = JSON.stringify({ records });
+  const answer = await request(url, { method: 'POST', body, reset: true });
+  const text = await answer.body.text();
+  if (answer.statusCode !== 200) throw new Error(`the append was answered with ${text}`);
+}
+
+/**
+ * Makes a daemon read the log through the replica first and through the main listener second.
+ *
+ * @param fleet - a running fleet
+ * @param daemon - the daemon, which is restarted
+ */
+export async function restartOnReplica(fleet: Fleet, daemon: FleetDaemon): Promise<void> {
+  const settings = JSON.parse(await readFile(daemon.settingsFile, 'utf8')) as {
+    platform: { log: { urls: string[] } };
+  };
+  settings.platform.log.urls = [fleet.log.replicaUrl, fleet.log.url];
+  await writeFile(daemon.settingsFile, JSON.stringify(settings));
+  await daemon.process.kill();
+  await fleet.restartDaemon(daemon);
+}
+
+/**
+ * Waits until every daemon that is watched has shown a version.
+ *
+ * @param fleet - a running fleet
+ * @param watch - polls the daemons
+ * @param version - offset of the change
+ * @param fromMs - from when the daemons' answers count
+ * @returns time at which the last daemon showed it, on the monotonic clock
+ */
+export async function waitUntilShown(
+  fleet: Fleet,
+  watch: ConfigurationWatch,
+  version: number,
+  fromMs: number,
+): Promise<number> {
+  const find = () => fleet.daemons.map(({ name }) => watch.firstShownMs(name, version, fromMs));
+  const seen = await waitFor(`version ${version} on every daemon`, () => {
+    const times = find();
+    if (times.every((time) => time !== undefined)) return times;
+    throw new Error(`first shown at ${times.join(', ')}`);
+  });
+  return Math.max(...seen.map((time) => time ?? Infinity));
+}
--- /dev/null
+++ b/features/support/guarantees-configuration-races.ts
@@ -0,0 +1,72 @@
+import type { Fleet, JsonChange } from '../../harness/fleet.js';
+import {
+  type ChangeAnswer,
+  readBase,
+  readLoggedRecords,
+  sendChange,
+} from './guarantees-configuration-fleet.js';
+
+/** Two edits of one subject that differ in what they leave behind. */
+interface Race {
+  readonly subject: string;
+  readonly edits: (round: number) => readonly [JsonChange, JsonChange];
+}
+
+/** What became of one race. */
+export interface RaceResult {
+  readonly answers: readonly ChangeAnswer[];
+  /** Number of records of the race that the log holds. */
+  readonly logged: number;
+}
+
+const team = (rate: number) => ({
+  kind: 'put-team',
+  team: { name: 'oval-crew', rate, burst: 9000 },
+});
+const preset = (name: string) => ({ kind: 'switch-preset', name });
+const route = (timeoutMs: number) => ({
+  kind: 'put-route',
+  route: { path: '/services/yard/new', pool: 'yard', repeatable: true, timeoutMs },
+});
+
+/** What two operators change at once, by the name in the feature. */
+export const RACES: Readonly<Record<string, Race>> = {
+  'the preset in force': {
+    subject: 'preset-in-force',
+    edits: () => [preset('peak'), preset('quiet')],
+  },
+  'the rate of a team': {
+    subject: 'team/oval-crew',
+    edits: (round) => [team(1000 + round), team(2000 + round)],
+  },
+  'a new route': {
+    subject: 'route/services/yard/new',
+    edits: (round) => [route(1000 + round), route(2000 + round)],
+  },
+  'draining and returning a server': {
+    subject: 'server/yard-1',
+    edits: () => [
+      { kind: 'drain-server', name: 'yard-1' },
+      { kind: 'return-server', name: 'yard-1' },
+    ],
+  },
+};
+
+/**
+ * Lets operators 2 and 3 edit one subject on one base at the same time.
+ *
+ * @param fleet - a running fleet
+ * @param race - what they edit
+ * @param round - tells the rounds of a scenario apart
+ * @returns the answers and what the log holds of them
+ */
+export async function runRace(fleet: Fleet, race: Race, round: number): Promise<RaceResult> {
+  const base = await readBase(fleet, race.subject);
+  const before = (await readLoggedRecords(fleet)).length;
+  const [left, right] = race.edits(round);
+  const answers = await Promise.all([
+    sendChange(fleet, 2, left, base),
+    sendChange(fleet, 3, right, base),
+  ]);
+  return { answers, logged: (await readLoggedRecords(fleet)).length - before };
+}
