test(soak): run seeded schedules of faults under traffic and check all invariants

Cause: each failure test breaks one thing; faults also come together.

The watch over shown configurations moves to the harness, since both use it.

--- /dev/null
+++ b/bench/soak/events.ts
@@ -0,0 +1,197 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import type { Fleet, FleetDaemon } from '../../harness/fleet.js';
+import { waitFor } from '../../harness/wait-for.js';
+import { createKey } from '../../src/configuration/keys.js';
+import type { SoakJournal } from './journal.js';
+import type { SoakEvent } from './schedule.js';
+import { TEAMS, type TeamKeys } from './team-keys.js';
+
+/** Presets between which a run switches; none changes the rates, which are checked as a whole. */
+const PRESETS = ['ordinary', 'peak', 'quiet', 'peak'];
+
+const CALL_MS = 6000;
+const RETRY_MS = 200;
+const LOST_ANSWERS = 20;
+
+/** Carries out the events of a schedule. */
+export class SoakEvents {
+  private readonly open = new Set<Promise<void>>();
+
+  /** Daemons that are killed or frozen; a second event of this kind is passed over. */
+  private readonly busy = new Set<FleetDaemon>();
+
+  private constructor(
+    private readonly fleet: Fleet,
+    private readonly keys: TeamKeys,
+    private readonly journal: SoakJournal,
+  ) {}
+
+  /**
+   * Creates the events of a run.
+   *
+   * @param fleet - a running fleet with relays
+   * @param keys - the teams' keys
+   * @param journal - takes what was done
+   * @returns events that have not begun
+   */
+  static create(fleet: Fleet, keys: TeamKeys, journal: SoakJournal): SoakEvents {
+    return new SoakEvents(fleet, keys, journal);
+  }
+
+  /**
+   * Runs a schedule.
+   *
+   * @param schedule - events in order of time
+   */
+  async run(schedule: readonly SoakEvent[]): Promise<void> {
+    const startMs = performance.now();
+    for (const event of schedule) {
+      await delay(Math.max(0, startMs + event.atMs - performance.now()));
+      this.track(this.start(event));
+    }
+  }
+
+  /** Ends every fault and waits until each daemon runs again. */
+  async heal(): Promise<void> {
+    await Promise.all(this.open);
+    await this.fleet.log.clearFaults();
+    const { daemons } = this.fleet;
+    daemons.forEach(({ links }) => links?.log.heal());
+    daemons.forEach((one) => daemons.forEach((other) => this.fleet.join(one, other)));
+  }
+
+  private track(work: Promise<void>): void {
+    this.open.add(work);
+    void work.finally(() => this.open.delete(work));
+  }
+
+  private async start(event: SoakEvent): Promise<void> {
+    const { kind, atMs, first, second, forMs } = event;
+    const note = await this.carryOut(event).catch((error: unknown) => `failed: ${String(error)}`);
+    const numbers = `${first} ${second} for ${forMs} ms`;
+    this.journal.events.push(`${String(atMs).padStart(6)} ms ${kind} ${numbers}: ${note}`);
+  }
+
+  private carryOut(event: SoakEvent): Promise<string> {
+    const { kind, first, second, forMs } = event;
+    switch (kind) {
+      case 'kill-daemon':
+        return this.kill(this.daemon(first), forMs / 2);
+      case 'freeze-daemon':
+        return this.freeze(this.daemon(first), forMs);
+      case 'separate-daemons':
+        return this.separate(this.daemon(first), this.daemon(second), forMs);
+      case 'cut-from-log':
+        return this.cutFromLog(this.daemon(first), forMs);
+      case 'restart-engine':
+        return this.restartEngine(first + second);
+      case 'log-outage':
+        return this.addLogFault({ kind: 'unavailable', forMs });
+      case 'log-lost-answers':
+        return this.addLogFault({ kind: 'lost-answer', count: LOST_ANSWERS, forMs });
+      case 'switch-preset':
+        return this.switchPreset(this.daemon(first), PRESETS[second] ?? 'ordinary');
+      default:
+        return this.withdraw(TEAMS[first % TEAMS.length] ?? 'oval-crew', second);
+    }
+  }
+
+  private daemon(index: number): FleetDaemon {
+    const name = `vm-${index + 1}`;
+    const daemon = this.fleet.daemons.find((one) => one.name === name);
+    if (!daemon) throw new Error(`no daemon ${name}`);
+    return daemon;
+  }
+
+  private async kill(daemon: FleetDaemon, forMs: number): Promise<string> {
+    if (this.busy.has(daemon)) return 'passed over';
+    this.busy.add(daemon);
+    const down = { daemon: daemon.name, fromMs: Date.now(), toMs: Infinity };
+    this.journal.downs.push(down);
+    await daemon.process.kill();
+    await delay(forMs);
+    await this.fleet.restartDaemon(daemon);
+    down.toMs = Date.now();
+    this.busy.delete(daemon);
+    return `${daemon.name} was down`;
+  }
+
+  private async freeze(daemon: FleetDaemon, forMs: number): Promise<string> {
+    if (this.busy.has(daemon)) return 'passed over';
+    this.busy.add(daemon);
+    daemon.process.pause();
+    await delay(forMs);
+    daemon.process.resume();
+    this.busy.delete(daemon);
+    return `${daemon.name} was frozen`;
+  }
+
+  private async separate(one: FleetDaemon, other: FleetDaemon, forMs: number): Promise<string> {
+    this.fleet.separate(one, other);
+    await delay(forMs);
+    this.fleet.join(one, other);
+    return `${one.name} and ${other.name} were separated`;
+  }
+
+  private async cutFromLog(daemon: FleetDaemon, forMs: number): Promise<string> {
+    daemon.links?.log.cut();
+    await delay(forMs);
+    daemon.links?.log.heal();
+    return `${daemon.name} was cut from the log`;
+  }
+
+  private async restartEngine(number: number): Promise<string> {
+    const engines = [...this.fleet.servers].filter(([name]) => !name.startsWith('yard'));
+    const [name, engine] = engines[number % engines.length] ?? [];
+    await engine?.setState({ restart: true });
+    return `${name} restarted`;
+  }
+
+  private async addLogFault(fault: { kind: string; count?: number; forMs: number }) {
+    await this.fleet.log.addFault(fault);
+    return 'added';
+  }
+
+  private async switchPreset(daemon: FleetDaemon, name: string): Promise<string> {
+    const change = { changeJson: JSON.stringify({ kind: 'switch-preset', name }), base: -1n };
+    const { calls } = this.fleet.operator(daemon);
+    const answer = await calls.change({ ...change, operator: 'soak' }, { timeoutMs: CALL_MS });
+    return `${name} through ${daemon.name}: ${answer.verdict}`;
+  }
+
+  /** The team's callers move to a new key first; some go on sending the withdrawn one. */
+  private async withdraw(team: string, firstDaemon: number): Promise<string> {
+    const next = createKey();
+    const { keyId, secretHash, text } = next;
+    const change = { kind: 'give-key', key: { keyId, team, secretHash } };
+    const giver = this.fleet.operator(this.daemon(firstDaemon));
+    const given = await giver.calls.change(
+      { changeJson: JSON.stringify(change), base: -1n, operator: 'soak' },
+      { timeoutMs: CALL_MS },
+    );
+    if (given.verdict !== 'accepted') return `no new key: ${given.verdict}`;
+    const old = this.keys.present.get(team);
+    this.keys.present.set(team, { keyId, text });
+    if (!old) return 'no old key';
+    let turn = firstDaemon;
+    await waitFor(
+      `the withdrawal of ${old.keyId}`,
+      async () => {
+        turn += 1;
+        return this.tellWithdrawal(this.daemon(turn % this.fleet.daemons.length), old.keyId);
+      },
+      { deadlineMs: 20_000, everyMs: RETRY_MS },
+    );
+    this.journal.withdrawals.push({ keyId: old.keyId, atMs: Date.now() });
+    this.keys.withdrawn.push(old);
+    return `${team} lost ${old.keyId}`;
+  }
+
+  /** A withdrawal that only the daemon asked knows is lost when it dies, and is told again. */
+  private async tellWithdrawal(daemon: FleetDaemon, keyId: string): Promise<boolean> {
+    const { calls } = this.fleet.operator(daemon);
+    const answer = await calls.withdrawKey({ keyId, operator: 'soak' }, { timeoutMs: CALL_MS });
+    return answer.logged || answer.confirmed.length > 1;
+  }
+}
--- /dev/null
+++ b/bench/soak/invariants.ts
@@ -0,0 +1,213 @@
+import type { ConfigurationWatch } from '../../harness/configuration-watch.js';
+import {
+  countHolds,
+  readEffects,
+  readEngines,
+  type RecordedAttempt,
+  type RecordedEffect,
+} from '../../harness/engine-record.js';
+import type { Fleet } from '../../harness/fleet.js';
+import { MODEL } from '../../harness/plans.js';
+import { computeAnswer } from '../../stand-ins/answer-text.js';
+import type { SoakCompletion, SoakJournal } from './journal.js';
+import { findOverspending, type Spending } from './spending.js';
+
+/** Result of one invariant. */
+export interface InvariantResult {
+  readonly invariant: string;
+  /** Number of things that were checked. */
+  readonly checked: number;
+  /** One line for each violation. */
+  readonly violations: readonly string[];
+}
+
+/** What a run left behind. */
+interface Evidence {
+  readonly journal: SoakJournal;
+  readonly attempts: readonly RecordedAttempt[];
+  readonly effects: readonly RecordedEffect[];
+}
+
+const WITHDRAWAL_MS = 4000;
+/** A stream that began or ended this close to a kill may have met it. */
+const KILL_MARGIN_MS = 100;
+
+/** Rates and bursts of the small fleets' teams, in tokens; no preset of the run changes them. */
+const RATES = new Map([
+  ['oval-crew', { rate: 20_000, burst: 60_000 }],
+  ['school-grounds', { rate: 500, burst: 2000 }],
+]);
+
+/**
+ * Checks all invariants over what the stand-ins recorded and the callers saw.
+ *
+ * @param fleet - a fleet that is healed and has been without traffic
+ * @param journal - what callers and operators saw
+ * @param watch - what the daemons showed as their configuration
+ * @returns a result for each invariant
+ */
+export async function checkInvariants(
+  fleet: Fleet,
+  journal: SoakJournal,
+  watch: ConfigurationWatch,
+): Promise<InvariantResult[]> {
+  const engines = await readEngines(fleet);
+  const attempts = [...engines.values()].flatMap((engine) => engine.attempts);
+  const evidence: Evidence = { journal, attempts, effects: await readEffects(fleet) };
+  const holds = await countHolds(fleet);
+  return [
+    checkOrders(evidence),
+    checkNotRun(evidence),
+    checkTexts(evidence),
+    checkEnds(evidence),
+    createResult('no holds remain', engines.size, holds ? [`${holds} holds remain`] : []),
+    checkRates(evidence),
+    checkWithdrawnKeys(evidence),
+    checkVersions(fleet, watch),
+    checkPresets(fleet, watch),
+  ];
+}
+
+function createResult(invariant: string, checked: number, violations: readonly string[]) {
+  return { invariant, checked, violations };
+}
+
+function checkOrders({ effects }: Evidence): InvariantResult {
+  const orders = effects.filter(({ path }) => path === '/services/yard/orders');
+  const counts = new Map<string, string[]>();
+  orders.forEach(({ bodyHash, requestId, atMs }) => {
+    counts.set(bodyHash, [...(counts.get(bodyHash) ?? []), `${requestId} at ${atMs}`]);
+  });
+  const violations = [...counts]
+    .filter(([, all]) => all.length > 1)
+    .map(([hash, all]) => `order ${hash.slice(0, 8)} took effect as ${all.join(', ')}`);
+  return createResult('at most one effect per idempotency key', counts.size, violations);
+}
+
+function checkNotRun({ journal, attempts, effects }: Evidence): InvariantResult {
+  const answers = [
+    ...journal.answers,
+    ...journal.completions.flatMap(({ answer }) => (answer ? [answer] : [])),
+  ].filter(({ run }) => run === 'not run');
+  const ran = new Set([
+    ...effects.map(({ requestId }) => requestId),
+    ...attempts.filter(({ phase }) => phase === 'decode').map(({ requestId }) => requestId),
+  ]);
+  const violations = answers
+    .filter(({ requestId }) => ran.has(requestId))
+    .map(({ requestId, code }) => `${requestId} was refused with ${code} and ran`);
+  return createResult('a "not run" refusal ran nothing', answers.length, violations);
+}
+
+function checkTexts({ journal }: Evidence): InvariantResult {
+  const answered = journal.completions.filter(({ answer }) => answer?.status === 200);
+  const violations = answered
+    .filter((one) => !hasOwnText(one))
+    .map(
+      ({ answer, prompt }) => `${answer?.requestId} for "${prompt.slice(0, 30)}" has other text`,
+    );
+  return createResult('answers have the text of their request', answered.length, violations);
+}
+
+/** A broken-off answer must be the beginning of the whole one. */
+function hasOwnText({ answer, prompt, maxTokens }: SoakCompletion): boolean {
+  const expected = computeAnswer(MODEL, prompt, maxTokens);
+  if (!answer) return true;
+  return answer.whole ? answer.text === expected : expected.startsWith(answer.text);
+}
+
+function checkEnds({ journal }: Evidence): InvariantResult {
+  const completions = journal.completions.filter(({ cancelled }) => !cancelled);
+  const violations = completions
+    .filter(({ answer }) => !answer || (!answer.whole && answer.code === undefined))
+    .filter((one) => !metKill(journal, one))
+    .map(({ answer, daemon, startedMs, endedMs, error }) => {
+      const id = answer?.requestId ?? 'no answer';
+      return `${id} at ${daemon} from ${startedMs} to ${endedMs}: ${error || 'ended silently'}`;
+    });
+  return createResult('no answer ends silently', completions.length, violations);
+}
+
+function metKill({ downs }: SoakJournal, { daemon, startedMs, endedMs }: SoakCompletion): boolean {
+  return downs.some(
+    (down) =>
+      down.daemon === daemon &&
+      startedMs <= down.toMs + KILL_MARGIN_MS &&
+      endedMs >= down.fromMs - KILL_MARGIN_MS,
+  );
+}
+
+function checkRates({ attempts, effects }: Evidence): InvariantResult {
+  const violations = [...RATES].flatMap(([team, limits]) => {
+    const spent = listSpending(team, attempts, effects);
+    return findOverspending(spent, limits).map((line) => `${team}: ${line}`);
+  });
+  const checked = attempts.filter(({ team }) => team !== undefined).length;
+  return createResult('tokens ≤ burst + rate × window', checked, violations);
+}
+
+/** An attempt is recorded by its prefill and its decode engine and counted once. */
+function listSpending(
+  team: string,
+  attempts: readonly RecordedAttempt[],
+  effects: readonly RecordedEffect[],
+): Spending[] {
+  const byAttempt = new Map<string, { atMs: number; prompt: number; completion: number }>();
+  attempts
+    .filter((one) => one.team === team)
+    .forEach(({ attemptId, startedMs, promptTokens, completionTokens }) => {
+      const known = byAttempt.get(attemptId);
+      byAttempt.set(attemptId, {
+        atMs: Math.min(known?.atMs ?? Infinity, startedMs),
+        prompt: Math.max(known?.prompt ?? 0, promptTokens),
+        completion: Math.max(known?.completion ?? 0, completionTokens),
+      });
+    });
+  const ofModels = [...byAttempt.values()].map(({ atMs, prompt, completion }) => ({
+    ...{ atMs, tokens: prompt + completion },
+  }));
+  const ofServices = effects
+    .filter((one) => one.team === team)
+    .map(({ atMs }) => ({ atMs, tokens: 1 }));
+  return [...ofModels, ...ofServices];
+}
+
+function checkWithdrawnKeys({ journal, effects }: Evidence): InvariantResult {
+  const violations = journal.withdrawals.flatMap(({ keyId, atMs }) => {
+    const endMs = atMs + WITHDRAWAL_MS;
+    const late = effects.filter((one) => one.path.endsWith(`-${keyId}`) && one.atMs > endMs);
+    const tokens = journal.completions.filter(
+      (one) => one.keyId === keyId && one.lastTokenMs > endMs,
+    );
+    return [
+      ...late.map((one) => `${keyId} ran ${one.requestId} ${one.atMs - atMs} ms after`),
+      ...tokens.map(
+        (one) => `${keyId} got a token ${one.lastTokenMs - atMs} ms after at ${one.daemon}`,
+      ),
+    ];
+  });
+  const checked = journal.withdrawals.length;
+  return createResult('withdrawn keys run nothing after 4 s', checked, violations);
+}
+
+function checkVersions({ daemons }: Fleet, watch: ConfigurationWatch): InvariantResult {
+  const last = daemons.map(({ name }) => watch.history(name).at(-1)?.version);
+  const differ = new Set(last).size === 1 ? [] : [`the last versions are ${last.join(', ')}`];
+  const wentBack = watch.listViolations().filter((line) => line.includes('went back'));
+  return createResult('versions equal and never back', countShown(watch, daemons), [
+    ...differ,
+    ...wentBack,
+  ]);
+}
+
+function checkPresets({ daemons }: Fleet, watch: ConfigurationWatch): InvariantResult {
+  const wrong = watch.listViolations().filter((line) => !line.includes('went back'));
+  return createResult('exactly one preset', countShown(watch, daemons), [
+    ...wrong,
+    ...watch.listDisagreements(),
+  ]);
+}
+
+function countShown(watch: ConfigurationWatch, daemons: Fleet['daemons']): number {
+  return daemons.reduce((sum, { name }) => sum + watch.history(name).length, 0);
+}
--- /dev/null
+++ b/bench/soak/report.ts
@@ -0,0 +1,50 @@
+import type { SoakReport } from './run.js';
+
+const MOST_SHOWN = 5;
+
+/**
+ * Tells whether an invariant is broken.
+ *
+ * @param report - of a run
+ * @returns true when at least one is broken
+ */
+export function isBroken({ results }: SoakReport): boolean {
+  return results.some(({ violations }) => violations.length > 0);
+}
+
+/**
+ * Writes a report as text: the table of invariants and, when one is broken, the schedule.
+ *
+ * @param report - of a run
+ * @returns lines
+ */
+export function formatReport(report: SoakReport): string {
+  const { results, journal } = report;
+  const rows = results.map(
+    ({ invariant, checked, violations }) =>
+      `${invariant.padEnd(42)} ${String(checked).padStart(8)} ${String(violations.length).padStart(7)}`,
+  );
+  const details = results.flatMap(({ invariant, violations }) =>
+    violations.slice(0, MOST_SHOWN).map((line) => `broken: ${invariant}: ${line}`),
+  );
+  const { completions, answers, ordersAnswered, ordersUnanswered, withdrawals, downs } = journal;
+  const whole = completions.filter(({ answer }) => answer?.whole).length;
+  return [
+    `completions ${completions.length}, whole ${whole}, service answers ${answers.length}`,
+    `orders answered ${ordersAnswered}, given up ${ordersUnanswered}`,
+    `broken service calls ${journal.brokenServiceCalls}`,
+    `refusals ${countCodes(journal)}`,
+    `withdrawals ${withdrawals.length}, daemon deaths ${downs.length}`,
+    `${'invariant'.padEnd(42)}  checked  broken`,
+    ...rows,
+    ...details,
+    ...(isBroken(report) ? ['schedule:', ...journal.events] : []),
+  ].join('\n');
+}
+
+function countCodes({ completions, answers }: SoakReport['journal']): string {
+  const codes = [...answers, ...completions.map(({ answer }) => answer)].map((one) => one?.code);
+  const counts = new Map<string, number>();
+  codes.forEach((code) => code && counts.set(code, (counts.get(code) ?? 0) + 1));
+  return [...counts].map(([code, count]) => `${code} ${count}`).join(', ');
+}
--- /dev/null
+++ b/bench/soak/schedule.ts
@@ -0,0 +1,71 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+/** Kinds of events of a soak run. */
+export const EVENT_KINDS = [
+  'kill-daemon',
+  'freeze-daemon',
+  'separate-daemons',
+  'cut-from-log',
+  'restart-engine',
+  'log-outage',
+  'log-lost-answers',
+  'switch-preset',
+  'withdraw-key',
+] as const;
+
+/** What happens at one moment of a soak run. */
+export interface SoakEvent {
+  readonly atMs: number;
+  readonly kind: (typeof EVENT_KINDS)[number];
+  /** Two different numbers that choose daemons, engines, presets or teams. */
+  readonly first: number;
+  readonly second: number;
+  /** How long it lasts, in milliseconds. */
+  readonly forMs: number;
+}
+
+/** A seeded source of numbers. */
+export interface Random {
+  /** Draws a whole number of at least `from` and below `to`. */
+  readonly integer: (from: number, to: number) => number;
+}
+
+const SHORTEST_GAP_MS = 300;
+const LONGEST_GAP_MS = 1300;
+const SHORTEST_MS = 1000;
+const LONGEST_MS = 6000;
+const CHOICES = 4;
+
+/**
+ * Creates a source of numbers.
+ *
+ * @param seed - equal seeds give equal numbers
+ * @returns a new source
+ */
+export function createRandom(seed: number): Random {
+  const generator = xoroshiro128plus(seed);
+  const integer = (from: number, to: number) =>
+    from + Math.floor(uniformFloat64(generator) * (to - from));
+  return { integer };
+}
+
+/**
+ * Draws a schedule.
+ *
+ * @param seed - equal seeds give equal schedules
+ * @param lengthMs - time until the last event, in milliseconds
+ * @returns events in order of time
+ */
+export function createSchedule(seed: number, lengthMs: number): SoakEvent[] {
+  const random = createRandom(seed);
+  const events: SoakEvent[] = [];
+  const step = () => random.integer(SHORTEST_GAP_MS, LONGEST_GAP_MS);
+  for (let atMs = step(); atMs < lengthMs; atMs += step()) {
+    const kind = EVENT_KINDS[random.integer(0, EVENT_KINDS.length)] ?? 'switch-preset';
+    const first = random.integer(0, CHOICES);
+    const second = (first + random.integer(1, CHOICES)) % CHOICES;
+    events.push({ atMs, kind, first, second, forMs: random.integer(SHORTEST_MS, LONGEST_MS) });
+  }
+  return events;
+}
--- a/features/steps/guarantees-configuration-steps.ts
+++ b/features/steps/guarantees-configuration-steps.ts
@@ -5,13 +5,13 @@
 import { callService } from '../../harness/caller-client.js';
 import { runCtl } from '../../harness/ctl.js';
 import { type Fleet, startFleet } from '../../harness/fleet.js';
+import { listVms } from '../../harness/list-vms.js';
 import type { SmallFleet } from '../../harness/plans.js';
 import { waitFor } from '../../harness/wait-for.js';
 import { FAULT_SCRIPTS, type FaultyChange } from '../support/guarantees-configuration-faults.js';
 import {
   daemonOf,
   IN_FORCE_MS,
-  listVms,
   planConfiguredFleet,
   readAllConfigurations,
   readBase,
@@ -25,7 +25,7 @@
   fillCommand,
 } from '../support/guarantees-configuration-commands.js';
 import { RACES, runRace } from '../support/guarantees-configuration-races.js';
-import { ConfigurationWatch } from '../support/guarantees-configuration-watch.js';
+import { ConfigurationWatch } from '../../harness/configuration-watch.js';
 
 /** State of one scenario about P10. */
 export interface ConfigurationWorld extends World {
@@ -42,8 +42,9 @@
 };
 
 async function startWatched(world: ConfigurationWorld, size: SmallFleet): Promise<void> {
-  const fleet = await startFleet(planConfiguredFleet(size));
-  await listVms(fleet);
+  const plan = planConfiguredFleet(size);
+  const fleet = await startFleet(plan);
+  await listVms(fleet, plan);
   const { text } = await fleet.giveKey('oval-crew');
   Object.assign(world, {
     configured: { fleet, key: text, watch: ConfigurationWatch.create(fleet) },
--- a/features/support/guarantees-configuration-faults.ts
+++ b/features/support/guarantees-configuration-faults.ts
@@ -8,7 +8,7 @@
   restartOnReplica,
   sendChange,
 } from './guarantees-configuration-fleet.js';
-import type { ConfigurationWatch } from './guarantees-configuration-watch.js';
+import type { ConfigurationWatch } from '../../harness/configuration-watch.js';
 
 /** A change made in the middle of a fault. */
 export interface FaultyChange {
--- a/features/support/guarantees-configuration-fleet.ts
+++ b/features/support/guarantees-configuration-fleet.ts
@@ -5,7 +5,7 @@
 import type { Fleet, FleetDaemon, FleetPlan, JsonChange } from '../../harness/fleet.js';
 import { planChanges, planSmallFleet, type SmallFleet } from '../../harness/plans.js';
 import { waitFor } from '../../harness/wait-for.js';
-import type { ConfigurationWatch } from './guarantees-configuration-watch.js';
+import type { ConfigurationWatch } from '../../harness/configuration-watch.js';
 
 /** Bound of P10 at the design size, in milliseconds. */
 export const IN_FORCE_MS = 4000;
@@ -58,21 +58,6 @@
   return daemon;
 }
 
-/**
- * Puts the daemons on the platform's list of VMs, by which a starting daemon finds its peers while
- * the log shows it no members.
- *
- * @param fleet - a running fleet
- */
-export async function listVms(fleet: Fleet): Promise<void> {
-  const { region, zones } = planConfiguredFleet();
-  const vms = fleet.daemons.map(({ name, links, callers }, index) => ({
-    ...{ name, region, availabilityZone: zones[index % zones.length], state: 'live' },
-    ...{ host: links?.peers.host, peerPort: links?.peers.port, callerPort: callers.port },
-  }));
-  await fleet.vmList.setState({ vms });
-}
-
 /**
  * Sends a change as an operator.
  *
--- a/features/support/guarantees-configuration-watch.ts
+++ b/harness/configuration-watch.ts
@@ -1,6 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
-import type { Fleet, FleetDaemon } from '../../harness/fleet.js';
+import type { Fleet, FleetDaemon } from './fleet.js';
 
 /** What one daemon showed at one moment. */
 export interface ShownConfiguration {
