fix(admission): judge a team's tokens at one time during a turn

Cause: a turn read the clock once, found a team short at that time, and let waitForTokens read the clock again. Ruled out: the wait after a collection, which notes a new reading first.

Change: waitForTokens judges at the time of its caller.

--- a/src/admission/admission-task.ts
+++ b/src/admission/admission-task.ts
@@ -148,7 +148,7 @@
       request.waitsFor = 'tokens';
       const supply = this.supply(request.team);
       if (supply.isKnownShort(request.cost, nowMs)) {
-        this.waitForTokens(supply, lane);
+        this.waitForTokens(supply, lane, nowMs);
         continue;
       }
       lane.queue.take(request);
@@ -238,7 +238,7 @@
     }
     const evicted = lane.queue.restore(request);
     if (evicted) this.refuseOverloaded(evicted);
-    this.waitForTokens(supply, lane);
+    this.waitForTokens(supply, lane, this.clock.monotonicMs());
   }
 
   private finishAdmission(request: WaitingRequest, funding: Funding, turn: Turn): void {
@@ -261,9 +261,12 @@
     });
   }
 
-  /** Refuses the team's requests that cannot succeed, and passes it over until tokens are there. */
-  private waitForTokens(supply: TeamSupply, lane: Lane): void {
-    const nowMs = this.clock.monotonicMs();
+  /**
+   * Refuses the team's requests that cannot succeed, and passes it over until tokens are there. It
+   * judges at the caller's time: a later reading of the clock could find the tokens there that the
+   * caller found missing, and the caller's loop would never end.
+   */
+  private waitForTokens(supply: TeamSupply, lane: Lane, nowMs: number): void {
     let head = lane.queue.head(supply.team);
     while (head && supply.isHopeless(head.cost, head.deadlineMs, nowMs)) {
       this.refuseRate(head, supply.msUntil(head.cost, nowMs));
