fix(peers): fail calls that wait for a connection that is given up

Cause: when a call met its deadline, the connection was given up with the manager's own reason, which leaves it closed without an error. A call that was about to use the connection then looped in the manager's wait for a state that never came. Ruled out: the loop in admission, which was mended before that run.

Change: connections are given up with the error 'unavailable', so that such a call fails.

--- a/src/peers/peer-session.ts
+++ b/src/peers/peer-session.ts
@@ -6,6 +6,7 @@
   OutgoingHttpHeaders,
 } from 'node:http2';
 
+import { Code, ConnectError } from '@connectrpc/connect';
 import { Http2SessionManager } from '@connectrpc/connect-node';
 
 /** A ping and its time-out fit into one deadline, so that the next call uses a new connection. */
@@ -75,12 +76,20 @@
 
   /** Ends an attempt to connect that hangs; pings watch over open connections only. */
   abortConnecting(): void {
-    if (this.manager.state() === 'connecting') this.manager.abort();
+    if (this.manager.state() === 'connecting') this.abort();
   }
 
   /** Ends the connection and its streams. */
   close(): void {
-    this.manager.abort();
+    this.abort();
+  }
+
+  /**
+   * With its own reason the manager would be closed without an error, and a call that waits for the
+   * connection at that moment would loop without end instead of failing.
+   */
+  private abort(): void {
+    this.manager.abort(new ConnectError('the connection was given up', Code.Unavailable));
   }
 
   private guard(session: ClientHttp2Session): void {
