test(soak): note daemons that end by themselves and check that all serve again

Cause: a daemon that stopped by an uncaught error looked like broken answers, and a daemon that did not start again was left out of the run.

Change: ends without a kill are noted with the daemon's last error and are an invariant, as is readiness of every daemon after healing; starts are repeated. The scenario of a daemon that starts on a replica delays the VM list, so that it always meets the moment in which no peer is known.

--- a/bench/soak/events.ts
+++ b/bench/soak/events.ts
@@ -18,6 +18,8 @@
 export class SoakEvents {
   private readonly open = new Set<Promise<void>>();
 
+  private ended = false;
+
   /** Daemons that are killed or frozen; a second event of this kind is passed over. */
   private readonly busy = new Set<FleetDaemon>();
 
@@ -25,7 +27,9 @@
     private readonly fleet: Fleet,
     private readonly keys: TeamKeys,
     private readonly journal: SoakJournal,
-  ) {}
+  ) {
+    fleet.daemons.forEach((daemon) => this.guard(daemon));
+  }
 
   /**
    * Creates the events of a run.
@@ -61,6 +65,11 @@
     daemons.forEach((one) => daemons.forEach((other) => this.fleet.join(one, other)));
   }
 
+  /** Ends of daemons are expected from now on. */
+  end(): void {
+    this.ended = true;
+  }
+
   private track(work: Promise<void>): void {
     this.open.add(work);
     void work.finally(() => this.open.delete(work));
@@ -97,6 +106,33 @@
     }
   }
 
+  /** A daemon that ends by itself is noted, and it is started again as the platform would do. */
+  private guard(daemon: FleetDaemon): void {
+    const { process } = daemon;
+    void process.ended.then(async ({ code, signal }) => {
+      if (signal === 'SIGKILL' || this.ended) return;
+      const reason = process
+        .stdout()
+        .split('\n')
+        .findLast((line) => line.includes('error'));
+      this.journal.crashes.push(`${daemon.name} ended with ${code} ${signal}: ${reason}`);
+      await this.revive(daemon);
+    });
+  }
+
+  /** A start that fails, for example on a busy machine, is repeated as the platform would do. */
+  private async revive(daemon: FleetDaemon): Promise<void> {
+    const started = await this.fleet.restartDaemon(daemon).then(
+      () => true,
+      (error: unknown) => {
+        this.journal.events.push(`${daemon.name} did not start: ${String(error)}`);
+        return false;
+      },
+    );
+    if (started) this.guard(daemon);
+    else if (!this.ended) await this.revive(daemon);
+  }
+
   private daemon(index: number): FleetDaemon {
     const name = `vm-${index + 1}`;
     const daemon = this.fleet.daemons.find((one) => one.name === name);
@@ -111,7 +147,7 @@
     this.journal.downs.push(down);
     await daemon.process.kill();
     await delay(forMs);
-    await this.fleet.restartDaemon(daemon);
+    await this.revive(daemon);
     down.toMs = Date.now();
     this.busy.delete(daemon);
     return `${daemon.name} was down`;
--- a/bench/soak/invariants.ts
+++ b/bench/soak/invariants.ts
@@ -1,3 +1,4 @@
+import { callService } from '../../harness/caller-client.js';
 import type { ConfigurationWatch } from '../../harness/configuration-watch.js';
 import {
   countHolds,
@@ -65,6 +66,8 @@
     checkWithdrawnKeys(evidence),
     checkVersions(fleet, watch),
     checkPresets(fleet, watch),
+    await checkReadiness(fleet),
+    createResult('no daemon ends by itself', fleet.daemons.length, journal.crashes),
   ];
 }
 
@@ -208,6 +211,15 @@
   ]);
 }
 
+async function checkReadiness({ daemons }: Fleet): Promise<InvariantResult> {
+  const answers = daemons.map(async ({ name, callers }) => {
+    const answer = await callService(callers, { method: 'GET', path: '/readyz' });
+    return answer.status === 200 ? [] : [`${name}: ${answer.text}`];
+  });
+  const violations = (await Promise.all(answers)).flat();
+  return createResult('every daemon serves again', daemons.length, violations);
+}
+
 function countShown(watch: ConfigurationWatch, daemons: Fleet['daemons']): number {
   return daemons.reduce((sum, { name }) => sum + watch.history(name).length, 0);
 }
--- a/bench/soak/journal.ts
+++ b/bench/soak/journal.ts
@@ -38,6 +38,8 @@
   readonly answers: CallerAnswer[];
   readonly withdrawals: SoakWithdrawal[];
   readonly downs: DaemonDown[];
+  /** Daemons that ended without being killed, one line each. */
+  readonly crashes: string[];
   /** Events that were carried out or passed over, one line each. */
   readonly events: string[];
   ordersAnswered: number;
@@ -52,7 +54,7 @@
  */
 export function createJournal(): SoakJournal {
   return {
-    ...{ completions: [], answers: [], withdrawals: [], downs: [], events: [] },
+    ...{ completions: [], answers: [], withdrawals: [], downs: [], crashes: [], events: [] },
     ...{ ordersAnswered: 0, ordersUnanswered: 0, brokenServiceCalls: 0 },
   };
 }
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -54,7 +54,9 @@
   await traffic.stop();
   await delay(SETTLE_MS);
   await watch.stop();
-  return { results: await checkInvariants(fleet, journal, watch), journal };
+  const results = await checkInvariants(fleet, journal, watch);
+  events.end();
+  return { results, journal };
 }
 
 function planSoakFleet(): FleetPlan {
--- a/bench/soak/traffic.ts
+++ b/bench/soak/traffic.ts
@@ -29,6 +29,7 @@
   readonly team: string;
   readonly name: string;
   readonly random: Random;
+  readonly isStopped: () => boolean;
 }
 
 /**
@@ -59,7 +60,8 @@
       Array.from({ length: CALLERS_OF_A_KIND }, (_, index) => {
         const name = `${team}-${kind}-${index}`;
         const random = createRandom(seed * 1000 + teamIndex * 100 + kind * 10 + index);
-        return run({ fleet, keys, journal, team, name, random }, send);
+        const isStopped = () => stopped;
+        return run({ fleet, keys, journal, team, name, random, isStopped }, send);
       }),
     ),
   );
@@ -125,7 +127,7 @@
   const { journal, name } = caller;
   const idempotencyKey = createIdempotencyKey();
   const body = JSON.stringify({ order: `${name}-${turn}` });
-  for (let tries = 0; tries < ORDER_TRIES; tries += 1) {
+  for (let tries = 0; tries < ORDER_TRIES && !caller.isStopped(); tries += 1) {
     const path = '/services/yard/orders';
     const key = presentKey(caller).text;
     const answer = await callYard(caller, { method: 'POST', path, body, key, idempotencyKey });
--- a/features/support/guarantees-configuration-faults.ts
+++ b/features/support/guarantees-configuration-faults.ts
@@ -123,6 +123,8 @@
   'a daemon starting on a replica with an older end': async (fleet) => {
     await fleet.log.setState({ replicaLag: LAG_MS });
     const changed = await switchPreset(fleet);
+    // The replica answers before the daemon can know from the list whom to ask.
+    await fleet.vmList.addFault({ kind: 'delay', delayMs: 500 });
     await restartOnReplica(fleet, lastOf(fleet));
     return { ...changed, fromMs: performance.now() };
   },
