fix(stand-ins): keep connections between engines open after a transfer

Cause: undici asserts that its parser is not paused when the other side closes a connection. An import that waits for its link pauses the parser, and the export answered with 'connection: close', so engines ended under load. Change: imports use kept-alive connections.

--- a/stand-ins/engine/kv-import.ts
+++ b/stand-ins/engine/kv-import.ts
@@ -26,7 +26,7 @@
 ): Promise<KvImport> {
   try {
     const url = `http://${source}/v1/export?prefillId=${encodeURIComponent(prefillId)}`;
-    const options = { signal, headersTimeout: 0, bodyTimeout: 0, reset: true };
+    const options = { signal, headersTimeout: 0, bodyTimeout: 0 };
     const { statusCode, headers, body } = await request(url, options);
     if (statusCode !== 200) {
       await body.dump();
