--- /dev/null
+++ b/bench/load/fleet-callers.ts
@@ -0,0 +1,130 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { request } from 'undici';
+
+import { callCompletion, type CallerAnswer } from '../../harness/caller-client.js';
+import type { Fleet } from '../../harness/fleet.js';
+import type { Address } from '../../src/domain/vm.js';
+import { percentile, type Result } from './measures.js';
+import { writePrompt, type Arrival } from './workload.js';
+
+interface Team {
+  readonly key: string;
+  addresses: readonly Address[];
+  validUntilMs: number;
+}
+
+interface EntryAnswer {
+  readonly addresses: readonly Address[];
+  readonly validForMs: number;
+}
+
+/** Callers of all teams; each team's callers use the address that the system names first. */
+export class FleetCallers {
+  private readonly teams = new Map<string, Team>();
+
+  private asked = 0;
+
+  private constructor(
+    private readonly fleet: Fleet,
+    private readonly model: string,
+    private readonly seed: number,
+  ) {}
+
+  /**
+   * Creates callers and gives each team a key.
+   *
+   * @param fleet - a running fleet
+   * @param model - the model that all ask for
+   * @param teams - names of the teams
+   * @param seed - seed of the workload
+   * @returns callers
+   */
+  static async create(
+    fleet: Fleet,
+    model: string,
+    teams: readonly string[],
+    seed: number,
+  ): Promise<FleetCallers> {
+    const callers = new FleetCallers(fleet, model, seed);
+    for (const team of teams) {
+      const { text } = await fleet.giveKey(team);
+      callers.teams.set(team, { key: text, addresses: [], validUntilMs: 0 });
+    }
+    return callers;
+  }
+
+  /**
+   * Sends requests at their times, whether or not earlier ones have ended.
+   *
+   * @param arrivals - the requests in order of time
+   * @returns how each ended
+   */
+  async sendAll(arrivals: readonly Arrival[]): Promise<readonly Result[]> {
+    await Promise.all([...this.teams.values()].map((team) => this.refresh(team)));
+    const startMs = performance.now();
+    const refreshing = setInterval(() => this.refreshOld(), 500);
+    const results: Promise<Result>[] = [];
+    for (const arrival of arrivals) {
+      const waitMs = arrival.atMs - (performance.now() - startMs);
+      if (waitMs > 0) await delay(waitMs);
+      results.push(this.send(arrival));
+    }
+    const ended = await Promise.all(results);
+    clearInterval(refreshing);
+    return ended;
+  }
+
+  private async send(arrival: Arrival): Promise<Result> {
+    const team = this.teams.get(arrival.team);
+    const [address] = team?.addresses ?? [];
+    if (!team || !address) throw new Error(`no address for ${arrival.team}`);
+    const { cancelAfterMs } = arrival;
+    const cancel = new AbortController();
+    const timer =
+      cancelAfterMs === undefined ? undefined : setTimeout(() => cancel.abort(), cancelAfterMs);
+    const gaps: number[] = [];
+    let lastMs = 0;
+    try {
+      const answer = await callCompletion(address, {
+        ...{ model: this.model, prompt: writePrompt(arrival, this.seed) },
+        ...{ maxTokens: arrival.output, key: team.key, stream: true, signal: cancel.signal },
+        onToken: (count) => {
+          const nowMs = performance.now();
+          if (count > 1) gaps.push(nowMs - lastMs);
+          lastMs = nowMs;
+        },
+      });
+      return createResult(arrival, answer, gaps);
+    } catch {
+      return { arrival, code: undefined, whole: false, firstTokenMs: undefined, gapMs: 0 };
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  private refreshOld(): void {
+    this.teams.forEach((team) => {
+      if (team.validUntilMs < performance.now()) void this.refresh(team);
+    });
+  }
+
+  private async refresh(team: Team): Promise<void> {
+    this.asked += 1;
+    const daemon = this.fleet.daemons[this.asked % this.fleet.daemons.length];
+    if (!daemon) return;
+    const { host, port } = daemon.callers;
+    const response = await request(`http://${host}:${port}/v1/entry-addresses`, {
+      headers: { authorization: `Bearer ${team.key}` },
+      reset: true,
+    });
+    const answer = (await response.body.json()) as EntryAnswer;
+    const validUntilMs = performance.now() + answer.validForMs;
+    Object.assign(team, { addresses: answer.addresses, validUntilMs });
+  }
+}
+
+function createResult(arrival: Arrival, answer: CallerAnswer, gaps: readonly number[]): Result {
+  const { code, whole, firstTokenMs } = answer;
+  return { arrival, code, whole, firstTokenMs, gapMs: percentile(gaps, 0.95) };
+}
--- /dev/null
+++ b/bench/load/measures.ts
@@ -0,0 +1,172 @@
+import type { Pool, Targets } from './pool.js';
+import { findInside } from './rate-reference.js';
+import { computeCapacity, isFeasible } from './upper-bound.js';
+import { mean, type Arrival, type Workload } from './workload.js';
+
+/** How one request ended, as its caller saw it. */
+export interface Result {
+  readonly arrival: Arrival;
+  /** Undefined when the caller cancelled or the connection broke. */
+  readonly code: string | undefined;
+  readonly whole: boolean;
+  readonly firstTokenMs: number | undefined;
+  /** 95th percentile of the times between tokens, in milliseconds. */
+  readonly gapMs: number;
+}
+
+/** What a team received. */
+export interface TeamMeasures {
+  readonly team: string;
+  readonly sent: number;
+  readonly inside: number;
+  /** Share of what its rate allows that was answered on time. */
+  readonly served: number;
+  readonly wrongful: number;
+}
+
+/** Measures of one run. */
+export interface Measures {
+  readonly sent: number;
+  readonly inside: number;
+  readonly goodput: number;
+  readonly bound: number;
+  readonly goodputShare: number;
+  readonly wastedShare: number;
+  readonly worstTeam: string;
+  readonly worstServed: number;
+  readonly wrongful: number;
+  readonly firstTokenP95: number;
+  readonly gapP95: number;
+  readonly late: number;
+  readonly codes: Readonly<Record<string, number>>;
+  readonly teams: readonly TeamMeasures[];
+}
+
+/** What a run produced. */
+export interface RunFacts {
+  readonly workload: Workload;
+  readonly results: readonly Result[];
+  readonly pool: Pool;
+  readonly targets: Targets;
+  /** Requests that arrived before are not counted, in milliseconds. */
+  readonly warmUpMs: number;
+  readonly durationMs: number;
+  /** Prefill tokens computed, and computed for a result that was never transferred. */
+  readonly prefillTokens: number;
+  readonly wastedPrefillTokens: number;
+}
+
+/**
+ * Computes the measures of a run.
+ *
+ * @param facts - what the run produced
+ * @returns the measures; a cancelled request counts for none of them
+ */
+export function computeMeasures(facts: RunFacts): Measures {
+  const { workload, targets, warmUpMs } = facts;
+  const inside = findInside(workload.teams, workload.arrivals);
+  const results = facts.results.filter(
+    ({ arrival }) => arrival.atMs >= warmUpMs && arrival.cancelAfterMs === undefined,
+  );
+  const isOnTime = (result: Result) => meetsTargets(result, facts);
+  const seconds = (facts.durationMs - warmUpMs) / 1000;
+  const demands = results.map(({ arrival }) => arrival);
+  const insideFeasible = demands.filter(
+    (demand) => inside.has(demand.id) && isFeasible(demand, facts.pool, targets),
+  ).length;
+  const capacity = computeCapacity(demands, facts.pool).requestsPerSecond;
+  const bound = Math.min(insideFeasible / seconds, capacity);
+  const goodput = results.filter(isOnTime).length / seconds;
+  const teams = workload.teams.map(({ name }) => {
+    const own = results.filter(({ arrival }) => arrival.team === name);
+    return measureTeam(name, own, inside, facts);
+  });
+  const worst = teams.toSorted((one, other) => one.served - other.served)[0];
+  const whole = results.filter((result) => result.whole);
+  return {
+    sent: results.length,
+    inside: teams.reduce((sum, team) => sum + team.inside, 0),
+    goodput,
+    bound,
+    goodputShare: goodput / bound,
+    wastedShare: facts.wastedPrefillTokens / Math.max(1, facts.prefillTokens),
+    worstTeam: worst?.team ?? '',
+    worstServed: worst?.served ?? 1,
+    wrongful: teams.reduce((sum, team) => sum + team.wrongful, 0),
+    firstTokenP95: percentile(
+      whole.map(({ firstTokenMs }) => firstTokenMs ?? 0),
+      0.95,
+    ),
+    gapP95: percentile(
+      whole.map(({ gapMs }) => gapMs),
+      0.95,
+    ),
+    late: whole.filter((result) => !isOnTime(result)).length,
+    codes: countCodes(results),
+    teams,
+  };
+}
+
+function meetsTargets(result: Result, { targets }: RunFacts): boolean {
+  const { whole, firstTokenMs = Infinity, gapMs } = result;
+  return whole && firstTokenMs <= targets.firstTokenMs && gapMs <= targets.betweenTokensMs;
+}
+
+/**
+ * A team that sends more than its rate may be answered another of its requests than the reference
+ * admits, so it is served, and refused wrongly, by number within what its rate allows.
+ */
+function measureTeam(
+  team: string,
+  results: readonly Result[],
+  inside: ReadonlySet<number>,
+  facts: RunFacts,
+): TeamMeasures {
+  const allowed = results.filter(({ arrival }) => inside.has(arrival.id));
+  const feasible = allowed.filter(({ arrival }) => isFeasible(arrival, facts.pool, facts.targets));
+  const onTime = results.filter((result) => meetsTargets(result, facts)).length;
+  const refused = allowed.filter(({ code, whole }) => !whole && code !== undefined).length;
+  const answered = results.filter(({ whole }) => whole).length;
+  return {
+    team,
+    sent: results.length,
+    inside: allowed.length,
+    served: feasible.length === 0 ? 1 : Math.min(1, onTime / feasible.length),
+    wrongful: Math.min(refused, Math.max(0, allowed.length - answered)),
+  };
+}
+
+function countCodes(results: readonly Result[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  results.forEach(({ code, whole }) => {
+    const name = whole ? 'answered' : (code ?? 'broken');
+    counts[name] = (counts[name] ?? 0) + 1;
+  });
+  return counts;
+}
+
+/**
+ * Computes a percentile.
+ *
+ * @param values - the values
+ * @param share - from 0 to 1
+ * @returns the value; 0 when there is none
+ */
+export function percentile(values: readonly number[], share: number): number {
+  const sorted = values.toSorted((one, other) => one - other);
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+}
+
+/**
+ * Computes the mean and the spread of a measure over runs.
+ *
+ * @param values - one value for each run
+ * @returns mean, lowest and highest
+ */
+export function summarize(values: readonly number[]): {
+  readonly mean: number;
+  readonly least: number;
+  readonly most: number;
+} {
+  return { mean: mean(values), least: Math.min(...values), most: Math.max(...values) };
+}
--- /dev/null
+++ b/bench/load/rate-reference.ts
@@ -0,0 +1,26 @@
+import type { Arrival, LoadTeam } from './workload.js';
+
+/**
+ * Finds the requests that are inside their team's rate, by one exact token bucket for each team.
+ *
+ * @param teams - rates and bursts
+ * @param arrivals - requests in order of time
+ * @returns ids of the requests that the buckets admit
+ */
+export function findInside(
+  teams: readonly LoadTeam[],
+  arrivals: readonly Arrival[],
+): ReadonlySet<number> {
+  const buckets = new Map(teams.map((team) => [team.name, { team, level: team.burst, atMs: 0 }]));
+  const inside = new Set<number>();
+  arrivals.forEach(({ id, team, atMs, promptTokens, output }) => {
+    const bucket = buckets.get(team);
+    if (!bucket) return;
+    const gained = ((atMs - bucket.atMs) * bucket.team.rate) / 1000;
+    const level = Math.min(bucket.team.burst, bucket.level + gained);
+    const fits = promptTokens + output <= level;
+    if (fits) inside.add(id);
+    Object.assign(bucket, { atMs, level: fits ? level - promptTokens - output : level });
+  });
+  return inside;
+}
--- /dev/null
+++ b/bench/load/workload.ts
@@ -0,0 +1,156 @@
+import type { Pool } from './pool.js';
+import { RandomSource } from './random-source.js';
+import { computeCapacity, type Demand } from './upper-bound.js';
+
+/** A team of a workload; shares of all teams add up to 1. */
+export interface LoadTeam {
+  readonly name: string;
+  readonly share: number;
+  /** What it sends as a multiple of its rate. */
+  readonly factor: number;
+  /** Tokens a second. */
+  readonly rate: number;
+  /** Tokens. */
+  readonly burst: number;
+  readonly weight: number;
+}
+
+/** A request of a workload. */
+export interface Arrival extends Demand {
+  readonly id: number;
+  readonly team: string;
+  readonly atMs: number;
+  readonly prefix: string | undefined;
+  /** Time after the arrival at which the caller closes the connection; undefined: never. */
+  readonly cancelAfterMs: number | undefined;
+}
+
+/** What a workload is made from. */
+export interface WorkloadPlan {
+  readonly seed: number;
+  /** Load inside the teams' rates as a share of the pool's capacity. */
+  readonly load: number;
+  readonly durationMs: number;
+  readonly pool: Pool;
+}
+
+/** Requests to send and the teams that send them. */
+export interface Workload {
+  readonly teams: readonly LoadTeam[];
+  readonly arrivals: readonly Arrival[];
+  /** Requests a second that the pool can serve. */
+  readonly capacity: number;
+}
+
+const SHARES = [0.36, 0.3, 0.16, 0.11, 0.07];
+// The teams stay inside their rates but for the fourth, which sends five times its rate.
+const INSIDE = 0.9;
+const GREEDY = 3;
+const GREEDY_FACTOR = 5;
+const MIN_PROMPT = 30;
+const MAX_PROMPT = 20_000;
+const PROMPT_MEDIAN = 900;
+const PROMPT_SIGMA = 1.1;
+const MIN_OUTPUT = 8;
+const MAX_OUTPUT = 200;
+const OUTPUT_MEDIAN = 56;
+const OUTPUT_SIGMA = 0.5;
+const PREFIXES_PER_TEAM = 3;
+const CANCELLED = 0.02;
+const BURST_EVERY_MS = 5000;
+const BURST_MS = 500;
+const BURST_FACTOR = 2;
+const SAMPLE = 20_000;
+
+/**
+ * Generates open-loop arrivals.
+ *
+ * @param plan - seed, load, length and pool
+ * @returns teams, arrivals in order of time, and the pool's capacity
+ */
+export function generateWorkload(plan: WorkloadPlan): Workload {
+  const sampler = RandomSource.create(plan.seed);
+  const sample = Array.from({ length: SAMPLE }, () => drawDemand(sampler, plan.pool));
+  const capacity = computeCapacity(sample, plan.pool).requestsPerSecond;
+  const meanTokens = mean(sample.map(({ promptTokens, output }) => promptTokens + output));
+  const teams = SHARES.map((share, index) => createTeam(share, index, plan, capacity * meanTokens));
+  const arrivals = teams.flatMap((team, index) => {
+    const random = RandomSource.create(plan.seed * 100 + index + 1);
+    return generateTeam(team, random, plan, (team.rate * team.factor) / meanTokens);
+  });
+  const ordered = arrivals.sort((one, other) => one.atMs - other.atMs);
+  return { teams, arrivals: ordered.map((arrival, id) => ({ ...arrival, id })), capacity };
+}
+
+function createTeam(
+  share: number,
+  index: number,
+  plan: WorkloadPlan,
+  tokensPerSecond: number,
+): LoadTeam {
+  const factor = index === GREEDY ? GREEDY_FACTOR : INSIDE;
+  const rate = (share * plan.load * tokensPerSecond) / Math.min(1, factor);
+  const burst = Math.max(4 * rate, 1.5 * MAX_PROMPT);
+  return { name: `team-${index + 1}`, share, factor, rate, burst, weight: share * 10 };
+}
+
+function generateTeam(
+  team: LoadTeam,
+  random: RandomSource,
+  plan: WorkloadPlan,
+  perSecond: number,
+): Arrival[] {
+  const arrivals: Arrival[] = [];
+  const shift = random.next() * BURST_EVERY_MS;
+  const calm = 1 + ((BURST_FACTOR - 1) * BURST_MS) / BURST_EVERY_MS;
+  const peak = (perSecond * BURST_FACTOR) / calm;
+  for (let atMs = 0; ;) {
+    atMs += random.nextIntervalMs(peak);
+    if (atMs >= plan.durationMs) return arrivals;
+    const bursting = (atMs + shift) % BURST_EVERY_MS < BURST_MS;
+    if (!bursting && random.next() >= 1 / BURST_FACTOR) continue;
+    const demand = drawDemand(random, plan.pool);
+    const prefix = `${team.name} prefix ${Math.floor(random.next() * PREFIXES_PER_TEAM)} `;
+    const cancelAfterMs = random.next() < CANCELLED ? random.next() * 2000 : undefined;
+    const shared = demand.sharedTokens > 0 ? prefix : undefined;
+    arrivals.push({ ...demand, id: 0, team: team.name, atMs, prefix: shared, cancelAfterMs });
+  }
+}
+
+function drawDemand(random: RandomSource, pool: Pool): Demand {
+  const prompt = random.nextLogNormal(PROMPT_MEDIAN, PROMPT_SIGMA);
+  const output = random.nextLogNormal(OUTPUT_MEDIAN, OUTPUT_SIGMA);
+  const promptTokens = Math.round(Math.min(MAX_PROMPT, Math.max(MIN_PROMPT, prompt)));
+  const shares = random.next() < 0.5 && promptTokens > pool.blockTokens;
+  return {
+    promptTokens,
+    sharedTokens: shares ? pool.blockTokens : 0,
+    output: Math.round(Math.min(MAX_OUTPUT, Math.max(MIN_OUTPUT, output))),
+  };
+}
+
+/**
+ * Writes the prompt of an arrival.
+ *
+ * @param arrival - the arrival
+ * @param seed - seed of the workload; prompts of other seeds differ
+ * @returns text of `promptTokens` tokens of 4 bytes
+ */
+export function writePrompt(arrival: Arrival, seed: number): string {
+  const shared = repeat(arrival.prefix ?? '', arrival.sharedTokens * 4);
+  return shared + repeat(`${seed} ${arrival.id} `, arrival.promptTokens * 4 - shared.length);
+}
+
+function repeat(text: string, length: number): string {
+  return text.repeat(Math.ceil(length / Math.max(1, text.length))).slice(0, length);
+}
+
+/**
+ * Computes a mean.
+ *
+ * @param values - the values
+ * @returns their mean; 0 when there is none
+ */
+export function mean(values: readonly number[]): number {
+  return values.length === 0 ? 0 : values.reduce((sum, value) => sum + value, 0) / values.length;
+}
