feat(bench): compare decision modules on fakes with the manual clock

Cause: the machine's load moves the figures of real processes, and a part of the policy cannot be taken out of a real daemon. ManualClock no longer keeps abort listeners. The pool's time between tokens is 30 ms, since a stand-in's timer of 40 ms often skips one beat, and bursts fill before the load begins.

--- a/bench/load/pool.ts
+++ b/bench/load/pool.ts
@@ -23,18 +23,18 @@
 /**
  * The pool of both deployments. Time is not scaled, so the targets of the design apply as they are.
  * KV cache and links are scaled by 1/512. A mean prefill of about 1,650 tokens takes as long as an
- * engine needs for some 30 output tokens (20 slots, one token each in 40 ms).
+ * engine needs for some 45 output tokens (20 slots, one token each in 30 ms).
  */
 export const POOL: Pool = {
   prefillEngines: 4,
   decodeEngines: 4,
   slots: 20,
-  tokenMs: 40,
+  tokenMs: 30,
   prefillTokensPerSecond: 25_000,
   kvBytesPerToken: 256,
   linkBytesPerSecond: 35_000_000,
   prefillResultMs: 800,
-  kvBlocks: 64,
+  kvBlocks: 40,
   blockTokens: 2048,
   loadLagMs: 50,
 };
--- a/bench/load/run-load.ts
+++ b/bench/load/run-load.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { startFleet, type Fleet } from '../../harness/fleet.js';
 import { planFleet, type Deployment } from './deployment.js';
 import { FleetCallers } from './fleet-callers.js';
@@ -34,6 +36,8 @@
   try {
     const names = workload.teams.map(({ name }) => name);
     const callers = await FleetCallers.create(fleet, deployment.model, names, seed);
+    // A share starts from an empty bucket, and the teams' bursts have to fill first.
+    await delay(Math.max(...workload.teams.map(({ burst, rate }) => (burst * 1000) / rate)));
     const results = await callers.sendAll(workload.arrivals);
     if (ended.length > 0) throw new Error(ended.join('\n'));
     return computeMeasures({
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -12,6 +12,7 @@
 import { FORMULA } from './load/upper-bound.js';
 import { formatShare, judge, type Verdict } from './load/verdicts.js';
 import { generateWorkload } from './load/workload.js';
+import { compareModules } from './modules/main.js';
 
 const LOADS = [0.5, 0.95, 1.3];
 const NEAR_FULL = 0.95;
@@ -27,6 +28,8 @@
 const options = await yargs(hideBin(process.argv))
   .options({
     quick: { type: 'boolean', default: false, describe: 'one deployment near full load' },
+    modules: { type: 'boolean', default: false, describe: 'the decision modules alone, on fakes' },
+    seeds: { type: 'number', default: 3, describe: 'number of seeds with --modules' },
     seed: { type: 'number', default: 1, describe: 'seed of the load' },
     seconds: { type: 'number', default: 20, describe: 'time that is measured in each run' },
     deployment: { type: 'string', choices: DEPLOYMENTS, describe: 'only this deployment' },
@@ -36,6 +39,13 @@
   .strict()
   .parseAsync();
 
+if (options.modules) {
+  const seeds = Array.from({ length: options.seeds }, (_, index) => options.seed + index);
+  const { seconds } = options;
+  await compareModules({ loads: options.load ?? [0.95, 1.3], seeds, seconds });
+  process.exit(0);
+}
+
 const WARM_UP_MS = 3000;
 const measuredMs = options.quick ? 12_000 : options.seconds * 1000;
 const loads = options.load ?? (options.quick ? [NEAR_FULL] : LOADS);
--- /dev/null
+++ b/bench/modules/fake-engine.ts
@@ -0,0 +1,157 @@
+import type { EngineServer } from '../../src/domain/backend-server.js';
+import type { Clock } from '../../src/kernel/clock.js';
+import type { EngineLoad } from '../../src/routing/routing.js';
+import type { Pool } from '../load/pool.js';
+import { computeTransferMs } from '../load/upper-bound.js';
+import type { Arrival } from '../load/workload.js';
+
+const CACHE_BLOCKS = 64;
+
+interface Job {
+  readonly arrival: Arrival;
+  readonly finish: (computedTokens: number) => void;
+}
+
+/** An engine in memory: one prefill at a time, slots and blocks, a link, a lagging load report. */
+export class FakeEngine {
+  private readonly waiting: Job[] = [];
+
+  private readonly cache = new Set<string>();
+
+  private current: Job | undefined;
+
+  private slotsFree: number;
+
+  private blocksFree: number;
+
+  private linkFreeMs = 0;
+
+  private report: EngineLoad | undefined;
+
+  private reportMs = -Infinity;
+
+  private constructor(
+    readonly server: EngineServer,
+    private readonly pool: Pool,
+    private readonly clock: Clock,
+  ) {
+    this.slotsFree = pool.slots;
+    this.blocksFree = pool.kvBlocks;
+  }
+
+  /**
+   * Creates an idle engine.
+   *
+   * @param server - its entry in the configuration
+   * @param pool - speeds and sizes
+   * @param clock - source of time
+   * @returns a new engine
+   */
+  static create(server: EngineServer, pool: Pool, clock: Clock): FakeEngine {
+    return new FakeEngine(server, pool, clock);
+  }
+
+  /**
+   * Reads the load as the engine reports it.
+   *
+   * @returns a load that is up to the pool's lag old
+   */
+  readLoad(): EngineLoad {
+    const nowMs = this.clock.monotonicMs();
+    if (this.report && nowMs - this.reportMs < this.pool.loadLagMs) return this.report;
+    this.reportMs = nowMs;
+    this.report = this.measureLoad();
+    return this.report;
+  }
+
+  /**
+   * Takes a decode slot and blocks.
+   *
+   * @param blocks - KV blocks
+   * @returns false when there is no room
+   */
+  reserve(blocks: number): boolean {
+    if (this.slotsFree < 1 || this.blocksFree < blocks) return false;
+    this.slotsFree -= 1;
+    this.blocksFree -= blocks;
+    return true;
+  }
+
+  /**
+   * Gives a decode slot and blocks back.
+   *
+   * @param blocks - KV blocks
+   */
+  release(blocks: number): void {
+    this.slotsFree += 1;
+    this.blocksFree += blocks;
+  }
+
+  /**
+   * Runs a prefill after those that wait.
+   *
+   * @param arrival - the request
+   * @returns tokens that were computed
+   */
+  prefill(arrival: Arrival): Promise<number> {
+    return new Promise((resolve) => {
+      this.waiting.push({ arrival, finish: resolve });
+      void this.startNext();
+    });
+  }
+
+  /**
+   * Imports a KV cache over the link, after the imports that wait.
+   *
+   * @param arrival - the request
+   */
+  async transfer(arrival: Arrival): Promise<void> {
+    const nowMs = this.clock.monotonicMs();
+    this.linkFreeMs = Math.max(nowMs, this.linkFreeMs) + computeTransferMs(arrival, this.pool);
+    await this.clock.sleep(this.linkFreeMs - nowMs);
+  }
+
+  private measureLoad(): EngineLoad {
+    const { slotsFree, blocksFree, pool } = this;
+    const jobs = this.current ? [this.current, ...this.waiting] : this.waiting;
+    const queued = jobs.reduce((sum, { arrival }) => sum + this.countTokens(arrival), 0);
+    const used = Math.max(
+      1 - slotsFree / pool.slots,
+      1 - blocksFree / pool.kvBlocks,
+      Math.min(1, queued / pool.prefillTokensPerSecond),
+    );
+    const load = { slotsFree, blocksFree, queuedPrefillTokens: queued };
+    return { ...load, level: Math.floor(used * 4), draining: false, incarnation: '1' };
+  }
+
+  private async startNext(): Promise<void> {
+    if (this.current) return;
+    const job = this.waiting.shift();
+    if (!job) return;
+    this.current = job;
+    const tokens = this.countTokens(job.arrival);
+    await this.clock.sleep((tokens * 1000) / this.pool.prefillTokensPerSecond);
+    this.store(job.arrival);
+    this.current = undefined;
+    job.finish(tokens);
+    void this.startNext();
+  }
+
+  private countTokens({ promptTokens, sharedTokens, prefix }: Arrival): number {
+    return promptTokens - (prefix && this.cache.has(prefix) ? sharedTokens : 0);
+  }
+
+  private store({ id, prefix, promptTokens }: Arrival): void {
+    const blocks = Math.floor(promptTokens / this.pool.blockTokens);
+    Array.from({ length: blocks }, (_, index) =>
+      index === 0 && prefix ? prefix : `${id}/${index}`,
+    ).forEach((block) => {
+      this.cache.delete(block);
+      this.cache.add(block);
+    });
+    for (const block of this.cache) {
+      if (this.cache.size <= CACHE_BLOCKS) return;
+      this.cache.delete(block);
+    }
+  }
+}
--- /dev/null
+++ b/bench/modules/main.ts
@@ -0,0 +1,71 @@
+import { mkdir, writeFile } from 'node:fs/promises';
+
+import { summarize, type Measures } from '../load/measures.js';
+import { formatShare } from '../load/verdicts.js';
+import { runTrial } from './compare.js';
+import { POLICIES, type Policy } from './policies.js';
+
+/** Runs of one policy at one load. */
+interface PolicyRow {
+  readonly policy: string;
+  readonly load: number;
+  readonly runs: readonly Measures[];
+}
+
+/** What to compare. */
+export interface Comparison {
+  readonly loads: readonly number[];
+  readonly seeds: readonly number[];
+  readonly seconds: number;
+}
+
+/**
+ * Compares all policies with the same seeds, and prints and writes the figures.
+ *
+ * @param comparison - loads, seeds and length of a run
+ */
+export async function compareModules(comparison: Comparison): Promise<void> {
+  const { loads, seeds, seconds } = comparison;
+  const rows: PolicyRow[] = [];
+  for (const load of loads) {
+    for (const policy of POLICIES) rows.push(await runPolicy(policy, load, seeds, seconds));
+    console.log(`load ${load}, seeds ${seeds.join(' ')}, ${seconds} s each, manual clock`);
+    const present = rows.find((row) => row.load === load);
+    if (present) console.table(rows.filter((row) => row.load === load).map(describe(present)));
+  }
+  await mkdir('reports', { recursive: true });
+  await writeFile(
+    'reports/modules.json',
+    `${JSON.stringify({ comparison, rows }, undefined, 2)}\n`,
+  );
+}
+
+async function runPolicy(
+  policy: Policy,
+  load: number,
+  seeds: readonly number[],
+  seconds: number,
+): Promise<PolicyRow> {
+  const runs: Measures[] = [];
+  for (const seed of seeds) runs.push(await runTrial({ policy, load, seed, seconds }));
+  return { policy: policy.name, load, runs };
+}
+
+/** Describes a row with its ratios to the present policy, seed by seed. */
+function describe(present: PolicyRow): (row: PolicyRow) => object {
+  return ({ policy, runs }) => {
+    const ratios = runs.map(({ goodput }, index) => goodput / (present.runs[index]?.goodput ?? 1));
+    const average = (measure: (run: Measures) => number) => summarize(runs.map(measure)).mean;
+    const { mean, least, most } = summarize(ratios);
+    return {
+      policy,
+      'of bound': formatShare(average(({ goodputShare }) => goodputShare)),
+      'goodput ÷ present': `${mean.toFixed(3)} (${least.toFixed(3)}–${most.toFixed(3)})`,
+      wasted: formatShare(average(({ wastedShare }) => wastedShare)),
+      'worst team': formatShare(average(({ worstServed }) => worstServed)),
+      wrongful: average(({ wrongful }) => wrongful).toFixed(1),
+      late: average(({ late }) => late).toFixed(1),
+      'first token p95': Math.round(average(({ firstTokenP95 }) => firstTokenP95)),
+    };
+  };
+}
--- /dev/null
+++ b/bench/modules/module-vm.ts
@@ -0,0 +1,141 @@
+import { SharedAdmission } from '../../src/admission/shared-admission.js';
+import type { BackendServer } from '../../src/domain/backend-server.js';
+import { Channel } from '../../src/kernel/channel.js';
+import type { Clock } from '../../src/kernel/clock.js';
+import { Kernel } from '../../src/kernel/kernel.js';
+import { succeed } from '../../src/kernel/outcome.js';
+import type { Services } from '../../src/kernel/service.js';
+import type { Member } from '../../src/membership/membership.js';
+import type { EngineLoad } from '../../src/routing/routing.js';
+import { SubsetRouting } from '../../src/routing/subset-routing.js';
+import type { Settings } from '../../src/settings/schema.js';
+import { POOL } from '../load/pool.js';
+import type { LoadTeam } from '../load/workload.js';
+import type { FakeEngine } from './fake-engine.js';
+import type { Policy } from './policies.js';
+
+/** Model of the comparison. */
+export const MODEL = 'planner';
+
+/** The decision modules of one VM. */
+export interface ModuleVm {
+  readonly name: string;
+  readonly routing: SubsetRouting;
+  readonly admission: SharedAdmission;
+  /** Passes on the load that an answer carries, as far as the policy uses it. */
+  readonly observe: (engine: FakeEngine) => void;
+  readonly stop: () => Promise<void>;
+}
+
+/** What a VM is made from. */
+export interface VmPlan {
+  readonly name: string;
+  readonly zone: string;
+  readonly policy: Policy;
+  readonly teams: readonly LoadTeam[];
+  readonly engines: ReadonlyMap<string, FakeEngine>;
+  readonly clock: Clock;
+  readonly random: () => number;
+}
+
+const PRESET = {
+  ...{ name: 'ordinary', rateFactor: 1, queueMs: 1000, firstTokenMs: 330, betweenTokensMs: 78 },
+  ...{ affinityTokens: 4096, maintenance: false },
+};
+const LONG_QUEUE_MS = 10_000;
+
+/**
+ * Starts the modules of a VM on fakes of the services around them.
+ *
+ * @param plan - what the VM is made from
+ * @returns the modules
+ */
+export async function startModuleVm(plan: VmPlan): Promise<ModuleVm> {
+  const { policy, clock, engines } = plan;
+  const kernel = Kernel.create();
+  registerFakes(kernel, plan);
+  const vm = { name: plan.name, region: 'r', availabilityZone: plan.zone };
+  const settings = { vm, rates: { homeCount: 1 } } as Settings;
+  const routing = SubsetRouting.create(kernel, settings, clock, plan.random);
+  const admission = SharedAdmission.create(kernel, settings, clock);
+  kernel.register('routing', routing);
+  kernel.register('admission', admission);
+  await admission.start();
+  await routing.start();
+  // A first poll stands for the reports that a running VM already has.
+  engines.forEach((engine, name) => routing.observe(name, degrade(engine.readLoad(), policy)));
+  return {
+    ...{ name: plan.name, routing, admission },
+    observe: ({ server }) => {
+      const engine = engines.get(server.name);
+      if (policy.carried && engine)
+        routing.observe(server.name, degrade(engine.readLoad(), policy));
+    },
+    stop: async () => {
+      await routing.stop();
+      await admission.stop();
+    },
+  };
+}
+
+/** Reduces a report to what the policy may know. */
+function degrade(load: EngineLoad, policy: Policy): EngineLoad {
+  const seen = policy.countsBlocks ? load : { ...load, blocksFree: POOL.kvBlocks };
+  if (!policy.coarse) return seen;
+  const free = (4 - load.level) / 4;
+  return {
+    ...seen,
+    slotsFree: Math.round(free * POOL.slots),
+    blocksFree: Math.round(free * POOL.kvBlocks),
+    queuedPrefillTokens: Math.round((1 - free) * POOL.prefillTokensPerSecond),
+  };
+}
+
+function registerFakes(kernel: Kernel, plan: VmPlan): void {
+  const register = (name: keyof Services, fake: object) => kernel.register(name, fake as never);
+  const silent = () => Channel.create<never>().stream();
+  const { self, epoch } = createEpoch(plan);
+  register('membership', {
+    ...{ self: () => self, joined: () => true, current: () => epoch, history: () => [epoch] },
+    ...{ changes: silent, reincarnations: silent, leaseLive: () => true },
+    confirmedEpoch: () => epoch.epoch,
+  });
+  const state = createState(plan);
+  register('configuration', { current: () => state, changes: silent });
+  register('vm-list', { current: () => undefined, changes: silent });
+  register('peers', { handle: () => undefined });
+  register('metrics', { increment: () => {}, gauge: () => {}, timing: () => {} });
+  register('decisions', { record: () => {} });
+  register('backends', {
+    engine: ({ name }: BackendServer) => ({
+      load: async () => {
+        const engine = plan.engines.get(name);
+        if (!engine) throw new Error(`no engine ${name}`);
+        return succeed(degrade(engine.readLoad(), plan.policy));
+      },
+      cacheEvents: async () => succeed([]),
+    }),
+  });
+}
+
+function createEpoch({ name, zone }: VmPlan) {
+  const address = { host: '127.0.0.1', port: 1 };
+  const self: Member = {
+    ...{ name, vm: name, incarnation: '1', region: 'r', availabilityZone: zone },
+    ...{ peers: address, callers: address, operators: address },
+  };
+  return { self, epoch: { epoch: 1, members: [self] } };
+}
+
+function createState({ policy, teams, engines }: VmPlan) {
+  const affinity = policy.followsPrefixes ? {} : { affinityTokens: -1 };
+  const queue = policy.refusesEarly ? {} : { queueMs: LONG_QUEUE_MS };
+  const preset = { ...PRESET, ...policy.preset, ...affinity, ...queue };
+  return {
+    teams: new Map(teams.map((team) => [team.name, team])),
+    presets: new Map([['ordinary', preset]]),
+    presetInForce: 'ordinary',
+    models: new Map([[MODEL, { name: MODEL, kvBlockTokens: POOL.blockTokens, bytesPerToken: 4 }]]),
+    servers: new Map([...engines].map(([name, { server }]) => [name, server])),
+  };
+}
--- a/src/kernel/manual-clock.ts
+++ b/src/kernel/manual-clock.ts
@@ -40,8 +40,12 @@
         resolve();
         return;
       }
-      this.sleepers.push({ dueMs: this.nowMs + ms, wake: resolve });
-      signal?.addEventListener('abort', () => resolve(), { once: true });
+      const wake = () => {
+        signal?.removeEventListener('abort', wake);
+        resolve();
+      };
+      this.sleepers.push({ dueMs: this.nowMs + ms, wake });
+      signal?.addEventListener('abort', wake, { once: true });
     });
   }
 
