feat(admission): let requests that cannot meet the first-token target go last

Cause: requests that had waited too long for tokens or slots still ran first, since the earliest target goes first, and every later request became late too. Change: each lane keeps a second fair queue for late requests, which run when no other request can take the capacity and four slots stay free. A team that waits for the tokens of a large request is woken by a newer one that fits.

--- a/src/admission/admission-lanes.ts
+++ b/src/admission/admission-lanes.ts
@@ -5,10 +5,12 @@
 /** Bound on waiting requests for one model. */
 const MOST_WAITING = 10_000;
 
-/** The queue of one model and the turns at its servers that routing does not count yet. */
+/** The queues of one model and the turns at its servers that routing does not count yet. */
 export interface Lane {
   readonly model: string;
   readonly queue: FairQueue<WaitingRequest>;
+  /** Requests that can no longer meet the first-token target. */
+  readonly lateQueue: FairQueue<WaitingRequest>;
   readonly turns: Set<Turn>;
 }
 
@@ -29,7 +31,7 @@
 
   /** Number of requests that wait. */
   get waiting(): number {
-    return [...this.lanes.values()].reduce((sum, lane) => sum + lane.queue.size, 0);
+    return this.all().reduce((sum, { queue, lateQueue }) => sum + queue.size + lateQueue.size, 0);
   }
 
   /**
@@ -50,9 +52,8 @@
   obtain(model: string): Lane {
     const known = this.lanes.get(model);
     if (known) return known;
-    const queue = FairQueue.create<WaitingRequest>(MOST_WAITING);
-    this.blocked.forEach((team) => queue.block(team));
-    const lane = { model, queue, turns: new Set<Turn>() };
+    const [queue, lateQueue] = [this.createQueue(), this.createQueue()];
+    const lane = { model, queue, lateQueue, turns: new Set<Turn>() };
     this.lanes.set(model, lane);
     return lane;
   }
@@ -64,7 +65,7 @@
    */
   block(team: string): void {
     this.blocked.add(team);
-    this.lanes.forEach((lane) => lane.queue.block(team));
+    this.queues().forEach((queue) => queue.block(team));
   }
 
   /**
@@ -75,7 +76,7 @@
    */
   unblock(team: string, keepsTurns: boolean): void {
     this.blocked.delete(team);
-    this.lanes.forEach((lane) => lane.queue.unblock(team, keepsTurns));
+    this.queues().forEach((queue) => queue.unblock(team, keepsTurns));
   }
 
   /**
@@ -106,7 +107,17 @@
   /** Forgets the lanes that nobody uses. */
   sweep(): void {
     this.lanes.forEach((lane, model) => {
-      if (lane.queue.size === 0 && lane.turns.size === 0) this.lanes.delete(model);
+      if (lane.queue.size + lane.lateQueue.size + lane.turns.size === 0) this.lanes.delete(model);
     });
   }
+
+  private queues(): FairQueue<WaitingRequest>[] {
+    return this.all().flatMap(({ queue, lateQueue }) => [queue, lateQueue]);
+  }
+
+  private createQueue(): FairQueue<WaitingRequest> {
+    const queue = FairQueue.create<WaitingRequest>(MOST_WAITING);
+    this.blocked.forEach((team) => queue.block(team));
+    return queue;
+  }
 }
--- a/src/admission/admission-task.ts
+++ b/src/admission/admission-task.ts
@@ -19,6 +19,9 @@
 /** How often capacity is read again while requests wait for it; load also changes without notice. */
 const CAPACITY_POLL_MS = 20;
 
+/** Decode slots that requests which are late already leave to those that arrive next. */
+const LATE_RESERVE = 4;
+
 /** Longest wait before homes are asked again; refunds of other VMs may have arrived there. */
 const LONGEST_BLOCK_MS = 250;
 
@@ -126,6 +129,14 @@
     this.deadlines.put(request);
     const evicted = this.lanes.obtain(request.lane).queue.push(request);
     if (evicted) this.refuseOverloaded(evicted);
+    this.wakeTeam(request);
+  }
+
+  /** A team that waits for the tokens of a larger request can run a smaller, newer one. */
+  private wakeTeam({ team, cost }: WaitingRequest): void {
+    const supply = this.supply(team);
+    const isShort = supply.msUntil(cost, this.clock.monotonicMs()) > 0;
+    if (supply.blockedUntilMs > 0 && !isShort) this.unblockTeam(supply);
   }
 
   /** Gives turns until capacity or tokens are short, then refuses what has waited too long. */
@@ -142,22 +153,49 @@
 
   private serveLane(lane: Lane, nowMs: number): void {
     this.lanes.closeOldTurns(lane, nowMs);
-    for (;;) {
-      const request = lane.queue.peek();
-      if (!request || !this.hasCapacity(lane)) return;
-      request.waitsFor = 'tokens';
-      const supply = this.supply(request.team);
-      if (supply.isKnownShort(request.cost, nowMs)) {
-        this.waitForTokens(supply, lane);
-        continue;
-      }
-      lane.queue.take(request);
-      this.collect(request, this.lanes.openTurn(lane, nowMs));
+    while (this.serveNext(lane, nowMs));
+  }
+
+  /** Considers one request; a late one only when no other can take the capacity. */
+  private serveNext(lane: Lane, nowMs: number): boolean {
+    const onTime = lane.queue.peek();
+    if (onTime && this.isLate(onTime, nowMs)) {
+      this.demote(lane, onTime);
+      return true;
     }
+    const request = onTime ?? lane.lateQueue.peek();
+    if (!request || !this.hasCapacity(lane, onTime ? 0 : LATE_RESERVE)) return false;
+    request.waitsFor = 'tokens';
+    const supply = this.supply(request.team);
+    if (supply.isKnownShort(request.cost, nowMs)) {
+      this.waitForTokens(supply, lane);
+      return true;
+    }
+    this.queueOf(lane, request).take(request);
+    this.collect(request, this.lanes.openTurn(lane, nowMs));
+    return true;
+  }
+
+  private isLate(request: WaitingRequest, nowMs: number): boolean {
+    if (request.lane === '') return false;
+    const { lane, promptTokens, dueMs } = request;
+    return nowMs + this.kernel.find('routing').prefillWaitMs(lane, promptTokens) > dueMs;
   }
 
-  private hasCapacity(lane: Lane): boolean {
-    return lane.model === '' || this.kernel.find('routing').headroom(lane.model) > lane.turns.size;
+  private demote(lane: Lane, request: WaitingRequest): void {
+    lane.queue.remove(request);
+    Object.assign(request, { late: true });
+    const evicted = lane.lateQueue.push(request);
+    if (evicted) this.refuseOverloaded(evicted);
+  }
+
+  private queueOf(lane: Lane, request: WaitingRequest): Lane['queue'] {
+    return request.late ? lane.lateQueue : lane.queue;
+  }
+
+  private hasCapacity(lane: Lane, reserve: number): boolean {
+    if (lane.model === '') return true;
+    return this.kernel.find('routing').headroom(lane.model) > lane.turns.size + reserve;
   }
 
   /** Debits the own share at once and asks the other homes for the rest. */
@@ -233,10 +271,10 @@
     funding.parts.forEach((part) => this.refundPart(team, part, part.granted));
     const lane = this.lanes.obtain(request.lane);
     if (request.finished) {
-      lane.queue.credit(request);
+      this.queueOf(lane, request).credit(request);
       return;
     }
-    const evicted = lane.queue.restore(request);
+    const evicted = this.queueOf(lane, request).restore(request);
     if (evicted) this.refuseOverloaded(evicted);
     this.waitForTokens(supply, lane);
   }
@@ -264,15 +302,22 @@
   /** Refuses the team's requests that cannot succeed, and passes it over until tokens are there. */
   private waitForTokens(supply: TeamSupply, lane: Lane): void {
     const nowMs = this.clock.monotonicMs();
-    let head = lane.queue.head(supply.team);
-    while (head && supply.isHopeless(head.cost, head.deadlineMs, nowMs)) {
-      this.refuseRate(head, supply.msUntil(head.cost, nowMs));
-      head = lane.queue.head(supply.team);
+    let head = this.headOf(lane, supply.team);
+    while (head) {
+      const waitMs = supply.msUntil(head.cost, nowMs);
+      if (supply.isHopeless(head.cost, head.deadlineMs, nowMs)) this.refuseRate(head, waitMs);
+      else if (!head.late && this.isLate(head, nowMs + waitMs)) this.demote(lane, head);
+      else break;
+      head = this.headOf(lane, supply.team);
     }
     const waitMs = head ? supply.msUntil(head.cost, nowMs) : 0;
     if (waitMs > 0) this.blockUntil(supply, nowMs + Math.min(waitMs, LONGEST_BLOCK_MS));
   }
 
+  private headOf(lane: Lane, team: string): WaitingRequest | undefined {
+    return lane.queue.head(team) ?? lane.lateQueue.head(team);
+  }
+
   private blockUntil(supply: TeamSupply, untilMs: number): void {
     Object.assign(supply, { blockedUntilMs: untilMs });
     this.blocked.put(supply);
@@ -388,7 +433,8 @@
     retryAfterMs?: number,
   ): void {
     if (request.finished) return;
-    this.lanes.obtain(request.lane).queue.remove(request);
+    const lane = this.lanes.obtain(request.lane);
+    this.queueOf(lane, request).remove(request);
     this.conclude(request);
     request.finish(fail(Refusal.create(code, message, { retryAfterMs })));
   }
@@ -424,7 +470,9 @@
   }
 
   private findDue(nowMs: number): number {
-    const capacity = this.lanes.all().some((lane) => lane.queue.peek() !== undefined);
+    const capacity = this.lanes
+      .all()
+      .some((lane) => (lane.queue.peek() ?? lane.lateQueue.peek()) !== undefined);
     return Math.min(
       this.deadlines.peek()?.deadlineMs ?? Infinity,
       this.blocked.peek()?.blockedUntilMs ?? Infinity,
--- a/src/admission/shared-admission.ts
+++ b/src/admission/shared-admission.ts
@@ -152,11 +152,13 @@
       weight: this.facts.team(request.team)?.weight ?? 1,
       cost: tokens,
       refundable: request.maxTokens,
+      promptTokens: request.promptTokens,
       dueMs: request.arrivedMs + (preset?.firstTokenMs ?? 0),
       lane: request.model ?? '',
       sinceMs,
       deadlineMs: Math.max(sinceMs, request.arrivedMs + (preset?.queueMs ?? 0)),
       waitsFor: 'capacity',
+      late: false,
       finished: false,
     });
   }
@@ -204,11 +206,13 @@
       weight: this.facts.team(request.team)?.weight ?? 1,
       cost: tokens,
       refundable: 0,
+      promptTokens: 0,
       dueMs: -Infinity,
       lane: '',
       sinceMs,
       deadlineMs: sinceMs + (this.facts.preset()?.queueMs ?? 0),
       waitsFor: 'tokens',
+      late: false,
       finished: false,
     });
   }
--- a/src/admission/waiting-request.ts
+++ b/src/admission/waiting-request.ts
@@ -36,6 +36,8 @@
   readonly requestId: string;
   /** Tokens of the cost that may come back when the request has ended. */
   readonly refundable: number;
+  /** Tokens to prefill. */
+  readonly promptTokens: number;
   /** Model whose capacity is needed; empty when none is. */
   readonly lane: string;
   /** Monotonic time when the wait began, in milliseconds. */
@@ -44,6 +46,8 @@
   readonly finish: (outcome: Outcome<Admitted, Refusal>) => void;
   /** What the request waited for when its turn was last considered. */
   waitsFor: 'capacity' | 'tokens';
+  /** True once the first-token target can no longer be met. */
+  late: boolean;
   /** True once `finish` was called. */
   finished: boolean;
 }
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -74,12 +74,13 @@
   abstract headroom(model: string): number;
 
   /**
-   * Estimates the wait before a prefill that is sent now would begin.
+   * Estimates the wait before a prefill that is sent now would begin, or end.
    *
    * @param model - name of the model
+   * @param ownTokens - tokens of the prefill itself, when its end is wanted
    * @returns milliseconds
    */
-  abstract prefillWaitMs(model: string): number;
+  abstract prefillWaitMs(model: string, ownTokens?: number): number;
 
   /**
    * Notes that work was given to an engine.
--- a/src/routing/subset-routing.ts
+++ b/src/routing/subset-routing.ts
@@ -123,12 +123,12 @@
       .reduce((sum, { slotsFree }) => sum + slotsFree, 0);
   }
 
-  override prefillWaitMs(model: string): number {
+  override prefillWaitMs(model: string, ownTokens = 0): number {
     const queues = this.usable(model, 'prefill').map(
       (server) => this.estimate(server).queuedPrefillTokens,
     );
     if (queues.length === 0) return 0;
-    return this.speeds.get(model)?.waitMs(Math.min(...queues)) ?? 0;
+    return this.speeds.get(model)?.waitMs(Math.min(...queues) + ownTokens) ?? 0;
   }
 
   override assign(assignment: Assignment): void {
