perf(routing): choose the shortest of all prefill queues instead of two

Cause: two of four prefill engines often both ran a long prompt, so a short one waited behind it while another engine was free. Change: the lightest prefill engine is the best of the subset by corrected load; decode engines are still chosen among two.

--- a/src/routing/server-choice.ts
+++ b/src/routing/server-choice.ts
@@ -58,7 +58,7 @@
   rule: ChoiceRule,
 ): Candidate<Server> | undefined {
   const usable = selectUsable(candidates, rule);
-  const lightest = pickBetter(usable, compareQueue, rule.random);
+  const lightest = pickBest(usable, compareQueue, rule.random);
   const cached = usable.filter((candidate) => candidate.cachedTokens > 0).sort(compareCache)[0];
   if (!lightest || !cached) return lightest;
   const excess = cached.estimate.queuedPrefillTokens - lightest.estimate.queuedPrefillTokens;
@@ -111,6 +111,19 @@
   return order <= 0 ? one : two;
 }
 
+/** Considers all servers, from a random one on, so that equal ones are chosen equally often. */
+function pickBest<Server>(
+  candidates: readonly Candidate<Server>[],
+  compare: (a: Candidate<Server>, b: Candidate<Server>) => number,
+  random: () => number,
+): Candidate<Server> | undefined {
+  const first = Math.floor(random() * candidates.length);
+  const turned = [...candidates.slice(first), ...candidates.slice(0, first)];
+  const order = (a: Candidate<Server>, b: Candidate<Server>) =>
+    compare(a, b) || Number(b.ownZone) - Number(a.ownZone);
+  return turned.sort(order)[0];
+}
+
 function compareRoom(a: Candidate<unknown>, b: Candidate<unknown>): number {
   return (
     b.estimate.blocksFree - a.estimate.blocksFree || b.estimate.slotsFree - a.estimate.slotsFree
