feat(admission): let a preset reserve slots for teams inside their rates

Change: preset field reservedSlots (default 0): a team that waited for tokens in the last second leaves that many decode slots free. Kept as a choice of the operator, off by default.

--- a/bench/modules/module-vm.ts
+++ b/bench/modules/module-vm.ts
@@ -40,7 +40,7 @@
 
 const PRESET = {
   ...{ name: 'ordinary', rateFactor: 1, queueMs: 1000, firstTokenMs: 330, betweenTokensMs: 78 },
-  ...{ affinityTokens: 4096, maintenance: false },
+  ...{ affinityTokens: 4096, reservedSlots: 0, maintenance: false },
 };
 const LONG_QUEUE_MS = 10_000;
 
--- a/bench/modules/policies.ts
+++ b/bench/modules/policies.ts
@@ -56,6 +56,10 @@
   { name: 'levels, polling only', coarse: true, carried: false },
   { name: 'queue 330 ms', preset: { queueMs: 330 } },
   { name: 'queue 200 ms', preset: { queueMs: 200 } },
+  { name: 'reserve 4', preset: { reservedSlots: 4 } },
+  { name: 'reserve 8', preset: { reservedSlots: 8 } },
+  { name: 'queue 5 s, reserve 4', preset: { queueMs: 5000, reservedSlots: 4 } },
+  { name: 'queue 5 s, reserve 8', preset: { queueMs: 5000, reservedSlots: 8 } },
 ];
 
 /** The present policy first, then what it is compared with. */
--- a/features/support/admission-fleet.ts
+++ b/features/support/admission-fleet.ts
@@ -61,6 +61,7 @@
   firstTokenMs: 330,
   betweenTokensMs: 78,
   affinityTokens: 4096,
+  reservedSlots: 0,
   maintenance: false,
 };
 
--- a/features/support/fake-services.ts
+++ b/features/support/fake-services.ts
@@ -45,6 +45,7 @@
     firstTokenMs: 330,
     betweenTokensMs: 78,
     affinityTokens: 4096,
+    reservedSlots: 0,
     maintenance: false,
   };
   const model = {
--- a/src/admission/admission-task.ts
+++ b/src/admission/admission-task.ts
@@ -174,11 +174,19 @@
       this.waitForTokens(supply, lane);
       return true;
     }
+    if (!this.hasCapacity(lane, supply.wasShort(nowMs) ? this.reservedSlots() : 0)) {
+      this.blockUntil(supply, nowMs + CAPACITY_POLL_MS);
+      return true;
+    }
     this.queueOf(lane, request).take(request);
     this.collect(request, this.lanes.openTurn(lane, nowMs));
     return true;
   }
 
+  private reservedSlots(): number {
+    return this.facts.preset()?.reservedSlots ?? 0;
+  }
+
   private isLate(request: WaitingRequest, nowMs: number): boolean {
     if (request.lane === '') return false;
     const { lane, promptTokens, dueMs } = request;
@@ -308,6 +316,7 @@
   /** Refuses the team's requests that cannot succeed, and passes it over until tokens are there. */
   private waitForTokens(supply: TeamSupply, lane: Lane): void {
     const nowMs = this.clock.monotonicMs();
+    Object.assign(supply, { shortMs: nowMs });
     let head = this.headOf(lane, supply.team);
     while (head) {
       const waitMs = supply.msUntil(head.cost, nowMs);
--- a/src/admission/team-supply.ts
+++ b/src/admission/team-supply.ts
@@ -4,6 +4,9 @@
 /** A reading older than this is not used in place of asking. */
 const FRESH_MS = 250;
 
+/** Time for which a team counts as short of tokens. */
+const SHORT_MEMORY_MS = 1000;
+
 /** Wait when no home can be asked. */
 const NO_HOME_WAIT_MS = 50;
 
@@ -30,6 +33,9 @@
   /** Tokens of requests in progress that may come back. */
   refundable = 0;
 
+  /** Monotonic time when a request of the team last waited for tokens. */
+  shortMs = -Infinity;
+
   private reading: SupplyReading | undefined;
 
   private returned = 0;
@@ -51,6 +57,16 @@
     return !this.busy && this.blockedUntilMs === 0 && this.refundable === 0;
   }
 
+  /**
+   * Tells whether the team sends about as much as its rate allows, or more.
+   *
+   * @param nowMs - monotonic time in milliseconds
+   * @returns true when one of its requests waited for tokens lately
+   */
+  wasShort(nowMs: number): boolean {
+    return nowMs - this.shortMs < SHORT_MEMORY_MS;
+  }
+
   /**
    * Notes what the homes had.
    *
--- a/src/cli/preset-commands.ts
+++ b/src/cli/preset-commands.ts
@@ -25,7 +25,14 @@
     },
     run: (context, args) => {
       const name = args.text('name');
-      const fields = ['rateFactor', 'queueMs', 'firstTokenMs', 'betweenTokensMs', 'affinityTokens'];
+      const fields = [
+        'rateFactor',
+        'queueMs',
+        'firstTokenMs',
+        'betweenTokensMs',
+        'affinityTokens',
+        'reservedSlots',
+      ];
       const numbers = Object.fromEntries(fields.map((field) => [field, args.number(field)]));
       const preset = { name, ...numbers, maintenance: args.flag('maintenance') };
       return runChange(context, { kind: 'put-preset', preset }, `preset/${name}`);
--- a/src/configuration/change.ts
+++ b/src/configuration/change.ts
@@ -27,6 +27,7 @@
   firstTokenMs: z.int().positive().default(330),
   betweenTokensMs: z.int().positive().default(78),
   affinityTokens: z.int().min(0).default(4096),
+  reservedSlots: z.int().min(0).default(0),
   maintenance: z.boolean().default(false),
 });
 
--- a/src/domain/route.ts
+++ b/src/domain/route.ts
@@ -41,6 +41,8 @@
   readonly betweenTokensMs: number;
   /** Most prompt tokens of load for which a cached prefix outweighs a less loaded server. */
   readonly affinityTokens: number;
+  /** Decode slots that a team short of tokens leaves to the teams inside their rates. */
+  readonly reservedSlots: number;
   /** True: requests on routes that need a key are refused with `maintenance`. */
   readonly maintenance: boolean;
 }
