fix: keep daemons alive through resets, and renew silent log connections

Idle log connections that had gone silent were used one after another, each until its deadline. Other VMs name a new member before its first lease, and it refused its first requests as isolated. Spans were written after 5 s, so a look at a young daemon saw none. Change: PeerSession owns its HTTP/2 connection, whose listeners stay; a log call that may have been sent and failed replaces all idle connections; requests wait up to 2 s for the first lease of a VM; spans are written once a second and the search for keys waits for them; the membership check prints the records of a violation.

--- a/features/steps/guarantees-confidentiality-steps.ts
+++ b/features/steps/guarantees-confidentiality-steps.ts
@@ -121,6 +121,11 @@
     await waitFor('metrics of every daemon', () =>
       fleet.daemons.every(({ name }) => datagrams.text().includes(name)),
     );
+    // Daemons write their spans about once a second.
+    await waitFor('spans of every daemon', async () => {
+      const traces = (await collectPlaces(fleet)).filter(({ name }) => name.startsWith('traces'));
+      return traces.length > 0 && traces.every(({ text }) => text.includes('traceId'));
+    });
     const places: Place[] = [
       ...(await collectPlaces(fleet)),
       { name: 'datagrams', text: datagrams.text() },
--- a/features/steps/membership-steps.ts
+++ b/features/steps/membership-steps.ts
@@ -89,7 +89,13 @@
   clearInterval(this.watch);
   await this.fleet.stop();
   // Guards against a share that is spent twice: a lease that outlives its removal.
-  assert.deepEqual([...this.violations], []);
+  const records = this.fleet.log.list().map((record) => JSON.stringify(record));
+  const trace = [...this.violations].map((each) => records.filter((text) => text.includes(each)));
+  assert.deepEqual(
+    [...this.violations],
+    [],
+    `removed with a live lease: ${trace.flat().join(' ')}`,
+  );
 });
 
 Given('a member fleet of {int} VMs', async function given(this: MembershipWorld, count: number) {
--- a/src/callers/http-caller-entry.ts
+++ b/src/callers/http-caller-entry.ts
@@ -35,6 +35,11 @@
 /** Time for which an idle caller connection is kept, in milliseconds. */
 const KEEP_ALIVE_MS = 30_000;
 
+/** Longest wait of a request for the first lease, in milliseconds; a round of heartbeats takes 1 s. */
+const FIRST_LEASE_MS = 2000;
+
+const LEASE_POLL_MS = 20;
+
 /** Interval at which a draining daemon looks for requests in progress, in milliseconds. */
 const DRAIN_POLL_MS = 20;
 
@@ -48,6 +53,8 @@
 
   private drainStartMs: number | undefined;
 
+  private hadLease = false;
+
   private constructor(
     private readonly kernel: Kernel,
     private readonly settings: Settings,
@@ -185,7 +192,7 @@
     configuration: ConfigurationState,
   ): Promise<Refusal | undefined> {
     if (request.method !== 'POST') return refuseMethod(['POST']);
-    const identity = this.identify(request);
+    const identity = await this.identify(request);
     if (identity.kind === 'failed') return identity.failure;
     const body = await readBody(request.incoming, this.settings.limits);
     if (body.kind === 'failed') return body.failure;
@@ -229,7 +236,7 @@
 
   private async answerService(request: CallerRequest, route: Route): Promise<Refusal | undefined> {
     if (!route.methods.includes(request.method)) return refuseMethod(route.methods);
-    const identity = route.open ? succeed(undefined) : this.identify(request);
+    const identity = route.open ? succeed(undefined) : await this.identify(request);
     if (identity.kind === 'failed') return identity.failure;
     const body = await readBody(request.incoming, this.settings.limits);
     if (body.kind === 'failed') return body.failure;
@@ -264,8 +271,8 @@
     return undefined;
   }
 
-  private identify(request: CallerRequest): Outcome<Identity, Refusal> {
-    if (!this.kernel.find('membership').leaseLive()) {
+  private async identify(request: CallerRequest): Promise<Outcome<Identity, Refusal>> {
+    if (!(await this.waitForLease())) {
       return fail(
         Refusal.create('isolated', 'this VM does not hear enough of its peers; use another one', {
           retryAfterMs: 1000,
@@ -277,6 +284,21 @@
       .authenticate(readHeader(request.incoming, 'authorization'));
   }
 
+  /**
+   * Other VMs name a new member before its first heartbeats are answered, so requests wait for its
+   * first lease. A lease that has lapsed is not waited for: keys may have been withdrawn since.
+   */
+  private async waitForLease(): Promise<boolean> {
+    const membership = this.kernel.find('membership');
+    const deadlineMs = this.clock.monotonicMs() + FIRST_LEASE_MS;
+    while (!this.hadLease && !membership.leaseLive() && this.clock.monotonicMs() < deadlineMs) {
+      await this.clock.sleep(LEASE_POLL_MS);
+    }
+    const isLive = membership.leaseLive();
+    this.hadLease ||= isLive;
+    return isLive;
+  }
+
   private sendReadiness(request: CallerRequest): undefined {
     const reason = this.unreadyReason();
     return request.sendJson(
--- a/src/observability/otel-traces.ts
+++ b/src/observability/otel-traces.ts
@@ -12,6 +12,9 @@
 /** File name that stands for standard error. */
 const STANDARD_ERROR = '-';
 
+/** Time for which spans are collected before they are written, in milliseconds. */
+const WRITE_EVERY_MS = 1000;
+
 /** Makes spans by OpenTelemetry and writes them as JSON lines. */
 export class OtelTraces extends Traces {
   private readonly tracer: Tracer;
@@ -35,7 +38,13 @@
     const stream =
       file && file !== STANDARD_ERROR ? createWriteStream(file, { flags: 'a' }) : undefined;
     const write = (line: string) => (stream ?? process.stderr).write(line);
-    const spanProcessors = file ? [new BatchSpanProcessor(JsonSpanExporter.create(write))] : [];
+    const spanProcessors = file
+      ? [
+          new BatchSpanProcessor(JsonSpanExporter.create(write), {
+            scheduledDelayMillis: WRITE_EVERY_MS,
+          }),
+        ]
+      : [];
     const resource = resourceFromAttributes({ 'service.name': 'cuminspard', vm });
     return new OtelTraces(new BasicTracerProvider({ resource, spanProcessors }), stream);
   }
--- a/src/peers/connect-peers.ts
+++ b/src/peers/connect-peers.ts
@@ -1,13 +1,7 @@
 import { once } from 'node:events';
 import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
 
-import {
-  Code,
-  ConnectError,
-  createClient,
-  type Interceptor,
-  type ServiceImpl,
-} from '@connectrpc/connect';
+import { Code, ConnectError, createClient, type ServiceImpl } from '@connectrpc/connect';
 import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node';
 
 import type { Address } from '../domain/vm.js';
@@ -132,18 +126,6 @@
     defaultTimeoutMs: PEER_DEADLINE_MS,
     readMaxBytes: RESPONSE_MAX_BYTES,
     writeMaxBytes: REQUEST_MAX_BYTES,
-    interceptors: [createReconnector(session)],
   });
   return { client: createClient(PeerService, transport), session };
 }
-
-function createReconnector(session: PeerSession): Interceptor {
-  return (next) => async (request) => {
-    try {
-      return await next(request);
-    } catch (error) {
-      session.abortConnecting();
-      throw error;
-    }
-  };
-}
--- a/src/peers/peer-session.ts
+++ b/src/peers/peer-session.ts
@@ -1,27 +1,53 @@
-import type {
-  ClientHttp2Session,
-  ClientHttp2Stream,
-  ClientSessionOptions,
-  ClientSessionRequestOptions,
-  OutgoingHttpHeaders,
+import {
+  connect,
+  constants,
+  type ClientHttp2Session,
+  type ClientHttp2Stream,
+  type ClientSessionOptions,
+  type ClientSessionRequestOptions,
+  type OutgoingHttpHeaders,
 } from 'node:http2';
 
 import { Code, ConnectError } from '@connectrpc/connect';
-import { Http2SessionManager } from '@connectrpc/connect-node';
 
-/** A ping and its time-out fit into one deadline, so that the next call uses a new connection. */
+/** Time without data after which a connection is checked by a ping, in milliseconds. */
 const PING_INTERVAL_MS = 500;
+
+/** How often it is looked whether a ping is due, in milliseconds. */
+const WATCH_MS = 100;
+
+/** A ping and its time-out fit into one deadline, so that the next call uses a new connection. */
 const PING_TIMEOUT_MS = 300;
 
+/** Longest wait for a connection, in milliseconds; shorter than the deadline of a call. */
+const CONNECT_TIMEOUT_MS = 800;
+
+/** Time after which a connection without traffic is closed, in milliseconds. */
+const IDLE_MS = 60_000;
+
 /**
- * Connection to one peer. The manager takes its error listener off a connection that it replaces
- * while the error of that connection, for example after GOAWAY, may still be on its way; without
- * any listener such an error would stop the process.
+ * Connection to one peer, replaced when it fails. The session manager of connect-node is not used:
+ * it takes its error listener off a connection that it replaces, and an error of that connection
+ * which came later stopped the process.
  */
 export class PeerSession {
-  private readonly guarded = new WeakSet<ClientHttp2Session>();
+  private session: ClientHttp2Session | undefined;
+
+  private ready: Promise<ClientHttp2Session> | undefined;
+
+  private lastReadMs = 0;
+
+  private openStreams = 0;
 
-  private constructor(private readonly manager: Http2SessionManager) {}
+  private watch: NodeJS.Timeout | undefined;
+
+  private checking: Promise<boolean> | undefined;
+
+  private constructor(
+    /** Base address of the peer. */
+    readonly authority: string,
+    private readonly localAddress: string,
+  ) {}
 
   /**
    * Creates a session that connects with its first request.
@@ -31,18 +57,7 @@
    * @returns a new session
    */
   static create(url: string, localAddress: string): PeerSession {
-    return new PeerSession(
-      new Http2SessionManager(
-        url,
-        { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS },
-        { localAddress } as ClientSessionOptions,
-      ),
-    );
-  }
-
-  /** Base address of the peer. */
-  get authority(): string {
-    return this.manager.authority;
+    return new PeerSession(url, localAddress);
   }
 
   /**
@@ -52,7 +67,7 @@
    * @param path - path of the call
    * @param headers - headers of the call
    * @param options - options of the stream
-   * @returns the stream
+   * @returns the stream; rejects with a ConnectError when the peer cannot be reached
    */
   async request(
     method: string,
@@ -60,41 +75,121 @@
     headers: OutgoingHttpHeaders,
     options: Omit<ClientSessionRequestOptions, 'signal'>,
   ): Promise<ClientHttp2Stream> {
-    const stream = await this.manager.request(method, path, headers, options);
-    if (stream.session) this.guard(stream.session as ClientHttp2Session);
+    const session = await this.obtain();
+    if (!isUsable(session)) throw createUnavailable('the connection was closed');
+    const stream = session.request({ ...headers, ':method': method, ':path': path }, options);
+    this.openStreams += 1;
+    stream.once('close', () => {
+      this.openStreams -= 1;
+    });
+    this.watchPings();
     return stream;
   }
 
   /**
-   * Tells the manager that the connection is alive.
+   * Notes that the connection is alive.
    *
-   * @param stream - stream that received data
+   * @param _stream - stream that received data
    */
-  notifyResponseByteRead(stream: ClientHttp2Stream): void {
-    this.manager.notifyResponseByteRead(stream);
-  }
-
-  /** Ends an attempt to connect that hangs; pings watch over open connections only. */
-  abortConnecting(): void {
-    if (this.manager.state() === 'connecting') this.abort();
+  notifyResponseByteRead(_stream: ClientHttp2Stream): void {
+    this.lastReadMs = performance.now();
   }
 
   /** Ends the connection and its streams. */
   close(): void {
-    this.abort();
+    clearInterval(this.watch);
+    this.session?.destroy(createUnavailable('the connection was given up'));
+    this.session = undefined;
+    this.ready = undefined;
   }
 
-  /**
-   * With its own reason the manager would be closed without an error, and a call that waits for the
-   * connection at that moment would loop without end instead of failing.
-   */
-  private abort(): void {
-    this.manager.abort(new ConnectError('the connection was given up', Code.Unavailable));
+  /** Returns a connection that works as far as is known; a quiet one is checked by a ping first. */
+  private async obtain(): Promise<ClientHttp2Session> {
+    const { session } = this;
+    if (session && isUsable(session) && !session.connecting) {
+      if (!this.isQuiet() || (await this.check(session))) return session;
+    }
+    this.ready ??= this.connect().finally(() => {
+      this.ready = undefined;
+    });
+    return this.ready;
   }
 
-  private guard(session: ClientHttp2Session): void {
-    if (this.guarded.has(session)) return;
-    this.guarded.add(session);
-    session.on('error', () => undefined);
+  private connect(): Promise<ClientHttp2Session> {
+    const options = { localAddress: this.localAddress } as ClientSessionOptions;
+    const session = connect(this.authority, options);
+    this.session = session;
+    return new Promise((resolve, reject) => {
+      const timer = setTimeout(() => retire(session, 'no connection in time'), CONNECT_TIMEOUT_MS);
+      // The listeners stay for good, since an error may come after the connection was replaced.
+      session.on('error', (error) => reject(createUnavailable(error.message)));
+      session.once('close', () => {
+        clearTimeout(timer);
+        reject(createUnavailable('the connection was closed'));
+      });
+      session.once('goaway', () => session.close());
+      session.once('connect', () => {
+        clearTimeout(timer);
+        this.lastReadMs = performance.now();
+        session.setTimeout(IDLE_MS, () => session.close());
+        resolve(session);
+      });
+    });
   }
+
+  private isQuiet(): boolean {
+    return performance.now() - this.lastReadMs > PING_INTERVAL_MS;
+  }
+
+  /** Checks the connection while it has open streams; their calls would wait for their deadline. */
+  private watchPings(): void {
+    if (this.watch) return;
+    this.watch = setInterval(() => {
+      const { session } = this;
+      if (this.openStreams === 0 || !session) {
+        clearInterval(this.watch);
+        this.watch = undefined;
+        return;
+      }
+      if (isUsable(session) && this.isQuiet()) void this.check(session);
+    }, WATCH_MS);
+    this.watch.unref();
+  }
+
+  private check(session: ClientHttp2Session): Promise<boolean> {
+    this.checking ??= this.checkOnce(session).finally(() => {
+      this.checking = undefined;
+    });
+    return this.checking;
+  }
+
+  private async checkOnce(session: ClientHttp2Session): Promise<boolean> {
+    const isAlive = await ping(session);
+    if (isAlive) this.lastReadMs = performance.now();
+    else retire(session, 'no answer to a ping');
+    return isAlive;
+  }
+}
+
+function isUsable(session: ClientHttp2Session): boolean {
+  return !session.closed && !session.destroyed;
+}
+
+function retire(session: ClientHttp2Session, reason: string): void {
+  session.destroy(createUnavailable(reason), constants.NGHTTP2_CANCEL);
+}
+
+function createUnavailable(reason: string): ConnectError {
+  return new ConnectError(reason, Code.Unavailable);
+}
+
+function ping(session: ClientHttp2Session): Promise<boolean> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => resolve(false), PING_TIMEOUT_MS);
+    const finish = (error: Error | null) => {
+      clearTimeout(timer);
+      resolve(!error);
+    };
+    if (!isUsable(session) || !session.ping(finish)) finish(new Error('not sent'));
+  });
 }
--- a/src/platform/http-log-service.ts
+++ b/src/platform/http-log-service.ts
@@ -39,7 +39,7 @@
 
   private readonly appendUrls: UrlRotation;
 
-  private readonly agent: Agent;
+  private agent: Agent;
 
   private readonly stopping = new AbortController();
 
@@ -76,6 +76,7 @@
       deadlines: this.deadlines,
       signal: this.stopping.signal,
     });
+    if (answer.kind === 'failed') this.replaceConnections(answer.failure);
     const outcome = answer.kind === 'ok' ? judgeAppend(answer.value) : judgeLost(answer.failure);
     const isDown = outcome.kind === 'failed' && outcome.failure.reason === 'unavailable';
     if (isDown) this.appendUrls.leave(base);
@@ -93,11 +94,23 @@
       deadlines: { ...this.deadlines, firstByteMs: firstByteMs + waitMs },
       signal: signal ? AbortSignal.any([signal, stop]) : stop,
     });
+    if (answer.kind === 'failed' && !signal?.aborted) this.replaceConnections(answer.failure);
     const outcome = judgeRead(answer);
     if (outcome.kind === 'failed' && !signal?.aborted) this.readUrls.leave(base);
     return outcome;
   }
 
+  /**
+   * What lost track of one open connection has probably lost the others too, so the idle ones are
+   * not used again. Calls in progress on them end by themselves or by their deadlines.
+   */
+  private replaceConnections(failure: HttpCallFailure): void {
+    if (!failure.sent || this.stopping.signal.aborted) return;
+    const replaced = this.agent;
+    this.agent = createAgent(this.deadlines);
+    replaced.close().catch(() => undefined);
+  }
+
   override async stop(): Promise<void> {
     this.stopping.abort(new Error('the log service adapter was stopped'));
     await this.agent.destroy();
