fix(membership): never fold a peer's recent records behind a gap

Cause: a VM that starts when a peer has heard of its join asked that peer for records. The peer keeps recent ones only; folded onto an empty list they made a member list of this VM alone, on which it was its own only witness, and its lease stayed live although it was fenced. The trace of the failed scenario shows the removal at epoch 14 with evidence fenced, and no daemon listed 5 members. Ruled out: a removal that the fold ignores (the witnesses had not changed), and the new peer connections (the scenario had failed before them).

--- a/src/cli/preset-commands.ts
+++ b/src/cli/preset-commands.ts
@@ -21,6 +21,10 @@
         type: 'number',
         describe: 'tokens by which a cached prefix outweighs load',
       },
+      'reserved-slots': {
+        type: 'number',
+        describe: 'decode slots that a team short of tokens leaves to the others',
+      },
       maintenance: { type: 'boolean', default: false, describe: 'refuse keyed requests' },
     },
     run: (context, args) => {
--- a/src/membership/member-stream.ts
+++ b/src/membership/member-stream.ts
@@ -78,7 +78,8 @@
     const { clock, signal } = this.context;
     await clock.sleep(LOG_GRACE_MS, signal);
     while (this.offset() < epoch && !signal.aborted) {
-      if (!(await this.fetchRecords(address))) break;
+      const progressed = (await this.fetchRecords(address)) || (await this.fetchSnapshot(address));
+      if (!progressed) break;
     }
     this.newestHeard = 0;
   }
@@ -158,6 +159,10 @@
       timestampMs: Number(timestampMs),
       data,
     }));
+    // A peer keeps recent records only. Folded behind a gap they would make a list without the older
+    // members, on which this VM could be its own only witness.
+    const [first] = records;
+    if (first && first.offset > this.offset() + 1) return false;
     this.context.task.send({ kind: 'records', records });
     return this.offset() > before;
   }
