refactor: keep one rendezvous hash in the kernel

Cause: membership and routing each had the same hash (FNV-1a over both names, then the finalizer of MurmurHash3) under another name. The values are the same, so placement does not change.

--- a/bench/modules/server-chooser.ts
+++ b/bench/modules/server-chooser.ts
@@ -1,6 +1,6 @@
 import type { EngineServer } from '../../src/domain/backend-server.js';
 import type { ModelRequest } from '../../src/domain/request.js';
-import { rankByRendezvous } from '../../src/routing/rendezvous.js';
+import { rankByRendezvous } from '../../src/kernel/rendezvous.js';
 import type { SubsetRouting } from '../../src/routing/subset-routing.js';
 import type { Arrival } from '../load/workload.js';
 import type { FakeEngine } from './fake-engine.js';
--- a/src/execution/observing-hold-reaper.ts
+++ b/src/execution/observing-hold-reaper.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import type { Member } from '../membership/membership.js';
-import { scoreRendezvous } from '../routing/rendezvous.js';
+import { scoreRendezvous } from '../kernel/rendezvous.js';
 import { HoldReaper } from './hold-reaper.js';
 
 const ROUND_MS = 1000;
--- a/src/membership/witness-set.ts
+++ b/src/membership/witness-set.ts
@@ -1,5 +1,5 @@
 import type { Member } from './membership.js';
-import { weigh } from './rendezvous.js';
+import { scoreRendezvous } from '../kernel/rendezvous.js';
 
 /** Witnesses of a member beside itself. */
 export const OTHER_WITNESSES = 4;
@@ -17,7 +17,7 @@
   if (!self) return [];
   const rest = members
     .filter((member) => member.region === self.region && member.vm !== vm)
-    .map((member) => ({ member, weight: weigh(vm, member.vm) }))
+    .map((member) => ({ member, weight: scoreRendezvous(vm, member.vm) }))
     .sort((a, b) => b.weight - a.weight || (a.member.vm < b.member.vm ? -1 : 1));
   const chosen = [self];
   const perZone = new Map([[self.availabilityZone, 1]]);
--- a/src/observability/ring-decisions.ts
+++ b/src/observability/ring-decisions.ts
@@ -3,7 +3,7 @@
 import { SystemClock } from '../kernel/system-clock.js';
 import type { DecisionRecord } from '../gen/cuminspar/peer/v1/peer_pb.js';
 import type { Member } from '../membership/membership.js';
-import { weigh } from '../membership/rendezvous.js';
+import { scoreRendezvous } from '../kernel/rendezvous.js';
 import type { Settings } from '../settings/schema.js';
 import { DecisionRing } from './decision-ring.js';
 import { type DecisionEntry, Decisions } from './decisions.js';
@@ -147,7 +147,7 @@
     const rank = (member: Member) => {
       const near = member.region === region ? 1 : 0;
       const apart = member.availabilityZone === availabilityZone ? 0 : 2;
-      return (apart + near) * 2 ** 32 + weigh(this.vm, member.vm);
+      return (apart + near) * 2 ** 32 + scoreRendezvous(this.vm, member.vm);
     };
     return [...this.listOthers()].sort((a, b) => rank(b) - rank(a))[0];
   }
--- a/src/routing/subset.ts
+++ b/src/routing/subset.ts
@@ -1,5 +1,5 @@
 import type { EngineServer } from '../domain/backend-server.js';
-import { rankByRendezvous } from './rendezvous.js';
+import { rankByRendezvous } from '../kernel/rendezvous.js';
 
 /** Servers of one model and role that one VM uses. */
 export const SUBSET_SIZE = 16;
