fix(callers): leave members with a lost connection out of entry answers

Cause: entry answers named a dead daemon until it was fenced, about 6 s after its death, and callers keep an answer for as long as it is valid. Ruled out: refusals by rate or isolation; none was seen.

Change: a peer connection remembers when it was lost or refused, until the peer sends data again. An established TCP connection is no proof, since the kernel accepts for a frozen process. Entry answers leave such members out unless no other is left. The relay of the peer scenarios is replaced by the one of the harness.

--- a/features/peers/peers.feature
+++ b/features/peers/peers.feature
@@ -14,6 +14,20 @@
       | goes silent               | unavailable |
       | refuses connections       | unavailable       |
 
+  # Guards against entry answers that name a dead VM until it is fenced.
+  Scenario Outline: a peer that <fault> is unreachable until it answers
+    Given a peer listener behind a relay
+    Then the peer behind the relay counts as reachable
+    When the peer relay <fault>
+    Then the peer behind the relay counts as unreachable within 1500 ms
+    When the peer relay works again
+    Then the peer behind the relay counts as reachable within 1500 ms
+
+    Examples:
+      | fault               |
+      | goes silent         |
+      | refuses connections |
+
   Scenario: a silent connection is replaced while new ones work
     Given a peer listener behind a relay
     When the open connections of the peer relay go silent
--- a/features/steps/peers-steps.ts
+++ b/features/steps/peers-steps.ts
@@ -4,6 +4,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { Code, ConnectError } from '@connectrpc/connect';
 
+import { createTcpRelay, type TcpRelay } from '../../harness/tcp-relay.js';
 import { Kernel } from '../../src/kernel/kernel.js';
 import type { Member, Membership } from '../../src/membership/membership.js';
 import { RingDecisions } from '../../src/observability/ring-decisions.js';
@@ -11,13 +12,13 @@
 import type { PeerClient } from '../../src/peers/peers.js';
 import { RecordSources } from '../../src/peers/record-sources.js';
 import { findFreePort } from '../support/membership/waits.js';
-import { PeerRelay } from '../support/peer-relay.js';
 
 interface PeersWorld {
   port: number;
   server: ConnectPeers;
   client: PeerClient;
-  relay: PeerRelay;
+  relay: TcpRelay;
+  caller: ConnectPeers;
   stops: (() => Promise<void>)[];
   decisions: RingDecisions[];
   kernels: Kernel[];
@@ -33,7 +34,7 @@
 
 async function openClient(world: PeersWorld, port: number): Promise<void> {
   const caller = ConnectPeers.create(Kernel.create(), { peers: { host, port: 1 } });
-  Object.assign(world, { client: caller.client({ host, port }) });
+  Object.assign(world, { caller, client: caller.client({ host, port }) });
   world.stops.push(() => caller.stop());
 }
 
@@ -72,27 +73,44 @@
     confirmEpoch: () => ({ epoch: 7n }),
     withdrawKeys: () => ({}),
   });
-  this.relay = await PeerRelay.create(this.port);
+  this.relay = await createTcpRelay({ host, port: this.port });
   await openClient(this, this.relay.port);
   assert.equal((await this.client.confirmEpoch({})).epoch, 7n);
-  this.stops.push(() => this.relay.close().catch(() => undefined));
+  this.stops.push(() => this.relay.close());
 });
 
 When('the peer relay goes silent', function when(this: PeersWorld) {
-  this.relay.silence(true);
+  this.relay.silence();
 });
 
 When('the peer relay refuses connections', async function when(this: PeersWorld) {
-  await this.relay.close();
-  this.stops.pop();
+  this.relay.cut();
   // A call on the old connection would fail for its sudden end instead of the refusal.
   await delay(100);
 });
 
+When('the peer relay works again', function when(this: PeersWorld) {
+  this.relay.heal();
+});
+
 When('the open connections of the peer relay go silent', function when(this: PeersWorld) {
-  this.relay.silence(false);
+  this.relay.silenceOpen();
 });
 
+Then('the peer behind the relay counts as reachable', function then(this: PeersWorld) {
+  assert.equal(this.caller.unreachable(this.relay), false);
+});
+
+Then(
+  /^the peer behind the relay counts as (reachable|unreachable) within (\d+) ms$/,
+  async function then(this: PeersWorld, state: string, withinMs: string) {
+    await retryUntil(Number(withinMs), async () => {
+      await findCode(this.client.confirmEpoch({}));
+      return this.caller.unreachable(this.relay) === (state === 'unreachable');
+    });
+  },
+);
+
 Then(
   'the peer call {string} fails with {string} within {int} ms',
   async function then(this: PeersWorld, call: string, code: string, withinMs: number) {
--- a/features/support/membership/faulty-peers.ts
+++ b/features/support/membership/faulty-peers.ts
@@ -38,6 +38,10 @@
     return new Proxy(client, handler) as unknown as PeerClient;
   }
 
+  override unreachable(address: Address): boolean {
+    return this.cut || this.inner.unreachable(address);
+  }
+
   private guard(handlers: PeerHandlers): PeerHandlers {
     const entries = Object.entries(handlers).map(([name, call]) => [
       name,
--- a/src/callers/entry-addresses.ts
+++ b/src/callers/entry-addresses.ts
@@ -13,6 +13,8 @@
   /** True when this VM may be named. */
   readonly selfReady: boolean;
   readonly others: readonly MemberStatus[];
+  /** Tells whether a member is known not to answer. */
+  readonly unreachable: (member: Member) => boolean;
   /** Names of the VMs that hold the team's shares, the preferred one first. */
   readonly homes: readonly string[];
   readonly count: number;
@@ -20,15 +22,19 @@
 
 /**
  * Chooses the addresses that a caller should use: the team's home VMs first, since they admit its
- * requests without asking others, then VMs of this availability zone, then the rest.
+ * requests without asking others, then VMs of this availability zone, then the rest. VMs that do not
+ * answer this one are named only when there is no other: callers would keep the address of a dead VM
+ * until the answer runs out.
  *
  * @param choice - members and homes
  * @returns at most `count` addresses, the preferred one first
  */
 export function chooseEntryAddresses(choice: EntryChoice): readonly EntryAddress[] {
-  const { self, selfReady, others, homes, count } = choice;
-  const live = others.filter(({ draining }) => !draining).map(({ member }) => member);
-  const candidates = selfReady ? [self, ...live] : live;
+  const { self, selfReady, others, unreachable, homes, count } = choice;
+  const listed = others.filter(({ draining }) => !draining).map(({ member }) => member);
+  const reached = listed.filter((member) => !unreachable(member));
+  const usable = selfReady ? [self, ...reached] : reached;
+  const candidates = usable.length > 0 ? usable : listed;
   const rank = (member: Member) => {
     const home = homes.indexOf(member.vm);
     if (home >= 0) return home;
--- a/src/callers/http-caller-entry.ts
+++ b/src/callers/http-caller-entry.ts
@@ -179,6 +179,7 @@
       self: membership.self(),
       selfReady: this.unreadyReason() === undefined,
       others: membership.statuses(),
+      unreachable: ({ peers }) => this.kernel.find('peers').unreachable(peers),
       homes,
       count: this.settings.entryAddresses.count,
     });
--- a/src/peers/connect-peers.ts
+++ b/src/peers/connect-peers.ts
@@ -99,6 +99,10 @@
     return connection.client;
   }
 
+  override unreachable(address: Address): boolean {
+    return this.connections.get(createUrl(address))?.session.unreachable ?? false;
+  }
+
   private track(session: ServerHttp2Session): void {
     this.sessions.add(session);
     session.on('close', () => this.sessions.delete(session));
--- a/src/peers/peer-session.ts
+++ b/src/peers/peer-session.ts
@@ -25,6 +25,12 @@
 /** Time after which a connection without traffic is closed, in milliseconds. */
 const IDLE_MS = 60_000;
 
+/**
+ * Time for which a lost connection counts against a peer that is not called again, in milliseconds;
+ * longer than a member needs to be fenced after its death.
+ */
+const UNREACHABLE_MS = 10_000;
+
 /**
  * Connection to one peer, replaced when it fails. The session manager of connect-node is not used:
  * it takes its error listener off a connection that it replaces, and an error of that connection
@@ -37,6 +43,8 @@
 
   private lastReadMs = 0;
 
+  private lostMs = -Infinity;
+
   private openStreams = 0;
 
   private watch: NodeJS.Timeout | undefined;
@@ -60,6 +68,11 @@
     return new PeerSession(url, localAddress);
   }
 
+  /** True while the newest attempt to reach the peer has failed, and not long ago. */
+  get unreachable(): boolean {
+    return performance.now() - this.lostMs < UNREACHABLE_MS;
+  }
+
   /**
    * Opens a stream; connects first where that is needed.
    *
@@ -92,7 +105,7 @@
    * @param _stream - stream that received data
    */
   notifyResponseByteRead(_stream: ClientHttp2Stream): void {
-    this.lastReadMs = performance.now();
+    this.noteRead();
   }
 
   /** Ends the connection and its streams. */
@@ -103,6 +116,12 @@
     this.ready = undefined;
   }
 
+  /** Only data proves that a peer works: the kernel accepts connections to a frozen process. */
+  private noteRead(): void {
+    this.lastReadMs = performance.now();
+    this.lostMs = -Infinity;
+  }
+
   /** Returns a connection that works as far as is known; a quiet one is checked by a ping first. */
   private async obtain(): Promise<ClientHttp2Session> {
     const { session } = this;
@@ -123,15 +142,23 @@
       const timer = setTimeout(() => retire(session, 'no connection in time'), CONNECT_TIMEOUT_MS);
       // The listeners stay for good, since an error may come after the connection was replaced.
       session.on('error', (error) => reject(createUnavailable(error.message)));
+      let expected = false;
       session.once('close', () => {
         clearTimeout(timer);
+        if (!expected) this.lostMs = performance.now();
         reject(createUnavailable('the connection was closed'));
       });
-      session.once('goaway', () => session.close());
+      session.once('goaway', () => {
+        expected = true;
+        session.close();
+      });
       session.once('connect', () => {
         clearTimeout(timer);
         this.lastReadMs = performance.now();
-        session.setTimeout(IDLE_MS, () => session.close());
+        session.setTimeout(IDLE_MS, () => {
+          expected = true;
+          session.close();
+        });
         resolve(session);
       });
     });
@@ -165,7 +192,7 @@
 
   private async checkOnce(session: ClientHttp2Session): Promise<boolean> {
     const isAlive = await ping(session);
-    if (isAlive) this.lastReadMs = performance.now();
+    if (isAlive) this.noteRead();
     else retire(session, 'no answer to a ping');
     return isAlive;
   }
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -26,6 +26,15 @@
    * @returns a client
    */
   abstract client(address: Address): PeerClient;
+
+  /**
+   * Tells whether a peer is known not to answer.
+   *
+   * @param address - the peer's listener for peers
+   * @returns true when the newest connection to it was lost or refused lately; false when nothing is
+   * known
+   */
+  abstract unreachable(address: Address): boolean;
 }
 
 declare module '../kernel/service.js' {
