feat(cli): name the file in a table of faults, and check files of changes

Cause: the table of faults of `settings check` left out which file was meant, and a file of changes could not be checked without a daemon. Measured: the rows of "a command ends with the exit code of its outcome" pass, three of them new.

--- a/features/operators/operators.feature
+++ b/features/operators/operators.feature
@@ -27,6 +27,9 @@
       | explain request-2                            | 1    | (none)                      |
       | settings check examples/nicovale/settings.json | 0  | faults                      |
       | settings check examples/nicovale/configuration.json | 4 | (file)                  |
+      | settings check examples/nicovale/configuration.json | 4 | examples/nicovale/configuration.json |
+      | apply examples/nicovale/configuration.json --check  | 0 | changes                 |
+      | apply examples/nicovale/settings.json --check       | 4 | "put-team"              |
       | teem list                                    | 2    | teem                        |
       | team put oval-crew                           | 2    | rate                        |
       | apply examples/nicovale/configuration.json --base 3 | 2 | --base goes with a file of one change |
--- a/src/cli/file-commands.ts
+++ b/src/cli/file-commands.ts
@@ -8,9 +8,9 @@
 
 const FILE = { file: 'path of the JSON file' };
 
-function printFaults(context: CommandContext, { faults }: FileFailure): ExitCode {
-  const rows = faults.map((fault) => ({ ...fault }));
-  context.print(rows, { faults });
+function printFaults(context: CommandContext, { file, faults }: FileFailure): ExitCode {
+  const rows = faults.map((fault) => ({ file, ...fault }));
+  context.print(rows, { file, faults });
   return EXIT_CODE.invalid;
 }
 
@@ -35,9 +35,17 @@
     describe: 'send the changes of a file one by one; stops at the first that is not accepted',
     example: 'apply examples/nicovale/configuration.json',
     positionals: FILE,
+    options: {
+      check: { type: 'boolean', default: false, describe: 'check the file and send nothing' },
+    },
     run: async (context, args) => {
       const loaded = await loadChanges(args.text('file'));
       if (loaded.kind === 'failed') return printFaults(context, loaded.failure);
+      if (args.flag('check')) {
+        const row = { file: args.text('file'), changes: loaded.value.length, faults: 0 };
+        context.print([row], row);
+        return EXIT_CODE.done;
+      }
       if (context.base !== undefined && loaded.value.length !== 1) {
         console.error('--base goes with a file of one change: each subject has its own version');
         return EXIT_CODE.usage;
