test: search responses and compressed bodies between peers for keys

Cause: with a key put into a response header between peers, or into a decision, the search for keys stayed green: of the traffic between peers it decoded only requests, and bodies above 1 KiB, such as batches of decisions, are compressed.

Change: each recorded connection is replayed to Node's HTTP/2 server and client, and gzip bodies are expanded. The check waits until decisions have been copied, and requires a decision and a response header among what it searched.

--- a/features/steps/guarantees-confidentiality-steps.ts
+++ b/features/steps/guarantees-confidentiality-steps.ts
@@ -121,10 +121,13 @@
     await waitFor('metrics of every daemon', () =>
       fleet.daemons.every(({ name }) => datagrams.text().includes(name)),
     );
-    // Daemons write their spans about once a second.
-    await waitFor('spans of every daemon', async () => {
-      const traces = (await collectPlaces(fleet)).filter(({ name }) => name.startsWith('traces'));
-      return traces.length > 0 && traces.every(({ text }) => text.includes('traceId'));
+    // Daemons write their spans and copy their decisions about once a second.
+    await waitFor('spans of every daemon and copies of the last decisions', async () => {
+      const collected = await collectPlaces(fleet);
+      const traces = collected.filter(({ name }) => name.startsWith('traces'));
+      const calls = collected.filter(({ name }) => name.startsWith('calls of peers'));
+      const hasDecisions = calls.some(({ text }) => text.includes('key_withdrawn'));
+      return hasDecisions && traces.every(({ text }) => text.includes('traceId'));
     });
     const places: Place[] = [
       ...(await collectPlaces(fleet)),
@@ -145,7 +148,10 @@
       [/^record of log/, 'give-key'],
       [/^log lines/, 'request refused'],
       [/^traces/, 'traceId'],
-      [/^requests of peers/, '/cuminspar.peer.v1.'],
+      [/^calls of peers/, '/cuminspar.peer.v1.'],
+      // Part of the batches of decisions, which are compressed, and a response header.
+      [/^calls of peers/, 'key_withdrawn'],
+      [/^calls of peers/, '":status":200'],
       [/^bytes to-target of (?:decode|prefill)/, 'roll the square'],
       [/^bytes to-target of yard/, 'x-team'],
       [/^bytes to-target of log access/, '/v1/streams/'],
--- a/features/support/guarantees-peer-traffic.ts
+++ b/features/support/guarantees-peer-traffic.ts
@@ -1,38 +1,122 @@
 import { once } from 'node:events';
-import { createServer, type ServerHttp2Stream } from 'node:http2';
-import { connect, type AddressInfo } from 'node:net';
+import {
+  connect,
+  createServer,
+  type IncomingHttpHeaders,
+  type ClientHttp2Session,
+  type ServerHttp2Session,
+} from 'node:http2';
+import {
+  connect as connectTcp,
+  createServer as createTcpServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
+import type { Readable } from 'node:stream';
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import { promisify } from 'node:util';
+import { constants, gunzip as gunzipAsync } from 'node:zlib';
+
+import type { Direction } from '../../harness/tcp-relay.js';
 
 /** Larger than any recorded connection, so that the replay is not held up by flow control. */
 const WINDOW_BYTES = 2 ** 30;
 
+const SETTINGS = { initialWindowSize: WINDOW_BYTES };
+
+const FRAME_HEADER_BYTES = 9;
+const FRAME_TYPE_OFFSET = 3;
+const PING = 6;
+
+const gunzip = promisify(gunzipAsync);
+
 /**
- * Decodes the requests of one recorded HTTP/2 connection. Header values are compressed on the wire,
- * so searching the bytes would miss them; Node's own server reads the recording instead.
+ * Decodes the calls of one recorded HTTP/2 connection. Header values and large bodies are compressed
+ * on the wire, so searching the bytes would miss them; Node's own server and client read the
+ * recording instead.
  *
- * @param bytes - what the client sent, from the start of the connection
- * @returns headers and body of each request as text
+ * @param bytes - what each side sent, from the start of the connection
+ * @returns headers and body of each request and each response as text
  */
-export async function decodeRequests(bytes: Buffer): Promise<string> {
-  const texts: string[] = [];
-  const server = createServer({ settings: { initialWindowSize: WINDOW_BYTES } });
-  server.on('session', (session) => {
-    session.setLocalWindowSize(WINDOW_BYTES);
-    // A recording ends in the middle of whatever was under way.
-    session.on('error', () => {});
-  });
-  server.on('stream', (stream: ServerHttp2Stream, headers) => {
-    texts.push(JSON.stringify(headers));
-    stream.on('data', (data: Buffer) => texts.push(data.toString('latin1')));
-    stream.on('error', () => {});
-  });
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const client = connect((server.address() as AddressInfo).port, '127.0.0.1');
+export async function decodeCalls(bytes: Readonly<Record<Direction, Buffer>>): Promise<string[]> {
+  const requests = await decodeRequests(bytes['to-target']);
+  return [...requests, ...(await decodeResponses(bytes['to-client'], requests.length))];
+}
+
+async function decodeRequests(bytes: Buffer): Promise<string[]> {
+  const messages: Promise<string>[] = [];
+  const server = createServer({ settings: SETTINGS });
+  server.on('session', (session) => widen(session));
+  server.on('stream', (stream, headers) => messages.push(readMessage(stream, headers)));
+  const client = connectTcp(await listen(server), '127.0.0.1');
   const isClosed = once(client, 'close').catch(() => undefined);
   client.on('error', () => {});
   client.resume();
   client.end(bytes);
   await isClosed;
   server.close();
-  return texts.join('\n');
+  return Promise.all(messages);
+}
+
+/** Responses are understood only on streams that are open, so as many are opened as requests came. */
+async function decodeResponses(bytes: Buffer, requests: number): Promise<string[]> {
+  const messages: Promise<string>[] = [];
+  const server = createTcpServer();
+  const port = await listen(server);
+  const options = { settings: SETTINGS, peerMaxConcurrentStreams: requests + 1 };
+  const client = connect(`http://127.0.0.1:${port}`, options);
+  widen(client);
+  const [connected] = await Promise.all([once(server, 'connection'), once(client, 'connect')]);
+  const [socket] = connected as [Socket];
+  socket.on('error', () => {});
+  socket.resume();
+  const streams = Array.from({ length: requests }, () => client.request({ ':path': '/' }));
+  streams.forEach((stream) => {
+    stream.on('error', () => {});
+    stream.on('response', (headers) => messages.push(readMessage(stream, headers)));
+  });
+  await Promise.all(streams.map((stream) => stream.pending && once(stream, 'ready')));
+  await nextTurn();
+  const isClosed = once(client, 'close').catch(() => undefined);
+  socket.end(dropPings(bytes));
+  await isClosed;
+  server.close();
+  return Promise.all(messages);
+}
+
+function widen(session: ServerHttp2Session | ClientHttp2Session): void {
+  session.on('connect', () => session.setLocalWindowSize(WINDOW_BYTES));
+  // A recording ends in the middle of whatever was under way.
+  session.on('error', () => {});
+}
+
+async function listen(server: Server): Promise<number> {
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return (server.address() as AddressInfo).port;
+}
+
+/** Drops the answers to pings, since Node ends a connection that answers a ping it has not sent. */
+function dropPings(bytes: Buffer): Buffer {
+  const kept: Buffer[] = [];
+  for (let at = 0; at + FRAME_HEADER_BYTES <= bytes.length;) {
+    const end = at + FRAME_HEADER_BYTES + bytes.readUIntBE(at, FRAME_TYPE_OFFSET);
+    if (bytes[at + FRAME_TYPE_OFFSET] !== PING) kept.push(bytes.subarray(at, end));
+    at = end;
+  }
+  return Buffer.concat(kept);
+}
+
+async function readMessage(stream: Readable, headers: IncomingHttpHeaders): Promise<string> {
+  const pieces: Buffer[] = [];
+  stream.on('data', (data: Buffer) => pieces.push(data));
+  stream.on('error', () => {});
+  await new Promise((resolve) => {
+    stream.once('close', resolve);
+  });
+  const body = Buffer.concat(pieces);
+  const isCompressed = headers['content-encoding'] === 'gzip' && body.length > 0;
+  const plain = isCompressed ? await gunzip(body, { finishFlush: constants.Z_SYNC_FLUSH }) : body;
+  return `${JSON.stringify(headers)}\n${plain.toString('latin1')}`;
 }
--- a/features/support/guarantees-traces-of-keys.ts
+++ b/features/support/guarantees-traces-of-keys.ts
@@ -2,7 +2,7 @@
 
 import type { Fleet } from '../../harness/fleet.js';
 import type { Direction, TcpRelay } from '../../harness/tcp-relay.js';
-import { decodeRequests } from './guarantees-peer-traffic.js';
+import { decodeCalls } from './guarantees-peer-traffic.js';
 
 /** A place where a key must not be found. */
 export interface Place {
@@ -37,7 +37,7 @@
   const daemons = fleet.daemons.map(async ({ name, settingsFile, links, process }) => [
     { name: `log lines of ${name}`, text: process.stdout() + process.stderr() },
     { name: `traces of ${name}`, text: await readSpans(settingsFile) },
-    { name: `requests of peers to ${name}`, text: await decodePeers(links?.peers) },
+    { name: `calls of peers to ${name}`, text: await decodePeers(links?.peers) },
     ...listRelayed(`peers of ${name}`, links?.peers),
     ...listRelayed(`log access of ${name}`, links?.log),
   ]);
@@ -64,7 +64,10 @@
 async function decodePeers(relay: TcpRelay | undefined): Promise<string> {
   const connections = relay?.recorded ?? [];
   const decoded = connections.map(({ pieces }) =>
-    decodeRequests(Buffer.concat(pieces['to-target'])),
+    decodeCalls({
+      'to-target': Buffer.concat(pieces['to-target']),
+      'to-client': Buffer.concat(pieces['to-client']),
+    }),
   );
-  return (await Promise.all(decoded)).join('\n');
+  return (await Promise.all(decoded)).flat().join('\n');
 }
