fix(admission): tell two deaths of an engine apart by its incarnation

Cause: reports about one engine within 3 s counted as one death, since several VMs report the same death. An engine that restarts faster than that was killed again by the same request, which was not refused after two deaths.

Change: a report names the incarnation that died, as the VM knew it; reports that name different incarnations are different deaths. Without an incarnation the time alone decides, as before. Ruled out: shortening the 3 s, since VMs learn of one death up to some seconds apart.

--- a/features/steps/crash-prone-steps.ts
+++ b/features/steps/crash-prone-steps.ts
@@ -29,9 +29,10 @@
 const CRASH_TEXT = 'unreadable drawing';
 
 Given(
-  'a crash-prone fleet whose engines end at {}',
-  async function given(this: CrashWorld, path: string) {
-    await startGuaranteeFleet(this, { daemons: DAEMONS, prefills: 3, decodes: 3, services: 0 });
+  'a crash-prone fleet of {int} engine(s) in each pool that end at {}',
+  async function given(this: CrashWorld, engines: number, path: string) {
+    const size = { daemons: DAEMONS, prefills: engines, decodes: engines, services: 0 };
+    await startGuaranteeFleet(this, size);
     const fault = { path, kind: 'crash-on', text: CRASH_TEXT };
     this.supervisor = await EngineSupervisor.create(this.fleet, fault);
   },
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -40,9 +40,14 @@
    *
    * @param server - name of the server
    * @param fingerprints - fingerprints of the requests that ran there
+   * @param incarnation - incarnation that died; undefined when it is not known
    * @returns a promise that resolves when peers know, or after a short deadline
    */
-  abstract reportDeath(server: string, fingerprints: readonly string[]): Promise<void>;
+  abstract reportDeath(
+    server: string,
+    fingerprints: readonly string[],
+    incarnation?: string,
+  ): Promise<void>;
 
   /** Tells the queue that capacity may have become free. */
   abstract capacityChanged(): void;
--- a/src/admission/death-reports.ts
+++ b/src/admission/death-reports.ts
@@ -18,6 +18,8 @@
   readonly deathId: string;
   readonly server: string;
   readonly fingerprints: readonly string[];
+  /** Incarnation of the server that died; empty when it is not known. */
+  readonly incarnation: string;
 }
 
 /** Keeps the death counts of this VM and exchanges reports with peers. */
@@ -48,11 +50,12 @@
    */
   async add(report: DeathReport): Promise<void> {
     const fingerprints = report.fingerprints.slice(0, MOST_FINGERPRINTS);
-    const { deathId, server } = report;
+    const { deathId, server, incarnation } = report;
     const nowMs = this.clock.monotonicMs();
-    if (!this.quarantine.record(deathId, server, fingerprints, nowMs)) return;
+    const known = incarnation || undefined;
+    if (!this.quarantine.record(deathId, server, fingerprints, nowMs, known)) return;
     const told = new AbortController();
-    const passed = this.passOn({ deathId, server, fingerprints }).finally(() => told.abort());
+    const passed = this.passOn({ ...report, fingerprints }).finally(() => told.abort());
     await Promise.race([passed, this.clock.sleep(SPREAD_MS, told.signal)]);
   }
 
@@ -84,7 +87,8 @@
       .map((member) => ({ member, order: Math.random() }))
       .sort((left, right) => left.order - right.order)
       .slice(0, FAN_OUT);
-    const death = { ...report, fingerprints: [...report.fingerprints] };
+    const { deathId, server, incarnation: died, fingerprints } = report;
+    const death = { deathId, server, incarnation: died, fingerprints: [...fingerprints] };
     const calls = chosen.map(({ member }) =>
       this.kernel
         .find('peers')
--- a/src/admission/quarantine.ts
+++ b/src/admission/quarantine.ts
@@ -1,7 +1,10 @@
 /** How long a suspect stays suspect and a quarantined fingerprint is refused. */
 export const QUARANTINE_MS = 600_000;
 
-/** Reports about one server within this time are parts of one death, seen by several VMs. */
+/**
+ * Reports about one server within this time are parts of one death, seen by several VMs, unless they
+ * name different incarnations of the server.
+ */
 export const DEATH_MERGE_MS = 3000;
 
 /** Bound on remembered fingerprints and deaths; the oldest are forgotten first. */
@@ -15,6 +18,8 @@
 
 interface Death {
   readonly atMs: number;
+  /** Incarnation of the server that died; undefined until a report names it. */
+  incarnation: string | undefined;
   readonly suspects: Set<string>;
   readonly others: Set<string>;
 }
@@ -23,7 +28,8 @@
 export class Quarantine {
   private readonly suspicions = new Map<string, Suspicion>();
 
-  private readonly deaths = new Map<string, Death>();
+  /** Latest deaths of each server. */
+  private readonly deaths = new Map<string, readonly Death[]>();
 
   private readonly reports = new Set<string>();
 
@@ -44,6 +50,7 @@
    * @param server - name of the server
    * @param fingerprints - fingerprints of the requests that were aboard
    * @param nowMs - monotonic time in milliseconds
+   * @param incarnation - incarnation of the server that died; undefined when it is not known
    * @returns true when the report was new
    */
   record(
@@ -51,11 +58,12 @@
     server: string,
     fingerprints: readonly string[],
     nowMs: number,
+    incarnation?: string,
   ): boolean {
     if (this.reports.has(reportId)) return false;
     this.reports.add(reportId);
     this.forget(nowMs);
-    const death = this.findDeath(server, nowMs);
+    const death = this.findDeath(server, nowMs, incarnation);
     fingerprints.forEach((fingerprint) => this.aboard(death, fingerprint, nowMs));
     this.judge(death, nowMs);
     return true;
@@ -84,12 +92,20 @@
     return quarantinedMs === undefined ? undefined : quarantinedMs + QUARANTINE_MS - nowMs;
   }
 
-  private findDeath(server: string, nowMs: number): Death {
-    const known = this.deaths.get(server);
-    if (known && nowMs - known.atMs <= DEATH_MERGE_MS) return known;
-    const death = { atMs: nowMs, suspects: new Set<string>(), others: new Set<string>() };
+  private findDeath(server: string, nowMs: number, incarnation: string | undefined): Death {
+    const all = this.deaths.get(server) ?? [];
+    const recent = all.filter(({ atMs }) => nowMs - atMs <= DEATH_MERGE_MS);
+    const known =
+      recent.find((death) => death.incarnation === incarnation) ??
+      recent.findLast((death) => !death.incarnation || !incarnation);
+    if (known) {
+      known.incarnation ??= incarnation;
+      return known;
+    }
+    const sets = { suspects: new Set<string>(), others: new Set<string>() };
+    const death: Death = { atMs: nowMs, incarnation, ...sets };
     this.deaths.delete(server);
-    this.deaths.set(server, death);
+    this.deaths.set(server, [...recent, death]);
     return death;
   }
 
--- a/src/admission/shared-admission.ts
+++ b/src/admission/shared-admission.ts
@@ -105,8 +105,12 @@
     return this.table.homes(team, epoch).map((home) => home.vm);
   }
 
-  override reportDeath(server: string, fingerprints: readonly string[]): Promise<void> {
-    return this.deaths.add({ deathId: randomUUID(), server, fingerprints });
+  override reportDeath(
+    server: string,
+    fingerprints: readonly string[],
+    incarnation = '',
+  ): Promise<void> {
+    return this.deaths.add({ deathId: randomUUID(), server, fingerprints, incarnation });
   }
 
   override capacityChanged(): void {
--- a/src/execution/death-watch.ts
+++ b/src/execution/death-watch.ts
@@ -11,7 +11,11 @@
   /** Incarnation that an engine last reported. */
   readonly incarnation: (server: string) => string | undefined;
   /** Reports a death; resolves when peers know, or after a short deadline. */
-  readonly report: (server: string, fingerprints: readonly string[]) => Promise<void>;
+  readonly report: (
+    server: string,
+    fingerprints: readonly string[],
+    incarnation: string | undefined,
+  ) => Promise<void>;
 }
 
 interface Passenger {
@@ -102,7 +106,9 @@
 
   private async reportDeath(server: string, passengers: readonly Passenger[]): Promise<void> {
     const fingerprints = new Set(passengers.map(({ fingerprint }) => fingerprint));
-    const reported = this.target.report(server, [...fingerprints]);
+    // The one that boarded last has the newest view of the engine.
+    const incarnation = passengers.findLast((passenger) => passenger.incarnation)?.incarnation;
+    const reported = this.target.report(server, [...fingerprints], incarnation);
     // The other requests learn later that their connections are lost; that is the same death.
     passengers.forEach(({ attemptId }) => this.leave(server, attemptId));
     await reported;
--- a/src/execution/phased-model-execution.ts
+++ b/src/execution/phased-model-execution.ts
@@ -30,7 +30,8 @@
       {
         backends,
         incarnation: (server) => kernel.find('routing').incarnation(server),
-        report: (server, prints) => kernel.find('admission').reportDeath(server, prints),
+        report: (server, prints, incarnation) =>
+          kernel.find('admission').reportDeath(server, prints, incarnation),
       },
       clock,
     );
