refactor: give failed calls one generic class

EngineFailure, HttpCallFailure and LogFailure were classes of one shape: a reason, a message and a create method. They are now aliases of CallFailure<Reason>, with one set of reasons each; HttpCallFailure says 'unsent' or 'unknown' in place of a boolean.

--- a/features/steps/execution-death-steps.ts
+++ b/features/steps/execution-death-steps.ts
@@ -3,8 +3,8 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 
 import type { Backends } from '../../src/backends/backends.js';
-import { EngineFailure } from '../../src/backends/engine-failure.js';
 import { DeathWatch } from '../../src/execution/death-watch.js';
+import { CallFailure } from '../../src/kernel/call-failure.js';
 import { fail, succeed } from '../../src/kernel/outcome.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
 import { createEngineServer } from '../support/servers.js';
@@ -18,8 +18,8 @@
 const SERVER = createEngineServer('engine1');
 
 function answerLoad(state: string) {
-  if (state === 'refusing') return fail(EngineFailure.create('refused', 'refused'));
-  if (state === 'silent') return fail(EngineFailure.create('silent', 'silent'));
+  if (state === 'refusing') return fail(CallFailure.create('refused', 'refused'));
+  if (state === 'silent') return fail(CallFailure.create('silent', 'silent'));
   return succeed({ incarnation: state === 'restarted' ? 'run2' : 'run1' });
 }
 
--- a/features/support/fake-log.ts
+++ b/features/support/fake-log.ts
@@ -1,6 +1,7 @@
+import { CallFailure } from '../../src/kernel/call-failure.js';
 import { fail, type Outcome, succeed } from '../../src/kernel/outcome.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
-import { LogFailure } from '../../src/platform/log-failure.js';
+import type { LogFailure } from '../../src/platform/log-failure.js';
 import {
   type LogPage,
   type LogQuery,
@@ -37,7 +38,7 @@
     records: readonly string[],
   ): Promise<Outcome<number, LogFailure>> {
     await clock.sleep(1);
-    if (this.out) return fail(LogFailure.create('unavailable', 'log outage'));
+    if (this.out) return fail(CallFailure.create('unavailable', 'log outage'));
     this.appends += 1;
     const first = this.stored.length + 1;
     records.forEach((data, index) => {
@@ -46,7 +47,7 @@
     this.waiting.splice(0).forEach((wake) => wake());
     if (this.lostAnswers === 0) return succeed(first);
     this.lostAnswers -= 1;
-    return fail(LogFailure.create('unknown', 'answer lost'));
+    return fail(CallFailure.create('unknown', 'answer lost'));
   }
 
   override read(query: LogQuery): Promise<Outcome<LogPage, LogFailure>> {
@@ -65,7 +66,7 @@
       this.waiting.push(() => arrival.abort());
       await clock.sleep(query.waitMs, AbortSignal.any([...signals, arrival.signal]));
     }
-    if (this.out) return fail(LogFailure.create('unavailable', 'log outage'));
+    if (this.out) return fail(CallFailure.create('unavailable', 'log outage'));
     const visible = this.visible(end());
     const from = Math.max(query.from, this.earliest);
     return succeed({
--- a/features/support/membership/fake-log.ts
+++ b/features/support/membership/fake-log.ts
@@ -1,7 +1,8 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
+import { CallFailure } from '../../../src/kernel/call-failure.js';
 import { fail, type Outcome, succeed } from '../../../src/kernel/outcome.js';
-import { LogFailure } from '../../../src/platform/log-failure.js';
+import type { LogFailure } from '../../../src/platform/log-failure.js';
 import { type LogPage, type LogQuery, LogService } from '../../../src/platform/log-service.js';
 import type { FakeLogStore } from './fake-log-store.js';
 import type { FaultyClock } from './faulty-clock.js';
@@ -23,7 +24,7 @@
     records: readonly string[],
   ): Promise<Outcome<number, LogFailure>> {
     await this.clock.gate();
-    if (this.cut || this.store.out) return fail(LogFailure.create('unavailable', 'out'));
+    if (this.cut || this.store.out) return fail(CallFailure.create('unavailable', 'out'));
     const first = this.store.records.length + 1;
     this.store.appends += 1;
     records.forEach((data, index) => {
@@ -35,7 +36,7 @@
   override async read({ from, limit, waitMs, signal }: LogQuery) {
     const deadlineMs = performance.now() + waitMs / SPEED;
     for (;;) {
-      if (this.cut || this.store.out) return fail(LogFailure.create('unavailable', 'out'));
+      if (this.cut || this.store.out) return fail(CallFailure.create('unavailable', 'out'));
       const page = this.createPage(from, limit);
       if (page.records.length > 0 || performance.now() > deadlineMs || signal?.aborted) {
         await this.clock.gate();
--- a/features/support/scheduled-log.ts
+++ b/features/support/scheduled-log.ts
@@ -1,7 +1,8 @@
 import type { Scheduler } from 'fast-check';
 
+import { CallFailure } from '../../src/kernel/call-failure.js';
 import { fail, succeed, type Outcome } from '../../src/kernel/outcome.js';
-import { LogFailure } from '../../src/platform/log-failure.js';
+import type { LogFailure } from '../../src/platform/log-failure.js';
 import {
   LogService,
   type LogPage,
@@ -45,21 +46,21 @@
   ): Promise<Outcome<number, LogFailure>> {
     const fault = this.nextFault();
     await this.scheduler.schedule(Promise.resolve(), 'append');
-    if (fault === 'unavailable') return fail(LogFailure.create('unavailable', 'outage'));
-    if (fault === 'dropped') return fail(LogFailure.create('unknown', 'timeout'));
+    if (fault === 'unavailable') return fail(CallFailure.create('unavailable', 'outage'));
+    if (fault === 'dropped') return fail(CallFailure.create('unknown', 'timeout'));
     if (fault === 'late') {
       void this.scheduler.schedule(Promise.resolve(), 'late').then(() => this.add(stream, records));
-      return fail(LogFailure.create('unknown', 'timeout'));
+      return fail(CallFailure.create('unknown', 'timeout'));
     }
     const offset = this.add(stream, records);
     await this.scheduler.schedule(Promise.resolve(), 'append answer');
-    return fault === 'lost' ? fail(LogFailure.create('unknown', 'lost')) : succeed(offset);
+    return fault === 'lost' ? fail(CallFailure.create('unknown', 'lost')) : succeed(offset);
   }
 
   override async read(query: LogQuery): Promise<Outcome<LogPage, LogFailure>> {
     const fault = this.nextFault();
     await this.scheduler.schedule(Promise.resolve(), 'read');
-    if (fault === 'unavailable') return fail(LogFailure.create('unavailable', 'outage'));
+    if (fault === 'unavailable') return fail(CallFailure.create('unavailable', 'outage'));
     const all = this.streams.get(query.stream) ?? [];
     const visible = fault === 'stale' ? all.slice(0, -1) : all;
     const records = visible.filter(({ offset }) => offset >= query.from);
--- a/src/backends/decode-reader.ts
+++ b/src/backends/decode-reader.ts
@@ -1,5 +1,5 @@
+import { CallFailure } from '../kernel/call-failure.js';
 import type { DecodeEvent } from './engine.js';
-import { EngineFailure } from './engine-failure.js';
 
 /** What was dropped from a stream. */
 export type DroppedEvent = 'foreign' | 'duplicate';
@@ -108,7 +108,7 @@
   private break(message: string): DecodeEvent[] {
     if (this.done) return [];
     this.done = true;
-    return [{ kind: 'failed', failure: EngineFailure.create('broken', message) }];
+    return [{ kind: 'failed', failure: CallFailure.create('broken', message) }];
   }
 }
 
--- a/src/backends/http-engine.ts
+++ b/src/backends/http-engine.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 
 import type { Incarnation } from '../domain/vm.js';
+import { CallFailure } from '../kernel/call-failure.js';
 import { Channel } from '../kernel/channel.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
 import type { EngineLoad } from '../routing/routing.js';
@@ -16,7 +17,7 @@
   type Prefill,
   type Reservation,
 } from './engine.js';
-import { EngineFailure, type EngineFailureReason } from './engine-failure.js';
+import type { EngineFailure, EngineFailureReason } from './engine-failure.js';
 import {
   classifyError,
   readBody,
@@ -308,13 +309,13 @@
   ): Outcome<Value, EngineFailure> {
     if (outcome.kind === 'failed' || outcome.value.attemptId === call.attemptId) return outcome;
     this.listener.dropped('foreign');
-    return fail(EngineFailure.create('broken', 'the answer belongs to another attempt'));
+    return fail(CallFailure.create('broken', 'the answer belongs to another attempt'));
   }
 
   private noteFailure(path: string, failure: ExchangeFailure): EngineFailure {
     const reason = failure === 'too-large' ? 'broken' : failure;
     if (reason !== 'cancelled') this.listener.failed(reason === 'refused');
-    return EngineFailure.create(reason, `${path}: ${failure}`);
+    return CallFailure.create(reason, `${path}: ${failure}`);
   }
 }
 
@@ -329,14 +330,14 @@
   status: number,
 ): EngineFailure {
   const reason = request.statuses?.[status] ?? 'rejected';
-  return EngineFailure.create(reason, `${request.path}: status ${status}`);
+  return CallFailure.create(reason, `${request.path}: status ${status}`);
 }
 
 function parseAnswer<Value>(request: Send<Value>, body: Buffer): Outcome<Value, EngineFailure> {
   try {
     return succeed(request.schema.parse(JSON.parse(body.toString('utf8'))));
   } catch {
-    return fail(EngineFailure.create('broken', `${request.path}: malformed answer`));
+    return fail(CallFailure.create('broken', `${request.path}: malformed answer`));
   }
 }
 
--- a/src/platform/http-call.ts
+++ b/src/platform/http-call.ts
@@ -1,5 +1,6 @@
 import { Agent, buildConnector, request, type Dispatcher } from 'undici';
 
+import { CallFailure } from '../kernel/call-failure.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
 
 /** Longest waits of a call, in milliseconds. */
@@ -44,29 +45,8 @@
   readonly body: unknown;
 }
 
-/** A call without an answer. */
-export class HttpCallFailure extends Error {
-  override readonly name = 'HttpCallFailure';
-
-  private constructor(
-    /** Whether the request may have reached the server. */
-    readonly sent: boolean,
-    message: string,
-  ) {
-    super(message);
-  }
-
-  /**
-   * Creates a failure.
-   *
-   * @param sent - whether the request may have reached the server
-   * @param message - what happened
-   * @returns a new failure
-   */
-  static create(sent: boolean, message: string): HttpCallFailure {
-    return new HttpCallFailure(sent, message);
-  }
-}
+/** A call without an answer: `unsent`, or `unknown` when it may have reached the server. */
+export type HttpCallFailure = CallFailure<'unsent' | 'unknown'>;
 
 /** Errors that occur before a connection exists, so that nothing has been sent. */
 const UNSENT_CODES = new Set([
@@ -151,7 +131,7 @@
   call: HttpCall,
   read: (response: Dispatcher.ResponseData) => Promise<HttpAnswer>,
 ): Promise<Outcome<HttpAnswer, HttpCallFailure>> {
-  if (call.signal?.aborted) return fail(HttpCallFailure.create(false, 'the call was aborted'));
+  if (call.signal?.aborted) return fail(CallFailure.create('unsent', 'the call was aborted'));
   const deadline = new AbortController();
   const { firstByteMs, bodyMs } = call.deadlines;
   // undici rounds its own timeouts to about a second, so the deadlines are timers of their own.
@@ -180,8 +160,8 @@
 
 function describeFailure(error: unknown): HttpCallFailure {
   const { code, message } = error as { code?: string; message?: string };
-  const sent = !UNSENT_CODES.has(code ?? '');
-  return HttpCallFailure.create(sent, message || (code ?? String(error)));
+  const reason = UNSENT_CODES.has(code ?? '') ? 'unsent' : 'unknown';
+  return CallFailure.create(reason, message || (code ?? String(error)));
 }
 
 function parseJson(text: string): unknown {
--- a/src/platform/http-log-service.ts
+++ b/src/platform/http-log-service.ts
@@ -1,6 +1,7 @@
 import type { Agent } from 'undici';
 import { z } from 'zod';
 
+import { CallFailure } from '../kernel/call-failure.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
 import {
   buildDeadlines,
@@ -10,7 +11,7 @@
   type HttpCallFailure,
   type HttpDeadlines,
 } from './http-call.js';
-import { LogFailure } from './log-failure.js';
+import type { LogFailure } from './log-failure.js';
 import { LogService, type LogPage, type LogQuery } from './log-service.js';
 import { UrlRotation } from './url-rotation.js';
 
@@ -105,7 +106,7 @@
    * not used again. Calls in progress on them end by themselves or by their deadlines.
    */
   private replaceConnections(failure: HttpCallFailure): void {
-    if (!failure.sent || this.stopping.signal.aborted) return;
+    if (failure.reason === 'unsent' || this.stopping.signal.aborted) return;
     const replaced = this.agent;
     this.agent = createAgent(this.deadlines);
     replaced.close().catch(() => undefined);
@@ -124,23 +125,24 @@
 function judgeAppend({ status, body }: HttpAnswer): Outcome<number, LogFailure> {
   const parsed = appendAnswer.safeParse(body);
   if (status === 200 && parsed.success) return succeed(parsed.data.firstOffset);
-  if (status === 429) return fail(LogFailure.create('throttled', 'the append rate is exceeded'));
+  if (status === 429) return fail(CallFailure.create('throttled', 'the append rate is exceeded'));
   const hadNoEffect = status === 503 || (status >= 400 && status < 500);
   const reason = hadNoEffect ? 'unavailable' : 'unknown';
-  return fail(LogFailure.create(reason, `append was answered with status ${status}`));
+  return fail(CallFailure.create(reason, `append was answered with status ${status}`));
 }
 
 function judgeLost(failure: HttpCallFailure): Outcome<number, LogFailure> {
-  return fail(LogFailure.create(failure.sent ? 'unknown' : 'unavailable', failure.message));
+  const reason = failure.reason === 'unsent' ? 'unavailable' : 'unknown';
+  return fail(CallFailure.create(reason, failure.message));
 }
 
 function judgeRead(answer: Outcome<HttpAnswer, HttpCallFailure>): Outcome<LogPage, LogFailure> {
   if (answer.kind === 'failed') {
-    return fail(LogFailure.create('unavailable', answer.failure.message));
+    return fail(CallFailure.create('unavailable', answer.failure.message));
   }
   const { status, body } = answer.value;
   const page = pageAnswer.safeParse(body);
   if (status === 200 && page.success) return succeed(page.data);
   const reason = status === 429 ? 'throttled' : 'unavailable';
-  return fail(LogFailure.create(reason, `read was answered with status ${status}`));
+  return fail(CallFailure.create(reason, `read was answered with status ${status}`));
 }
