--- a/src/execution/attempt-machine.ts
+++ b/src/execution/attempt-machine.ts
@@ -1,30 +1,9 @@
 import type { EngineFailureReason } from '../backends/engine-failure.js';
 import { Refusal, type RefusalCode } from '../domain/refusal.js';
 import type { AttemptAction, AttemptEvent } from './attempt-events.js';
+import { AttemptServers, provesNoEffect, type ServerRole } from './attempt-servers.js';
+import type { AttemptLimits, AttemptState } from './attempt-state.js';
 
-/** Phase of a request. */
-export type AttemptState =
-  | 'new'
-  | 'admitting'
-  | 'reserving'
-  | 'prefilling'
-  | 'extending'
-  | 'transferring'
-  | 'decoding'
-  | 'pausing'
-  | 'ended';
-
-/** Limits of a request. */
-export interface AttemptLimits {
-  /** Prompt tokens that admission debits. */
-  readonly promptTokens: number;
-  /** Monotonic time after which a request without a server is refused, in milliseconds. */
-  readonly capacityDeadlineMs: number;
-  /** Monotonic time after which a failed phase is not tried again, in milliseconds. */
-  readonly retryDeadlineMs: number;
-}
-
-type Role = 'prefill' | 'decode';
 type Stepped = Extract<AttemptEvent, { readonly step: number }>;
 type Step<Kind extends Stepped['kind']> = Extract<Stepped, { readonly kind: Kind }>;
 type Ask = Extract<AttemptAction, { readonly step: number }>;
@@ -32,9 +11,6 @@
 const MAX_ROUNDS = 8;
 const MAX_RESUMES = 2;
 
-// Failures that prove that the call of the step had no effect at the engine.
-const WITHOUT_EFFECT: ReadonlySet<EngineFailureReason> = new Set(['refused', 'busy']);
-
 /**
  * Decides what happens to one model request; it has no sockets and no timers. A request goes
  * through one or more rounds. Each round has its own grant and attempt id, and uses a server again
@@ -52,13 +28,7 @@
 
   private readonly grants = new Set<number>();
 
-  private readonly touched = new Map<string, Set<Role>>();
-
-  private readonly failedServers = new Set<string>();
-
-  private readonly busyServers = new Set<string>();
-
-  private server: string | undefined;
+  private readonly servers = AttemptServers.create();
 
   private retryAction: 'reserve' | 'prefill' = 'reserve';
 
@@ -100,7 +70,7 @@
 
   /** Servers that are not to be chosen now. */
   get excluded(): ReadonlySet<string> {
-    return new Set([...this.failedServers, ...this.busyServers]);
+    return this.servers.excluded;
   }
 
   /**
@@ -158,7 +128,7 @@
   /** Events that say that nothing was sent cannot follow the call of their step. */
   private contradictsSend({ kind }: Stepped): boolean {
     const unsent = kind === 'no-server' || kind === 'late' || kind === 'unsendable';
-    return unsent && this.server !== undefined;
+    return unsent && this.servers.current !== undefined;
   }
 
   private discard(event: Stepped): readonly AttemptAction[] {
@@ -178,9 +148,9 @@
   private inReserving(event: Stepped, nowMs: number): readonly AttemptAction[] {
     switch (event.kind) {
       case 'sent':
-        return this.touch(event, 'decode');
+        return this.noteCall(event, 'decode');
       case 'reserved':
-        return this.server ? [this.ask('prefilling', 'prefill')] : [];
+        return this.servers.current ? [this.ask('prefilling', 'prefill')] : [];
       case 'refused':
         return this.finish(event.refusal);
       case 'no-server':
@@ -193,7 +163,7 @@
   }
 
   private failReserve({ reason }: Step<'failed'>, nowMs: number): readonly AttemptAction[] {
-    this.exclude(reason, 'decode');
+    this.servers.exclude(reason, 'decode');
     if (!this.mayRetry(nowMs)) return this.finishFailed('no decode engine took the request');
     return [this.ask('reserving', 'reserve')];
   }
@@ -202,7 +172,7 @@
     switch (event.kind) {
       case 'sent':
         this.prefillSent = true;
-        return this.touch(event, 'prefill');
+        return this.noteCall(event, 'prefill');
       case 'late':
         return this.finish(
           Refusal.create('overloaded', 'the first token can no longer come in time'),
@@ -223,8 +193,8 @@
   }
 
   private failPrefill({ reason }: Step<'failed'>, nowMs: number): readonly AttemptAction[] {
-    this.exclude(reason, 'prefill');
-    if (!WITHOUT_EFFECT.has(reason)) return this.beginRound(nowMs);
+    this.servers.exclude(reason, 'prefill');
+    if (!provesNoEffect(reason)) return this.beginRound(nowMs);
     this.prefillSent = false;
     if (!this.mayRetry(nowMs)) return this.finishFailed('no prefill engine took the request');
     return [this.ask('prefilling', 'prefill')];
@@ -244,11 +214,11 @@
   }
 
   private inTransferring(event: Stepped, nowMs: number): readonly AttemptAction[] {
-    if (event.kind === 'sent') return this.touch(event, 'decode');
-    if (event.kind === 'transferred') return this.server ? this.afterTransfer() : [];
+    if (event.kind === 'sent') return this.noteCall(event, 'decode');
+    if (event.kind === 'transferred') return this.servers.current ? this.afterTransfer() : [];
     if (event.kind !== 'failed') return [];
     if (event.reason !== 'gone') {
-      this.exclude(event.reason, undefined);
+      this.servers.exclude(event.reason);
       return this.beginRound(nowMs);
     }
     const waste = this.takeWaste('expired');
@@ -258,7 +228,7 @@
   private afterTransfer(): readonly AttemptAction[] {
     this.transferred = true;
     // The prefill engine gives up the result once it has been transferred.
-    [...this.touched.keys()].forEach((server) => this.untouch(server, 'prefill'));
+    this.servers.clearAll('prefill');
     return this.askDecode();
   }
 
@@ -266,7 +236,7 @@
     switch (event.kind) {
       case 'sent':
         this.decodeMayHaveRun = true;
-        return this.touch(event, 'decode');
+        return this.noteCall(event, 'decode');
       case 'token':
         return this.takeToken(event, nowMs);
       case 'end':
@@ -290,7 +260,7 @@
     if (!this.decodeMayHaveRun) return [];
     const { reason, promptTokens, completionTokens } = event;
     if (completionTokens !== this.nextIndex) return this.failDecode('broken', nowMs);
-    if (this.server) this.untouch(this.server, 'decode');
+    this.servers.clearCurrent('decode');
     const usage = { promptTokens, completionTokens };
     return [
       { kind: 'emit', event: { kind: 'end', reason, usage } },
@@ -300,7 +270,7 @@
   }
 
   private failDecode(reason: EngineFailureReason, nowMs: number): readonly AttemptAction[] {
-    if (WITHOUT_EFFECT.has(reason) || reason === 'gone') {
+    if (provesNoEffect(reason) || reason === 'gone') {
       this.decodeMayHaveRun = this.mayHaveRunBefore;
     }
     const resumable = reason === 'broken' || reason === 'silent';
@@ -309,13 +279,13 @@
       return this.askDecode();
     }
     if (this.nextIndex > 0) return this.finishFailed('the answer broke off');
-    if (reason !== 'gone') this.exclude(reason, undefined);
+    if (reason !== 'gone') this.servers.exclude(reason);
     return this.beginRound(nowMs);
   }
 
   private pause(action: 'reserve' | 'prefill', nowMs: number): readonly AttemptAction[] {
     if (nowMs >= this.limits.capacityDeadlineMs) {
-      if (this.failedServers.size > 0) return this.finishFailed('every usable server failed');
+      if (this.servers.anyFailed) return this.finishFailed('every usable server failed');
       return this.finish(Refusal.create('overloaded', 'no server has room'));
     }
     this.retryAction = action;
@@ -323,11 +293,8 @@
   }
 
   private resumeAfterPause(nowMs: number): readonly AttemptAction[] {
-    this.busyServers.clear();
-    const stale = [...this.failedServers].some((server) => this.touched.has(server));
-    this.failedServers.clear();
     // A server whose call had an unknown result may be used again only under a new attempt id.
-    if (stale) return this.beginRound(nowMs);
+    if (this.servers.readmitAll()) return this.beginRound(nowMs);
     const state = this.retryAction === 'reserve' ? 'reserving' : 'prefilling';
     return [this.ask(state, this.retryAction)];
   }
@@ -339,7 +306,7 @@
     }
     const closing = this.closeRound(this.usedTokens());
     this.round += 1;
-    this.busyServers.clear();
+    this.servers.readmitBusy();
     return [...closing, this.ask('admitting', 'admit')];
   }
 
@@ -365,7 +332,7 @@
 
   private closeRound(usedTokens: number): readonly AttemptAction[] {
     const actions: AttemptAction[] = [...this.takeWaste('abandoned')];
-    actions.push({ kind: 'close', round: this.round, release: [...this.touched.keys()] });
+    actions.push({ kind: 'close', round: this.round, release: this.servers.holders });
     if (this.grant !== undefined) {
       actions.push({ kind: 'settle', grant: this.grant, tokens: usedTokens });
     }
@@ -375,8 +342,7 @@
 
   private resetRound(): void {
     this.grant = undefined;
-    this.touched.clear();
-    this.server = undefined;
+    this.servers.beginAttempt();
     this.prefillSent = false;
     this.prefilledTokens = undefined;
     this.transferred = false;
@@ -398,26 +364,11 @@
     return nowMs < this.limits.retryDeadlineMs;
   }
 
-  private exclude(reason: EngineFailureReason, role: Role | undefined): void {
-    if (!this.server) return;
-    if (reason === 'busy') this.busyServers.add(this.server);
-    else this.failedServers.add(this.server);
-    if (role && WITHOUT_EFFECT.has(reason)) this.untouch(this.server, role);
-  }
-
-  private touch({ server }: Step<'sent'>, role: Role): readonly AttemptAction[] {
-    this.server = server;
-    const roles = this.touched.get(server) ?? new Set<Role>();
-    this.touched.set(server, roles.add(role));
+  private noteCall({ server }: Step<'sent'>, role: ServerRole): readonly AttemptAction[] {
+    this.servers.call(server, role);
     return [];
   }
 
-  private untouch(server: string, role: Role): void {
-    const roles = this.touched.get(server);
-    roles?.delete(role);
-    if (roles?.size === 0) this.touched.delete(server);
-  }
-
   private askDecode(): readonly AttemptAction[] {
     this.mayHaveRunBefore = this.decodeMayHaveRun;
     this.move('decoding');
@@ -432,6 +383,6 @@
   private move(state: AttemptState): void {
     this.current = state;
     this.step += 1;
-    this.server = undefined;
+    this.servers.beginStep();
   }
 }
--- /dev/null
+++ b/src/execution/attempt-state.ts
@@ -0,0 +1,21 @@
+/** Phase of a request. */
+export type AttemptState =
+  | 'new'
+  | 'admitting'
+  | 'reserving'
+  | 'prefilling'
+  | 'extending'
+  | 'transferring'
+  | 'decoding'
+  | 'pausing'
+  | 'ended';
+
+/** Limits of a request. */
+export interface AttemptLimits {
+  /** Prompt tokens that admission debits. */
+  readonly promptTokens: number;
+  /** Monotonic time after which a request without a server is refused, in milliseconds. */
+  readonly capacityDeadlineMs: number;
+  /** Monotonic time after which a failed phase is not tried again, in milliseconds. */
+  readonly retryDeadlineMs: number;
+}
