--- a/src/backends/http-connections.ts
+++ b/src/backends/http-connections.ts
@@ -1,6 +1,6 @@
 import { Pool } from 'undici';
 
-import type { Address } from '../domain/vm.js';
+import { formatAddress, type Address } from '../domain/vm.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
 import type { ProgressDeadline } from './progress-deadline.js';
 
@@ -62,9 +62,8 @@
    * @returns the connections
    */
   static create(address: Address, limits: ConnectionLimits): HttpConnections {
-    const host = address.host.includes(':') ? `[${address.host}]` : address.host;
     return new HttpConnections(
-      new Pool(`http://${host}:${address.port}`, {
+      new Pool(`http://${formatAddress(address)}`, {
         allowH2: false,
         pipelining: 1,
         connect: { timeout: limits.connectMs },
--- a/src/domain/vm.ts
+++ b/src/domain/vm.ts
@@ -6,6 +6,16 @@
   readonly port: number;
 }
 
+/**
+ * Formats an address as the authority of a URL; an IPv6 number is put in brackets.
+ *
+ * @param address - where a listener can be reached
+ * @returns host and port, separated by a colon
+ */
+export function formatAddress({ host, port }: Address): string {
+  return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+}
+
 /** A machine of the system that runs the daemon. */
 export interface Vm {
   readonly name: string;
--- a/src/operators/member-clients.ts
+++ b/src/operators/member-clients.ts
@@ -1,7 +1,7 @@
 import { type Client, createClient } from '@connectrpc/connect';
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
 
-import type { Address } from '../domain/vm.js';
+import { formatAddress, type Address } from '../domain/vm.js';
 import { OperatorService } from '../gen/cuminspar/operator/v1/operator_pb.js';
 
 /** Connections to operator listeners for the length of one command. */
@@ -27,8 +27,7 @@
    * @returns a client that shares one connection with other clients of this address
    */
   open(address: Address): Client<typeof OperatorService> {
-    const host = address.host.includes(':') ? `[${address.host}]` : address.host;
-    const baseUrl = `http://${host}:${address.port}`;
+    const baseUrl = `http://${formatAddress(address)}`;
     const sessionManager = this.sessions.get(baseUrl) ?? new Http2SessionManager(baseUrl);
     this.sessions.set(baseUrl, sessionManager);
     const transport = createConnectTransport({
--- a/src/peers/connect-peers.ts
+++ b/src/peers/connect-peers.ts
@@ -8,7 +8,7 @@
   createConnectTransport,
 } from '@connectrpc/connect-node';
 
-import type { Address } from '../domain/vm.js';
+import { formatAddress, type Address } from '../domain/vm.js';
 import { PeerService } from '../gen/cuminspar/peer/v1/peer_pb.js';
 import { assertInvariant } from '../kernel/invariant.js';
 import type { Kernel } from '../kernel/kernel.js';
@@ -91,7 +91,7 @@
   }
 
   override client(address: Address): PeerClient {
-    const url = createUrl(address);
+    const url = `http://${formatAddress(address)}`;
     const known = this.connections.get(url);
     if (known) return known.client;
     const connection = connect(url, this.address.host);
@@ -100,7 +100,7 @@
   }
 
   override unreachable(address: Address): boolean {
-    return this.connections.get(createUrl(address))?.session.unreachable ?? false;
+    return this.connections.get(`http://${formatAddress(address)}`)?.session.unreachable ?? false;
   }
 
   private track(session: ServerHttp2Session): void {
@@ -124,10 +124,6 @@
   }
 }
 
-function createUrl({ host, port }: Address): string {
-  return host.includes(':') ? `http://[${host}]:${port}` : `http://${host}:${port}`;
-}
-
 function connect(url: string, localAddress: string): Connection {
   const session = PeerSession.create(url, localAddress);
   const transport = createConnectTransport({
