--- a/src/execution/model-run.ts
+++ b/src/execution/model-run.ts
@@ -1,50 +1,24 @@
-import { randomUUID } from 'node:crypto';
-
 import type { Grant } from '../admission/grant.js';
-import type { EngineCall, Prefill, Reservation } from '../backends/engine.js';
+import type { EngineCall, Prefill } from '../backends/engine.js';
 import type { EngineFailure } from '../backends/engine-failure.js';
 import type { EngineServer } from '../domain/backend-server.js';
 import { Refusal, type RefusalCode } from '../domain/refusal.js';
 import type { AnswerEvent, ModelAnswer, ModelRequest } from '../domain/request.js';
 import type { Model, Preset } from '../domain/route.js';
-import type { Incarnation } from '../domain/vm.js';
-import { Channel } from '../kernel/channel.js';
-import type { Clock } from '../kernel/clock.js';
-import type { Kernel } from '../kernel/kernel.js';
-import { fail, succeed, type Outcome } from '../kernel/outcome.js';
-import type { HopSpan } from '../observability/hop-span.js';
-import type { Hop } from '../observability/traces.js';
-import type { Settings } from '../settings/schema.js';
+import { formatAddress } from '../domain/vm.js';
+import type { Outcome } from '../kernel/outcome.js';
 import type { AttemptAction, AttemptEvent } from './attempt-events.js';
 import { AttemptMachine } from './attempt-machine.js';
-import type { DeathWatch } from './death-watch.js';
-import type { Releases } from './releases.js';
+import { PendingAnswer } from './pending-answer.js';
+import { createRound, type Round } from './round.js';
+import type { RunContext } from './run-context.js';
+import { RunRecords } from './run-records.js';
 
 const PAUSE_MS = 10;
 
 // An engine may handle a cancel order before a call that was open on another connection.
 const SECOND_CANCEL_MS = 500;
 
-/** What a run shares with the other runs of this VM. */
-export interface RunContext {
-  readonly kernel: Kernel;
-  readonly settings: Settings;
-  readonly clock: Clock;
-  readonly releases: Releases;
-  readonly deaths: DeathWatch;
-}
-
-/** One attempt: its id, and what it has at the engines. */
-interface Round {
-  readonly attemptId: string;
-  readonly owner: Incarnation;
-  readonly servers: Map<string, EngineServer>;
-  decodeServer?: EngineServer;
-  reservation?: Reservation;
-  prefillServer?: EngineServer;
-  prefill?: Prefill;
-}
-
 type Actions = {
   readonly [Kind in AttemptAction['kind']]: (
     action: Extract<AttemptAction, { readonly kind: Kind }>,
@@ -55,7 +29,9 @@
 export class ModelRun {
   private readonly machine: AttemptMachine;
 
-  private readonly answer = Channel.create<AnswerEvent>();
+  private readonly answer = PendingAnswer.create();
+
+  private readonly records: RunRecords;
 
   private readonly ending = new AbortController();
 
@@ -67,12 +43,6 @@
 
   private grant: Grant | undefined;
 
-  private settleFirst: ((outcome: Outcome<ModelAnswer, Refusal>) => void) | undefined;
-
-  private settleDone: (() => void) | undefined;
-
-  private readonly done: Promise<void>;
-
   private readonly actions: Actions = {
     admit: ({ step }) => this.admit(step),
     reserve: ({ step }) => this.reserve(step),
@@ -84,7 +54,7 @@
     emit: ({ event }) => this.emit(event),
     close: ({ release }) => this.closeRound(release),
     settle: ({ grant, tokens }) => this.settle(grant, tokens),
-    waste: ({ tokens, cause }) => this.countWaste(tokens, cause),
+    waste: ({ tokens, cause }) => this.records.countWaste(tokens, cause),
   };
 
   private constructor(
@@ -100,10 +70,8 @@
       capacityDeadlineMs: this.firstTokenDeadlineMs,
       retryDeadlineMs: arrivedMs + preset.queueMs + context.settings.timeouts.prefillMs,
     });
-    this.round = this.createRound();
-    this.done = new Promise((resolve) => {
-      this.settleDone = resolve;
-    });
+    this.round = createRound(this.context.kernel);
+    this.records = RunRecords.create(context.kernel, request, () => this.attemptId);
   }
 
   /**
@@ -135,10 +103,8 @@
    * @returns the answer once its first event is there, or a refusal
    */
   begin(): Promise<Outcome<ModelAnswer, Refusal>> {
-    return new Promise((resolve) => {
-      this.settleFirst = resolve;
-      this.dispatch({ kind: 'start' });
-    });
+    this.dispatch({ kind: 'start' });
+    return this.answer.first;
   }
 
   /**
@@ -157,7 +123,7 @@
    * @returns a promise that resolves after the last event
    */
   finished(): Promise<void> {
-    return this.done;
+    return this.answer.finished;
   }
 
   private dispatch(event: AttemptEvent): void {
@@ -178,7 +144,7 @@
     if (!this.machine.expects(step)) return;
     const { requestId, team, model, promptTokens, maxTokens, fingerprint, arrivedMs } =
       this.request;
-    const span = this.beginSpan('admission');
+    const span = this.records.beginSpan('admission');
     const outcome = await kernel.find('admission').admit({
       ...{ requestId, team, model, promptTokens, maxTokens, fingerprint, arrivedMs },
       signal: this.ending.signal,
@@ -204,7 +170,7 @@
       this.lackServer(step, 'decode');
       return;
     }
-    this.recordChoice('decode-server', server, { blocks, excluded: excluded.size });
+    this.records.chooseServer('decode-server', server, { blocks, excluded: excluded.size });
     round.decodeServer = server;
     this.send(step, server);
     this.assign(server, 'decode');
@@ -235,16 +201,16 @@
       return;
     }
     if (!this.grant?.sendable()) {
-      this.record('admission', 'again', 'the debit is too old to send');
+      this.records.decide('admission', 'again', 'the debit is too old to send');
       this.dispatch({ kind: 'unsendable', step });
       return;
     }
-    this.recordChoice('prefill-server', server, { excluded: excluded.size });
+    this.records.chooseServer('prefill-server', server, { excluded: excluded.size });
     round.prefillServer = server;
     this.send(step, server);
     this.assign(server, 'prefill');
     this.context.deaths.board(server.name, round.attemptId, request.fingerprint);
-    const span = this.beginSpan('prefill', server);
+    const span = this.records.beginSpan('prefill', server);
     const call = this.createCall(settings.timeouts.prefillMs, span.traceparent);
     const engine = kernel.find('backends').engine(server);
     // A request that runs again has waited longest, so it goes first.
@@ -279,10 +245,10 @@
     if (!decodeServer || !prefillServer || !reservation || !prefill) return;
     this.send(step, decodeServer);
     deaths.board(decodeServer.name, round.attemptId, this.request.fingerprint);
-    const span = this.beginSpan('transfer', decodeServer);
+    const span = this.records.beginSpan('transfer', decodeServer);
     const call = this.createCall(settings.timeouts.transferMs, span.traceparent);
     const engine = kernel.find('backends').engine(decodeServer);
-    const source = formatAddress(prefillServer);
+    const source = formatAddress(prefillServer.address);
     const { reservationId } = reservation;
     const outcome = await engine.transfer(call, reservationId, prefill.prefillId, source);
     span.end({ outcome: outcomeName(outcome) });
@@ -296,7 +262,7 @@
     const { decodeServer, reservation } = round;
     if (!decodeServer || !reservation) return;
     this.send(step, decodeServer);
-    const span = this.beginSpan('decode', decodeServer);
+    const span = this.records.beginSpan('decode', decodeServer);
     const call = this.createCall(settings.timeouts.betweenTokensMs, span.traceparent);
     const engine = kernel.find('backends').engine(decodeServer);
     const { maxTokens } = this.request;
@@ -321,25 +287,15 @@
   }
 
   private emit(event: AnswerEvent): void {
-    const { settleFirst } = this;
-    this.settleFirst = undefined;
-    if (settleFirst && event.kind === 'error') settleFirst(fail(event.refusal));
-    else settleFirst?.(succeed({ events: this.answer.stream() }));
-    if (settleFirst && event.kind !== 'error') this.countFirstToken();
+    if (!this.answer.begun && event.kind !== 'error') {
+      this.records.timeFirstToken(this.context.clock.monotonicMs());
+    }
     this.answer.push(event);
     if (event.kind === 'token') return;
-    this.answer.end();
-    this.finish(event);
-  }
-
-  private finish(event: Exclude<AnswerEvent, { kind: 'token' }>): void {
-    const code = event.kind === 'error' ? event.refusal.code : event.reason;
-    const reason = event.kind === 'error' ? event.refusal.message : 'the answer is complete';
-    this.record('outcome', code, reason);
-    this.context.kernel.find('metrics').increment('execution.finished', { outcome: code });
+    this.records.finish(event);
     // Calls are open only when the run ends with an error; the end marker closes the last one.
     if (event.kind === 'error') this.ending.abort();
-    this.settleDone?.();
+    this.answer.finish();
   }
 
   private closeRound(release: readonly string[]): void {
@@ -350,7 +306,7 @@
       deaths.leave(server.name, round.attemptId);
       if (release.includes(server.name)) releases.release(server, round.attemptId, round.owner);
     }
-    this.round = this.createRound();
+    this.round = createRound(this.context.kernel);
   }
 
   private settle(step: number, tokens: number): void {
@@ -358,18 +314,6 @@
     this.grants.delete(step);
   }
 
-  private countWaste(tokens: number, cause: string): void {
-    const metrics = this.context.kernel.find('metrics');
-    metrics.increment('execution.wasted_prefill_tokens', { cause }, tokens);
-    this.record('prefill', 'wasted', cause, { tokens });
-  }
-
-  private countFirstToken(): void {
-    const { kernel, clock } = this.context;
-    const ms = clock.monotonicMs() - this.request.arrivedMs;
-    kernel.find('metrics').timing('execution.first_token', ms);
-  }
-
   private lackServer(step: number, phase: 'prefill' | 'decode'): void {
     if (this.hasServer(phase)) {
       this.dispatch({ kind: 'no-server', step });
@@ -400,7 +344,7 @@
       this.context.releases.release(server, round.attemptId, round.owner, SECOND_CANCEL_MS);
       return;
     }
-    this.record('failure', server.name, failure.message, { reason: failure.reason });
+    this.records.decide('failure', server.name, failure.message, { reason: failure.reason });
     this.dispatch({ kind: 'failed', step, reason: failure.reason });
   }
 
@@ -433,39 +377,8 @@
     const { signal } = this.ending;
     return { requestId, attemptId, owner, team, traceparent, progressMs, signal };
   }
-
-  private createRound(): Round {
-    const { vm, incarnation } = this.context.kernel.find('membership').self();
-    return { attemptId: randomUUID(), owner: { vm, incarnation }, servers: new Map() };
-  }
-
-  private beginSpan(hop: Hop, server?: EngineServer): HopSpan {
-    const facts = { requestId: this.request.requestId, attemptId: this.round.attemptId };
-    const attributes = server ? { ...facts, server: server.name } : facts;
-    return this.context.kernel.find('traces').begin(hop, this.request.traceparent, attributes);
-  }
-
-  private recordChoice(step: string, server: EngineServer, facts: Record<string, number>): void {
-    this.record(step, server.name, 'chosen by load, zone and cached prefixes', facts);
-  }
-
-  private record(
-    step: string,
-    choice: string,
-    reason: string,
-    facts: Readonly<Record<string, string | number | boolean>> = {},
-  ): void {
-    const { requestId } = this.request;
-    const all = { ...facts, attemptId: this.round.attemptId };
-    this.context.kernel.find('decisions').record({ requestId, step, choice, reason, facts: all });
-  }
 }
 
 function outcomeName(outcome: Outcome<unknown, EngineFailure>): string {
   return outcome.kind === 'ok' ? 'ok' : outcome.failure.reason;
 }
-
-function formatAddress({ address }: EngineServer): string {
-  const { host, port } = address;
-  return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
-}
--- /dev/null
+++ b/src/execution/pending-answer.ts
@@ -0,0 +1,61 @@
+import type { Refusal } from '../domain/refusal.js';
+import type { AnswerEvent, ModelAnswer } from '../domain/request.js';
+import { Channel } from '../kernel/channel.js';
+import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+
+/** The answer to a request: a refusal until its first event is there, and a stream afterwards. */
+export class PendingAnswer {
+  /** Settles with the first event. */
+  readonly first: Promise<Outcome<ModelAnswer, Refusal>>;
+
+  /** Resolves after the last event. */
+  readonly finished: Promise<void>;
+
+  private readonly events = Channel.create<AnswerEvent>();
+
+  private settleFirst: ((outcome: Outcome<ModelAnswer, Refusal>) => void) | undefined;
+
+  private settleFinished: (() => void) | undefined;
+
+  private constructor() {
+    this.first = new Promise((resolve) => {
+      this.settleFirst = resolve;
+    });
+    this.finished = new Promise((resolve) => {
+      this.settleFinished = resolve;
+    });
+  }
+
+  /**
+   * Prepares an answer.
+   *
+   * @returns an answer without events
+   */
+  static create(): PendingAnswer {
+    return new PendingAnswer();
+  }
+
+  /** Whether an event has been pushed. */
+  get begun(): boolean {
+    return this.settleFirst === undefined;
+  }
+
+  /**
+   * Passes an event to the caller; an event other than a token is the last one.
+   *
+   * @param event - next part of the answer
+   */
+  push(event: AnswerEvent): void {
+    const { settleFirst } = this;
+    this.settleFirst = undefined;
+    if (event.kind === 'error') settleFirst?.(fail(event.refusal));
+    else settleFirst?.(succeed({ events: this.events.stream() }));
+    this.events.push(event);
+    if (event.kind !== 'token') this.events.end();
+  }
+
+  /** Resolves `finished`. */
+  finish(): void {
+    this.settleFinished?.();
+  }
+}
--- a/src/execution/phased-model-execution.ts
+++ b/src/execution/phased-model-execution.ts
@@ -7,8 +7,9 @@
 import { DeathWatch } from './death-watch.js';
 import { LeaseWatch } from './lease-watch.js';
 import { ModelExecution } from './model-execution.js';
-import { ModelRun, type RunContext } from './model-run.js';
+import { ModelRun } from './model-run.js';
 import { Releases } from './releases.js';
+import type { RunContext } from './run-context.js';
 
 /** Runs model requests, each with its own state machine; see docs/design.md, 6.6 and 6.7. */
 export class PhasedModelExecution extends ModelExecution {
--- /dev/null
+++ b/src/execution/round.ts
@@ -0,0 +1,28 @@
+import { randomUUID } from 'node:crypto';
+
+import type { Prefill, Reservation } from '../backends/engine.js';
+import type { EngineServer } from '../domain/backend-server.js';
+import type { Incarnation } from '../domain/vm.js';
+import type { Kernel } from '../kernel/kernel.js';
+
+/** One attempt: its id, and what it has at the engines. */
+export interface Round {
+  readonly attemptId: string;
+  readonly owner: Incarnation;
+  readonly servers: Map<string, EngineServer>;
+  decodeServer?: EngineServer;
+  reservation?: Reservation;
+  prefillServer?: EngineServer;
+  prefill?: Prefill;
+}
+
+/**
+ * Creates a round that has called no engine.
+ *
+ * @param kernel - registry of services
+ * @returns a round with a new attempt id
+ */
+export function createRound(kernel: Kernel): Round {
+  const { vm, incarnation } = kernel.find('membership').self();
+  return { attemptId: randomUUID(), owner: { vm, incarnation }, servers: new Map() };
+}
--- /dev/null
+++ b/src/execution/run-records.ts
@@ -0,0 +1,102 @@
+import type { EngineServer } from '../domain/backend-server.js';
+import type { AnswerEvent, ModelRequest } from '../domain/request.js';
+import type { Kernel } from '../kernel/kernel.js';
+import type { HopSpan } from '../observability/hop-span.js';
+import type { Hop } from '../observability/traces.js';
+
+/** Writes the spans, decision records and metrics of one run. */
+export class RunRecords {
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly request: ModelRequest,
+    private readonly attemptId: () => string,
+  ) {}
+
+  /**
+   * Prepares the records of a run.
+   *
+   * @param kernel - registry of services
+   * @param request - the request
+   * @param attemptId - reads the id of the present attempt
+   * @returns records without entries
+   */
+  static create(kernel: Kernel, request: ModelRequest, attemptId: () => string): RunRecords {
+    return new RunRecords(kernel, request, attemptId);
+  }
+
+  /**
+   * Begins a span of the present attempt.
+   *
+   * @param hop - kind of span
+   * @param server - server that is called
+   * @returns a span in progress
+   */
+  beginSpan(hop: Hop, server?: EngineServer): HopSpan {
+    const facts = { requestId: this.request.requestId, attemptId: this.attemptId() };
+    const attributes = server ? { ...facts, server: server.name } : facts;
+    return this.kernel.find('traces').begin(hop, this.request.traceparent, attributes);
+  }
+
+  /**
+   * Records a decision.
+   *
+   * @param step - what was decided
+   * @param choice - the result
+   * @param reason - why
+   * @param facts - what the decision was based on
+   */
+  decide(
+    step: string,
+    choice: string,
+    reason: string,
+    facts: Readonly<Record<string, string | number | boolean>> = {},
+  ): void {
+    const { requestId } = this.request;
+    const all = { ...facts, attemptId: this.attemptId() };
+    this.kernel.find('decisions').record({ requestId, step, choice, reason, facts: all });
+  }
+
+  /**
+   * Records the choice of a server.
+   *
+   * @param step - what the server was chosen for
+   * @param server - the server
+   * @param facts - what the choice was based on
+   */
+  chooseServer(step: string, server: EngineServer, facts: Record<string, number>): void {
+    this.decide(step, server.name, 'chosen by load, zone and cached prefixes', facts);
+  }
+
+  /**
+   * Counts prefill tokens whose result was lost.
+   *
+   * @param tokens - prompt tokens
+   * @param cause - why the result was lost
+   */
+  countWaste(tokens: number, cause: string): void {
+    const metrics = this.kernel.find('metrics');
+    metrics.increment('execution.wasted_prefill_tokens', { cause }, tokens);
+    this.decide('prefill', 'wasted', cause, { tokens });
+  }
+
+  /**
+   * Measures the time to the first token.
+   *
+   * @param nowMs - monotonic time
+   */
+  timeFirstToken(nowMs: number): void {
+    this.kernel.find('metrics').timing('execution.first_token', nowMs - this.request.arrivedMs);
+  }
+
+  /**
+   * Records the outcome of the run.
+   *
+   * @param event - last event of the answer
+   */
+  finish(event: Exclude<AnswerEvent, { kind: 'token' }>): void {
+    const code = event.kind === 'error' ? event.refusal.code : event.reason;
+    const reason = event.kind === 'error' ? event.refusal.message : 'the answer is complete';
+    this.decide('outcome', code, reason);
+    this.kernel.find('metrics').increment('execution.finished', { outcome: code });
+  }
+}
