feat(routing): poll the oldest load report every 50 ms

A VM with few requests gets few answers and learned of freed decode slots up to a second late. The VMs that free slots use them again at once, so the team of the small VM was refused most. Each VM now polls the load it has not heard of for the longest time, one call per 50 ms (about 4 KB/s of 11 KB/s for control at the design size). An engine that does not answer is polled again after a second. A report counts as up to 50 ms old, the interval at which engines refresh it; with 20 ms, polled loads hid own dispatches.

--- a/features/routing/routing.feature
+++ b/features/routing/routing.feature
@@ -86,3 +86,8 @@
     When routing starts and hears from "e1" but not from "e2" for a second
     Then routing polled the load of "e2" more often than that of "e1"
     And routing polled cache events of both engines
+
+  Scenario: engines that do not answer take no polls from one that does
+    Given routing over the engines "e1 e2 e3"
+    When no answer comes from "e1 e2" for two seconds
+    Then routing polled the load of "e3" at least 15 times, and of the others at most twice
--- a/features/steps/routing-steps.ts
+++ b/features/steps/routing-steps.ts
@@ -23,6 +23,7 @@
   routing: SubsetRouting;
   clock: ManualClock;
   polls: string[];
+  silent: Set<string>;
   first?: string;
 }
 
@@ -81,11 +82,13 @@
   const clock = ManualClock.create(1000);
   const routing = SubsetRouting.create(fakes.kernel, fakes.settings, clock);
   const polls: string[] = [];
+  const silent = new Set<string>();
   fakes.kernel.register('routing', routing);
   registerFake(fakes.kernel, 'backends', {
     engine: ({ name }: EngineServer) => ({
       load: async () => {
         polls.push(`load ${name}`);
+        if (silent.has(name)) await new Promise(() => {});
         return succeed(createLoad());
       },
       cacheEvents: async () => {
@@ -97,7 +100,7 @@
   await fakes.kernel.start();
   await settle();
   clock.advance(1);
-  return { fakes, routing, clock, polls };
+  return { fakes, routing, clock, polls, silent };
 }
 
 async function settle(): Promise<void> {
@@ -252,6 +255,29 @@
   },
 );
 
+When(
+  'no answer comes from {string} for two seconds',
+  async function when(this: RoutingWorld, names: string) {
+    const { clock, polls, silent } = stateOf(this);
+    names.split(' ').forEach((name) => silent.add(name));
+    polls.length = 0;
+    for (let tick = 0; tick < 40; tick += 1) {
+      clock.advance(50);
+      await settle();
+    }
+  },
+);
+
+Then(
+  'routing polled the load of {string} at least {int} times, and of the others at most twice',
+  function then(this: RoutingWorld, polled: string, times: number) {
+    const loads = stateOf(this).polls.filter((poll) => poll.startsWith('load'));
+    const own = loads.filter((poll) => poll === `load ${polled}`).length;
+    assert.ok(own >= times, `${own} polls`);
+    assert.ok(loads.length - own <= 4, `${loads.length - own} polls without an answer`);
+  },
+);
+
 Then(
   'routing decodes and prefills only on {string}',
   function then(this: RoutingWorld, names: string) {
--- a/src/routing/engine-poller.ts
+++ b/src/routing/engine-poller.ts
@@ -4,20 +4,26 @@
 import type { Clock } from '../kernel/clock.js';
 import type { EngineLoad } from './routing.js';
 
-/** Time between polls, and age of a report after which the load is polled, in milliseconds. */
-export const POLL_MS = 1000;
-
 /**
- * Most calls of a round. A call takes about 0.2 KB, and a node has 11 KB/s for control at the design
- * size, where hundreds of engines may be without a recent report.
+ * Time between polls of one load, in milliseconds. A call takes about 0.2 KB, and a node has 11 KB/s
+ * for control at the design size. A VM with few requests gets few answers, and without these polls
+ * it learns of freed slots after the VMs that use them.
  */
-const LOADS_OF_A_ROUND = 10;
+const LOAD_POLL_MS = 50;
+
+/** Time before an engine that has not answered a poll is polled again. */
+const RETRY_MS = 1000;
+
+/** Load polls between two rounds for cache events; a round is a second long. */
+const POLLS_OF_A_ROUND = 20;
 const CACHES_OF_A_ROUND = 4;
 
 /** What the poller needs to know and where its results go. */
 export interface PollTarget {
-  /** Engines whose last report is older than `POLL_MS`. */
-  readonly unreported: () => readonly EngineServer[];
+  /** Engines whose load is wanted. */
+  readonly engines: () => readonly EngineServer[];
+  /** Monotonic time of an engine's last report. */
+  readonly reportedMs: (server: string) => number;
   /** Prefill engines of the subset. */
   readonly prefillEngines: () => readonly EngineServer[];
   readonly lastSequence: (server: string) => number;
@@ -25,11 +31,14 @@
   readonly cached: (server: string, events: readonly CacheEvent[]) => void;
 }
 
-/** Polls loads that no answer has carried, and cache events; one call of a kind for each engine. */
+/** Polls the oldest load report and cache events; one call of a kind for each engine. */
 export class EnginePoller {
   private readonly open = new Set<string>();
 
-  private rounds = 0;
+  /** Monotonic time of the last load poll of each engine. */
+  private readonly polledMs = new Map<string, number>();
+
+  private polls = 0;
 
   private constructor(
     private readonly backends: () => Backends,
@@ -57,24 +66,52 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.poll();
-      await this.clock.sleep(POLL_MS, signal);
+      await this.clock.sleep(LOAD_POLL_MS, signal);
     }
   }
 
-  /** Begins one round of polls. */
+  /** Polls one load and, once a second, cache events. */
   poll(): void {
-    const loads = takeTurn(this.target.unreported(), this.rounds, LOADS_OF_A_ROUND);
-    const caches = takeTurn(this.target.prefillEngines(), this.rounds, CACHES_OF_A_ROUND);
-    this.rounds += 1;
-    loads.forEach((server) => {
-      void this.once(`load/${server.name}`, () => this.pollLoad(server));
-    });
-    caches.forEach((server) => {
+    const server = this.findOldest();
+    if (server) void this.once(`load/${server.name}`, () => this.pollLoad(server));
+    if (this.polls % POLLS_OF_A_ROUND === 0) this.pollCaches(this.polls / POLLS_OF_A_ROUND);
+    this.polls += 1;
+  }
+
+  /** Finds the engine without a report or a poll for the longest time. */
+  private findOldest(): EngineServer | undefined {
+    const engines = this.target.engines();
+    if (this.polledMs.size > engines.length) this.forgetRemoved(engines);
+    const nowMs = this.clock.monotonicMs();
+    let oldest: EngineServer | undefined;
+    let oldestMs = nowMs - LOAD_POLL_MS;
+    for (const engine of engines) {
+      const reportedMs = this.target.reportedMs(engine.name);
+      const polledMs = this.polledMs.get(engine.name) ?? -Infinity;
+      const isSilent = polledMs > reportedMs && nowMs - polledMs < RETRY_MS;
+      const knownMs = Math.max(reportedMs, polledMs);
+      if (isSilent || knownMs > oldestMs || (oldest && knownMs === oldestMs)) continue;
+      oldest = engine;
+      oldestMs = knownMs;
+    }
+    return oldest;
+  }
+
+  private forgetRemoved(engines: readonly EngineServer[]): void {
+    const names = new Set(engines.map(({ name }) => name));
+    [...this.polledMs.keys()]
+      .filter((name) => !names.has(name))
+      .forEach((name) => this.polledMs.delete(name));
+  }
+
+  private pollCaches(round: number): void {
+    takeTurn(this.target.prefillEngines(), round, CACHES_OF_A_ROUND).forEach((server) => {
       void this.once(`cache/${server.name}`, () => this.pollCache(server));
     });
   }
 
   private async pollLoad(server: EngineServer): Promise<void> {
+    this.polledMs.set(server.name, this.clock.monotonicMs());
     const outcome = await this.backends().engine(server).load();
     if (outcome.kind === 'ok') this.target.loaded(server.name, outcome.value);
   }
--- a/src/routing/engine-view.ts
+++ b/src/routing/engine-view.ts
@@ -1,7 +1,8 @@
 import type { Assignment, EngineLoad } from './routing.js';
 
-// An answer may have left the engine before work that was assigned this shortly before it arrived.
-const REPORT_LAG_MS = 20;
+// A report may be this old when it arrives, and lacks the work that was assigned meanwhile. Engines
+// refresh their reports every 50 ms; with 20 ms here, polled loads hid own dispatches.
+const REPORT_LAG_MS = 50;
 
 /** Room of an engine as configured. */
 export interface EngineSize {
--- a/src/routing/subset-routing.ts
+++ b/src/routing/subset-routing.ts
@@ -5,7 +5,7 @@
 import type { Kernel } from '../kernel/kernel.js';
 import type { VmListing } from '../platform/vm-list.js';
 import type { Settings } from '../settings/schema.js';
-import { EnginePoller, POLL_MS } from './engine-poller.js';
+import { EnginePoller } from './engine-poller.js';
 import { EngineTables, type Phase } from './engine-tables.js';
 import { EngineView, type LoadEstimate } from './engine-view.js';
 import { FailureBackoff } from './failure-backoff.js';
@@ -204,7 +204,8 @@
 
   private createPoller(): EnginePoller {
     return EnginePoller.create(() => this.kernel.find('backends'), this.clock, {
-      unreported: () => this.listUnreported(),
+      engines: () => this.listEngines(),
+      reportedMs: (server) => this.views.get(server)?.reportedMs ?? -Infinity,
       prefillEngines: () => [...this.allEngines('prefill').values()],
       lastSequence: (server) => this.index.lastSequence(server),
       loaded: (server, load) => this.observe(server, load),
@@ -212,12 +213,9 @@
     });
   }
 
-  private listUnreported(): readonly EngineServer[] {
-    const oldest = this.clock.monotonicMs() - POLL_MS;
+  private listEngines(): readonly EngineServer[] {
     const engines = new Map([...this.allEngines('prefill'), ...this.allEngines('decode')]);
-    return [...engines.values()].filter(
-      ({ name }) => (this.views.get(name)?.reportedMs ?? -Infinity) <= oldest,
-    );
+    return [...engines.values()];
   }
 
   private allEngines(phase: Phase): ReadonlyMap<string, EngineServer> {
