--- /dev/null
+++ b/src/admission/wake-alarm.ts
@@ -0,0 +1,47 @@
+import type { Clock } from '../kernel/clock.js';
+
+/** Calls back once at the earliest of the times it was set to. */
+export class WakeAlarm {
+  private pending: { readonly dueMs: number; readonly cancel: AbortController } | undefined;
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly ring: () => void,
+  ) {}
+
+  /**
+   * Creates an alarm that is not set.
+   *
+   * @param clock - source of time
+   * @param ring - called when the time has come
+   * @returns a new alarm
+   */
+  static create(clock: Clock, ring: () => void): WakeAlarm {
+    return new WakeAlarm(clock, ring);
+  }
+
+  /**
+   * Sets the alarm; one that rings earlier stays as it is.
+   *
+   * @param dueMs - monotonic time in milliseconds; Infinity clears the alarm
+   * @param nowMs - monotonic time in milliseconds
+   */
+  set(dueMs: number, nowMs: number): void {
+    if (this.pending && this.pending.dueMs <= dueMs) return;
+    this.clear();
+    if (dueMs === Infinity) return;
+    const alarm = { dueMs, cancel: new AbortController() };
+    this.pending = alarm;
+    void this.clock.sleep(Math.max(1, dueMs - nowMs), alarm.cancel.signal).then(() => {
+      if (this.pending !== alarm) return;
+      this.pending = undefined;
+      this.ring();
+    });
+  }
+
+  /** Clears the alarm. */
+  clear(): void {
+    this.pending?.cancel.abort();
+    this.pending = undefined;
+  }
+}
