perf(routing): poll loads seldom in a VM without requests

Change: a VM that no request has asked for room within 2 s polls a load every 250 ms instead of every 50 ms. A scenario with and without requests is new and passes.

--- a/features/routing/routing.feature
+++ b/features/routing/routing.feature
@@ -87,7 +87,14 @@
     Then routing polled the load of "e2" more often than that of "e1"
     And routing polled cache events of both engines
 
-  Scenario: engines that do not answer take no polls from one that does
+  # Guards against polls that go to dead engines, and against a VM that spends processor time on loads
+  # which no request needs.
+  Scenario Outline: a VM <requests> requests polls <least> to <most> times in two seconds
     Given routing over the engines "e1 e2 e3"
-    When no answer comes from "e1 e2" for two seconds
-    Then routing polled the load of "e3" at least 15 times, and of the others at most twice
+    When no answer comes from "e1 e2" for two seconds <requests> requests
+    Then routing polled the load of "e3" <least> to <most> times, and of the others at most twice
+
+    Examples:
+      | requests | least | most |
+      | with     | 15    | 40   |
+      | without  | 1     | 8    |
--- a/features/steps/routing-steps.ts
+++ b/features/steps/routing-steps.ts
@@ -256,12 +256,13 @@
 );
 
 When(
-  'no answer comes from {string} for two seconds',
-  async function when(this: RoutingWorld, names: string) {
-    const { clock, polls, silent } = stateOf(this);
+  /^no answer comes from "(.*)" for two seconds (with|without) requests$/,
+  async function when(this: RoutingWorld, names: string, requests: string) {
+    const { clock, polls, routing, silent } = stateOf(this);
     names.split(' ').forEach((name) => silent.add(name));
     polls.length = 0;
     for (let tick = 0; tick < 40; tick += 1) {
+      if (requests === 'with') routing.headroom(createRequest().model);
       clock.advance(50);
       await settle();
     }
@@ -269,11 +270,11 @@
 );
 
 Then(
-  'routing polled the load of {string} at least {int} times, and of the others at most twice',
-  function then(this: RoutingWorld, polled: string, times: number) {
+  'routing polled the load of {string} {int} to {int} times, and of the others at most twice',
+  function then(this: RoutingWorld, polled: string, least: number, most: number) {
     const loads = stateOf(this).polls.filter((poll) => poll.startsWith('load'));
     const own = loads.filter((poll) => poll === `load ${polled}`).length;
-    assert.ok(own >= times, `${own} polls`);
+    assert.ok(own >= least && own <= most, `${own} polls`);
     assert.ok(loads.length - own <= 4, `${loads.length - own} polls without an answer`);
   },
 );
--- a/src/routing/engine-poller.ts
+++ b/src/routing/engine-poller.ts
@@ -14,12 +14,18 @@
 /** Time before an engine that has not answered a poll is polled again. */
 const RETRY_MS = 1000;
 
-/** Load polls between two rounds for cache events; a round is a second long. */
-const POLLS_OF_A_ROUND = 20;
+/** Turns between two rounds for cache events; a round is a second long. */
+const TURNS_OF_A_ROUND = 20;
+
+/** A VM without requests polls a load in every fifth turn only: a poll costs processor time. */
+const IDLE_TURNS = 5;
+
 const CACHES_OF_A_ROUND = 4;
 
 /** What the poller needs to know and where its results go. */
 export interface PollTarget {
+  /** Tells whether this VM has had requests to route in the last seconds. */
+  readonly busy: () => boolean;
   /** Engines whose load is wanted. */
   readonly engines: () => readonly EngineServer[];
   /** Monotonic time of an engine's last report. */
@@ -38,7 +44,7 @@
   /** Monotonic time of the last load poll of each engine. */
   private readonly polledMs = new Map<string, number>();
 
-  private polls = 0;
+  private turns = 0;
 
   private constructor(
     private readonly backends: () => Backends,
@@ -70,12 +76,14 @@
     }
   }
 
-  /** Polls one load and, once a second, cache events. */
+  /** Takes one turn: polls one load and, once a second, cache events. */
   poll(): void {
+    const { turns } = this;
+    this.turns += 1;
+    if (turns % TURNS_OF_A_ROUND === 0) this.pollCaches(turns / TURNS_OF_A_ROUND);
+    if (turns % IDLE_TURNS !== 0 && !this.target.busy()) return;
     const server = this.findOldest();
     if (server) void this.once(`load/${server.name}`, () => this.pollLoad(server));
-    if (this.polls % POLLS_OF_A_ROUND === 0) this.pollCaches(this.polls / POLLS_OF_A_ROUND);
-    this.polls += 1;
   }
 
   /** Finds the engine without a report or a poll for the longest time. */
--- a/src/routing/subset-routing.ts
+++ b/src/routing/subset-routing.ts
@@ -20,6 +20,9 @@
   type ChoiceRule,
 } from './server-choice.js';
 
+/** Time after the last choice for which loads are polled often, in milliseconds. */
+const BUSY_MS = 2000;
+
 const NO_LOAD: LoadEstimate = { slotsFree: 0, blocksFree: 0, queuedPrefillTokens: 0 };
 
 /** Routes to a subset of the engines by reported load, own choices and cached prefixes. */
@@ -41,6 +44,9 @@
 
   private tables: EngineTables | undefined;
 
+  /** Monotonic time at which a model request last asked for room. */
+  private askedMs = -Infinity;
+
   private constructor(
     private readonly kernel: Kernel,
     private readonly settings: Settings,
@@ -117,6 +123,7 @@
   }
 
   override headroom(model: string): number {
+    this.askedMs = this.clock.monotonicMs();
     const estimates = this.usable(model, 'decode').map((server) => this.estimate(server));
     return estimates
       .filter(({ blocksFree }) => blocksFree > 0)
@@ -204,6 +211,7 @@
 
   private createPoller(): EnginePoller {
     return EnginePoller.create(() => this.kernel.find('backends'), this.clock, {
+      busy: () => this.clock.monotonicMs() - this.askedMs < BUSY_MS,
       engines: () => this.listEngines(),
       reportedMs: (server) => this.views.get(server)?.reportedMs ?? -Infinity,
       prefillEngines: () => [...this.allEngines('prefill').values()],
