fix: free the connections of callers and operators that go silent for good

Cause: a caller that had been sent 408 and never closed kept its connection for ever, since the daemon only ended its side; one that read nothing of its answers did too, as nothing limits the wait for the bytes; connections of operators had neither limit nor check; cuminsparctl waited as long as its connection was open.

Change: a refused connection is destroyed 1 s after its end; an answer of which no byte is taken for limits.bodyMs closes the connection; operator connections are at most 128 and closed when they answer no ping for 5 to 10 s; cuminsparctl uses the connection of peers, with its pings, and ends with code 5, or with code 1 and 'the outcome is unknown' when a change may have been taken. Ruled out: the session manager of connect-node with pings, whose late error ended the command with a stack trace; a deadline per command, since wait may take 10 minutes.

--- a/features/guarantees/crashes-and-silence.feature
+++ b/features/guarantees/crashes-and-silence.feature
@@ -31,3 +31,33 @@
       | plain services |
       | the log        |
       | peers          |
+
+  Scenario Outline: callers that go silent for good, <state>, free their connections
+    Given a silent-client daemon with room for 4 connections of callers
+    When silent-client callers take all connections, <state>
+    Then the silent-client daemon answers new callers within 4 s
+
+    Examples:
+      | state                    |
+      | nothing sent             |
+      | part of the headers sent |
+      | part of the body sent    |
+      | answers not read         |
+
+  Scenario: operators that go silent for good free their connections
+    Given a silent-client daemon with room for 4 connections of callers
+    When silent-client operators take all connections
+    Then the silent-client daemon answers new operators within 12 s
+
+  # Without a deadline of its own the command would wait as long as its connection is open.
+  Scenario Outline: <command> ends when its connection goes silent for good
+    Given a silent-client daemon with room for 4 connections of callers
+    When the silent-client operator runs "<command>" on a connection that goes silent
+    Then the silent-client command ends with <code> and "<text>" within 14 s
+
+    Examples:
+      | command                | code | text              |
+      | status                 | 5    | cannot be reached |
+      | wait 1 --timeout 1000  | 5    | cannot be reached |
+      | preset switch ordinary | 1    | unknown           |
+      | key withdraw k001      | 1    | unknown           |
--- /dev/null
+++ b/features/steps/silent-client-steps.ts
@@ -0,0 +1,148 @@
+import assert from 'node:assert/strict';
+import { connect, type Socket } from 'node:net';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { request } from 'undici';
+
+import { runCtl, type CtlRun } from '../../harness/ctl.js';
+import { createTcpRelay } from '../../harness/tcp-relay.js';
+import { waitFor } from '../../harness/wait-for.js';
+import type { Address } from '../../src/domain/vm.js';
+import { openFixedServer } from '../support/fixed-server.js';
+import { daemonAt, startGuaranteeFleet, type GuaranteeWorld } from '../support/guarantees-fleet.js';
+import { writeRequest } from '../support/guarantees-raw-caller.js';
+
+interface SilentWorld extends GuaranteeWorld {
+  readonly sockets: Set<Socket>;
+  connections: number;
+  silentMs: number;
+  run: CtlRun;
+}
+
+const LARGE = '/services/large';
+
+/** Just below the largest answer that the daemon reads whole. */
+const LARGE_BYTES = 1_000_000;
+
+/** Answers on one connection; together more than the kernel keeps for a caller that does not read. */
+const LARGE_ANSWERS = 16;
+
+/** Most connections of operators; equal to the daemon's limit. */
+const OPERATORS = 128;
+
+const PREFACE = 'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\u0004\0\0\0\0\0';
+
+const UNREAD = writeRequest(`GET ${LARGE}`, []);
+
+/** What silent callers write before they neither write nor read any more. */
+const WRITTEN: Readonly<Record<string, string>> = {
+  'nothing sent': '',
+  'part of the headers sent': 'GET /healthz HTTP/1.1\r\nhost: da',
+  'part of the body sent': writeRequest(`GET ${LARGE}`, ['content-length: 100'], '{'),
+  'answers not read': UNREAD.repeat(LARGE_ANSWERS),
+};
+
+function openSilent(world: SilentWorld, address: Address, text: string): Promise<void> {
+  const socket = connect(address);
+  world.sockets.add(socket);
+  socket.on('error', () => undefined);
+  socket.pause();
+  return new Promise((resolve) => {
+    socket.once('connect', () => socket.write(text, () => resolve()));
+  });
+}
+
+async function openAll(world: SilentWorld, address: Address, text: string): Promise<void> {
+  await Promise.all(
+    Array.from({ length: world.connections }, () => openSilent(world, address, text)),
+  );
+}
+
+async function isLive({ host, port }: Address): Promise<boolean> {
+  const answer = await request(`http://${host}:${port}/healthz`, { reset: true });
+  await answer.body.dump();
+  return answer.statusCode === 200;
+}
+
+After(function close(this: Partial<SilentWorld>) {
+  this.sockets?.forEach((socket) => socket.destroy());
+});
+
+Given(
+  'a silent-client daemon with room for {int} connections of callers',
+  async function given(this: SilentWorld, connections: number) {
+    Object.assign(this, { sockets: new Set(), connections });
+    const limits = { callerConnections: connections, bodyMs: 1000 };
+    await startGuaranteeFleet(this, { daemons: 1, services: 0, settings: { limits } });
+    const url = new URL(await openFixedServer((answer) => answer.end('a'.repeat(LARGE_BYTES))));
+    const address = { host: url.hostname, port: Number(url.port) };
+    const server = { kind: 'service', name: 'large-1', pool: 'large', availabilityZone: 'sando' };
+    const route = { path: LARGE, pool: 'large', methods: ['GET'], repeatable: true, open: true };
+    await this.fleet.apply([
+      { kind: 'put-server', server: { ...server, address } },
+      { kind: 'put-route', route },
+    ]);
+  },
+);
+
+When(
+  'silent-client callers take all connections, {}',
+  async function when(this: SilentWorld, state: string) {
+    const { callers } = daemonAt(this.fleet, 0);
+    await openAll(this, callers, WRITTEN[state] ?? assert.fail(state));
+    this.silentMs = performance.now();
+    await assert.rejects(isLive(callers), 'the daemon still has room');
+  },
+);
+
+When('silent-client operators take all connections', async function when(this: SilentWorld) {
+  const { operators } = daemonAt(this.fleet, 0);
+  this.connections = OPERATORS;
+  await openAll(this, operators, PREFACE);
+  this.silentMs = performance.now();
+  const { code, stderr } = await runCtl(operators, ['team', 'list']);
+  assert.notEqual(code, 0, 'the daemon still has room');
+  this.log(`refused with ${code}: ${stderr}`);
+});
+
+Then(
+  'the silent-client daemon answers new callers within {int} s',
+  async function then(this: SilentWorld, seconds: number) {
+    const { callers } = daemonAt(this.fleet, 0);
+    await waitFor('room for a caller', () => isLive(callers), { deadlineMs: seconds * 1000 });
+    this.log(`room after ${Math.round(performance.now() - this.silentMs)} ms`);
+  },
+);
+
+Then(
+  'the silent-client daemon answers new operators within {int} s',
+  async function then(this: SilentWorld, seconds: number) {
+    const { operators } = daemonAt(this.fleet, 0);
+    const deadlineMs = seconds * 1000;
+    const isAnswered = async () => (await runCtl(operators, ['team', 'list'])).code === 0;
+    await waitFor('room for an operator', isAnswered, { deadlineMs, everyMs: 500 });
+    this.log(`room after ${Math.round(performance.now() - this.silentMs)} ms`);
+  },
+);
+
+When(
+  'the silent-client operator runs {string} on a connection that goes silent',
+  async function when(this: SilentWorld, words: string) {
+    const relay = await createTcpRelay(daemonAt(this.fleet, 0).operators);
+    relay.silence();
+    this.silentMs = performance.now();
+    this.run = await runCtl(relay, words.split(' '));
+  },
+);
+
+Then(
+  'the silent-client command ends with {int} and {string} within {int} s',
+  function then(this: SilentWorld, code: number, text: string, seconds: number) {
+    const elapsedMs = Math.round(performance.now() - this.silentMs);
+    this.log(`ended after ${elapsedMs} ms`);
+    const { code: ended, stdout, stderr } = this.run;
+    assert.equal(ended, code, stdout + stderr);
+    assert.ok((stdout + stderr).includes(text), stdout + stderr);
+    assert.ok(elapsedMs <= seconds * 1000, `it took ${elapsedMs} ms`);
+  },
+);
--- a/src/callers/caller-request.ts
+++ b/src/callers/caller-request.ts
@@ -49,6 +49,19 @@
     });
   }
 
+  /**
+   * Closes the connection of a caller that has stopped reading its answer.
+   *
+   * @param silenceMs - longest time in which no byte of the answer is taken, in milliseconds
+   */
+  limitSilence(silenceMs: number): void {
+    const { response } = this;
+    response.setTimeout(silenceMs, () => {
+      // An answer that has not begun, or of which all is sent, does not wait for the caller.
+      if ((response.socket?.writableLength ?? 0) > 0) response.socket?.destroy();
+    });
+  }
+
   /**
    * Wraps a request and its response.
    *
--- a/src/callers/malformed-input.ts
+++ b/src/callers/malformed-input.ts
@@ -5,6 +5,12 @@
 import { Refusal } from '../domain/refusal.js';
 import { describeRefusal } from './refusal-response.js';
 
+/**
+ * Time for a caller to close a connection that the daemon has ended, in milliseconds. Closing it at
+ * once could reset it before the caller has read the refusal.
+ */
+const LINGER_MS = 1000;
+
 const MESSAGE = 'the request could not be read';
 
 /** Refuses input that Node's parser rejects, and tells it from requests on the same connection. */
@@ -45,6 +51,8 @@
       return;
     }
     socket.end(writeRefusal(createRefusal(error)));
+    const linger = setTimeout(() => socket.destroy(), LINGER_MS);
+    socket.once('close', () => clearTimeout(linger));
   }
 
   /** A request whose body has not been received has not been run, so it may be refused. */
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -138,7 +138,7 @@
   try {
     return await command.run({ client: clients.open(address), base, operator, print }, args);
   } catch (error) {
-    return reportFailure(error, args.text('daemon'));
+    return reportFailure(error, args.text('daemon'), clients.mayHaveChanged);
   } finally {
     clients.close();
   }
@@ -148,9 +148,15 @@
   return (rows, value) => console.log(json ? JSON.stringify(value) : formatTable(rows));
 }
 
-function reportFailure(error: unknown, daemon: string): ExitCode {
+function reportFailure(error: unknown, daemon: string, mayHaveChanged: boolean): ExitCode {
   const failure = ConnectError.from(error);
   const unreachable = [Code.Unavailable, Code.DeadlineExceeded, Code.Aborted];
+  if (unreachable.includes(failure.code) && mayHaveChanged) {
+    console.error(
+      `the outcome is unknown, the daemon at ${daemon} stopped answering: ${failure.rawMessage}`,
+    );
+    return EXIT_CODE.failed;
+  }
   if (unreachable.includes(failure.code)) {
     console.error(`the daemon at ${daemon} cannot be reached: ${failure.rawMessage}`);
     return EXIT_CODE.unreachable;
--- a/src/operators/connect-operator-entry.ts
+++ b/src/operators/connect-operator-entry.ts
@@ -14,6 +14,12 @@
 /** Largest request, in bytes; a change is far smaller. */
 const MOST_REQUEST_BYTES = 1_048_576;
 
+/** Most connections at a time; a command at one daemon opens at most one to each other daemon. */
+const MOST_CONNECTIONS = 128;
+
+/** Interval of pings; a connection that has not answered one by the next is closed, in milliseconds. */
+const PING_MS = 5000;
+
 /** Serves cuminsparctl by connect over HTTP/2 without TLS. */
 export class ConnectOperatorEntry extends OperatorEntry {
   private readonly sessions = new Set<ServerHttp2Session>();
@@ -37,7 +43,9 @@
       this.sessions.add(session);
       session.on('close', () => this.sessions.delete(session));
       session.on('error', () => session.destroy());
+      closeWhenSilent(session);
     });
+    this.server.maxConnections = MOST_CONNECTIONS;
   }
 
   /**
@@ -75,3 +83,17 @@
     });
   }
 }
+
+function closeWhenSilent(session: ServerHttp2Session): void {
+  let isWaiting = false;
+  const timer = setInterval(() => {
+    const isSent =
+      !isWaiting &&
+      session.ping(() => {
+        isWaiting = false;
+      });
+    if (isSent) isWaiting = true;
+    else session.destroy();
+  }, PING_MS);
+  session.once('close', () => clearInterval(timer));
+}
--- a/src/operators/member-clients.ts
+++ b/src/operators/member-clients.ts
@@ -1,12 +1,18 @@
 import { type Client, createClient } from '@connectrpc/connect';
-import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import { createConnectTransport } from '@connectrpc/connect-node';
 
 import type { Address } from '../domain/vm.js';
 import { OperatorService } from '../gen/cuminspar/operator/v1/operator_pb.js';
+import { PeerSession } from '../peers/peer-session.js';
+
+/** Calls after which something may have changed although no answer came. */
+const CHANGES: ReadonlySet<string> = new Set(['change', 'withdrawKey']);
 
 /** Connections to operator listeners for the length of one command. */
 export class MemberClients {
-  private readonly sessions = new Map<string, Http2SessionManager>();
+  private readonly sessions = new Map<string, PeerSession>();
+
+  private changing = false;
 
   private constructor(private readonly authorization: string) {}
 
@@ -29,7 +35,7 @@
   open(address: Address): Client<typeof OperatorService> {
     const host = address.host.includes(':') ? `[${address.host}]` : address.host;
     const baseUrl = `http://${host}:${address.port}`;
-    const sessionManager = this.sessions.get(baseUrl) ?? new Http2SessionManager(baseUrl);
+    const sessionManager = this.sessions.get(baseUrl) ?? PeerSession.create(baseUrl);
     this.sessions.set(baseUrl, sessionManager);
     const transport = createConnectTransport({
       httpVersion: '2',
@@ -37,6 +43,7 @@
       sessionManager,
       interceptors: [
         (next) => async (request) => {
+          this.changing ||= CHANGES.has(request.method.localName);
           request.header.set('authorization', this.authorization);
           return next(request);
         },
@@ -45,9 +52,14 @@
     return createClient(OperatorService, transport);
   }
 
+  /** True once a daemon may have taken a change. */
+  get mayHaveChanged(): boolean {
+    return this.changing && [...this.sessions.values()].some(({ connected }) => connected);
+  }
+
   /** Closes the connections. */
   close(): void {
-    this.sessions.forEach((session) => session.abort());
+    this.sessions.forEach((session) => session.close());
     this.sessions.clear();
   }
 }
--- a/src/peers/peer-session.ts
+++ b/src/peers/peer-session.ts
@@ -32,7 +32,7 @@
 const UNREACHABLE_MS = 10_000;
 
 /**
- * Connection to one peer, replaced when it fails. The session manager of connect-node is not used:
+ * Connection to one peer or operator listener, replaced when it fails. The session manager of connect-node is not used:
  * it takes its error listener off a connection that it replaces, and an error of that connection
  * which came later stopped the process.
  */
@@ -54,20 +54,25 @@
   private constructor(
     /** Base address of the peer. */
     readonly authority: string,
-    private readonly localAddress: string,
+    private readonly localAddress: string | undefined,
   ) {}
 
   /**
    * Creates a session that connects with its first request.
    *
    * @param url - base address of the peer
-   * @param localAddress - IP number to connect from
+   * @param localAddress - IP number to connect from; undefined leaves the choice to the system
    * @returns a new session
    */
-  static create(url: string, localAddress: string): PeerSession {
+  static create(url: string, localAddress?: string): PeerSession {
     return new PeerSession(url, localAddress);
   }
 
+  /** True once a connection has existed. */
+  get connected(): boolean {
+    return this.lastReadMs > 0;
+  }
+
   /** True while the newest attempt to reach the peer has failed, and not long ago. */
   get unreachable(): boolean {
     return performance.now() - this.lostMs < UNREACHABLE_MS;
