test: move a team's shares without a pause while it is flooded

Cause: a home that starts a gained share with a full bucket left the row of a killed home green: shares move only after the death is noticed, and the tokens lost in that time hide the ones given twice.

Change: a row in which homes of seven daemons shut down one after another, so that shares move at once. Fleets of these rows keep entry answers for 0.2 s, so that a shutdown does not take 10 s.

--- a/features/guarantees/team-rates.feature
+++ b/features/guarantees/team-rates.feature
@@ -16,6 +16,7 @@
       | a home is frozen for less than its lease  | 4       | 40    |
       | a home is frozen until it is removed      | 4       | 40    |
       | two daemons are added                     | 3       | 40    |
+      | homes shut down one after another         | 7       | 40    |
       | a home restarts                           | 4       | 20    |
       | all homes restart                         | 4       | 20    |
       | the homes are cut from each other         | 4       | 40    |
--- a/features/steps/guarantees-rate-steps.ts
+++ b/features/steps/guarantees-rate-steps.ts
@@ -43,7 +43,8 @@
 Given('a rate-guarded fleet of {int} daemons', async function start(this: RateWorld, daemons) {
   const changes = [...planChanges(), { kind: 'put-team', team: TEAM }];
   const size = { daemons: Number(daemons), engineArgs: ENGINE_ARGS, services: 0, relayed: true };
-  const fleet = await startFleet(planSmallFleet({ ...size, changes }));
+  const settings = { entryAddresses: { validForMs: 200 } };
+  const fleet = await startFleet(planSmallFleet({ ...size, changes, settings }));
   this.rated = { fleet, phases: [{ fromMs: 0, ...TEAM }], usedPercent: 0 };
 });
 
@@ -71,7 +72,8 @@
     const startMs = Date.now();
     const load = startFlood({ key, callers: CALLERS, targets: () => targets });
     await run(1);
-    await event({ fleet, homes, others, aim, run, changeTeam });
+    const askHomes = async () => (await findHomes(fleet, key)).homes;
+    await event({ fleet, homes, others, askHomes, aim, run, changeTeam });
     await run(1);
     const elapsedS = (Date.now() - startMs) / 1000;
     const ran = await count();
--- a/features/support/guarantees-rate-events.ts
+++ b/features/support/guarantees-rate-events.ts
@@ -8,6 +8,8 @@
   /** Daemons that hold the team's shares when the load starts. */
   readonly homes: readonly FleetDaemon[];
   readonly others: readonly FleetDaemon[];
+  /** Asks which daemons hold the team's shares now. */
+  readonly askHomes: () => Promise<readonly FleetDaemon[]>;
   /** Sends the load to these daemons from now on. */
   readonly aim: (targets: readonly FleetDaemon[]) => void;
   /** Waits until the engines have run this many seconds' worth of the rate more. */
@@ -22,6 +24,9 @@
 /** Longest wait of a VM that lost its lease, in milliseconds. */
 const ISOLATION_MS = 4000;
 
+/** Daemons that are left after the shutdown of homes one after another. */
+const LEAST_DAEMONS = 2;
+
 function first(daemons: readonly FleetDaemon[]): FleetDaemon {
   const [daemon] = daemons;
   if (!daemon) throw new Error('no daemon');
@@ -52,6 +57,19 @@
   await Promise.all(homes.map((home) => fleet.waitReady(home)));
 }
 
+/** Shares move without a pause, so that tokens given twice are not hidden by a time without any. */
+async function shutDownHomes({ fleet, aim, askHomes }: EventStage): Promise<void> {
+  let left = [...fleet.daemons];
+  while (left.length > LEAST_DAEMONS) {
+    const leaving = first(await askHomes());
+    left = left.filter((daemon) => daemon !== leaving);
+    aim(left);
+    leaving.process.signal('SIGTERM');
+    await leaving.process.ended;
+    fleet.daemons.splice(fleet.daemons.indexOf(leaving), 1);
+  }
+}
+
 async function freezeHome({ fleet, homes, others }: EventStage): Promise<void> {
   first(homes).process.pause();
   await waitForMember(fleet, first(others), first(homes).name, false);
@@ -137,6 +155,7 @@
   ['a home is frozen for less than its lease', freezeHomeBriefly],
   ['a home is frozen until it is removed', freezeHome],
   ['two daemons are added', addHome],
+  ['homes shut down one after another', shutDownHomes],
   ['a home restarts', restartHome],
   ['all homes restart', restartAllHomes],
   ['the homes are cut from each other', separateHomes],
