feat(membership): name one commander in the membership stream

A claim names the commander that it succeeds and counts only when that one has left the list, so concurrent and repeated claims leave one commander; its offset is the fencing number.

--- a/src/membership/member-fold.ts
+++ b/src/membership/member-fold.ts
@@ -6,7 +6,7 @@
   type MemberRecord,
   parseMemberRecord,
 } from './member-record.js';
-import type { Member, MemberEpoch } from './membership.js';
+import type { Commander, Member, MemberEpoch } from './membership.js';
 import { chooseWitnesses, describeWitnesses } from './witness-set.js';
 
 /** Changes kept for past epochs; 64 changes take about four hours on an ordinary day. */
@@ -29,6 +29,8 @@
   readonly changes: readonly MemberChange[];
   /** Time of the newest snapshot on the log's clock; 0 when there is none. */
   readonly snapshotMs: number;
+  /** The newest commander, which may have left the list since. */
+  readonly commander?: Commander;
 }
 
 /** The state before the first record. */
@@ -54,6 +56,7 @@
   if (!parsed) return next;
   if (parsed.kind === 'joined') return join(next, parsed.member);
   if (parsed.kind === 'removed') return remove(next, parsed);
+  if (parsed.kind === 'commander') return appoint(next, parsed);
   return { ...next, snapshotMs: record.timestampMs };
 }
 
@@ -79,8 +82,8 @@
  */
 export function loadMembers(offset: number, image: MemberImage): MemberState {
   const members = new Map(image.members.map((entry) => [entry.member.vm, entry]));
-  const { epoch, changes } = image;
-  return { offset, epoch, members, changes, snapshotMs: 0 };
+  const { epoch, changes, commander } = image;
+  return { offset, epoch, members, changes, snapshotMs: 0, commander };
 }
 
 /**
@@ -89,9 +92,9 @@
  * @param state - the state
  * @returns its image
  */
-export function saveMembers({ epoch, members, changes }: MemberState): MemberImage {
+export function saveMembers({ epoch, members, changes, commander }: MemberState): MemberImage {
   const entries = [...members.values()].map(({ member, joinedAt }) => ({ member, joinedAt }));
-  return { epoch, members: entries, changes: [...changes] };
+  return { epoch, members: entries, changes: [...changes], commander };
 }
 
 /**
@@ -162,6 +165,24 @@
   return changed(state, members, { epoch: state.offset, removed: known });
 }
 
+/**
+ * A claim counts when its author knew the newest commander and that one has left the list, so that
+ * concurrent and repeated claims leave one commander.
+ */
+function appoint(state: MemberState, record: MemberRecord & { kind: 'commander' }): MemberState {
+  const { vm, incarnation, succeeds } = record;
+  if (succeeds !== (state.commander?.fencingNumber ?? 0)) return state;
+  if (!isListed(state, record) || (state.commander && isListed(state, state.commander))) {
+    return state;
+  }
+  return { ...state, commander: { vm, incarnation, fencingNumber: state.offset } };
+}
+
+function isListed({ members }: MemberState, owner: Incarnation): boolean {
+  const known = members.get(owner.vm)?.member;
+  return known !== undefined && isSame(known, owner);
+}
+
 /**
  * A fence covers the epochs up to the one that its author knew. A newer epoch with other witnesses
  * may have renewed the lease since, so such a removal has no effect and the fence is repeated.
--- a/src/membership/member-record.ts
+++ b/src/membership/member-record.ts
@@ -15,6 +15,8 @@
   operators: address,
 });
 
+const commander = z.object({ vm: z.string(), incarnation: z.string(), fencingNumber: z.int() });
+
 const change = z.object({
   epoch: z.int(),
   joined: member.optional(),
@@ -25,6 +27,7 @@
   epoch: z.int(),
   members: z.array(z.object({ member, joinedAt: z.int() })),
   changes: z.array(change),
+  commander: commander.optional(),
 });
 
 const recordSchema = z.discriminatedUnion('kind', [
@@ -38,6 +41,14 @@
     /** Newest epoch that the fence covers; required for the evidence `fenced`. */
     epoch: z.int().optional(),
   }),
+  z.object({
+    format: z.literal(1),
+    kind: z.literal('commander'),
+    vm: z.string(),
+    incarnation: z.string(),
+    /** Fencing number of the commander that is succeeded; 0 when there was none. */
+    succeeds: z.int(),
+  }),
   z.object({ format: z.literal(1), kind: z.literal('snapshot'), upTo: z.int(), state: image }),
 ]);
 
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -17,6 +17,12 @@
   readonly members: readonly Member[];
 }
 
+/** The one incarnation that may send orders to engines. */
+export interface Commander extends Incarnation {
+  /** Offset of the record that named it; a later commander has a higher one. */
+  readonly fencingNumber: number;
+}
+
 /** What a VM last heard from another. */
 export interface MemberStatus {
   readonly member: Member;
@@ -92,6 +98,20 @@
    */
   abstract askEpoch(member: Incarnation): Promise<number>;
 
+  /**
+   * Reads the newest commander that this VM knows of.
+   *
+   * @returns the commander, which may have left the list since; undefined when there was none
+   */
+  abstract commander(): Commander | undefined;
+
+  /**
+   * Appends a claim of this VM to succeed the commander that it knows of. The fold decides.
+   *
+   * @returns true when the claim is in the log
+   */
+  abstract claimCommand(): Promise<boolean>;
+
   /**
    * Tells whether an incarnation provably runs no more: removed, replaced, or fenced with its lease
    * expired.
--- a/src/membership/witnessed-membership.ts
+++ b/src/membership/witnessed-membership.ts
@@ -13,7 +13,13 @@
 import { isSame, listMembers, saveMembers } from './member-fold.js';
 import { MemberSnapshots } from './member-snapshots.js';
 import { MemberStream } from './member-stream.js';
-import { type Member, type MemberEpoch, Membership, type MemberStatus } from './membership.js';
+import {
+  type Commander,
+  type Member,
+  type MemberEpoch,
+  Membership,
+  type MemberStatus,
+} from './membership.js';
 import {
   appendMemberRecord,
   attempt,
@@ -175,6 +181,17 @@
     return epoch;
   }
 
+  override commander(): Commander | undefined {
+    return this.task.members().commander;
+  }
+
+  override async claimCommand(): Promise<boolean> {
+    const { vm, incarnation } = this.self();
+    const succeeds = this.commander()?.fencingNumber ?? 0;
+    const record = { format: 1, kind: 'commander', vm, incarnation, succeeds } as const;
+    return (await appendMemberRecord(this.context, record)).kind === 'ok';
+  }
+
   override async isGone(owner: Incarnation): Promise<boolean> {
     if (isSame(owner, this.self())) return false;
     // This process runs only its present incarnation on this VM.
