--- a/src/backends/engine.ts
+++ b/src/backends/engine.ts
@@ -175,7 +175,9 @@
    * Gives an order.
    *
    * @param order - the order
-   * @returns nothing, or a failure; `rejected` when the fencing number is old
+   * @param maySend - asked when the connection is open, right before the first byte is written
+   * @returns nothing, or a failure; `rejected` when the fencing number is old, `cancelled` when
+   * `maySend` returned false and nothing was sent
    */
-  abstract order(order: Order): Promise<Outcome<void, EngineFailure>>;
+  abstract order(order: Order, maySend: () => boolean): Promise<Outcome<void, EngineFailure>>;
 }
--- a/src/backends/http-connections.ts
+++ b/src/backends/http-connections.ts
@@ -1,3 +1,5 @@
+import type { Readable } from 'node:stream';
+
 import { Pool } from 'undici';
 
 import type { Address } from '../domain/vm.js';
@@ -20,6 +22,8 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body: string | Buffer | undefined;
   readonly deadline: ProgressDeadline;
+  /** Asked when the connection is open, right before the first byte is written. */
+  readonly maySend?: () => boolean;
 }
 
 /** An answer whose body has not been read. */
@@ -84,20 +88,24 @@
    * @returns the answer up to its headers, or the reason of the failure
    */
   async open(exchange: Exchange): Promise<Outcome<OpenAnswer, ExchangeFailure>> {
-    const { deadline } = exchange;
+    const { deadline, maySend } = exchange;
+    let forbidden = false;
+    const isForbidden = () => {
+      forbidden = maySend?.() === false;
+      return forbidden;
+    };
     try {
       const answer = await this.pool.request({
         method: exchange.method,
         path: exchange.path,
-        headers: exchange.headers,
-        body: exchange.body,
+        ...selectContent(exchange, isForbidden),
         signal: deadline.signal,
       });
       deadline.progress();
       const headers = flattenHeaders(answer.headers);
       return succeed({ status: answer.statusCode, headers, body: answer.body });
     } catch (error) {
-      return fail(classifyError(error, deadline));
+      return fail(forbidden ? 'cancelled' : classifyError(error, deadline));
     }
   }
 
@@ -138,6 +146,20 @@
   return succeed(Buffer.concat(chunks, size));
 }
 
+/** undici takes the first chunk when the connection is open and writes it with the headers. */
+function selectContent({ headers, body, maySend }: Exchange, isForbidden: () => boolean) {
+  if (!maySend || body === undefined) return { headers, body };
+  const length = String(Buffer.byteLength(body));
+  // undici takes any async iterable, which its types leave out.
+  const guarded = guardBody(body, isForbidden) as unknown as Readable;
+  return { headers: { ...headers, 'content-length': length }, body: guarded };
+}
+
+async function* guardBody(body: string | Buffer, isForbidden: () => boolean) {
+  if (isForbidden()) throw new Error('the request may not be sent any more');
+  yield Buffer.from(body);
+}
+
 function flattenHeaders(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): Record<string, string> {
--- a/src/backends/http-engine.ts
+++ b/src/backends/http-engine.ts
@@ -85,6 +85,7 @@
   readonly signal?: AbortSignal;
   readonly traceparent?: string | undefined;
   readonly statuses?: Readonly<Record<number, EngineFailureReason>>;
+  readonly maySend?: () => boolean;
 }
 
 const ROOM: Send<unknown>['statuses'] = { 429: 'busy' };
@@ -184,9 +185,12 @@
     return outcome.kind === 'ok' ? succeed(outcome.value.events) : outcome;
   }
 
-  override async order(order: Order): Promise<Outcome<void, EngineFailure>> {
+  override async order(
+    order: Order,
+    maySend: () => boolean,
+  ): Promise<Outcome<void, EngineFailure>> {
     const send = { method: 'POST', path: '/v1/orders', body: order, schema: anySchema } as const;
-    return ignoreValue(await this.send({ ...send, progressMs: this.engineMs }));
+    return ignoreValue(await this.send({ ...send, maySend, progressMs: this.engineMs }));
   }
 
   private get<Value>(
@@ -234,11 +238,12 @@
     request: Omit<Send<unknown>, 'schema'>,
     deadline: ProgressDeadline,
   ): Promise<Outcome<OpenAnswer, EngineFailure>> {
-    const { method, path, body, traceparent } = request;
+    const { method, path, body, traceparent, maySend } = request;
     const headers: Record<string, string> = traceparent ? { traceparent } : {};
     if (body !== undefined) headers['content-type'] = 'application/json';
     const text = body === undefined ? undefined : JSON.stringify(body);
-    const opened = await this.connections.open({ method, path, headers, body: text, deadline });
+    const exchange = { method, path, headers, body: text, deadline, maySend };
+    const opened = await this.connections.open(exchange);
     if (opened.kind === 'failed') return fail(this.noteFailure(path, opened.failure));
     const load = parseLoadHeader(opened.value.headers['x-engine-load']);
     if (load) this.listener.loaded(load);
