feat(orders): reconcile engines with the configuration through one commander

Engines got no orders. The commander derives them from each engine's role, models and adapters and from the versions of the models, repeats an order until it is acknowledged, and orders again what a restarted engine has lost.

--- a/src/assembly.ts
+++ b/src/assembly.ts
@@ -13,16 +13,21 @@
 import { RingDecisions } from './observability/ring-decisions.js';
 import { StatsdMetrics } from './observability/statsd-metrics.js';
 import { ConnectOperatorEntry } from './operators/connect-operator-entry.js';
+import { CommandedOrders } from './orders/commanded-orders.js';
 import { ConnectPeers } from './peers/connect-peers.js';
 import { RecordSources } from './peers/record-sources.js';
 import { HttpLogService } from './platform/http-log-service.js';
 import { HttpVmList } from './platform/http-vm-list.js';
+import { HttpWeightStore } from './platform/http-weight-store.js';
 import { SubsetRouting } from './routing/subset-routing.js';
 import type { Settings } from './settings/schema.js';
 
 /** Longest wait for the list, in milliseconds; an older list is used meanwhile. */
 const VM_LIST_TIMEOUT_MS = 2000;
 
+/** Longest wait for the weight store, in milliseconds; the order is tried again later. */
+const WEIGHT_STORE_TIMEOUT_MS = 2000;
+
 /**
  * Registers the services of a daemon. They start in this order and stop in reverse, so that callers
  * are served last and are the first to be drained.
@@ -41,6 +46,10 @@
     'vm-list',
     HttpVmList.create({ timeoutMs: VM_LIST_TIMEOUT_MS, ...platform.vmList }, clock),
   );
+  if (platform.weightStore) {
+    const options = { timeoutMs: WEIGHT_STORE_TIMEOUT_MS, ...platform.weightStore };
+    kernel.register('weight-store', HttpWeightStore.create(options));
+  }
   kernel.register('peers', ConnectPeers.create(kernel, settings));
   kernel.register('record-sources', RecordSources.create(kernel));
   kernel.register('decisions', RingDecisions.create(kernel, settings, clock));
@@ -52,6 +61,7 @@
   kernel.register('model-execution', PhasedModelExecution.create(kernel, settings, clock));
   kernel.register('service-execution', RoutedServiceExecution.create(kernel, settings, clock));
   kernel.register('holds', ObservingHoldReaper.create(kernel, clock));
+  kernel.register('orders', CommandedOrders.create(kernel, settings, clock));
   kernel.register('operators', ConnectOperatorEntry.create(kernel, settings, clock));
   kernel.register('callers', HttpCallerEntry.create(kernel, settings, clock));
 }
--- a/src/configuration/change.ts
+++ b/src/configuration/change.ts
@@ -37,6 +37,7 @@
   kvBytesPerToken: z.number().positive().default(131_072),
   kvBlockTokens: z.int().positive().default(2048),
   maxOutputTokens: z.int().positive().default(2048),
+  version: name.optional(),
 });
 
 export const routeSchema = z.strictObject({
@@ -59,6 +60,8 @@
   draining: z.boolean().default(false),
 };
 
+const adapter = z.strictObject({ name, version: name.optional() });
+
 export const serverSchema = z.discriminatedUnion('kind', [
   z.strictObject({
     ...serverBase,
@@ -69,6 +72,7 @@
     kvBlocks: z.int().min(0).default(256),
     checksFencing: z.boolean().default(false),
     checksCommander: z.boolean().default(false),
+    adapters: z.array(adapter).optional(),
   }),
   z.strictObject({ ...serverBase, kind: z.literal('service'), pool: name }),
 ]);
--- a/src/domain/backend-server.ts
+++ b/src/domain/backend-server.ts
@@ -14,6 +14,13 @@
   readonly draining: boolean;
 }
 
+/** An adapter that an engine serves. */
+export interface Adapter {
+  readonly name: string;
+  /** Version of the weights; undefined leaves the choice to the engine. */
+  readonly version?: string;
+}
+
 /** A model engine. */
 export interface EngineServer extends ServerBase {
   readonly kind: 'engine';
@@ -27,6 +34,7 @@
   readonly checksFencing: boolean;
   /** Whether the engine checks who gives it an order. */
   readonly checksCommander: boolean;
+  readonly adapters?: readonly Adapter[];
 }
 
 /** A plain service. */
--- a/src/domain/route.ts
+++ b/src/domain/route.ts
@@ -26,6 +26,8 @@
   readonly kvBlockTokens: number;
   /** Longest answer, in tokens. */
   readonly maxOutputTokens: number;
+  /** Version of the weights that engines load; undefined leaves the choice to the engine. */
+  readonly version?: string;
 }
 
 /** A set of values that an operator puts in force as a whole. */
--- /dev/null
+++ b/src/orders/commanded-orders.ts
@@ -0,0 +1,76 @@
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import type { Settings } from '../settings/schema.js';
+import { OrderSender } from './order-sender.js';
+import { Orders } from './orders.js';
+import { OrdersTask } from './orders-task.js';
+
+/** Time between two looks at what is due, in milliseconds. */
+const TICK_MS = 250;
+
+/** Looks after which the number of pending orders is reported. */
+const REPORT_TICKS = 20;
+
+/**
+ * Time that the network may take after the sender has given up an order and destroyed its
+ * connection, in milliseconds.
+ */
+const NETWORK_MS = 500;
+
+/** Orders to the engines, sent by whichever member is the commander. */
+export class CommandedOrders extends Orders {
+  private readonly stopping = new AbortController();
+
+  private readonly task: OrdersTask;
+
+  private running: Promise<void> = Promise.resolve();
+
+  private constructor(
+    private readonly kernel: Kernel,
+    settings: Settings,
+    private readonly clock: Clock,
+  ) {
+    super();
+    const sender = OrderSender.create(kernel, clock, settings.platform.weightStore !== undefined);
+    const flightMs = settings.timeouts.engineMs + NETWORK_MS;
+    this.task = OrdersTask.create(kernel, clock, sender, flightMs);
+  }
+
+  /**
+   * Creates the service.
+   *
+   * @param kernel - where other services are found
+   * @param settings - deadline of engine calls, and whether there is a weight store
+   * @param clock - source of time
+   * @returns a new service
+   */
+  static create(kernel: Kernel, settings: Settings, clock: Clock): CommandedOrders {
+    return new CommandedOrders(kernel, settings, clock);
+  }
+
+  override async start(): Promise<void> {
+    this.task.run();
+    this.running = this.repeat();
+  }
+
+  override async stop(): Promise<void> {
+    this.stopping.abort();
+    await this.running;
+    await this.task.drain();
+    this.task.close();
+  }
+
+  override pending(): number | undefined {
+    return this.task.pending();
+  }
+
+  private async repeat(): Promise<void> {
+    const { signal } = this.stopping;
+    for (let ticks = 0; !signal.aborted; ticks += 1) {
+      this.task.send({ kind: 'tick' });
+      const pending = ticks % REPORT_TICKS === 0 ? this.pending() : undefined;
+      if (pending !== undefined) this.kernel.find('metrics').gauge('orders.pending', pending);
+      await this.clock.sleep(TICK_MS, signal);
+    }
+  }
+}
--- /dev/null
+++ b/src/orders/orders-task.ts
@@ -0,0 +1,178 @@
+import type { ConfigurationState } from '../configuration/configuration.js';
+import type { EngineServer } from '../domain/backend-server.js';
+import type { Clock } from '../kernel/clock.js';
+import { assertInvariant } from '../kernel/invariant.js';
+import type { Kernel } from '../kernel/kernel.js';
+import { Task } from '../kernel/task.js';
+import { Command, type CommandView } from './command.js';
+import { type DesiredEngine, listDesiredEngines } from './desired-orders.js';
+import { OrderBook, type SentStep } from './order-book.js';
+import type { OrderReply, OrderSender } from './order-sender.js';
+
+/** What this VM knows while it is the commander. */
+interface Term {
+  readonly fencingNumber: number;
+  readonly book: OrderBook;
+  /** The configuration that the book follows. */
+  desiredFrom?: ConfigurationState;
+}
+
+/** What the task of the orders is told. */
+export type OrdersMessage =
+  | { readonly kind: 'tick' }
+  | {
+      readonly kind: 'looked';
+      readonly term: Term;
+      readonly engine: DesiredEngine;
+      readonly incarnation: string | undefined;
+    }
+  | {
+      readonly kind: 'settled';
+      readonly term: Term;
+      readonly step: SentStep;
+      readonly reply: OrderReply;
+    };
+
+/** Claims the command when it is vacant, and as the commander carries out what is due. */
+export class OrdersTask extends Task<OrdersMessage> {
+  private readonly command: Command;
+
+  private term: Term | undefined;
+
+  private readonly open = new Set<Promise<void>>();
+
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly clock: Clock,
+    private readonly sender: OrderSender,
+    private readonly flightMs: number,
+  ) {
+    super();
+    this.command = Command.create(flightMs);
+  }
+
+  /**
+   * Creates a task that waits for its first tick.
+   *
+   * @param kernel - finds the membership, the configuration and the backends
+   * @param clock - source of time
+   * @param sender - sends single orders
+   * @param flightMs - longest time between the sending of an order and its effect, in milliseconds
+   * @returns a new task
+   */
+  static create(kernel: Kernel, clock: Clock, sender: OrderSender, flightMs: number): OrdersTask {
+    return new OrdersTask(kernel, clock, sender, flightMs);
+  }
+
+  /** Counts orders that have not been acknowledged; undefined unless this VM is the commander. */
+  pending(): number | undefined {
+    return this.term?.book.pending();
+  }
+
+  /** Waits until no step is under way. */
+  async drain(): Promise<void> {
+    await Promise.all([...this.open]);
+  }
+
+  protected override receive(message: OrdersMessage): void {
+    switch (message.kind) {
+      case 'tick':
+        this.tick();
+        break;
+      case 'looked':
+        message.term.book.looked(message.engine, message.incarnation, this.clock.monotonicMs());
+        break;
+      case 'settled':
+        this.settle(message.term, message.step, message.reply);
+        break;
+      default:
+        assertInvariant(false, 'unknown message to the orders');
+    }
+  }
+
+  private tick(): void {
+    const view = this.view();
+    const nowMs = this.clock.monotonicMs();
+    const fencingNumber = this.command.observe(view, nowMs);
+    if (this.command.claim(view, nowMs)) void this.kernel.find('membership').claimCommand();
+    if (fencingNumber !== this.term?.fencingNumber) this.beginTerm(fencingNumber);
+    if (!this.term || !view.leaseLive) return;
+    this.updateDesired(this.term);
+    this.takeSteps(this.term, nowMs);
+  }
+
+  private view(): CommandView {
+    const membership = this.kernel.find('membership');
+    return {
+      self: membership.self(),
+      members: membership.current().members,
+      commander: membership.commander(),
+      leaseLive: membership.leaseLive(),
+    };
+  }
+
+  private beginTerm(fencingNumber: number | undefined): void {
+    const ended = this.term?.fencingNumber;
+    this.kernel.find('logs').info('command changed', { began: fencingNumber, ended });
+    const book = OrderBook.create(this.flightMs);
+    this.term = fencingNumber === undefined ? undefined : { fencingNumber, book };
+  }
+
+  private updateDesired(term: Term): void {
+    const state = this.kernel.find('configuration').current();
+    if (!state || state === term.desiredFrom) return;
+    Object.assign(term, { desiredFrom: state });
+    term.book.setDesired(listDesiredEngines(state));
+  }
+
+  private takeSteps(term: Term, nowMs: number): void {
+    const steps = term.book.take(nowMs, ({ server }) => this.maySend(term, server));
+    steps.forEach(({ engine, order }) => {
+      this.begin(order ? this.carryOut(term, { engine, order }) : this.look(term, engine));
+    });
+  }
+
+  private begin(step: Promise<void>): void {
+    this.open.add(step);
+    void step.finally(() => this.open.delete(step));
+  }
+
+  private async look(term: Term, engine: DesiredEngine): Promise<void> {
+    const load = await this.kernel.find('backends').engine(engine.server).load();
+    const incarnation = load.kind === 'ok' ? load.value.incarnation : undefined;
+    this.send({ kind: 'looked', term, engine, incarnation });
+  }
+
+  private async carryOut(term: Term, step: SentStep): Promise<void> {
+    const { server } = step.engine;
+    const reply = await this.sender.carryOut({
+      server,
+      order: step.order,
+      fencingNumber: term.fencingNumber,
+      maySend: () => this.maySend(term, server),
+    });
+    this.send({ kind: 'settled', term, step, reply });
+  }
+
+  private maySend({ fencingNumber }: Term, { checksFencing }: EngineServer): boolean {
+    const nowMs = this.clock.monotonicMs();
+    return this.command.maySend(this.view(), { fencingNumber, checksFencing }, nowMs);
+  }
+
+  private settle({ book, fencingNumber }: Term, step: SentStep, reply: OrderReply): void {
+    const { result, reason, sentMs } = reply;
+    book.settled(step, result, sentMs, this.clock.monotonicMs());
+    const { kind, value } = step.order;
+    const server = step.engine.server.name;
+    this.kernel.find('metrics').increment('orders.sent', { kind, result });
+    this.kernel.find('decisions').record({
+      ...{ requestId: `orders/${server}`, step: 'order', choice: `${kind} ${value}` },
+      reason: reason === '' ? result : `${result}: ${reason}`,
+      facts: { fencingNumber },
+    });
+    const logs = this.kernel.find('logs');
+    const fields = { server, kind, value, fencingNumber, result, reason };
+    if (result === 'acknowledged') logs.info('order acknowledged', fields);
+    else logs.warn('order not acknowledged', fields);
+  }
+}
