test(orders): check orders in arbitrary interleavings and with real daemons

Guards against an older order that takes effect after a newer one and against lost or repeated orders. The fleet of the harness may have a weight store.

--- /dev/null
+++ b/features/support/orders-simulation.ts
@@ -0,0 +1,223 @@
+import assert from 'node:assert/strict';
+
+import fc from 'fast-check';
+
+import { EMPTY_MEMBERS, foldMember, listMembers } from '../../src/membership/member-fold.js';
+import type { MemberRecord } from '../../src/membership/member-record.js';
+import type { Member } from '../../src/membership/membership.js';
+import { SHARE_LEASE_MS } from '../../src/membership/share-lease.js';
+import { Command, type CommandView } from '../../src/orders/command.js';
+import { type DesiredEngine, listDesiredEngines } from '../../src/orders/desired-orders.js';
+import { OrderBook, type SentStep } from '../../src/orders/order-book.js';
+import type { LogRecord } from '../../src/platform/log-service.js';
+import { createState } from './fake-services.js';
+import { createTestMember } from './lease-simulation.js';
+import { createEngineServer } from './servers.js';
+
+const FLIGHT_MS = 3000;
+const ROLES = ['prefill', 'decode', 'both'] as const;
+const KINDS = ['tick', 'write', 'deliver', 'break', 'lose', 'heal', 'depose', 'desire'];
+const kind = fc.constantFrom(
+  ...KINDS,
+  ...Array<string>(8).fill('tick'),
+  'write',
+  'deliver',
+  'desire',
+  'restart',
+);
+
+/** Steps of members, orders and engines; the number selects one of them or a time. */
+export const orderSchedules = fc.array(fc.tuple(kind, fc.nat(900)), {
+  ...{ minLength: 100, maxLength: 300, size: 'max' },
+});
+
+interface Message {
+  readonly step: SentStep;
+  readonly number: number;
+  readonly sentMs: number;
+  readonly book: OrderBook;
+  answered: boolean;
+}
+
+interface SimulatedNode {
+  member: Member;
+  state: typeof EMPTY_MEMBERS;
+  book: OrderBook | undefined;
+  number: number | undefined;
+  mode: string;
+  leaseUntilMs: number;
+  readonly command: Command;
+  readonly prepared: Omit<Message, 'sentMs' | 'answered'>[];
+}
+
+/** Three members that order two engines, of which the second ignores fencing numbers. */
+export class OrdersSimulation {
+  effects = 0;
+
+  successions = 0;
+
+  private nowMs = 0;
+
+  private role: (typeof ROLES)[number] = 'prefill';
+
+  private readonly log: LogRecord[] = [];
+
+  private messages: Message[] = [];
+
+  private readonly engines = [true, false].map((checksFencing) => {
+    const values = new Map<string, string>();
+    return { checksFencing, values, incarnation: 1, newest: 0, sentMs: 0 };
+  });
+
+  private readonly nodes = [0, 1, 2].map((index): SimulatedNode => {
+    const member = createTestMember(index, '');
+    const command = Command.create(FLIGHT_MS);
+    const empty = { state: EMPTY_MEMBERS, book: undefined, number: undefined, leaseUntilMs: 0 };
+    return { ...empty, member, command, mode: 'heal', prepared: [] };
+  });
+
+  step([next, at]: readonly [string, number]): void {
+    const node = this.nodes[at % this.nodes.length];
+    const engine = this.engines[at % this.engines.length];
+    assert.ok(node && engine);
+    if (next === 'tick') this.advance(at);
+    else if (next === 'write') this.write(node);
+    else if (next === 'desire') this.role = ROLES[at % ROLES.length] ?? 'both';
+    else if (next === 'depose') this.depose(at % 2 === 0 ? 'freeze' : 'cut');
+    else if (next === 'heal') node.mode = next;
+    else if (next !== 'restart') this.arrive(this.messages[at % this.messages.length], next);
+    else {
+      engine.incarnation += 1;
+      engine.values.clear();
+    }
+  }
+
+  /** Heals everything and checks that the configuration is in force after the time. */
+  settle(ms: number): void {
+    this.nodes.forEach((node) => Object.assign(node, { mode: 'heal' }));
+    for (let passedMs = 0; passedMs < ms; passedMs += 250) {
+      this.advance(250);
+      this.nodes.forEach((node) => this.write(node));
+      [...this.messages].forEach((message) => this.arrive(message, 'deliver'));
+    }
+    this.engines.forEach(({ values }) => {
+      assert.equal(values.get('role'), this.role);
+      assert.equal(values.get('load-model/planner'), 'planner');
+    });
+  }
+
+  private advance(ms: number): void {
+    this.nowMs += ms;
+    const late = this.messages.filter(({ sentMs }) => this.nowMs >= sentMs + FLIGHT_MS);
+    late.forEach((message) => this.arrive(message, 'lose'));
+    this.nodes.forEach((node) => this.tick(node));
+  }
+
+  private tick(node: SimulatedNode): void {
+    if (node.mode === 'freeze') return;
+    if (node.mode === 'heal') this.follow(node);
+    const { command, member } = node;
+    const number = command.observe(this.view(node), this.nowMs);
+    if (number !== node.number) {
+      this.successions += number === undefined ? 0 : 1;
+      Object.assign(node, { number, book: OrderBook.create(FLIGHT_MS) });
+    }
+    if (node.mode === 'heal' && command.claim(this.view(node), this.nowMs)) {
+      const succeeds = node.state.commander?.fencingNumber ?? 0;
+      this.append({ ...{ format: 1, kind: 'commander', succeeds }, ...member });
+    }
+    if (number !== undefined && node.book) this.take(node, node.book, number);
+  }
+
+  private follow(node: SimulatedNode): void {
+    Object.assign(node, { state: this.log.reduce(foldMember, node.state) });
+    const { vm, incarnation } = node.member;
+    if (node.state.members.get(vm)?.member.incarnation === incarnation) {
+      Object.assign(node, { leaseUntilMs: this.nowMs + SHARE_LEASE_MS });
+      return;
+    }
+    const member = { ...node.member, incarnation: `run-${this.log.length}` };
+    Object.assign(node, { member, leaseUntilMs: 0 });
+    this.append({ format: 1, kind: 'joined', member });
+  }
+
+  private take(node: SimulatedNode, book: OrderBook, number: number): void {
+    book.setDesired(this.desired());
+    const steps = book.take(this.nowMs, (engine) => this.maySend(node, engine, number));
+    steps.forEach(({ engine, order }) => {
+      if (order) node.prepared.push({ step: { engine, order }, number, book });
+      else book.looked(engine, String(this.engineOf(engine).incarnation), this.nowMs);
+    });
+  }
+
+  private write(node: SimulatedNode): void {
+    if (node.mode === 'freeze') return;
+    node.prepared.splice(0).forEach(({ step, number, book }) => {
+      const sentMs = this.nowMs;
+      const message = { step, number, book, sentMs, answered: false };
+      if (this.maySend(node, step.engine, number)) this.messages.push(message);
+      else book.settled(step, 'failed', 0, sentMs);
+    });
+  }
+
+  /** An order whose connection breaks may still take effect within its flight. */
+  private arrive(message: Message | undefined, how: string): void {
+    if (!message) return;
+    const reached = how === 'deliver';
+    const obeyed = reached && this.obey(message) ? 'acknowledged' : 'failed';
+    const result = reached ? obeyed : 'unknown';
+    if (!message.answered) message.book.settled(message.step, result, message.sentMs, this.nowMs);
+    Object.assign(message, { answered: true });
+    if (how !== 'break') this.messages = this.messages.filter((each) => each !== message);
+  }
+
+  private obey({ step: { engine, order }, number, sentMs }: Message): boolean {
+    const target = this.engineOf(engine);
+    if (target.checksFencing && number < target.newest) return false;
+    assert.ok(number >= target.newest, `number ${number} took effect after ${target.newest}`);
+    const overtaken = number === target.newest && sentMs < target.sentMs;
+    assert.ok(!overtaken, `an order sent at ${sentMs} took effect after a later one`);
+    Object.assign(target, { newest: number, sentMs });
+    target.values.set(order.subject, order.value);
+    this.effects += 1;
+    return true;
+  }
+
+  /** Removes the commander while its lease still runs. */
+  private depose(mode: string): void {
+    const node = this.nodes.find(({ number }) => number !== undefined);
+    if (!node || node.mode !== 'heal') return;
+    Object.assign(node, { mode });
+    this.append({ ...{ format: 1, kind: 'removed', evidence: 'unlisted' }, ...node.member });
+  }
+
+  private maySend(node: SimulatedNode, { server }: DesiredEngine, fencingNumber: number): boolean {
+    const order = { fencingNumber, checksFencing: server.checksFencing };
+    return node.command.maySend(this.view(node), order, this.nowMs);
+  }
+
+  private view({ member, state, leaseUntilMs }: SimulatedNode): CommandView {
+    const leaseLive = this.nowMs < leaseUntilMs;
+    return { self: member, members: listMembers(state), commander: state.commander, leaseLive };
+  }
+
+  private desired(): readonly DesiredEngine[] {
+    const servers = this.engines.map(({ checksFencing }, index) => ({
+      ...createEngineServer(`engine-${index}`),
+      role: this.role,
+      checksFencing,
+    }));
+    return listDesiredEngines(createState(servers));
+  }
+
+  private engineOf({ server }: DesiredEngine) {
+    const engine = this.engines[Number(server.name.split('-')[1])];
+    assert.ok(engine);
+    return engine;
+  }
+
+  private append(record: MemberRecord): void {
+    const offset = this.log.length + 1;
+    this.log.push({ offset, timestampMs: this.nowMs, data: JSON.stringify(record) });
+  }
+}
--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -45,6 +45,8 @@
   readonly relayed?: boolean;
   /** True: the relays of a relayed plan keep the bytes that pass them. */
   readonly recorded?: boolean;
+  /** URL of a weight store; the daemons have none without it. */
+  readonly weightStoreUrl?: string;
   /** Top-level fields of each daemon's settings that replace the usual ones. */
   readonly settings?: JsonChange;
 }
@@ -248,6 +250,7 @@
     platform: {
       log: { urls: [`http://${log.host}:${log.port}`] },
       vmList: { url: platform.vmList.url },
+      weightStore: plan.weightStoreUrl === undefined ? undefined : { url: plan.weightStoreUrl },
     },
     traces: { file: join(directory, `${name}.spans`) },
     ...plan.settings,
--- a/src/orders/commanded-orders.ts
+++ b/src/orders/commanded-orders.ts
@@ -31,7 +31,8 @@
     private readonly clock: Clock,
   ) {
     super();
-    const sender = OrderSender.create(kernel, clock, settings.platform.weightStore !== undefined);
+    const checksWeights = settings.platform.weightStore !== undefined;
+    const sender = OrderSender.create({ kernel, clock, checksWeights });
     const flightMs = settings.timeouts.engineMs + NETWORK_MS;
     this.task = OrdersTask.create(kernel, clock, sender, flightMs);
   }
--- a/src/orders/order-sender.ts
+++ b/src/orders/order-sender.ts
@@ -22,27 +22,30 @@
   readonly maySend: () => boolean;
 }
 
+/** What a sender works with. */
+export interface OrderSenderParts {
+  /** Finds the backends, the membership and the weight store. */
+  readonly kernel: Kernel;
+  readonly clock: Clock;
+  /** Whether there is a weight store. */
+  readonly checksWeights: boolean;
+}
+
 /** Sends single orders, after a look for the weights that they need. */
 export class OrderSender {
   /** Versions that the weight store has; a version is never changed, so it is asked for once. */
   private readonly found = new Set<string>();
 
-  private constructor(
-    private readonly kernel: Kernel,
-    private readonly clock: Clock,
-    private readonly checksWeights: boolean,
-  ) {}
+  private constructor(private readonly parts: OrderSenderParts) {}
 
   /**
-   * Creates a sender.
+   * Creates a sender that knows of no version.
    *
-   * @param kernel - finds the backends, the membership and the weight store
-   * @param clock - source of time
-   * @param checksWeights - whether there is a weight store
+   * @param parts - what it works with
    * @returns a new sender
    */
-  static create(kernel: Kernel, clock: Clock, checksWeights: boolean): OrderSender {
-    return new OrderSender(kernel, clock, checksWeights);
+  static create(parts: OrderSenderParts): OrderSender {
+    return new OrderSender(parts);
   }
 
   /**
@@ -52,17 +55,18 @@
    * @returns what became of it
    */
   async carryOut(outgoing: OutgoingOrder): Promise<OrderReply> {
+    const { kernel, clock } = this.parts;
     const { server, order, fencingNumber, maySend } = outgoing;
     const missing = await this.findMissing(order);
     if (missing !== undefined) return { result: 'failed', reason: missing, sentMs: 0 };
     let sentMs = 0;
     const { kind, value } = order;
-    const commander = this.kernel.find('membership').self().vm;
-    const outcome = await this.kernel
+    const commander = kernel.find('membership').self().vm;
+    const outcome = await kernel
       .find('backends')
       .engine(server)
       .order({ kind, value, fencingNumber, commander }, () => {
-        sentMs = this.clock.monotonicMs();
+        sentMs = clock.monotonicMs();
         return maySend();
       });
     if (outcome.kind === 'ok') return { result: 'acknowledged', reason: '', sentMs };
@@ -70,11 +74,11 @@
   }
 
   private async findMissing({ weights }: DesiredOrder): Promise<string | undefined> {
-    if (!weights || !this.checksWeights) return undefined;
+    if (!weights || !this.parts.checksWeights) return undefined;
     const { model, version } = weights;
     const name = `${model}/${version}`;
     if (this.found.has(name)) return undefined;
-    const file = await this.kernel.find('weight-store').find(model, version);
+    const file = await this.parts.kernel.find('weight-store').find(model, version);
     if (file.kind === 'failed') return `${name}: ${file.failure.message}`;
     this.found.add(name);
     return undefined;
