perf(execution): list only idle holds and those of incarnations that have gone

Cause: an observer listed all holds of its engines each second and asked their owners about those older than 3 s. At the design size that is 18.7 KB for an engine with 84 holds, and a peer call a second to each of up to 220 owners.

Change: GET /v1/holds takes a filter. An observer asks each second for the holds of attempts without an open call for 3 s and of incarnations that left the list of members within the last minute; it lists all holds every 5 min, and every 2 s while the log cannot be read. An engine that ignores or refuses the filter lists all holds as before. A forgotten hold whose live owner closed its call is found within 4 s; one whose owner still keeps the call open is found by the list of all holds (docs/design.md, 6.5).

--- a/features/backends/backends.feature
+++ b/features/backends/backends.feature
@@ -23,6 +23,10 @@
       | cancel       | lost         | broken   |
       | cancel       | rejected     | rejected |
 
+  Scenario: an engine that refuses the filter of holds is asked without it
+    Given a backends engine with the fault "rejected" on "v1/holds?"
+    Then the next backends call "holds" succeeds
+
   Scenario Outline: a decode stream with <fault> gives <events> and drops <dropped>
     Given a backends engine with the fault "<fault>" on "decode"
     When backends decode on the engine
--- a/features/stand-ins/model-engine.feature
+++ b/features/stand-ins/model-engine.feature
@@ -74,6 +74,21 @@
     And the decode engine holds nothing
     And the decode engine records that "a1" ended as "complete" with 60 tokens
 
+  Scenario: the filter of holds leaves out attempts whose call is open
+    When the engine attempt "a1" decodes 60 tokens of "hello" and disconnects after 3
+    Then the decode engine lists holds by filter:
+      | filter                        | holds |
+      |                               | 1     |
+      | idleMs=1                      | 1     |
+      | idleMs=60000                  | 0     |
+      | idleMs=60000&gone=OWNER       | 1     |
+      | idleMs=60000&gone=vm9/another | 0     |
+    And during a decode of 200 tokens the decode engine lists holds by filter:
+      | filter                        | holds |
+      |                               | 1     |
+      | idleMs=1                      | 0     |
+      | idleMs=1&gone=OWNER           | 1     |
+
   Scenario: a broken stream is resumed where it stopped
     When the engine attempt "a1" decodes 30 tokens of "hello" and disconnects after 3
     And the engine attempt "a1" resumes 30 tokens from index 3
--- a/features/steps/backends-steps.ts
+++ b/features/steps/backends-steps.ts
@@ -75,6 +75,7 @@
   if (call === 'prefill') return engine.prefill(made, 'planner', 'prompt', 0);
   if (call === 'transfers') return engine.transfer(made, 'r1', 'p1', '127.0.0.1:1');
   if (call === 'load') return engine.load();
+  if (call === 'holds') return engine.holds({ idleMs: 3000, gone: [made.owner] });
   return engine.cancel(made.attemptId, made.owner);
 }
 
--- /dev/null
+++ b/features/steps/engine-hold-filter-steps.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+
+import { type DataTable, Then } from '@cucumber/cucumber';
+
+import type { LaunchedStandIn } from '../../harness/stand-in-launcher.js';
+import { waitFor } from '../../harness/wait-for.js';
+import { buildAttempt, callJson, prepareDecode, readDecode } from '../support/engine-client.js';
+
+interface EngineWorld {
+  engines: Record<'prefill' | 'decode', LaunchedStandIn>;
+}
+
+const { owner } = buildAttempt('a1');
+
+async function countHolds({ url }: LaunchedStandIn, filter: string): Promise<number> {
+  const query = filter.replace('OWNER', encodeURIComponent(`${owner.vm}/${owner.incarnation}`));
+  const { body } = await callJson('GET', `${url}/v1/holds?${query}`);
+  return (body.holds as unknown[]).length;
+}
+
+async function compare(engine: LaunchedStandIn, table: DataTable): Promise<void> {
+  for (const { filter = '', holds } of table.hashes()) {
+    assert.equal(await countHolds(engine, filter), Number(holds), `filter "${filter}"`);
+  }
+}
+
+Then(
+  'the decode engine lists holds by filter:',
+  async function then(this: EngineWorld, table: DataTable) {
+    await compare(this.engines.decode, table);
+  },
+);
+
+Then(
+  'during a decode of {int} tokens the decode engine lists holds by filter:',
+  async function then(this: EngineWorld, maxTokens: number, table: DataTable) {
+    const { decode, prefill } = this.engines;
+    await waitFor('the end of other work', async () => (await countHolds(decode, '')) === 0);
+    const attempt = buildAttempt('a2');
+    const ready = await prepareDecode(decode.address, prefill.address, attempt, 'hello');
+    const { reservationId } = ready;
+    const body = { ...attempt, reservationId, maxTokens, fromIndex: 0 };
+    const stream = readDecode(decode.address, body);
+    await waitFor('the call', async () => (await countHolds(decode, 'idleMs=1')) === 0);
+    await compare(decode, table);
+    assert.equal((await stream).events.at(-1)?.end, 'length');
+  },
+);
--- a/features/steps/execution-reaper-steps.ts
+++ b/features/steps/execution-reaper-steps.ts
@@ -2,6 +2,7 @@
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
 
+import type { HoldFilter } from '../../src/backends/engine.js';
 import type { BackendServer } from '../../src/domain/backend-server.js';
 import type { Incarnation } from '../../src/domain/vm.js';
 import { ObservingHoldReaper } from '../../src/execution/observing-hold-reaper.js';
@@ -18,6 +19,8 @@
   clock: ManualClock;
   holds: object[];
   listed: number;
+  filters: (HoldFilter | undefined)[];
+  gone: readonly Incarnation[] | undefined;
   cancelled: string[];
   handlers: PeerHandlers;
   /** What the fakes say of the owner of the hold. */
@@ -37,13 +40,22 @@
   const kernel = Kernel.create();
   const clock = ManualClock.create();
   const reaper = ObservingHoldReaper.create(kernel, clock);
-  const rest = { holds: [], listed: 0, cancelled: [], handlers: {}, owner: '' };
+  const rest = {
+    holds: [],
+    listed: 0,
+    filters: [],
+    gone: [],
+    cancelled: [],
+    handlers: {},
+    owner: '',
+  };
   const state: ReaperState = { reaper, kernel, clock, ...rest };
   registerFake(kernel, 'configuration', { current: () => createState(servers) });
   registerFake(kernel, 'metrics', { increment: () => {} });
   registerFake(kernel, 'membership', {
     self: () => ({ vm: self, incarnation: 'i1' }),
     current: () => ({ epoch: 1, members: vms.map((vm) => ({ vm, incarnation: 'i1' })) }),
+    recentlyGone: () => state.gone,
     isGone: async () => state.owner.endsWith('fenced'),
   });
   registerNeighbours(kernel, state);
@@ -68,8 +80,9 @@
   });
   registerFake(kernel, 'backends', {
     engine: () => ({
-      holds: async () => {
+      holds: async (filter?: HoldFilter) => {
         Object.assign(state, { listed: state.listed + 1 });
+        state.filters.push(filter);
         return succeed({ incarnation: 'run1', holds: state.holds });
       },
       cancel: async (attemptId: string) => {
@@ -119,6 +132,57 @@
   },
 );
 
+async function runForMinute(state: ReaperState, gone: readonly Incarnation[] | undefined) {
+  await waitUntil(() => state.listed > 0, 'the first round has begun');
+  Object.assign(state, { gone });
+  for (let round = 1; round < 60; round += 1) {
+    state.clock.advance(1000);
+    await waitUntil(() => state.listed > round, `round ${round} has begun`);
+  }
+}
+
+When(
+  /^the hold reaper runs for a minute (with a log|during log outage)$/,
+  async function when(this: ReaperWorld, circumstances: string) {
+    await runForMinute(stateOf(this), circumstances === 'with a log' ? [] : undefined);
+  },
+);
+
+When(
+  '{string} has gone and the hold reaper runs for a minute with a log',
+  async function when(this: ReaperWorld, name: string) {
+    const [vm = '', incarnation = ''] = name.split('/');
+    await runForMinute(stateOf(this), [{ vm, incarnation }]);
+  },
+);
+
+Then(
+  'the hold reaper has asked for all holds {int} times',
+  function then(this: ReaperWorld, times: number) {
+    const { filters } = stateOf(this);
+    assert.equal(filters.filter((filter) => !filter).length, times);
+  },
+);
+
+Then(
+  'the hold reaper has otherwise asked for holds that had no call for {int} ms',
+  function then(this: ReaperWorld, idleMs: number) {
+    const filters = stateOf(this).filters.filter((filter) => filter !== undefined);
+    assert.ok(filters.length > 0);
+    assert.ok(filters.every((filter) => filter.idleMs === idleMs));
+  },
+);
+
+Then(
+  'the hold reaper has asked for the holds of {string} {int} times',
+  function then(this: ReaperWorld, name: string, times: number) {
+    const named = stateOf(this).filters.flatMap((filter) => filter?.gone ?? []);
+    const names = named.map(({ vm, incarnation }) => `${vm}/${incarnation}`);
+    assert.deepEqual([...new Set(names)], [name]);
+    assert.equal(names.length, times);
+  },
+);
+
 Then('the hold reaper has {string} it', function then(this: ReaperWorld, result: string) {
   const { cancelled } = stateOf(this);
   assert.equal(cancelled.length > 0 ? 'released' : 'kept', result);
--- a/features/support/fake-engine.ts
+++ b/features/support/fake-engine.ts
@@ -100,7 +100,7 @@
   private reply(url: string, attemptId: string, fault: string | undefined): unknown {
     if (url === '/v1/reservations') return { reservationId: `r-${attemptId}`, expiresInMs: 5000 };
     if (url === '/v1/load') return parseLoad(this.load);
-    if (url === '/v1/holds') return { incarnation: 'run1', holds: [] };
+    if (url.startsWith('/v1/holds')) return { incarnation: 'run1', holds: [] };
     if (url.startsWith('/v1/cache-events')) return { events: [], last: 0 };
     const id = fault === 'crossed' ? 'another' : attemptId;
     if (url === '/v1/transfers') {
--- a/src/backends/engine.ts
+++ b/src/backends/engine.ts
@@ -61,6 +61,14 @@
   readonly holds: readonly Hold[];
 }
 
+/** Which holds an engine lists; an engine that does not know the filter lists all. */
+export interface HoldFilter {
+  /** Holds of attempts that have had no open call for this time, in milliseconds. */
+  readonly idleMs: number;
+  /** Owners whose holds are listed in any case. */
+  readonly gone: readonly Incarnation[];
+}
+
 /** A change of the prefix cache; sequences have gaps. */
 export interface CacheEvent {
   readonly sequence: number;
@@ -152,9 +160,10 @@
   /**
    * Lists holds.
    *
+   * @param filter - which holds are wanted; all when it is missing
    * @returns the holds, or a failure
    */
-  abstract holds(): Promise<Outcome<HoldList, EngineFailure>>;
+  abstract holds(filter?: HoldFilter): Promise<Outcome<HoldList, EngineFailure>>;
 
   /**
    * Reads the load when no answer has carried it lately.
--- a/src/backends/http-engine.ts
+++ b/src/backends/http-engine.ts
@@ -11,6 +11,7 @@
   type CacheEvent,
   type DecodeEvent,
   type EngineCall,
+  type HoldFilter,
   type HoldList,
   type Order,
   type Prefill,
@@ -169,8 +170,12 @@
     return ignoreValue(await this.send({ ...send, progressMs: this.engineMs }));
   }
 
-  override holds(): Promise<Outcome<HoldList, EngineFailure>> {
-    return this.get('/v1/holds', holdsSchema);
+  override async holds(filter?: HoldFilter): Promise<Outcome<HoldList, EngineFailure>> {
+    if (!filter) return this.get('/v1/holds', holdsSchema);
+    const outcome = await this.get(`/v1/holds?${formatFilter(filter)}`, holdsSchema);
+    const refused = outcome.kind === 'failed' && outcome.failure.reason === 'rejected';
+    // An engine that does not know the filter may refuse the query instead of ignoring it.
+    return refused ? this.holds() : outcome;
   }
 
   override async load(): Promise<Outcome<EngineLoad, EngineFailure>> {
@@ -324,6 +329,12 @@
   return { requestId, attemptId, owner: { vm, incarnation }, team };
 }
 
+function formatFilter({ idleMs, gone }: HoldFilter): string {
+  const query = new URLSearchParams({ idleMs: String(idleMs) });
+  gone.forEach(({ vm, incarnation }) => query.append('gone', `${vm}/${incarnation}`));
+  return query.toString();
+}
+
 function statusFailure(
   request: Pick<Send<unknown>, 'path' | 'statuses'>,
   status: number,
--- a/src/execution/observing-hold-reaper.ts
+++ b/src/execution/observing-hold-reaper.ts
@@ -1,4 +1,4 @@
-import type { Hold, HoldList } from '../backends/engine.js';
+import type { Hold, HoldFilter, HoldList } from '../backends/engine.js';
 import type { BackendServer, EngineServer } from '../domain/backend-server.js';
 import type { Incarnation } from '../domain/vm.js';
 import type { Clock } from '../kernel/clock.js';
@@ -12,12 +12,33 @@
 // An attempt may hold memory at an engine before its owner has noted the attempt.
 const ASK_AGE_MS = 3000;
 
+/**
+ * Time between two lists of all holds, for holds whose owner keeps a call open that it has
+ * forgotten. At the design size a node lists 220 holds, and their owners are asked with a call each.
+ */
+const FULL_LIST_MS = 300_000;
+
+/**
+ * The same while the log cannot be read. A silent owner is fenced about 6 s after its last
+ * heartbeat, no list of members names it, and its holds must be released after 10 s.
+ */
+const OUTAGE_LIST_MS = 2000;
+
+/** Time for which engines are asked for the holds of an incarnation that has gone. */
+const NAMED_MS = 60_000;
+
 /** Lists the holds of the engines that this VM observes and cancels those without an owner. */
 export class ObservingHoldReaper extends HoldReaper {
   private readonly stopping = new AbortController();
 
   private readonly open = new Set<string>();
 
+  /** Time of the last list of all holds by engine. */
+  private readonly listedMs = new Map<string, number>();
+
+  /** Time at which an incarnation was first seen among those that have gone. */
+  private goneMs = new Map<string, number>();
+
   private constructor(
     private readonly kernel: Kernel,
     private readonly clock: Clock,
@@ -75,13 +96,32 @@
     if (this.open.has(server.name)) return;
     this.open.add(server.name);
     try {
-      const outcome = await this.kernel.find('backends').engine(server).holds();
-      if (outcome.kind === 'ok') await this.inspect(server, outcome.value);
+      const startedMs = this.clock.monotonicMs();
+      const filter = this.createFilter(server, startedMs);
+      const outcome = await this.kernel.find('backends').engine(server).holds(filter);
+      if (outcome.kind === 'failed') return;
+      if (!filter) this.listedMs.set(server.name, startedMs);
+      await this.inspect(server, outcome.value);
     } finally {
       this.open.delete(server.name);
     }
   }
 
+  /** Without a filter, the engine lists all holds. */
+  private createFilter({ name }: EngineServer, nowMs: number): HoldFilter | undefined {
+    const gone = this.kernel.find('membership').recentlyGone();
+    const sinceMs = nowMs - (this.listedMs.get(name) ?? -Infinity);
+    if (sinceMs >= (gone ? FULL_LIST_MS : OUTAGE_LIST_MS)) return undefined;
+    return { idleMs: ASK_AGE_MS, gone: gone ? this.selectNew(gone, nowMs) : [] };
+  }
+
+  private selectNew(gone: readonly Incarnation[], nowMs: number): readonly Incarnation[] {
+    const nameOf = ({ vm, incarnation }: Incarnation) => `${vm}/${incarnation}`;
+    const firstMs = (owner: Incarnation) => this.goneMs.get(nameOf(owner)) ?? nowMs;
+    this.goneMs = new Map(gone.map((owner) => [nameOf(owner), firstMs(owner)]));
+    return gone.filter((owner) => nowMs - firstMs(owner) < NAMED_MS);
+  }
+
   private async inspect(server: EngineServer, { holds }: HoldList): Promise<void> {
     const groups = new Map<string, Hold[]>();
     holds.forEach((hold) => {
--- a/src/membership/member-fold.ts
+++ b/src/membership/member-fold.ts
@@ -132,6 +132,16 @@
   return state.changes.some(({ removed }) => removed !== undefined && isSame(removed, owner));
 }
 
+/**
+ * Lists the incarnations that the kept changes removed or replaced.
+ *
+ * @param state - the state
+ * @returns the incarnations, oldest change first
+ */
+export function listRemoved(state: MemberState): readonly Incarnation[] {
+  return state.changes.flatMap(({ removed }) => removed ?? []);
+}
+
 /**
  * Compares two incarnations.
  *
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -101,6 +101,13 @@
    */
   abstract isGone(owner: Incarnation): Promise<boolean>;
 
+  /**
+   * Lists the incarnations that were removed or replaced by the newest changes.
+   *
+   * @returns the incarnations; undefined while the log cannot be read, when others may have gone too
+   */
+  abstract recentlyGone(): readonly Incarnation[] | undefined;
+
   /**
    * Reads what is known of the other members.
    *
--- a/src/membership/witnessed-membership.ts
+++ b/src/membership/witnessed-membership.ts
@@ -10,7 +10,7 @@
 import type { Settings } from '../settings/schema.js';
 import { Fencing } from './fencing.js';
 import { Heartbeats } from './heartbeats.js';
-import { isSame, listMembers, saveMembers } from './member-fold.js';
+import { isSame, listMembers, listRemoved, saveMembers } from './member-fold.js';
 import { MemberSnapshots } from './member-snapshots.js';
 import { MemberStream } from './member-stream.js';
 import { type Member, type MemberEpoch, Membership, type MemberStatus } from './membership.js';
@@ -184,6 +184,10 @@
     return !this.stream.logReachable() && this.fencing.isFenced(owner);
   }
 
+  override recentlyGone(): readonly Incarnation[] | undefined {
+    return this.stream.logReachable() ? listRemoved(this.task.members()) : undefined;
+  }
+
   override statuses(): readonly MemberStatus[] {
     const self = this.self().vm;
     return listMembers(this.task.members())
--- a/stand-ins/engine/engine-handler.ts
+++ b/stand-ins/engine/engine-handler.ts
@@ -59,7 +59,7 @@
     'POST /v1/orders': () => obey(state, orders, call),
     'GET /v1/export': () => exportKv(state, call),
     'GET /v1/load': () => replyJson(200, state.load.read()),
-    'GET /v1/holds': () => listHolds(state),
+    'GET /v1/holds': () => listHolds(state, call),
     'GET /v1/cache-events': () =>
       replyJson(200, state.cache.listEvents(Number(call.query.get('after') ?? 0))),
   };
@@ -72,8 +72,16 @@
   return replyJson(200, { released: state.endAttempt(attemptId, 'cancelled') });
 }
 
-function listHolds({ incarnation, memory }: EngineState): Reply {
-  return replyJson(200, { incarnation, holds: memory.list() });
+function listHolds({ incarnation, memory, attendance }: EngineState, { query }: Call): Reply {
+  const holds = memory.list();
+  if (!query.has('idleMs')) return replyJson(200, { incarnation, holds });
+  const idleMs = Number(query.get('idleMs'));
+  const gone = new Set(query.getAll('gone'));
+  const listed = holds.filter(
+    ({ attemptId, owner }) =>
+      gone.has(`${owner.vm}/${owner.incarnation}`) || attendance.idleMs(attemptId) >= idleMs,
+  );
+  return replyJson(200, { incarnation, holds: listed });
 }
 
 function obey(state: EngineState, orders: Orders, call: Call): Reply {
--- a/stand-ins/engine/engine-state.ts
+++ b/stand-ins/engine/engine-state.ts
@@ -2,6 +2,7 @@
 
 import { Link } from '../shared/link.js';
 import type { Ended } from './attempt-log.js';
+import { Attendance } from './attendance.js';
 import { Cancellations } from './cancellations.js';
 import type { EngineHistory } from './engine-history.js';
 import { Generations } from './generations.js';
@@ -19,6 +20,8 @@
 
   readonly memory: Memory;
 
+  readonly attendance = Attendance.create();
+
   readonly cancellations = Cancellations.create();
 
   readonly cache: PrefixCache;
@@ -84,6 +87,7 @@
     if (ended === 'cancelled') this.generations.stop(attemptId);
     this.reservations.drop(attemptId);
     this.cancellations.forget(attemptId);
+    this.attendance.forget(attemptId);
     this.history.attempts.end(attemptId, ended);
     return this.memory.releaseAttempt(attemptId);
   }
@@ -98,6 +102,7 @@
     this.memory.releaseKind(attemptId, 'prefill');
     if (this.reservations.find(attemptId)) return;
     this.cancellations.forget(attemptId);
+    this.attendance.forget(attemptId);
     this.history.attempts.end(attemptId, ended);
   }
 
--- a/stand-ins/engine/parse-call.ts
+++ b/stand-ins/engine/parse-call.ts
@@ -39,6 +39,7 @@
     return replyError(404, `no model ${model}`);
   }
   if (state.cancellations.has(parsed.data.attemptId)) return replyCancelled();
+  state.attendance.note(parsed.data.attemptId, call.signal);
   return serve(parsed.data);
 }
 
