--- a/features/configuration/fold.feature
+++ b/features/configuration/fold.feature
@@ -65,3 +65,15 @@
       | the version never goes back                                |
       | a withdrawn key never authenticates again                  |
       | of two racing edits on one base exactly one is accepted    |
+
+  # Guards P10: daemons ask for later records only, so an older end comes here by fault alone.
+  Scenario Outline: a fold is not taken back by <given>
+    Given a fold task that has taken three records
+    When the fold task is given <given>
+    Then the fold task is as it was
+
+    Examples:
+      | given               |
+      | older records       |
+      | an older snapshot   |
+      | records after a gap |
