--- a/features/steps/admission-steps.ts
+++ b/features/steps/admission-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When, type World } from '@cucumber/cucumber';
+import { After, Given, Then, When, type World, world } from '@cucumber/cucumber';
 import fc from 'fast-check';
 
 import type { Team } from '../../src/domain/team.js';
@@ -20,18 +20,20 @@
   startedMs: number;
 }
 
+const scenario = world as unknown as AdmissionWorld;
+
 const REQUEST_TOKENS = 100;
 
-After(async function after(this: AdmissionWorld) {
-  await this.fleet?.stop();
+After(async () => {
+  await scenario.fleet?.stop();
 });
 
 function createTeam(name: string, rate: number, burst: number): Team {
   return { name, rate, burst, weight: 1 };
 }
 
-async function askAndWait(world: AdmissionWorld, vm: FleetVm, team: string, tokens: number) {
-  const fleet = world.fleet!;
+async function askAndWait(vm: FleetVm, team: string, tokens: number) {
+  const fleet = scenario.fleet!;
   let ended = false;
   const asked = fleet.ask(vm, team, tokens, { model: 'planner', fingerprint: 'probe' });
   void asked.then(() => {
@@ -39,7 +41,7 @@
   });
   await fleet.settle();
   for (let step = 0; !ended && step < 2000; step += 1) await fleet.advance(1, 1);
-  Object.assign(world, { result: await asked });
+  scenario.result = await asked;
 }
 
 /** Sends requests of one team evenly over the given VMs; returns without waiting for the answers. */
@@ -70,107 +72,89 @@
 
 Given(
   'an admission fleet of {int} VMs with the team {string} at rate {int} and burst {int}',
-  async function given(
-    this: AdmissionWorld,
-    vms: number,
-    name: string,
-    rate: number,
-    burst: number,
-  ) {
-    this.teams = [createTeam(name, rate, burst)];
-    this.fleet = await AdmissionFleet.create(vms, this.teams);
+  async (vms: number, name: string, rate: number, burst: number) => {
+    scenario.teams = [createTeam(name, rate, burst)];
+    scenario.fleet = await AdmissionFleet.create(vms, scenario.teams);
   },
 );
 
 Given(
   'an admission fleet of {int} VMs with {int} teams at rate {int} and burst {int}',
-  async function given(
-    this: AdmissionWorld,
-    vms: number,
-    teams: number,
-    rate: number,
-    burst: number,
-  ) {
-    this.teams = Array.from({ length: teams }, (_, n) => createTeam(`team-${n}`, rate, burst));
-    this.fleet = await AdmissionFleet.create(vms, this.teams);
+  async (vms: number, teams: number, rate: number, burst: number) => {
+    scenario.teams = Array.from({ length: teams }, (_, n) => createTeam(`team-${n}`, rate, burst));
+    scenario.fleet = await AdmissionFleet.create(vms, scenario.teams);
   },
 );
 
-Given(
-  'admission meets the state {string}',
-  async function given(this: AdmissionWorld, state: string) {
-    const fleet = this.fleet!;
-    const vm = fleet.find('oval-crew', 2);
-    switch (state) {
-      case 'a lapsed lease':
-        vm.lease = false;
-        break;
-      case 'maintenance':
-        fleet.configure({ preset: { maintenance: true } });
-        break;
-      case 'a quarantined fingerprint':
-        vm.admission.reportDeath('planner-1', ['probe', 'other']);
-        await fleet.advance(4000, 100);
-        vm.admission.reportDeath('planner-1', ['probe']);
-        break;
-      case 'no capacity':
-        fleet.headroom = 0;
-        break;
-      case 'an empty bucket':
-        await askAndWait(this, fleet.find('oval-crew', 0), 'oval-crew', 1750);
-        assert.equal(this.result.code, 'admitted');
-        break;
-      case 'a removed team':
-        fleet.configure({ removed: 'oval-crew' });
-        break;
-      case 'both homes silent':
-        fleet.find('oval-crew', 0).fault = 'silent';
-        fleet.find('oval-crew', 1).fault = 'silent';
-        break;
-      default:
-        assert.equal(state, 'a prompt beyond the burst');
-    }
-  },
-);
+Given('admission meets the state {string}', async (state: string) => {
+  const fleet = scenario.fleet!;
+  const vm = fleet.find('oval-crew', 2);
+  switch (state) {
+    case 'a lapsed lease':
+      vm.lease = false;
+      break;
+    case 'maintenance':
+      fleet.configure({ preset: { maintenance: true } });
+      break;
+    case 'a quarantined fingerprint':
+      vm.admission.reportDeath('planner-1', ['probe', 'other']);
+      await fleet.advance(4000, 100);
+      vm.admission.reportDeath('planner-1', ['probe']);
+      break;
+    case 'no capacity':
+      fleet.headroom = 0;
+      break;
+    case 'an empty bucket':
+      await askAndWait(fleet.find('oval-crew', 0), 'oval-crew', 1750);
+      assert.equal(scenario.result.code, 'admitted');
+      break;
+    case 'a removed team':
+      fleet.configure({ removed: 'oval-crew' });
+      break;
+    case 'both homes silent':
+      fleet.find('oval-crew', 0).fault = 'silent';
+      fleet.find('oval-crew', 1).fault = 'silent';
+      break;
+    default:
+      assert.equal(state, 'a prompt beyond the burst');
+  }
+});
 
 When(
   'admission at the {word} home of {string} has the fault {string}',
-  function when(this: AdmissionWorld, place: string, team: string, fault: string) {
-    const vm = this.fleet!.find(team, place === 'first' ? 0 : 1);
+  (place: string, team: string, fault: string) => {
+    const vm = scenario.fleet!.find(team, place === 'first' ? 0 : 1);
     if (fault !== 'none') vm.fault = fault as PeerFault;
   },
 );
 
 When(
   'admission is asked on the VM at place {int} for {int} tokens of {string}',
-  async function when(this: AdmissionWorld, place: number, tokens: number, team: string) {
-    await askAndWait(this, this.fleet!.find(team, place), team, tokens);
+  async (place: number, tokens: number, team: string) => {
+    await askAndWait(scenario.fleet!.find(team, place), team, tokens);
   },
 );
 
-When('admission time passes for {int} ms', async function when(this: AdmissionWorld, ms: number) {
-  await this.fleet!.advance(ms);
+When('admission time passes for {int} ms', async (ms: number) => {
+  await scenario.fleet!.advance(ms);
 });
 
-Then(
-  'admission answers {string} within {int} ms',
-  function then(this: AdmissionWorld, code: string, ms: number) {
-    const { result, fleet } = this;
-    assert.equal(result.code, code);
-    const elapsedMs = result.endedMs - result.askedMs;
-    assert.ok(elapsedMs <= ms + 1, `answered after ${elapsedMs} ms`);
-    assert.equal(result.sendable, code === 'admitted');
-    if (result.refusal) assert.equal(result.refusal.run, 'not run');
-    if (code === 'rate_exceeded') assert.ok(result.refusal!.retryAfterMs! > 0);
-    const expected = code === 'admitted' ? 'admitted' : 'refused';
-    assert.equal(fleet!.decisions.at(-1)!.choice, expected);
-  },
-);
+Then('admission answers {string} within {int} ms', (code: string, ms: number) => {
+  const { result, fleet } = scenario;
+  assert.equal(result.code, code);
+  const elapsedMs = result.endedMs - result.askedMs;
+  assert.ok(elapsedMs <= ms + 1, `answered after ${elapsedMs} ms`);
+  assert.equal(result.sendable, code === 'admitted');
+  if (result.refusal) assert.equal(result.refusal.run, 'not run');
+  if (code === 'rate_exceeded') assert.ok(result.refusal!.retryAfterMs! > 0);
+  const expected = code === 'admitted' ? 'admitted' : 'refused';
+  assert.equal(fleet!.decisions.at(-1)!.choice, expected);
+});
 
 Then(
   'admission homes have granted {int} tokens of {string} in all',
-  async function then(this: AdmissionWorld, tokens: number, team: string) {
-    const fleet = this.fleet!;
+  async (tokens: number, team: string) => {
+    const fleet = scenario.fleet!;
     // Drains what is left, right away: what the homes still grant shows what they have charged.
     const usable = 1750;
     fleet.vms.forEach((vm) => Object.assign(vm, { fault: undefined }));
@@ -186,7 +170,7 @@
       ) => Promise<{ granted: bigint }>;
       left += Number((await debit(call)).granted);
     }
-    const refilled = since - this.result.askedMs;
+    const refilled = since - scenario.result.askedMs;
     const charged = usable - left;
     assert.ok(charged <= tokens + 1 && charged >= tokens - refilled - 2, `charged ${charged}`);
   },
@@ -194,8 +178,8 @@
 
 Then(
   'the admission grant can be sent after {int} ms but not after {int} ms',
-  async function then(this: AdmissionWorld, before: number, after: number) {
-    const { fleet, result } = this;
+  async (before: number, after: number) => {
+    const { fleet, result } = scenario;
     await fleet!.advance(result.askedMs + before - fleet!.clock.monotonicMs(), 1);
     assert.equal(result.grant!.sendable(), true);
     await fleet!.advance(after - before, 1);
@@ -203,100 +187,77 @@
   },
 );
 
-Then(
-  'the admission grant cannot be sent once the lease has lapsed',
-  function then(this: AdmissionWorld) {
-    assert.equal(this.result.grant!.sendable(), true);
-    this.fleet!.find('oval-crew', 2).lease = false;
-    assert.equal(this.result.grant!.sendable(), false);
-  },
-);
+Then('the admission grant cannot be sent once the lease has lapsed', () => {
+  assert.equal(scenario.result.grant!.sendable(), true);
+  scenario.fleet!.find('oval-crew', 2).lease = false;
+  assert.equal(scenario.result.grant!.sendable(), false);
+});
 
 When(
   'admission carries {int} times the rate of {string} on the VMs at places {string} for {int} ms',
-  async function when(
-    this: AdmissionWorld,
-    times: number,
-    team: string,
-    places: string,
-    ms: number,
-  ) {
-    const fleet = this.fleet!;
+  async (times: number, team: string, places: string, ms: number) => {
+    const fleet = scenario.fleet!;
     const vms = places.split(', ').map((place) => fleet.find(team, Number(place)));
-    const perSecond = this.teams[0]!.rate * times;
-    this.startedMs = fleet.clock.monotonicMs();
+    const perSecond = scenario.teams[0]!.rate * times;
+    scenario.startedMs = fleet.clock.monotonicMs();
     fleet.debitCalls.clear();
     await carry(fleet, [{ team, perSecond }], (index) => vms[index % vms.length]!, ms);
-    this.carriedMs = ms;
+    scenario.carriedMs = ms;
   },
 );
 
 When(
   'admission applies the rate {int} and burst {int} to {string}',
-  function when(this: AdmissionWorld, rate: number, burst: number, name: string) {
-    this.teams = [createTeam(name, rate, burst)];
-    this.changedMs = this.fleet!.clock.monotonicMs();
-    this.fleet!.configure({ team: this.teams[0]! });
+  (rate: number, burst: number, name: string) => {
+    scenario.teams = [createTeam(name, rate, burst)];
+    scenario.changedMs = scenario.fleet!.clock.monotonicMs();
+    scenario.fleet!.configure({ team: scenario.teams[0]! });
   },
 );
 
-Then(
-  'admission of {string} stays within burst + rate × window',
-  function then(this: AdmissionWorld, _team: string) {
-    assert.deepEqual(this.fleet!.findExcess(this.teams[0]!), []);
-  },
-);
+Then('admission of {string} stays within burst + rate × window', (_team: string) => {
+  assert.deepEqual(scenario.fleet!.findExcess(scenario.teams[0]!), []);
+});
 
 Then(
   'admission of {string} stays within burst + rate × window since the change',
-  function then(this: AdmissionWorld, _team: string) {
-    const { results } = this.fleet!;
-    assert.ok(results.some((result) => result.endedMs > this.changedMs && result.sendable));
-    assert.deepEqual(this.fleet!.findExcess(this.teams[0]!, this.changedMs + 1), []);
+  (_team: string) => {
+    const { results } = scenario.fleet!;
+    assert.ok(results.some((result) => result.endedMs > scenario.changedMs && result.sendable));
+    assert.deepEqual(scenario.fleet!.findExcess(scenario.teams[0]!, scenario.changedMs + 1), []);
   },
 );
 
-Then(
-  'admission of every team stays within burst + rate × window',
-  function then(this: AdmissionWorld) {
-    this.teams.forEach((team) => assert.deepEqual(this.fleet!.findExcess(team), []));
-  },
-);
+Then('admission of every team stays within burst + rate × window', () => {
+  scenario.teams.forEach((team) => assert.deepEqual(scenario.fleet!.findExcess(team), []));
+});
 
 Then(
   'admission of {string} reaches {int} percent of rate × time',
-  function then(this: AdmissionWorld, team: string, percent: number) {
-    const sent = this.fleet!.results.filter((result) => result.team === team && result.sendable);
+  (team: string, percent: number) => {
+    const sent = scenario.fleet!.results.filter(
+      (result) => result.team === team && result.sendable,
+    );
     const tokens = sent.reduce((sum, result) => sum + result.tokens, 0);
-    const expected = (this.teams[0]!.rate * this.carriedMs) / 1000;
+    const expected = (scenario.teams[0]!.rate * scenario.carriedMs) / 1000;
     process.stdout.write(`admission: admitted ${tokens} tokens of ${expected} + burst\n`);
     assert.ok(tokens >= (expected * percent) / 100, `admitted ${tokens} tokens`);
   },
 );
 
-Then(
-  'admission made at most {int} debit calls a second for each VM and home',
-  function then(this: AdmissionWorld, most: number) {
-    const calls = Math.max(...this.fleet!.debitCalls.values());
-    const perSecond = calls / (this.carriedMs / 1000);
-    process.stdout.write(`admission: ${calls} debit calls by one VM at one home\n`);
-    assert.ok(perSecond <= most, `${perSecond} calls a second`);
-  },
-);
+Then('admission made at most {int} debit calls a second for each VM and home', (most: number) => {
+  const calls = Math.max(...scenario.fleet!.debitCalls.values());
+  const perSecond = calls / (scenario.carriedMs / 1000);
+  process.stdout.write(`admission: ${calls} debit calls by one VM at one home\n`);
+  assert.ok(perSecond <= most, `${perSecond} calls a second`);
+});
 
 When(
   'admission capacity is {int} requests of {int} ms a VM and one team sends {int} times its rate, the others {int} percent, for {int} ms',
-  async function when(
-    this: AdmissionWorld,
-    capacity: number,
-    runMs: number,
-    times: number,
-    percent: number,
-    ms: number,
-  ) {
-    const fleet = this.fleet!;
+  async (capacity: number, runMs: number, times: number, percent: number, ms: number) => {
+    const fleet = scenario.fleet!;
     fleet.headroom = capacity;
-    const loads = this.teams.map(({ name, rate }, index) => ({
+    const loads = scenario.teams.map(({ name, rate }, index) => ({
       team: name,
       perSecond: index === 0 ? rate * times : (rate * percent) / 100,
     }));
@@ -306,24 +267,21 @@
   },
 );
 
-Then(
-  "admission serves at least {int} percent of the other teams' requests",
-  function then(this: AdmissionWorld, percent: number) {
-    this.teams.slice(1).forEach(({ name }) => {
-      const asked = this.fleet!.results.filter((result) => result.team === name);
-      const admitted = asked.filter((result) => result.sendable);
-      process.stdout.write(`admission: ${name} ${admitted.length} of ${asked.length}\n`);
-      assert.ok(asked.length > 0 && admitted.length >= (asked.length * percent) / 100);
-    });
-  },
-);
+Then("admission serves at least {int} percent of the other teams' requests", (percent: number) => {
+  scenario.teams.slice(1).forEach(({ name }) => {
+    const asked = scenario.fleet!.results.filter((result) => result.team === name);
+    const admitted = asked.filter((result) => result.sendable);
+    process.stdout.write(`admission: ${name} ${admitted.length} of ${asked.length}\n`);
+    assert.ok(asked.length > 0 && admitted.length >= (asked.length * percent) / 100);
+  });
+});
 
 When(
   'admission carries {int} percent of the rate of {int} teams for {int} ms while VMs join and die',
   { timeout: 60_000 },
-  async function when(this: AdmissionWorld, percent: number, _teams: number, ms: number) {
-    const fleet = this.fleet!;
-    const loads = this.teams.map(({ name, rate }) => ({
+  async (percent: number, _teams: number, ms: number) => {
+    const fleet = scenario.fleet!;
+    const loads = scenario.teams.map(({ name, rate }) => ({
       team: name,
       perSecond: (rate * percent) / 100,
     }));
@@ -343,54 +301,48 @@
   },
 );
 
-Then(
-  'admission refuses at most {int} of those requests',
-  function then(this: AdmissionWorld, most: number) {
-    // Requests on a VM that dies while they wait end with it; the caller sends them again.
-    const { results } = this.fleet!;
-    const refused = results.filter((result) => !['admitted', 'draining'].includes(result.code));
-    const codes = [...new Set(refused.map((result) => result.code))].join(' ');
-    process.stdout.write(`admission: refused ${refused.length} of ${results.length} ${codes}\n`);
-    assert.ok(refused.length <= most, `refused ${refused.length} of ${results.length}: ${codes}`);
-  },
-);
+Then('admission refuses at most {int} of those requests', (most: number) => {
+  // Requests on a VM that dies while they wait end with it; the caller sends them again.
+  const { results } = scenario.fleet!;
+  const refused = results.filter((result) => !['admitted', 'draining'].includes(result.code));
+  const codes = [...new Set(refused.map((result) => result.code))].join(' ');
+  process.stdout.write(`admission: refused ${refused.length} of ${results.length} ${codes}\n`);
+  assert.ok(refused.length <= most, `refused ${refused.length} of ${results.length}: ${codes}`);
+});
 
-When(
-  'the admission grant is settled with {int} used tokens',
-  async function when(this: AdmissionWorld, used: number) {
-    this.result.grant!.settle(used);
-    await this.fleet!.advance(4, 1);
-  },
-);
+When('the admission grant is settled with {int} used tokens', async (used: number) => {
+  scenario.result.grant!.settle(used);
+  await scenario.fleet!.advance(4, 1);
+});
 
-When('every admission VM takes a new incarnation', async function when(this: AdmissionWorld) {
-  this.fleet!.vms.forEach((vm) => vm.reincarnations.push(vm.member));
-  await this.fleet!.settle();
+When('every admission VM takes a new incarnation', async () => {
+  scenario.fleet!.vms.forEach((vm) => vm.reincarnations.push(vm.member));
+  await scenario.fleet!.settle();
 });
 
 Then(
   'the admission grant can be extended by {int} tokens but not by {int}',
-  async function then(this: AdmissionWorld, few: number, many: number) {
-    const extended = this.result.grant!.extend(few);
-    await this.fleet!.advance(20);
+  async (few: number, many: number) => {
+    const extended = scenario.result.grant!.extend(few);
+    await scenario.fleet!.advance(20);
     assert.equal((await extended).kind, 'ok');
-    assert.equal(this.result.grant!.tokens, this.result.tokens + few);
-    const refused = this.result.grant!.extend(many);
-    await this.fleet!.advance(1200);
+    assert.equal(scenario.result.grant!.tokens, scenario.result.tokens + few);
+    const refused = scenario.result.grant!.extend(many);
+    await scenario.fleet!.advance(1200);
     const outcome = await refused;
     assert.equal(outcome.kind === 'failed' && outcome.failure.code, 'rate_exceeded');
   },
 );
 
-Then('admission has waited at least {int} ms', function then(this: AdmissionWorld, ms: number) {
-  assert.ok(this.result.endedMs - this.result.askedMs >= ms);
+Then('admission has waited at least {int} ms', (ms: number) => {
+  assert.ok(scenario.result.endedMs - scenario.result.askedMs >= ms);
 });
 
 Then(
   'admission reports the worst-served team with a share of at most {float}',
-  async function then(this: AdmissionWorld, share: number) {
-    await this.fleet!.advance(1000);
-    const reported = this.fleet!.gauges.get('admission.worst_served');
+  async (share: number) => {
+    await scenario.fleet!.advance(1000);
+    const reported = scenario.fleet!.gauges.get('admission.worst_served');
     assert.ok(reported !== undefined && reported <= share, `reported ${reported}`);
   },
 );
--- a/features/steps/backends-steps.ts
+++ b/features/steps/backends-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import type { DecodeEvent, Engine, EngineCall } from '../../src/backends/engine.js';
 import type { EngineFailure } from '../../src/backends/engine-failure.js';
@@ -35,9 +35,11 @@
   backends?: BackendsState;
 }
 
-function stateOf(world: BackendsWorld): BackendsState {
-  assert.ok(world.backends);
-  return world.backends;
+const scenario = world as unknown as BackendsWorld;
+
+function stateOf(): BackendsState {
+  assert.ok(scenario.backends);
+  return scenario.backends;
 }
 
 async function createBackendsState(): Promise<BackendsState> {
@@ -85,57 +87,45 @@
 
 Given(
   'a backends engine with the fault {string} on {string}',
-  async function given(this: BackendsWorld, kind: string, path: string) {
+  async (kind: string, path: string) => {
     const state = await createBackendsState();
     if (kind !== 'none') state.faults.push({ path: `/${path}`, kind });
     state.engine = await FakeEngine.create('engine1', state.faults);
-    this.backends = state;
+    scenario.backends = state;
   },
 );
 
-Given(
-  'a backends plain service with the fault {string}',
-  async function given(this: BackendsWorld, fault: string) {
-    this.backends = await createBackendsState();
-    this.backends.plain = await FakePlainService.create(fault);
-  },
-);
+Given('a backends plain service with the fault {string}', async (fault: string) => {
+  scenario.backends = await createBackendsState();
+  scenario.backends.plain = await FakePlainService.create(fault);
+});
 
-After(async function after(this: BackendsWorld) {
-  await this.backends?.backends.stop();
-  await this.backends?.engine?.stop();
-  await this.backends?.plain?.stop();
+After(async () => {
+  await scenario.backends?.backends.stop();
+  await scenario.backends?.engine?.stop();
+  await scenario.backends?.plain?.stop();
 });
 
-When(
-  'backends call {string} on the engine',
-  async function when(this: BackendsWorld, call: string) {
-    const state = stateOf(this);
-    state.outcome = await callEngine(clientOf(state), call);
-  },
-);
+When('backends call {string} on the engine', async (call: string) => {
+  const state = stateOf();
+  state.outcome = await callEngine(clientOf(state), call);
+});
 
-When(
-  'backends call {string} with an aborted signal',
-  async function when(this: BackendsWorld, call: string) {
-    const state = stateOf(this);
-    state.outcome = await callEngine(clientOf(state), call, AbortSignal.abort());
-  },
-);
+When('backends call {string} with an aborted signal', async (call: string) => {
+  const state = stateOf();
+  state.outcome = await callEngine(clientOf(state), call, AbortSignal.abort());
+});
 
-When(
-  'the backends engine stops and backends call {string}',
-  async function when(this: BackendsWorld, call: string) {
-    const state = stateOf(this);
-    await state.engine?.stop();
-    state.outcome = await callEngine(clientOf(state), call);
-  },
-);
+When('the backends engine stops and backends call {string}', async (call: string) => {
+  const state = stateOf();
+  await state.engine?.stop();
+  state.outcome = await callEngine(clientOf(state), call);
+});
 
 When(
   'the backends engine reports {string} and backends call {string}',
-  async function when(this: BackendsWorld, load: string, call: string) {
-    const state = stateOf(this);
+  async (load: string, call: string) => {
+    const state = stateOf();
     assert.ok(state.engine);
     state.engine.load = load;
     await callEngine(clientOf(state), call);
@@ -144,8 +134,8 @@
 
 When(
   'backends make {int} calls, then one that stays silent, then {int} calls',
-  async function when(this: BackendsWorld, before: number, after: number) {
-    const state = stateOf(this);
+  async (before: number, after: number) => {
+    const state = stateOf();
     for (let count = 0; count < before; count += 1) await callEngine(clientOf(state), 'load');
     state.faults.push({ path: '/reservations', kind: 'silent' });
     await callEngine(clientOf(state), 'reservations');
@@ -153,14 +143,14 @@
   },
 );
 
-When('backends decode on the engine', async function when(this: BackendsWorld) {
-  const state = stateOf(this);
+When('backends decode on the engine', async () => {
+  const state = stateOf();
   const stream = clientOf(state).decode(createCall(), 'r1', 10, 0);
   await stream.forEach((event) => state.events.push(event));
 });
 
-When('backends send a plain request', async function when(this: BackendsWorld) {
-  const state = stateOf(this);
+When('backends send a plain request', async () => {
+  const state = stateOf();
   assert.ok(state.plain);
   state.reply = await state.backends.service(state.plain.describe()).send({
     method: 'POST',
@@ -172,36 +162,33 @@
   });
 });
 
-Then('the backends call fails with {string}', function then(this: BackendsWorld, reason: string) {
-  const { outcome } = stateOf(this);
+Then('the backends call fails with {string}', (reason: string) => {
+  const { outcome } = stateOf();
   assert.equal(outcome?.kind === 'failed' ? outcome.failure.reason : 'ok', reason);
 });
 
-Then(
-  'the next backends call {string} succeeds',
-  async function then(this: BackendsWorld, call: string) {
-    const outcome = await callEngine(clientOf(stateOf(this)), call);
-    assert.equal(outcome.kind, 'ok');
-  },
-);
+Then('the next backends call {string} succeeds', async (call: string) => {
+  const outcome = await callEngine(clientOf(stateOf()), call);
+  assert.equal(outcome.kind, 'ok');
+});
 
-Then('the backends stream was {string}', function then(this: BackendsWorld, expected: string) {
-  const seen = stateOf(this).events.map((event) => {
+Then('the backends stream was {string}', (expected: string) => {
+  const seen = stateOf().events.map((event) => {
     if (event.kind === 'token') return event.text.trim();
     return event.kind === 'end' ? 'end' : `failed:${event.failure.reason}`;
   });
   assert.equal(seen.join(' '), expected);
 });
 
-Then('backends dropped {int} events', function then(this: BackendsWorld, count: number) {
-  assert.equal(stateOf(this).fakes.metrics.get('backends.dropped') ?? 0, count);
+Then('backends dropped {int} events', (count: number) => {
+  assert.equal(stateOf().fakes.metrics.get('backends.dropped') ?? 0, count);
 });
 
 Then(
   'the backends engine saw the silent connection closed and at most {int} connections',
-  async function then(this: BackendsWorld, most: number) {
+  async (most: number) => {
     // undici opens one spare connection when a call follows another without a pause.
-    const { engine } = stateOf(this);
+    const { engine } = stateOf();
     assert.ok(engine && engine.connections <= most, `${engine?.connections} connections`);
     const silent = engine.calls.findIndex(({ path }) => path === '/v1/reservations');
     const socket = engine.calls[silent]?.socket;
@@ -214,15 +201,9 @@
 
 Then(
   'backends told routing {int} slots, {int} blocks, {int} tokens, draining and {string}',
-  function then(
-    this: BackendsWorld,
-    slotsFree: number,
-    blocksFree: number,
-    queuedPrefillTokens: number,
-    incarnation: string,
-  ) {
+  (slotsFree: number, blocksFree: number, queuedPrefillTokens: number, incarnation: string) => {
     const load = { slotsFree, blocksFree, queuedPrefillTokens, incarnation };
-    assert.deepEqual(stateOf(this).loads, [{ ...load, level: 2, draining: true }]);
+    assert.deepEqual(stateOf().loads, [{ ...load, level: 2, draining: true }]);
   },
 );
 
@@ -232,34 +213,28 @@
 
 Then(
   'the backends plain call fails with {string} and sent {string}',
-  function then(this: BackendsWorld, reason: string, sent: string) {
-    const { reply } = stateOf(this);
+  (reason: string, sent: string) => {
+    const { reply } = stateOf();
     assert.ok(reply?.kind === 'failed', 'the call must fail');
     assert.equal(reply.failure.reason, reason);
     assert.equal(String(reply.failure.sent), sent);
   },
 );
 
-Then(
-  'the backends plain service got {int} requests',
-  function then(this: BackendsWorld, count: number) {
-    assert.equal(stateOf(this).plain?.requests.length, count);
-  },
-);
+Then('the backends plain service got {int} requests', (count: number) => {
+  assert.equal(stateOf().plain?.requests.length, count);
+});
 
-Then(
-  'the backends plain answer is {int} {string} and draining',
-  function then(this: BackendsWorld, status: number, body: string) {
-    const { reply } = stateOf(this);
-    assert.ok(reply?.kind === 'ok');
-    assert.equal(reply.value.status, status);
-    assert.equal(reply.value.body.toString(), body);
-    assert.equal(reply.value.draining, true);
-  },
-);
+Then('the backends plain answer is {int} {string} and draining', (status: number, body: string) => {
+  const { reply } = stateOf();
+  assert.ok(reply?.kind === 'ok');
+  assert.equal(reply.value.status, status);
+  assert.equal(reply.value.body.toString(), body);
+  assert.equal(reply.value.draining, true);
+});
 
-Then('the backends plain service saw no authorization header', function then(this: BackendsWorld) {
-  const request = stateOf(this).plain?.requests[0];
+Then('the backends plain service saw no authorization header', () => {
+  const request = stateOf().plain?.requests[0];
   assert.equal(request?.headers['x-team'], 'oval');
   assert.equal(request?.headers.authorization, undefined);
 });
--- a/features/steps/configuration-steps.ts
+++ b/features/steps/configuration-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { authenticateKey } from '../../src/configuration/authenticate.js';
 import type { ChangeVerdict } from '../../src/configuration/configuration.js';
@@ -26,15 +26,17 @@
   verdicts: ChangeVerdict[];
 }
 
+const scenario = world as unknown as ConfigurationWorld;
+
 const clock = SystemClock.create();
 
-function getFleet(world: ConfigurationWorld): ConfigurationFleet {
-  assert.ok(world.fleet);
-  return world.fleet;
+function getFleet(): ConfigurationFleet {
+  assert.ok(scenario.fleet);
+  return scenario.fleet;
 }
 
-function findNode(world: ConfigurationWorld, vm: string): ConfigurationNode {
-  const node = getFleet(world).nodes.find((other) => other.vm === vm);
+function findNode(vm: string): ConfigurationNode {
+  const node = getFleet().nodes.find((other) => other.vm === vm);
   assert.ok(node, `no daemon ${vm}`);
   return node;
 }
@@ -44,35 +46,32 @@
   return answer.kind === 'ok' ? answer.value.team : answer.failure.code;
 }
 
-async function startFleet(world: ConfigurationWorld, names: string, everyMs: number) {
+async function startFleet(names: string, everyMs: number) {
   const fleet = ConfigurationFleet.create();
-  Object.assign(world, { fleet, verdicts: [] });
+  Object.assign(scenario, { fleet, verdicts: [] });
   for (const vm of names.split(', ').filter(Boolean)) {
     const node = await fleet.add(vm, everyMs);
     await waitFor('the first read', () => node.configuration.current() !== undefined);
   }
 }
 
-async function putTeam(world: ConfigurationWorld, team: string, vm: string, base?: number) {
-  const { configuration } = findNode(world, vm);
-  world.verdicts.push(await configuration.change(createChange('team', team), base, 'test'));
+async function putTeam(team: string, vm: string, base?: number) {
+  const { configuration } = findNode(vm);
+  scenario.verdicts.push(await configuration.change(createChange('team', team), base, 'test'));
 }
 
-After(async function after(this: ConfigurationWorld) {
-  await this.fleet?.stop();
+After(async () => {
+  await scenario.fleet?.stop();
 });
 
-Given(
-  /^a configuration fold of the records "(.*)"$/,
-  function given(this: ConfigurationWorld, text: string) {
-    this.fold = foldRecords(createFold(), createRecords(text));
-  },
-);
+Given(/^a configuration fold of the records "(.*)"$/, (text: string) => {
+  scenario.fold = foldRecords(createFold(), createRecords(text));
+});
 
 Then(
   'the last configuration verdict is {string} because {string}',
-  function then(this: ConfigurationWorld, verdict: string, reason: string) {
-    const last = [...this.fold.verdicts.values()].at(-1);
+  (verdict: string, reason: string) => {
+    const last = [...scenario.fold.verdicts.values()].at(-1);
     assert.equal(last?.verdict, verdict);
     assert.ok(last.reason.startsWith(reason), last.reason);
   },
@@ -80,76 +79,61 @@
 
 Then(
   'the configuration fold is at version {int} with the teams {string}',
-  function then(this: ConfigurationWorld, version: number, teams: string) {
-    assert.equal(this.fold.state.version, version);
-    assert.equal([...this.fold.state.teams.keys()].join(', '), teams);
+  (version: number, teams: string) => {
+    assert.equal(scenario.fold.state.version, version);
+    assert.equal([...scenario.fold.state.teams.keys()].join(', '), teams);
   },
 );
 
 Then(
   'the configuration verdict of change {string} is {string}',
-  function then(this: ConfigurationWorld, changeId: string, verdict: string) {
-    assert.equal(this.fold.verdicts.get(changeId)?.verdict, verdict);
+  (changeId: string, verdict: string) => {
+    assert.equal(scenario.fold.verdicts.get(changeId)?.verdict, verdict);
   },
 );
 
-Then(
-  'the configuration preset {string} is in force',
-  function then(this: ConfigurationWorld, name: string) {
-    assert.equal(this.fold.state.presetInForce, name);
-    assert.ok(this.fold.state.presets.has(name));
-  },
-);
+Then('the configuration preset {string} is in force', (name: string) => {
+  assert.equal(scenario.fold.state.presetInForce, name);
+  assert.ok(scenario.fold.state.presets.has(name));
+});
 
 Then(
   'the configuration fold refuses the key {string} with {string}',
-  function then(this: ConfigurationWorld, keyId: string, code: string) {
-    const { state } = this.fold;
+  (keyId: string, code: string) => {
+    const { state } = scenario.fold;
     const answer = authenticateKey(state, state.withdrawnKeyIds, `Bearer ck_${keyId}_${SECRET}`);
     assert.equal(answer.kind === 'failed' && answer.failure.code, code);
   },
 );
 
-Given(
-  'a configuration fold of {int} teams',
-  function given(this: ConfigurationWorld, count: number) {
-    const lines = Array.from({ length: count }, (_, index) => `team team-${index} 0`);
-    this.fold = foldRecords(createFold(), createRecords(lines.join('; ')));
-  },
-);
+Given('a configuration fold of {int} teams', (count: number) => {
+  const lines = Array.from({ length: count }, (_, index) => `team team-${index} 0`);
+  scenario.fold = foldRecords(createFold(), createRecords(lines.join('; ')));
+});
 
 function createSnapshotRecords({ state }: Fold, pieces: readonly string[]): LogRecord[] {
   return pieces.map((data, index) => createRecord(state.version + 1 + index, data));
 }
 
-Then(
-  'the configuration snapshot has several records of at most {int} bytes',
-  function then(this: ConfigurationWorld, bytes: number) {
-    const pieces = encodeSnapshot(this.fold.state.version, writeFold(this.fold));
-    assert.ok(pieces.length > 1);
-    pieces.forEach((piece) => assert.ok(Buffer.byteLength(piece) <= bytes));
-  },
-);
+Then('the configuration snapshot has several records of at most {int} bytes', (bytes: number) => {
+  const pieces = encodeSnapshot(scenario.fold.state.version, writeFold(scenario.fold));
+  assert.ok(pieces.length > 1);
+  pieces.forEach((piece) => assert.ok(Buffer.byteLength(piece) <= bytes));
+});
 
-Then(
-  'the configuration fold is the same after reading the snapshot back',
-  function then(this: ConfigurationWorld) {
-    const pieces = encodeSnapshot(this.fold.state.version, writeFold(this.fold));
-    const records = createSnapshotRecords(this.fold, pieces);
-    assert.deepEqual(findNewestSnapshot(records), this.fold);
-  },
-);
+Then('the configuration fold is the same after reading the snapshot back', () => {
+  const pieces = encodeSnapshot(scenario.fold.state.version, writeFold(scenario.fold));
+  const records = createSnapshotRecords(scenario.fold, pieces);
+  assert.deepEqual(findNewestSnapshot(records), scenario.fold);
+});
 
-Then(
-  'without one of its records the configuration snapshot is not used',
-  function then(this: ConfigurationWorld) {
-    const pieces = encodeSnapshot(this.fold.state.version, writeFold(this.fold));
-    pieces.forEach((_, missing) => {
-      const rest = pieces.filter((_piece, index) => index !== missing);
-      assert.equal(findNewestSnapshot(createSnapshotRecords(this.fold, rest)), undefined);
-    });
-  },
-);
+Then('without one of its records the configuration snapshot is not used', () => {
+  const pieces = encodeSnapshot(scenario.fold.state.version, writeFold(scenario.fold));
+  pieces.forEach((_, missing) => {
+    const rest = pieces.filter((_piece, index) => index !== missing);
+    assert.equal(findNewestSnapshot(createSnapshotRecords(scenario.fold, rest)), undefined);
+  });
+});
 
 Then(/^over arbitrary configuration records (.*)$/, (property: string) => {
   const check = FOLD_PROPERTIES[property];
@@ -157,100 +141,85 @@
   check();
 });
 
-Given(
-  'configuration daemons {string}',
-  async function given(this: ConfigurationWorld, names: string) {
-    await startFleet(this, names, 600_000);
-  },
-);
+Given('configuration daemons {string}', async (names: string) => {
+  await startFleet(names, 600_000);
+});
 
 Given(
   'configuration daemons {string} with a snapshot every {int} ms',
-  async function given(this: ConfigurationWorld, names: string, everyMs: number) {
-    await startFleet(this, names, everyMs);
+  async (names: string, everyMs: number) => {
+    await startFleet(names, everyMs);
   },
 );
 
-When('configuration daemon {string} starts', async function when(this: ConfigurationWorld, vm) {
-  await getFleet(this).add(vm as string);
+When('configuration daemon {string} starts', async (vm) => {
+  await getFleet().add(vm as string);
 });
 
 When(
   'the team {string} is put through configuration daemon {string}',
   { timeout: 10_000 },
-  async function when(this: ConfigurationWorld, team: string, vm: string) {
-    await putTeam(this, team, vm);
+  async (team: string, vm: string) => {
+    await putTeam(team, vm);
   },
 );
 
 When(
   'the team {string} is put on base {int} through the configuration daemons {string} at once',
-  async function when(this: ConfigurationWorld, team: string, base: number, names: string) {
-    await Promise.all(names.split(', ').map((vm) => putTeam(this, team, vm, base)));
+  async (team: string, base: number, names: string) => {
+    await Promise.all(names.split(', ').map((vm) => putTeam(team, vm, base)));
   },
 );
 
-When(
-  'the configuration log has the fault {string}',
-  async function when(this: ConfigurationWorld, fault: string) {
-    const { log } = getFleet(this);
-    if (fault.startsWith('answer lost')) log.lostAnswers = 1;
-    if (fault.endsWith('lagging')) {
-      log.olderEnd = 0;
-      void clock.sleep(1500).then(() => log.showAll());
-    }
-    if (fault.startsWith('outage')) log.setOut(true);
-    if (fault === 'outage for 600 ms') void clock.sleep(600).then(() => log.setOut(false));
-    if (fault === 'malformed record') await log.append('configuration', ['{"format":9}']);
-  },
-);
+When('the configuration log has the fault {string}', async (fault: string) => {
+  const { log } = getFleet();
+  if (fault.startsWith('answer lost')) log.lostAnswers = 1;
+  if (fault.endsWith('lagging')) {
+    log.olderEnd = 0;
+    void clock.sleep(1500).then(() => log.showAll());
+  }
+  if (fault.startsWith('outage')) log.setOut(true);
+  if (fault === 'outage for 600 ms') void clock.sleep(600).then(() => log.setOut(false));
+  if (fault === 'malformed record') await log.append('configuration', ['{"format":9}']);
+});
 
-When('the configuration log is back', function when(this: ConfigurationWorld) {
-  getFleet(this).log.setOut(false);
+When('the configuration log is back', () => {
+  getFleet().log.setOut(false);
 });
 
-When(
-  'the configuration log shows only {int} record to readers',
-  function when(this: ConfigurationWorld, end: number) {
-    getFleet(this).log.olderEnd = end;
-  },
-);
+When('the configuration log shows only {int} record to readers', (end: number) => {
+  getFleet().log.olderEnd = end;
+});
 
-When(
-  'the configuration log drops the records before the newest snapshot',
-  function when(this: ConfigurationWorld) {
-    const { log } = getFleet(this);
-    const newest = log.stored.findLast((record) => record.data.includes('"snapshot"'));
-    assert.ok(newest);
-    const { snapshot } = JSON.parse(newest.data) as { snapshot: { upTo: number } };
-    log.earliest = snapshot.upTo + 1;
-    assert.ok(log.earliest > 1);
-  },
-);
+When('the configuration log drops the records before the newest snapshot', () => {
+  const { log } = getFleet();
+  const newest = log.stored.findLast((record) => record.data.includes('"snapshot"'));
+  assert.ok(newest);
+  const { snapshot } = JSON.parse(newest.data) as { snapshot: { upTo: number } };
+  log.earliest = snapshot.upTo + 1;
+  assert.ok(log.earliest > 1);
+});
 
-When('every configuration daemon is unreachable', function when(this: ConfigurationWorld) {
-  const { nodes, unreachable } = getFleet(this);
+When('every configuration daemon is unreachable', () => {
+  const { nodes, unreachable } = getFleet();
   nodes.forEach((node) => unreachable.add(node.vm));
 });
 
-When('every configuration daemon is reachable', function when(this: ConfigurationWorld) {
-  getFleet(this).unreachable.clear();
+When('every configuration daemon is reachable', () => {
+  getFleet().unreachable.clear();
 });
 
 When('the configuration daemons are given up on for {int} ms', (ms: number) => clock.sleep(ms));
 
-When(
-  /^the configuration members are (known|known from the VM list)$/,
-  function when(this: ConfigurationWorld, how: string) {
-    getFleet(this).membersKnown = how === 'known';
-  },
-);
+When(/^the configuration members are (known|known from the VM list)$/, (how: string) => {
+  getFleet().membersKnown = how === 'known';
+});
 
 When(
   'the configuration log gets a team record {string} that only daemon {string} has read',
-  async function when(this: ConfigurationWorld, team: string, vm: string) {
-    const { log } = getFleet(this);
-    const node = findNode(this, vm);
+  async (team: string, vm: string) => {
+    const { log } = getFleet();
+    const node = findNode(vm);
     const data = encodeChange('shown-once', 0, 'test', createChange('team', team));
     node.view.lagging = false;
     await log.append('configuration', [data]);
@@ -258,28 +227,22 @@
   },
 );
 
-When(
-  'configuration daemon {string} notices the offset of {string}',
-  function when(this: ConfigurationWorld, vm: string, peer: string) {
-    const offset = findNode(this, peer).configuration.current()?.version ?? 0;
-    findNode(this, vm).configuration.noticeOffset(offset, peer);
-  },
-);
+When('configuration daemon {string} notices the offset of {string}', (vm: string, peer: string) => {
+  const offset = findNode(peer).configuration.current()?.version ?? 0;
+  findNode(vm).configuration.noticeOffset(offset, peer);
+});
 
-When(
-  'configuration daemon {string} notices the digest of {string}',
-  function when(this: ConfigurationWorld, vm: string, peer: string) {
-    const digest = findNode(this, peer).configuration.withdrawnDigest();
-    findNode(this, vm).configuration.noticeDigest(digest, peer);
-  },
-);
+When('configuration daemon {string} notices the digest of {string}', (vm: string, peer: string) => {
+  const digest = findNode(peer).configuration.withdrawnDigest();
+  findNode(vm).configuration.noticeDigest(digest, peer);
+});
 
 Given(
   'the configuration key {string} of the team {string}',
-  async function given(this: ConfigurationWorld, keyId: string, team: string) {
-    const [first, ...others] = getFleet(this).nodes;
+  async (keyId: string, team: string) => {
+    const [first, ...others] = getFleet().nodes;
     assert.ok(first);
-    await putTeam(this, team, first.vm);
+    await putTeam(team, first.vm);
     const verdict = await first.configuration.change(
       createChange('key', keyId, team),
       undefined,
@@ -294,22 +257,22 @@
 
 When(
   'the key {string} is withdrawn through configuration daemon {string}',
-  function when(this: ConfigurationWorld, keyId: string, vm: string) {
-    assert.deepEqual(findNode(this, vm).configuration.withdraw([keyId]), [keyId]);
+  (keyId: string, vm: string) => {
+    assert.deepEqual(findNode(vm).configuration.withdraw([keyId]), [keyId]);
   },
 );
 
 Then(
   'configuration daemon {string} refuses the key {string} at once with {string}',
-  function then(this: ConfigurationWorld, vm: string, keyId: string, code: string) {
-    assert.equal(answerOf(findNode(this, vm), `Bearer ck_${keyId}_${SECRET}`), code);
+  (vm: string, keyId: string, code: string) => {
+    assert.equal(answerOf(findNode(vm), `Bearer ck_${keyId}_${SECRET}`), code);
   },
 );
 
 Then(
   'the configuration daemons {string} refuse the key {string} with {string}',
-  async function then(this: ConfigurationWorld, names: string, keyId: string, code: string) {
-    const nodes = names.split(', ').map((vm) => findNode(this, vm));
+  async (names: string, keyId: string, code: string) => {
+    const nodes = names.split(', ').map((vm) => findNode(vm));
     await waitFor(`${code} at ${names}`, () =>
       nodes.every((node) => answerOf(node, `Bearer ck_${keyId}_${SECRET}`) === code),
     );
@@ -319,32 +282,29 @@
 Then(
   'the configuration log holds the withdrawal of {string}',
   { timeout: 12_000 },
-  async function then(this: ConfigurationWorld, keyId: string) {
-    const { log } = getFleet(this);
+  async (keyId: string) => {
+    const { log } = getFleet();
     const text = `{"kind":"withdraw-key","keyId":"${keyId}"}`;
     const isLogged = () => log.stored.some((record) => record.data.includes(text));
     await waitFor('the withdrawal in the log', isLogged, 10_000);
   },
 );
 
-Then('the configuration verdict is {string}', function then(this: ConfigurationWorld, verdict) {
-  assert.equal(this.verdicts.at(-1)?.verdict, verdict);
+Then('the configuration verdict is {string}', (verdict) => {
+  assert.equal(scenario.verdicts.at(-1)?.verdict, verdict);
 });
 
-Then('the configuration verdicts are {string}', function then(this: ConfigurationWorld, verdicts) {
-  const found = this.verdicts.map((verdict) => verdict.verdict).sort();
+Then('the configuration verdicts are {string}', (verdicts) => {
+  const found = scenario.verdicts.map((verdict) => verdict.verdict).sort();
   assert.equal(found.join(', '), verdicts);
 });
 
-Then(
-  'the configuration log holds {int} records',
-  function then(this: ConfigurationWorld, count: number) {
-    assert.equal(getFleet(this).log.stored.length, count);
-  },
-);
+Then('the configuration log holds {int} records', (count: number) => {
+  assert.equal(getFleet().log.stored.length, count);
+});
 
-Then('the configuration log holds a snapshot', async function then(this: ConfigurationWorld) {
-  const { log } = getFleet(this);
+Then('the configuration log holds a snapshot', async () => {
+  const { log } = getFleet();
   await waitFor('a snapshot record', () =>
     log.stored.some((record) => record.data.includes('"snapshot"')),
   );
@@ -352,8 +312,8 @@
 
 Then(
   'the configuration daemons {string} know the team {string}',
-  async function then(this: ConfigurationWorld, names: string, team: string) {
-    const nodes = names.split(', ').map((vm) => findNode(this, vm));
+  async (names: string, team: string) => {
+    const nodes = names.split(', ').map((vm) => findNode(vm));
     await waitFor(`team ${team} at ${names}`, () =>
       nodes.every((node) => node.configuration.current()?.teams.has(team)),
     );
@@ -362,31 +322,28 @@
 
 Then(
   'configuration daemon {string} stays at version {int} for {int} ms',
-  async function then(this: ConfigurationWorld, vm: string, version: number, ms: number) {
+  async (vm: string, version: number, ms: number) => {
     await clock.sleep(ms);
-    assert.equal(findNode(this, vm).configuration.current()?.version, version);
+    assert.equal(findNode(vm).configuration.current()?.version, version);
   },
 );
 
 Then(
   'configuration daemon {string} has no configuration after {int} ms',
-  async function then(this: ConfigurationWorld, vm: string, ms: number) {
+  async (vm: string, ms: number) => {
     await clock.sleep(ms);
-    assert.equal(findNode(this, vm).configuration.current(), undefined);
+    assert.equal(findNode(vm).configuration.current(), undefined);
   },
 );
 
-Then(
-  'configuration daemon {string} is at version {int}',
-  async function then(this: ConfigurationWorld, vm: string, version: number) {
-    const { configuration } = findNode(this, vm);
-    await waitFor(`version ${version}`, () => configuration.current()?.version === version);
-  },
-);
+Then('configuration daemon {string} is at version {int}', async (vm: string, version: number) => {
+  const { configuration } = findNode(vm);
+  await waitFor(`version ${version}`, () => configuration.current()?.version === version);
+});
 
 Then(
   'configuration daemon {string} answers the credential {string} with {string}',
-  function then(this: ConfigurationWorld, vm: string, credential: string, answer: string) {
-    assert.equal(answerOf(findNode(this, vm), credential || undefined), answer);
+  (vm: string, credential: string, answer: string) => {
+    assert.equal(answerOf(findNode(vm), credential || undefined), answer);
   },
 );
--- a/features/steps/engine-stand-in-steps.ts
+++ b/features/steps/engine-stand-in-steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { BeforeStep, Given, Then, When } from '@cucumber/cucumber';
+import { BeforeStep, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { computeAnswer } from '../../stand-ins/answer-text.js';
 import {
@@ -33,6 +33,8 @@
   prefillOrder: number[];
 }
 
+const scenario = world as unknown as EngineWorld;
+
 interface EngineRecord {
   readonly attempts: readonly {
     attemptId: string;
@@ -43,78 +45,68 @@
   readonly wastedPrefillTokens: number;
 }
 
-function findEngine(world: EngineWorld, name: string): LaunchedStandIn {
-  return world.engines[name as EngineName];
+function findEngine(name: string): LaunchedStandIn {
+  return scenario.engines[name as EngineName];
 }
 
-function findDecoding(world: EngineWorld, attemptId: string): Decoding {
-  const decoding = world.decodings[attemptId];
+function findDecoding(attemptId: string): Decoding {
+  const decoding = scenario.decodings[attemptId];
   assert.ok(decoding, `${attemptId} has not decoded`);
   return decoding;
 }
 
-function findLastAnswer(world: EngineWorld): JsonAnswer {
-  const answer = world.engineAnswers.at(-1);
+function findLastAnswer(): JsonAnswer {
+  const answer = scenario.engineAnswers.at(-1);
   assert.ok(answer, 'no engine has been called');
   return answer;
 }
 
-async function post(world: EngineWorld, name: EngineName, path: string, body: object) {
-  const answer = await callJson('POST', `${world.engines[name].url}/v1/${path}`, body);
-  world.engineAnswers.push(answer);
+async function post(name: EngineName, path: string, body: object) {
+  const answer = await callJson('POST', `${scenario.engines[name].url}/v1/${path}`, body);
+  scenario.engineAnswers.push(answer);
   return answer;
 }
 
-function reserve(world: EngineWorld, attemptId: string, blocks: number): Promise<JsonAnswer> {
+function reserve(attemptId: string, blocks: number): Promise<JsonAnswer> {
   const body = { ...buildAttempt(attemptId), model: 'm', blocks };
-  return post(world, 'decode', 'reservations', body);
+  return post('decode', 'reservations', body);
 }
 
-function prefill(
-  world: EngineWorld,
-  attemptId: string,
-  prompt: string,
-  priority = 0,
-): Promise<JsonAnswer> {
+function prefill(attemptId: string, prompt: string, priority = 0): Promise<JsonAnswer> {
   const body = { ...buildAttempt(attemptId), model: 'm', prompt, priority };
-  return post(world, 'prefill', 'prefill', body);
+  return post('prefill', 'prefill', body);
 }
 
 async function decode(
-  world: EngineWorld,
   attemptId: string,
   prompt: string,
   maxTokens: number,
   options: { source?: EngineName; tokens?: number } = {},
 ): Promise<void> {
-  const { decode: target } = world.engines;
-  const source = world.engines[options.source ?? 'prefill'];
+  const { decode: target } = scenario.engines;
+  const source = scenario.engines[options.source ?? 'prefill'];
   const attempt = buildAttempt(attemptId);
   const ready = await prepareDecode(target.address, source.address, attempt, prompt);
   const decoding: Decoding = { ...ready, streams: [] };
-  Object.assign(world.decodings, { [attemptId]: decoding });
-  await readMore(world, attemptId, maxTokens, 0, options.tokens);
+  Object.assign(scenario.decodings, { [attemptId]: decoding });
+  await readMore(attemptId, maxTokens, 0, options.tokens);
 }
 
 async function readMore(
-  world: EngineWorld,
   attemptId: string,
   maxTokens: number,
   fromIndex: number,
   tokens?: number,
 ): Promise<void> {
-  const { reservationId, streams } = findDecoding(world, attemptId);
+  const { reservationId, streams } = findDecoding(attemptId);
   const body = { ...buildAttempt(attemptId), reservationId, maxTokens, fromIndex };
-  streams.push(await readDecode(world.engines.decode.address, body, { tokens }));
+  streams.push(await readDecode(scenario.engines.decode.address, body, { tokens }));
 }
 
-function cancel(world: EngineWorld, attemptId: string): Promise<JsonAnswer[]> {
+function cancel(attemptId: string): Promise<JsonAnswer[]> {
   const { owner } = buildAttempt(attemptId);
   const path = `attempts/${attemptId}/cancel`;
-  return Promise.all([
-    post(world, 'decode', path, { owner }),
-    post(world, 'prefill', path, { owner }),
-  ]);
+  return Promise.all([post('decode', path, { owner }), post('prefill', path, { owner })]);
 }
 
 async function countHolds(engine: LaunchedStandIn): Promise<number> {
@@ -127,109 +119,94 @@
   return attempts.find((attempt) => attempt.attemptId === attemptId);
 }
 
-async function startEngines(world: EngineWorld): Promise<void> {
-  const entries = Object.entries(world.engineOptions ?? {});
-  Object.assign(world, { engineOptions: undefined });
+async function startEngines(): Promise<void> {
+  const entries = Object.entries(scenario.engineOptions ?? {});
+  scenario.engineOptions = undefined;
   const started = await Promise.all(
     entries.map(
       async ([name, options]) =>
         [name, await launchStandIn('model-engine', options.split(' '))] as const,
     ),
   );
-  Object.assign(world, { engines: { ...world.engines, ...Object.fromEntries(started) } });
+  Object.assign(scenario, { engines: { ...scenario.engines, ...Object.fromEntries(started) } });
 }
 
 // Engines start together, and only with their last options, because each start takes 0.4 s.
-BeforeStep({ tags: '@engine-stand-in' }, async function before(this: EngineWorld, { pickleStep }) {
-  if (!pickleStep.text.includes(' engine runs with ')) await startEngines(this);
+BeforeStep({ tags: '@engine-stand-in' }, async ({ pickleStep }) => {
+  if (!pickleStep.text.includes(' engine runs with ')) await startEngines();
 });
 
-Given(
-  'the {word} engine runs with {string}',
-  function given(this: EngineWorld, name: string, options: string) {
-    this.engineAnswers = [];
-    this.decodings = {};
-    this.engineOptions = { ...this.engineOptions, [name]: options };
-  },
-);
+Given('the {word} engine runs with {string}', (name: string, options: string) => {
+  scenario.engineAnswers = [];
+  scenario.decodings = {};
+  scenario.engineOptions = { ...scenario.engineOptions, [name]: options };
+});
 
-Given(
-  'the {word} engine has the fault {string}',
-  async function given(this: EngineWorld, name: string, fault: string) {
-    await findEngine(this, name).addFault(JSON.parse(fault) as FaultOrder);
-  },
-);
+Given('the {word} engine has the fault {string}', async (name: string, fault: string) => {
+  await findEngine(name).addFault(JSON.parse(fault) as FaultOrder);
+});
 
-When(
-  'the {word} engine gets the state {string}',
-  async function when(this: EngineWorld, name: string, state: string) {
-    await findEngine(this, name).setState(JSON.parse(state));
-  },
-);
+When('the {word} engine gets the state {string}', async (name: string, state: string) => {
+  await findEngine(name).setState(JSON.parse(state));
+});
 
 When(
   'the engine attempt {string} decodes {int} tokens of {string}',
-  async function when(this: EngineWorld, attemptId: string, maxTokens: number, prompt: string) {
-    await decode(this, attemptId, prompt, maxTokens);
+  async (attemptId: string, maxTokens: number, prompt: string) => {
+    await decode(attemptId, prompt, maxTokens);
   },
 );
 
 When(
   'the engine attempt {string} decodes {int} tokens of {string} on the decode engine alone',
-  async function when(this: EngineWorld, attemptId: string, maxTokens: number, prompt: string) {
-    await decode(this, attemptId, prompt, maxTokens, { source: 'decode' });
+  async (attemptId: string, maxTokens: number, prompt: string) => {
+    await decode(attemptId, prompt, maxTokens, { source: 'decode' });
   },
 );
 
 When(
   'the engine attempt {string} decodes {int} tokens of {string} and disconnects after {int}',
-  async function when(this: EngineWorld, id: string, max: number, prompt: string, tokens: number) {
-    await decode(this, id, prompt, max, { tokens });
+  async (id: string, max: number, prompt: string, tokens: number) => {
+    await decode(id, prompt, max, { tokens });
   },
 );
 
 When(
   'the engine attempt {string} decodes {int} tokens of {string} and meets a crash',
-  async function when(this: EngineWorld, id: string, maxTokens: number, prompt: string) {
-    await assert.rejects(decode(this, id, prompt, maxTokens), /closed|ECONNRESET/);
+  async (id: string, maxTokens: number, prompt: string) => {
+    await assert.rejects(decode(id, prompt, maxTokens), /closed|ECONNRESET/);
   },
 );
 
 When(
   'the engine attempt {string} resumes {int} tokens from index {int}',
-  async function when(this: EngineWorld, attemptId: string, maxTokens: number, fromIndex: number) {
-    await readMore(this, attemptId, maxTokens, fromIndex);
+  async (attemptId: string, maxTokens: number, fromIndex: number) => {
+    await readMore(attemptId, maxTokens, fromIndex);
   },
 );
 
 Then(
   'the engine answer of {string} is whole and belongs to {string} with {int} tokens',
-  function then(this: EngineWorld, attemptId: string, prompt: string, tokens: number) {
-    const events = findDecoding(this, attemptId).streams.flatMap((stream) => stream.events);
+  (attemptId: string, prompt: string, tokens: number) => {
+    const events = findDecoding(attemptId).streams.flatMap((stream) => stream.events);
     const text = events.map((event) => event.text ?? '').join('');
     assert.equal(text, computeAnswer('m', prompt, tokens));
     assert.equal(events.at(-1)?.completionTokens, tokens);
   },
 );
 
-Then(
-  'the engine answer of {string} ends with {string}',
-  function then(this: EngineWorld, attemptId: string, end: string) {
-    assert.equal(findDecoding(this, attemptId).streams.at(-1)?.events.at(-1)?.end, end);
-  },
-);
+Then('the engine answer of {string} ends with {string}', (attemptId: string, end: string) => {
+  assert.equal(findDecoding(attemptId).streams.at(-1)?.events.at(-1)?.end, end);
+});
 
-Then(
-  'the engine transfer of {string} moved {int} bytes',
-  function then(this: EngineWorld, attemptId: string, bytes: number) {
-    assert.equal(findDecoding(this, attemptId).answers.at(-1)?.body.bytes, bytes);
-  },
-);
+Then('the engine transfer of {string} moved {int} bytes', (attemptId: string, bytes: number) => {
+  assert.equal(findDecoding(attemptId).answers.at(-1)?.body.bytes, bytes);
+});
 
 Then(
   'the engine transfer of {string} moved {int} bytes in {int} to {int} ms',
-  function then(this: EngineWorld, attemptId: string, bytes: number, least: number, most: number) {
-    const moved = findDecoding(this, attemptId).answers.at(-1)?.body;
+  (attemptId: string, bytes: number, least: number, most: number) => {
+    const moved = findDecoding(attemptId).answers.at(-1)?.body;
     assert.equal(moved?.bytes, bytes);
     const elapsedMs = Number(moved?.elapsedMs);
     assert.ok(elapsedMs >= least && elapsedMs <= most, `the transfer took ${elapsedMs} ms`);
@@ -238,111 +215,99 @@
 
 When(
   'the engine attempt {string} reserves {int} blocks',
-  async function when(this: EngineWorld, attemptId: string, blocks: number) {
-    await reserve(this, attemptId, blocks);
+  async (attemptId: string, blocks: number) => {
+    await reserve(attemptId, blocks);
   },
 );
 
-When(
-  'the engine attempt {string} prefills {string}',
-  async function when(this: EngineWorld, attemptId: string, prompt: string) {
-    await prefill(this, attemptId, prompt);
-  },
-);
+When('the engine attempt {string} prefills {string}', async (attemptId: string, prompt: string) => {
+  await prefill(attemptId, prompt);
+});
 
 When(
   'the engine attempt {string} prefills {string} and is late with its transfer',
-  async function when(this: EngineWorld, attemptId: string, prompt: string) {
-    const { reservationId } = (await reserve(this, attemptId, 1)).body;
-    const { prefillId } = (await prefill(this, attemptId, prompt)).body;
+  async (attemptId: string, prompt: string) => {
+    const { reservationId } = (await reserve(attemptId, 1)).body;
+    const { prefillId } = (await prefill(attemptId, prompt)).body;
     await delay(150);
-    const source = this.engines.prefill.address;
+    const source = scenario.engines.prefill.address;
     const body = { ...buildAttempt(attemptId), reservationId, prefillId, source };
-    await post(this, 'decode', 'transfers', body);
+    await post('decode', 'transfers', body);
   },
 );
 
-When(
-  'the engine attempt {string} is cancelled',
-  async function when(this: EngineWorld, attemptId: string) {
-    await cancel(this, attemptId);
-  },
-);
+When('the engine attempt {string} is cancelled', async (attemptId: string) => {
+  await cancel(attemptId);
+});
 
 When(
   'the engine attempt {string} is cancelled while it prefills {int} tokens',
-  async function when(this: EngineWorld, attemptId: string, tokens: number) {
-    const prefilling = prefill(this, attemptId, 'x'.repeat(tokens * 4));
-    await waitFor('the prefill to begin', async () => (await countHolds(this.engines.prefill)) > 0);
-    await cancel(this, attemptId);
+  async (attemptId: string, tokens: number) => {
+    const prefilling = prefill(attemptId, 'x'.repeat(tokens * 4));
+    await waitFor(
+      'the prefill to begin',
+      async () => (await countHolds(scenario.engines.prefill)) > 0,
+    );
+    await cancel(attemptId);
     // The answers of the cancel calls arrive in any order with that of the prefill.
-    this.engineAnswers.push(await prefilling);
+    scenario.engineAnswers.push(await prefilling);
   },
 );
 
-When(
-  'the engine attempt {string} sends a late {word}',
-  async function when(this: EngineWorld, attemptId: string, call: string) {
-    const late: Record<string, () => Promise<JsonAnswer>> = {
-      reservation: () => reserve(this, attemptId, 1),
-      prefill: () => prefill(this, attemptId, 'hello'),
-      transfer: () =>
-        post(this, 'decode', 'transfers', {
-          ...buildAttempt(attemptId),
-          ...{ reservationId: 'r', prefillId: 'p', source: this.engines.prefill.address },
-        }),
-      decode: () =>
-        post(this, 'decode', 'decode', {
-          ...buildAttempt(attemptId),
-          ...{ reservationId: 'r', maxTokens: 1, fromIndex: 0 },
-        }),
-    };
-    await late[call]?.();
-  },
-);
+When('the engine attempt {string} sends a late {word}', async (attemptId: string, call: string) => {
+  const late: Record<string, () => Promise<JsonAnswer>> = {
+    reservation: () => reserve(attemptId, 1),
+    prefill: () => prefill(attemptId, 'hello'),
+    transfer: () =>
+      post('decode', 'transfers', {
+        ...buildAttempt(attemptId),
+        ...{ reservationId: 'r', prefillId: 'p', source: scenario.engines.prefill.address },
+      }),
+    decode: () =>
+      post('decode', 'decode', {
+        ...buildAttempt(attemptId),
+        ...{ reservationId: 'r', maxTokens: 1, fromIndex: 0 },
+      }),
+  };
+  await late[call]?.();
+});
 
-Then('the engine call was answered {int}', function then(this: EngineWorld, status: number) {
-  assert.equal(findLastAnswer(this).status, status);
+Then('the engine call was answered {int}', (status: number) => {
+  assert.equal(findLastAnswer().status, status);
 });
 
 Then(
   'the engine load header shows {int} slots and {int} blocks at level {int}',
-  function then(this: EngineWorld, slots: number, blocks: number, level: number) {
-    const fields = String(findLastAnswer(this).headers['x-engine-load']).split(',');
+  (slots: number, blocks: number, level: number) => {
+    const fields = String(findLastAnswer().headers['x-engine-load']).split(',');
     assert.deepEqual([fields[0], fields[1], fields[3]].map(Number), [slots, blocks, level]);
   },
 );
 
-Then('the engine load header says draining', function then(this: EngineWorld) {
-  assert.equal(String(findLastAnswer(this).headers['x-engine-load']).split(',')[4], '1');
+Then('the engine load header says draining', () => {
+  assert.equal(String(findLastAnswer().headers['x-engine-load']).split(',')[4], '1');
 });
 
-Then(
-  'the decode engine reports {int} free slots later',
-  async function then(this: EngineWorld, slots: number) {
-    await waitFor(`a report of ${slots} free slots`, async () => {
-      const load = await callJson('GET', `${this.engines.decode.url}/v1/load`);
-      return load.body.slotsFree === slots;
-    });
-  },
-);
+Then('the decode engine reports {int} free slots later', async (slots: number) => {
+  await waitFor(`a report of ${slots} free slots`, async () => {
+    const load = await callJson('GET', `${scenario.engines.decode.url}/v1/load`);
+    return load.body.slotsFree === slots;
+  });
+});
 
-Then('the {word} engine holds nothing', async function then(this: EngineWorld, name: string) {
-  const engine = findEngine(this, name);
+Then('the {word} engine holds nothing', async (name: string) => {
+  const engine = findEngine(name);
   await waitFor(`the ${name} engine to hold nothing`, async () => (await countHolds(engine)) === 0);
 });
 
-Then(
-  'the {word} engine has {int} holds',
-  async function then(this: EngineWorld, name: string, count: number) {
-    assert.equal(await countHolds(findEngine(this, name)), count);
-  },
-);
+Then('the {word} engine has {int} holds', async (name: string, count: number) => {
+  assert.equal(await countHolds(findEngine(name)), count);
+});
 
 Then(
   'the {word} engine records that {string} ended as {string} with {int} tokens',
-  async function then(this: EngineWorld, name: string, id: string, ended: string, tokens: number) {
-    const engine = findEngine(this, name);
+  async (name: string, id: string, ended: string, tokens: number) => {
+    const engine = findEngine(name);
     const attempt = await waitFor(`the end of ${id}`, async () => {
       const found = await findAttempt(engine, id);
       return found?.ended ? found : undefined;
@@ -351,84 +316,75 @@
   },
 );
 
-Then(
-  'the decode engine records that {string} was cancelled',
-  async function then(this: EngineWorld, attemptId: string) {
-    const attempt = await findAttempt(this.engines.decode, attemptId);
-    assert.equal(attempt?.ended, 'cancelled');
-  },
-);
+Then('the decode engine records that {string} was cancelled', async (attemptId: string) => {
+  const attempt = await findAttempt(scenario.engines.decode, attemptId);
+  assert.equal(attempt?.ended, 'cancelled');
+});
 
-Then(
-  'the engines wasted {int} prefill tokens',
-  async function then(this: EngineWorld, tokens: number) {
-    const record = await this.engines.prefill.readRecord<EngineRecord>();
-    assert.equal(record.wastedPrefillTokens, tokens);
-  },
-);
+Then('the engines wasted {int} prefill tokens', async (tokens: number) => {
+  const record = await scenario.engines.prefill.readRecord<EngineRecord>();
+  assert.equal(record.wastedPrefillTokens, tokens);
+});
 
 When(
   'the engine prefills {int} tokens each with the priorities {string}',
-  async function when(this: EngineWorld, tokens: number, priorities: string) {
-    this.prefillOrder = [];
+  async (tokens: number, priorities: string) => {
+    scenario.prefillOrder = [];
     const run = async (priority: number) => {
-      await prefill(this, `p${priority}`, `${priority}`.repeat(tokens * 4), priority);
-      this.prefillOrder.push(priority);
+      await prefill(`p${priority}`, `${priority}`.repeat(tokens * 4), priority);
+      scenario.prefillOrder.push(priority);
     };
     const running: Promise<void>[] = [];
     for (const [index, priority] of priorities.split(', ').map(Number).entries()) {
       running.push(run(priority));
-      const { prefill: engine } = this.engines;
+      const { prefill: engine } = scenario.engines;
       await waitFor('the prefill to arrive', async () => (await countHolds(engine)) > index);
     }
     await Promise.all(running);
   },
 );
 
-Then(
-  'the engine prefills ended in the order {string}',
-  function then(this: EngineWorld, order: string) {
-    assert.equal(this.prefillOrder.join(', '), order);
-  },
-);
+Then('the engine prefills ended in the order {string}', (order: string) => {
+  assert.equal(scenario.prefillOrder.join(', '), order);
+});
 
 Then(
   'the engine prefill counted {int} tokens, {int} of them cached',
-  function then(this: EngineWorld, tokens: number, cached: number) {
-    const { promptTokens, cachedTokens } = findLastAnswer(this).body;
+  (tokens: number, cached: number) => {
+    const { promptTokens, cachedTokens } = findLastAnswer().body;
     assert.deepEqual([promptTokens, cachedTokens], [tokens, cached]);
   },
 );
 
-Then('the engine cache events are {string}', async function then(this: EngineWorld, kinds: string) {
-  const { body } = await callJson('GET', `${this.engines.prefill.url}/v1/cache-events?after=0`);
+Then('the engine cache events are {string}', async (kinds: string) => {
+  const { body } = await callJson('GET', `${scenario.engines.prefill.url}/v1/cache-events?after=0`);
   const events = body.events as { kind: string }[];
   assert.equal(events.map((event) => event.kind).join(', '), kinds);
 });
 
 When(
   'the engine is ordered to load {string} with the fencing number {int}',
-  async function when(this: EngineWorld, value: string, fencingNumber: number) {
+  async (value: string, fencingNumber: number) => {
     const order = { kind: 'load-model', value, fencingNumber, commander: 'vm-1' };
-    await post(this, 'decode', 'orders', order);
+    await post('decode', 'orders', order);
   },
 );
 
-When('the decode engine is restarted by its state', async function when(this: EngineWorld) {
-  await this.engines.decode.setState({ restart: true });
+When('the decode engine is restarted by its state', async () => {
+  await scenario.engines.decode.setState({ restart: true });
 });
 
-Then('the decode engine has a new incarnation', async function then(this: EngineWorld) {
-  const before = String(findLastAnswer(this).headers['x-engine-load']).split(',')[5];
-  const { body } = await callJson('GET', `${this.engines.decode.url}/v1/holds`);
+Then('the decode engine has a new incarnation', async () => {
+  const before = String(findLastAnswer().headers['x-engine-load']).split(',')[5];
+  const { body } = await callJson('GET', `${scenario.engines.decode.url}/v1/holds`);
   assert.ok(before);
   assert.notEqual(body.incarnation, before);
 });
 
 Then(
   'the engine stream had the own indexes {string} and {int} foreign events',
-  function then(this: EngineWorld, indexes: string, foreign: number) {
-    const { streams } = findDecoding(this, 'a1');
+  (indexes: string, foreign: number) => {
+    const { streams } = findDecoding('a1');
     const events = streams.flatMap((stream) => stream.events);
     const own = events.filter((event) => event.attemptId === 'a1' && 'index' in event);
     assert.equal(own.map((event) => event.index).join(', '), indexes);
@@ -436,22 +392,19 @@
   },
 );
 
-Then('the engine stream had its end marker', function then(this: EngineWorld) {
-  const stream = findDecoding(this, 'a1').streams.at(-1);
+Then('the engine stream had its end marker', () => {
+  const stream = findDecoding('a1').streams.at(-1);
   assert.equal(stream?.closed, true);
   assert.equal(stream?.events.at(-1)?.end, 'length');
 });
 
-Then('the engine stream broke without an end marker', function then(this: EngineWorld) {
-  const stream = findDecoding(this, 'a1').streams.at(-1);
+Then('the engine stream broke without an end marker', () => {
+  const stream = findDecoding('a1').streams.at(-1);
   assert.equal(stream?.closed, false);
   assert.ok(stream?.events.every((event) => !('end' in event)));
 });
 
-Then(
-  'the {word} engine process has ended by {string}',
-  async function then(this: EngineWorld, name: string, signal: string) {
-    const end = await findEngine(this, name).process.ended;
-    assert.equal(end.signal, signal);
-  },
-);
+Then('the {word} engine process has ended by {string}', async (name: string, signal: string) => {
+  const end = await findEngine(name).process.ended;
+  assert.equal(end.signal, signal);
+});
--- a/features/steps/execution-death-steps.ts
+++ b/features/steps/execution-death-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { Given, Then, When } from '@cucumber/cucumber';
+import { Given, Then, When, world } from '@cucumber/cucumber';
 
 import type { Backends } from '../../src/backends/backends.js';
 import { DeathWatch } from '../../src/execution/death-watch.js';
@@ -15,6 +15,8 @@
   reports: string[];
 }
 
+const scenario = world as unknown as DeathWorld;
+
 const SERVER = createEngineServer('engine1');
 
 function answerLoad(state: string) {
@@ -23,36 +25,33 @@
   return succeed({ incarnation: state === 'restarted' ? 'run2' : 'run1' });
 }
 
-Given(
-  'a death watch with the requests {string} aboard the engine',
-  function given(this: DeathWorld, prints: string) {
-    const engine = { load: async () => answerLoad(this.engineState) };
-    const backends = { engine: () => engine } as unknown as Backends;
-    this.reports = [];
-    const target = {
-      backends: () => backends,
-      incarnation: () => 'run1',
-      report: async (_server: string, all: readonly string[]) => {
-        this.reports.push(all.join(' '));
-      },
-    };
-    this.watch = DeathWatch.create(target, SystemClock.create());
-    prints.split(', ').forEach((print) => this.watch.board('engine1', `attempt-${print}`, print));
-  },
-);
+Given('a death watch with the requests {string} aboard the engine', (prints: string) => {
+  const engine = { load: async () => answerLoad(scenario.engineState) };
+  const backends = { engine: () => engine } as unknown as Backends;
+  scenario.reports = [];
+  const target = {
+    backends: () => backends,
+    incarnation: () => 'run1',
+    report: async (_server: string, all: readonly string[]) => {
+      scenario.reports.push(all.join(' '));
+    },
+  };
+  scenario.watch = DeathWatch.create(target, SystemClock.create());
+  prints.split(', ').forEach((print) => scenario.watch.board('engine1', `attempt-${print}`, print));
+});
 
 When(
   'the death watch loses {int} connections and finds the engine {string}',
-  async function when(this: DeathWorld, losses: number, state: string) {
-    this.engineState = state;
+  async (losses: number, state: string) => {
+    scenario.engineState = state;
     // The second loss comes after the verdict on the first, as with connections that end late.
     for (let count = 0; count < losses; count += 1) {
-      this.watch.lost(SERVER);
-      await this.watch.settled();
+      scenario.watch.lost(SERVER);
+      await scenario.watch.settled();
     }
   },
 );
 
-Then('the death watch reported {string}', function then(this: DeathWorld, reported: string) {
-  assert.equal(this.reports.join('; '), reported);
+Then('the death watch reported {string}', (reported: string) => {
+  assert.equal(scenario.reports.join('; '), reported);
 });
--- a/features/steps/execution-phased-steps.ts
+++ b/features/steps/execution-phased-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { HttpBackends } from '../../src/backends/http-backends.js';
 import type { Refusal } from '../../src/domain/refusal.js';
@@ -26,9 +26,11 @@
   };
 }
 
-function worldOf(world: PhasedWorld): NonNullable<PhasedWorld['phased']> {
-  assert.ok(world.phased);
-  return world.phased;
+const scenario = world as unknown as PhasedWorld;
+
+function worldOf(): NonNullable<PhasedWorld['phased']> {
+  assert.ok(scenario.phased);
+  return scenario.phased;
 }
 
 function createRequest(arrivedMs: number): ModelRequest {
@@ -69,118 +71,97 @@
   await collect(phased, await phased.execution.run(request, phased.abort.signal));
 }
 
-Given(
-  'phased execution over {int} engines',
-  async function given(this: PhasedWorld, count: number) {
-    const faults: EngineFault[] = [];
-    const names = Array.from({ length: count }, (_, index) => `engine${index}`);
-    const engines = await Promise.all(names.map((name) => FakeEngine.create(name, faults)));
-    const fakes = createFakeServices(engines.map((engine) => engine.describe()));
-    const clock = SystemClock.create();
-    const { kernel, settings } = fakes;
-    const backends = HttpBackends.create(kernel, settings);
-    const routing = SubsetRouting.create(kernel, settings, clock);
-    const execution = PhasedModelExecution.create(kernel, settings, clock);
-    kernel.register('backends', backends);
-    kernel.register('routing', routing);
-    kernel.register('model-execution', execution);
-    await kernel.start();
-    const abort = new AbortController();
-    const stop = async () => {
-      await kernel.stop();
-      await Promise.all(engines.map((engine) => engine.stop()));
-    };
-    this.phased = { engines, faults, fakes, execution, clock, events: [], abort, stop };
-  },
-);
+Given('phased execution over {int} engines', async (count: number) => {
+  const faults: EngineFault[] = [];
+  const names = Array.from({ length: count }, (_, index) => `engine${index}`);
+  const engines = await Promise.all(names.map((name) => FakeEngine.create(name, faults)));
+  const fakes = createFakeServices(engines.map((engine) => engine.describe()));
+  const clock = SystemClock.create();
+  const { kernel, settings } = fakes;
+  const backends = HttpBackends.create(kernel, settings);
+  const routing = SubsetRouting.create(kernel, settings, clock);
+  const execution = PhasedModelExecution.create(kernel, settings, clock);
+  kernel.register('backends', backends);
+  kernel.register('routing', routing);
+  kernel.register('model-execution', execution);
+  await kernel.start();
+  const abort = new AbortController();
+  const stop = async () => {
+    await kernel.stop();
+    await Promise.all(engines.map((engine) => engine.stop()));
+  };
+  scenario.phased = { engines, faults, fakes, execution, clock, events: [], abort, stop };
+});
 
-After(async function after(this: PhasedWorld) {
-  await this.phased?.stop();
+After(async () => {
+  await scenario.phased?.stop();
 });
 
-Given(
-  'phased execution meets the faults {string} on {string}',
-  function given(this: PhasedWorld, kinds: string, path: string) {
-    const { faults } = worldOf(this);
-    const list = kinds.split(', ').filter((kind) => kind !== 'none');
-    faults.push(...list.map((kind) => ({ path: `/${path}`, kind })));
-  },
-);
+Given('phased execution meets the faults {string} on {string}', (kinds: string, path: string) => {
+  const { faults } = worldOf();
+  const list = kinds.split(', ').filter((kind) => kind !== 'none');
+  faults.push(...list.map((kind) => ({ path: `/${path}`, kind })));
+});
 
-Given(
-  'phased execution gets {int} grants that cannot be sent',
-  function given(this: PhasedWorld, count: number) {
-    worldOf(this).fakes.unsendable = count;
-  },
-);
+Given('phased execution gets {int} grants that cannot be sent', (count: number) => {
+  worldOf().fakes.unsendable = count;
+});
 
-When('phased execution runs a request', async function when(this: PhasedWorld) {
-  await runRequest(worldOf(this));
+When('phased execution runs a request', async () => {
+  await runRequest(worldOf());
 });
 
-When(
-  'phased execution runs a request on engines that then refuse',
-  async function when(this: PhasedWorld) {
-    const phased = worldOf(this);
-    const running = runRequest(phased);
-    const prefilled = () =>
-      phased.engines.some((engine) => engine.calls.some(({ path }) => path === '/v1/prefill'));
-    await waitUntil(prefilled, 'the prefill was sent');
-    await Promise.all(phased.engines.map((engine) => engine.stop()));
-    await running;
-  },
-);
+When('phased execution runs a request on engines that then refuse', async () => {
+  const phased = worldOf();
+  const running = runRequest(phased);
+  const prefilled = () =>
+    phased.engines.some((engine) => engine.calls.some(({ path }) => path === '/v1/prefill'));
+  await waitUntil(prefilled, 'the prefill was sent');
+  await Promise.all(phased.engines.map((engine) => engine.stop()));
+  await running;
+});
 
-When(
-  'phased execution runs a request and {string} comes in mid-answer',
-  async function when(this: PhasedWorld, event: string) {
-    const phased = worldOf(this);
-    const running = runRequest(phased);
-    await waitUntil(() => phased.events.length === 2, 'two tokens came');
-    if (event === 'client abort') phased.abort.abort();
-    if (event === 'key withdrawal') phased.fakes.withdrawals.push('key1');
-    if (event === 'reincarnation') phased.fakes.reincarnations.push({});
-    if (event === 'engine death') {
-      const engine = phased.engines.find(({ holds }) => holds.size > 0);
-      await engine?.stop();
-    }
-    await running;
-  },
-);
+When('phased execution runs a request and {string} comes in mid-answer', async (event: string) => {
+  const phased = worldOf();
+  const running = runRequest(phased);
+  await waitUntil(() => phased.events.length === 2, 'two tokens came');
+  if (event === 'client abort') phased.abort.abort();
+  if (event === 'key withdrawal') phased.fakes.withdrawals.push('key1');
+  if (event === 'reincarnation') phased.fakes.reincarnations.push({});
+  if (event === 'engine death') {
+    const engine = phased.engines.find(({ holds }) => holds.size > 0);
+    await engine?.stop();
+  }
+  await running;
+});
 
-When(
-  'phased execution runs a request that is aborted during its reservation',
-  async function when(this: PhasedWorld) {
-    const phased = worldOf(this);
-    const running = runRequest(phased);
-    await waitUntil(
-      () => phased.engines[0]?.calls.some(isReservation) === true,
-      'the reservation was sent',
-    );
-    phased.abort.abort();
-    await running;
-  },
-);
+When('phased execution runs a request that is aborted during its reservation', async () => {
+  const phased = worldOf();
+  const running = runRequest(phased);
+  await waitUntil(
+    () => phased.engines[0]?.calls.some(isReservation) === true,
+    'the reservation was sent',
+  );
+  phased.abort.abort();
+  await running;
+});
 
-Then(
-  'phased execution held memory after its first cancel order',
-  async function then(this: PhasedWorld) {
-    const engine = worldOf(this).engines[0];
-    const cancelled = () => engine?.calls.some(({ path }) => path.endsWith('/cancel')) ?? false;
-    await waitUntil(cancelled, 'the first cancel order came');
-    await waitUntil(() => engine?.holds.size === 1, 'the reservation took effect');
-  },
-);
+Then('phased execution held memory after its first cancel order', async () => {
+  const engine = worldOf().engines[0];
+  const cancelled = () => engine?.calls.some(({ path }) => path.endsWith('/cancel')) ?? false;
+  await waitUntil(cancelled, 'the first cancel order came');
+  await waitUntil(() => engine?.holds.size === 1, 'the reservation took effect');
+});
 
-When('phased execution runs a request while it stops', async function when(this: PhasedWorld) {
-  const phased = worldOf(this);
+When('phased execution runs a request while it stops', async () => {
+  const phased = worldOf();
   const running = runRequest(phased);
   await phased.execution.stop();
   await running;
 });
 
-Then('phased execution answers {string}', function then(this: PhasedWorld, text: string) {
-  const { events, refusal } = worldOf(this);
+Then('phased execution answers {string}', (text: string) => {
+  const { events, refusal } = worldOf();
   assert.equal(refusal, undefined);
   const tokens = events.map((event) => (event.kind === 'token' ? event.text : ''));
   assert.equal(tokens.join('').trim(), text);
@@ -190,98 +171,74 @@
 
 Then(
   'phased execution ends with the error {string} and run {string}',
-  function then(this: PhasedWorld, code: string, run: string) {
-    const { refusal } = worldOf(this);
+  (code: string, run: string) => {
+    const { refusal } = worldOf();
     assert.equal(refusal?.code, code, refusal?.message);
     assert.equal(refusal?.run, run);
   },
 );
 
-Then(
-  'phased execution leaves no holds and settles each grant once',
-  async function then(this: PhasedWorld) {
-    const { engines, fakes, execution } = worldOf(this);
-    await waitUntil(() => engines.every(({ holds }) => holds.size === 0), 'no holds are left');
-    assert.ok(fakes.grants.length > 0);
-    assert.deepEqual(
-      fakes.grants.map(({ settled }) => settled.length),
-      fakes.grants.map(() => 1),
-    );
-    await waitUntil(() => execution.active() === 0, 'no request is in progress');
-  },
-);
+Then('phased execution leaves no holds and settles each grant once', async () => {
+  const { engines, fakes, execution } = worldOf();
+  await waitUntil(() => engines.every(({ holds }) => holds.size === 0), 'no holds are left');
+  assert.ok(fakes.grants.length > 0);
+  assert.deepEqual(
+    fakes.grants.map(({ settled }) => settled.length),
+    fakes.grants.map(() => 1),
+  );
+  await waitUntil(() => execution.active() === 0, 'no request is in progress');
+});
 
-Then(
-  'phased execution counted {int} wasted prompt tokens',
-  function then(this: PhasedWorld, tokens: number) {
-    const { metrics } = worldOf(this).fakes;
-    assert.equal(metrics.get('execution.wasted_prefill_tokens') ?? 0, tokens);
-  },
-);
+Then('phased execution counted {int} wasted prompt tokens', (tokens: number) => {
+  const { metrics } = worldOf().fakes;
+  assert.equal(metrics.get('execution.wasted_prefill_tokens') ?? 0, tokens);
+});
 
-Then(
-  'phased execution was admitted {int} times in the same place',
-  function then(this: PhasedWorld, times: number) {
-    const { admitted, grants } = worldOf(this).fakes;
-    assert.equal(admitted.length, times);
-    assert.equal(new Set(admitted.map(({ arrivedMs }) => arrivedMs)).size, 1);
-    assert.deepEqual(
-      grants.slice(0, -1).map(({ settled }) => settled[0]),
-      grants.slice(0, -1).map(() => 0),
-    );
-  },
-);
+Then('phased execution was admitted {int} times in the same place', (times: number) => {
+  const { admitted, grants } = worldOf().fakes;
+  assert.equal(admitted.length, times);
+  assert.equal(new Set(admitted.map(({ arrivedMs }) => arrivedMs)).size, 1);
+  assert.deepEqual(
+    grants.slice(0, -1).map(({ settled }) => settled[0]),
+    grants.slice(0, -1).map(() => 0),
+  );
+});
 
-Then(
-  'phased execution reported {int} death with the fingerprint',
-  async function then(this: PhasedWorld, count: number) {
-    const { deaths } = worldOf(this).fakes;
-    await waitUntil(() => deaths.length >= count, 'the death is reported');
-    assert.deepEqual(
-      deaths.map(({ fingerprints }) => fingerprints),
-      Array.from({ length: count }, () => ['print1']),
-    );
-  },
-);
+Then('phased execution reported {int} death with the fingerprint', async (count: number) => {
+  const { deaths } = worldOf().fakes;
+  await waitUntil(() => deaths.length >= count, 'the death is reported');
+  assert.deepEqual(
+    deaths.map(({ fingerprints }) => fingerprints),
+    Array.from({ length: count }, () => ['print1']),
+  );
+});
 
-Then(
-  'phased execution has stopped with {int} requests in progress',
-  function then(this: PhasedWorld, count: number) {
-    assert.equal(worldOf(this).execution.active(), count);
-  },
-);
+Then('phased execution has stopped with {int} requests in progress', (count: number) => {
+  assert.equal(worldOf().execution.active(), count);
+});
 
-Then(
-  'phased execution knew of {string} deaths at its admissions',
-  function then(this: PhasedWorld, counts: string) {
-    // Admission tells a suspect only when it knows of the death before it admits again.
-    assert.equal(worldOf(this).fakes.deathsAtAdmission.join(', '), counts);
-  },
-);
+Then('phased execution knew of {string} deaths at its admissions', (counts: string) => {
+  // Admission tells a suspect only when it knows of the death before it admits again.
+  assert.equal(worldOf().fakes.deathsAtAdmission.join(', '), counts);
+});
 
-Given(
-  'phased execution has tokens to extend a grant: {string}',
-  function given(this: PhasedWorld, answer: string) {
-    worldOf(this).fakes.extendable = answer === 'yes';
-  },
-);
+Given('phased execution has tokens to extend a grant: {string}', (answer: string) => {
+  worldOf().fakes.extendable = answer === 'yes';
+});
 
-When(
-  'phased execution runs a request that arrived {int} ms ago',
-  async function when(this: PhasedWorld, ageMs: number) {
-    await runRequest(worldOf(this), ageMs);
-  },
-);
+When('phased execution runs a request that arrived {int} ms ago', async (ageMs: number) => {
+  await runRequest(worldOf(), ageMs);
+});
 
-Then('phased execution sent no prefill', function then(this: PhasedWorld) {
-  const calls = worldOf(this).engines.flatMap((engine) => engine.calls);
+Then('phased execution sent no prefill', () => {
+  const calls = worldOf().engines.flatMap((engine) => engine.calls);
   assert.ok(calls.every(({ path }) => path !== '/v1/prefill'));
 });
 
 Then(
   'phased execution extended its grant by {int} and settled {int} tokens',
-  function then(this: PhasedWorld, extended: number, used: number) {
-    const { grants } = worldOf(this).fakes;
+  (extended: number, used: number) => {
+    const { grants } = worldOf().fakes;
     assert.deepEqual(
       grants.map((grant) => [grant.extended, grant.settled]),
       [[[extended], [used]]],
--- a/features/steps/execution-reaper-steps.ts
+++ b/features/steps/execution-reaper-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import type { BackendServer } from '../../src/domain/backend-server.js';
 import type { Incarnation } from '../../src/domain/vm.js';
@@ -28,9 +28,11 @@
   reaper?: ReaperState;
 }
 
-function stateOf(world: ReaperWorld): ReaperState {
-  assert.ok(world.reaper);
-  return world.reaper;
+const scenario = world as unknown as ReaperWorld;
+
+function stateOf(): ReaperState {
+  assert.ok(scenario.reaper);
+  return scenario.reaper;
 }
 
 function createReaper(self: string, vms: readonly string[], servers: BackendServer[]): ReaperState {
@@ -86,7 +88,7 @@
   return { vm: 'vm1', incarnation: description.endsWith('old incarnation') ? 'i0' : 'i1' };
 }
 
-Given('a hold reaper that observes an engine alone', async function given(this: ReaperWorld) {
+Given('a hold reaper that observes an engine alone', async () => {
   // One of the first names is an engine that vm1 observes, whatever the hash.
   const names = Array.from({ length: 20 }, (_, index) => `engine${index}`);
   const probe = createReaper(
@@ -96,18 +98,18 @@
   );
   const [name] = probe.reaper.observed();
   assert.ok(name);
-  this.reaper = createReaper('vm1', ['vm1', 'vm2'], [createEngineServer(name)]);
-  await this.reaper.kernel.start();
+  scenario.reaper = createReaper('vm1', ['vm1', 'vm2'], [createEngineServer(name)]);
+  await scenario.reaper.kernel.start();
 });
 
-After(async function after(this: ReaperWorld) {
-  await this.reaper?.reaper.stop();
+After(async () => {
+  await scenario.reaper?.reaper.stop();
 });
 
 When(
   'the hold reaper finds a hold of {string} that is {int} ms old',
-  async function when(this: ReaperWorld, owner: string, ageMs: number) {
-    const state = stateOf(this);
+  async (owner: string, ageMs: number) => {
+    const state = stateOf();
     const ids = { requestId: 'q1', attemptId: 'attempt1', owner: ownerOf(owner) };
     await waitUntil(() => state.listed > 0, 'the first round has begun');
     Object.assign(state, { owner, holds: [{ ...ids, kind: 'decode', blocks: 1, ageMs }] });
@@ -119,8 +121,8 @@
   },
 );
 
-Then('the hold reaper has {string} it', function then(this: ReaperWorld, result: string) {
-  const { cancelled } = stateOf(this);
+Then('the hold reaper has {string} it', (result: string) => {
+  const { cancelled } = stateOf();
   assert.equal(cancelled.length > 0 ? 'released' : 'kept', result);
   assert.ok(cancelled.every((attemptId) => attemptId === 'attempt1'));
 });
@@ -138,8 +140,8 @@
 
 Then(
   'the hold reaper answers a peer that attempt {string} is unknown',
-  async function then(this: ReaperWorld, attemptId: string) {
-    const { handlers } = stateOf(this);
+  async (attemptId: string) => {
+    const { handlers } = stateOf();
     const handler = handlers.unknownAttempts as unknown as (request: object) => object;
     const answer = await handler({ attemptIds: [attemptId] });
     assert.deepEqual(answer, { incarnation: 'i1', unknownAttemptIds: [attemptId] });
--- a/features/steps/guarantees-confidentiality-steps.ts
+++ b/features/steps/guarantees-confidentiality-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { callCompletion, callService } from '../../harness/caller-client.js';
 import { startFleet, type Fleet, type FleetDaemon } from '../../harness/fleet.js';
@@ -27,9 +27,11 @@
   };
 }
 
-function confidentialOf(world: ConfidentialWorld) {
-  assert.ok(world.confidential);
-  return world.confidential;
+const scenario = world as unknown as ConfidentialWorld;
+
+function confidentialOf() {
+  assert.ok(scenario.confidential);
+  return scenario.confidential;
 }
 
 /** Sends requests of all kinds, some of them wrong, with a key that works. */
@@ -56,50 +58,47 @@
   ]);
 }
 
-After(async function stop(this: ConfidentialWorld) {
-  this.confidential?.datagrams.close();
-  await this.confidential?.fleet.stop();
+After(async () => {
+  scenario.confidential?.datagrams.close();
+  await scenario.confidential?.fleet.stop();
 });
 
 Given(
   'a confidential fleet of {int} daemons that log everything and send metrics',
-  async function start(this: ConfidentialWorld, daemons: number) {
+  async (daemons: number) => {
     const datagrams = await receiveDatagrams();
     const settings = {
       logs: { level: 'debug' },
       statsd: { host: '127.0.0.1', port: datagrams.port },
     };
     const plan = planSmallFleet({ daemons, relayed: true, recorded: true, settings });
-    this.confidential = { fleet: await startFleet(plan), datagrams, keys: [] };
+    scenario.confidential = { fleet: await startFleet(plan), datagrams, keys: [] };
   },
 );
 
-When(
-  'confidential keys are used in a mixture of requests at every daemon',
-  async function send(this: ConfidentialWorld) {
-    const { fleet, keys } = confidentialOf(this);
-    for (const team of ['oval-crew', 'school-grounds']) {
-      const { text } = await fleet.giveKey(team);
-      keys.push(text, `${text.slice(0, -4)}0000`);
-      await waitFor('the key to work at every daemon', async () => {
-        const answers = await Promise.all(
-          fleet.daemons.map((one) => sendWithHeader(one, KEYED_ROUTES[2] ?? '', `Bearer ${text}`)),
-        );
-        return answers.every(({ status }) => status === 200);
-      });
-      await Promise.all(fleet.daemons.map((daemon) => sendMixture(daemon, text)));
-    }
-    const wrong = keys.filter((_, index) => index % 2 === 1);
-    await Promise.all(
-      fleet.daemons.flatMap((one) => wrong.map((text) => sendOnKeyedRoutes(one, `Bearer ${text}`))),
-    );
-  },
-);
+When('confidential keys are used in a mixture of requests at every daemon', async () => {
+  const { fleet, keys } = confidentialOf();
+  for (const team of ['oval-crew', 'school-grounds']) {
+    const { text } = await fleet.giveKey(team);
+    keys.push(text, `${text.slice(0, -4)}0000`);
+    await waitFor('the key to work at every daemon', async () => {
+      const answers = await Promise.all(
+        fleet.daemons.map((one) => sendWithHeader(one, KEYED_ROUTES[2] ?? '', `Bearer ${text}`)),
+      );
+      return answers.every(({ status }) => status === 200);
+    });
+    await Promise.all(fleet.daemons.map((daemon) => sendMixture(daemon, text)));
+  }
+  const wrong = keys.filter((_, index) => index % 2 === 1);
+  await Promise.all(
+    fleet.daemons.flatMap((one) => wrong.map((text) => sendOnKeyedRoutes(one, `Bearer ${text}`))),
+  );
+});
 
 When(
   'a confidential key is withdrawn by its id, and its text is given to an operator by mistake',
-  async function withdraw(this: ConfidentialWorld) {
-    const { fleet, keys } = confidentialOf(this);
+  async () => {
+    const { fleet, keys } = confidentialOf();
     const [daemon] = fleet.daemons;
     const [text] = keys;
     assert.ok(daemon && text);
@@ -116,8 +115,8 @@
 
 Then(
   'no confidential key is in any record, log line, trace, datagram, stream or message',
-  async function check(this: ConfidentialWorld) {
-    const { fleet, datagrams, keys } = confidentialOf(this);
+  async () => {
+    const { fleet, datagrams, keys } = confidentialOf();
     await waitFor('metrics of every daemon', () =>
       fleet.daemons.every(({ name }) => datagrams.text().includes(name)),
     );
@@ -137,7 +136,10 @@
       [],
     );
     const characters = places.reduce((sum, { text }) => sum + text.length, 0);
-    reportFigure(this, `${forms.length} forms of keys, ${places.length} places, ${characters} B`);
+    reportFigure(
+      scenario,
+      `${forms.length} forms of keys, ${places.length} places, ${characters} B`,
+    );
     // The search proves nothing where nothing was collected.
     const mustHold: [RegExp, string][] = [
       [/^record of decode/, 'oval-crew'],
--- a/features/steps/guarantees-configuration-steps.ts
+++ b/features/steps/guarantees-configuration-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, type DataTable, Given, Then, When, World } from '@cucumber/cucumber';
+import { After, type DataTable, Given, Then, When, World, world } from '@cucumber/cucumber';
 
 import { callService } from '../../harness/caller-client.js';
 import { runCtl } from '../../harness/ctl.js';
@@ -35,31 +35,33 @@
   configuredStale: number;
 }
 
+const scenario = world as unknown as ConfigurationWorld;
+
 /** Short enough that a scenario sees records dropped, with snapshots three times as often. */
 const RETENTION = {
   logArgs: ['--retention-ms', '3000'],
   settings: { snapshots: { everyMs: 1000 } },
 };
 
-async function startWatched(world: ConfigurationWorld, size: SmallFleet): Promise<void> {
+async function startWatched(size: SmallFleet): Promise<void> {
   const plan = planConfiguredFleet(size);
   const fleet = await startFleet(plan);
   await listVms(fleet, plan);
   const { text } = await fleet.giveKey('oval-crew');
-  Object.assign(world, {
+  Object.assign(scenario, {
     configured: { fleet, key: text, watch: ConfigurationWatch.create(fleet) },
   });
 }
 
-function configuredOf(world: ConfigurationWorld) {
-  assert.ok(world.configured, 'the fleet has not been started');
-  return world.configured;
+function configuredOf() {
+  assert.ok(scenario.configured, 'the fleet has not been started');
+  return scenario.configured;
 }
 
-async function raceOn(world: ConfigurationWorld, name: string, rounds: number): Promise<void> {
+async function raceOn(name: string, rounds: number): Promise<void> {
   const plan = RACES[name];
   assert.ok(plan, `no race ${name}`);
-  const { fleet, watch } = configuredOf(world);
+  const { fleet, watch } = configuredOf();
   for (let round = 1; round <= rounds; round += 1) {
     const { answers, logged } = await runRace(fleet, plan, round);
     const verdicts = answers.map(({ verdict }) => verdict).sort();
@@ -67,153 +69,123 @@
     assert.equal(logged, 2, 'both edits reached the log');
     const accepted = answers.find(({ verdict }) => verdict === 'accepted');
     assert.ok(accepted);
-    Object.assign(world, { configuredChange: { answer: accepted, fromMs: accepted.atMs } });
+    Object.assign(scenario, { configuredChange: { answer: accepted, fromMs: accepted.atMs } });
     const newest = Math.max(...answers.map(({ version }) => version));
     await waitUntilShown(fleet, watch, newest, 0);
   }
 }
 
-Given(
-  'a configured fleet of {int} daemons',
-  async function start(this: ConfigurationWorld, daemons: number) {
-    await startWatched(this, { daemons });
-  },
-);
+Given('a configured fleet of {int} daemons', async (daemons: number) => {
+  await startWatched({ daemons });
+});
 
-Given(
-  'a configured fleet of {int} daemons with short retention',
-  async function start(this: ConfigurationWorld, daemons: number) {
-    await startWatched(this, { daemons, ...RETENTION });
-  },
-);
+Given('a configured fleet of {int} daemons with short retention', async (daemons: number) => {
+  await startWatched({ daemons, ...RETENTION });
+});
 
-When(
-  'the configured preset is switched with {string}',
-  async function change(this: ConfigurationWorld, fault: string) {
-    const script = FAULT_SCRIPTS[fault];
-    assert.ok(script, `no fault script ${fault}`);
-    const { fleet, watch } = configuredOf(this);
-    this.configuredChange = await script(fleet, watch);
-  },
-);
+When('the configured preset is switched with {string}', async (fault: string) => {
+  const script = FAULT_SCRIPTS[fault];
+  assert.ok(script, `no fault script ${fault}`);
+  const { fleet, watch } = configuredOf();
+  scenario.configuredChange = await script(fleet, watch);
+});
 
 When(
   'two operators race {int} times on each configured subject',
-  async function race(this: ConfigurationWorld, rounds: number, subjects: DataTable) {
-    for (const [name = ''] of subjects.raw()) await raceOn(this, name, rounds);
+  async (rounds: number, subjects: DataTable) => {
+    for (const [name = ''] of subjects.raw()) await raceOn(name, rounds);
   },
 );
 
-When(
-  'the configured preset is switched to {string} by cuminsparctl',
-  async function change(this: ConfigurationWorld, preset: string) {
-    const { fleet } = configuredOf(this);
-    const run = await runCtl(daemonOf(fleet, 1).operators, ['preset', 'switch', preset]);
-    assert.equal(run.code, 0, run.stderr || run.stdout);
-  },
-);
+When('the configured preset is switched to {string} by cuminsparctl', async (preset: string) => {
+  const { fleet } = configuredOf();
+  const run = await runCtl(daemonOf(fleet, 1).operators, ['preset', 'switch', preset]);
+  assert.equal(run.code, 0, run.stderr || run.stdout);
+});
 
 When(
   'the configured preset is switched to {string} in an outage of the log longer than the verdict takes',
-  async function change(this: ConfigurationWorld, preset: string) {
-    const { fleet } = configuredOf(this);
+  async (preset: string) => {
+    const { fleet } = configuredOf();
     await fleet.log.addFault({ kind: 'unavailable' });
     const answer = await sendChange(fleet, 1, { kind: 'switch-preset', name: preset });
     await fleet.log.clearFaults();
-    this.configuredChange = { answer, fromMs: answer.atMs };
+    scenario.configuredChange = { answer, fromMs: answer.atMs };
   },
 );
 
-Then(
-  'the configured change is unknown, and the log and all daemons stay without it',
-  async function check(this: ConfigurationWorld) {
-    const { fleet, watch } = configuredOf(this);
-    const { verdict, reason } = this.configuredChange.answer;
-    assert.equal(verdict, 'unknown');
-    assert.match(reason, /^not appended/);
-    const { answer, fromMs } = this.configuredChange;
-    const later = await sendChange(fleet, 2, { kind: 'put-preset', preset: { name: 'later' } });
-    assert.equal(later.verdict, 'accepted', `${later.reason} after ${answer.reason}`);
-    await waitUntilShown(fleet, watch, later.version, fromMs);
-    const records = await readLoggedRecords(fleet);
-    assert.ok(records.every(({ data }) => !data.includes('"switch-preset"')));
-    const presets = fleet.daemons.map(({ name }) => watch.history(name).at(-1)?.presetInForce);
-    assert.deepEqual(new Set(presets), new Set(['ordinary']));
-  },
-);
+Then('the configured change is unknown, and the log and all daemons stay without it', async () => {
+  const { fleet, watch } = configuredOf();
+  const { verdict, reason } = scenario.configuredChange.answer;
+  assert.equal(verdict, 'unknown');
+  assert.match(reason, /^not appended/);
+  const { answer, fromMs } = scenario.configuredChange;
+  const later = await sendChange(fleet, 2, { kind: 'put-preset', preset: { name: 'later' } });
+  assert.equal(later.verdict, 'accepted', `${later.reason} after ${answer.reason}`);
+  await waitUntilShown(fleet, watch, later.version, fromMs);
+  const records = await readLoggedRecords(fleet);
+  assert.ok(records.every(({ data }) => !data.includes('"switch-preset"')));
+  const presets = fleet.daemons.map(({ name }) => watch.history(name).at(-1)?.presetInForce);
+  assert.deepEqual(new Set(presets), new Set(['ordinary']));
+});
 
-When(
-  'the configured fleet is brought to the state {string}',
-  async function bring(this: ConfigurationWorld, state: string) {
-    const { fleet } = configuredOf(this);
-    const run = COMMAND_STATES[state];
-    assert.ok(run, `no state ${state}`);
-    const stale = await readBase(fleet, 'preset-in-force');
-    const answer = await run(fleet);
-    this.configuredChange = { answer, fromMs: answer.atMs };
-    this.configuredStale = stale;
-  },
-);
+When('the configured fleet is brought to the state {string}', async (state: string) => {
+  const { fleet } = configuredOf();
+  const run = COMMAND_STATES[state];
+  assert.ok(run, `no state ${state}`);
+  const stale = await readBase(fleet, 'preset-in-force');
+  const answer = await run(fleet);
+  scenario.configuredChange = { answer, fromMs: answer.atMs };
+  scenario.configuredStale = stale;
+});
 
-Then(
-  'each configured command at daemon 1 ends with its code',
-  async function check(this: ConfigurationWorld, commands: DataTable) {
-    const { fleet } = configuredOf(this);
-    const newest = this.configuredChange.answer.version;
-    for (const { command = '', code, prints = '' } of commands.hashes()) {
-      const args = fillCommand(command, { newest, stale: this.configuredStale });
-      const run = await runCtl(byName(fleet, 'vm-1').operators, args);
-      assert.equal(run.code, Number(code), `${command}: ${run.stderr || run.stdout}`);
-      assert.ok(run.stdout.includes(prints), run.stdout);
-    }
-  },
-);
+Then('each configured command at daemon 1 ends with its code', async (commands: DataTable) => {
+  const { fleet } = configuredOf();
+  const newest = scenario.configuredChange.answer.version;
+  for (const { command = '', code, prints = '' } of commands.hashes()) {
+    const args = fillCommand(command, { newest, stale: scenario.configuredStale });
+    const run = await runCtl(byName(fleet, 'vm-1').operators, args);
+    assert.equal(run.code, Number(code), `${command}: ${run.stderr || run.stdout}`);
+    assert.ok(run.stdout.includes(prints), run.stdout);
+  }
+});
 
-Then(
-  'the configured change is accepted and shown by every daemon within 4 s',
-  async function check(this: ConfigurationWorld) {
-    const { fleet, watch } = configuredOf(this);
-    const { answer, fromMs } = this.configuredChange;
-    assert.equal(answer.verdict, 'accepted', answer.reason);
-    const shownMs = await waitUntilShown(fleet, watch, answer.version, fromMs);
-    const tookMs = Math.max(0, Math.round(shownMs - fromMs));
-    this.log(`in force everywhere after ${tookMs} ms`);
-    assert.ok(tookMs <= IN_FORCE_MS, `in force after ${tookMs} ms`);
-  },
-);
+Then('the configured change is accepted and shown by every daemon within 4 s', async () => {
+  const { fleet, watch } = configuredOf();
+  const { answer, fromMs } = scenario.configuredChange;
+  assert.equal(answer.verdict, 'accepted', answer.reason);
+  const shownMs = await waitUntilShown(fleet, watch, answer.version, fromMs);
+  const tookMs = Math.max(0, Math.round(shownMs - fromMs));
+  scenario.log(`in force everywhere after ${tookMs} ms`);
+  assert.ok(tookMs <= IN_FORCE_MS, `in force after ${tookMs} ms`);
+});
 
-Then(
-  'the configured fleet agrees and no daemon ever went back',
-  async function check(this: ConfigurationWorld) {
-    const { fleet, watch } = configuredOf(this);
-    const states = await waitFor('equal configurations', async () => {
-      const all = await readAllConfigurations(fleet);
-      return new Set(all).size === 1 && all;
-    });
-    assert.equal(states.length, fleet.daemons.length);
-    assert.deepEqual(watch.listViolations(), []);
-    assert.deepEqual(watch.listDisagreements(), []);
-  },
-);
+Then('the configured fleet agrees and no daemon ever went back', async () => {
+  const { fleet, watch } = configuredOf();
+  const states = await waitFor('equal configurations', async () => {
+    const all = await readAllConfigurations(fleet);
+    return new Set(all).size === 1 && all;
+  });
+  assert.equal(states.length, fleet.daemons.length);
+  assert.deepEqual(watch.listViolations(), []);
+  assert.deepEqual(watch.listDisagreements(), []);
+});
 
-Then(
-  'the configured fleet answers callers by the preset {string}',
-  async function check(this: ConfigurationWorld, preset: string) {
-    const { fleet, key } = configuredOf(this);
-    const path = '/services/yard/jobs/1';
-    await waitFor(`the preset ${preset} at every daemon`, async () => {
-      const answers = await Promise.all(
-        fleet.daemons.map(({ callers }) => callService(callers, { method: 'GET', path, key })),
-      );
-      const codes = answers.map(({ status, code }) => code ?? String(status));
-      if (codes.every((code) => code === (preset === 'maintenance' ? preset : '200'))) return true;
-      throw new Error(codes.join(', '));
-    });
-  },
-);
+Then('the configured fleet answers callers by the preset {string}', async (preset: string) => {
+  const { fleet, key } = configuredOf();
+  const path = '/services/yard/jobs/1';
+  await waitFor(`the preset ${preset} at every daemon`, async () => {
+    const answers = await Promise.all(
+      fleet.daemons.map(({ callers }) => callService(callers, { method: 'GET', path, key })),
+    );
+    const codes = answers.map(({ status, code }) => code ?? String(status));
+    if (codes.every((code) => code === (preset === 'maintenance' ? preset : '200'))) return true;
+    throw new Error(codes.join(', '));
+  });
+});
 
-After(async function stop(this: ConfigurationWorld) {
-  if (!this.configured) return;
-  await this.configured.watch.stop();
-  await this.configured.fleet.stop();
+After(async () => {
+  if (!scenario.configured) return;
+  await scenario.configured.watch.stop();
+  await scenario.configured.fleet.stop();
 });
--- a/features/steps/guarantees-inside-rate-steps.ts
+++ b/features/steps/guarantees-inside-rate-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { startFleet, type Fleet, type FleetDaemon } from '../../harness/fleet.js';
 import { planChanges, planSmallFleet } from '../../harness/plans.js';
@@ -27,9 +27,11 @@
   inside?: { readonly fleet: Fleet; counts?: FollowerCounts };
 }
 
-function insideOf(world: InsideWorld) {
-  assert.ok(world.inside);
-  return world.inside;
+const scenario = world as unknown as InsideWorld;
+
+function insideOf() {
+  assert.ok(scenario.inside);
+  return scenario.inside;
 }
 
 function countRefused({ refused }: FollowerCounts): number {
@@ -49,48 +51,45 @@
   await fleet.waitReady(added);
 }
 
-After(async function stop(this: InsideWorld) {
-  await this.inside?.fleet.stop();
+After(async () => {
+  await scenario.inside?.fleet.stop();
 });
 
-Given('an inside-rate fleet of {int} daemons', async function start(this: InsideWorld, daemons) {
+Given('an inside-rate fleet of {int} daemons', async (daemons) => {
   const changes = [...planChanges(), { kind: 'put-team', team: TEAM }];
   const settings = { entryAddresses: { validForMs: 2000 } };
   const size = { daemons: Number(daemons), engineArgs: ENGINE_ARGS, services: 0 };
-  this.inside = { fleet: await startFleet(planSmallFleet({ ...size, changes, settings })) };
+  scenario.inside = { fleet: await startFleet(planSmallFleet({ ...size, changes, settings })) };
 });
 
-When(
-  'inside-rate callers follow the entry addresses while {string}',
-  async function follow(this: InsideWorld, event: string) {
-    const inside = insideOf(this);
-    const { fleet } = inside;
-    const { text: key } = await fleet.giveKey(TEAM.name);
-    const { homes, others } = await findHomes(fleet, key);
-    const [home] = homes;
-    const [other] = others;
-    assert.ok(home && other);
-    const perSecond = (LOAD * TEAM.rate) / FOLLOWER_TOKENS / CALLERS;
-    const plan = { key, callers: CALLERS, perSecond, known: [...fleet.daemons] };
-    const followers = startFollowers(plan);
-    inside.counts = followers.counts;
-    await waitForRequests(followers.counts, 100);
-    if (event === 'a home dies') await replace(fleet, home, other);
-    if (event === 'another daemon dies') await replace(fleet, other, home);
-    await waitForRequests(followers.counts, 150);
-    await followers.stop();
-  },
-);
+When('inside-rate callers follow the entry addresses while {string}', async (event: string) => {
+  const inside = insideOf();
+  const { fleet } = inside;
+  const { text: key } = await fleet.giveKey(TEAM.name);
+  const { homes, others } = await findHomes(fleet, key);
+  const [home] = homes;
+  const [other] = others;
+  assert.ok(home && other);
+  const perSecond = (LOAD * TEAM.rate) / FOLLOWER_TOKENS / CALLERS;
+  const plan = { key, callers: CALLERS, perSecond, known: [...fleet.daemons] };
+  const followers = startFollowers(plan);
+  inside.counts = followers.counts;
+  await waitForRequests(followers.counts, 100);
+  if (event === 'a home dies') await replace(fleet, home, other);
+  if (event === 'another daemon dies') await replace(fleet, other, home);
+  await waitForRequests(followers.counts, 150);
+  await followers.stop();
+});
 
 Then(
   'inside-rate callers are refused in less than {float} percent of their requests',
-  function check(this: InsideWorld, most: number) {
-    const { counts } = insideOf(this);
+  (most: number) => {
+    const { counts } = insideOf();
     assert.ok(counts);
     const { sent, whole, broken, refused, hosts } = counts;
     const codes = JSON.stringify(Object.fromEntries(refused));
     const figures = `${sent} sent, ${whole} whole, ${broken} broken, refused ${codes}`;
-    reportFigure(this, `${figures}, through ${hosts.size} daemons`);
+    reportFigure(scenario, `${figures}, through ${hosts.size} daemons`);
     assert.ok(hosts.size > 2, 'the callers stayed at the homes');
     assert.ok(whole > 0.9 * sent, figures);
     assert.ok((100 * countRefused(counts)) / sent < most, figures);
--- a/features/steps/guarantees-key-refusal-steps.ts
+++ b/features/steps/guarantees-key-refusal-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { readEffects, readEngines } from '../../harness/engine-record.js';
 import { startFleet, type Fleet } from '../../harness/fleet.js';
@@ -34,9 +34,11 @@
   refusing?: { readonly fleet: Fleet; readonly text: string; answers: KeyAnswer[] };
 }
 
-function refusingOf(world: RefusedWorld) {
-  assert.ok(world.refusing);
-  return world.refusing;
+const scenario = world as unknown as RefusedWorld;
+
+function refusingOf() {
+  assert.ok(scenario.refusing);
+  return scenario.refusing;
 }
 
 async function swapSecret(fleet: Fleet, text: string): Promise<string> {
@@ -67,20 +69,20 @@
   });
 }
 
-After(async function stop(this: RefusedWorld) {
-  await this.refusing?.fleet.stop();
+After(async () => {
+  await scenario.refusing?.fleet.stop();
 });
 
-Given('a key-refusing fleet', async function start(this: RefusedWorld) {
+Given('a key-refusing fleet', async () => {
   const fleet = await startFleet(planSmallFleet({ daemons: 2, decodes: 1, services: 1 }));
   const { text } = await fleet.giveKey('oval-crew');
-  this.refusing = { fleet, text, answers: [] };
+  scenario.refusing = { fleet, text, answers: [] };
 });
 
 When(
   'key-refusing daemons get requests with {string} on all keyed routes',
-  async function send(this: RefusedWorld, name: string) {
-    const refusing = refusingOf(this);
+  async (name: string) => {
+    const refusing = refusingOf();
     const { fleet, text } = refusing;
     const authorization = await HEADERS.get(name)?.(fleet, text);
     assert.ok(HEADERS.has(name), `no header "${name}"`);
@@ -92,34 +94,28 @@
   },
 );
 
-Then(
-  'key-refusing daemons answer {int} {string}, not run',
-  function check(this: RefusedWorld, status: number, code: string) {
-    const { answers } = refusingOf(this);
-    assert.equal(answers.length, 6);
-    answers.forEach((answer) =>
-      assert.deepEqual(answer, { route: answer.route, status, code, run: 'not run' }),
-    );
-  },
-);
+Then('key-refusing daemons answer {int} {string}, not run', (status: number, code: string) => {
+  const { answers } = refusingOf();
+  assert.equal(answers.length, 6);
+  answers.forEach((answer) =>
+    assert.deepEqual(answer, { route: answer.route, status, code, run: 'not run' }),
+  );
+});
 
-Then(
-  'key-refusing fleet has run nothing, and runs the same requests with a good key',
-  async function check(this: RefusedWorld) {
-    const { fleet, text } = refusingOf(this);
-    const count = async () => {
-      const engines = [...(await readEngines(fleet)).values()];
-      return engines.flatMap(({ attempts }) => attempts).length + (await readEffects(fleet)).length;
-    };
-    assert.equal(await count(), 0);
-    const answers = await Promise.all(
-      fleet.daemons.map((daemon) => sendOnKeyedRoutes(daemon, `Bearer ${text}`)),
-    );
-    assert.deepEqual([...new Set(answers.flat().map(({ status }) => status))], [200]);
-    assert.ok((await count()) >= 6);
-    const [daemon] = fleet.daemons;
-    assert.ok(daemon);
-    const entry = await sendWithHeader(daemon, '/v1/entry-addresses', 'Bearer groundstaff');
-    assert.equal(entry.status, 401);
-  },
-);
+Then('key-refusing fleet has run nothing, and runs the same requests with a good key', async () => {
+  const { fleet, text } = refusingOf();
+  const count = async () => {
+    const engines = [...(await readEngines(fleet)).values()];
+    return engines.flatMap(({ attempts }) => attempts).length + (await readEffects(fleet)).length;
+  };
+  assert.equal(await count(), 0);
+  const answers = await Promise.all(
+    fleet.daemons.map((daemon) => sendOnKeyedRoutes(daemon, `Bearer ${text}`)),
+  );
+  assert.deepEqual([...new Set(answers.flat().map(({ status }) => status))], [200]);
+  assert.ok((await count()) >= 6);
+  const [daemon] = fleet.daemons;
+  assert.ok(daemon);
+  const entry = await sendWithHeader(daemon, '/v1/entry-addresses', 'Bearer groundstaff');
+  assert.equal(entry.status, 401);
+});
--- a/features/steps/guarantees-order-fault-steps.ts
+++ b/features/steps/guarantees-order-fault-steps.ts
@@ -1,4 +1,4 @@
-import { When } from '@cucumber/cucumber';
+import { When, world } from '@cucumber/cucumber';
 
 import { waitFor } from '../../harness/wait-for.js';
 import { addYardDelay, waitForEffect, waitForRecord } from '../support/guarantees-order-phases.js';
@@ -10,73 +10,75 @@
   type OrderWorld,
 } from '../support/guarantees-orders.js';
 
+const scenario = world as unknown as OrderWorld;
+
 /** Longer than the log's time-out of 2 s, so that the abandonment overtakes the append. */
 const HELD_APPEND_MS = 3500;
 
 When(
   "a paint order is sent to daemon {int} while the log's append of the intent fails with {string} of {int} ms",
-  async function when(this: OrderWorld, daemon: number, kind: string, delayMs: number) {
-    await this.fleet.log.addFault({ path: EXECUTION_STREAMS, kind, count: 1, delayMs });
-    await sendOrder(this, daemon).answer;
+  async (daemon: number, kind: string, delayMs: number) => {
+    await scenario.fleet.log.addFault({ path: EXECUTION_STREAMS, kind, count: 1, delayMs });
+    await sendOrder(scenario, daemon).answer;
   },
 );
 
 When(
   "a paint order is sent to daemon {int} while the log's append of the outcome fails with {string} of {int} ms",
-  async function when(this: OrderWorld, daemon: number, kind: string, delayMs: number) {
-    await addYardDelay(this, 500);
-    const order = sendOrder(this, daemon);
-    await waitForEffect(this);
-    await this.fleet.log.addFault({ path: EXECUTION_STREAMS, kind, count: 1, delayMs });
+  async (daemon: number, kind: string, delayMs: number) => {
+    await addYardDelay(scenario, 500);
+    const order = sendOrder(scenario, daemon);
+    await waitForEffect(scenario);
+    await scenario.fleet.log.addFault({ path: EXECUTION_STREAMS, kind, count: 1, delayMs });
     await order.answer;
   },
 );
 
-When('the paint orders meet a log that is out', async function when(this: OrderWorld) {
-  await this.fleet.log.addFault({ kind: 'unavailable' });
+When('the paint orders meet a log that is out', async () => {
+  await scenario.fleet.log.addFault({ kind: 'unavailable' });
 });
 
 When(
   'the paint order is sent again to daemon {int} when the first was answered and the log is well',
-  async function when(this: OrderWorld, daemon: number) {
-    await this.sent[0]?.answer;
-    await this.fleet.log.clearFaults();
-    await sendOrder(this, daemon).answer;
+  async (daemon: number) => {
+    await scenario.sent[0]?.answer;
+    await scenario.fleet.log.clearFaults();
+    await sendOrder(scenario, daemon).answer;
   },
 );
 
 When(
   'a paint order is sent to daemon {int} whose append arrives after its abandonment',
-  async function when(this: OrderWorld, daemon: number) {
-    const log = daemonOf(this.fleet, daemon).links?.log;
+  async (daemon: number) => {
+    const log = daemonOf(scenario.fleet, daemon).links?.log;
     log?.delay('to-target', HELD_APPEND_MS);
-    const order = sendOrder(this, daemon);
+    const order = sendOrder(scenario, daemon);
     await waitFor('the append to be on its way', () => log?.holds(`POST ${EXECUTION_STREAMS}`));
     log?.delay('to-target', 0);
-    await waitForRecord(this, 'abandoned');
-    await waitForRecord(this, 'intent');
+    await waitForRecord(scenario, 'abandoned');
+    await waitForRecord(scenario, 'intent');
     await order.answer;
   },
 );
 
 When(
   'a paint order is sent to daemon {int} while the yard servers fail with {string}',
-  async function when(this: OrderWorld, daemon: number, kind: string) {
-    await failYard(this, kind);
-    await sendOrder(this, daemon).answer;
+  async (daemon: number, kind: string) => {
+    await failYard(kind);
+    await sendOrder(scenario, daemon).answer;
   },
 );
 
 When(
   'the paint order is sent again to daemon {int} when the first was answered and the yard is well',
-  async function when(this: OrderWorld, daemon: number) {
-    await Promise.all([...this.fleet.servers.values()].map((yard) => yard.clearFaults()));
-    await sendOrder(this, daemon).answer;
+  async (daemon: number) => {
+    await Promise.all([...scenario.fleet.servers.values()].map((yard) => yard.clearFaults()));
+    await sendOrder(scenario, daemon).answer;
   },
 );
 
-async function failYard(world: OrderWorld, kind: string): Promise<void> {
-  const { servers, serverLinks } = world.fleet;
+async function failYard(kind: string): Promise<void> {
+  const { servers, serverLinks } = scenario.fleet;
   const yards = [...servers.values()];
   const links = [...serverLinks.values()];
   // A closed relay refuses connections, which proves that nothing was sent.
--- a/features/steps/guarantees-team-steps.ts
+++ b/features/steps/guarantees-team-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { callCompletion } from '../../harness/caller-client.js';
 import { readEffects, readEngines } from '../../harness/engine-record.js';
@@ -18,9 +18,11 @@
   };
 }
 
-function separatingOf(world: SeparatingWorld) {
-  assert.ok(world.separating);
-  return world.separating;
+const scenario = world as unknown as SeparatingWorld;
+
+function separatingOf() {
+  assert.ok(scenario.separating);
+  return scenario.separating;
 }
 
 /** Sends requests of one team that claim to be of another one. */
@@ -40,19 +42,19 @@
   senders.set(answer.requestId, team);
 }
 
-After(async function stop(this: SeparatingWorld) {
-  await this.separating?.fleet.stop();
+After(async () => {
+  await scenario.separating?.fleet.stop();
 });
 
-Given('a team-separating fleet of {int} daemons', async function start(this: SeparatingWorld, n) {
+Given('a team-separating fleet of {int} daemons', async (n) => {
   const fleet = await startFleet(planSmallFleet({ daemons: Number(n), services: 1 }));
-  this.separating = { fleet, senders: new Map() };
+  scenario.separating = { fleet, senders: new Map() };
 });
 
 When(
   'team-separating callers of two teams send {int} rounds at once and claim the other team',
-  async function send(this: SeparatingWorld, rounds: number) {
-    const { fleet, senders } = separatingOf(this);
+  async (rounds: number) => {
+    const { fleet, senders } = separatingOf();
     const keys = new Map<string, string>();
     for (const team of TEAMS) keys.set(team, (await fleet.giveKey(team)).text);
     const sendings = Array.from({ length: rounds }, () =>
@@ -64,16 +66,13 @@
   },
 );
 
-Then(
-  'every team-separating attempt and effect ran for the team of its key',
-  async function check(this: SeparatingWorld) {
-    const { fleet, senders } = separatingOf(this);
-    const engines = await readEngines(fleet);
-    const attempts = [...engines.values()].flatMap((engine) => engine.attempts);
-    const effects = await readEffects(fleet);
-    assert.deepEqual(new Set(attempts.map(({ team }) => team)), new Set(TEAMS));
-    assert.deepEqual(new Set(effects.map(({ team }) => team)), new Set(TEAMS));
-    attempts.forEach(({ requestId, team }) => assert.equal(team, senders.get(requestId)));
-    effects.forEach(({ path, team }) => assert.equal(path, `/services/yard/jobs/of-${team}`));
-  },
-);
+Then('every team-separating attempt and effect ran for the team of its key', async () => {
+  const { fleet, senders } = separatingOf();
+  const engines = await readEngines(fleet);
+  const attempts = [...engines.values()].flatMap((engine) => engine.attempts);
+  const effects = await readEffects(fleet);
+  assert.deepEqual(new Set(attempts.map(({ team }) => team)), new Set(TEAMS));
+  assert.deepEqual(new Set(effects.map(({ team }) => team)), new Set(TEAMS));
+  attempts.forEach(({ requestId, team }) => assert.equal(team, senders.get(requestId)));
+  effects.forEach(({ path, team }) => assert.equal(path, `/services/yard/jobs/of-${team}`));
+});
--- a/features/steps/guarantees-whole-answer-steps.ts
+++ b/features/steps/guarantees-whole-answer-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { Given, Then, When } from '@cucumber/cucumber';
+import { Given, Then, When, world } from '@cucumber/cucumber';
 
 import { countHolds } from '../../harness/engine-record.js';
 import { startFleet } from '../../harness/fleet.js';
@@ -17,6 +17,8 @@
 
 type WholeAnswerWorld = CompletionWorld & OrderWorld;
 
+const scenario = world as unknown as WholeAnswerWorld;
+
 /** Longest time between two tokens; short, so that stalled streams are resumed soon. */
 const BETWEEN_TOKENS_MS = 400;
 
@@ -34,20 +36,17 @@
 
 const ENGINES = ['prefill-2', 'prefill-1', 'decode-1', 'decode-2'];
 
-Given(
-  'the whole answers of a fleet with {int} daemon(s)',
-  async function given(this: WholeAnswerWorld, daemons: number) {
-    const settings = { timeouts: { betweenTokensMs: BETWEEN_TOKENS_MS } };
-    await startOrderFleet(this, {
-      ...{ daemons, prefills: 2, decodes: 2, settings },
-      changes: [{ kind: 'put-preset', preset: PATIENT_PRESET }],
-    });
-  },
-);
+Given('the whole answers of a fleet with {int} daemon(s)', async (daemons: number) => {
+  const settings = { timeouts: { betweenTokensMs: BETWEEN_TOKENS_MS } };
+  await startOrderFleet(scenario, {
+    ...{ daemons, prefills: 2, decodes: 2, settings },
+    changes: [{ kind: 'put-preset', preset: PATIENT_PRESET }],
+  });
+});
 
 Given(
   'the whole answers of a fleet with {int} daemon(s) and {int} decode slots',
-  async function given(this: WholeAnswerWorld, daemons: number, slots: number) {
+  async (daemons: number, slots: number) => {
     const plan = planSmallFleet({ daemons, decodes: 1, services: 0 });
     const servers = plan.servers.map((server) => ({
       ...server,
@@ -56,73 +55,69 @@
       ),
       fields: { ...server.fields, decodeSlots: slots },
     }));
-    this.fleet = await startFleet({ ...plan, servers });
-    this.callerKey = (await this.fleet.giveKey('oval-crew')).text;
+    scenario.fleet = await startFleet({ ...plan, servers });
+    scenario.callerKey = (await scenario.fleet.giveKey('oval-crew')).text;
   },
 );
 
-When(
-  'the whole answers to {int} completions are asked for',
-  async function when(this: WholeAnswerWorld, count: number) {
-    await askCompletions(this, count);
-  },
-);
+When('the whole answers to {int} completions are asked for', async (count: number) => {
+  await askCompletions(scenario, count);
+});
 
 When(
   'the whole answers to {int} completions are asked for while engines answer {string} with {string}',
-  async function when(this: WholeAnswerWorld, count: number, path: string, kinds: string) {
+  async (count: number, path: string, kinds: string) => {
     for (const kind of kinds.split(', ')) {
-      await addEngineFault(this, { path, kind, count: FAULTS_OF_A_KIND });
+      await addEngineFault({ path, kind, count: FAULTS_OF_A_KIND });
     }
-    await askCompletions(this, count);
+    await askCompletions(scenario, count);
   },
 );
 
 When(
   'the whole answers to {int} completions are asked for while engines answer around their time-out',
-  async function when(this: WholeAnswerWorld, count: number) {
+  async (count: number) => {
     for (const early of [-20, -5, 0, 5, 20]) {
       const delayMs = BETWEEN_TOKENS_MS + early;
-      await addEngineFault(this, { path: '/v1/decode', kind: 'delay', count: 1, delayMs });
+      await addEngineFault({ path: '/v1/decode', kind: 'delay', count: 1, delayMs });
     }
-    await askCompletions(this, count);
+    await askCompletions(scenario, count);
   },
 );
 
 When(
   /^the whole answers to (\d+) completions are asked for while connections are cut (.+)$/,
-  async function when(this: WholeAnswerWorld, count: string, place: string) {
-    this.fleet.serverLinks.forEach((link) => addCut(link, place, 'POST /v1/decode', CUTS));
-    await askCompletions(this, Number(count));
+  async (count: string, place: string) => {
+    scenario.fleet.serverLinks.forEach((link) => addCut(link, place, 'POST /v1/decode', CUTS));
+    await askCompletions(scenario, Number(count));
   },
 );
 
-Then(
-  'the whole answers are {int}, each to its own request',
-  async function then(this: WholeAnswerWorld, count: number) {
-    const whole = await checkCompletions(this);
-    assert.equal(whole, count, JSON.stringify(countCodes(this)));
-  },
-);
+Then('the whole answers are {int}, each to its own request', async (count: number) => {
+  const whole = await checkCompletions(scenario);
+  assert.equal(whole, count, JSON.stringify(countCodes(scenario)));
+});
 
 Then(
   'the whole answers are fewer than {int}, and the others are refused truly',
-  async function then(this: WholeAnswerWorld, count: number) {
-    const whole = await checkCompletions(this);
-    assert.ok(whole > 0 && whole < count, JSON.stringify(countCodes(this)));
+  async (count: number) => {
+    const whole = await checkCompletions(scenario);
+    assert.ok(whole > 0 && whole < count, JSON.stringify(countCodes(scenario)));
   },
 );
 
-Then('the whole answers hold no memory afterwards', async function then(this: WholeAnswerWorld) {
-  await waitFor('no holds', async () => (await countHolds(this.fleet)) === 0, {
+Then('the whole answers hold no memory afterwards', async () => {
+  await waitFor('no holds', async () => (await countHolds(scenario.fleet)) === 0, {
     deadlineMs: RELEASE_MS,
   });
 });
 
-async function addEngineFault(
-  world: WholeAnswerWorld,
-  fault: { path: string; kind: string; count: number; delayMs?: number },
-): Promise<void> {
-  const engines = ENGINES.map((name) => world.fleet.servers.get(name));
+async function addEngineFault(fault: {
+  path: string;
+  kind: string;
+  count: number;
+  delayMs?: number;
+}): Promise<void> {
+  const engines = ENGINES.map((name) => scenario.fleet.servers.get(name));
   await Promise.all(engines.map((engine) => engine?.addFault(fault)));
 }
--- a/features/steps/guarantees-whole-service-steps.ts
+++ b/features/steps/guarantees-whole-service-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { Then, When } from '@cucumber/cucumber';
+import { Then, When, world } from '@cucumber/cucumber';
 
 import { callService, type CallerAnswer } from '../../harness/caller-client.js';
 import { readEffects } from '../../harness/engine-record.js';
@@ -21,56 +21,55 @@
   orders: OrderWorld[];
 }
 
+const scenario = world as unknown as WholeServiceWorld;
+
 const JOBS = '/services/yard/jobs';
 
 const CUTS_OF_A_KIND = 3;
 
 When(
   /^the whole answers to (\d+) lookups and (\d+) orders are asked for while connections are cut (.+)$/,
-  async function when(this: WholeServiceWorld, lookups: string, orders: string, place: string) {
-    this.fleet.serverLinks.forEach((link) => {
+  async (lookups: string, orders: string, place: string) => {
+    scenario.fleet.serverLinks.forEach((link) => {
       addCut(link, place, `GET ${JOBS}`, CUTS_OF_A_KIND);
       addCut(link, place, `POST ${ORDERS}`, CUTS_OF_A_KIND);
     });
-    await Promise.all([askLookups(this, Number(lookups)), sendOrders(this, Number(orders))]);
+    await Promise.all([askLookups(Number(lookups)), sendOrders(Number(orders))]);
   },
 );
 
 When(
   'the whole answers to {int} orders are asked for while the yard answers around its time-out',
-  async function when(this: WholeServiceWorld, count: number) {
-    const yards = [...this.fleet.servers].filter(([name]) => name.startsWith('yard'));
+  async (count: number) => {
+    const yards = [...scenario.fleet.servers].filter(([name]) => name.startsWith('yard'));
     for (const early of [-100, -20, -5, 0, 5, 20]) {
       const fault = { kind: 'delay', count: 1, delayMs: ORDER_TIMEOUT_MS + early };
       await Promise.all(yards.map(([, yard]) => yard.addFault(fault)));
     }
-    await sendOrders(this, count);
+    await sendOrders(count);
   },
 );
 
-Then(
-  'the whole answers to lookups are those that the yard gave',
-  async function then(this: WholeServiceWorld) {
-    const effects = await readEffects(this.fleet);
-    this.lookups.forEach(({ path, answer }) => {
-      if (answer.run === 'not run') {
-        assert.ok(!effects.some(({ requestId }) => requestId === answer.requestId), answer.text);
-      }
-      if (answer.status !== 200) return;
-      const given = JSON.parse(answer.text) as { path: string; attemptId: string };
-      const effect = effects.find(({ attemptId }) => attemptId === given.attemptId);
-      assert.deepEqual([given.path, effect?.requestId], [path, answer.requestId]);
-    });
-    const answered = this.lookups.filter(({ answer }) => answer.status === 200);
-    assert.ok(answered.length > 0, JSON.stringify(this.lookups.map(({ answer }) => answer.code)));
-  },
-);
+Then('the whole answers to lookups are those that the yard gave', async () => {
+  const effects = await readEffects(scenario.fleet);
+  scenario.lookups.forEach(({ path, answer }) => {
+    if (answer.run === 'not run') {
+      assert.ok(!effects.some(({ requestId }) => requestId === answer.requestId), answer.text);
+    }
+    if (answer.status !== 200) return;
+    const given = JSON.parse(answer.text) as { path: string; attemptId: string };
+    const effect = effects.find(({ attemptId }) => attemptId === given.attemptId);
+    assert.deepEqual([given.path, effect?.requestId], [path, answer.requestId]);
+  });
+  const answered = scenario.lookups.filter(({ answer }) => answer.status === 200);
+  assert.ok(answered.length > 0, JSON.stringify(scenario.lookups.map(({ answer }) => answer.code)));
+});
 
 Then(
   'the whole answers to orders have at most one effect each, also when they are sent again',
-  async function then(this: WholeServiceWorld) {
+  async () => {
     await Promise.all(
-      this.orders.map(async (order, index) => {
+      scenario.orders.map(async (order, index) => {
         const first = await order.sent[0]?.answer;
         const again = await sendOrder(order, 1 + ((index + 1) % 2)).answer;
         const effects = await checkOrders(order);
@@ -81,24 +80,24 @@
   },
 );
 
-async function askLookups(world: WholeServiceWorld, count: number): Promise<void> {
+async function askLookups(count: number): Promise<void> {
   const ask = async (_: unknown, index: number) => {
     const path = `${JOBS}/${index}`;
-    const call = { method: 'GET' as const, path, key: world.callerKey };
-    const { callers } = daemonOf(world.fleet, 1 + (index % 2));
+    const call = { method: 'GET' as const, path, key: scenario.callerKey };
+    const { callers } = daemonOf(scenario.fleet, 1 + (index % 2));
     return { path, answer: await callService(callers, call) };
   };
-  Object.assign(world, { lookups: await Promise.all(Array.from({ length: count }, ask)) });
+  Object.assign(scenario, { lookups: await Promise.all(Array.from({ length: count }, ask)) });
 }
 
-async function sendOrders(world: WholeServiceWorld, count: number): Promise<void> {
-  const { fleet, callerKey } = world;
+async function sendOrders(count: number): Promise<void> {
+  const { fleet, callerKey } = scenario;
   const orders = Array.from({ length: count }, (): OrderWorld => ({
     fleet,
     callerKey,
     idempotencyKey: createIdempotencyKey(),
     sent: [],
   }));
-  Object.assign(world, { orders });
+  scenario.orders = orders;
   await Promise.all(orders.map((order, index) => sendOrder(order, 1 + (index % 2)).answer));
 }
--- a/features/steps/guarantees-withdrawal-steps.ts
+++ b/features/steps/guarantees-withdrawal-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { startFleet, type Fleet, type FleetDaemon } from '../../harness/fleet.js';
 import { planSmallFleet } from '../../harness/plans.js';
@@ -37,9 +37,11 @@
   };
 }
 
-function withdrawingOf(world: WithdrawalWorld) {
-  assert.ok(world.withdrawing);
-  return world.withdrawing;
+const scenario = world as unknown as WithdrawalWorld;
+
+function withdrawingOf() {
+  assert.ok(scenario.withdrawing);
+  return scenario.withdrawing;
 }
 
 function lastOf(fleet: Fleet): FleetDaemon {
@@ -80,15 +82,15 @@
   await waitFor('the other key to work', () => isServed(daemon, kept));
 }
 
-After(async function stop(this: WithdrawalWorld) {
-  const { streams = [], keptStreams = [] } = this.withdrawing ?? {};
+After(async () => {
+  const { streams = [], keptStreams = [] } = scenario.withdrawing ?? {};
   [...streams, ...keptStreams].forEach((stream) => stream.abort());
-  await this.withdrawing?.fleet.stop();
+  await scenario.withdrawing?.fleet.stop();
 });
 
 Given(
   'a key-withdrawing fleet of {int} daemons with two keys of one team',
-  async function start(this: WithdrawalWorld, daemons: number) {
+  async (daemons: number) => {
     const plan = planSmallFleet({ daemons, services: 1, relayed: true });
     const fleet = await startFleet(plan);
     const key = await fleet.giveKey('oval-crew');
@@ -99,64 +101,55 @@
       );
       return (await Promise.all(known)).every(Boolean);
     });
-    this.withdrawing = { fleet, key, kept, streams: [], keptStreams: [], withdrawnMs: 0 };
+    scenario.withdrawing = { fleet, key, kept, streams: [], keptStreams: [], withdrawnMs: 0 };
   },
 );
 
-Given(
-  'key-withdrawing callers read a stream with each key through every daemon',
-  async function open(this: WithdrawalWorld) {
-    const withdrawing = withdrawingOf(this);
-    const { fleet, key, kept } = withdrawing;
-    const openAll = ({ text }: Key) =>
-      Promise.all(fleet.daemons.map((daemon) => openStream(daemon, text, LONG_ANSWER)));
-    [withdrawing.streams, withdrawing.keptStreams] = await Promise.all([
-      openAll(key),
-      openAll(kept),
-    ]);
-  },
-);
+Given('key-withdrawing callers read a stream with each key through every daemon', async () => {
+  const withdrawing = withdrawingOf();
+  const { fleet, key, kept } = withdrawing;
+  const openAll = ({ text }: Key) =>
+    Promise.all(fleet.daemons.map((daemon) => openStream(daemon, text, LONG_ANSWER)));
+  [withdrawing.streams, withdrawing.keptStreams] = await Promise.all([openAll(key), openAll(kept)]);
+});
 
-When(
-  'the key-withdrawing operator withdraws one key while {string}',
-  async function withdraw(this: WithdrawalWorld, name: string) {
-    const withdrawing = withdrawingOf(this);
-    const { fleet, key } = withdrawing;
-    const weather = WITHDRAWAL_WEATHER.get(name);
-    assert.ok(weather, `no weather "${name}"`);
-    await weather(fleet);
-    withdrawing.withdrawnMs = performance.now();
-    const [first] = fleet.daemons;
-    assert.ok(first);
-    // The answer waits for the log; the bound counts from the order.
-    void fleet
-      .operator(first)
-      .calls.withdrawKey({ keyId: key.keyId, operator: 'harness' })
-      .catch(() => undefined);
-  },
-);
+When('the key-withdrawing operator withdraws one key while {string}', async (name: string) => {
+  const withdrawing = withdrawingOf();
+  const { fleet, key } = withdrawing;
+  const weather = WITHDRAWAL_WEATHER.get(name);
+  assert.ok(weather, `no weather "${name}"`);
+  await weather(fleet);
+  withdrawing.withdrawnMs = performance.now();
+  const [first] = fleet.daemons;
+  assert.ok(first);
+  // The answer waits for the log; the bound counts from the order.
+  void fleet
+    .operator(first)
+    .calls.withdrawKey({ keyId: key.keyId, operator: 'harness' })
+    .catch(() => undefined);
+});
 
-Then(
-  'the key-withdrawing streams of that key end with an error event in time',
-  async function check(this: WithdrawalWorld) {
-    const { streams, withdrawnMs } = withdrawingOf(this);
-    const leftMs = WITHDRAWAL_MS - (performance.now() - withdrawnMs);
-    const haveEnded = () => streams.every((stream) => stream.endedMs() !== undefined);
-    await waitFor('the streams to end', haveEnded, { deadlineMs: leftMs, everyMs: 5 });
-    const answers = await Promise.all(streams.map(({ answer }) => answer));
-    answers.forEach((answer) => {
-      assert.equal(answer?.whole, false);
-      assert.match(answer.code ?? '', /^(?:key_withdrawn|isolated)$/);
-    });
-    const lastMs = Math.max(...streams.map((stream) => stream.endedMs() ?? Infinity));
-    reportFigure(this, `streams ended ${Math.round(lastMs - withdrawnMs)} ms after the withdrawal`);
-  },
-);
+Then('the key-withdrawing streams of that key end with an error event in time', async () => {
+  const { streams, withdrawnMs } = withdrawingOf();
+  const leftMs = WITHDRAWAL_MS - (performance.now() - withdrawnMs);
+  const haveEnded = () => streams.every((stream) => stream.endedMs() !== undefined);
+  await waitFor('the streams to end', haveEnded, { deadlineMs: leftMs, everyMs: 5 });
+  const answers = await Promise.all(streams.map(({ answer }) => answer));
+  answers.forEach((answer) => {
+    assert.equal(answer?.whole, false);
+    assert.match(answer.code ?? '', /^(?:key_withdrawn|isolated)$/);
+  });
+  const lastMs = Math.max(...streams.map((stream) => stream.endedMs() ?? Infinity));
+  reportFigure(
+    scenario,
+    `streams ended ${Math.round(lastMs - withdrawnMs)} ms after the withdrawal`,
+  );
+});
 
 Then(
   'key-withdrawing daemons refuse that key in time with {string}, the last one with {string}',
-  async function check(this: WithdrawalWorld, code: string, lastCode: string) {
-    const { fleet, key, withdrawnMs } = withdrawingOf(this);
+  async (code: string, lastCode: string) => {
+    const { fleet, key, withdrawnMs } = withdrawingOf();
     const leftMs = WITHDRAWAL_MS - (performance.now() - withdrawnMs);
     await waitFor(
       'every daemon to refuse the key',
@@ -169,14 +162,14 @@
       { deadlineMs: Math.max(0, leftMs) },
     );
     const elapsedMs = Math.round(performance.now() - withdrawnMs);
-    reportFigure(this, `refused by all daemons ${elapsedMs} ms after the withdrawal`);
+    reportFigure(scenario, `refused by all daemons ${elapsedMs} ms after the withdrawal`);
   },
 );
 
 Then(
   'the key-withdrawing streams of the other key go on through {int} daemons',
-  async function check(this: WithdrawalWorld, daemons: number) {
-    const running = withdrawingOf(this).keptStreams.slice(0, daemons);
+  async (daemons: number) => {
+    const running = withdrawingOf().keptStreams.slice(0, daemons);
     const counts = running.map((stream) => stream.tokens());
     await waitFor('more tokens of each stream', () =>
       running.every((stream, index) => stream.tokens() > (counts[index] ?? 0)),
@@ -187,8 +180,8 @@
 
 Then(
   'the key-withdrawing daemon that is cut off is not ready and still serves open routes',
-  async function check(this: WithdrawalWorld) {
-    const { fleet, kept, withdrawnMs } = withdrawingOf(this);
+  async () => {
+    const { fleet, kept, withdrawnMs } = withdrawingOf();
     const daemon = lastOf(fleet);
     const leftMs = WITHDRAWAL_MS - (performance.now() - withdrawnMs);
     await waitForIsolation(daemon, Math.max(1, leftMs));
@@ -200,29 +193,26 @@
 
 Then(
   'the key-withdrawing daemon refuses that key as withdrawn when it is connected again',
-  async function check(this: WithdrawalWorld) {
-    const { fleet, key, kept } = withdrawingOf(this);
+  async () => {
+    const { fleet, key, kept } = withdrawingOf();
     const daemon = lastOf(fleet);
     reconnect(fleet, daemon);
     await waitReadyWithoutKey(daemon, key, kept);
   },
 );
 
-When('a key-withdrawing daemon is added', async function add(this: WithdrawalWorld) {
-  const { fleet } = withdrawingOf(this);
+When('a key-withdrawing daemon is added', async () => {
+  const { fleet } = withdrawingOf();
   await fleet.addDaemon();
 });
 
-Then(
-  'the key-withdrawing daemon that was added never runs that key',
-  async function check(this: WithdrawalWorld) {
-    const { fleet, key, kept } = withdrawingOf(this);
-    const daemon = lastOf(fleet);
-    const looks = Array.from({ length: 20 }, () => sendOnKeyedRoutes(daemon, `Bearer ${key.text}`));
-    const early = (await Promise.all(looks)).flat().map(({ code }) => code);
-    reportFigure(this, `answers of the new daemon at first: ${[...new Set(early)].join(', ')}`);
-    assert.ok(early.every((code) => code !== undefined));
-    await fleet.log.clearFaults();
-    await waitReadyWithoutKey(daemon, key, kept);
-  },
-);
+Then('the key-withdrawing daemon that was added never runs that key', async () => {
+  const { fleet, key, kept } = withdrawingOf();
+  const daemon = lastOf(fleet);
+  const looks = Array.from({ length: 20 }, () => sendOnKeyedRoutes(daemon, `Bearer ${key.text}`));
+  const early = (await Promise.all(looks)).flat().map(({ code }) => code);
+  reportFigure(scenario, `answers of the new daemon at first: ${[...new Set(early)].join(', ')}`);
+  assert.ok(early.every((code) => code !== undefined));
+  await fleet.log.clearFaults();
+  await waitReadyWithoutKey(daemon, key, kept);
+});
--- a/features/steps/idempotency-steps.ts
+++ b/features/steps/idempotency-steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { randomUUID } from 'node:crypto';
 
-import { Given, Then, When } from '@cucumber/cucumber';
+import { Given, Then, When, world } from '@cucumber/cucumber';
 import fc from 'fast-check';
 
 import { Refusal } from '../../src/domain/refusal.js';
@@ -42,6 +42,8 @@
   ledger: ExecutionLedger;
 }
 
+const scenario = world as unknown as IdempotencyWorld;
+
 /** Stands for a process that was killed: nothing after it happens. */
 const NEVER = new Promise<never>(() => {});
 
@@ -124,18 +126,15 @@
   return Refusal.create('server_failed', 'the connection was lost', { run: 'unknown' });
 }
 
-Given(
-  'an idempotency model with {int} daemons that share one log',
-  function given(this: IdempotencyWorld, daemons: number) {
-    this.daemons = daemons;
-  },
-);
+Given('an idempotency model with {int} daemons that share one log', (daemons: number) => {
+  scenario.daemons = daemons;
+});
 
 When(
   'the idempotency model runs {int} schedules',
   { timeout: 60_000 },
-  async function when(this: IdempotencyWorld, schedules: number) {
-    this.histories = [];
+  async (schedules: number) => {
+    scenario.histories = [];
     const fault = fc.constantFrom<LogFault>(
       'none',
       'none',
@@ -147,7 +146,7 @@
       'stale',
     );
     const request = fc.record({
-      daemon: fc.nat({ max: this.daemons - 1 }),
+      daemon: fc.nat({ max: scenario.daemons - 1 }),
       key: fc.nat({ max: 1 }),
       end: fc.constantFrom<DispatchEnd>('answered', 'answered', 'unknown', 'dies'),
     });
@@ -158,7 +157,7 @@
         fc.array(request, { minLength: 2, maxLength: 4 }),
         async (scheduler, faults, requests) => {
           const history = await runSchedule(scheduler, faults, requests);
-          this.histories.push(history);
+          scenario.histories.push(history);
           const sent = history.sent.map(({ key }) => key);
           assert.equal(sent.length, new Set(sent).size, 'a key was sent twice');
         },
@@ -168,51 +167,40 @@
   },
 );
 
-Then(
-  'in every schedule each idempotency key was sent at most once',
-  function then(this: IdempotencyWorld) {
-    assert.ok(this.histories.length > 0);
-    assert.ok(
-      this.histories.some(({ sent }) => sent.length > 0),
-      'the model sent nothing at all',
-    );
-    this.histories.forEach(({ sent }) => {
-      const keys = sent.map(({ key }) => key);
-      assert.equal(keys.length, new Set(keys).size);
-    });
-  },
-);
+Then('in every schedule each idempotency key was sent at most once', () => {
+  assert.ok(scenario.histories.length > 0);
+  assert.ok(
+    scenario.histories.some(({ sent }) => sent.length > 0),
+    'the model sent nothing at all',
+  );
+  scenario.histories.forEach(({ sent }) => {
+    const keys = sent.map(({ key }) => key);
+    assert.equal(keys.length, new Set(keys).size);
+  });
+});
 
-Then(
-  'in every schedule an attempt that was refused as not run was not sent',
-  function then(this: IdempotencyWorld) {
-    this.histories.forEach(({ sent, answers }) => {
-      const notRun = answers.filter(({ result }) => result === 'refused not run');
-      notRun.forEach(({ request }) =>
-        assert.ok(!sent.some((sending) => sending.daemon === request)),
-      );
-    });
-  },
-);
+Then('in every schedule an attempt that was refused as not run was not sent', () => {
+  scenario.histories.forEach(({ sent, answers }) => {
+    const notRun = answers.filter(({ result }) => result === 'refused not run');
+    notRun.forEach(({ request }) => assert.ok(!sent.some((sending) => sending.daemon === request)));
+  });
+});
 
-Then(
-  'in every schedule all answers to one idempotency key are equal',
-  function then(this: IdempotencyWorld) {
-    assert.ok(
-      this.histories.some(({ answers, sent }) => answers.length > sent.length),
-      'no request was repeated',
-    );
-    this.histories.forEach(({ answers }) => {
-      const bodies = answers.filter(({ result }) => !result.startsWith('refused'));
-      const byKey = new Map(bodies.map(({ key, result }) => [key, result]));
-      bodies.forEach(({ key, result }) => assert.equal(result, byKey.get(key)));
-    });
-  },
-);
+Then('in every schedule all answers to one idempotency key are equal', () => {
+  assert.ok(
+    scenario.histories.some(({ answers, sent }) => answers.length > sent.length),
+    'no request was repeated',
+  );
+  scenario.histories.forEach(({ answers }) => {
+    const bodies = answers.filter(({ result }) => !result.startsWith('refused'));
+    const byKey = new Map(bodies.map(({ key, result }) => [key, result]));
+    bodies.forEach(({ key, result }) => assert.equal(result, byKey.get(key)));
+  });
+});
 
 When(
   'the idempotency key is {string} at an age of {int} ms and a window of {int} ms',
-  function when(this: IdempotencyWorld, kind: string, ageMs: number, windowMs: number) {
+  (kind: string, ageMs: number, windowMs: number) => {
     const nowMs = 1_700_000_000_000;
     const keys: Record<string, string | undefined> = {
       none: undefined,
@@ -221,12 +209,12 @@
       'uuid v7': createIdempotencyKey(nowMs - ageMs),
     };
     const outcome = readIssueTime(keys[kind], nowMs, windowMs);
-    this.result = outcome.kind === 'ok' ? 'accepted' : outcome.failure.code;
+    scenario.result = outcome.kind === 'ok' ? 'accepted' : outcome.failure.code;
   },
 );
 
-Then('the idempotency check says {string}', function then(this: IdempotencyWorld, result: string) {
-  assert.equal(this.result, result);
+Then('the idempotency check says {string}', (result: string) => {
+  assert.equal(scenario.result, result);
 });
 
 function createRecord(kind: string, attemptId: string, bodyHash: string): ExecutionRecord {
@@ -238,28 +226,19 @@
   return { ...base, kind: kind as 'abandoned' | 'unknown' };
 }
 
-Given(
-  'an idempotency ledger that holds {string} of the first attempt',
-  function given(this: IdempotencyWorld, kinds: string) {
-    this.ledger = ExecutionLedger.create();
-    kinds.split(', ').forEach((kind) => this.ledger.fold(createRecord(kind, 'first', 'body')));
-  },
-);
+Given('an idempotency ledger that holds {string} of the first attempt', (kinds: string) => {
+  scenario.ledger = ExecutionLedger.create();
+  kinds.split(', ').forEach((kind) => scenario.ledger.fold(createRecord(kind, 'first', 'body')));
+});
 
-When(
-  'a second attempt with {word} body is folded',
-  function when(this: IdempotencyWorld, body: string) {
-    this.ledger.fold(createRecord('intent', 'second', body === 'another' ? 'other' : 'body'));
-  },
-);
+When('a second attempt with {word} body is folded', (body: string) => {
+  scenario.ledger.fold(createRecord('intent', 'second', body === 'another' ? 'other' : 'body'));
+});
 
-When('a second attempt with the same body is folded', function when(this: IdempotencyWorld) {
-  this.ledger.fold(createRecord('intent', 'second', 'body'));
+When('a second attempt with the same body is folded', () => {
+  scenario.ledger.fold(createRecord('intent', 'second', 'body'));
 });
 
-Then(
-  'the idempotency ledger decides {string} for the second attempt',
-  function then(this: IdempotencyWorld, decision: string) {
-    assert.equal(this.ledger.decide('key', 'second').kind, decision);
-  },
-);
+Then('the idempotency ledger decides {string} for the second attempt', (decision: string) => {
+  assert.equal(scenario.ledger.decide('key', 'second').kind, decision);
+});
--- a/features/steps/kernel-steps.ts
+++ b/features/steps/kernel-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { Given, Then, When } from '@cucumber/cucumber';
+import { Given, Then, When, world } from '@cucumber/cucumber';
 
 import { Channel } from '../../src/kernel/channel.js';
 import { BrokenInvariant } from '../../src/kernel/invariant.js';
@@ -13,6 +13,8 @@
   seen: string[];
 }
 
+const scenario = world as unknown as KernelWorld;
+
 function createRecordingService(name: string, calls: string[]): Service {
   return new (class extends Service {
     override async start(): Promise<void> {
@@ -25,40 +27,40 @@
   })();
 }
 
-Given('a kernel with the services {string}', function given(this: KernelWorld, names: string) {
-  this.kernel = Kernel.create();
-  this.calls = [];
+Given('a kernel with the services {string}', (names: string) => {
+  scenario.kernel = Kernel.create();
+  scenario.calls = [];
   names.split(', ').forEach((name) => {
-    this.kernel.register(name as keyof Services, createRecordingService(name, this.calls));
+    scenario.kernel.register(name as keyof Services, createRecordingService(name, scenario.calls));
   });
 });
 
-When('the kernel starts and stops', async function when(this: KernelWorld) {
-  await this.kernel.start();
-  await this.kernel.stop();
+When('the kernel starts and stops', async () => {
+  await scenario.kernel.start();
+  await scenario.kernel.stop();
 });
 
-Then('the services did {string}', function then(this: KernelWorld, calls: string) {
-  assert.equal(this.calls.join(', '), calls);
+Then('the services did {string}', (calls: string) => {
+  assert.equal(scenario.calls.join(', '), calls);
 });
 
-Then('looking up {string} breaks an invariant', function then(this: KernelWorld, name: string) {
-  assert.throws(() => this.kernel.find(name as keyof Services), BrokenInvariant);
+Then('looking up {string} breaks an invariant', (name: string) => {
+  assert.throws(() => scenario.kernel.find(name as keyof Services), BrokenInvariant);
 });
 
 When(
   'a channel gets the values {string}, is subscribed, and gets {string}',
-  async function when(this: KernelWorld, early: string, late: string) {
+  async (early: string, late: string) => {
     const channel = Channel.create<string>();
-    this.seen = [];
+    scenario.seen = [];
     early.split(', ').forEach((value) => channel.push(value));
-    const done = channel.stream().forEach((value) => this.seen.push(value));
+    const done = channel.stream().forEach((value) => scenario.seen.push(value));
     channel.push(late);
     channel.end();
     await done;
   },
 );
 
-Then('the subscriber saw {string}', function then(this: KernelWorld, values: string) {
-  assert.equal(this.seen.join(', '), values);
+Then('the subscriber saw {string}', (values: string) => {
+  assert.equal(scenario.seen.join(', '), values);
 });
--- a/features/steps/leaving-server-steps.ts
+++ b/features/steps/leaving-server-steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { readEngines, type RecordedEffect } from '../../harness/engine-record.js';
 import { waitFor } from '../../harness/wait-for.js';
@@ -24,6 +24,8 @@
   leftMs: number;
 }
 
+const scenario = world as unknown as LeavingWorld;
+
 /** One server of each kind. */
 const GROUP = ['prefill-1', 'decode-1', 'yard-1'];
 
@@ -34,12 +36,12 @@
 const AFTER_BOUND_MS = 1000;
 
 /** Lists when the group was given work, in milliseconds since the Unix epoch. */
-async function listWork(world: LeavingWorld): Promise<Map<string, number[]>> {
-  const engines = [...(await readEngines(world.fleet))].map(([name, { attempts }]) => ({
+async function listWork(): Promise<Map<string, number[]>> {
+  const engines = [...(await readEngines(scenario.fleet))].map(([name, { attempts }]) => ({
     name,
     times: attempts.map(({ startedMs }) => startedMs),
   }));
-  const yard = await world.fleet.servers
+  const yard = await scenario.fleet.servers
     .get('yard-1')
     ?.readRecord<{ effects: readonly RecordedEffect[] }>();
   const effects = { name: 'yard-1', times: (yard?.effects ?? []).map(({ atMs }) => atMs) };
@@ -47,50 +49,56 @@
   return new Map(listed.map(({ name, times }) => [name, times]));
 }
 
-async function waitForWork(world: LeavingWorld, sinceMs: number, deadlineMs: number) {
+async function waitForWork(sinceMs: number, deadlineMs: number) {
   await waitFor(
     'work at every server of the group',
     async () => {
-      const work = await listWork(world);
+      const work = await listWork();
       return GROUP.every((name) => work.get(name)?.some((atMs) => atMs >= sinceMs));
     },
     { deadlineMs },
   );
 }
 
-function askOnce(world: LeavingWorld): void {
-  world.fleet.daemons.forEach((daemon) => {
-    const plan = { key: world.crewKey, prompt: `short ${world.answers.length}`, maxTokens: 2 };
-    const lookup = lookUpJob(daemon, world.crewKey).then(({ status }) => assert.equal(status, 200));
+function askOnce(): void {
+  scenario.fleet.daemons.forEach((daemon) => {
+    const plan = {
+      key: scenario.crewKey,
+      prompt: `short ${scenario.answers.length}`,
+      maxTokens: 2,
+    };
+    const lookup = lookUpJob(daemon, scenario.crewKey).then(({ status }) =>
+      assert.equal(status, 200),
+    );
     const answers = [assertWhole(beginStream(daemon, plan)), lookup];
     // A failure is reported by the step that waits for the answers.
     answers.forEach((answer) => answer.catch(() => undefined));
-    world.answers.push(...answers);
+    scenario.answers.push(...answers);
   });
 }
 
-async function keepAsking(world: LeavingWorld): Promise<void> {
-  while (!world.stopped) {
-    askOnce(world);
+async function keepAsking(): Promise<void> {
+  while (!scenario.stopped) {
+    askOnce();
     await delay(ROUND_MS);
   }
 }
 
-const CHANGES: Readonly<
-  Record<LeavingWord, (world: LeavingWorld, leaves: boolean) => Promise<unknown>>
-> = {
-  'the operator': (world, leaves) =>
-    world.fleet.apply(
+const CHANGES: Readonly<Record<LeavingWord, (leaves: boolean) => Promise<unknown>>> = {
+  'the operator': (leaves) =>
+    scenario.fleet.apply(
       GROUP.map((name) => ({ kind: leaves ? 'drain-server' : 'return-server', name })),
     ),
-  'the VM list': ({ fleet }, leaves) =>
-    fleet.vmList.setState({
+  'the VM list': (leaves) =>
+    scenario.fleet.vmList.setState({
       servers: GROUP.map((name) => ({ name, state: leaves ? 'leaving' : 'live' })),
     }),
-  'its own word': async (world, draining) => {
-    await Promise.all(GROUP.map((name) => world.fleet.servers.get(name)?.setState({ draining })));
+  'its own word': async (draining) => {
+    await Promise.all(
+      GROUP.map((name) => scenario.fleet.servers.get(name)?.setState({ draining })),
+    );
     // A plain server can say that it leaves; that it is back is told by the operator.
-    if (!draining) await world.fleet.apply([{ kind: 'return-server', name: 'yard-1' }]);
+    if (!draining) await scenario.fleet.apply([{ kind: 'return-server', name: 'yard-1' }]);
   },
 };
 
@@ -100,63 +108,51 @@
   await Promise.allSettled(this.answers ?? []);
 });
 
-Given('a leaving-server fleet', async function given(this: LeavingWorld) {
-  await startGuaranteeFleet(this, { daemons: 2, prefills: 2 });
+Given('a leaving-server fleet', async () => {
+  await startGuaranteeFleet(scenario, { daemons: 2, prefills: 2 });
 });
 
-Given(
-  'leaving-server requests that go on through both daemons',
-  async function given(this: LeavingWorld) {
-    Object.assign(this, { stopped: false, answers: [] });
-    this.load = keepAsking(this);
-    await waitForWork(this, 0, 5000);
-  },
-);
+Given('leaving-server requests that go on through both daemons', async () => {
+  Object.assign(scenario, { stopped: false, answers: [] });
+  scenario.load = keepAsking();
+  await waitForWork(0, 5000);
+});
 
 Given(
   'leaving-server streams of {int} tokens that run on the servers',
-  async function given(this: LeavingWorld, maxTokens: number) {
-    this.streams = Array.from({ length: 8 }, (_, index) =>
-      beginStream(daemonAt(this.fleet, index % 2), {
-        ...{ key: this.crewKey, prompt: `long ${index}`, maxTokens },
+  async (maxTokens: number) => {
+    scenario.streams = Array.from({ length: 8 }, (_, index) =>
+      beginStream(daemonAt(scenario.fleet, index % 2), {
+        ...{ key: scenario.crewKey, prompt: `long ${index}`, maxTokens },
       }),
     );
-    await waitForTokens(this.streams);
+    await waitForTokens(scenario.streams);
   },
 );
 
 When(
   /^the leaving-server group (leaves|returns) by (.*)$/,
-  async function when(this: LeavingWorld, change: string, word: LeavingWord) {
-    this.leftMs = Date.now();
-    await CHANGES[word](this, change === 'leaves');
+  async (change: string, word: LeavingWord) => {
+    scenario.leftMs = Date.now();
+    await CHANGES[word](change === 'leaves');
   },
 );
 
-Then(
-  'no leaving-server request reaches the group after {int} s',
-  async function then(this: LeavingWorld, seconds: number) {
-    await delay(seconds * 1000 + AFTER_BOUND_MS);
-    const times = [...(await listWork(this)).values()].flat();
-    const lastMs = Math.max(...times) - this.leftMs;
-    this.log(`last new work after ${lastMs} ms`);
-    assert.ok(lastMs <= seconds * 1000, `work came ${lastMs} ms after the servers left`);
-  },
-);
+Then('no leaving-server request reaches the group after {int} s', async (seconds: number) => {
+  await delay(seconds * 1000 + AFTER_BOUND_MS);
+  const times = [...(await listWork()).values()].flat();
+  const lastMs = Math.max(...times) - scenario.leftMs;
+  scenario.log(`last new work after ${lastMs} ms`);
+  assert.ok(lastMs <= seconds * 1000, `work came ${lastMs} ms after the servers left`);
+});
 
-Then(
-  'every leaving-server request so far is answered whole',
-  async function then(this: LeavingWorld) {
-    await Promise.all([...this.streams.map(assertWhole), ...this.answers]);
-  },
-);
+Then('every leaving-server request so far is answered whole', async () => {
+  await Promise.all([...scenario.streams.map(assertWhole), ...scenario.answers]);
+});
 
-Then(
-  'leaving-server requests reach the group again within {int} s',
-  async function then(this: LeavingWorld, seconds: number) {
-    await waitForWork(this, this.leftMs, seconds * 1000);
-    this.stopped = true;
-    await this.load;
-    await Promise.all(this.answers);
-  },
-);
+Then('leaving-server requests reach the group again within {int} s', async (seconds: number) => {
+  await waitForWork(scenario.leftMs, seconds * 1000);
+  scenario.stopped = true;
+  await scenario.load;
+  await Promise.all(scenario.answers);
+});
--- a/features/steps/membership-steps.ts
+++ b/features/steps/membership-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, setDefaultTimeout, Then, When } from '@cucumber/cucumber';
+import { After, Given, setDefaultTimeout, Then, When, world } from '@cucumber/cucumber';
 
 import type { Incarnation } from '../../src/domain/vm.js';
 import { type MemberDaemon, MemberFleet } from '../support/membership/member-fleet.js';
@@ -13,6 +13,8 @@
   violations: Set<string>;
 }
 
+const scenario = world as unknown as MembershipWorld;
+
 setDefaultTimeout(60_000);
 
 /** Looks for a VM that believes in a lease that the log has ended; this must never be seen. */
@@ -26,10 +28,10 @@
     .filter((incarnation) => removed.has(incarnation));
 }
 
-async function startFleet(world: MembershipWorld, count: number, snapshotMs?: number) {
+async function startFleet(count: number, snapshotMs?: number) {
   const fleet = MemberFleet.create();
   if (snapshotMs) fleet.snapshotMs = snapshotMs;
-  const { violations, first } = Object.assign(world, {
+  const { violations, first } = Object.assign(scenario, {
     fleet,
     first: new Map<string, Incarnation>(),
     violations: new Set<string>(),
@@ -50,8 +52,8 @@
   return membership.joined() && membership.current().members.length === count;
 }
 
-function find(world: MembershipWorld, index: number | string): MemberDaemon {
-  const daemon = world.fleet?.daemons.get(`vm-${index}`);
+function find(index: number | string): MemberDaemon {
+  const daemon = scenario.fleet?.daemons.get(`vm-${index}`);
   assert.ok(daemon, `no daemon on VM ${index}`);
   return daemon;
 }
@@ -61,8 +63,8 @@
   return fleet;
 }
 
-function findFirst(world: MembershipWorld, index: number): Incarnation {
-  const first = world.first.get(`vm-${index}`);
+function findFirst(index: number): Incarnation {
+  const first = scenario.first.get(`vm-${index}`);
   assert.ok(first, `no first incarnation of VM ${index}`);
   return first;
 }
@@ -83,126 +85,119 @@
   return replaced ? 'replaced' : undefined;
 }
 
-After(async function stop(this: MembershipWorld) {
+After(async () => {
   // Other features keep a fleet of another kind under this name.
-  if (!this.violations || !this.fleet) return;
-  clearInterval(this.watch);
-  await this.fleet.stop();
+  if (!scenario.violations || !scenario.fleet) return;
+  clearInterval(scenario.watch);
+  await scenario.fleet.stop();
   // Guards against a share that is spent twice: a lease that outlives its removal.
-  const records = this.fleet.log.list().map((record) => JSON.stringify(record));
-  const trace = [...this.violations].map((each) => records.filter((text) => text.includes(each)));
+  const records = scenario.fleet.log.list().map((record) => JSON.stringify(record));
+  const trace = [...scenario.violations].map((each) =>
+    records.filter((text) => text.includes(each)),
+  );
   assert.deepEqual(
-    [...this.violations],
+    [...scenario.violations],
     [],
     `removed with a live lease: ${trace.flat().join(' ')}`,
   );
 });
 
-Given('a member fleet of {int} VMs', async function given(this: MembershipWorld, count: number) {
-  await startFleet(this, count);
+Given('a member fleet of {int} VMs', async (count: number) => {
+  await startFleet(count);
 });
 
 Given(
   'a member fleet of {int} VMs that snapshots every {int} s',
-  async function given(this: MembershipWorld, count: number, seconds: number) {
-    await startFleet(this, count, seconds * 1000);
+  async (count: number, seconds: number) => {
+    await startFleet(count, seconds * 1000);
   },
 );
 
-When('member {int} dies', async function when(this: MembershipWorld, index: number) {
-  await find(this, index).stop();
-  findFleet(this).daemons.delete(`vm-${index}`);
+When('member {int} dies', async (index: number) => {
+  await find(index).stop();
+  findFleet(scenario).daemons.delete(`vm-${index}`);
 });
 
-When('member {int} starts', async function when(this: MembershipWorld, index: number) {
-  await findFleet(this).start(index);
+When('member {int} starts', async (index: number) => {
+  await findFleet(scenario).start(index);
 });
 
-When('member {int} starts again', async function when(this: MembershipWorld, index: number) {
-  await findFleet(this).start(index);
+When('member {int} starts again', async (index: number) => {
+  await findFleet(scenario).start(index);
 });
 
-When(
-  'member {int} restarts with a new incarnation',
-  async function when(this: MembershipWorld, index: number) {
-    await find(this, index).stop();
-    await findFleet(this).start(index);
-  },
-);
+When('member {int} restarts with a new incarnation', async (index: number) => {
+  await find(index).stop();
+  await findFleet(scenario).start(index);
+});
 
-When('member {int} is paused', function when(this: MembershipWorld, index: number) {
-  find(this, index).clock.pause(false);
+When('member {int} is paused', (index: number) => {
+  find(index).clock.pause(false);
 });
 
-When(
-  'member {int} is suspended with its clock',
-  function when(this: MembershipWorld, index: number) {
-    find(this, index).clock.pause(true);
-  },
-);
+When('member {int} is suspended with its clock', (index: number) => {
+  find(index).clock.pause(true);
+});
 
-When('member {int} wakes without a lease', function when(this: MembershipWorld, index: number) {
-  const { clock, membership } = find(this, index);
+When('member {int} wakes without a lease', (index: number) => {
+  const { clock, membership } = find(index);
   clock.resume();
   assert.equal(membership.leaseLive(), false);
 });
 
-When('member {int} is cut off from the rest', function when(this: MembershipWorld, index: number) {
-  find(this, index).setCut(true);
+When('member {int} is cut off from the rest', (index: number) => {
+  find(index).setCut(true);
 });
 
-When('member {int} is connected again', function when(this: MembershipWorld, index: number) {
-  assert.equal(find(this, index).membership.leaseLive(), false);
-  find(this, index).setCut(false);
+When('member {int} is connected again', (index: number) => {
+  assert.equal(find(index).membership.leaseLive(), false);
+  find(index).setCut(false);
 });
 
-When('member {int} leaves', async function when(this: MembershipWorld, index: number) {
-  const { membership } = find(this, index);
+When('member {int} leaves', async (index: number) => {
+  const { membership } = find(index);
   const left = membership.leave();
   assert.equal(membership.leaseLive(), false);
   await left;
 });
 
-When('member {int} drains', async function when(this: MembershipWorld, index: number) {
-  await find(this, index).membership.drain();
+When('member {int} drains', async (index: number) => {
+  await find(index).membership.drain();
 });
 
 When(
   'member {int} folds configuration {int} and withdraws the key {string}',
-  function when(this: MembershipWorld, index: number, version: number, keyId: string) {
-    const { configuration } = find(this, index);
+  (index: number, version: number, keyId: string) => {
+    const { configuration } = find(index);
     configuration.version = version;
     configuration.keys.add(keyId);
   },
 );
 
-When('the membership log goes out', function when(this: MembershipWorld) {
-  findFleet(this).log.out = true;
+When('the membership log goes out', () => {
+  findFleet(scenario).log.out = true;
 });
 
-When('the membership log comes back', function when(this: MembershipWorld) {
-  findFleet(this).log.out = false;
+When('the membership log comes back', () => {
+  findFleet(scenario).log.out = false;
 });
 
-When(
-  'the membership log shows an end that is {int} records older',
-  function when(this: MembershipWorld, count: number) {
-    findFleet(this).log.lag = count;
-  },
-);
+When('the membership log shows an end that is {int} records older', (count: number) => {
+  findFleet(scenario).log.lag = count;
+});
 
 When(
   'the membership log has a snapshot within {int} s and forgets the records before it',
-  async function when(this: MembershipWorld, seconds: number) {
-    const { log } = findFleet(this);
+  async (seconds: number) => {
+    const { log } = findFleet(scenario);
     const findSnapshot = () => log.list().findLastIndex(({ kind }) => kind === 'snapshot');
     await waitUntil('a snapshot', () => findSnapshot() >= 0, seconds * 1000);
     log.earliest = findSnapshot() + 1;
   },
 );
 
-When('the VM list drops member {int}', async function when(this: MembershipWorld, index: number) {
-  const { listing } = findFleet(this);
+When('the VM list drops member {int}', async (index: number) => {
+  const { listing } = findFleet(scenario);
   // The list is read once a second; it must have shown the VM before.
   await waitFor(2000);
   listing.vms = listing.vms.filter(({ name }) => name !== `vm-${index}`);
@@ -210,22 +205,22 @@
 
 Then(
   'the log removes the first incarnation of member {int} as {string} within {int} s',
-  async function then(this: MembershipWorld, index: number, evidence: string, seconds: number) {
-    const fleet = findFleet(this);
-    const first = findFirst(this, index);
+  async (index: number, evidence: string, seconds: number) => {
+    const fleet = findFleet(scenario);
+    const first = findFirst(index);
     const isRemoved = () => findEvidence(fleet, first) === evidence;
     await waitUntil(`${first.vm} is ${evidence}`, isRemoved, seconds * 1000);
   },
 );
 
-Then('the log does not remove member {int}', function then(this: MembershipWorld, index: number) {
-  assert.equal(findEvidence(findFleet(this), findFirst(this, index)), undefined);
+Then('the log does not remove member {int}', (index: number) => {
+  assert.equal(findEvidence(findFleet(scenario), findFirst(index)), undefined);
 });
 
 Then(
   'the members {string} keep their leases for {int} s',
-  async function then(this: MembershipWorld, indices: string, seconds: number) {
-    const daemons = indices.split(',').map((index) => find(this, index));
+  async (indices: string, seconds: number) => {
+    const daemons = indices.split(',').map((index) => find(index));
     const isLive = () => daemons.every(({ membership }) => membership.leaseLive());
     await waitUntil('the leases are live', isLive, 10_000);
     for (let sample = 0; sample < seconds * 20; sample += 1) {
@@ -235,31 +230,28 @@
   },
 );
 
-Then(
-  'member {int} loses its lease within {int} s',
-  async function then(this: MembershipWorld, index: number, seconds: number) {
-    const { membership } = find(this, index);
-    await waitUntil('the lease has lapsed', () => !membership.leaseLive(), seconds * 1000);
-    assert.equal(findEvidence(findFleet(this), findFirst(this, index)), undefined);
-  },
-);
+Then('member {int} loses its lease within {int} s', async (index: number, seconds: number) => {
+  const { membership } = find(index);
+  await waitUntil('the lease has lapsed', () => !membership.leaseLive(), seconds * 1000);
+  assert.equal(findEvidence(findFleet(scenario), findFirst(index)), undefined);
+});
 
 Then(
   'member {int} is a member again within {int} s with another incarnation',
-  async function then(this: MembershipWorld, index: number, seconds: number) {
-    const { membership } = find(this, index);
+  async (index: number, seconds: number) => {
+    const { membership } = find(index);
     const isBack = () => membership.joined() && membership.leaseLive();
     await waitUntil('it has joined with a lease', isBack, seconds * 1000);
-    const first = findFirst(this, index);
+    const first = findFirst(index);
     assert.notEqual(membership.self().incarnation, first.incarnation);
   },
 );
 
 Then(
   'members know that the first incarnation of member {int} is gone within {int} s',
-  async function then(this: MembershipWorld, index: number, seconds: number) {
-    const first = findFirst(this, index);
-    const asked = [...findFleet(this).daemons.values()].filter(({ name }) => name !== first.vm);
+  async (index: number, seconds: number) => {
+    const first = findFirst(index);
+    const asked = [...findFleet(scenario).daemons.values()].filter(({ name }) => name !== first.vm);
     const areSure = async () => {
       const answers = await Promise.all(asked.map(({ membership }) => membership.isGone(first)));
       return answers.every(Boolean);
@@ -274,8 +266,8 @@
 
 Then(
   'member {int} lists {int} members within {int} s and is not one of them',
-  async function then(this: MembershipWorld, index: number, count: number, seconds: number) {
-    const { membership } = find(this, index);
+  async (index: number, count: number, seconds: number) => {
+    const { membership } = find(index);
     const hasList = () => membership.current().members.length === count;
     await waitUntil('it has the list', hasList, seconds * 1000);
     assert.equal(membership.joined(), false);
@@ -283,8 +275,8 @@
   },
 );
 
-Then('all members agree on {int} members', async function then(this: MembershipWorld, count) {
-  const daemons = [...findFleet(this).daemons.values()];
+Then('all members agree on {int} members', async (count) => {
+  const daemons = [...findFleet(scenario).daemons.values()];
   const agree = () => daemons.every(({ membership }) => isSettled(membership, count));
   await waitUntil(`all list ${count} members`, agree, 20_000);
   const lists = daemons.map(({ membership }) => JSON.stringify(membership.current()));
@@ -293,14 +285,8 @@
 
 Then(
   'all members know configuration {int} of member {int} and the withdrawn key {string} within {int} s',
-  async function then(
-    this: MembershipWorld,
-    version: number,
-    index: number,
-    keyId: string,
-    seconds: number,
-  ) {
-    const others = [...findFleet(this).daemons.values()].filter(
+  async (version: number, index: number, keyId: string, seconds: number) => {
+    const others = [...findFleet(scenario).daemons.values()].filter(
       ({ name }) => name !== `vm-${index}`,
     );
     const know = () =>
@@ -314,8 +300,8 @@
 
 Then(
   'the members that hear member {int} see that it drains within {int} s',
-  async function then(this: MembershipWorld, index: number, seconds: number) {
-    const others = [...findFleet(this).daemons.values()].filter(
+  async (index: number, seconds: number) => {
+    const others = [...findFleet(scenario).daemons.values()].filter(
       ({ name }) => name !== `vm-${index}`,
     );
     const see = () =>
--- a/features/steps/routing-steps.ts
+++ b/features/steps/routing-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import type { BackendServer, EngineServer, PlainServer } from '../../src/domain/backend-server.js';
 import type { ModelRequest } from '../../src/domain/request.js';
@@ -30,12 +30,14 @@
   routing?: RoutingState;
 }
 
+const scenario = world as unknown as RoutingWorld;
+
 const NONE: ReadonlySet<string> = new Set();
 const PROMPT = 'word '.repeat(200);
 
-function stateOf(world: RoutingWorld): RoutingState {
-  assert.ok(world.routing);
-  return world.routing;
+function stateOf(): RoutingState {
+  assert.ok(scenario.routing);
+  return scenario.routing;
 }
 
 function createPlain(name: string): PlainServer {
@@ -111,19 +113,16 @@
   return [...new Set(names)].sort().join(' ');
 }
 
-Given('routing over the engines {string}', async function given(this: RoutingWorld, names: string) {
-  this.routing = await createRouting(names.split(' ').map((name) => createEngineServer(name)));
+Given('routing over the engines {string}', async (names: string) => {
+  scenario.routing = await createRouting(names.split(' ').map((name) => createEngineServer(name)));
 });
 
-Given(
-  'routing over the plain servers {string}',
-  async function given(this: RoutingWorld, names: string) {
-    this.routing = await createRouting(names.split(' ').map(createPlain));
-  },
-);
+Given('routing over the plain servers {string}', async (names: string) => {
+  scenario.routing = await createRouting(names.split(' ').map(createPlain));
+});
 
-After(async function after(this: RoutingWorld) {
-  await this.routing?.routing.stop();
+After(async () => {
+  await scenario.routing?.routing.stop();
 });
 
 async function configure(state: RoutingState, servers: readonly BackendServer[]): Promise<void> {
@@ -132,98 +131,80 @@
   await settle();
 }
 
-When(
-  'routing learns that {string} is draining by configuration',
-  async function when(this: RoutingWorld, name: string) {
-    const state = stateOf(this);
-    const servers = [...state.fakes.state.servers.values()];
-    const drain = (server: BackendServer) => ({ ...server, draining: server.name === name });
-    await configure(state, servers.map(drain));
-  },
-);
+When('routing learns that {string} is draining by configuration', async (name: string) => {
+  const state = stateOf();
+  const servers = [...state.fakes.state.servers.values()];
+  const drain = (server: BackendServer) => ({ ...server, draining: server.name === name });
+  await configure(state, servers.map(drain));
+});
 
-When(
-  'routing learns that {string} is draining by load report',
-  function when(this: RoutingWorld, name: string) {
-    stateOf(this).routing.observe(name, createLoad({ draining: true }));
-  },
-);
+When('routing learns that {string} is draining by load report', (name: string) => {
+  stateOf().routing.observe(name, createLoad({ draining: true }));
+});
 
-When(
-  'routing learns that {string} is draining by vm list',
-  async function when(this: RoutingWorld, name: string) {
-    stateOf(this).fakes.listings.push({ vms: [], servers: [{ name, state: 'leaving' }] });
-    await settle();
-  },
-);
+When('routing learns that {string} is draining by vm list', async (name: string) => {
+  stateOf().fakes.listings.push({ vms: [], servers: [{ name, state: 'leaving' }] });
+  await settle();
+});
 
-When(
-  'routing learns that plain {string} is draining',
-  function when(this: RoutingWorld, name: string) {
-    stateOf(this).routing.observeDraining(name);
-  },
-);
+When('routing learns that plain {string} is draining', (name: string) => {
+  stateOf().routing.observeDraining(name);
+});
 
-When(
-  'routing learns that the entry of {string} changed',
-  async function when(this: RoutingWorld, name: string) {
-    const state = stateOf(this);
-    const servers = [...state.fakes.state.servers.values()];
-    const copy = (server: BackendServer) => (server.name === name ? { ...server } : server);
-    await configure(state, servers.map(copy));
-  },
-);
+When('routing learns that the entry of {string} changed', async (name: string) => {
+  const state = stateOf();
+  const servers = [...state.fakes.state.servers.values()];
+  const copy = (server: BackendServer) => (server.name === name ? { ...server } : server);
+  await configure(state, servers.map(copy));
+});
 
-When('routing learns that {string} failed', function when(this: RoutingWorld, name: string) {
-  stateOf(this).routing.observeFailure(name, false);
+When('routing learns that {string} failed', (name: string) => {
+  stateOf().routing.observeFailure(name, false);
 });
 
-When(
-  'routing assigns {int} decodes to {string}',
-  function when(this: RoutingWorld, count: number, server: string) {
-    const { routing } = stateOf(this);
-    for (let index = 0; index < count; index += 1) {
-      routing.assign(createAssignment({ server, attemptId: `a${index}` }));
-    }
-  },
-);
+When('routing assigns {int} decodes to {string}', (count: number, server: string) => {
+  const { routing } = stateOf();
+  for (let index = 0; index < count; index += 1) {
+    routing.assign(createAssignment({ server, attemptId: `a${index}` }));
+  }
+});
 
-When('routing assigns a suspect to {string}', function when(this: RoutingWorld, server: string) {
-  stateOf(this).routing.assign(createAssignment({ server, suspect: true }));
+When('routing assigns a suspect to {string}', (server: string) => {
+  stateOf().routing.assign(createAssignment({ server, suspect: true }));
 });
 
 When(
   'routing hears {int} ms later that {string} has {int} slots',
-  function when(this: RoutingWorld, ms: number, server: string, slotsFree: number) {
-    const { clock, routing } = stateOf(this);
+  (ms: number, server: string, slotsFree: number) => {
+    const { clock, routing } = stateOf();
     clock.advance(ms);
     routing.observe(server, createLoad({ slotsFree }));
   },
 );
 
-When('routing ends a decode on {string}', function when(this: RoutingWorld, server: string) {
-  const { fakes, routing } = stateOf(this);
+When('routing ends a decode on {string}', (server: string) => {
+  const { fakes, routing } = stateOf();
   fakes.capacityChanges = 0;
   routing.unassign('a0', server);
 });
 
-When('routing prefills a long prompt on one engine', function when(this: RoutingWorld) {
-  const state = stateOf(this);
+When('routing prefills a long prompt on one engine', () => {
+  const state = stateOf();
   state.first = state.routing.choosePrefill(createRequest(PROMPT), NONE, false)?.name ?? '';
 });
 
 When(
   'routing hears that this engine has {int} more queued tokens',
-  function when(this: RoutingWorld, queuedPrefillTokens: number) {
-    const { routing, first } = stateOf(this);
+  (queuedPrefillTokens: number) => {
+    const { routing, first } = stateOf();
     routing.observe(first ?? '', createLoad({ queuedPrefillTokens }));
   },
 );
 
 When(
   'routing measures a prefill of {int} tokens in {int} ms on {string}',
-  function when(this: RoutingWorld, promptTokens: number, ms: number, server: string) {
-    const { clock, routing } = stateOf(this);
+  (promptTokens: number, ms: number, server: string) => {
+    const { clock, routing } = stateOf();
     routing.assign(createAssignment({ server, phase: 'prefill', promptTokens }));
     clock.advance(ms);
     routing.observePrefill('a0', server, promptTokens);
@@ -233,15 +214,15 @@
 
 When(
   'routing hears that {string} has {int} queued tokens',
-  function when(this: RoutingWorld, server: string, queuedPrefillTokens: number) {
-    stateOf(this).routing.observe(server, createLoad({ queuedPrefillTokens }));
+  (server: string, queuedPrefillTokens: number) => {
+    stateOf().routing.observe(server, createLoad({ queuedPrefillTokens }));
   },
 );
 
 When(
   'routing starts and hears from {string} but not from {string} for a second',
-  async function when(this: RoutingWorld, heard: string, silent: string) {
-    const { clock, routing, polls } = stateOf(this);
+  async (heard: string, silent: string) => {
+    const { clock, routing, polls } = stateOf();
     assert.notEqual(heard, silent);
     polls.length = 0;
     for (let tick = 0; tick < 30; tick += 1) {
@@ -252,81 +233,69 @@
   },
 );
 
-Then(
-  'routing decodes and prefills only on {string}',
-  function then(this: RoutingWorld, names: string) {
-    const { routing } = stateOf(this);
-    const request = createRequest();
-    assert.equal(
-      collectNames(() => routing.chooseDecode(request, 1, NONE, false)?.name),
-      names,
-    );
-    assert.equal(
-      collectNames(() => routing.choosePrefill(request, NONE, false)?.name),
-      names,
-    );
-  },
-);
+Then('routing decodes and prefills only on {string}', (names: string) => {
+  const { routing } = stateOf();
+  const request = createRequest();
+  assert.equal(
+    collectNames(() => routing.chooseDecode(request, 1, NONE, false)?.name),
+    names,
+  );
+  assert.equal(
+    collectNames(() => routing.choosePrefill(request, NONE, false)?.name),
+    names,
+  );
+});
 
-Then(
-  'routing sends plain requests only to {string}',
-  function then(this: RoutingWorld, names: string) {
-    const { routing } = stateOf(this);
-    assert.equal(
-      collectNames(() => routing.chooseService('yard', NONE)?.name),
-      names,
-    );
-  },
-);
+Then('routing sends plain requests only to {string}', (names: string) => {
+  const { routing } = stateOf();
+  assert.equal(
+    collectNames(() => routing.chooseService('yard', NONE)?.name),
+    names,
+  );
+});
 
-Then(
-  'routing has headroom {int} for {string}',
-  function then(this: RoutingWorld, slots: number, model: string) {
-    assert.equal(stateOf(this).routing.headroom(model), slots);
-  },
-);
+Then('routing has headroom {int} for {string}', (slots: number, model: string) => {
+  assert.equal(stateOf().routing.headroom(model), slots);
+});
 
-Then('routing told admission that capacity changed', function then(this: RoutingWorld) {
-  assert.equal(stateOf(this).fakes.capacityChanges, 1);
+Then('routing told admission that capacity changed', () => {
+  assert.equal(stateOf().fakes.capacityChanges, 1);
 });
 
-Then(
-  'routing finds no server for another suspect but one for others',
-  function then(this: RoutingWorld) {
-    const { routing } = stateOf(this);
-    assert.equal(routing.chooseDecode(createRequest(), 1, NONE, true), undefined);
-    assert.equal(routing.choosePrefill(createRequest(), NONE, true), undefined);
-    assert.equal(routing.chooseDecode(createRequest(), 1, NONE, false)?.name, 'e1');
-  },
-);
+Then('routing finds no server for another suspect but one for others', () => {
+  const { routing } = stateOf();
+  assert.equal(routing.chooseDecode(createRequest(), 1, NONE, true), undefined);
+  assert.equal(routing.choosePrefill(createRequest(), NONE, true), undefined);
+  assert.equal(routing.chooseDecode(createRequest(), 1, NONE, false)?.name, 'e1');
+});
 
-Then('routing prefills the same prompt there again', function then(this: RoutingWorld) {
-  const { routing, first } = stateOf(this);
+Then('routing prefills the same prompt there again', () => {
+  const { routing, first } = stateOf();
   const choose = () => routing.choosePrefill(createRequest(PROMPT), NONE, false)?.name;
   assert.equal(collectNames(choose), first);
 });
 
-Then('routing prefills the same prompt elsewhere', function then(this: RoutingWorld) {
-  const { routing, first } = stateOf(this);
+Then('routing prefills the same prompt elsewhere', () => {
+  const { routing, first } = stateOf();
   assert.notEqual(routing.choosePrefill(createRequest(PROMPT), NONE, false)?.name, first);
 });
 
-Then('routing expects a prefill wait of {int} ms', function then(this: RoutingWorld, ms: number) {
-  assert.equal(stateOf(this).routing.prefillWaitMs('planner'), ms);
+Then('routing expects a prefill wait of {int} ms', (ms: number) => {
+  assert.equal(stateOf().routing.prefillWaitMs('planner'), ms);
 });
 
 Then(
   'routing polled the load of {string} more often than that of {string}',
-  function then(this: RoutingWorld, polled: string, heard: string) {
-    const { polls } = stateOf(this);
+  (polled: string, heard: string) => {
+    const { polls } = stateOf();
     const count = (name: string) => polls.filter((poll) => poll === `load ${name}`).length;
     assert.ok(count(polled) >= 2, `${count(polled)} polls`);
     assert.equal(count(heard), 0);
   },
 );
 
-Then('routing polled cache events of both engines', function then(this: RoutingWorld) {
-  const { polls } = stateOf(this);
+Then('routing polled cache events of both engines', () => {
+  const { polls } = stateOf();
   assert.ok(polls.includes('cache e1') && polls.includes('cache e2'));
 });
 
