--- a/features/steps/settings-steps.ts
+++ b/features/steps/settings-steps.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { loadChanges } from '../../src/configuration/load-changes.js';
 import type { Outcome } from '../../src/kernel/outcome.js';
@@ -21,6 +21,8 @@
   changeAnswer: string;
 }
 
+const scenario = world as unknown as SettingsWorld;
+
 function setField(text: string, path: string, value: unknown): string {
   const input = JSON.parse(text) as Fields;
   const names = path.split('.');
@@ -46,85 +48,73 @@
   );
 }
 
-async function writeText(world: SettingsWorld): Promise<string> {
+async function writeText(): Promise<string> {
   const folder = await mkdtemp(join(tmpdir(), 'cuminspar-settings-'));
-  Object.assign(world, { settingsFolder: folder });
+  scenario.settingsFolder = folder;
   const file = join(folder, 'settings.json');
-  if (world.settingsText !== undefined) await writeFile(file, world.settingsText);
+  if (scenario.settingsText !== undefined) await writeFile(file, scenario.settingsText);
   return file;
 }
 
-After(async function after(this: SettingsWorld) {
-  if (this.settingsFolder) await rm(this.settingsFolder, { recursive: true });
+After(async () => {
+  if (scenario.settingsFolder) await rm(scenario.settingsFolder, { recursive: true });
+});
+
+Given('a settings file as it should be', () => {
+  scenario.settingsText = createText();
+});
+
+Given(/^a settings file with "([^"]*)" set to (.*)$/, (field: string, value: string) => {
+  scenario.settingsText = setField(createText(), field, JSON.parse(value));
 });
 
-Given('a settings file as it should be', function given(this: SettingsWorld) {
-  this.settingsText = createText();
+Given(/^the settings file also has "([^"]*)" set to (.*)$/, (field: string, value: string) => {
+  scenario.settingsText = setField(scenario.settingsText ?? '', field, JSON.parse(value));
 });
 
-Given(
-  /^a settings file with "([^"]*)" set to (.*)$/,
-  function given(this: SettingsWorld, field: string, value: string) {
-    this.settingsText = setField(createText(), field, JSON.parse(value));
-  },
-);
-
-Given(
-  /^the settings file also has "([^"]*)" set to (.*)$/,
-  function given(this: SettingsWorld, field: string, value: string) {
-    this.settingsText = setField(this.settingsText ?? '', field, JSON.parse(value));
-  },
-);
-
-Given('a settings file without {string}', function given(this: SettingsWorld, field: string) {
-  this.settingsText = setField(createText(), field, undefined);
+Given('a settings file without {string}', (field: string) => {
+  scenario.settingsText = setField(createText(), field, undefined);
 });
 
-Given(/^a settings file that is (missing|not JSON)$/, function given(this: SettingsWorld, state) {
-  this.settingsText = state === 'missing' ? undefined : '{"vm": ';
+Given(/^a settings file that is (missing|not JSON)$/, (state) => {
+  scenario.settingsText = state === 'missing' ? undefined : '{"vm": ';
 });
 
-Given(/^a change file with (.*)$/, function given(this: SettingsWorld, text: string) {
-  this.settingsText = text;
+Given(/^a change file with (.*)$/, (text: string) => {
+  scenario.settingsText = text;
 });
 
-When('the settings are loaded', async function when(this: SettingsWorld) {
-  this.settings = await loadSettings(await writeText(this));
+When('the settings are loaded', async () => {
+  scenario.settings = await loadSettings(await writeText());
 });
 
-When('the settings of the change file are loaded', async function when(this: SettingsWorld) {
-  const changes = await loadChanges(await writeText(this));
-  this.changeAnswer =
+When('the settings of the change file are loaded', async () => {
+  const changes = await loadChanges(await writeText());
+  scenario.changeAnswer =
     changes.kind === 'ok'
       ? changes.value.map((change) => change.kind).join(', ')
       : listFaults(changes).join('; ');
 });
 
-Then(/^the change file answers "(.*)"$/, function then(this: SettingsWorld, answer: string) {
-  assert.equal(this.changeAnswer, answer);
+Then(/^the change file answers "(.*)"$/, (answer: string) => {
+  assert.equal(scenario.changeAnswer, answer);
+});
+
+Then('the settings have {string} at {int}', (path: string, value: number) => {
+  assert.equal(scenario.settings.kind, 'ok');
+  const found = path
+    .split('.')
+    .reduce<unknown>((fields, name) => (fields as Fields)[name], scenario.settings.value);
+  assert.equal(found, value);
 });
 
-Then(
-  'the settings have {string} at {int}',
-  function then(this: SettingsWorld, path: string, value: number) {
-    assert.equal(this.settings.kind, 'ok');
-    const found = path
-      .split('.')
-      .reduce<unknown>((fields, name) => (fields as Fields)[name], this.settings.value);
-    assert.equal(found, value);
-  },
-);
-
-Then(/^the settings faults are "(.*)"$/, function then(this: SettingsWorld, faults: string) {
-  assert.deepEqual(listFaults(this.settings), [faults]);
+Then(/^the settings faults are "(.*)"$/, (faults: string) => {
+  assert.deepEqual(listFaults(scenario.settings), [faults]);
 });
 
-Then(
-  'the settings faults name the fields {string}',
-  function then(this: SettingsWorld, fields: string) {
-    assert.equal(this.settings.kind, 'failed');
-    const { failure } = this.settings;
-    assert.equal(failure.faults.map((fault) => fault.field).join(', '), fields);
-    failure.message.split('\n').forEach((line) => assert.ok(line.startsWith(failure.file)));
-  },
-);
+Then('the settings faults name the fields {string}', (fields: string) => {
+  assert.equal(scenario.settings.kind, 'failed');
+  const { failure } = scenario.settings;
+  assert.equal(failure.faults.map((fault) => fault.field).join(', '), fields);
+  failure.message.split('\n').forEach((line) => assert.ok(line.startsWith(failure.file)));
+});
--- a/features/steps/silence-prone-steps.ts
+++ b/features/steps/silence-prone-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { Given, Then, When } from '@cucumber/cucumber';
+import { Given, Then, When, world } from '@cucumber/cucumber';
 
 import type { FleetDaemon } from '../../harness/fleet.js';
 import type { TcpRelay } from '../../harness/tcp-relay.js';
@@ -14,6 +14,8 @@
   pending: Promise<unknown>[];
 }
 
+const scenario = world as unknown as SilenceWorld;
+
 type Target = 'engines' | 'plain services' | 'the log' | 'peers';
 
 /** Requests of a kind that are open together, so that each daemon keeps several connections. */
@@ -50,56 +52,50 @@
   ]).flat();
 }
 
-Given('a silence-prone fleet with connections in use', async function given(this: SilenceWorld) {
+Given('a silence-prone fleet with connections in use', async () => {
   const settings = {
     timeouts: {
       ...{ connectMs: 500, engineMs: 500, prefillMs: 1000, transferMs: 1000 },
       betweenTokensMs: 500,
     },
   };
-  await startGuaranteeFleet(this, { relayed: true, prefills: 2, settings });
-  await Promise.all(this.fleet.daemons.flatMap((daemon) => askAllKinds(this, daemon)));
+  await startGuaranteeFleet(scenario, { relayed: true, prefills: 2, settings });
+  await Promise.all(scenario.fleet.daemons.flatMap((daemon) => askAllKinds(scenario, daemon)));
 });
 
-When(
-  'the silence-prone connections to {} go silent for good',
-  function when(this: SilenceWorld, target: Target) {
-    const relays = listRelays(this, target);
-    assert.ok(relays.some((relay) => relay.countOpen() > 0) || target === 'plain services');
-    relays.forEach((relay) => relay.silenceOpen());
-    this.silencedMs = performance.now();
-    this.pending = this.fleet.daemons.flatMap((daemon) => askAllKinds(this, daemon));
-  },
-);
+When('the silence-prone connections to {} go silent for good', (target: Target) => {
+  const relays = listRelays(scenario, target);
+  assert.ok(relays.some((relay) => relay.countOpen() > 0) || target === 'plain services');
+  relays.forEach((relay) => relay.silenceOpen());
+  scenario.silencedMs = performance.now();
+  scenario.pending = scenario.fleet.daemons.flatMap((daemon) => askAllKinds(scenario, daemon));
+});
 
-Then(
-  'every silence-prone request ends within {int} s',
-  async function then(this: SilenceWorld, seconds: number) {
-    const ends = await Promise.allSettled(this.pending);
-    const elapsedMs = Math.round(performance.now() - this.silencedMs);
-    const failed = ends.filter(({ status }) => status === 'rejected').length;
-    this.log(`all ${ends.length} ended after ${elapsedMs} ms, ${failed} with an error`);
-    assert.ok(elapsedMs <= seconds * 1000, `the last one ended after ${elapsedMs} ms`);
-  },
-);
+Then('every silence-prone request ends within {int} s', async (seconds: number) => {
+  const ends = await Promise.allSettled(scenario.pending);
+  const elapsedMs = Math.round(performance.now() - scenario.silencedMs);
+  const failed = ends.filter(({ status }) => status === 'rejected').length;
+  scenario.log(`all ${ends.length} ended after ${elapsedMs} ms, ${failed} with an error`);
+  assert.ok(elapsedMs <= seconds * 1000, `the last one ended after ${elapsedMs} ms`);
+});
 
 Then(
   'every silence-prone daemon answers all kinds of requests within {int} s',
-  async function then(this: SilenceWorld, seconds: number) {
+  async (seconds: number) => {
     const startMs = performance.now();
     await waitFor('readiness', async () => {
-      await Promise.all(this.fleet.daemons.map((daemon) => this.fleet.waitReady(daemon)));
+      await Promise.all(scenario.fleet.daemons.map((daemon) => scenario.fleet.waitReady(daemon)));
       return true;
     });
-    await Promise.all(this.fleet.daemons.flatMap((daemon) => askAllKinds(this, daemon)));
+    await Promise.all(scenario.fleet.daemons.flatMap((daemon) => askAllKinds(scenario, daemon)));
     const elapsedMs = Math.round(performance.now() - startMs);
-    this.log(`all kinds answered after ${elapsedMs} ms`);
+    scenario.log(`all kinds answered after ${elapsedMs} ms`);
     assert.ok(elapsedMs <= seconds * 1000, `the answers took ${elapsedMs} ms`);
   },
 );
 
-Then('no silence-prone member is removed', async function then(this: SilenceWorld) {
-  const { streams } = await this.fleet.log.readRecord<{
+Then('no silence-prone member is removed', async () => {
+  const { streams } = await scenario.fleet.log.readRecord<{
     streams: Record<string, { data: string }[]>;
   }>();
   const removed = (streams.membership ?? []).filter(({ data }) => data.includes('"removed"'));
--- a/features/steps/stand-ins-steps.ts
+++ b/features/steps/stand-ins-steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { Given, Then, When } from '@cucumber/cucumber';
+import { Given, Then, When, world } from '@cucumber/cucumber';
 import { request } from 'undici';
 
 import { callJson } from '../support/engine-client.js';
@@ -27,6 +27,8 @@
   standInCalls: EndedCall[];
 }
 
+const scenario = world as unknown as StandInWorld;
+
 interface PlainRecord {
   readonly effects: readonly { attemptId: string; method: string; path: string }[];
   readonly appends: number;
@@ -57,150 +59,116 @@
   }
 }
 
-function findLastCall(world: StandInWorld): EndedCall {
-  const call = world.standInCalls.at(-1);
+function findLastCall(): EndedCall {
+  const call = scenario.standInCalls.at(-1);
   assert.ok(call, 'the stand-in has not been asked');
   return call;
 }
 
-async function append(world: StandInWorld, records: readonly string[]): Promise<void> {
+async function append(records: readonly string[]): Promise<void> {
   const body = JSON.stringify({ records });
   const call = 'POST /v1/streams/s/records';
-  world.standInCalls.push(await ask(world.standIn, call, { body, silenceMs: 2000 }));
+  scenario.standInCalls.push(await ask(scenario.standIn, call, { body, silenceMs: 2000 }));
 }
 
-Given(
-  'the stand-in {string} runs with {string}',
-  async function given(this: StandInWorld, name: string, options: string) {
-    this.standIn = await launchStandIn(name as StandInName, options.split(' ').filter(Boolean));
-    this.standInCalls = [];
-  },
-);
+Given('the stand-in {string} runs with {string}', async (name: string, options: string) => {
+  scenario.standIn = await launchStandIn(name as StandInName, options.split(' ').filter(Boolean));
+  scenario.standInCalls = [];
+});
 
-Given(
-  'the stand-in has the fault {string}',
-  async function given(this: StandInWorld, fault: string) {
-    await this.standIn.addFault(JSON.parse(fault) as FaultOrder);
-  },
-);
+Given('the stand-in has the fault {string}', async (fault: string) => {
+  await scenario.standIn.addFault(JSON.parse(fault) as FaultOrder);
+});
 
-Then(
-  'the stand-in refuses the fault {string}',
-  async function then(this: StandInWorld, fault: string) {
-    await assert.rejects(this.standIn.addFault(JSON.parse(fault) as FaultOrder), /answered 400/);
-  },
-);
+Then('the stand-in refuses the fault {string}', async (fault: string) => {
+  await assert.rejects(scenario.standIn.addFault(JSON.parse(fault) as FaultOrder), /answered 400/);
+});
 
-When('the stand-in faults are removed', async function when(this: StandInWorld) {
-  await this.standIn.clearFaults();
+When('the stand-in faults are removed', async () => {
+  await scenario.standIn.clearFaults();
 });
 
-When(
-  'the stand-in gets the state {string}',
-  async function when(this: StandInWorld, state: string) {
-    await this.standIn.setState(JSON.parse(state));
-  },
-);
+When('the stand-in gets the state {string}', async (state: string) => {
+  await scenario.standIn.setState(JSON.parse(state));
+});
 
 When('the stand-in waits {int} ms', async (ms: number) => {
   await delay(ms);
 });
 
-When('the stand-in is asked {string}', async function when(this: StandInWorld, call: string) {
-  this.standInCalls.push(await ask(this.standIn, call));
+When('the stand-in is asked {string}', async (call: string) => {
+  scenario.standInCalls.push(await ask(scenario.standIn, call));
 });
 
 When(
   'the stand-in is asked {string} with the attempt {string}',
-  async function when(this: StandInWorld, call: string, attemptId: string) {
+  async (call: string, attemptId: string) => {
     const headers = { 'x-attempt-id': attemptId };
-    this.standInCalls.push(await ask(this.standIn, call, { headers }));
+    scenario.standInCalls.push(await ask(scenario.standIn, call, { headers }));
   },
 );
 
-When(
-  'the stand-in is asked {string} twice at once',
-  async function when(this: StandInWorld, call: string) {
-    const asked = [1, 2].map(() => ask(this.standIn, call, { silenceMs: 2000 }));
-    const ended = await Promise.all(asked);
-    this.standInCalls.push(...ended.toSorted((one, other) => one.elapsedMs - other.elapsedMs));
-  },
-);
+When('the stand-in is asked {string} twice at once', async (call: string) => {
+  const asked = [1, 2].map(() => ask(scenario.standIn, call, { silenceMs: 2000 }));
+  const ended = await Promise.all(asked);
+  scenario.standInCalls.push(...ended.toSorted((one, other) => one.elapsedMs - other.elapsedMs));
+});
 
-Then('the stand-in calls ended as {string}', function then(this: StandInWorld, results: string) {
-  const seen = this.standInCalls.map((call) => call.result).toSorted();
+Then('the stand-in calls ended as {string}', (results: string) => {
+  const seen = scenario.standInCalls.map((call) => call.result).toSorted();
   assert.equal(seen.join(', '), results);
 });
 
 Then(
   'the stand-in call ended as {string} after {int} ms or more',
-  function then(this: StandInWorld, result: string, leastMs: number) {
-    const call = findLastCall(this);
+  (result: string, leastMs: number) => {
+    const call = findLastCall();
     assert.equal(call.result, result);
     // Timers of the other process may fire up to 1 ms early when measured with this clock.
     assert.ok(call.elapsedMs >= leastMs - 2, `the call took ${call.elapsedMs} ms`);
   },
 );
 
-Then(
-  'the stand-in call took less than {int} ms',
-  function then(this: StandInWorld, mostMs: number) {
-    const { elapsedMs } = findLastCall(this);
-    assert.ok(elapsedMs < mostMs, `the call took ${elapsedMs} ms`);
-  },
-);
+Then('the stand-in call took less than {int} ms', (mostMs: number) => {
+  const { elapsedMs } = findLastCall();
+  assert.ok(elapsedMs < mostMs, `the call took ${elapsedMs} ms`);
+});
 
-Then('the stand-in answer is {string}', function then(this: StandInWorld, text: string) {
-  assert.deepEqual(JSON.parse(findLastCall(this).text), JSON.parse(text));
+Then('the stand-in answer is {string}', (text: string) => {
+  assert.deepEqual(JSON.parse(findLastCall().text), JSON.parse(text));
 });
 
-Then(
-  'the stand-in answer has the header {string} with {string}',
-  function then(this: StandInWorld, name: string, value: string) {
-    assert.equal(findLastCall(this).headers[name], value);
-  },
-);
+Then('the stand-in answer has the header {string} with {string}', (name: string, value: string) => {
+  assert.equal(findLastCall().headers[name], value);
+});
 
-Then(
-  'the stand-in has taken {int} effects',
-  async function then(this: StandInWorld, count: number) {
-    const { effects, appends } = await this.standIn.readRecord<Partial<PlainRecord>>();
-    assert.equal(effects?.length ?? appends ?? 0, count);
-  },
-);
+Then('the stand-in has taken {int} effects', async (count: number) => {
+  const { effects, appends } = await scenario.standIn.readRecord<Partial<PlainRecord>>();
+  assert.equal(effects?.length ?? appends ?? 0, count);
+});
 
-Then(
-  'the stand-in recorded the effect {string}',
-  async function then(this: StandInWorld, effect: string) {
-    const { effects } = await this.standIn.readRecord<PlainRecord>();
-    const seen = effects.map(({ attemptId, method, path }) => `${attemptId} ${method} ${path}`);
-    assert.deepEqual(seen, [effect]);
-  },
-);
+Then('the stand-in recorded the effect {string}', async (effect: string) => {
+  const { effects } = await scenario.standIn.readRecord<PlainRecord>();
+  const seen = effects.map(({ attemptId, method, path }) => `${attemptId} ${method} ${path}`);
+  assert.deepEqual(seen, [effect]);
+});
 
 Then(
   'the stand-in has seen the header {string} with {string}',
-  async function then(this: StandInWorld, name: string, value: string) {
-    const { headers } = await this.standIn.readRecord<PlainRecord>();
+  async (name: string, value: string) => {
+    const { headers } = await scenario.standIn.readRecord<PlainRecord>();
     assert.deepEqual(headers.find((header) => header.name === name)?.values, [value]);
   },
 );
 
-When('the stand-in log gets the records {string}', function when(this: StandInWorld, list: string) {
-  return append(this, list.split(', '));
-});
+When('the stand-in log gets the records {string}', (list: string) => append(list.split(', ')));
 
-When(
-  'the stand-in log gets one record of {int} bytes',
-  function when(this: StandInWorld, n: number) {
-    return append(this, ['x'.repeat(n)]);
-  },
-);
+When('the stand-in log gets one record of {int} bytes', (n: number) => append(['x'.repeat(n)]));
 
 Then(
   'the stand-in log shows from {int} the records {string}, the end {int} and the earliest {int}',
-  async function then(this: StandInWorld, from: number, list: string, end: number, first: number) {
-    const url = `${this.standIn.url}/v1/streams/s/records?from=${from}`;
+  async (from: number, list: string, end: number, first: number) => {
+    const url = `${scenario.standIn.url}/v1/streams/s/records?from=${from}`;
     const { records, ...rest } = (await callJson('GET', url)).body;
     const seen = (records as { offset: number; data: string }[]).map(
       ({ offset, data }) => `${offset} ${data}`,
@@ -210,21 +178,18 @@
   },
 );
 
-Then(
-  'the stand-in log replica shows the end {int}',
-  async function then(this: StandInWorld, end: number) {
-    const answer = await callJson('GET', `${this.standIn.replicaUrl}/v1/streams/s/records`);
-    assert.equal(answer.body.endOffset, end);
-  },
-);
+Then('the stand-in log replica shows the end {int}', async (end: number) => {
+  const answer = await callJson('GET', `${scenario.standIn.replicaUrl}/v1/streams/s/records`);
+  assert.equal(answer.body.endOffset, end);
+});
 
 When(
   'the stand-in log is read with a wait of {int} ms and gets {string} after {int} ms',
-  async function when(this: StandInWorld, waitMs: number, data: string, afterMs: number) {
+  async (waitMs: number, data: string, afterMs: number) => {
     const call = `GET /v1/streams/s/records?waitMs=${waitMs}`;
-    const reading = ask(this.standIn, call, { silenceMs: 2 * waitMs });
+    const reading = ask(scenario.standIn, call, { silenceMs: 2 * waitMs });
     await delay(afterMs);
-    await append(this, [data]);
-    this.standInCalls.push(await reading);
+    await append([data]);
+    scenario.standInCalls.push(await reading);
   },
 );
