--- a/bench/admission-cost.ts
+++ b/bench/admission-cost.ts
@@ -2,6 +2,7 @@
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 
+import { createMember, registerFake } from '../harness/module-fakes.js';
 import type { Grant } from '../src/admission/grant.js';
 import { SharedAdmission } from '../src/admission/shared-admission.js';
 import { ShareTable } from '../src/admission/share-table.js';
@@ -39,20 +40,13 @@
 }
 
 function createMembers(count: number): readonly Member[] {
-  return Array.from({ length: count }, (_, index) => {
-    const address = { host: '127.0.0.1', port: index + 1 };
-    const vm = `vm-${index}`;
-    return {
-      name: vm,
-      vm,
-      incarnation: '1',
-      region: 'tt-south',
-      availabilityZone: `zone-${index % 7}`,
-      peers: address,
-      callers: address,
-      operators: address,
-    };
-  });
+  return Array.from({ length: count }, (_, index) =>
+    createMember(
+      `vm-${index}`,
+      { availabilityZone: `zone-${index % 7}` },
+      { host: '127.0.0.1', port: index + 1 },
+    ),
+  );
 }
 
 /** Chooses teams whose debits are all of one kind; the names that are passed over stay known. */
@@ -69,7 +63,7 @@
 
 function createKernel(epoch: MemberEpoch, teams: ReadonlyMap<string, Team>): Kernel {
   const kernel = Kernel.create();
-  const register = (name: keyof Services, fake: object) => kernel.register(name, fake as never);
+  const register = (name: keyof Services, fake: object) => registerFake(kernel, name, fake);
   const preset = { name: 'ordinary', rateFactor: 1, queueMs: 1000, firstTokenMs: 330 };
   const state = { teams, presets: new Map([['ordinary', preset]]), presetInForce: 'ordinary' };
   const silent = () => Channel.create<never>().stream();
--- a/bench/load/fleet-callers.ts
+++ b/bench/load/fleet-callers.ts
@@ -1,8 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { request } from 'undici';
-
 import { callCompletion, type CallerAnswer } from '../../harness/caller-client.js';
+import { askEntryAddresses } from '../../harness/entry-addresses.js';
 import type { Fleet } from '../../harness/fleet.js';
 import type { Address } from '../../src/domain/vm.js';
 import { percentile, type Result } from './measures.js';
@@ -14,11 +13,6 @@
   validUntilMs: number;
 }
 
-interface EntryAnswer {
-  readonly addresses: readonly Address[];
-  readonly validForMs: number;
-}
-
 /** Callers of all teams; each team's callers use the address that the system names first. */
 export class FleetCallers {
   private readonly teams = new Map<string, Team>();
@@ -115,12 +109,7 @@
     this.asked += 1;
     const daemon = this.fleet.daemons[this.asked % this.fleet.daemons.length];
     if (!daemon) return;
-    const { host, port } = daemon.callers;
-    const response = await request(`http://${host}:${port}/v1/entry-addresses`, {
-      headers: { authorization: `Bearer ${team.key}` },
-      reset: true,
-    });
-    const answer = (await response.body.json()) as EntryAnswer;
+    const answer = await askEntryAddresses(daemon, team.key);
     const validUntilMs = performance.now() + answer.validForMs;
     Object.assign(team, { addresses: answer.addresses, validUntilMs });
   }
--- a/bench/membership-cost.ts
+++ b/bench/membership-cost.ts
@@ -1,8 +1,8 @@
-import { once } from 'node:events';
-import { createServer } from 'node:net';
 import { PerformanceObserver } from 'node:perf_hooks';
 import { setTimeout as delay } from 'node:timers/promises';
 
+import { findFreePorts } from '../harness/free-ports.js';
+import { createMember } from '../harness/module-fakes.js';
 import { Kernel } from '../src/kernel/kernel.js';
 import { SystemClock } from '../src/kernel/system-clock.js';
 import type { Member } from '../src/membership/membership.js';
@@ -42,17 +42,8 @@
   readonly y: number;
 }
 
-async function findFreePort(): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as { port: number };
-  server.close();
-  await once(server, 'close');
-  return port;
-}
-
 async function startWitness(): Promise<{ peers: ConnectPeers; port: number }> {
-  const port = await findFreePort();
+  const [port = 0] = await findFreePorts(1);
   const peers = ConnectPeers.create(Kernel.create(), { peers: { host: '127.0.0.1', port } });
   peers.handle({ heartbeat: () => ({ ...STATE, renewed: true, incarnation: INCARNATION }) });
   await peers.start();
@@ -130,28 +121,23 @@
   };
 }
 
-function createMember(index: number, run: number): Member {
-  const name = `router-${String(index).padStart(3, '0')}`;
-  const address = { host: '10.20.30.40', port: 7401 };
-  return {
-    name,
-    vm: name,
+function createFleetMember(index: number, run: number): Member {
+  const fields = {
     region: `region-${index % 2}`,
     availabilityZone: `zone-${index % 7}`,
     incarnation: `${INCARNATION}-${run}`,
-    peers: address,
-    callers: address,
-    operators: address,
   };
+  const address = { host: '10.20.30.40', port: 7401 };
+  return createMember(`router-${String(index).padStart(3, '0')}`, fields, address);
 }
 
 function createRecord(offset: number, index: number, run: number) {
-  const data = JSON.stringify({ format: 1, kind: 'joined', member: createMember(index, run) });
+  const data = JSON.stringify({ format: 1, kind: 'joined', member: createFleetMember(index, run) });
   return { offset, timestampMs: offset, data };
 }
 
 async function measureFold(count: number) {
-  const task = MembershipTask.create(createMember(0, 0), SystemClock.create());
+  const task = MembershipTask.create(createFleetMember(0, 0), SystemClock.create());
   task.run();
   const joins = Array.from({ length: count }, (_, index) => createRecord(index + 1, index, 0));
   task.send({ kind: 'records', records: joins });
--- a/bench/modules/module-vm.ts
+++ b/bench/modules/module-vm.ts
@@ -1,3 +1,4 @@
+import { createMember, ORDINARY_PRESET, registerFake } from '../../harness/module-fakes.js';
 import { SharedAdmission } from '../../src/admission/shared-admission.js';
 import type { BackendServer } from '../../src/domain/backend-server.js';
 import { Channel } from '../../src/kernel/channel.js';
@@ -5,7 +6,6 @@
 import { Kernel } from '../../src/kernel/kernel.js';
 import { succeed } from '../../src/kernel/outcome.js';
 import type { Services } from '../../src/kernel/service.js';
-import type { Member } from '../../src/membership/membership.js';
 import type { EngineLoad } from '../../src/routing/routing.js';
 import { SubsetRouting } from '../../src/routing/subset-routing.js';
 import type { Settings } from '../../src/settings/schema.js';
@@ -38,10 +38,6 @@
   readonly random: () => number;
 }
 
-const PRESET = {
-  ...{ name: 'ordinary', rateFactor: 1, queueMs: 1000, firstTokenMs: 330, betweenTokensMs: 78 },
-  ...{ affinityTokens: 4096, reservedSlots: 0, maintenance: false },
-};
 const LONG_QUEUE_MS = 10_000;
 
 /**
@@ -92,7 +88,7 @@
 }
 
 function registerFakes(kernel: Kernel, plan: VmPlan): void {
-  const register = (name: keyof Services, fake: object) => kernel.register(name, fake as never);
+  const register = (name: keyof Services, fake: object) => registerFake(kernel, name, fake);
   const silent = () => Channel.create<never>().stream();
   const { self, epoch } = createEpoch(plan);
   register('membership', {
@@ -119,18 +115,14 @@
 }
 
 function createEpoch({ name, zone }: VmPlan) {
-  const address = { host: '127.0.0.1', port: 1 };
-  const self: Member = {
-    ...{ name, vm: name, incarnation: '1', region: 'r', availabilityZone: zone },
-    ...{ peers: address, callers: address, operators: address },
-  };
+  const self = createMember(name, { region: 'r', availabilityZone: zone });
   return { self, epoch: { epoch: 1, members: [self] } };
 }
 
 function createState({ policy, teams, engines }: VmPlan) {
   const affinity = policy.followsPrefixes ? {} : { affinityTokens: -1 };
   const queue = policy.refusesEarly ? {} : { queueMs: LONG_QUEUE_MS };
-  const preset = { ...PRESET, ...policy.preset, ...affinity, ...queue };
+  const preset = { ...ORDINARY_PRESET, ...policy.preset, ...affinity, ...queue };
   return {
     teams: new Map(teams.map((team) => [team.name, team])),
     presets: new Map([['ordinary', preset]]),
--- a/bench/routing-cost.ts
+++ b/bench/routing-cost.ts
@@ -6,11 +6,11 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
+import { registerFake } from '../harness/module-fakes.js';
 import type { EngineServer } from '../src/domain/backend-server.js';
 import type { ModelRequest } from '../src/domain/request.js';
 import { Kernel } from '../src/kernel/kernel.js';
 import { ManualClock } from '../src/kernel/manual-clock.js';
-import { Service, type Services } from '../src/kernel/service.js';
 import { PrefixIndex } from '../src/routing/prefix-index.js';
 import { SubsetRouting } from '../src/routing/subset-routing.js';
 import type { Settings } from '../src/settings/schema.js';
@@ -84,12 +84,8 @@
     models: new Map([['planner', { kvBlockTokens: 2048, bytesPerToken: 4 }]]),
     servers: new Map(servers.map((server) => [server.name, server])),
   };
-  const register = (name: keyof Services, members: object) => {
-    const service = Object.assign(new (class extends Service {})(), members);
-    kernel.register(name, service);
-  };
-  register('configuration', { current: () => state });
-  register('admission', { capacityChanged: () => {} });
+  registerFake(kernel, 'configuration', { current: () => state });
+  registerFake(kernel, 'admission', { capacityChanged: () => {} });
   return kernel;
 }
 
--- a/bench/soak/events.ts
+++ b/bench/soak/events.ts
@@ -1,5 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
+import { daemonNamed } from '../../harness/find-daemon.js';
 import type { Fleet, FleetDaemon } from '../../harness/fleet.js';
 import { waitFor } from '../../harness/wait-for.js';
 import { createKey } from '../../src/configuration/keys.js';
@@ -134,10 +135,7 @@
   }
 
   private daemon(index: number): FleetDaemon {
-    const name = `vm-${index + 1}`;
-    const daemon = this.fleet.daemons.find((one) => one.name === name);
-    if (!daemon) throw new Error(`no daemon ${name}`);
-    return daemon;
+    return daemonNamed(this.fleet, `vm-${index + 1}`);
   }
 
   private async kill(daemon: FleetDaemon, forMs: number): Promise<string> {
--- a/bench/soak/invariants.ts
+++ b/bench/soak/invariants.ts
@@ -9,6 +9,7 @@
 } from '../../harness/engine-record.js';
 import type { Fleet } from '../../harness/fleet.js';
 import { MODEL } from '../../harness/plans.js';
+import { listRuns } from '../../harness/token-runs.js';
 import { computeAnswer } from '../../stand-ins/answer-text.js';
 import type { SoakCompletion, SoakJournal } from './journal.js';
 import { findOverspending, type Spending } from './spending.js';
@@ -149,25 +150,13 @@
   return createResult('tokens ≤ burst + rate × window', checked, violations);
 }
 
-/** An attempt is recorded by its prefill and its decode engine and counted once. */
 function listSpending(
   team: string,
   attempts: readonly RecordedAttempt[],
   effects: readonly RecordedEffect[],
 ): Spending[] {
-  const byAttempt = new Map<string, { atMs: number; prompt: number; completion: number }>();
-  attempts
-    .filter((one) => one.team === team)
-    .forEach(({ attemptId, startedMs, promptTokens, completionTokens }) => {
-      const known = byAttempt.get(attemptId);
-      byAttempt.set(attemptId, {
-        atMs: Math.min(known?.atMs ?? Infinity, startedMs),
-        prompt: Math.max(known?.prompt ?? 0, promptTokens),
-        completion: Math.max(known?.completion ?? 0, completionTokens),
-      });
-    });
-  const ofModels = [...byAttempt.values()].map(({ atMs, prompt, completion }) => ({
-    ...{ atMs, tokens: prompt + completion },
+  const ofModels = listRuns(attempts, team).map(({ startedMs, tokens }) => ({
+    ...{ atMs: startedMs, tokens },
   }));
   const ofServices = effects
     .filter((one) => one.team === team)
--- a/features/steps/backends-steps.ts
+++ b/features/steps/backends-steps.ts
@@ -2,6 +2,7 @@
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
+import { registerFake } from '../../harness/module-fakes.js';
 import type { DecodeEvent, Engine, EngineCall } from '../../src/backends/engine.js';
 import type { EngineFailure } from '../../src/backends/engine-failure.js';
 import { HttpBackends } from '../../src/backends/http-backends.js';
@@ -12,12 +13,7 @@
 import type { EngineLoad } from '../../src/routing/routing.js';
 import { FakeEngine, type EngineFault } from '../support/fake-engine.js';
 import { FakePlainService } from '../support/fake-plain-service.js';
-import {
-  createFakeServices,
-  registerFake,
-  waitUntil,
-  type FakeServices,
-} from '../support/fake-services.js';
+import { createFakeServices, waitUntil, type FakeServices } from '../support/fake-services.js';
 
 interface BackendsState {
   fakes: FakeServices;
--- a/features/steps/configuration-steps.ts
+++ b/features/steps/configuration-steps.ts
@@ -10,7 +10,7 @@
 import { findNewestSnapshot } from '../../src/configuration/snapshot-assembly.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
 import type { LogRecord } from '../../src/platform/log-service.js';
-import { waitFor } from '../support/configuration-fixtures.js';
+import { waitFor } from '../../harness/wait-for.js';
 import { ConfigurationFleet, type ConfigurationNode } from '../support/configuration-fleet.js';
 import { FOLD_PROPERTIES } from '../support/configuration-properties.js';
 import {
@@ -286,7 +286,7 @@
     const { log } = getFleet();
     const text = `{"kind":"withdraw-key","keyId":"${keyId}"}`;
     const isLogged = () => log.stored.some((record) => record.data.includes(text));
-    await waitFor('the withdrawal in the log', isLogged, 10_000);
+    await waitFor('the withdrawal in the log', isLogged, { deadlineMs: 10_000 });
   },
 );
 
--- a/features/steps/crash-prone-steps.ts
+++ b/features/steps/crash-prone-steps.ts
@@ -2,9 +2,10 @@
 
 import { Given, Then, When, world } from '@cucumber/cucumber';
 
+import { daemonOf } from '../../harness/find-daemon.js';
 import { callCompletion, type CallerAnswer } from '../../harness/caller-client.js';
 import { MODEL } from '../../harness/plans.js';
-import { daemonAt, startGuaranteeFleet, type GuaranteeWorld } from '../support/guarantees-fleet.js';
+import { startGuaranteeFleet, type GuaranteeWorld } from '../support/guarantees-fleet.js';
 import {
   assertWhole,
   beginStream,
@@ -38,7 +39,7 @@
 
 Given('crash-prone bystanders that run on the engines', async () => {
   scenario.bystanders = Array.from({ length: BYSTANDERS }, (_, index) =>
-    beginStream(daemonAt(scenario.fleet, index % DAEMONS), {
+    beginStream(daemonOf(scenario.fleet, 1 + (index % DAEMONS)), {
       ...{ key: scenario.crewKey, prompt: `bystander ${index}`, maxTokens: 80 },
     }),
   );
@@ -48,7 +49,7 @@
 When('the crash-prone request is sent again and again through all daemons', async () => {
   scenario.answers = [];
   for (let index = 0; index < SENDINGS; index += 1) {
-    const answer = await callCompletion(daemonAt(scenario.fleet, index % DAEMONS).callers, {
+    const answer = await callCompletion(daemonOf(scenario.fleet, 1 + (index % DAEMONS)).callers, {
       ...{ model: MODEL, key: scenario.visitorKey, prompt: CRASH_TEXT, maxTokens: 20 },
     });
     scenario.answers.push(answer);
@@ -92,6 +93,6 @@
 async function sendAgain({ key, prompt, maxTokens }: RunningStream) {
   const index = Number(prompt.split(' ').at(-1)) + 1;
   await assertWhole(
-    beginStream(daemonAt(scenario.fleet, index % DAEMONS), { key, prompt, maxTokens }),
+    beginStream(daemonOf(scenario.fleet, 1 + (index % DAEMONS)), { key, prompt, maxTokens }),
   );
 }
--- a/features/steps/engine-memory-steps.ts
+++ b/features/steps/engine-memory-steps.ts
@@ -2,10 +2,10 @@
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
+import { daemonOf } from '../../harness/find-daemon.js';
 import type { FleetDaemon } from '../../harness/fleet.js';
 import {
   CREW,
-  daemonAt,
   startGuaranteeFleet,
   VISITORS,
   type GuaranteeWorld,
@@ -62,7 +62,7 @@
     const others = scenario.fleet.daemons.slice(first - 1);
     scenario.streams = Array.from({ length: CREW_STREAMS }, (_, index) => {
       const prompt = `crew survey ${index}`;
-      const daemon = others[index % others.length] ?? daemonAt(scenario.fleet, 0);
+      const daemon = others[index % others.length] ?? daemonOf(scenario.fleet, 1);
       return beginStream(daemon, { key: scenario.crewKey, prompt, maxTokens });
     });
     await waitForTokens(scenario.streams);
@@ -76,7 +76,7 @@
     prompt: promptFor(scenario.phase),
     maxTokens: VISIT_TOKENS,
   };
-  scenario.visits.push(beginStream(daemonAt(scenario.fleet, daemon - 1), plan));
+  scenario.visits.push(beginStream(daemonOf(scenario.fleet, daemon), plan));
   await waitForPhase(scenario, scenario.phase, daemon - 1);
 });
 
@@ -84,7 +84,7 @@
   'an engine-memory visit of {int} tokens is sent to daemon {int}',
   (maxTokens: number, daemon: number) => {
     const plan = { key: scenario.visitorKey, prompt: promptFor(scenario.phase), maxTokens };
-    scenario.visits.push(beginStream(daemonAt(scenario.fleet, daemon - 1), plan));
+    scenario.visits.push(beginStream(daemonOf(scenario.fleet, daemon), plan));
   },
 );
 
@@ -93,7 +93,7 @@
 });
 
 When('engine-memory daemon {int} is {word}', async (daemon: number, event: string) => {
-  const { process } = daemonAt(scenario.fleet, daemon - 1);
+  const { process } = daemonOf(scenario.fleet, daemon);
   if (event === 'frozen') process.pause();
   else await process.kill();
   (event === 'frozen' ? scenario.frozen : scenario.killed).push(daemon - 1);
@@ -133,7 +133,7 @@
 Then('no engine-memory visit comes back', async () => {
   await scenario.fleet.servers.get('decode-1')?.clearFaults();
   const before = await listAttempts(scenario.fleet, VISITORS);
-  scenario.frozen.forEach((index) => daemonAt(scenario.fleet, index).process.resume());
+  scenario.frozen.forEach((index) => daemonOf(scenario.fleet, index + 1).process.resume());
   if (scenario.frozen.length > 0) await endVisits();
   const daemons = scenario.fleet.daemons.filter((_, index) => !scenario.killed.includes(index));
   await Promise.all(daemons.map((daemon) => scenario.fleet.waitReady(daemon)));
--- a/features/steps/engine-stand-in-steps.ts
+++ b/features/steps/engine-stand-in-steps.ts
@@ -79,8 +79,8 @@
 
 async function decode(
   attemptId: string,
-  prompt: string,
   maxTokens: number,
+  prompt: string,
   options: { source?: EngineName; tokens?: number } = {},
 ): Promise<void> {
   const { decode: target } = scenario.engines;
@@ -96,7 +96,7 @@
   attemptId: string,
   maxTokens: number,
   fromIndex: number,
-  tokens?: number,
+  tokens = Infinity,
 ): Promise<void> {
   const { reservationId, streams } = findDecoding(attemptId);
   const body = { ...buildAttempt(attemptId), reservationId, maxTokens, fromIndex };
@@ -150,40 +150,30 @@
   await findEngine(name).setState(JSON.parse(state));
 });
 
-When(
-  'the engine attempt {string} decodes {int} tokens of {string}',
-  async (attemptId: string, maxTokens: number, prompt: string) => {
-    await decode(attemptId, prompt, maxTokens);
-  },
-);
+When('the engine attempt {string} decodes {int} tokens of {string}', decode);
 
 When(
   'the engine attempt {string} decodes {int} tokens of {string} on the decode engine alone',
   async (attemptId: string, maxTokens: number, prompt: string) => {
-    await decode(attemptId, prompt, maxTokens, { source: 'decode' });
+    await decode(attemptId, maxTokens, prompt, { source: 'decode' });
   },
 );
 
 When(
   'the engine attempt {string} decodes {int} tokens of {string} and disconnects after {int}',
   async (id: string, max: number, prompt: string, tokens: number) => {
-    await decode(id, prompt, max, { tokens });
+    await decode(id, max, prompt, { tokens });
   },
 );
 
 When(
   'the engine attempt {string} decodes {int} tokens of {string} and meets a crash',
   async (id: string, maxTokens: number, prompt: string) => {
-    await assert.rejects(decode(id, prompt, maxTokens), /closed|ECONNRESET/);
+    await assert.rejects(decode(id, maxTokens, prompt), /closed|ECONNRESET/);
   },
 );
 
-When(
-  'the engine attempt {string} resumes {int} tokens from index {int}',
-  async (attemptId: string, maxTokens: number, fromIndex: number) => {
-    await readMore(attemptId, maxTokens, fromIndex);
-  },
-);
+When('the engine attempt {string} resumes {int} tokens from index {int}', readMore);
 
 Then(
   'the engine answer of {string} is whole and belongs to {string} with {int} tokens',
@@ -213,16 +203,9 @@
   },
 );
 
-When(
-  'the engine attempt {string} reserves {int} blocks',
-  async (attemptId: string, blocks: number) => {
-    await reserve(attemptId, blocks);
-  },
-);
+When('the engine attempt {string} reserves {int} blocks', reserve);
 
-When('the engine attempt {string} prefills {string}', async (attemptId: string, prompt: string) => {
-  await prefill(attemptId, prompt);
-});
+When('the engine attempt {string} prefills {string}', prefill);
 
 When(
   'the engine attempt {string} prefills {string} and is late with its transfer',
@@ -236,9 +219,7 @@
   },
 );
 
-When('the engine attempt {string} is cancelled', async (attemptId: string) => {
-  await cancel(attemptId);
-});
+When('the engine attempt {string} is cancelled', cancel);
 
 When(
   'the engine attempt {string} is cancelled while it prefills {int} tokens',
--- a/features/steps/execution-reaper-steps.ts
+++ b/features/steps/execution-reaper-steps.ts
@@ -2,6 +2,7 @@
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
+import { registerFake } from '../../harness/module-fakes.js';
 import type { BackendServer } from '../../src/domain/backend-server.js';
 import type { Incarnation } from '../../src/domain/vm.js';
 import { ObservingHoldReaper } from '../../src/execution/observing-hold-reaper.js';
@@ -9,7 +10,7 @@
 import { ManualClock } from '../../src/kernel/manual-clock.js';
 import { succeed } from '../../src/kernel/outcome.js';
 import type { PeerHandlers } from '../../src/peers/peers.js';
-import { createState, registerFake, waitUntil } from '../support/fake-services.js';
+import { createState, waitUntil } from '../support/fake-services.js';
 import { createEngineServer } from '../support/servers.js';
 
 interface ReaperState {
--- a/features/steps/guarantees-caller-input-steps.ts
+++ b/features/steps/guarantees-caller-input-steps.ts
@@ -2,6 +2,7 @@
 
 import { Given, Then, When, type DataTable, world } from '@cucumber/cucumber';
 
+import { daemonOf } from '../../harness/find-daemon.js';
 import { readEffects, readEngines } from '../../harness/engine-record.js';
 import { MODEL } from '../../harness/plans.js';
 import { waitFor } from '../../harness/wait-for.js';
@@ -10,7 +11,6 @@
 import {
   ORDERS,
   checkOrders,
-  daemonOf,
   readOrderEffects,
   sendOrder,
   startOrderFleet,
--- a/features/steps/guarantees-confidentiality-steps.ts
+++ b/features/steps/guarantees-confidentiality-steps.ts
@@ -8,7 +8,7 @@
 import { MODEL, planSmallFleet } from '../../harness/plans.js';
 import { waitFor } from '../../harness/wait-for.js';
 import { receiveDatagrams, type DatagramReceiver } from '../support/guarantees-datagrams.js';
-import { askEntryAddresses } from '../support/guarantees-entry.js';
+import { askEntryAddresses } from '../../harness/entry-addresses.js';
 import {
   KEYED_ROUTES,
   OPEN_ROUTE,
--- a/features/steps/guarantees-configuration-steps.ts
+++ b/features/steps/guarantees-configuration-steps.ts
@@ -2,6 +2,7 @@
 
 import { After, type DataTable, Given, Then, When, World, world } from '@cucumber/cucumber';
 
+import { daemonNamed, daemonOf } from '../../harness/find-daemon.js';
 import { callService } from '../../harness/caller-client.js';
 import { runCtl } from '../../harness/ctl.js';
 import { type Fleet, startFleet } from '../../harness/fleet.js';
@@ -10,7 +11,6 @@
 import { waitFor } from '../../harness/wait-for.js';
 import { FAULT_SCRIPTS, type FaultyChange } from '../support/guarantees-configuration-faults.js';
 import {
-  daemonOf,
   IN_FORCE_MS,
   planConfiguredFleet,
   readAllConfigurations,
@@ -19,11 +19,7 @@
   sendChange,
   waitUntilShown,
 } from '../support/guarantees-configuration-fleet.js';
-import {
-  byName,
-  COMMAND_STATES,
-  fillCommand,
-} from '../support/guarantees-configuration-commands.js';
+import { COMMAND_STATES, fillCommand } from '../support/guarantees-configuration-commands.js';
 import { RACES, runRace } from '../support/guarantees-configuration-races.js';
 import { ConfigurationWatch } from '../../harness/configuration-watch.js';
 
@@ -144,7 +140,7 @@
   const newest = scenario.configuredChange.answer.version;
   for (const { command = '', code, prints = '' } of commands.hashes()) {
     const args = fillCommand(command, { newest, stale: scenario.configuredStale });
-    const run = await runCtl(byName(fleet, 'vm-1').operators, args);
+    const run = await runCtl(daemonNamed(fleet, 'vm-1').operators, args);
     assert.equal(run.code, Number(code), `${command}: ${run.stderr || run.stdout}`);
     assert.ok(run.stdout.includes(prints), run.stdout);
   }
--- a/features/steps/guarantees-order-fault-steps.ts
+++ b/features/steps/guarantees-order-fault-steps.ts
@@ -1,11 +1,11 @@
 import { When, world } from '@cucumber/cucumber';
 
+import { daemonOf } from '../../harness/find-daemon.js';
 import { waitFor } from '../../harness/wait-for.js';
 import { addYardDelay, waitForEffect, waitForRecord } from '../support/guarantees-order-phases.js';
 import {
   EXECUTION_STREAMS,
   ORDER_TIMEOUT_MS,
-  daemonOf,
   sendOrder,
   type OrderWorld,
 } from '../support/guarantees-orders.js';
--- a/features/steps/guarantees-order-steps.ts
+++ b/features/steps/guarantees-order-steps.ts
@@ -2,12 +2,12 @@
 
 import { Given, Then, When, world } from '@cucumber/cucumber';
 
+import { daemonOf } from '../../harness/find-daemon.js';
 import { waitFor } from '../../harness/wait-for.js';
 import { ORDER_PHASES, addYardDelay } from '../support/guarantees-order-phases.js';
 import {
   INTENT_MS,
   checkOrders,
-  daemonOf,
   describeAnswer,
   readOrderRecords,
   sendOrder,
--- a/features/steps/guarantees-whole-service-steps.ts
+++ b/features/steps/guarantees-whole-service-steps.ts
@@ -2,6 +2,7 @@
 
 import { Then, When, world } from '@cucumber/cucumber';
 
+import { daemonOf } from '../../harness/find-daemon.js';
 import { callService, type CallerAnswer } from '../../harness/caller-client.js';
 import { readEffects } from '../../harness/engine-record.js';
 import { createIdempotencyKey } from '../../harness/idempotency-key.js';
@@ -10,7 +11,6 @@
   ORDERS,
   ORDER_TIMEOUT_MS,
   checkOrders,
-  daemonOf,
   sendOrder,
   type OrderWorld,
 } from '../support/guarantees-orders.js';
--- a/features/steps/leaving-server-steps.ts
+++ b/features/steps/leaving-server-steps.ts
@@ -3,9 +3,10 @@
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
+import { daemonOf } from '../../harness/find-daemon.js';
 import { readEngines, type RecordedEffect } from '../../harness/engine-record.js';
 import { waitFor } from '../../harness/wait-for.js';
-import { daemonAt, startGuaranteeFleet, type GuaranteeWorld } from '../support/guarantees-fleet.js';
+import { startGuaranteeFleet, type GuaranteeWorld } from '../support/guarantees-fleet.js';
 import { lookUpJob } from '../support/guarantees-services.js';
 import {
   assertWhole,
@@ -122,7 +123,7 @@
   'leaving-server streams of {int} tokens that run on the servers',
   async (maxTokens: number) => {
     scenario.streams = Array.from({ length: 8 }, (_, index) =>
-      beginStream(daemonAt(scenario.fleet, index % 2), {
+      beginStream(daemonOf(scenario.fleet, 1 + (index % 2)), {
         ...{ key: scenario.crewKey, prompt: `long ${index}`, maxTokens },
       }),
     );
--- a/features/steps/membership-steps.ts
+++ b/features/steps/membership-steps.ts
@@ -4,7 +4,7 @@
 
 import type { Incarnation } from '../../src/domain/vm.js';
 import { type MemberDaemon, MemberFleet } from '../support/membership/member-fleet.js';
-import { waitFor, waitUntil } from '../support/membership/waits.js';
+import { sleepFast, waitUntil } from '../support/membership/waits.js';
 
 interface MembershipWorld {
   fleet: MemberFleet | undefined;
@@ -199,7 +199,7 @@
 When('the VM list drops member {int}', async (index: number) => {
   const { listing } = findFleet(scenario);
   // The list is read once a second; it must have shown the VM before.
-  await waitFor(2000);
+  await sleepFast(2000);
   listing.vms = listing.vms.filter(({ name }) => name !== `vm-${index}`);
 });
 
@@ -225,7 +225,7 @@
     await waitUntil('the leases are live', isLive, 10_000);
     for (let sample = 0; sample < seconds * 20; sample += 1) {
       daemons.forEach(({ name, membership }) => assert.ok(membership.leaseLive(), name));
-      await waitFor(50);
+      await sleepFast(50);
     }
   },
 );
--- a/features/steps/operators-steps.ts
+++ b/features/steps/operators-steps.ts
@@ -3,7 +3,7 @@
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
-import { waitFor } from '../support/configuration-fixtures.js';
+import { waitFor } from '../../harness/wait-for.js';
 import { ConfigurationFleet, type ConfigurationNode } from '../support/configuration-fleet.js';
 
 const TOKEN = 'operator-token-of-the-test';
--- a/features/steps/peers-steps.ts
+++ b/features/steps/peers-steps.ts
@@ -11,7 +11,8 @@
 import { ConnectPeers } from '../../src/peers/connect-peers.js';
 import type { PeerClient } from '../../src/peers/peers.js';
 import { RecordSources } from '../../src/peers/record-sources.js';
-import { findFreePort } from '../support/membership/waits.js';
+import { createMember } from '../../harness/module-fakes.js';
+import { findFreePorts } from '../../harness/free-ports.js';
 
 interface PeersWorld {
   port: number;
@@ -41,7 +42,7 @@
 }
 
 async function startServer(): Promise<void> {
-  const port = await findFreePort();
+  const [port = 0] = await findFreePorts(1);
   const server = await listen(port);
   // The server is looked up when it is stopped, because a scenario may replace it.
   Object.assign(scenario, { port, server, stops: [() => scenario.server.stop()] });
@@ -196,18 +197,12 @@
   Object.assign(scenario, { stops: [], decisions: [], kernels: [] });
   const members: Member[] = [];
   for (let index = 0; index < count; index += 1) {
-    const peers = { host, port: await findFreePort() };
+    const [port = 0] = await findFreePorts(1);
+    const peers = { host, port };
     const name = `vm-${index}`;
     const availabilityZone = zones.split(',')[index] ?? '';
     const vm = { name, region: 'region', availabilityZone };
-    members.push({
-      ...vm,
-      vm: name,
-      incarnation: 'i',
-      peers,
-      callers: peers,
-      operators: peers,
-    });
+    members.push(createMember(name, { ...vm, incarnation: 'i' }, peers));
     const kernel = Kernel.create();
     const self = members[index];
     const membership = { self: () => self, current: () => ({ epoch: 1, members }) };
--- a/features/steps/platform-steps.ts
+++ b/features/steps/platform-steps.ts
@@ -179,9 +179,7 @@
   if (state === 'one-way') relay.delay('to-client', 2 * TIMEOUT_MS);
 });
 
-When('the platform adapter appends {string}', async (list: string) => {
-  await append(list);
-});
+When('the platform adapter appends {string}', append);
 
 When('the platform adapter reads once', async () => {
   await read();
--- a/features/steps/routing-steps.ts
+++ b/features/steps/routing-steps.ts
@@ -2,6 +2,7 @@
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
+import { registerFake } from '../../harness/module-fakes.js';
 import type { BackendServer, EngineServer, PlainServer } from '../../src/domain/backend-server.js';
 import type { ModelRequest } from '../../src/domain/request.js';
 import { ManualClock } from '../../src/kernel/manual-clock.js';
@@ -10,12 +11,7 @@
 import type { Assignment, EngineLoad } from '../../src/routing/routing.js';
 import { selectSubset } from '../../src/routing/subset.js';
 import { SubsetRouting } from '../../src/routing/subset-routing.js';
-import {
-  createFakeServices,
-  createState,
-  registerFake,
-  type FakeServices,
-} from '../support/fake-services.js';
+import { createFakeServices, createState, type FakeServices } from '../support/fake-services.js';
 import { createEngineServer } from '../support/servers.js';
 
 interface RoutingState {
--- a/features/steps/shutting-down-steps.ts
+++ b/features/steps/shutting-down-steps.ts
@@ -2,13 +2,14 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { Given, Then, When, world } from '@cucumber/cucumber';
-import { request } from 'undici';
 
+import { askEntryAddresses } from '../../harness/entry-addresses.js';
+import { daemonOf } from '../../harness/find-daemon.js';
 import { readEffects } from '../../harness/engine-record.js';
 import type { FleetDaemon } from '../../harness/fleet.js';
 import { waitFor } from '../../harness/wait-for.js';
 import { readReadiness } from '../support/guarantees-entry.js';
-import { daemonAt, startGuaranteeFleet, type GuaranteeWorld } from '../support/guarantees-fleet.js';
+import { startGuaranteeFleet, type GuaranteeWorld } from '../support/guarantees-fleet.js';
 import { JOBS, openKeepAliveCaller, ORDERS, placeOrder } from '../support/guarantees-services.js';
 import { assertWhole, beginStream, waitForTokens } from '../support/guarantees-streams.js';
 
@@ -22,11 +23,6 @@
 
 type LoadName = 'streams' | 'orders' | 'orders in an outage' | 'keep-alive callers';
 
-interface EntryAnswer {
-  readonly addresses: readonly { readonly vm: string }[];
-  readonly validForMs: number;
-}
-
 const VALID_FOR_MS = 1500;
 
 const ORDER_COUNT = 10;
@@ -37,14 +33,6 @@
 /** How long the log is out, in milliseconds: beyond the last answer, within the deadline. */
 const OUTAGE_MS = 4000;
 
-async function askEntry(daemon: FleetDaemon, key: string): Promise<EntryAnswer> {
-  const { host, port } = daemon.callers;
-  const headers = { authorization: `Bearer ${key}` };
-  const url = `http://${host}:${port}/v1/entry-addresses`;
-  const answer = await request(url, { headers, reset: true });
-  return (await answer.body.json()) as EntryAnswer;
-}
-
 function others(): readonly FleetDaemon[] {
   return scenario.fleet.daemons.filter((daemon) => daemon !== scenario.leaving);
 }
@@ -57,7 +45,7 @@
   let count = 0;
   while (performance.now() < validUntilMs) {
     const askedMs = performance.now();
-    const entry = await askEntry(adviser, crewKey);
+    const entry = await askEntryAddresses(adviser, crewKey);
     if (entry.addresses.some(({ vm }) => vm === leaving.name)) {
       validUntilMs = askedMs + entry.validForMs;
     }
@@ -114,10 +102,12 @@
     timeouts: { shutdownMs: 10_000 },
   };
   await startGuaranteeFleet(scenario, { daemons, settings, serviceArgs: ['--service-ms', '1000'] });
-  const leaving = daemonAt(scenario.fleet, 0);
+  const leaving = daemonOf(scenario.fleet, 1);
   scenario.leaving = leaving;
   await waitFor('every daemon to name the one that will leave', async () => {
-    const entries = await Promise.all(others().map((each) => askEntry(each, scenario.crewKey)));
+    const entries = await Promise.all(
+      others().map((each) => askEntryAddresses(each, scenario.crewKey)),
+    );
     return entries.every(({ addresses }) => addresses.some(({ vm }) => vm === leaving.name));
   });
 });
@@ -144,7 +134,9 @@
 Then('no shutting-down entry answer names it after {int} s', async (seconds: number) => {
   const deadlineMs = seconds * 1000;
   const isNamed = async () => {
-    const entries = await Promise.all(others().map((each) => askEntry(each, scenario.crewKey)));
+    const entries = await Promise.all(
+      others().map((each) => askEntryAddresses(each, scenario.crewKey)),
+    );
     return entries.some(({ addresses }) =>
       addresses.some(({ vm }) => vm === scenario.leaving.name),
     );
--- a/features/support/admission-fleet.ts
+++ b/features/support/admission-fleet.ts
@@ -1,5 +1,6 @@
 import { setImmediate as flush } from 'node:timers/promises';
 
+import { createMember, ORDINARY_PRESET, registerFake, ZONES } from '../../harness/module-fakes.js';
 import { SharedAdmission } from '../../src/admission/shared-admission.js';
 import type { Admission } from '../../src/admission/admission.js';
 import type { Grant } from '../../src/admission/grant.js';
@@ -52,19 +53,6 @@
 
 type Handler = (call: object) => Promise<Record<string, unknown>>;
 
-const ZONES = ['sando', 'couva', 'penal'];
-
-const PRESET: Preset = {
-  name: 'ordinary',
-  rateFactor: 1,
-  queueMs: 1000,
-  firstTokenMs: 330,
-  betweenTokensMs: 78,
-  affinityTokens: 4096,
-  reservedSlots: 0,
-  maintenance: false,
-};
-
 /** Several SharedAdmission instances in one process, on one manual clock. */
 export class AdmissionFleet {
   readonly clock = ManualClock.create(1_000_000);
@@ -86,7 +74,7 @@
 
   private readonly teams = new Map<string, Team>();
 
-  private preset = PRESET;
+  private preset = ORDINARY_PRESET;
 
   private version = 1;
 
@@ -100,7 +88,7 @@
   ): Promise<AdmissionFleet> {
     const fleet = new AdmissionFleet();
     teams.forEach((team) => fleet.teams.set(team.name, team));
-    const members = Array.from({ length: count }, (_, index) => createMember(index + 1));
+    const members = Array.from({ length: count }, (_, index) => createFleetMember(index + 1));
     fleet.epochs.push({ epoch: 1, members });
     for (const member of members) await fleet.startVm(member, homeCount);
     await fleet.advance(10_000, 500);
@@ -171,7 +159,7 @@
 
   /** Adds a VM; the others learn of it when they fold the epoch. */
   async join(index: number): Promise<FleetVm> {
-    const member = createMember(index);
+    const member = createFleetMember(index);
     this.append([...this.members(), member]);
     return this.startVm(member, 2);
   }
@@ -237,8 +225,7 @@
   }
 
   private registerFakes(vm: FleetVm): void {
-    const register = (name: keyof Services, fake: object) =>
-      vm.kernel.register(name, fake as never);
+    const register = (name: keyof Services, fake: object) => registerFake(vm.kernel, name, fake);
     register('membership', {
       self: () => vm.member,
       joined: () => true,
@@ -353,17 +340,7 @@
   }
 }
 
-function createMember(index: number): Member {
-  const vm = `vm-${index}`;
-  const address = { host: '127.0.0.1', port: index };
-  return {
-    name: vm,
-    vm,
-    incarnation: `${index}`,
-    region: 'tt-south',
-    availabilityZone: ZONES[index % ZONES.length]!,
-    peers: address,
-    callers: address,
-    operators: address,
-  };
+function createFleetMember(index: number): Member {
+  const fields = { incarnation: `${index}`, availabilityZone: ZONES[index % ZONES.length] };
+  return createMember(`vm-${index}`, fields, { host: '127.0.0.1', port: index });
 }
--- a/features/support/admission-schedule.ts
+++ b/features/support/admission-schedule.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 
+import { createMember, ZONES } from '../../harness/module-fakes.js';
 import { HomeShares, type ShareFacts } from '../../src/admission/home-shares.js';
 import { computeTeamLimits, DISPATCH_DELAY_MS } from '../../src/admission/share-limits.js';
 import { ShareTable } from '../../src/admission/share-table.js';
@@ -10,8 +11,6 @@
 import { SkewedClock } from './skewed-clock.js';
 
 const TEAM = 'oval-crew';
-const ZONES = ['sando', 'couva', 'penal'];
-
 /** One step of a schedule; `who`, `whom` and `amount` are reduced to what exists. */
 export interface ScheduleStep {
   readonly kind: StepKind;
@@ -198,17 +197,8 @@
     const names = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i', 'j'];
     const free = names.filter((name) => !living.some((vm) => vm.member.vm === name));
     const name = free[seed % free.length]!;
-    const address = { host: '127.0.0.1', port: 1 };
-    const member: Member = {
-      name,
-      vm: name,
-      incarnation: `${this.nextId}`,
-      region: 'tt-south',
-      availabilityZone: ZONES[name.charCodeAt(0) % ZONES.length]!,
-      peers: address,
-      callers: address,
-      operators: address,
-    };
+    const availabilityZone = ZONES[name.charCodeAt(0) % ZONES.length];
+    const member = createMember(name, { incarnation: `${this.nextId}`, availabilityZone });
     this.append([...(this.epochs.at(-1)?.members ?? []), member]);
     const vm: SimulatedVm = {
       member,
--- a/features/support/configuration-fleet.ts
+++ b/features/support/configuration-fleet.ts
@@ -1,5 +1,6 @@
 import { Code, ConnectError } from '@connectrpc/connect';
 
+import { createMember, registerFake } from '../../harness/module-fakes.js';
 import { FoldedConfiguration } from '../../src/configuration/folded-configuration.js';
 import { hashSecret } from '../../src/configuration/keys.js';
 import type { Address } from '../../src/domain/vm.js';
@@ -8,7 +9,7 @@
 import { ConnectOperatorEntry } from '../../src/operators/connect-operator-entry.js';
 import type { PeerClient, PeerHandlers } from '../../src/peers/peers.js';
 import { RecordSources } from '../../src/peers/record-sources.js';
-import { createMember, createSettings, registerFake } from './configuration-fixtures.js';
+import { createSettings } from './configuration-fixtures.js';
 import { FakeLog } from './fake-log.js';
 import { LogView } from './log-view.js';
 
@@ -85,7 +86,7 @@
     registerFake(kernel, 'log', node.view);
     registerFake(kernel, 'logs', { warn: () => undefined });
     registerFake(kernel, 'membership', {
-      self: () => createMember(vm, address),
+      self: () => createMember(vm, { incarnation: `${vm}-1` }, address),
       current: () => ({ epoch: 1, members: this.membersKnown ? this.listMembers() : [] }),
     });
     registerFake(kernel, 'vm-list', {
@@ -105,7 +106,9 @@
   }
 
   private listMembers(): unknown[] {
-    return this.nodes.map((node) => createMember(node.vm, node.address, node.operators));
+    return this.nodes.map(({ vm, address, operators }) =>
+      createMember(vm, { incarnation: `${vm}-1`, operators }, address),
+    );
   }
 
   private createClient(from: string, target: Address): PeerClient {
--- a/features/support/fake-services.ts
+++ b/features/support/fake-services.ts
@@ -1,3 +1,5 @@
+import { ORDINARY_PRESET, registerFake } from '../../harness/module-fakes.js';
+import { waitFor } from '../../harness/wait-for.js';
 import type { AdmissionRequest } from '../../src/admission/admission.js';
 import type { Grant } from '../../src/admission/grant.js';
 import type { ConfigurationState } from '../../src/configuration/configuration.js';
@@ -6,9 +8,9 @@
 import { Channel } from '../../src/kernel/channel.js';
 import { Kernel } from '../../src/kernel/kernel.js';
 import { fail, succeed } from '../../src/kernel/outcome.js';
-import { Service, type Services } from '../../src/kernel/service.js';
 import type { VmListing } from '../../src/platform/vm-list.js';
 import { settingsSchema, type Settings } from '../../src/settings/schema.js';
+import { createSettingsInput } from './configuration-fixtures.js';
 
 /** A grant that counts how often it was settled. */
 export interface FakeGrant extends Grant {
@@ -38,16 +40,6 @@
 }
 
 export function createState(servers: readonly BackendServer[], version = 1): ConfigurationState {
-  const preset = {
-    name: 'ordinary',
-    rateFactor: 1,
-    queueMs: 1000,
-    firstTokenMs: 330,
-    betweenTokensMs: 78,
-    affinityTokens: 4096,
-    reservedSlots: 0,
-    maintenance: false,
-  };
   const model = {
     name: 'planner',
     bytesPerToken: 4,
@@ -60,8 +52,8 @@
     teams: new Map(),
     keys: new Map(),
     withdrawnKeyIds: new Set(),
-    presets: new Map([[preset.name, preset]]),
-    presetInForce: preset.name,
+    presets: new Map([[ORDINARY_PRESET.name, ORDINARY_PRESET]]),
+    presetInForce: ORDINARY_PRESET.name,
     models: new Map([[model.name, model]]),
     routes: new Map(),
     servers: new Map(servers.map((server) => [server.name, server])),
@@ -70,30 +62,19 @@
 }
 
 export function createSettings(): Settings {
-  const listener = { host: '127.0.0.1', port: 1 };
-  return settingsSchema.parse({
-    vm: { name: 'vm1', region: 'r', availabilityZone: 'a' },
-    callers: listener,
-    peers: listener,
-    operators: { ...listener, tokenSha256: '0'.repeat(64) },
-    platform: {
-      log: { urls: ['http://127.0.0.1:1'] },
-      vmList: { url: 'http://127.0.0.1:1' },
-    },
-    timeouts: {
-      connectMs: 200,
-      engineMs: 150,
-      prefillMs: 200,
-      transferMs: 150,
-      betweenTokensMs: 150,
-      shutdownMs: 700,
-    },
-  });
-}
-
-export function registerFake(kernel: Kernel, name: keyof Services, members: object): void {
-  const service = Object.assign(new (class extends Service {})(), members);
-  kernel.register(name, service);
+  return settingsSchema.parse(
+    createSettingsInput({
+      vm: { name: 'vm1', region: 'r', availabilityZone: 'a' },
+      timeouts: {
+        connectMs: 200,
+        engineMs: 150,
+        prefillMs: 200,
+        transferMs: 150,
+        betweenTokensMs: 150,
+        shutdownMs: 700,
+      },
+    }),
+  );
 }
 
 export function createFakeServices(servers: readonly BackendServer[]): FakeServices {
@@ -185,13 +166,7 @@
   };
 }
 
-/** Waits for a condition, up to a deadline. */
-export async function waitUntil(condition: () => boolean, what: string, ms = 3000): Promise<void> {
-  const deadline = performance.now() + ms;
-  while (!condition()) {
-    if (performance.now() > deadline) throw new Error(`timed out waiting until ${what}`);
-    await new Promise((resolve) => {
-      setTimeout(resolve, 5);
-    });
-  }
+/** Waits until a condition holds, up to 3 s. */
+export async function waitUntil(condition: () => boolean, what: string): Promise<void> {
+  await waitFor(what, condition, { deadlineMs: 3000, everyMs: 5 });
 }
--- a/features/support/guarantees-bound.ts
+++ b/features/support/guarantees-bound.ts
@@ -1,8 +1,4 @@
-/** Tokens that one attempt ran, counted at its start. */
-export interface TokenRun {
-  readonly startedMs: number;
-  readonly tokens: number;
-}
+import type { TokenRun } from '../../harness/token-runs.js';
 
 /** Rate and burst of a team from one time until the next limits. */
 export interface LimitPhase {
--- a/features/support/guarantees-configuration-commands.ts
+++ b/features/support/guarantees-configuration-commands.ts
@@ -1,10 +1,6 @@
 import type { Fleet } from '../../harness/fleet.js';
-import {
-  type ChangeAnswer,
-  daemonOf,
-  readBase,
-  sendChange,
-} from './guarantees-configuration-fleet.js';
+import { daemonNamed, daemonOf } from '../../harness/find-daemon.js';
+import { type ChangeAnswer, readBase, sendChange } from './guarantees-configuration-fleet.js';
 
 /** Versions that the words of a command stand for. */
 export interface CommandVersions {
@@ -16,7 +12,7 @@
 export const COMMAND_STATES: Readonly<Record<string, (fleet: Fleet) => Promise<ChangeAnswer>>> = {
   'a change just accepted': (fleet) => switchToPeak(fleet),
   'daemon 3 frozen over it': (fleet) => {
-    byName(fleet, 'vm-3').process.pause();
+    daemonNamed(fleet, 'vm-3').process.pause();
     return switchToPeak(fleet);
   },
   'the log out': async (fleet) => {
@@ -26,24 +22,11 @@
   },
   'daemon 1 killed': async (fleet) => {
     const answer = await switchToPeak(fleet);
-    await byName(fleet, 'vm-1').process.kill();
+    await daemonNamed(fleet, 'vm-1').process.kill();
     return answer;
   },
 };
 
-/**
- * Finds a daemon by its name; the list of a fleet is in the order in which they became ready.
- *
- * @param fleet - a running fleet
- * @param name - for example `vm-1`
- * @returns the daemon
- */
-export function byName(fleet: Fleet, name: string) {
-  const daemon = fleet.daemons.find((one) => one.name === name);
-  if (!daemon) throw new Error(`no daemon ${name}`);
-  return daemon;
-}
-
 /**
  * Fills in the versions of a command.
  *
@@ -60,7 +43,7 @@
 }
 
 async function switchToPeak(fleet: Fleet): Promise<ChangeAnswer> {
-  const number = fleet.daemons.indexOf(byName(fleet, 'vm-2')) + 1;
+  const number = fleet.daemons.indexOf(daemonNamed(fleet, 'vm-2')) + 1;
   // Another daemon may be frozen and would not answer.
   const base = await readBase(fleet, 'preset-in-force', number);
   const answer = await sendChange(fleet, number, { kind: 'switch-preset', name: 'peak' }, base);
--- a/features/support/guarantees-configuration-faults.ts
+++ b/features/support/guarantees-configuration-faults.ts
@@ -1,9 +1,9 @@
 import type { Fleet, FleetDaemon, JsonChange } from '../../harness/fleet.js';
+import { daemonOf } from '../../harness/find-daemon.js';
 import { waitFor } from '../../harness/wait-for.js';
 import {
   appendDirectly,
   type ChangeAnswer,
-  daemonOf,
   readBase,
   restartOnReplica,
   sendChange,
--- a/features/support/guarantees-configuration-fleet.ts
+++ b/features/support/guarantees-configuration-fleet.ts
@@ -2,6 +2,7 @@
 
 import { request } from 'undici';
 
+import { daemonOf } from '../../harness/find-daemon.js';
 import type { Fleet, FleetDaemon, FleetPlan, JsonChange } from '../../harness/fleet.js';
 import { planChanges, planSmallFleet, type SmallFleet } from '../../harness/plans.js';
 import { waitFor } from '../../harness/wait-for.js';
@@ -45,19 +46,6 @@
   });
 }
 
-/**
- * Picks a daemon.
- *
- * @param fleet - a running fleet
- * @param number - counted from 1
- * @returns the daemon
- */
-export function daemonOf(fleet: Fleet, number: number): FleetDaemon {
-  const daemon = fleet.daemons[number - 1];
-  if (!daemon) throw new Error(`no daemon ${number}`);
-  return daemon;
-}
-
 /**
  * Sends a change as an operator.
  *
--- a/features/support/guarantees-entry.ts
+++ b/features/support/guarantees-entry.ts
@@ -1,38 +1,9 @@
 import { request } from 'undici';
 
+import { askEntryAddresses } from '../../harness/entry-addresses.js';
 import type { Fleet, FleetDaemon } from '../../harness/fleet.js';
 import { waitFor } from '../../harness/wait-for.js';
 
-/** What a daemon answers to `GET /v1/entry-addresses`. */
-export interface EntryAnswer {
-  readonly addresses: readonly { readonly vm: string; host: string; port: number }[];
-  readonly validForMs: number;
-}
-
-/**
- * Asks a daemon which addresses a caller should use.
- *
- * @param daemon - the daemon
- * @param key - key of the caller
- * @param signal - ends the call
- * @returns the answer; rejects when the daemon refuses or cannot be reached
- */
-export async function askEntryAddresses(
-  daemon: Pick<FleetDaemon, 'callers'>,
-  key: string,
-  signal?: AbortSignal,
-): Promise<EntryAnswer> {
-  const { host, port } = daemon.callers;
-  const answer = await request(`http://${host}:${port}/v1/entry-addresses`, {
-    headers: { authorization: `Bearer ${key}` },
-    reset: true,
-    signal,
-  });
-  const text = await answer.body.text();
-  if (answer.statusCode !== 200) throw new Error(`${answer.statusCode}: ${text}`);
-  return JSON.parse(text) as EntryAnswer;
-}
-
 /**
  * Finds the VMs that hold a team's shares; the entry answer names them first.
  *
--- a/features/support/guarantees-fleet.ts
+++ b/features/support/guarantees-fleet.ts
@@ -1,6 +1,4 @@
-import assert from 'node:assert/strict';
-
-import { startFleet, type Fleet, type FleetDaemon, type JsonChange } from '../../harness/fleet.js';
+import { startFleet, type Fleet, type JsonChange } from '../../harness/fleet.js';
 import { planChanges, planSmallFleet, type SmallFleet } from '../../harness/plans.js';
 import { waitFor } from '../../harness/wait-for.js';
 
@@ -65,19 +63,6 @@
   Object.assign(world, { fleet, crewKey: crew.text, visitorKey: visitor.text });
 }
 
-/**
- * Finds a daemon by its place.
- *
- * @param fleet - a running fleet
- * @param index - place from 0
- * @returns the daemon
- */
-export function daemonAt(fleet: Fleet, index: number): FleetDaemon {
-  const daemon = fleet.daemons[index];
-  assert.ok(daemon, `no daemon ${index}`);
-  return daemon;
-}
-
 /** Waits until every daemon has folded what the first one accepted. */
 async function waitForKeys(fleet: Fleet): Promise<void> {
   await waitFor('the keys to be known at every daemon', async () => {
--- a/features/support/guarantees-followers.ts
+++ b/features/support/guarantees-followers.ts
@@ -4,7 +4,7 @@
 import { callCompletion } from '../../harness/caller-client.js';
 import type { FleetDaemon } from '../../harness/fleet.js';
 import { MODEL } from '../../harness/plans.js';
-import { askEntryAddresses, type EntryAnswer } from './guarantees-entry.js';
+import { askEntryAddresses, type EntryAnswer } from '../../harness/entry-addresses.js';
 
 /** Callers that send at a fixed pace to the addresses that the fleet names. */
 export interface FollowerPlan {
--- a/features/support/guarantees-order-phases.ts
+++ b/features/support/guarantees-order-phases.ts
@@ -1,7 +1,7 @@
 import { waitFor } from '../../harness/wait-for.js';
+import { daemonOf } from '../../harness/find-daemon.js';
 import {
   EXECUTION_STREAMS,
-  daemonOf,
   readOrderEffects,
   readOrderRecords,
   sendOrder,
--- a/features/support/guarantees-orders.ts
+++ b/features/support/guarantees-orders.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 
+import { daemonOf } from '../../harness/find-daemon.js';
 import { callService, type CallerAnswer } from '../../harness/caller-client.js';
 import type { RecordedEffect } from '../../harness/engine-record.js';
-import { startFleet, type Fleet, type FleetDaemon } from '../../harness/fleet.js';
+import { startFleet, type Fleet } from '../../harness/fleet.js';
 import { createIdempotencyKey } from '../../harness/idempotency-key.js';
 import { planChanges, planSmallFleet, type SmallFleet } from '../../harness/plans.js';
 import {
@@ -69,19 +70,6 @@
   Object.assign(world, { fleet, callerKey: text, idempotencyKey, sent: [] });
 }
 
-/**
- * Picks a daemon.
- *
- * @param fleet - a running fleet
- * @param number - its number, from 1
- * @returns the daemon
- */
-export function daemonOf(fleet: Fleet, number: number): FleetDaemon {
-  const daemon = fleet.daemons[number - 1];
-  assert.ok(daemon, `no daemon ${number}`);
-  return daemon;
-}
-
 /**
  * Sends the order of a scenario.
  *
--- a/features/support/guarantees-phases.ts
+++ b/features/support/guarantees-phases.ts
@@ -1,5 +1,6 @@
 import { waitFor } from '../../harness/wait-for.js';
-import { daemonAt, VISITORS, type EngineOptions, type GuaranteeWorld } from './guarantees-fleet.js';
+import { daemonOf } from '../../harness/find-daemon.js';
+import { VISITORS, type EngineOptions, type GuaranteeWorld } from './guarantees-fleet.js';
 import { listAttempts } from './guarantees-records.js';
 
 /** Phase in which a request can be when it goes away. */
@@ -81,7 +82,7 @@
   daemon = 0,
 ): Promise<void> {
   const { recorded } = PHASES[phase];
-  const vm = daemonAt(world.fleet, daemon);
+  const vm = daemonOf(world.fleet, daemon + 1);
   await waitFor(`a visiting request that is ${phase}`, async () => {
     const attempts = await listAttempts(world.fleet, VISITORS);
     const own = attempts.filter((attempt) => attempt.owner.vm === vm.name && !attempt.ended);
--- a/features/support/lease-simulation.ts
+++ b/features/support/lease-simulation.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 
+import { createMember } from '../../harness/module-fakes.js';
 import type { Incarnation } from '../../src/domain/vm.js';
 import { type FencePromise, findFenceEnd, listFenceWitnesses } from '../../src/membership/fence.js';
 import {
@@ -111,18 +112,8 @@
 
 /** Creates a member of a small fleet with three zones. */
 export function createTestMember(index: number, incarnation = 'first'): Member {
-  const name = `vm-${index}`;
-  const address = { host: '127.0.0.1', port: 1 };
-  return {
-    name,
-    vm: name,
-    region: 'region',
-    availabilityZone: `zone-${index % 3}`,
-    incarnation,
-    peers: address,
-    callers: address,
-    operators: address,
-  };
+  const availabilityZone = `zone-${index % 3}`;
+  return createMember(`vm-${index}`, { region: 'region', availabilityZone, incarnation });
 }
 
 interface Node {
--- a/features/support/membership/member-fleet.ts
+++ b/features/support/membership/member-fleet.ts
@@ -1,3 +1,4 @@
+import { findFreePorts } from '../../../harness/free-ports.js';
 import type { Configuration } from '../../../src/configuration/configuration.js';
 import type { Vm } from '../../../src/domain/vm.js';
 import { Kernel } from '../../../src/kernel/kernel.js';
@@ -11,7 +12,6 @@
 import { FakeVmList } from './fake-vm-list.js';
 import { FaultyClock } from './faulty-clock.js';
 import { FaultyPeers } from './faulty-peers.js';
-import { findFreePort } from './waits.js';
 
 /** One daemon's membership with its faults. */
 export interface MemberDaemon {
@@ -43,7 +43,7 @@
   /** Starts a daemon on a VM; a VM that ran before keeps its address. */
   async start(index: number): Promise<MemberDaemon> {
     const name = `vm-${index}`;
-    const port = this.ports.get(name) ?? (await findFreePort());
+    const port = this.ports.get(name) ?? (await findFreePorts(1))[0]!;
     this.ports.set(name, port);
     const vm = { name, region: 'region', availabilityZone: `zone-${index % 3}` };
     if (!this.listing.vms.some((listed) => listed.name === name)) {
--- /dev/null
+++ b/harness/find-daemon.ts
@@ -0,0 +1,27 @@
+import type { Fleet, FleetDaemon } from './fleet.js';
+
+/**
+ * Finds a daemon by its place in the order in which the daemons became ready.
+ *
+ * @param fleet - a running fleet
+ * @param number - place, counted from 1
+ * @returns the daemon; throws when there is none
+ */
+export function daemonOf(fleet: Fleet, number: number): FleetDaemon {
+  const daemon = fleet.daemons[number - 1];
+  if (!daemon) throw new Error(`no daemon ${number}`);
+  return daemon;
+}
+
+/**
+ * Finds a daemon by its name.
+ *
+ * @param fleet - a running fleet
+ * @param name - for example `vm-1`
+ * @returns the daemon; throws when there is none
+ */
+export function daemonNamed(fleet: Fleet, name: string): FleetDaemon {
+  const daemon = fleet.daemons.find((one) => one.name === name);
+  if (!daemon) throw new Error(`no daemon ${name}`);
+  return daemon;
+}
