test: give the two schedules one way to draw steps and to find excess

Cause: the admission and the lease schedule wrote their weighted steps on their own, the lease schedule listed each action twice, and the fleet and the schedule of admission had the same search for overspent windows. Change: weighted draws the steps, findOverspentWindows finds the windows with the tolerance each had before, and the switch of the admission schedule is a list of conditions without breaks.

--- a/features/support/admission-fleet.ts
+++ b/features/support/admission-fleet.ts
@@ -16,6 +16,7 @@
 import type { Services } from '../../src/kernel/service.js';
 import type { Member, MemberEpoch } from '../../src/membership/membership.js';
 import type { PeerHandlers } from '../../src/peers/peers.js';
+import { findOverspentWindows } from './spent-windows.js';
 
 /** How calls to a VM fail; `lost-answer` takes effect and fails once. */
 export type PeerFault = 'refused' | 'silent' | 'lost-answer';
@@ -184,18 +185,13 @@
 
   /** Lists the windows in which more tokens of a team were admitted than its rate and burst allow. */
   findExcess(team: Team, fromMs = 0): readonly string[] {
-    const admitted = this.results.filter(
-      (result) => result.team === team.name && result.sendable && result.endedMs >= fromMs,
-    );
-    return admitted.flatMap((first, from) => {
-      let tokens = 0;
-      return admitted.slice(from).flatMap((last) => {
-        tokens += last.tokens;
-        const ms = last.endedMs - first.endedMs;
-        const allowed = team.burst + (team.rate * ms) / 1000;
-        return tokens > allowed ? [`${tokens} tokens in ${ms} ms, allowed ${allowed}`] : [];
-      });
-    });
+    const sent = this.results
+      .filter(
+        ({ team: name, sendable, endedMs }) => name === team.name && sendable && endedMs >= fromMs,
+      )
+      .map(({ endedMs, tokens }) => ({ atMs: endedMs, tokens }));
+    const { rate, burst } = team;
+    return findOverspentWindows(sent, (first, last) => burst + (rate * (last - first)) / 1000);
   }
 
   /** Stops all VMs. */
--- a/features/support/admission-schedule.ts
+++ b/features/support/admission-schedule.ts
@@ -9,6 +9,8 @@
 import { Refusal } from '../../src/domain/refusal.js';
 import type { Member, MemberEpoch } from '../../src/membership/membership.js';
 import { SkewedClock } from './skewed-clock.js';
+import { findOverspentWindows } from './spent-windows.js';
+import { weighted } from './weighted.js';
 
 const TEAM = 'oval-crew';
 /** One step of a schedule; `who`, `whom` and `amount` are reduced to what exists. */
@@ -41,17 +43,10 @@
 
 type StepKind = keyof typeof STEP_WEIGHTS;
 
-const kindArbitrary = fc.oneof(
-  ...Object.entries(STEP_WEIGHTS).map(([kind, weight]) => ({
-    weight,
-    arbitrary: fc.constant(kind as StepKind),
-  })),
-);
-
 /** Generates steps; times are in milliseconds of the simulated fleet. */
 export const scheduleArbitrary = fc.array(
   fc.record({
-    kind: kindArbitrary,
+    kind: weighted(STEP_WEIGHTS),
     who: fc.nat(11),
     whom: fc.nat(11),
     amount: fc.integer({ min: 1, max: 700 }),
@@ -64,6 +59,9 @@
   { minLength: 40, maxLength: 120, size: 'max' },
 );
 
+/** Tolerance for sums of fractions. */
+const ROUNDING_TOKENS = 1e-6;
+
 /** Ways in which the rules can be broken on purpose, to show that the check notices. */
 export interface Defects {
   /** Displaced holders are not asked. */
@@ -132,7 +130,9 @@
     schedule.vms.forEach((vm) => vm.shares.applyEpochs(schedule.facts(vm)));
     schedule.nowMs += 2000;
     steps.forEach((step) => schedule.step(step));
-    return schedule.findExcess();
+    return findOverspentWindows(schedule.sent, (fromMs, toMs) =>
+      schedule.computeAllowed(fromMs, toMs),
+    );
   }
 
   private step(step: ScheduleStep): void {
@@ -145,49 +145,26 @@
     if (step.kind === 'resume') pick(living, step.who)?.clock.resume();
     if (step.kind === 'change-rate') this.changeRate(step.amount, step.who);
     if (!who || !whom) return;
-    switch (step.kind) {
-      case 'request':
-        this.debit(who, step.whom, step.amount);
-        this.settleNewest();
-        break;
-      case 'debit':
-        this.debit(who, step.whom, step.amount);
-        break;
-      case 'deliver':
-        this.deliver(step.who, true);
-        break;
-      case 'lose':
-        this.deliver(step.who, false);
-        break;
-      case 'repeat':
-        this.repeat(step.who);
-        break;
-      case 'dispatch':
-        this.dispatch(step.who);
-        break;
-      case 'finish':
-        this.finish(step.who, step.amount);
-        break;
-      case 'fold':
-        this.fold(who, 1 + (step.amount % 3));
-        break;
-      case 'hear':
-        this.hear(who, whom);
-        break;
-      case 'die':
-        this.die(who);
-        break;
-      case 'fold-rate':
-        this.foldRate(who);
-        break;
-      case 'suspend':
-        who.clock.suspendedSinceMs = this.nowMs;
-        break;
-      case 'set-wall':
-        who.clock.wallOffsetMs += step.amount * 10;
-        break;
-      default:
+    this.act(step, who, whom);
+  }
+
+  private act({ kind, ...step }: ScheduleStep, who: SimulatedVm, whom: SimulatedVm): void {
+    if (kind === 'request') {
+      this.debit(who, step.whom, step.amount);
+      this.settleNewest();
     }
+    if (kind === 'debit') this.debit(who, step.whom, step.amount);
+    if (kind === 'deliver') this.deliver(step.who, true);
+    if (kind === 'lose') this.deliver(step.who, false);
+    if (kind === 'repeat') this.repeat(step.who);
+    if (kind === 'dispatch') this.dispatch(step.who);
+    if (kind === 'finish') this.finish(step.who, step.amount);
+    if (kind === 'fold') this.fold(who, 1 + (step.amount % 3));
+    if (kind === 'hear') this.hear(who, whom);
+    if (kind === 'die') this.die(who);
+    if (kind === 'fold-rate') this.foldRate(who);
+    if (kind === 'suspend') who.clock.suspend();
+    if (kind === 'set-wall') who.clock.shiftWall(step.amount * 10);
   }
 
   private join(seed: number): void {
@@ -361,21 +338,6 @@
     return this.debits.filter((debit) => debit.state === state);
   }
 
-  private findExcess(): readonly string[] {
-    const excess: string[] = [];
-    this.sent.forEach((first, from) => {
-      let tokens = 0;
-      this.sent.slice(from).forEach((last) => {
-        tokens += last.tokens;
-        const allowed = this.computeAllowed(first.atMs, last.atMs);
-        if (tokens > allowed + 1e-6) {
-          excess.push(`${tokens} tokens in ${last.atMs - first.atMs} ms, allowed ${allowed}`);
-        }
-      });
-    });
-    return excess;
-  }
-
   /** The largest rate and burst that a VM applied in the window bound what may run in it. */
   private computeAllowed(fromMs: number, toMs: number): number {
     const applied = this.settings.filter(
@@ -383,7 +345,7 @@
     );
     const rate = Math.max(...applied.map((setting) => setting.rate));
     const burst = Math.max(...applied.map((setting) => setting.burst));
-    return burst + (rate * (toMs - fromMs)) / 1000;
+    return burst + (rate * (toMs - fromMs)) / 1000 + ROUNDING_TOKENS;
   }
 }
 
--- a/features/support/lease-simulation.ts
+++ b/features/support/lease-simulation.ts
@@ -16,53 +16,39 @@
 import { type Instant, nameIncarnation, ShareLease } from '../../src/membership/share-lease.js';
 import { chooseWitnesses } from '../../src/membership/witness-set.js';
 import type { LogRecord } from '../../src/platform/log-service.js';
+import { weighted } from './weighted.js';
+
+const ACTION_WEIGHTS = {
+  advance: 6,
+  beat: 4,
+  'beat-all': 3,
+  deliver: 6,
+  'deliver-all': 3,
+  learn: 3,
+  'learn-all': 1,
+  change: 3,
+  ask: 6,
+  append: 5,
+  pause: 1,
+  suspend: 1,
+  resume: 2,
+} as const;
 
 /** One step of a schedule; the numbers select members and messages modulo their count. */
 export interface ScheduleStep {
-  readonly action:
-    | 'advance'
-    | 'beat'
-    | 'beat-all'
-    | 'deliver'
-    | 'deliver-all'
-    | 'learn'
-    | 'learn-all'
-    | 'change'
-    | 'ask'
-    | 'append'
-    | 'pause'
-    | 'suspend'
-    | 'resume';
+  readonly action: keyof typeof ACTION_WEIGHTS;
   readonly first: number;
   readonly second: number;
   readonly ms: number;
 }
 
-const WEIGHTED: readonly [ScheduleStep['action'], number][] = [
-  ['advance', 6],
-  ['beat', 4],
-  ['beat-all', 3],
-  ['deliver', 6],
-  ['deliver-all', 3],
-  ['learn', 3],
-  ['learn-all', 1],
-  ['change', 3],
-  ['ask', 6],
-  ['append', 5],
-  ['pause', 1],
-  ['suspend', 1],
-  ['resume', 2],
-];
-
 /** VMs of the fleet; witness sets differ between epochs only when there are many more than five. */
 const VMS = 12;
 
 const number = fc.nat({ max: 30 });
 
 const arbitraryStep: fc.Arbitrary<ScheduleStep> = fc.record({
-  action: fc.oneof(
-    ...WEIGHTED.map(([action, weight]) => ({ weight, arbitrary: fc.constant(action) })),
-  ),
+  action: weighted(ACTION_WEIGHTS),
   first: number,
   second: number,
   ms: fc.integer({ min: 0, max: 1500 }),
--- a/features/support/skewed-clock.ts
+++ b/features/support/skewed-clock.ts
@@ -6,7 +6,7 @@
 
   private lostMs = 0;
 
-  wallOffsetMs = 0;
+  private wallOffsetMs = 0;
 
   constructor(private readonly now: () => number) {
     super();
@@ -24,6 +24,14 @@
     return Promise.resolve();
   }
 
+  suspend(): void {
+    this.suspendedSinceMs = this.now();
+  }
+
+  shiftWall(ms: number): void {
+    this.wallOffsetMs += ms;
+  }
+
   resume(): void {
     if (this.suspendedSinceMs === undefined) return;
     this.lostMs += this.now() - this.suspendedSinceMs;
