test: pass no callback on to the engine steps

Cause: cucumber calls a step function with a callback after the arguments. Change: these steps are wrapped again. The record type of the engines comes from harness/engine-record.

--- a/features/steps/engine-stand-in-steps.ts
+++ b/features/steps/engine-stand-in-steps.ts
@@ -12,6 +12,7 @@
   type JsonAnswer,
   type ReadStream,
 } from '../support/engine-client.js';
+import type { EngineRecord } from '../../harness/engine-record.js';
 import type { FaultOrder } from '../../harness/recorder.js';
 import { launchStandIn, type LaunchedStandIn } from '../../harness/stand-in-launcher.js';
 import { waitFor } from '../../harness/wait-for.js';
@@ -35,16 +36,6 @@
 
 const scenario = world as unknown as EngineWorld;
 
-interface EngineRecord {
-  readonly attempts: readonly {
-    attemptId: string;
-    ended?: string;
-    completionTokens: number;
-  }[];
-  readonly holds: readonly unknown[];
-  readonly wastedPrefillTokens: number;
-}
-
 function findEngine(name: string): LaunchedStandIn {
   return scenario.engines[name as EngineName];
 }
@@ -96,7 +87,7 @@
   attemptId: string,
   maxTokens: number,
   fromIndex: number,
-  tokens = Infinity,
+  tokens?: number,
 ): Promise<void> {
   const { reservationId, streams } = findDecoding(attemptId);
   const body = { ...buildAttempt(attemptId), reservationId, maxTokens, fromIndex };
@@ -150,7 +141,12 @@
   await findEngine(name).setState(JSON.parse(state));
 });
 
-When('the engine attempt {string} decodes {int} tokens of {string}', decode);
+When(
+  'the engine attempt {string} decodes {int} tokens of {string}',
+  async (attemptId: string, maxTokens: number, prompt: string) => {
+    await decode(attemptId, maxTokens, prompt);
+  },
+);
 
 When(
   'the engine attempt {string} decodes {int} tokens of {string} on the decode engine alone',
@@ -173,7 +169,12 @@
   },
 );
 
-When('the engine attempt {string} resumes {int} tokens from index {int}', readMore);
+When(
+  'the engine attempt {string} resumes {int} tokens from index {int}',
+  async (attemptId: string, maxTokens: number, fromIndex: number) => {
+    await readMore(attemptId, maxTokens, fromIndex);
+  },
+);
 
 Then(
   'the engine answer of {string} is whole and belongs to {string} with {int} tokens',
@@ -205,7 +206,9 @@
 
 When('the engine attempt {string} reserves {int} blocks', reserve);
 
-When('the engine attempt {string} prefills {string}', prefill);
+When('the engine attempt {string} prefills {string}', async (id: string, prompt: string) => {
+  await prefill(id, prompt);
+});
 
 When(
   'the engine attempt {string} prefills {string} and is late with its transfer',
