--- a/features/steps/crash-prone-steps.ts
+++ b/features/steps/crash-prone-steps.ts
@@ -3,8 +3,9 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 
 import { callCompletion, type CallerAnswer } from '../../harness/caller-client.js';
+import { daemonOf } from '../../harness/find-daemon.js';
 import { MODEL } from '../../harness/plans.js';
-import { daemonAt, startGuaranteeFleet, type GuaranteeWorld } from '../support/guarantees-fleet.js';
+import { startGuaranteeFleet, type GuaranteeWorld } from '../support/guarantees-fleet.js';
 import {
   assertWhole,
   beginStream,
@@ -40,7 +41,7 @@
 
 Given('crash-prone bystanders that run on the engines', async function given(this: CrashWorld) {
   this.bystanders = Array.from({ length: BYSTANDERS }, (_, index) =>
-    beginStream(daemonAt(this.fleet, index % DAEMONS), {
+    beginStream(daemonOf(this.fleet, 1 + (index % DAEMONS)), {
       ...{ key: this.crewKey, prompt: `bystander ${index}`, maxTokens: 80 },
     }),
   );
@@ -52,7 +53,7 @@
   async function when(this: CrashWorld) {
     this.answers = [];
     for (let index = 0; index < SENDINGS; index += 1) {
-      const answer = await callCompletion(daemonAt(this.fleet, index % DAEMONS).callers, {
+      const answer = await callCompletion(daemonOf(this.fleet, 1 + (index % DAEMONS)).callers, {
         ...{ model: MODEL, key: this.visitorKey, prompt: CRASH_TEXT, maxTokens: 20 },
       });
       this.answers.push(answer);
@@ -99,6 +100,6 @@
 async function sendAgain(world: CrashWorld, { key, prompt, maxTokens }: RunningStream) {
   const index = Number(prompt.split(' ').at(-1)) + 1;
   await assertWhole(
-    beginStream(daemonAt(world.fleet, index % DAEMONS), { key, prompt, maxTokens }),
+    beginStream(daemonOf(world.fleet, 1 + (index % DAEMONS)), { key, prompt, maxTokens }),
   );
 }
--- a/features/steps/peers-steps.ts
+++ b/features/steps/peers-steps.ts
@@ -5,6 +5,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { Code, ConnectError } from '@connectrpc/connect';
 
+import { findFreePorts } from '../../harness/free-ports.js';
 import { createTcpRelay, type TcpRelay } from '../../harness/tcp-relay.js';
 import { Kernel } from '../../src/kernel/kernel.js';
 import type { Member, Membership } from '../../src/membership/membership.js';
@@ -12,7 +13,6 @@
 import { ConnectPeers } from '../../src/peers/connect-peers.js';
 import type { PeerClient } from '../../src/peers/peers.js';
 import { RecordSources } from '../../src/peers/record-sources.js';
-import { findFreePort } from '../support/membership/waits.js';
 
 interface PeersWorld {
   port: number;
@@ -41,7 +41,7 @@
 }
 
 async function startServer(world: PeersWorld): Promise<void> {
-  const port = await findFreePort();
+  const [port = 0] = await findFreePorts(1);
   const server = await listen(port);
   // The server is looked up when it is stopped, because a scenario may replace it.
   Object.assign(world, { port, server, stops: [() => world.server.stop()] });
@@ -207,7 +207,8 @@
     Object.assign(this, { stops: [], decisions: [], kernels: [] });
     const members: Member[] = [];
     for (let index = 0; index < count; index += 1) {
-      const peers = { host, port: await findFreePort() };
+      const [port = 0] = await findFreePorts(1);
+      const peers = { host, port };
       const name = `vm-${index}`;
       const availabilityZone = zones.split(',')[index] ?? '';
       const vm = { name, region: 'region', availabilityZone };
--- a/features/steps/silent-client-steps.ts
+++ b/features/steps/silent-client-steps.ts
@@ -5,11 +5,12 @@
 import { request } from 'undici';
 
 import { runCtl, type CtlRun } from '../../harness/ctl.js';
+import { daemonOf } from '../../harness/find-daemon.js';
 import { createTcpRelay } from '../../harness/tcp-relay.js';
 import { waitFor } from '../../harness/wait-for.js';
 import type { Address } from '../../src/domain/vm.js';
 import { openFixedServer } from '../support/fixed-server.js';
-import { daemonAt, startGuaranteeFleet, type GuaranteeWorld } from '../support/guarantees-fleet.js';
+import { startGuaranteeFleet, type GuaranteeWorld } from '../support/guarantees-fleet.js';
 import { writeRequest } from '../support/guarantees-raw-caller.js';
 
 interface SilentWorld extends GuaranteeWorld {
@@ -88,7 +89,7 @@
 When(
   'silent-client callers take all connections, {}',
   async function when(this: SilentWorld, state: string) {
-    const { callers } = daemonAt(this.fleet, 0);
+    const { callers } = daemonOf(this.fleet, 1);
     await openAll(this, callers, WRITTEN[state] ?? assert.fail(state));
     this.silentMs = performance.now();
     await assert.rejects(isLive(callers), 'the daemon still has room');
@@ -96,7 +97,7 @@
 );
 
 When('silent-client operators take all connections', async function when(this: SilentWorld) {
-  const { operators } = daemonAt(this.fleet, 0);
+  const { operators } = daemonOf(this.fleet, 1);
   this.connections = OPERATORS;
   await openAll(this, operators, PREFACE);
   this.silentMs = performance.now();
@@ -108,7 +109,7 @@
 Then(
   'the silent-client daemon answers new callers within {int} s',
   async function then(this: SilentWorld, seconds: number) {
-    const { callers } = daemonAt(this.fleet, 0);
+    const { callers } = daemonOf(this.fleet, 1);
     await waitFor('room for a caller', () => isLive(callers), { deadlineMs: seconds * 1000 });
     this.log(`room after ${Math.round(performance.now() - this.silentMs)} ms`);
   },
@@ -117,7 +118,7 @@
 Then(
   'the silent-client daemon answers new operators within {int} s',
   async function then(this: SilentWorld, seconds: number) {
-    const { operators } = daemonAt(this.fleet, 0);
+    const { operators } = daemonOf(this.fleet, 1);
     const deadlineMs = seconds * 1000;
     const isAnswered = async () => (await runCtl(operators, ['team', 'list'])).code === 0;
     await waitFor('room for an operator', isAnswered, { deadlineMs, everyMs: 500 });
@@ -128,7 +129,7 @@
 When(
   'the silent-client operator runs {string} on a connection that goes silent',
   async function when(this: SilentWorld, words: string) {
-    const relay = await createTcpRelay(daemonAt(this.fleet, 0).operators);
+    const relay = await createTcpRelay(daemonOf(this.fleet, 1).operators);
     relay.silence();
     this.silentMs = performance.now();
     this.run = await runCtl(relay, words.split(' '));
