feat(observability): copy the decisions of all requests up to a rate

Cause: the sample of one ordinary request in ten, which keeps the copies within the bytes for control at 390 nodes, left nine in ten requests unexplained after the death of a VM also in small fleets, where every decision is to be explained. Change: `decisions.copiesPerSecond` (10 by default) ordinary requests a second are copied, unused ones of ten seconds are saved up, and exceptional requests are always copied. At the design size 1 gives the bytes of the sample.

--- a/features/peers/peers.feature
+++ b/features/peers/peers.feature
@@ -62,12 +62,18 @@
       | a second round  | admission, decode-server, failure, prefill-server, outcome | 5     |
       | an unknown step | admission, another-step                        | 2     |
 
-  Scenario: a sample of ordinary requests is explained after their VM has died
+  # Ten a second are copied, and those of ten seconds are saved up.
+  Scenario Outline: of <all> ordinary requests, <least> to <most> are explained after their VM has died
     Given decision peers on 3 VMs in the zones "a,a,b"
-    When the decision peer 0 decides on 200 ordinary requests
-    Then the decision peer 1 explains 200 to 200 of the ordinary requests
+    When the decision peer 0 decides on <all> ordinary requests
+    Then the decision peer 1 explains <all> to <all> of the ordinary requests
     When the decision peer 0 is gone after its copy
-    Then the decision peer 1 explains 5 to 45 of the ordinary requests
+    Then the decision peer 1 explains <least> to <most> of the ordinary requests
+
+    Examples:
+      | all | least | most |
+      | 100 | 100   | 100  |
+      | 200 | 100   | 100  |
 
   Scenario: decisions that follow a failure after a copy are copied too
     Given decision peers on 3 VMs in the zones "a,a,b"
--- a/features/steps/peers-steps.ts
+++ b/features/steps/peers-steps.ts
@@ -223,7 +223,7 @@
       const kernel = Kernel.create();
       const self = members[index];
       const membership = { self: () => self, current: () => ({ epoch: 1, members }) };
-      const decisions = RingDecisions.create(kernel, { vm });
+      const decisions = RingDecisions.create(kernel, { vm, decisions: { copiesPerSecond: 10 } });
       kernel.register('peers', ConnectPeers.create(kernel, { peers }));
       kernel.register('membership', {
         ...membership,
--- a/src/observability/copy-selection.ts
+++ b/src/observability/copy-selection.ts
@@ -1,11 +1,10 @@
-import { scoreRendezvous } from '../kernel/rendezvous.js';
 import type { DecisionEntry } from './decisions.js';
 
-/** One ordinary request in this many is copied. */
-export const SAMPLE = 10;
+/** Requests whose selection is remembered, so that all their decisions are treated alike. */
+const KNOWN_REQUESTS = 4000;
 
-/** Requests with an exceptional decision whose further decisions are copied too. */
-const FOLLOWED_REQUESTS = 4000;
+/** Rounds for which unused copies of ordinary requests are saved up. */
+const SAVED_ROUNDS = 10;
 
 /** Steps of requests that run as planned, with their choices; every choice where none is listed. */
 const ORDINARY: Readonly<Record<string, readonly string[] | undefined>> = {
@@ -18,22 +17,29 @@
 
 /**
  * Selects the decisions that are copied to a peer: all decisions about requests that were refused,
- * failed or were run again, and those about a sample of the others. Copies of all decisions take
- * nearly all bytes that a node may spend on control at the design size.
+ * failed or were run again, and those about a limited number of others. At the design size, copies of
+ * all decisions would take nearly all bytes that a node may spend on control.
  */
 export class CopySelection {
-  /** Requests with an exceptional decision, oldest first. */
-  private readonly followed = new Set<string>();
+  /** Whether each known request is copied, oldest first. */
+  private readonly known = new Map<string, boolean>();
 
   private fresh = new Set<string>();
 
+  private allowance: number;
+
+  private constructor(private readonly ordinaryPerRound: number) {
+    this.allowance = ordinaryPerRound * SAVED_ROUNDS;
+  }
+
   /**
    * Creates a selection.
    *
-   * @returns a selection that follows no request
+   * @param ordinaryPerRound - ordinary requests that are copied in a round
+   * @returns a selection that knows no request
    */
-  static create(): CopySelection {
-    return new CopySelection();
+  static create(ordinaryPerRound: number): CopySelection {
+    return new CopySelection(ordinaryPerRound);
   }
 
   /**
@@ -44,35 +50,44 @@
    */
   take(entry: DecisionEntry): boolean {
     const { requestId } = entry;
-    if (isSampled(requestId) || this.followed.has(requestId)) return true;
-    if (isOrdinary(entry)) return false;
-    this.followed.add(requestId);
-    this.fresh.add(requestId);
-    const [oldest] = this.followed;
-    if (this.followed.size > FOLLOWED_REQUESTS && oldest !== undefined) {
-      this.followed.delete(oldest);
+    const selected = this.known.get(requestId);
+    if (selected) return true;
+    if (!isOrdinary(entry)) {
+      this.fresh.add(requestId);
+      return this.remember(requestId, true);
     }
-    return true;
+    return selected ?? this.remember(requestId, this.takeAllowance());
   }
 
   /**
-   * Names the requests that had their first exceptional decision since the last call; what was
+   * Ends a round and names the requests that had their first exceptional decision in it; what was
    * decided about them before is to be copied as well.
    *
    * @returns request ids
    */
-  takeFresh(): ReadonlySet<string> {
-    const { fresh } = this;
+  endRound(): ReadonlySet<string> {
+    const { fresh, ordinaryPerRound } = this;
     this.fresh = new Set();
+    const most = ordinaryPerRound * SAVED_ROUNDS;
+    this.allowance = Math.min(most, this.allowance + ordinaryPerRound);
     return fresh;
   }
+
+  private takeAllowance(): boolean {
+    if (this.allowance < 1) return false;
+    this.allowance -= 1;
+    return true;
+  }
+
+  private remember(requestId: string, selected: boolean): boolean {
+    this.known.set(requestId, selected);
+    const [oldest] = this.known.keys();
+    if (this.known.size > KNOWN_REQUESTS && oldest !== undefined) this.known.delete(oldest);
+    return selected;
+  }
 }
 
 function isOrdinary({ step, choice }: DecisionEntry): boolean {
   const choices = ORDINARY[step];
   return choices !== undefined && (choices.length === 0 || choices.includes(choice));
 }
-
-function isSampled(requestId: string): boolean {
-  return scoreRendezvous('decision-copies', requestId) % SAMPLE === 0;
-}
--- a/src/observability/ring-decisions.ts
+++ b/src/observability/ring-decisions.ts
@@ -34,7 +34,7 @@
 
   private readonly stopping = new AbortController();
 
-  private readonly selection = CopySelection.create();
+  private readonly selection: CopySelection;
 
   /** Entries to be copied, oldest first. */
   private pending = new Set<DecisionEntry>();
@@ -45,24 +45,26 @@
     private readonly kernel: Kernel,
     private readonly vm: string,
     private readonly clock: Clock,
+    copiesPerSecond: number,
   ) {
     super();
+    this.selection = CopySelection.create((copiesPerSecond * COPY_MS) / 1000);
   }
 
   /**
    * Creates the service.
    *
    * @param kernel - finds the peers and the members
-   * @param settings - names this VM
+   * @param settings - names this VM and limits the copies
    * @param clock - time of the decisions
    * @returns a service that copies its entries after its start
    */
   static create(
     kernel: Kernel,
-    settings: Pick<Settings, 'vm'>,
+    settings: Pick<Settings, 'vm' | 'decisions'>,
     clock: Clock = SystemClock.create(),
   ): RingDecisions {
-    return new RingDecisions(kernel, settings.vm.name, clock);
+    return new RingDecisions(kernel, settings.vm.name, clock, settings.decisions.copiesPerSecond);
   }
 
   override async start(): Promise<void> {
@@ -135,7 +137,7 @@
 
   /** A batch that was not taken stays for the next second, when another peer may be chosen. */
   private async copyPending(): Promise<void> {
-    const earlier = this.own.findAny(this.selection.takeFresh());
+    const earlier = this.own.findAny(this.selection.endRound());
     this.pending = new Set([...earlier, ...this.pending]);
     if (this.pending.size === 0) return;
     const peer = this.choosePeer();
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -56,6 +56,7 @@
   entryAddresses: z
     .strictObject({ validForMs: ms.default(10_000), count: z.int().min(1).default(3) })
     .prefault({}),
+  decisions: z.strictObject({ copiesPerSecond: z.number().min(0).default(10) }).prefault({}),
   snapshots: z.strictObject({ everyMs: ms.default(600_000) }).prefault({}),
 });
 
