fix(execution): do not count refused calls as deaths, and refresh a dead engine

Cause, from a trace of the reports: while an engine was down, each call that was refused reported its death again, about every 10 ms, and blamed requests that had never reached it; and a call could board with the incarnation that had died, so that the second death was merged with the first.

Change: an attempt whose first call to an engine is refused leaves the list of requests aboard; before work goes to an engine that has died, its load is read, which names the new incarnation. Stand-ins take `--fault`, so that a restarted engine has its fault before its first request.

--- a/features/steps/crash-prone-steps.ts
+++ b/features/steps/crash-prone-steps.ts
@@ -32,10 +32,11 @@
 Given(
   'a crash-prone fleet of {int} engine(s) in each pool that end at {}',
   async function given(this: CrashWorld, engines: number, path: string) {
+    // An engine that starts again has the fault before it takes a request.
+    const engine = { fault: JSON.stringify({ path, kind: 'crash-on', text: CRASH_TEXT }) };
     const size = { daemons: DAEMONS, prefills: engines, decodes: engines, services: 0 };
-    await startGuaranteeFleet(this, size);
-    const fault = { path, kind: 'crash-on', text: CRASH_TEXT };
-    this.supervisor = await EngineSupervisor.create(this.fleet, fault);
+    await startGuaranteeFleet(this, { ...size, engine });
+    this.supervisor = EngineSupervisor.create(this.fleet);
   },
 );
 
--- a/features/steps/execution-death-steps.ts
+++ b/features/steps/execution-death-steps.ts
@@ -32,6 +32,7 @@
   const target = {
     backends: () => backends,
     incarnation: () => 'run1',
+    loaded: () => undefined,
     report: async (_server: string, all: readonly string[]) => {
       scenario.reports.push(all.join(' '));
     },
--- a/features/support/guarantees-fleet.ts
+++ b/features/support/guarantees-fleet.ts
@@ -3,7 +3,7 @@
 import { waitFor } from '../../harness/wait-for.js';
 
 /** Options of an engine stand-in by name, without the dashes. */
-export type EngineOptions = Readonly<Record<string, number>>;
+export type EngineOptions = Readonly<Record<string, number | string>>;
 
 /** What a scenario about guarantees may set. */
 export interface GuaranteePlan extends Omit<SmallFleet, 'engineArgs' | 'changes'> {
--- a/features/support/guarantees-supervisor.ts
+++ b/features/support/guarantees-supervisor.ts
@@ -1,31 +1,26 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
 import type { Fleet } from '../../harness/fleet.js';
-import type { FaultOrder } from '../../harness/recorder.js';
 import type { LaunchedStandIn } from '../../harness/stand-in-launcher.js';
 
 /** Time from the end of an engine to its next start, in milliseconds. */
 const RESTART_MS = 200;
 
-/** Starts engines again that have ended, on the same ports and with the same fault. */
+/** Starts engines again that have ended, on the same ports and with the same arguments. */
 export class EngineSupervisor {
   private stopped = false;
 
   private count = 0;
 
-  private constructor(private readonly fault: FaultOrder) {}
-
   /**
-   * Orders a fault at every engine of a fleet and begins to watch them.
+   * Begins to watch the engines of a fleet.
    *
    * @param fleet - a running fleet
-   * @param fault - fault that every run of an engine has
    * @returns the supervisor
    */
-  static async create(fleet: Fleet, fault: FaultOrder): Promise<EngineSupervisor> {
-    const supervisor = new EngineSupervisor(fault);
+  static create(fleet: Fleet): EngineSupervisor {
+    const supervisor = new EngineSupervisor();
     const engines = [...fleet.servers].filter(([name]) => !name.startsWith('yard'));
-    await Promise.all(engines.map(([, engine]) => engine.addFault(fault)));
     engines.forEach(([, engine]) => {
       void supervisor.watch(engine);
     });
@@ -54,7 +49,6 @@
       const started = await running.restart().catch(() => undefined);
       if (!started) return;
       running = started;
-      await running.addFault(this.fault);
     }
   }
 }
--- a/src/execution/death-watch.ts
+++ b/src/execution/death-watch.ts
@@ -1,6 +1,7 @@
 import type { Backends } from '../backends/backends.js';
 import type { EngineServer } from '../domain/backend-server.js';
 import type { Clock } from '../kernel/clock.js';
+import type { EngineLoad } from '../routing/routing.js';
 
 const PROBES = 5;
 const PROBE_DELAY_MS = 100;
@@ -10,6 +11,8 @@
   readonly backends: () => Backends;
   /** Incarnation that an engine last reported. */
   readonly incarnation: (server: string) => string | undefined;
+  /** Takes a load that an engine has reported. */
+  readonly loaded: (server: string, load: EngineLoad) => void;
   /** Reports a death; resolves when peers know, or after a short deadline. */
   readonly report: (
     server: string,
@@ -28,6 +31,9 @@
 export class DeathWatch {
   private readonly aboard = new Map<string, Map<string, Passenger>>();
 
+  /** Incarnation of each engine that died last, as far as it was known. */
+  private readonly ended = new Map<string, string>();
+
   private readonly probes = new Map<string, Promise<void>>();
 
   private constructor(
@@ -86,6 +92,20 @@
     void probe.finally(() => this.probes.delete(server.name));
   }
 
+  /**
+   * Asks an engine that has died for its new incarnation, so that its next death is told apart.
+   *
+   * @param server - the engine
+   * @returns false while an engine that has died does not answer
+   */
+  async isBack(server: EngineServer): Promise<boolean> {
+    const ended = this.ended.get(server.name);
+    if (ended === undefined || ended !== this.target.incarnation(server.name)) return true;
+    const load = await this.target.backends().engine(server).load();
+    if (load.kind === 'ok') this.target.loaded(server.name, load.value);
+    return load.kind === 'ok';
+  }
+
   /** Waits until it is known which engines have died. */
   async settled(): Promise<void> {
     await Promise.all([...this.probes.values()]);
@@ -108,6 +128,7 @@
     const fingerprints = new Set(passengers.map(({ fingerprint }) => fingerprint));
     // The one that boarded last has the newest view of the engine.
     const incarnation = passengers.findLast((passenger) => passenger.incarnation)?.incarnation;
+    if (incarnation) this.ended.set(server, incarnation);
     const reported = this.target.report(server, [...fingerprints], incarnation);
     // The other requests learn later that their connections are lost; that is the same death.
     passengers.forEach(({ attemptId }) => this.leave(server, attemptId));
--- a/src/execution/model-run.ts
+++ b/src/execution/model-run.ts
@@ -200,6 +200,11 @@
       this.lackServer(step, 'prefill');
       return;
     }
+    if (!(await this.context.deaths.isBack(server))) {
+      this.dispatch({ kind: 'no-server', step });
+      return;
+    }
+    if (!this.machine.expects(step)) return;
     if (!this.grant?.sendable()) {
       this.records.decide('admission', 'again', 'the debit is too old to send');
       this.dispatch({ kind: 'unsendable', step });
@@ -218,7 +223,7 @@
     const outcome = await engine.prefill(call, request.model, request.prompt, priority);
     span.end({ outcome: outcomeName(outcome) });
     if (outcome.kind === 'ok') this.takePrefill(round, server, outcome.value);
-    else this.noteLoss(server, outcome.failure);
+    else this.noteLoss(server, outcome.failure, round.attemptId);
     this.context.deaths.leave(server.name, round.attemptId);
     routing.unassign(round.attemptId, server.name, 'prefill');
     if (outcome.kind === 'failed') this.failCall(step, round, server, outcome.failure);
@@ -253,7 +258,10 @@
     const outcome = await engine.transfer(call, reservationId, prefill.prefillId, source);
     span.end({ outcome: outcomeName(outcome) });
     if (outcome.kind === 'ok') this.dispatch({ kind: 'transferred', step });
-    else this.failCall(step, round, decodeServer, outcome.failure);
+    else {
+      this.noteLoss(decodeServer, outcome.failure, round.attemptId);
+      this.failCall(step, round, decodeServer, outcome.failure);
+    }
   }
 
   private async decode(step: number, fromIndex: number): Promise<void> {
@@ -348,9 +356,11 @@
     this.dispatch({ kind: 'failed', step, reason: failure.reason });
   }
 
-  private noteLoss(server: EngineServer, failure: EngineFailure): void {
-    const lost = failure.reason === 'broken' || failure.reason === 'refused';
-    if (lost) this.context.deaths.lost(server);
+  /** An attempt whose first call was refused has not run at the engine and is not blamed. */
+  private noteLoss(server: EngineServer, { reason }: EngineFailure, boarding?: string): void {
+    const { deaths } = this.context;
+    if (boarding && reason === 'refused') deaths.leave(server.name, boarding);
+    if (reason === 'broken' || reason === 'refused') deaths.lost(server);
   }
 
   private assign(server: EngineServer, phase: 'prefill' | 'decode'): void {
--- a/src/execution/phased-model-execution.ts
+++ b/src/execution/phased-model-execution.ts
@@ -31,6 +31,7 @@
       {
         backends,
         incarnation: (server) => kernel.find('routing').incarnation(server),
+        loaded: (server, load) => kernel.find('routing').observe(server, load),
         report: (server, prints, incarnation) =>
           kernel.find('admission').reportDeath(server, prints, incarnation),
       },
--- a/stand-ins/shared/start-stand-in.ts
+++ b/stand-ins/shared/start-stand-in.ts
@@ -13,6 +13,8 @@
   readonly host: string;
   readonly port: number;
   readonly adminPort: number;
+  /** JSON of a fault that applies from the start, as in `POST /faults`. */
+  readonly fault?: string | undefined;
 }
 
 /** Parts of a stand-in. */
@@ -42,6 +44,7 @@
       .option('host', { type: 'string', default: '127.0.0.1', describe: 'IP number to listen on' })
       .option('port', { type: 'number', default: 0, describe: 'protocol port, 0 picks a free one' })
       .option('admin-port', { type: 'number', default: 0, describe: 'admin port' })
+      .option('fault', { type: 'string', describe: 'JSON of a fault that applies from the start' })
   );
 }
 
@@ -55,6 +58,8 @@
 export async function startStandIn(options: CommonOptions, standIn: StandIn): Promise<void> {
   const { host } = options;
   const { handler, faults, observe } = standIn;
+  const refused = options.fault === undefined ? undefined : faults.add(JSON.parse(options.fault));
+  if (refused) throw new Error(refused);
   const names = Object.entries({ port: options.port, ...standIn.otherPorts });
   const ports: Record<string, number> = {};
   for (const [name, port] of names) {
