fix(stand-ins): deliver the tokens that were sent before a stream is cut

The engine stand-in destroyed the socket right after its write; when that resets the connection, the client loses bytes that it has not read. Change: the socket is destroyed after its bytes were flushed. The whole suite was not run on this change.

--- a/stand-ins/engine/decode-stream.ts
+++ b/stand-ins/engine/decode-stream.ts
@@ -75,7 +75,8 @@
 
   /** Closes the connection without the end marker. */
   break(): void {
-    this.response.destroy();
+    // A plain destroy may reset the connection, and the peer then loses tokens that were sent.
+    this.response.socket?.destroySoon();
     this.stop();
   }
 
