refactor: name and compare incarnations in one place

Cause: two functions compared incarnations (isSame, sameIncarnation), and five modules built the text of an incarnation beside nameIncarnation. The choice of the peer for copies hashed each member again in every comparison of its sort, once a second. Change: both functions live beside Incarnation in src/domain/vm.ts, and the peer is chosen by rankByRendezvous, with the same order of preference. The whole suite was not run.

--- a/features/support/lease-simulation.ts
+++ b/features/support/lease-simulation.ts
@@ -1,19 +1,18 @@
 import fc from 'fast-check';
 
 import { createMember } from '../../harness/module-fakes.js';
-import type { Incarnation } from '../../src/domain/vm.js';
+import { type Incarnation, nameIncarnation, sameIncarnation } from '../../src/domain/vm.js';
 import { type FencePromise, findFenceEnd, listFenceWitnesses } from '../../src/membership/fence.js';
 import {
   EMPTY_MEMBERS,
   foldMember,
-  isSame,
   listEpochs,
   listMembers,
   type MemberState,
 } from '../../src/membership/member-fold.js';
 import type { MemberRecord } from '../../src/membership/member-record.js';
 import type { Member } from '../../src/membership/membership.js';
-import { type Instant, nameIncarnation, ShareLease } from '../../src/membership/share-lease.js';
+import { type Instant, ShareLease } from '../../src/membership/share-lease.js';
 import { chooseWitnesses } from '../../src/membership/witness-set.js';
 import type { LogRecord } from '../../src/platform/log-service.js';
 import { weighted } from './weighted.js';
@@ -275,7 +274,7 @@
     const evidence = 'fenced';
     if (!this.write({ format: 1, kind: 'removed', vm, incarnation, evidence, epoch })) return;
     this.completedFences += 1;
-    const node = this.nodes.find(({ member }) => isSame(member, suspect));
+    const node = this.nodes.find(({ member }) => sameIncarnation(member, suspect));
     if (node) this.fenced.push(node);
   }
 
--- a/src/admission/fleet-facts.ts
+++ b/src/admission/fleet-facts.ts
@@ -1,3 +1,4 @@
+import { nameIncarnation, sameIncarnation } from '../domain/vm.js';
 import type { Preset } from '../domain/route.js';
 import type { Team } from '../domain/team.js';
 import type { Clock } from '../kernel/clock.js';
@@ -5,7 +6,6 @@
 import type { Member } from '../membership/membership.js';
 import type { ShareFacts } from './home-shares.js';
 import { computeTeamLimits } from './share-limits.js';
-import { sameIncarnation } from './share-table.js';
 import type { BucketLimits } from './token-bucket.js';
 
 /** A member that did not confirm an epoch is asked again after this time. */
@@ -110,7 +110,7 @@
   }
 
   private answerOf(member: Member): EpochAnswer {
-    const key = `${member.vm}/${member.incarnation}`;
+    const key = nameIncarnation(member);
     const known = this.answers.get(key);
     if (known) return known;
     if (this.answers.size >= MOST_ANSWERS) this.answers.clear();
--- a/src/admission/home-shares.ts
+++ b/src/admission/home-shares.ts
@@ -1,9 +1,9 @@
-import type { Incarnation } from '../domain/vm.js';
+import { type Incarnation, sameIncarnation } from '../domain/vm.js';
 import type { Member, MemberEpoch } from '../membership/membership.js';
 import { DebitLedger } from './debit-ledger.js';
 import { EpochLog } from './epoch-log.js';
 import { DISPATCH_DELAY_MS, divideLimits } from './share-limits.js';
-import { sameIncarnation, type ShareTable } from './share-table.js';
+import { type ShareTable } from './share-table.js';
 import { TokenBucket, type BucketLimits } from './token-bucket.js';
 
 /** Wait before a home is asked again whose share waits for confirmations. */
--- a/src/admission/share-table.ts
+++ b/src/admission/share-table.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 
-import type { Incarnation } from '../domain/vm.js';
+import { type Incarnation, sameIncarnation } from '../domain/vm.js';
 import type { Member, MemberEpoch } from '../membership/membership.js';
 
 /** Bound on cached home lists; the cache is emptied when it is reached. */
@@ -12,17 +12,6 @@
 /** Score of a member that is already a home; real scores are not negative. */
 const CHOSEN = -1;
 
-/**
- * Tells whether two names mean the same run of a daemon.
- *
- * @param left - one incarnation
- * @param right - the other
- * @returns true when VM and incarnation are equal
- */
-export function sameIncarnation(left: Incarnation, right: Incarnation): boolean {
-  return left.vm === right.vm && left.incarnation === right.incarnation;
-}
-
 /** Assigns home VMs to teams by rendezvous hash, spread over availability zones. */
 export class ShareTable {
   private readonly cache = new Map<string, readonly Member[]>();
--- a/src/admission/token-collector.ts
+++ b/src/admission/token-collector.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 
+import { sameIncarnation } from '../domain/vm.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import type { Member } from '../membership/membership.js';
@@ -7,7 +8,7 @@
 import type { FleetFacts } from './fleet-facts.js';
 import { HomeShares, type ShareGrant } from './home-shares.js';
 import { RemoteDebits } from './remote-debits.js';
-import { sameIncarnation, type ShareTable } from './share-table.js';
+import { type ShareTable } from './share-table.js';
 import type { SupplyReading } from './team-supply.js';
 import type { DebitPart, Turn, WaitingRequest } from './waiting-request.js';
 
--- a/src/domain/vm.ts
+++ b/src/domain/vm.ts
@@ -28,3 +28,24 @@
   readonly vm: string;
   readonly incarnation: string;
 }
+
+/**
+ * Compares two incarnations.
+ *
+ * @param left - one incarnation
+ * @param right - the other
+ * @returns true when they are the same run on the same VM
+ */
+export function sameIncarnation(left: Incarnation, right: Incarnation): boolean {
+  return left.vm === right.vm && left.incarnation === right.incarnation;
+}
+
+/**
+ * Names an incarnation in one text.
+ *
+ * @param incarnation - the incarnation
+ * @returns a text that is equal for equal incarnations
+ */
+export function nameIncarnation({ vm, incarnation }: Incarnation): string {
+  return `${vm}/${incarnation}`;
+}
--- a/src/execution/observing-hold-reaper.ts
+++ b/src/execution/observing-hold-reaper.ts
@@ -1,7 +1,7 @@
 import type { Hold, HoldFilter, HoldList } from '../backends/engine.js';
 import type { ConfigurationState } from '../configuration/configuration.js';
 import type { BackendServer, EngineServer } from '../domain/backend-server.js';
-import type { Incarnation } from '../domain/vm.js';
+import { type Incarnation, nameIncarnation } from '../domain/vm.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import type { Member } from '../membership/membership.js';
@@ -134,16 +134,15 @@
   }
 
   private selectNew(gone: readonly Incarnation[], nowMs: number): readonly Incarnation[] {
-    const nameOf = ({ vm, incarnation }: Incarnation) => `${vm}/${incarnation}`;
-    const firstMs = (owner: Incarnation) => this.goneMs.get(nameOf(owner)) ?? nowMs;
-    this.goneMs = new Map(gone.map((owner) => [nameOf(owner), firstMs(owner)]));
+    const firstMs = (owner: Incarnation) => this.goneMs.get(nameIncarnation(owner)) ?? nowMs;
+    this.goneMs = new Map(gone.map((owner) => [nameIncarnation(owner), firstMs(owner)]));
     return gone.filter((owner) => nowMs - firstMs(owner) < NAMED_MS);
   }
 
   private async inspect(server: EngineServer, { holds }: HoldList): Promise<void> {
     const groups = new Map<string, Hold[]>();
     holds.forEach((hold) => {
-      const key = `${hold.owner.vm}/${hold.owner.incarnation}`;
+      const key = nameIncarnation(hold.owner);
       groups.set(key, [...(groups.get(key) ?? []), hold]);
     });
     await Promise.all([...groups.values()].map((group) => this.inspectOwner(server, group)));
--- a/src/membership/fence.ts
+++ b/src/membership/fence.ts
@@ -1,6 +1,6 @@
-import type { Incarnation } from '../domain/vm.js';
+import { type Incarnation, nameIncarnation } from '../domain/vm.js';
 import type { MemberEpoch } from './membership.js';
-import { nameIncarnation, SHARE_LEASE_MS } from './share-lease.js';
+import { SHARE_LEASE_MS } from './share-lease.js';
 import { chooseWitnesses, countMajority } from './witness-set.js';
 
 /** Wait after the last promise: the lease and 10% for clocks that run at different rates. */
--- a/src/membership/fencing.ts
+++ b/src/membership/fencing.ts
@@ -1,11 +1,10 @@
-import type { Incarnation } from '../domain/vm.js';
+import { type Incarnation, sameIncarnation } from '../domain/vm.js';
 import {
   type FenceEvidence,
   type FencePromise,
   findFenceEnd,
   listFenceWitnesses,
 } from './fence.js';
-import { isSame } from './member-fold.js';
 import type { Member } from './membership.js';
 import {
   appendMemberRecord,
@@ -55,7 +54,7 @@
   async isFenced(suspect: Incarnation): Promise<boolean> {
     const { task } = this.context;
     const joined = task.members().members.get(suspect.vm);
-    if (!joined || !isSame(joined.member, suspect)) return false;
+    if (!joined || !sameIncarnation(joined.member, suspect)) return false;
     const known = task.report(suspect)?.epoch ?? 0;
     const evidence: FenceEvidence = {
       suspect,
@@ -104,7 +103,7 @@
 
   private async askPromise(witness: Incarnation, suspect: Incarnation): Promise<void> {
     const { task } = this.context;
-    const answer = isSame(witness, task.self())
+    const answer = sameIncarnation(witness, task.self())
       ? await task.ask<PromiseAnswer>((reply) => ({ kind: 'promise', suspect, reply }))
       : await this.requestPromise(witness, suspect);
     if (!answer?.promised) return;
@@ -131,7 +130,7 @@
     suspect: Incarnation,
   ): Promise<FencePromise | undefined> {
     const { task, clock } = this.context;
-    const state = isSame(witness, task.self())
+    const state = sameIncarnation(witness, task.self())
       ? await task.ask<FenceState>((reply) => ({ kind: 'fence-state', suspect, reply }))
       : await this.requestState(witness, suspect);
     if (!state?.fenced || !state.expired) return undefined;
@@ -151,7 +150,7 @@
   /** Only an incarnation that still runs can answer; the others have left every list. */
   private findMember(witness: Incarnation): Member | undefined {
     const member = this.context.task.members().members.get(witness.vm)?.member;
-    return member && isSame(member, witness) ? member : undefined;
+    return member && sameIncarnation(member, witness) ? member : undefined;
   }
 
   private async remove({ suspect, epochs }: FenceEvidence): Promise<void> {
--- a/src/membership/heartbeats.ts
+++ b/src/membership/heartbeats.ts
@@ -1,6 +1,6 @@
-import type { Incarnation } from '../domain/vm.js';
+import { type Incarnation, sameIncarnation } from '../domain/vm.js';
 import type { HeartbeatRequest, HeartbeatResponse } from '../gen/cuminspar/peer/v1/peer_pb.js';
-import { isSame, listMembers } from './member-fold.js';
+import { listMembers } from './member-fold.js';
 import type { MemberStream } from './member-stream.js';
 import type { Member } from './membership.js';
 import { attempt, type MembershipContext, repeat } from './membership-context.js';
@@ -160,7 +160,7 @@
     configuration.noticeDigest(response.withdrawnDigest, vm);
     void this.stream.notice(epoch, witness.peers);
     if (!response.renewed) this.learnFence(round.self);
-    else if (isSame(witness, { vm, incarnation })) {
+    else if (sameIncarnation(witness, { vm, incarnation })) {
       const { self } = round;
       task.send({ kind: 'renewed', self, witness, epoch: round.epoch, sentAt });
     }
--- a/src/membership/member-fold.ts
+++ b/src/membership/member-fold.ts
@@ -1,4 +1,4 @@
-import type { Incarnation } from '../domain/vm.js';
+import { type Incarnation, sameIncarnation } from '../domain/vm.js';
 import type { LogRecord } from '../platform/log-service.js';
 import {
   type MemberChange,
@@ -132,7 +132,9 @@
  * @returns true when a kept change removed or replaced it
  */
 export function isRemoved(state: MemberState, owner: Incarnation): boolean {
-  return state.changes.some(({ removed }) => removed !== undefined && isSame(removed, owner));
+  return state.changes.some(
+    ({ removed }) => removed !== undefined && sameIncarnation(removed, owner),
+  );
 }
 
 /**
@@ -145,21 +147,10 @@
   return state.changes.flatMap(({ removed }) => removed ?? []);
 }
 
-/**
- * Compares two incarnations.
- *
- * @param a - one incarnation
- * @param b - another
- * @returns true when they are the same run on the same VM
- */
-export function isSame(a: Incarnation, b: Incarnation): boolean {
-  return a.vm === b.vm && a.incarnation === b.incarnation;
-}
-
 function join(state: MemberState, member: Member): MemberState {
   const removed = state.members.get(member.vm)?.member;
   // An append whose result was unknown may take effect twice, the second time after a removal.
-  if ((removed && isSame(removed, member)) || isRemoved(state, member)) return state;
+  if ((removed && sameIncarnation(removed, member)) || isRemoved(state, member)) return state;
   const members = new Map(state.members);
   members.set(member.vm, { member, joinedAt: state.offset });
   return changed(state, members, { epoch: state.offset, joined: member, removed });
@@ -167,7 +158,7 @@
 
 function remove(state: MemberState, record: MemberRecord & { kind: 'removed' }): MemberState {
   const known = state.members.get(record.vm)?.member;
-  if (!known || !isSame(known, record)) return state;
+  if (!known || !sameIncarnation(known, record)) return state;
   if (record.evidence === 'fenced' && !coversWitnesses(state, record.vm, record.epoch))
     return state;
   const members = new Map(state.members);
@@ -190,7 +181,7 @@
 
 function isListed({ members }: MemberState, owner: Incarnation): boolean {
   const known = members.get(owner.vm)?.member;
-  return known !== undefined && isSame(known, owner);
+  return known !== undefined && sameIncarnation(known, owner);
 }
 
 /**
--- a/src/membership/membership-task.ts
+++ b/src/membership/membership-task.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 
-import type { Incarnation } from '../domain/vm.js';
+import { type Incarnation, nameIncarnation, sameIncarnation } from '../domain/vm.js';
 import { Channel } from '../kernel/channel.js';
 import type { Clock } from '../kernel/clock.js';
 import { assertInvariant } from '../kernel/invariant.js';
@@ -11,7 +11,6 @@
   EMPTY_MEMBERS,
   foldMember,
   isRemoved,
-  isSame,
   listEpochs,
   listMembers,
   type MemberState,
@@ -24,7 +23,7 @@
   MembershipMessage,
   PromiseAnswer,
 } from './membership-message.js';
-import { type Instant, nameIncarnation, ShareLease } from './share-lease.js';
+import { type Instant, ShareLease } from './share-lease.js';
 import { chooseWitnesses } from './witness-set.js';
 
 /** Silence after which a witness suspects a member, in milliseconds. */
@@ -109,7 +108,7 @@
   /** Tells whether the list holds this incarnation. */
   joined(): boolean {
     const listed = this.state.members.get(this.member.vm)?.member;
-    return listed !== undefined && isSame(listed, this.member);
+    return listed !== undefined && sameIncarnation(listed, this.member);
   }
 
   /** Compares both clocks with the lease. */
@@ -158,7 +157,7 @@
         this.note(message.report, undefined);
         break;
       case 'renewed':
-        if (isSame(message.self, this.member)) {
+        if (sameIncarnation(message.self, this.member)) {
           this.lease.answered(message.epoch, message.witness, message.sentAt);
         }
         break;
@@ -175,7 +174,7 @@
         message.reply(this.listSuspects());
         break;
       case 'reincarnate':
-        if (isSame(message.self, this.member)) this.reincarnate();
+        if (sameIncarnation(message.self, this.member)) this.reincarnate();
         break;
       case 'surrender':
         this.surrendered = true;
@@ -238,7 +237,7 @@
       ({ vm, region }) =>
         vm !== this.member.vm &&
         region === this.member.region &&
-        chooseWitnesses(members, vm).some((witness) => isSame(witness, this.member)),
+        chooseWitnesses(members, vm).some((witness) => sameIncarnation(witness, this.member)),
     );
     this.watched
       .filter((member) => !before.has(nameIncarnation(member)))
@@ -297,7 +296,7 @@
   private notePromise(suspect: Incarnation, promise: FencePromise): void {
     const name = nameIncarnation(suspect);
     const promises = this.fences.get(name) ?? [];
-    if (promises.some(({ witness }) => isSame(witness, promise.witness))) return;
+    if (promises.some(({ witness }) => sameIncarnation(witness, promise.witness))) return;
     this.fences.set(name, [...promises, promise]);
   }
 
--- a/src/membership/share-lease.ts
+++ b/src/membership/share-lease.ts
@@ -1,4 +1,4 @@
-import type { Incarnation } from '../domain/vm.js';
+import { type Incarnation, nameIncarnation } from '../domain/vm.js';
 import { countMajority } from './witness-set.js';
 
 /** Length of a share lease from the send time of its heartbeat, in milliseconds. */
@@ -100,13 +100,3 @@
   const wallMs = now.wallMs - at.wallMs;
   return monotonicMs < SHARE_LEASE_MS && wallMs < SHARE_LEASE_MS && wallMs > -WALL_STEP_MS;
 }
-
-/**
- * Names an incarnation in one text.
- *
- * @param incarnation - the incarnation
- * @returns a text that is equal for equal incarnations
- */
-export function nameIncarnation({ vm, incarnation }: Incarnation): string {
-  return `${vm}/${incarnation}`;
-}
--- a/src/membership/unlisted-vms.ts
+++ b/src/membership/unlisted-vms.ts
@@ -1,7 +1,6 @@
-import type { Incarnation } from '../domain/vm.js';
+import { type Incarnation, nameIncarnation } from '../domain/vm.js';
 import { listMembers } from './member-fold.js';
 import { appendMemberRecord, type MembershipContext, repeat } from './membership-context.js';
-import { nameIncarnation } from './share-lease.js';
 import { chooseWitnesses } from './witness-set.js';
 
 /** Time for which the VM list must lack a VM, in milliseconds. */
--- a/src/membership/witness-set.ts
+++ b/src/membership/witness-set.ts
@@ -1,3 +1,4 @@
+import { nameIncarnation } from '../domain/vm.js';
 import type { Member } from './membership.js';
 import { scoreRendezvous } from '../kernel/rendezvous.js';
 
@@ -49,8 +50,5 @@
  * @returns a text that is equal for equal sets
  */
 export function describeWitnesses(witnesses: readonly Member[]): string {
-  return witnesses
-    .map(({ vm, incarnation }) => `${vm}/${incarnation}`)
-    .sort()
-    .join(' ');
+  return witnesses.map(nameIncarnation).sort().join(' ');
 }
--- a/src/membership/witnessed-membership.ts
+++ b/src/membership/witnessed-membership.ts
@@ -2,7 +2,7 @@
 
 import type { Stream } from 'most';
 
-import type { Address, Incarnation } from '../domain/vm.js';
+import { type Address, type Incarnation, sameIncarnation } from '../domain/vm.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { SystemClock } from '../kernel/system-clock.js';
@@ -10,7 +10,7 @@
 import type { Settings } from '../settings/schema.js';
 import { Fencing } from './fencing.js';
 import { Heartbeats } from './heartbeats.js';
-import { isSame, listMembers, listRemoved, saveMembers } from './member-fold.js';
+import { listMembers, listRemoved, saveMembers } from './member-fold.js';
 import { MemberSnapshots } from './member-snapshots.js';
 import { MemberStream } from './member-stream.js';
 import {
@@ -164,12 +164,12 @@
   }
 
   override confirmedEpoch(member: Incarnation): number {
-    if (isSame(member, this.self())) return this.task.members().epoch;
+    if (sameIncarnation(member, this.self())) return this.task.members().epoch;
     return this.task.report(member)?.epoch ?? 0;
   }
 
   override async askEpoch(member: Incarnation): Promise<number> {
-    if (isSame(member, this.self())) return this.task.members().epoch;
+    if (sameIncarnation(member, this.self())) return this.task.members().epoch;
     const listed = this.task.members().members.get(member.vm)?.member;
     if (!listed) return 0;
     const answer = await this.confirm(listed.peers);
@@ -193,7 +193,7 @@
   }
 
   override async isGone(owner: Incarnation): Promise<boolean> {
-    if (isSame(owner, this.self())) return false;
+    if (sameIncarnation(owner, this.self())) return false;
     // This process runs only its present incarnation on this VM.
     if (owner.vm === this.self().vm || this.task.isRemoved(owner)) return true;
     if (this.unlisted.isDropped(owner)) return true;
--- a/src/observability/ring-decisions.ts
+++ b/src/observability/ring-decisions.ts
@@ -3,7 +3,7 @@
 import { SystemClock } from '../kernel/system-clock.js';
 import type { DecisionRecord } from '../gen/cuminspar/peer/v1/peer_pb.js';
 import type { Member } from '../membership/membership.js';
-import { scoreRendezvous } from '../kernel/rendezvous.js';
+import { rankByRendezvous } from '../kernel/rendezvous.js';
 import type { Settings } from '../settings/schema.js';
 import { CopySelection } from './copy-selection.js';
 import { DecisionRing } from './decision-ring.js';
@@ -153,12 +153,10 @@
 
   private choosePeer(): Member | undefined {
     const { availabilityZone, region } = this.kernel.find('membership').self();
-    const rank = (member: Member) => {
-      const near = member.region === region ? 1 : 0;
-      const apart = member.availabilityZone === availabilityZone ? 0 : 2;
-      return (apart + near) * 2 ** 32 + scoreRendezvous(this.vm, member.vm);
-    };
-    return [...this.listOthers()].sort((a, b) => rank(b) - rank(a))[0];
+    const ranked = rankByRendezvous(this.vm, this.listOthers(), ({ vm }) => vm);
+    const apart = ranked.filter((member) => member.availabilityZone !== availabilityZone);
+    const isNear = (member: Member) => member.region === region;
+    return apart.find(isNear) ?? apart[0] ?? ranked.find(isNear) ?? ranked[0];
   }
 }
 
--- a/src/operators/fleet-status.ts
+++ b/src/operators/fleet-status.ts
@@ -1,5 +1,6 @@
 import { create, type MessageInitShape } from '@bufbuild/protobuf';
 
+import { nameIncarnation } from '../domain/vm.js';
 import { type VmStatus, VmStatusSchema } from '../gen/cuminspar/operator/v1/operator_pb.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
@@ -96,13 +97,12 @@
     reached: Set<string>,
   ): Promise<string[]> {
     const leftMs = Math.max(50, Math.trunc(deadlineMs - this.clock.monotonicMs()));
-    const nameOf = ({ vm, incarnation }: Member) => `${vm}/${incarnation}`;
     const isBehind = (status: VmStatus) =>
       !status.reachable || status.configurationVersion < version;
-    const asked = this.listOthers().filter((member) => !reached.has(nameOf(member)));
+    const asked = this.listOthers().filter((member) => !reached.has(nameIncarnation(member)));
     const others = await mapConcurrently(asked, MOST_CALLS, async (member) => {
       const status = await readMember(clients, member, Math.min(CALL_TIMEOUT_MS, leftMs));
-      if (!isBehind(status)) reached.add(nameOf(member));
+      if (!isBehind(status)) reached.add(nameIncarnation(member));
       return status;
     });
     return [this.readLocal(), ...others].filter(isBehind).map((status) => status.vm);
--- a/src/orders/command.ts
+++ b/src/orders/command.ts
@@ -1,7 +1,6 @@
-import type { Incarnation } from '../domain/vm.js';
+import { type Incarnation, sameIncarnation } from '../domain/vm.js';
 import { rankByRendezvous } from '../kernel/rendezvous.js';
 import { FENCE_WAIT_MS } from '../membership/fence.js';
-import { isSame } from '../membership/member-fold.js';
 import type { Commander } from '../membership/membership.js';
 
 /** Time by which each further candidate waits longer, so that one claim usually is enough. */
@@ -48,7 +47,7 @@
    */
   observe(view: CommandView, nowMs: number): number | undefined {
     const { commander, members } = view;
-    const vacant = !commander || !members.some((member) => isSame(member, commander));
+    const vacant = !commander || !members.some((member) => sameIncarnation(member, commander));
     this.vacantSinceMs = vacant ? (this.vacantSinceMs ?? nowMs) : undefined;
     const fencingNumber = findTerm(view);
     if (fencingNumber !== this.term?.fencingNumber) {
@@ -68,7 +67,7 @@
     if (this.vacantSinceMs === undefined || !leaseLive) return false;
     if (nowMs - this.claimedMs < CLAIM_RETRY_MS) return false;
     const ranked = rankByRendezvous('commander', members, ({ vm }) => vm);
-    const rank = ranked.findIndex((member) => isSame(member, self));
+    const rank = ranked.findIndex((member) => sameIncarnation(member, self));
     if (rank < 0 || nowMs - this.vacantSinceMs < rank * CLAIM_STEP_MS) return false;
     this.claimedMs = nowMs;
     return true;
@@ -96,6 +95,8 @@
 }
 
 function findTerm({ commander, members, self }: CommandView): number | undefined {
-  if (!commander || !isSame(commander, self)) return undefined;
-  return members.some((member) => isSame(member, self)) ? commander.fencingNumber : undefined;
+  if (!commander || !sameIncarnation(commander, self)) return undefined;
+  return members.some((member) => sameIncarnation(member, self))
+    ? commander.fencingNumber
+    : undefined;
 }
