fix(admission): serve a team whose homes answer slowly

The decision records of such refusals show a VM that is no home, homes that were passed over as silent, and up to 12 requests waiting for one debit at a time. A VM admitted no more than 1 / round trip requests a second of a team, dropped answers after 80 ms, and passed a silent home over for 500 ms at once. Ruled out: buckets that start empty (levels were not the limit) and lapsed leases.

Refusals record what was known of the tokens, and the scenarios print it.

--- a/features/admission/faults.feature
+++ b/features/admission/faults.feature
@@ -79,6 +79,22 @@
       | 100   | 50    |
       | 3     | 500   |
 
+  # Guards against a team that is refused because its homes answer slowly: with one debit at a time a
+  # VM admits no more than 1 / round trip requests a second, and answers after 80 ms were dropped.
+  Scenario Outline: a team inside its rate is not refused while its homes need <callMs> ms each way
+    Given an admission fleet of 6 VMs with the team "oval-crew" at rate 8000 and burst 16000
+    When calls between admission VMs take <callMs> ms each way
+    And admission carries 0.6 times the rate of "oval-crew" on the VMs at places "2" for 5000 ms
+    And admission has waited 1500 ms more
+    Then admission refuses at most 0 of those requests
+    And admission of "oval-crew" reaches 59 percent of rate × time
+
+    Examples:
+      | callMs |
+      | 5      |
+      | 30     |
+      | 50     |
+
   Scenario: a team inside its rate is not refused while VMs come and go
     Given an admission fleet of 6 VMs with 5 teams at rate 1000 and burst 2000
     When admission carries 60 percent of the rate of 5 teams for 20000 ms while VMs join and die
--- a/features/steps/admission-steps.ts
+++ b/features/steps/admission-steps.ts
@@ -194,7 +194,7 @@
 });
 
 When(
-  'admission carries {int} times the rate of {string} on the VMs at places {string} for {int} ms',
+  'admission carries {float} times the rate of {string} on the VMs at places {string} for {int} ms',
   async (times: number, team: string, places: string, ms: number) => {
     const fleet = scenario.fleet!;
     const vms = places.split(', ').map((place) => fleet.find(team, Number(place)));
@@ -206,6 +206,12 @@
   },
 );
 
+When('calls between admission VMs take {int} ms each way', (ms: number) => {
+  Object.assign(scenario.fleet!, { callMs: ms });
+});
+
+When('admission has waited {int} ms more', (ms: number) => scenario.fleet!.advance(ms));
+
 When(
   'admission applies the rate {int} and burst {int} to {string}',
   (rate: number, burst: number, name: string) => {
--- a/features/steps/guarantees-inside-rate-steps.ts
+++ b/features/steps/guarantees-inside-rate-steps.ts
@@ -20,6 +20,9 @@
 
 const CALLERS = 20;
 
+/** Refusals whose decisions are added to the message of a failure. */
+const MOST_EXPLAINED = 5;
+
 /** A fast link and prefill, so that only the tokens can be short. */
 const ENGINE_ARGS = ['--prefill-tokens-per-second', '200000'];
 
@@ -51,6 +54,20 @@
   await fleet.waitReady(added);
 }
 
+/** Reads what the daemons recorded about refused requests, so that a failed run names its cause. */
+async function explainRefusals(fleet: Fleet, requestIds: readonly string[]): Promise<string> {
+  const answers = await Promise.all(
+    fleet.daemons.flatMap((daemon) => {
+      const { calls } = fleet.operator(daemon);
+      return requestIds.map((requestId) => calls.explain({ requestId }).catch(() => undefined));
+    }),
+  );
+  return answers
+    .flatMap((answer) => answer?.decisions ?? [])
+    .map(({ vm, step, reason, factsJson }) => `${vm} ${step}: ${reason} ${factsJson}`)
+    .join('\n');
+}
+
 After(async () => {
   await scenario.inside?.fleet.stop();
 });
@@ -83,8 +100,8 @@
 
 Then(
   'inside-rate callers are refused in less than {float} percent of their requests',
-  (most: number) => {
-    const { counts } = insideOf();
+  async (most: number) => {
+    const { counts, fleet } = insideOf();
     assert.ok(counts);
     const { sent, whole, broken, refused, hosts } = counts;
     const codes = JSON.stringify(Object.fromEntries(refused));
@@ -92,6 +109,7 @@
     reportFigure(scenario, `${figures}, through ${hosts.size} daemons`);
     assert.ok(hosts.size > 2, 'the callers stayed at the homes');
     assert.ok(whole > 0.9 * sent, figures);
-    assert.ok((100 * countRefused(counts)) / sent < most, figures);
+    const refusals = await explainRefusals(fleet, counts.refusedIds.slice(0, MOST_EXPLAINED));
+    assert.ok((100 * countRefused(counts)) / sent < most, `${figures}\n${refusals}`);
   },
 );
--- a/features/support/admission-fleet.ts
+++ b/features/support/admission-fleet.ts
@@ -71,6 +71,9 @@
 
   headroom = 1_000_000;
 
+  /** Time that a call between VMs takes each way, in milliseconds. */
+  callMs = 1;
+
   private epochs: MemberEpoch[] = [];
 
   private readonly teams = new Map<string, Team>();
@@ -304,12 +307,12 @@
     name: 'debit' | 'refund' | 'reportDeaths',
     body: object,
   ): Promise<object> {
-    await this.clock.sleep(1);
+    await this.clock.sleep(this.callMs);
     const vm = this.vms.find((other) => other.member.peers.port === address.port);
     if (!vm || vm.fault === 'refused') throw new Error('connection refused');
     if (vm.fault === 'silent') return this.clock.sleep(Infinity).then(() => ({}));
     const answer = await (vm.handlers[name] as unknown as Handler)(body);
-    await this.clock.sleep(1);
+    await this.clock.sleep(this.callMs);
     if (vm.fault === 'lost-answer') {
       Object.assign(vm, { fault: undefined });
       throw new Error('connection reset');
--- a/features/support/guarantees-followers.ts
+++ b/features/support/guarantees-followers.ts
@@ -24,6 +24,7 @@
   broken: number;
   /** Refusals by code. */
   readonly refused: Map<string, number>;
+  readonly refusedIds: string[];
   /** Daemons that were called. */
   readonly hosts: Set<string>;
 }
@@ -113,6 +114,7 @@
       this.answer = undefined;
     } else if (answer.code) {
       counts.refused.set(answer.code, (counts.refused.get(answer.code) ?? 0) + 1);
+      counts.refusedIds.push(answer.requestId);
     } else counts.whole += 1;
   }
 }
@@ -128,7 +130,7 @@
   setMaxListeners(plan.callers, ended.signal);
   const counts: FollowerCounts = {
     ...{ sent: 0, whole: 0, broken: 0 },
-    ...{ refused: new Map<string, number>(), hosts: new Set<string>() },
+    ...{ refused: new Map<string, number>(), refusedIds: [], hosts: new Set<string>() },
   };
   const runs = Array.from({ length: plan.callers }, (_, place) =>
     Follower.create(plan, counts, place).run(ended.signal),
--- a/src/admission/admission-task.ts
+++ b/src/admission/admission-task.ts
@@ -80,6 +80,16 @@
     return this.collector.buckets;
   }
 
+  /**
+   * Describes what is known of a team's tokens.
+   *
+   * @param team - name of the team
+   * @returns facts for the record of decisions
+   */
+  describeSupply(team: string): Record<string, number> {
+    return this.supplies.obtain(team).describe(this.clock.monotonicMs());
+  }
+
   protected override receive(message: AdmissionMessage): void {
     switch (message.kind) {
       case 'wait':
@@ -89,7 +99,7 @@
         this.refuse(message.request, 'cancelled', 'the caller has gone');
         break;
       case 'collected':
-        this.finishCollection(message.collection);
+        this.endDebit(message.collection);
         break;
       case 'settle':
         this.settle(message.team, message.parts, message.unusedTokens, message.refundable);
@@ -99,7 +109,7 @@
         return;
       case 'peer-refund':
         this.collector.refundForPeer(message.refund);
-        this.supplies.noteReturned(message.refund.team, message.refund.tokens);
+        this.noteReturned(message.refund.team, message.refund.tokens);
         message.reply();
         break;
       case 'reset':
@@ -131,8 +141,9 @@
   /** A team that waits for the tokens of a larger request can run a smaller, newer one. */
   private wakeTeam({ team, cost }: WaitingRequest): void {
     const supply = this.supplies.obtain(team);
-    const isShort = supply.msUntil(cost, this.clock.monotonicMs()) > 0;
-    if (supply.blockedUntilMs > 0 && !isShort) this.supplies.unblock(supply);
+    const nowMs = this.clock.monotonicMs();
+    const isShort = supply.msUntil(cost, nowMs) > 0;
+    if (supply.waitsForTokens && !isShort) this.supplies.unblock(supply, nowMs);
   }
 
   /** Gives turns until capacity or tokens are short, then refuses what has waited too long. */
@@ -221,20 +232,25 @@
   private collect(request: WaitingRequest, turn: Turn): void {
     const collection = this.collector.collect(request, turn);
     if (collection) this.finishCollection(collection);
-    else this.supplies.beginDebit(this.supplies.obtain(request.team));
+    else this.supplies.beginDebit(this.supplies.obtain(request.team), turn.openedMs);
+  }
+
+  private endDebit(collection: Collection): void {
+    const supply = this.supplies.obtain(collection.request.team);
+    this.supplies.endDebit(supply, this.clock.monotonicMs());
+    this.finishCollection(collection);
   }
 
   private finishCollection(collection: Collection): void {
     const { request, turn, funding } = collection;
     const { team, cost } = request;
-    const supply = this.supplies.obtain(team);
-    this.supplies.endDebit(supply);
     const complete = sumGranted(funding.parts) >= cost;
     if (complete && !request.finished) {
       this.finishAdmission(request, funding, turn);
       return;
     }
     turn.close();
+    const supply = this.supplies.obtain(team);
     supply.read(this.collector.readSupply(collection));
     funding.parts.forEach((part) => this.collector.refund(team, part, part.granted));
     const lane = this.lanes.obtain(request.lane);
@@ -260,7 +276,7 @@
    * team would neither be served nor passed over.
    */
   private waitForTokens(supply: TeamSupply, lane: Lane, nowMs: number): void {
-    Object.assign(supply, { shortMs: nowMs });
+    if (supply.homesAnswered) Object.assign(supply, { shortMs: nowMs });
     let head = this.headOf(lane, supply.team);
     while (head) {
       const waitMs = supply.msUntil(head.cost, nowMs);
@@ -294,7 +310,11 @@
       if (returned > 0) this.collector.refund(team, part, returned);
       left -= returned;
     }
-    if (unusedTokens > 0) this.supplies.noteReturned(team, unusedTokens);
+    if (unusedTokens > 0) this.noteReturned(team, unusedTokens);
+  }
+
+  private noteReturned(team: string, tokens: number): void {
+    this.supplies.noteReturned(team, tokens, this.clock.monotonicMs());
   }
 
   private sweep(): void {
--- a/src/admission/remote-debits.ts
+++ b/src/admission/remote-debits.ts
@@ -1,17 +1,21 @@
+import { setImmediate as readSockets } from 'node:timers/promises';
+
 import type { Clock } from '../kernel/clock.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
 import type { Kernel } from '../kernel/kernel.js';
 import type { Member } from '../membership/membership.js';
 import type { ShareGrant } from './home-shares.js';
 
-/** Longest wait for one debit; leaves time to send the request within the dispatch delay. */
-const DEBIT_TIMEOUT_MS = 80;
-
 /** Longest wait for one refund. */
 const REFUND_TIMEOUT_MS = 1000;
 
-/** A home that did not answer is passed over for this long. */
-const SILENT_PAUSE_MS = 500;
+/** A home that did not answer is passed over for this long, and twice as long after each further one. */
+const FIRST_SILENT_PAUSE_MS = 30;
+
+// With 500 ms after the first lost answer, a busy machine on which both homes answered late once
+// refused requests of teams inside their rates.
+/** Longest pause of a home that does not answer. */
+const LONGEST_SILENT_PAUSE_MS = 500;
 
 /** Longest pause of a home that granted nothing; it may get refunds or a share at any time. */
 const EMPTY_PAUSE_MS = 250;
@@ -25,6 +29,9 @@
 export class RemoteDebits {
   private readonly pauses = new Map<string, number>();
 
+  /** Length of the last pause of homes that have not answered since, in milliseconds. */
+  private readonly silences = new Map<string, number>();
+
   private constructor(
     private readonly kernel: Kernel,
     private readonly clock: Clock,
@@ -64,6 +71,7 @@
    * @param team - name of the team
    * @param tokens - tokens wanted
    * @param debitId - identifies the debit
+   * @param deadlineMs - monotonic time at which the wait ends, in milliseconds
    * @returns what was granted, or `unanswered`
    */
   async debit(
@@ -71,18 +79,20 @@
     team: string,
     tokens: number,
     debitId: string,
+    deadlineMs: number,
   ): Promise<Outcome<ShareGrant, 'unanswered'>> {
-    const deadlineMs = this.clock.monotonicMs() + DEBIT_TIMEOUT_MS;
+    const startedMs = this.clock.monotonicMs();
     for (let attempt = 0; attempt < 2; attempt += 1) {
       const leftMs = deadlineMs - this.clock.monotonicMs();
       if (leftMs <= 0) break;
       const grant = await this.callDebit(home, team, tokens, debitId, leftMs);
       if (grant) {
+        this.silences.delete(keyOf(home));
         if (grant.granted === 0) this.pauseEmpty(home, team, grant.retryAfterMs);
         return succeed(grant);
       }
     }
-    this.pause(keyOf(home), SILENT_PAUSE_MS);
+    this.pauseSilent(home, startedMs);
     this.refund(home, team, tokens, debitId);
     return fail('unanswered');
   }
@@ -142,7 +152,11 @@
   ): Promise<Answer | undefined> {
     const abort = new AbortController();
     const answered = new AbortController();
-    const late = this.clock.sleep(timeoutMs, answered.signal).then(() => undefined);
+    // After a pause of this process the timer fires before the sockets are read.
+    const late = this.clock.sleep(timeoutMs, answered.signal).then(async () => {
+      await readSockets();
+      return undefined;
+    });
     const answer = await Promise.race([call(abort.signal).catch(() => undefined), late]);
     answered.abort();
     if (answer === undefined) abort.abort();
@@ -153,6 +167,17 @@
     this.pause(keyOf(home, team), Math.min(retryAfterMs, EMPTY_PAUSE_MS));
   }
 
+  /** Calls that were under way together count as one silence. */
+  private pauseSilent(home: Member, startedMs: number): void {
+    const key = keyOf(home);
+    if ((this.pauses.get(key) ?? 0) > startedMs) return;
+    const lastMs = this.silences.get(key) ?? FIRST_SILENT_PAUSE_MS / 2;
+    const pauseMs = Math.min(2 * lastMs, LONGEST_SILENT_PAUSE_MS);
+    if (this.silences.size >= MOST_PAUSES) this.silences.clear();
+    this.silences.set(key, pauseMs);
+    this.pause(key, pauseMs);
+  }
+
   private pause(key: string, ms: number): void {
     if (this.pauses.size >= MOST_PAUSES) this.pauses.clear();
     this.pauses.set(key, this.clock.monotonicMs() + ms);
--- a/src/admission/shared-admission.ts
+++ b/src/admission/shared-admission.ts
@@ -304,8 +304,9 @@
   ): Record<string, number> {
     if (outcome.kind === 'ok') return {};
     const retryAfterMs = outcome.failure.retryAfterMs ?? 0;
-    if (!request.model) return { retryAfterMs };
-    return { retryAfterMs, headroom: this.kernel.find('routing').headroom(request.model) };
+    const facts = { retryAfterMs, ...this.task.describeSupply(request.team) };
+    if (!request.model) return facts;
+    return { ...facts, headroom: this.kernel.find('routing').headroom(request.model) };
   }
 
   private async tick(): Promise<void> {
--- a/src/admission/team-supplies.ts
+++ b/src/admission/team-supplies.ts
@@ -2,6 +2,12 @@
 import { IndexedHeap } from './indexed-heap.js';
 import { TeamSupply } from './team-supply.js';
 
+// A team with one debit at a time gets 1 / round trip requests a second through each VM: with round
+// trips of 100 ms, 10 to 69 of 250 requests of a team at 60% of its rate were refused. Debits without
+// a distance let a team beyond its rate take more slots (93.8% of another team's requests served).
+/** Wait for the answer to a debit before the team's next one starts. */
+const DEBIT_SPACING_MS = 10;
+
 /** Keeps what is known of each team's tokens, and passes teams over in the lanes. */
 export class TeamSupplies {
   private readonly supplies = new Map<string, TeamSupply>();
@@ -49,28 +55,34 @@
    */
   isBlocked(team: string): boolean {
     const supply = this.supplies.get(team);
-    return supply !== undefined && (supply.busy || supply.blockedUntilMs > 0);
+    return supply !== undefined && (supply.debits > 0 || supply.blockedUntilMs > 0);
   }
 
   /**
-   * Passes a team over while a debit for it is under way.
+   * Notes that a debit for a team is under way, and passes the team over when it must wait for it.
    *
    * @param supply - supply of the team
+   * @param nowMs - monotonic time in milliseconds
    */
-  beginDebit(supply: TeamSupply): void {
-    Object.assign(supply, { busy: true });
-    this.lanes.block(supply.team);
+  beginDebit(supply: TeamSupply, nowMs: number): void {
+    Object.assign(supply, { debits: supply.debits + 1 });
+    if (supply.isBusy(nowMs)) this.lanes.block(supply.team);
+    else {
+      this.blockUntil(supply, nowMs + DEBIT_SPACING_MS);
+      Object.assign(supply, { spaced: true });
+    }
   }
 
   /**
-   * Lets a team take turns again after a debit; it keeps the turns that it was passed over for.
+   * Notes that a debit has ended. The team takes turns again unless it waits for tokens, and keeps
+   * the turns that it was passed over for.
    *
    * @param supply - supply of the team
+   * @param nowMs - monotonic time in milliseconds
    */
-  endDebit(supply: TeamSupply): void {
-    if (!supply.busy) return;
-    Object.assign(supply, { busy: false });
-    this.lanes.unblock(supply.team, true);
+  endDebit(supply: TeamSupply, nowMs: number): void {
+    Object.assign(supply, { debits: supply.debits - 1 });
+    if (!supply.waitsForTokens) this.unblock(supply, nowMs, true);
   }
 
   /**
@@ -80,7 +92,7 @@
    * @param untilMs - monotonic time in milliseconds
    */
   blockUntil(supply: TeamSupply, untilMs: number): void {
-    Object.assign(supply, { blockedUntilMs: untilMs });
+    Object.assign(supply, { blockedUntilMs: untilMs, spaced: false });
     this.blocked.put(supply);
     this.lanes.block(supply.team);
   }
@@ -94,19 +106,21 @@
     for (;;) {
       const supply = this.blocked.peek();
       if (!supply || supply.blockedUntilMs > nowMs) return;
-      this.unblock(supply);
+      this.unblock(supply, nowMs);
     }
   }
 
   /**
-   * Ends a team's wait.
+   * Ends a team's wait, unless it must wait for a debit.
    *
    * @param supply - supply of the team
+   * @param nowMs - monotonic time in milliseconds
+   * @param keepsTurns - see {@link FairQueue.unblock}
    */
-  unblock(supply: TeamSupply): void {
+  unblock(supply: TeamSupply, nowMs: number, keepsTurns = supply.spaced): void {
     this.blocked.remove(supply);
-    Object.assign(supply, { blockedUntilMs: 0 });
-    if (!supply.busy) this.lanes.unblock(supply.team, false);
+    Object.assign(supply, { blockedUntilMs: 0, spaced: false });
+    if (!supply.isBusy(nowMs)) this.lanes.unblock(supply.team, keepsTurns);
   }
 
   /**
@@ -114,12 +128,13 @@
    *
    * @param team - name of the team
    * @param tokens - tokens refunded
+   * @param nowMs - monotonic time in milliseconds
    */
-  noteReturned(team: string, tokens: number): void {
+  noteReturned(team: string, tokens: number, nowMs: number): void {
     const supply = this.supplies.get(team);
     if (!supply) return;
     supply.addReturned(tokens);
-    if (supply.blockedUntilMs > 0) this.unblock(supply);
+    if (supply.waitsForTokens) this.unblock(supply, nowMs);
   }
 
   /** Forgets the teams about which nothing is known. */
--- a/src/admission/team-supply.ts
+++ b/src/admission/team-supply.ts
@@ -7,6 +7,9 @@
 /** Time for which a team counts as short of tokens. */
 const SHORT_MEMORY_MS = 1000;
 
+/** Debits of one team that may be under way while its homes have tokens. */
+const MOST_DEBITS = 8;
+
 /** Wait when no home can be asked. */
 const NO_HOME_WAIT_MS = 50;
 
@@ -24,12 +27,15 @@
 
 /** What this VM knows of one team's tokens and requests. */
 export class TeamSupply {
-  /** True while a debit for the team is under way. */
-  busy = false;
+  /** Debits of the team that are under way. */
+  debits = 0;
 
-  /** Monotonic time until which the team's requests wait for tokens; 0 when they do not. */
+  /** Monotonic time until which the team is passed over; 0 when it is not. */
   blockedUntilMs = 0;
 
+  /** True when the team is passed over only until its next debit may start. */
+  spaced = false;
+
   /** Tokens of requests in progress that may come back. */
   refundable = 0;
 
@@ -54,7 +60,17 @@
 
   /** True when nothing would be lost by forgetting the team. */
   get unused(): boolean {
-    return !this.busy && this.blockedUntilMs === 0 && this.refundable === 0;
+    return this.debits === 0 && this.blockedUntilMs === 0 && this.refundable === 0;
+  }
+
+  /** False when no home answered the last debit that failed; the team may have tokens then. */
+  get homesAnswered(): boolean {
+    return this.reading !== undefined && this.reading.rate > 0;
+  }
+
+  /** True when the team's requests wait for tokens. */
+  get waitsForTokens(): boolean {
+    return this.blockedUntilMs > 0 && !this.spaced;
   }
 
   /**
@@ -67,6 +83,35 @@
     return nowMs - this.shortMs < SHORT_MEMORY_MS;
   }
 
+  /**
+   * Tells whether the team has to wait for a debit before it starts another one. Debits of a team
+   * that is short of tokens go one after another: each would get a part of what there is.
+   *
+   * @param nowMs - monotonic time in milliseconds
+   * @returns true when no further debit may start
+   */
+  isBusy(nowMs: number): boolean {
+    return this.debits >= (this.wasShort(nowMs) ? 1 : MOST_DEBITS);
+  }
+
+  /**
+   * Describes the last reading for the record of decisions.
+   *
+   * @param nowMs - monotonic time in milliseconds
+   * @returns the reading as facts; empty before the homes were asked
+   */
+  describe(nowMs: number): Record<string, number> {
+    const { reading } = this;
+    if (!reading) return {};
+    return {
+      supplyAgeMs: Math.round(nowMs - reading.atMs),
+      supplyLevel: reading.level,
+      supplyRate: reading.rate,
+      silentForMs: Math.max(0, Math.round(reading.pausedUntilMs - reading.atMs)),
+      refundable: this.refundable,
+    };
+  }
+
   /**
    * Notes what the homes had.
    *
