feat(membership): carry heartbeats on a stream for each member and witness

Heartbeats were the largest part of the control traffic: a connect call for each costs headers, a deadline and a ping of the idle connection.

Each member now opens one stream to each witness. A message carries the number of its heartbeat, and the state only when it has changed. An answer renews the lease from the send time of the heartbeat with its number. A heartbeat without an answer after 300 ms is repeated by a call, which finds a silent connection by its ping, and the next round replaces the stream. Listeners end connections without traffic after 90 s, so that streams of lost connections end too.

--- a/features/steps/membership-steps.ts
+++ b/features/steps/membership-steps.ts
@@ -28,8 +28,8 @@
     .filter((incarnation) => removed.has(incarnation));
 }
 
-async function startFleet(count: number, snapshotMs?: number) {
-  const fleet = MemberFleet.create();
+async function startFleet(count: number, snapshotMs?: number, speed?: number) {
+  const fleet = MemberFleet.create(speed);
   if (snapshotMs) fleet.snapshotMs = snapshotMs;
   const { violations, first } = Object.assign(scenario, {
     fleet,
@@ -113,6 +113,10 @@
   },
 );
 
+Given('a member fleet of {int} VMs in real time behind relays', async (count: number) => {
+  await startFleet(count, undefined, 1);
+});
+
 When('member {int} dies', async (index: number) => {
   await find(index).stop();
   findFleet(scenario).daemons.delete(`vm-${index}`);
--- a/features/support/membership/faulty-clock.ts
+++ b/features/support/membership/faulty-clock.ts
@@ -15,22 +15,26 @@
 
   private wake: () => void = () => undefined;
 
-  static create(): FaultyClock {
-    return new FaultyClock();
+  private constructor(private readonly speed: number) {
+    super();
+  }
+
+  static create(speed = SPEED): FaultyClock {
+    return new FaultyClock(speed);
   }
 
   override monotonicMs(): number {
-    const nowMs = performance.now() * SPEED;
+    const nowMs = performance.now() * this.speed;
     const frozenNowMs = this.suspended ? nowMs - (this.pausedAtMs ?? nowMs) : 0;
     return nowMs - this.frozenMs - frozenNowMs;
   }
 
   override wallMs(): number {
-    return Date.now() * SPEED;
+    return Date.now() * this.speed;
   }
 
   override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
-    await delay(ms / SPEED, undefined, { signal }).catch(() => undefined);
+    await delay(ms / this.speed, undefined, { signal }).catch(() => undefined);
     await this.gate();
   }
 
@@ -41,7 +45,7 @@
 
   /** Stops the process; a suspended VM's monotonic clock stops too. */
   pause(suspended: boolean): void {
-    this.pausedAtMs = performance.now() * SPEED;
+    this.pausedAtMs = performance.now() * this.speed;
     this.suspended = suspended;
     this.resumed = new Promise((resolve) => {
       this.wake = resolve;
@@ -50,7 +54,7 @@
 
   /** Lets the process run again. */
   resume(): void {
-    const nowMs = performance.now() * SPEED;
+    const nowMs = performance.now() * this.speed;
     if (this.suspended) this.frozenMs += nowMs - (this.pausedAtMs ?? nowMs);
     this.pausedAtMs = undefined;
     this.suspended = false;
--- a/features/support/membership/faulty-peers.ts
+++ b/features/support/membership/faulty-peers.ts
@@ -7,10 +7,25 @@
 
 type Call = (...values: unknown[]) => unknown;
 
+type StreamCall = (requests: AsyncIterable<unknown>, context: unknown) => AsyncIterable<unknown>;
+
+/** The calls that are streams in both directions. */
+const STREAMS: ReadonlySet<string | symbol> = new Set(['heartbeats']);
+
 /** Peer calls over real sockets that can be cut off or held back by a paused process. */
 export class FaultyPeers extends Peers {
   cut = false;
 
+  /** Delay of the answers that this VM gets, on the fast clock. */
+  answerDelayMs = 0;
+
+  /** Streams that this VM has opened to others, and those of them that are open. */
+  readonly opened = new Set<symbol>();
+
+  readonly open = new Set<symbol>();
+
+  private silent: ReadonlySet<symbol> = new Set();
+
   constructor(
     private readonly inner: ConnectPeers,
     private readonly clock: FaultyClock,
@@ -33,7 +48,12 @@
   override client(address: Address): PeerClient {
     const client = this.inner.client(address) as unknown as PeerHandlers;
     const handler: ProxyHandler<PeerHandlers> = {
-      get: (target, name) => this.guardCall(Reflect.get(target, name) as Call),
+      get: (target, name) => {
+        const call = Reflect.get(target, name) as Call;
+        if (STREAMS.has(name)) return this.guardOwnStream(call as StreamCall);
+        const guarded = this.guardCall(call);
+        return async (...values: unknown[]) => this.delayAnswer(await guarded(...values));
+      },
     };
     return new Proxy(client, handler) as unknown as PeerClient;
   }
@@ -42,10 +62,15 @@
     return this.cut || this.inner.unreachable(address);
   }
 
+  /** Stops all messages on the streams that are open to others; new ones work. */
+  silenceOpen(): void {
+    this.silent = new Set(this.open);
+  }
+
   private guard(handlers: PeerHandlers): PeerHandlers {
     const entries = Object.entries(handlers).map(([name, call]) => [
       name,
-      this.guardCall(call as Call),
+      STREAMS.has(name) ? this.guardStream(call as StreamCall) : this.guardCall(call as Call),
     ]);
     return Object.fromEntries(entries) as PeerHandlers;
   }
@@ -59,4 +84,38 @@
       return answer;
     };
   }
+
+  private guardStream(call: StreamCall): StreamCall {
+    return (requests, context) => this.pass(call(this.pass(requests), context));
+  }
+
+  private guardOwnStream(call: StreamCall): StreamCall {
+    return (requests, context) => this.passOwn(call(this.pass(requests), context));
+  }
+
+  private async *passOwn(source: AsyncIterable<unknown>): AsyncIterable<unknown> {
+    const name = Symbol('stream');
+    this.opened.add(name);
+    this.open.add(name);
+    try {
+      for await (const message of this.pass(source)) {
+        if (!this.silent.has(name)) yield await this.delayAnswer(message);
+      }
+    } finally {
+      this.open.delete(name);
+    }
+  }
+
+  private async *pass(source: AsyncIterable<unknown>): AsyncIterable<unknown> {
+    for await (const message of source) {
+      await this.clock.gate();
+      if (this.cut) throw new ConnectError('cut off', Code.Unavailable);
+      yield message;
+    }
+  }
+
+  private async delayAnswer(answer: unknown): Promise<unknown> {
+    if (this.answerDelayMs > 0) await this.clock.sleep(this.answerDelayMs);
+    return answer;
+  }
 }
--- a/features/support/membership/member-fleet.ts
+++ b/features/support/membership/member-fleet.ts
@@ -1,6 +1,7 @@
 import { findFreePorts } from '../../../harness/free-ports.js';
+import { createTcpRelay, type TcpRelay } from '../../../harness/tcp-relay.js';
 import type { Configuration } from '../../../src/configuration/configuration.js';
-import type { Vm } from '../../../src/domain/vm.js';
+import type { Address, Vm } from '../../../src/domain/vm.js';
 import { Kernel } from '../../../src/kernel/kernel.js';
 import { WitnessedMembership } from '../../../src/membership/witnessed-membership.js';
 import { ConnectPeers } from '../../../src/peers/connect-peers.js';
@@ -12,6 +13,7 @@
 import { FakeVmList } from './fake-vm-list.js';
 import { FaultyClock } from './faulty-clock.js';
 import { FaultyPeers } from './faulty-peers.js';
+import { SPEED } from './waits.js';
 
 /** One daemon's membership with its faults. */
 export interface MemberDaemon {
@@ -19,6 +21,7 @@
   readonly membership: WitnessedMembership;
   readonly clock: FaultyClock;
   readonly configuration: FakeConfiguration;
+  readonly peers: FaultyPeers;
   readonly reincarnations: string[];
   readonly setCut: (cut: boolean) => void;
   readonly stop: () => Promise<void>;
@@ -34,10 +37,21 @@
 
   private readonly ports = new Map<string, number>();
 
+  /** Relays before the listeners for peers, by VM; only with real time. */
+  readonly relays = new Map<string, TcpRelay>();
+
   snapshotMs = 600_000;
 
-  static create(): MemberFleet {
-    return new MemberFleet();
+  private constructor(private readonly speed: number) {}
+
+  /**
+   * Creates a fleet.
+   *
+   * @param speed - factor of the clocks; 1 puts relays before the listeners for peers
+   * @returns a fleet without members
+   */
+  static create(speed = SPEED): MemberFleet {
+    return new MemberFleet(speed);
   }
 
   /** Starts a daemon on a VM; a VM that ran before keeps its address. */
@@ -59,18 +73,20 @@
   async stop(): Promise<void> {
     this.daemons.forEach(({ clock }) => clock.resume());
     await Promise.all([...this.daemons.values()].map((daemon) => daemon.stop()));
+    await Promise.all([...this.relays.values()].map((relay) => relay.close()));
   }
 
   private async startDaemon(vm: Vm, port: number): Promise<MemberDaemon> {
     const kernel = Kernel.create();
-    const clock = FaultyClock.create();
+    const clock = FaultyClock.create(this.speed);
     const listener = { host: '127.0.0.1', port };
+    const advertised = this.speed === 1 ? await this.startRelay(vm.name, listener) : listener;
     const peers = new FaultyPeers(ConnectPeers.create(kernel, { peers: listener }), clock);
     const log = new FakeLog(this.log, clock);
     const configuration = new FakeConfiguration();
     const settings = {
       vm,
-      peers: listener,
+      peers: { ...listener, advertised },
       callers: { host: '127.0.0.1', port: 1 },
       operators: { host: '127.0.0.1', port: 2, tokenSha256: '' },
       snapshots: { everyMs: this.snapshotMs },
@@ -98,9 +114,16 @@
       membership,
       clock,
       configuration,
+      peers,
       reincarnations,
       setCut: (cut) => Object.assign(peers, { cut }) && Object.assign(log, { cut }),
       stop: () => kernel.stop(),
     };
   }
+
+  private async startRelay(name: string, listener: Address): Promise<Address> {
+    const relay = this.relays.get(name) ?? (await createTcpRelay(listener));
+    this.relays.set(name, relay);
+    return { host: listener.host, port: relay.port };
+  }
 }
--- a/src/membership/heartbeats.ts
+++ b/src/membership/heartbeats.ts
@@ -1,5 +1,6 @@
-import { type Incarnation, sameIncarnation } from '../domain/vm.js';
-import type { HeartbeatRequest, HeartbeatResponse } from '../gen/cuminspar/peer/v1/peer_pb.js';
+import { type Incarnation, nameIncarnation, sameIncarnation } from '../domain/vm.js';
+import type { HeartbeatRequest } from '../gen/cuminspar/peer/v1/peer_pb.js';
+import { answerHeartbeats, type HeartbeatAnswer, HeartbeatStream } from './heartbeat-stream.js';
 import { listMembers } from './member-fold.js';
 import type { MemberStream } from './member-stream.js';
 import type { Member } from './membership.js';
@@ -10,6 +11,13 @@
 /** Time between two heartbeats to a witness, in milliseconds. */
 const HEARTBEAT_MS = 1000;
 
+/**
+ * Wait for the answer of a stream before the heartbeat is repeated by a call, in milliseconds. The
+ * call takes up to 300 ms to find out that a connection is silent, and a witness suspects a member
+ * that it has not heard for 2 s.
+ */
+const LATE_MS = 300;
+
 /** Members that are told in one round that this VM drains; bounds the calls open at a time. */
 const NOTICES_OF_A_ROUND = 200;
 
@@ -26,6 +34,9 @@
   /** Incarnations that have answered a heartbeat that said that this VM drains. */
   private readonly told = new Set<string>();
 
+  /** Open streams by the incarnations at both ends. */
+  private readonly streams = new Map<string, HeartbeatStream>();
+
   private constructor(
     private readonly context: MembershipContext,
     private readonly stream: MemberStream,
@@ -67,6 +78,17 @@
    */
   async send(): Promise<void> {
     await repeat(this.context, HEARTBEAT_MS, () => this.beginRound());
+    this.closeStreams(new Set());
+  }
+
+  /**
+   * Answers the heartbeats of one stream.
+   *
+   * @param requests - the heartbeats
+   * @returns one answer for each
+   */
+  answerStream(requests: AsyncIterable<HeartbeatRequest>) {
+    return answerHeartbeats(requests, (request) => this.answer(request));
   }
 
   /**
@@ -75,7 +97,7 @@
    * @param request - the heartbeat
    * @returns the answer
    */
-  async answer(request: HeartbeatRequest) {
+  async answer(request: HeartbeatRequest): Promise<HeartbeatAnswer> {
     const { task, kernel } = this.context;
     const { vm = '', incarnation = '' } = request.sender ?? {};
     const report = {
@@ -125,12 +147,40 @@
     const { task } = this.context;
     const sentAt = task.now();
     const round = await task.ask<HeartbeatRound>((reply) => ({ kind: 'round', at: sentAt, reply }));
+    this.closeStreams(new Set(round.witnesses.map((witness) => nameStream(round.self, witness))));
+    const answered = new Set<Member>();
     round.witnesses.forEach((witness) => {
-      void this.exchange(round, witness, sentAt);
+      void this.exchange(round, witness, sentAt).then((isAnswered) => {
+        if (isAnswered) answered.add(witness);
+      });
     });
+    if (round.witnesses.length > 0) void this.repeatLate(round, answered);
+  }
+
+  private async exchange(
+    round: HeartbeatRound,
+    witness: Member,
+    sentAt: Instant,
+  ): Promise<boolean> {
+    const stream = this.obtainStream(round.self, witness);
+    const response = await stream.exchange({ ...this.describe(), epoch: BigInt(round.epoch) });
+    return this.take(round, witness, sentAt, response);
   }
 
-  private async exchange(round: HeartbeatRound, witness: Member, sentAt: Instant): Promise<void> {
+  /** A silent or broken stream must not cost a heartbeat, because its witness would suspect us. */
+  private async repeatLate(round: HeartbeatRound, answered: ReadonlySet<Member>): Promise<void> {
+    const { clock, signal, task } = this.context;
+    await clock.sleep(LATE_MS, signal);
+    if (signal.aborted) return;
+    const sentAt = task.now();
+    round.witnesses
+      .filter((witness) => !answered.has(witness))
+      .forEach((witness) => {
+        void this.call(round, witness, sentAt);
+      });
+  }
+
+  private async call(round: HeartbeatRound, witness: Member, sentAt: Instant): Promise<void> {
     const { vm, incarnation } = round.self;
     const client = this.context.kernel.find('peers').client(witness.peers);
     const response = await attempt(
@@ -140,17 +190,37 @@
         epoch: BigInt(round.epoch),
       }),
     );
-    if (!response || this.context.signal.aborted) return;
     this.take(round, witness, sentAt, response);
   }
 
+  /** A stream that has not answered for a whole round is replaced. */
+  private obtainStream(self: Incarnation, witness: Member): HeartbeatStream {
+    const name = nameStream(self, witness);
+    const known = this.streams.get(name);
+    if (known?.isReady()) return known;
+    known?.close();
+    const client = this.context.kernel.find('peers').client(witness.peers);
+    const opened = HeartbeatStream.open(client, self);
+    this.streams.set(name, opened);
+    return opened;
+  }
+
+  private closeStreams(kept: ReadonlySet<string>): void {
+    this.streams.forEach((stream, name) => {
+      if (kept.has(name)) return;
+      this.streams.delete(name);
+      stream.close();
+    });
+  }
+
   private take(
     round: HeartbeatRound,
     witness: Member,
     sentAt: Instant,
-    response: HeartbeatResponse,
-  ): void {
-    const { task, kernel } = this.context;
+    response: HeartbeatAnswer | undefined,
+  ): boolean {
+    const { task, kernel, signal } = this.context;
+    if (!response || signal.aborted) return false;
     const { vm } = witness;
     const { incarnation, draining } = response;
     const epoch = Number(response.epoch);
@@ -164,6 +234,7 @@
       const { self } = round;
       task.send({ kind: 'renewed', self, witness, epoch: round.epoch, sentAt });
     }
+    return true;
   }
 
   /**
@@ -176,3 +247,7 @@
     task.send({ kind: 'reincarnate', self });
   }
 }
+
+function nameStream(self: Incarnation, witness: Incarnation): string {
+  return `${nameIncarnation(self)} ${nameIncarnation(witness)}`;
+}
--- a/src/membership/witnessed-membership.ts
+++ b/src/membership/witnessed-membership.ts
@@ -245,6 +245,7 @@
     const { task } = this;
     return {
       heartbeat: (request) => this.heartbeats.answer(request),
+      heartbeats: (requests) => this.heartbeats.answerStream(requests),
       promiseFence: async ({ vm, incarnation }) => {
         const suspect = { vm, incarnation };
         const answer = await task.ask<PromiseAnswer>((reply) => ({
--- a/src/peers/connect-peers.ts
+++ b/src/peers/connect-peers.ts
@@ -26,6 +26,19 @@
 const REQUEST_MAX_BYTES = 4 * 1024 * 1024;
 const RESPONSE_MAX_BYTES = 32 * 1024 * 1024;
 
+/**
+ * Time after which a connection without traffic is ended on the side of the listener, in
+ * milliseconds. The other side does so after 60 s, unless it has lost the connection silently.
+ */
+const SESSION_IDLE_MS = 90_000;
+
+/** Calls that are streams; they stay open between messages. */
+const STANDING_PATHS: ReadonlySet<string> = new Set(
+  PeerService.methods
+    .filter(({ methodKind }) => methodKind !== 'unary')
+    .map(({ name }) => `/${PeerService.typeName}/${name}`),
+);
+
 type Handler = (request: unknown, context: unknown) => unknown;
 
 interface Connection {
@@ -107,6 +120,7 @@
     this.sessions.add(session);
     session.on('close', () => this.sessions.delete(session));
     session.on('error', () => session.destroy());
+    session.setTimeout(SESSION_IDLE_MS, () => session.destroy());
   }
 
   private createDispatch(): ServiceImpl<typeof PeerService> {
@@ -125,7 +139,7 @@
 }
 
 function connect(url: string, localAddress: string): Connection {
-  const session = PeerSession.create(url, localAddress);
+  const session = PeerSession.create(url, localAddress, STANDING_PATHS);
   const transport = createConnectTransport({
     baseUrl: url,
     httpVersion: '2',
--- a/src/peers/peer-session.ts
+++ b/src/peers/peer-session.ts
@@ -45,6 +45,7 @@
 
   private lostMs = -Infinity;
 
+  /** Streams of calls that wait for an answer. */
   private openStreams = 0;
 
   private watch: NodeJS.Timeout | undefined;
@@ -55,6 +56,7 @@
     /** Base address of the peer. */
     readonly authority: string,
     private readonly localAddress: string | undefined,
+    private readonly standingPaths: ReadonlySet<string>,
   ) {}
 
   /**
@@ -62,10 +64,16 @@
    *
    * @param url - base address of the peer
    * @param localAddress - IP number to connect from; undefined leaves the choice to the system
+   * @param standingPaths - paths of streams that stay open without waiting for an answer; they cause
+   * no pings
    * @returns a new session
    */
-  static create(url: string, localAddress?: string): PeerSession {
-    return new PeerSession(url, localAddress);
+  static create(
+    url: string,
+    localAddress?: string,
+    standingPaths: ReadonlySet<string> = new Set(),
+  ): PeerSession {
+    return new PeerSession(url, localAddress, standingPaths);
   }
 
   /** True once a connection has existed. */
@@ -96,6 +104,7 @@
     const session = await this.obtain();
     if (!isUsable(session)) throw createUnavailable('the connection was closed');
     const stream = session.request({ ...headers, ':method': method, ':path': path }, options);
+    if (this.standingPaths.has(path)) return stream;
     this.openStreams += 1;
     stream.once('close', () => {
       this.openStreams -= 1;
@@ -173,7 +182,7 @@
     return performance.now() - this.lastReadMs > PING_INTERVAL_MS;
   }
 
-  /** Checks the connection while it has open streams; their calls would wait for their deadline. */
+  /** Checks the connection while calls are open, because they would wait for their deadline. */
   private watchPings(): void {
     if (this.watch) return;
     this.watch = setInterval(() => {
