test(membership): measure heartbeats by stream, and spread the starts of a fleet

The bench of the membership sent heartbeats by calls.

Members of the fleet behind relays start 130 ms apart.

--- a/bench/membership-cost.ts
+++ b/bench/membership-cost.ts
@@ -5,6 +5,7 @@
 import { createMember } from '../harness/module-fakes.js';
 import { Kernel } from '../src/kernel/kernel.js';
 import { SystemClock } from '../src/kernel/system-clock.js';
+import { answerHeartbeats, HeartbeatStream } from '../src/membership/heartbeat-stream.js';
 import type { Member } from '../src/membership/membership.js';
 import type { HeartbeatRound } from '../src/membership/membership-message.js';
 import { MembershipTask } from '../src/membership/membership-task.js';
@@ -14,7 +15,7 @@
 const SENDERS = 40;
 const ROUNDS = 4;
 const ROUND_MS = 1000;
-const WARM_UP_CALLS = 1500;
+const WARM_UP_ROUNDS = 1500;
 const WITNESSES = [2, 4, 8];
 const MEMBERS = [8, 100, 200, 390];
 const EPOCHS = 20;
@@ -45,7 +46,8 @@
 async function startWitness(): Promise<{ peers: ConnectPeers; port: number }> {
   const [port = 0] = await findFreePorts(1);
   const peers = ConnectPeers.create(Kernel.create(), { peers: { host: '127.0.0.1', port } });
-  peers.handle({ heartbeat: () => ({ ...STATE, renewed: true, incarnation: INCARNATION }) });
+  const answer = () => ({ ...STATE, renewed: true, incarnation: INCARNATION });
+  peers.handle({ heartbeats: (requests) => answerHeartbeats(requests, answer) });
   await peers.start();
   return { peers, port };
 }
@@ -65,30 +67,29 @@
 }
 
 async function sendRounds(
-  sender: ConnectPeers,
-  ports: readonly number[],
+  streams: readonly HeartbeatStream[],
   index: number,
   rounds: number,
 ): Promise<void> {
   await delay((index * ROUND_MS) / SENDERS);
   for (let round = 0; round < rounds; round += 1) {
     const rest = delay(ROUND_MS);
-    const request = { ...STATE, sender: { vm: `vm-${index}`, incarnation: INCARNATION } };
-    const calls = ports.map((port) =>
-      sender.client({ host: '127.0.0.1', port }).heartbeat(request),
-    );
-    await Promise.all([...calls, rest]);
+    await Promise.all([...streams.map((stream) => stream.exchange(STATE)), rest]);
   }
 }
 
+function openStream(sender: ConnectPeers, port: number, index: number): HeartbeatStream {
+  const self = { vm: `vm-${index}`, incarnation: INCARNATION };
+  return HeartbeatStream.open(sender.client({ host: '127.0.0.1', port }), self);
+}
+
 /** Compiles the code of the calls, which a daemon does within its first minutes. */
 async function warmUp(): Promise<void> {
   const { peers, port } = await startWitness();
   const sender = ConnectPeers.create(Kernel.create(), { peers: { host: '127.0.0.1', port: 1 } });
-  const client = sender.client({ host: '127.0.0.1', port });
-  for (let call = 0; call < WARM_UP_CALLS; call += 1) {
-    const request = { ...STATE, sender: { vm: 'vm', incarnation: INCARNATION } };
-    await Promise.all(Array.from({ length: 4 }, () => client.heartbeat(request)));
+  const streams = Array.from({ length: 4 }, () => openStream(sender, port, 0));
+  for (let round = 0; round < WARM_UP_ROUNDS; round += 1) {
+    await Promise.all(streams.map((stream) => stream.exchange(STATE)));
   }
   await sender.stop();
   await peers.stop();
@@ -102,8 +103,11 @@
     ConnectPeers.create(Kernel.create(), { peers: { host: '127.0.0.1', port: 1 } }),
   );
   const counter = countBytes();
+  const streams = senders.map((sender, index) =>
+    ports.map((port) => openStream(sender, port, index)),
+  );
   const send = (rounds: number) =>
-    Promise.all(senders.map((sender, index) => sendRounds(sender, ports, index, rounds)));
+    Promise.all(streams.map((each, index) => sendRounds(each, index, rounds)));
   // The first round opens the connections, which happens once in the life of a daemon.
   await send(1);
   const before = process.cpuUsage();
--- a/features/steps/membership-steps.ts
+++ b/features/steps/membership-steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import { After, Given, setDefaultTimeout, Then, When, world } from '@cucumber/cucumber';
 
@@ -17,6 +18,12 @@
 
 setDefaultTimeout(60_000);
 
+/**
+ * Time between the starts of a fleet in real time, in milliseconds. Members that start together look
+ * for suspects right after each round, when a heartbeat that is late is not noticed.
+ */
+const START_SPREAD_MS = 130;
+
 /** Looks for a VM that believes in a lease that the log has ended; this must never be seen. */
 function findViolations({ daemons, log }: MemberFleet): string[] {
   const removed = new Set(
@@ -38,7 +45,10 @@
     watch: setInterval(() => findViolations(fleet).forEach((each) => violations.add(each)), 5),
   });
   const started = await Promise.all(
-    Array.from({ length: count }, (_, index) => fleet.start(index)),
+    Array.from({ length: count }, async (_, index) => {
+      if (speed) await delay(index * START_SPREAD_MS);
+      return fleet.start(index);
+    }),
   );
   started.forEach(({ name, membership }) => first.set(name, membership.self()));
   await waitUntil(
