--- a/features/membership/membership-faults.feature
+++ b/features/membership/membership-faults.feature
@@ -74,6 +74,15 @@
     And member 4 starts
     Then all members agree on 5 members
 
+  # Guards against a list without the older members, on which a new member would be its own only
+  # witness. A snapshot that another one overtook does not cover all records that were forgotten.
+  Scenario: a member that finds no usable snapshot asks the others
+    Given a member fleet of 4 VMs that snapshots every 2 s
+    When the membership log has a snapshot within 20 s and forgets the records before it
+    And two snapshots of the same state reach the log, which forgets all before the second
+    And member 4 starts
+    Then all members agree on 5 members
+
   Scenario: heartbeats carry offsets and withdrawn keys
     Given a member fleet of 4 VMs
     When member 0 folds configuration 7 and withdraws the key "key-a"
--- a/features/steps/membership-property-steps.ts
+++ b/features/steps/membership-property-steps.ts
@@ -108,7 +108,8 @@
       const all = [...records, last];
       const kept = all.slice(Math.min(dropped % all.length, upTo));
       const whole = all.reduce(foldMember, EMPTY_MEMBERS);
-      assert.deepEqual(describeState(foldMembers(kept)), describeState(whole));
+      assert.deepEqual(describeState(foldMembers(kept)!), describeState(whole));
+      assert.equal(foldMembers(all.slice(upTo + 1)), undefined, 'a record was left out');
     }),
     runs,
   );
--- a/features/steps/membership-steps.ts
+++ b/features/steps/membership-steps.ts
@@ -4,6 +4,7 @@
 import { After, Given, setDefaultTimeout, Then, When, world } from '@cucumber/cucumber';
 
 import type { Incarnation } from '../../src/domain/vm.js';
+import { parseMemberRecord } from '../../src/membership/member-record.js';
 import { type MemberDaemon, MemberFleet } from '../support/membership/member-fleet.js';
 import { sleepFast, waitUntil } from '../support/membership/waits.js';
 
@@ -200,13 +201,33 @@
   findFleet(scenario).log.lag = count;
 });
 
+/** The log keeps records for a day, so that every running member has read what it forgets. */
+async function forgetBefore(offset: number): Promise<void> {
+  const { log } = findFleet(scenario);
+  await waitUntil('all members to read the log', () => log.isRead(offset), 5000);
+  log.earliest = offset;
+}
+
 When(
   'the membership log has a snapshot within {int} s and forgets the records before it',
   async (seconds: number) => {
     const { log } = findFleet(scenario);
     const findSnapshot = () => log.list().findLastIndex(({ kind }) => kind === 'snapshot');
     await waitUntil('a snapshot', () => findSnapshot() >= 0, seconds * 1000);
-    log.earliest = findSnapshot() + 1;
+    await forgetBefore(findSnapshot() + 1);
+  },
+);
+
+When(
+  'two snapshots of the same state reach the log, which forgets all before the second',
+  async () => {
+    const { log } = findFleet(scenario);
+    const snapshot = log.records.findLast(
+      ({ data }) => parseMemberRecord(data)?.kind === 'snapshot',
+    );
+    assert.ok(snapshot);
+    [1, 2].forEach(() => log.records.push({ ...snapshot, offset: log.records.length + 1 }));
+    await forgetBefore(log.records.length);
   },
 );
 
--- a/features/support/membership/fake-log-store.ts
+++ b/features/support/membership/fake-log-store.ts
@@ -14,10 +14,18 @@
 
   appends = 0;
 
+  /** Offset up to which each reader has asked for what follows. */
+  readonly progress = new Map<object, number>();
+
   static create(): FakeLogStore {
     return new FakeLogStore();
   }
 
+  /** Tells whether all readers have read the record at an offset. */
+  isRead(offset: number): boolean {
+    return [...this.progress.values()].every((read) => read >= offset);
+  }
+
   /** Lists what was appended, parsed. */
   list() {
     return this.records.flatMap(({ data }) => parseMemberRecord(data) ?? []);
--- a/features/support/membership/fake-log.ts
+++ b/features/support/membership/fake-log.ts
@@ -37,6 +37,7 @@
     const deadlineMs = performance.now() + waitMs / SPEED;
     for (;;) {
       if (this.cut || this.store.out) return fail(CallFailure.create('unavailable', 'out'));
+      this.store.progress.set(this, from - 1);
       const page = this.createPage(from, limit);
       if (page.records.length > 0 || performance.now() > deadlineMs || signal?.aborted) {
         await this.clock.gate();
--- a/src/membership/member-fold.ts
+++ b/src/membership/member-fold.ts
@@ -65,12 +65,13 @@
  * first ones are missing.
  *
  * @param records - all readable records, in the order of their offsets
- * @returns the state after the last one
+ * @returns the state after the last one, or undefined when first records are missing that no
+ * snapshot covers: a list without the older members would make a VM its own only witness
  */
-export function foldMembers(records: readonly LogRecord[]): MemberState {
+export function foldMembers(records: readonly LogRecord[]): MemberState | undefined {
   const complete = records[0]?.offset === 1;
   const start = complete ? EMPTY_MEMBERS : findSnapshot(records);
-  return records.reduce(foldMember, start);
+  return start && records.reduce(foldMember, start);
 }
 
 /**
@@ -206,14 +207,14 @@
   return { ...state, epoch: change.epoch, members, changes };
 }
 
-function findSnapshot(records: readonly LogRecord[]): MemberState {
+function findSnapshot(records: readonly LogRecord[]): MemberState | undefined {
   const [first] = records;
   for (const record of [...records].reverse()) {
     const parsed = parseMemberRecord(record.data);
     if (parsed?.kind !== 'snapshot') continue;
     if (first && parsed.upTo + 1 >= first.offset) return loadMembers(parsed.upTo, parsed.state);
   }
-  return EMPTY_MEMBERS;
+  return undefined;
 }
 
 function sortMembers(members: Member[]): readonly Member[] {
--- a/src/membership/member-stream.ts
+++ b/src/membership/member-stream.ts
@@ -98,26 +98,29 @@
   private async apply(page: LogPage): Promise<boolean> {
     const before = this.offset();
     const [first] = page.records;
-    if (first && first.offset > before + 1) await this.rebase();
-    else this.context.task.send({ kind: 'records', records: page.records });
+    if (first && first.offset > before + 1) {
+      if (!(await this.rebase())) await this.askPeers();
+    } else this.context.task.send({ kind: 'records', records: page.records });
     // A lagging replica may report an older end, which says nothing about the stream's real end.
     if (page.endOffset === this.offset()) this.complete = true;
     return this.offset() > before;
   }
 
   /** Retention has dropped records that were not folded here; the newest snapshot replaces them. */
-  private async rebase(): Promise<void> {
+  private async rebase(): Promise<boolean> {
     const records: LogRecord[] = [];
     let from = 1;
     for (;;) {
       const page = await this.read(from);
-      if (!page) return;
+      if (!page) return false;
       records.push(...page.records);
       const last = records.at(-1)?.offset ?? 0;
       if (page.records.length === 0 || last >= page.endOffset) break;
       from = last + 1;
     }
-    this.context.task.send({ kind: 'state', state: foldMembers(records) });
+    const state = foldMembers(records);
+    if (state) this.context.task.send({ kind: 'state', state });
+    return state !== undefined;
   }
 
   private async askPeers(): Promise<boolean> {
