test(admission): wake a removed home without the lease checks

Cause: with every lease check passing, the row of a home that is frozen until it is removed stays green.

Change: a scenario on the manual clock in which a home wakes after its removal with a full bucket and its callers go on, for a team with a burst of six times its rate. The fleet can fence a VM that goes on running, and let single VMs fold an epoch; removed VMs no longer hold back the history of epochs.

--- a/features/admission/faults.feature
+++ b/features/admission/faults.feature
@@ -49,6 +49,19 @@
     When admission is asked on the VM at place 2 for 10 tokens of "oval-crew"
     Then the admission grant cannot be sent once the lease has lapsed
 
+  # Guards against a share that is spent by two homes: the one that was removed while it was frozen,
+  # and its successor. The VM at place 0 is that home, the one at place 3 still asks it for tokens.
+  Scenario Outline: a home that wakes after its removal does not spend its share, asked at place <place>
+    Given an admission fleet of 6 VMs with the team "oval-crew" at rate 1000 and burst 6000
+    When admission removes the frozen first home of "oval-crew" and the VM at place <place> does not learn of it
+    And admission carries 10 times the rate of "oval-crew" on the VMs at places "0, 1, 2, 3, 4, 5" for 2000 ms
+    Then admission of "oval-crew" stays within burst + rate × window
+    And admission of "oval-crew" reaches 300 percent of rate × time
+
+    Examples:
+      | place |
+      | 0     |
+
   Scenario Outline: two VMs that ask for <times> times a team's rate get no more than the rate
     Given an admission fleet of 6 VMs with the team "oval-crew" at rate 1000 and burst 2000
     When admission carries <times> times the rate of "oval-crew" on the VMs at places "<places>" for 5000 ms
--- a/features/steps/admission-steps.ts
+++ b/features/steps/admission-steps.ts
@@ -135,6 +135,21 @@
   },
 );
 
+When(
+  'admission removes the frozen first home of {string} and the VM at place {int} does not learn of it',
+  async (team: string, place: number) => {
+    const fleet = scenario.fleet!;
+    const [home, late] = [fleet.find(team, 0), fleet.find(team, place)];
+    home.fault = 'silent';
+    fleet.fence(home);
+    fleet.fold(fleet.vms.filter((vm) => vm !== home && vm !== late));
+    // The successor's share exists, and grows, from its first debit on.
+    for (const vm of fleet.vms) await askAndWait(vm, team, 1);
+    await fleet.advance(5000, 50);
+    home.fault = undefined;
+  },
+);
+
 When('admission time passes for {int} ms', async (ms: number) => {
   await scenario.fleet!.advance(ms);
 });
--- a/features/support/admission-fleet.ts
+++ b/features/support/admission-fleet.ts
@@ -165,18 +165,24 @@
     return this.startVm(member, 2);
   }
 
+  /** Removes a VM from the member list that goes on without a lease, like one that was frozen. */
+  fence(vm: FleetVm): void {
+    Object.assign(vm, { lease: false });
+    this.append(this.members().filter((member) => member !== vm.member));
+  }
+
   /** Ends a VM without notice and removes it from the member list. */
   async remove(vm: FleetVm): Promise<void> {
-    Object.assign(vm, { lease: false, fault: 'refused' });
+    this.fence(vm);
+    Object.assign(vm, { fault: 'refused' });
     await vm.admission.stop();
-    this.append(this.members().filter((member) => member !== vm.member));
     this.vms.splice(this.vms.indexOf(vm), 1);
   }
 
-  /** Lets every VM fold the newest epoch. */
-  fold(): void {
+  /** Lets VMs fold the newest epoch. */
+  fold(vms: readonly FleetVm[] = this.vms): void {
     const epoch = this.epochs.at(-1)!;
-    this.vms.forEach((vm) => {
+    vms.forEach((vm) => {
       if (vm.epoch === epoch.epoch) return;
       Object.assign(vm, { epoch: epoch.epoch });
       vm.changes.push(epoch);
@@ -269,7 +275,9 @@
   }
 
   private history(vm: FleetVm): readonly MemberEpoch[] {
-    const oldest = Math.min(...this.vms.map((other) => other.epoch));
+    const { members } = this.epochs[vm.epoch - 1]!;
+    const present = this.vms.filter((other) => members.includes(other.member));
+    const oldest = Math.min(...present.map((other) => other.epoch));
     return this.epochs.slice(Math.min(oldest, vm.epoch) - 1, vm.epoch);
   }
 
