test(admission): ask a removed home for tokens that it may not spend

Cause: without the lease check before spending, every scenario stays green. A home's own requests are covered by the checks at entry, in the queue and before sending. Debits of other VMs are not: the requester has a lease of its own, and a VM that has not yet folded the removal still asks the removed home.

Change: a row of the scenario of a removed home in which another VM does not learn of the removal and goes on asking it.

--- a/features/admission/faults.feature
+++ b/features/admission/faults.feature
@@ -61,6 +61,7 @@
     Examples:
       | place |
       | 0     |
+      | 3     |
 
   Scenario Outline: two VMs that ask for <times> times a team's rate get no more than the rate
     Given an admission fleet of 6 VMs with the team "oval-crew" at rate 1000 and burst 2000
