--- a/features/steps/idempotency-steps.ts
+++ b/features/steps/idempotency-steps.ts
@@ -5,8 +5,6 @@
 import fc from 'fast-check';
 
 import { Refusal } from '../../src/domain/refusal.js';
-import type { ServiceRequest } from '../../src/domain/request.js';
-import type { Route } from '../../src/domain/route.js';
 import { AtMostOnce, type DispatchResult } from '../../src/execution/at-most-once.js';
 import { ExecutionLedger } from '../../src/execution/execution-ledger.js';
 import type { ExecutionRecord } from '../../src/execution/execution-record.js';
@@ -14,6 +12,7 @@
 import { createIdempotencyKey } from '../../harness/idempotency-key.js';
 import { ScheduledClock } from '../support/scheduled-clock.js';
 import { ScheduledLog, type LogFault } from '../support/scheduled-log.js';
+import { createServiceRequest, ORDER_ROUTE } from '../support/service-requests.js';
 
 /** How a sending ends: with an answer, with a lost connection, or with the death of the daemon. */
 type DispatchEnd = 'answered' | 'unknown' | 'dies';
@@ -49,33 +48,6 @@
 
 const OPTIONS = { partitions: 1, windowMs: 3_600_000, intentMs: 400 };
 
-const ROUTE: Route = {
-  path: '/orders',
-  pool: 'yard',
-  methods: ['POST'],
-  open: false,
-  repeatable: false,
-  timeoutMs: 200,
-  tokens: 1,
-};
-
-function createRequest(key: string): ServiceRequest {
-  return {
-    requestId: randomUUID(),
-    team: 'oval',
-    keyId: 'k1',
-    route: ROUTE.path,
-    method: 'POST',
-    target: ROUTE.path,
-    headers: {},
-    body: Buffer.from('order'),
-    idempotencyKey: key,
-    fingerprint: '',
-    arrivedMs: 0,
-    traceparent: undefined,
-  };
-}
-
 /** Runs one schedule: each request goes to a daemon; some daemons die when they have sent. */
 async function runSchedule(
   scheduler: fc.Scheduler,
@@ -107,7 +79,13 @@
     if (!daemon) return;
     const { signal } = new AbortController();
     const owner = { vm: `vm-${request.daemon}`, incarnation: 'a' };
-    const outcome = await daemon.run(createRequest(key), ROUTE, owner, dispatch, signal);
+    const outcome = await daemon.run(
+      createServiceRequest(key),
+      ORDER_ROUTE,
+      owner,
+      dispatch,
+      signal,
+    );
     const result =
       outcome.kind === 'ok' ? outcome.value.body.toString() : `refused ${outcome.failure.run}`;
     history.answers.push({ key, daemon: request.daemon, request: index, result });
