test(operators): withdraw a key in a file while the log is out

Cause: a daemon that is told of a withdrawal and does not apply it itself stays green in keys.feature, as its peers tell it back. Four scenarios in one process notice it already. None noticed the same fault for a withdrawal that comes in a file of changes, which then waits for the log.

Change: a scenario that applies such a file while the log is out.

Measured: red without the call of withdraw in the handler of changes (the key is still answered after 5 s), green with it. With withdraw leaving its own set as it is, three scenarios of withdrawals in folded-configuration.feature and "a given key works until it is withdrawn, on every daemon" are red.

--- a/features/operators/operators.feature
+++ b/features/operators/operators.feature
@@ -77,6 +77,14 @@
     And the operator output contains ""logged":false"
     And the operator's key is answered with "key_withdrawn" by the daemons "a, b"
 
+  # Guards against a withdrawal in a file of changes that waits for the log.
+  Scenario: a withdrawal in a file reaches the members in an outage
+    Given the operator runs "team put oval-crew --rate 100 --burst 400"
+    And the operator gives the team "oval-crew" a key
+    When the operator daemons lose the log
+    And the operator applies a file that withdraws that key
+    Then the operator's key is answered with "key_withdrawn" by the daemons "a, b"
+
   Scenario: a withdrawal names the members that could not be reached
     Given the operator daemon "b" stops answering its peers
     When the operator runs "key withdraw k001"
--- a/features/steps/operators-steps.ts
+++ b/features/steps/operators-steps.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
 import { execFile } from 'node:child_process';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { dirname, join } from 'node:path';
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
@@ -103,6 +106,14 @@
   scenario.result = await runTool(`key withdraw ${scenario.keyText.split('_')[1]} --json`);
 });
 
+When('the operator applies a file that withdraws that key', { timeout: COMMAND_MS }, async () => {
+  const file = join(await mkdtemp(join(tmpdir(), 'cuminspar-')), 'changes.json');
+  const keyId = scenario.keyText.split('_')[1];
+  await writeFile(file, JSON.stringify([{ kind: 'withdraw-key', keyId }]));
+  scenario.result = await runTool(`apply ${file}`);
+  await rm(dirname(file), { recursive: true });
+});
+
 When('the operator daemons lose the log', () => {
   getFleet().log.setOut(true);
 });
