--- /dev/null
+++ b/features/steps/routing-choice-steps.ts
@@ -0,0 +1,162 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+
+import type { BackendServer, PlainServer } from '../../src/domain/backend-server.js';
+import { createState } from '../support/fake-services.js';
+import {
+  createAssignment,
+  createLoad,
+  createRequest,
+  createRouting,
+  type RoutingState,
+  type RoutingWorld,
+  settle,
+  stateOf,
+} from '../support/routing-fixtures.js';
+import { createEngineServer } from '../support/servers.js';
+
+const NONE: ReadonlySet<string> = new Set();
+const PROMPT = 'word '.repeat(200);
+
+function createPlain(name: string): PlainServer {
+  const address = { host: '127.0.0.1', port: 1 };
+  return { kind: 'service', name, address, availabilityZone: 'a', draining: false, pool: 'yard' };
+}
+
+function collectNames(choose: () => string | undefined): string {
+  const names = Array.from({ length: 200 }, choose);
+  return [...new Set(names)].sort().join(' ');
+}
+
+Given('routing over the engines {string}', async function given(this: RoutingWorld, names: string) {
+  this.routing = await createRouting(names.split(' ').map((name) => createEngineServer(name)));
+});
+
+Given(
+  'routing over the plain servers {string}',
+  async function given(this: RoutingWorld, names: string) {
+    this.routing = await createRouting(names.split(' ').map(createPlain));
+  },
+);
+
+After(async function after(this: RoutingWorld) {
+  await this.routing?.routing.stop();
+});
+
+async function configure(state: RoutingState, servers: readonly BackendServer[]): Promise<void> {
+  Object.assign(state.fakes, { state: createState(servers, 2) });
+  state.fakes.changes.push(state.fakes.state);
+  await settle();
+}
+
+When(
+  'routing learns that {string} is draining by configuration',
+  async function when(this: RoutingWorld, name: string) {
+    const state = stateOf(this);
+    const servers = [...state.fakes.state.servers.values()];
+    const drain = (server: BackendServer) => ({ ...server, draining: server.name === name });
+    await configure(state, servers.map(drain));
+  },
+);
+
+When(
+  'routing learns that {string} is draining by load report',
+  function when(this: RoutingWorld, name: string) {
+    stateOf(this).routing.observe(name, createLoad({ draining: true }));
+  },
+);
+
+When(
+  'routing learns that {string} is draining by vm list',
+  async function when(this: RoutingWorld, name: string) {
+    stateOf(this).fakes.listings.push({ vms: [], servers: [{ name, state: 'leaving' }] });
+    await settle();
+  },
+);
+
+When(
+  'routing learns that plain {string} is draining',
+  function when(this: RoutingWorld, name: string) {
+    stateOf(this).routing.observeDraining(name);
+  },
+);
+
+When(
+  'routing learns that the entry of {string} changed',
+  async function when(this: RoutingWorld, name: string) {
+    const state = stateOf(this);
+    const servers = [...state.fakes.state.servers.values()];
+    const copy = (server: BackendServer) => (server.name === name ? { ...server } : server);
+    await configure(state, servers.map(copy));
+  },
+);
+
+When('routing learns that {string} failed', function when(this: RoutingWorld, name: string) {
+  stateOf(this).routing.observeFailure(name, false);
+});
+
+When('routing assigns a suspect to {string}', function when(this: RoutingWorld, server: string) {
+  stateOf(this).routing.assign(createAssignment({ server, suspect: true }));
+});
+
+When('routing prefills a long prompt on one engine', function when(this: RoutingWorld) {
+  const state = stateOf(this);
+  state.first = state.routing.choosePrefill(createRequest(PROMPT), NONE, false)?.name ?? '';
+});
+
+When(
+  'routing hears that this engine has {int} more queued tokens',
+  function when(this: RoutingWorld, queuedPrefillTokens: number) {
+    const { routing, first } = stateOf(this);
+    routing.observe(first ?? '', createLoad({ queuedPrefillTokens }));
+  },
+);
+
+Then(
+  'routing decodes and prefills only on {string}',
+  function then(this: RoutingWorld, names: string) {
+    const { routing } = stateOf(this);
+    const request = createRequest();
+    assert.equal(
+      collectNames(() => routing.chooseDecode(request, 1, NONE, false)?.name),
+      names,
+    );
+    assert.equal(
+      collectNames(() => routing.choosePrefill(request, NONE, false)?.name),
+      names,
+    );
+  },
+);
+
+Then(
+  'routing sends plain requests only to {string}',
+  function then(this: RoutingWorld, names: string) {
+    const { routing } = stateOf(this);
+    assert.equal(
+      collectNames(() => routing.chooseService('yard', NONE)?.name),
+      names,
+    );
+  },
+);
+
+Then(
+  'routing finds no server for another suspect but one for others',
+  function then(this: RoutingWorld) {
+    const { routing } = stateOf(this);
+    assert.equal(routing.chooseDecode(createRequest(), 1, NONE, true), undefined);
+    assert.equal(routing.choosePrefill(createRequest(), NONE, true), undefined);
+    assert.equal(routing.chooseDecode(createRequest(), 1, NONE, false)?.name, 'e1');
+  },
+);
+
+Then('routing prefills the same prompt there again', function then(this: RoutingWorld) {
+  const { routing, first } = stateOf(this);
+  const choose = () => routing.choosePrefill(createRequest(PROMPT), NONE, false)?.name;
+  assert.equal(collectNames(choose), first);
+});
+
+Then('routing prefills the same prompt elsewhere', function then(this: RoutingWorld) {
+  const { routing, first } = stateOf(this);
+  assert.notEqual(routing.choosePrefill(createRequest(PROMPT), NONE, false)?.name, first);
+});
