refactor(harness): build engines and model requests in one fixture

The benchmark of routing and the tests wrote out the same engine and the same request. harness/model-fixtures.ts now builds both for all of them, and each caller names only what differs.

--- a/bench/routing-cost.ts
+++ b/bench/routing-cost.ts
@@ -6,9 +6,9 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
+import { createEngineServer, createModelRequest } from '../harness/model-fixtures.js';
 import { registerFake } from '../harness/module-fakes.js';
 import type { EngineServer } from '../src/domain/backend-server.js';
-import type { ModelRequest } from '../src/domain/request.js';
 import { Kernel } from '../src/kernel/kernel.js';
 import { ManualClock } from '../src/kernel/manual-clock.js';
 import { PrefixIndex } from '../src/routing/prefix-index.js';
@@ -46,34 +46,8 @@
 const random = () => uniformFloat64(generator);
 
 function createEngine(index: number): EngineServer {
-  return {
-    kind: 'engine',
-    name: `engine-${index}`,
-    address: { host: '127.0.0.1', port: 1 + index },
-    availabilityZone: `zone-${index % 7}`,
-    draining: false,
-    role: 'both',
-    models: ['planner'],
-    decodeSlots: 20,
-    kvBlocks: 256,
-    checksFencing: false,
-    checksCommander: false,
-  };
-}
-
-function createRequest(): ModelRequest {
-  return {
-    requestId: 'request',
-    team: 'team',
-    keyId: undefined,
-    model: 'planner',
-    prompt: 'x'.repeat(PROMPT_BYTES),
-    promptTokens: PROMPT_BYTES / 4,
-    maxTokens: 200,
-    fingerprint: 'fingerprint',
-    arrivedMs: 0,
-    traceparent: undefined,
-  };
+  const address = { host: '127.0.0.1', port: 1 + index };
+  return createEngineServer(`engine-${index}`, { address, availabilityZone: `zone-${index % 7}` });
 }
 
 function createKernel(servers: readonly EngineServer[]): Kernel {
@@ -134,7 +108,8 @@
 
 function measureRow(count: number): Row {
   const servers = Array.from({ length: count }, (_, index) => createEngine(index));
-  const request = createRequest();
+  const prompt = 'x'.repeat(PROMPT_BYTES);
+  const request = createModelRequest({ prompt, promptTokens: PROMPT_BYTES / 4, maxTokens: 200 });
   const routing = createRouting(servers);
   const startedMs = performance.now();
   routing.chooseDecode(request, 1, NONE, false);
--- a/features/steps/execution-death-steps.ts
+++ b/features/steps/execution-death-steps.ts
@@ -2,12 +2,12 @@
 
 import { Given, Then, When, world } from '@cucumber/cucumber';
 
+import { createEngineServer } from '../../harness/model-fixtures.js';
 import type { Backends } from '../../src/backends/backends.js';
 import { DeathWatch } from '../../src/execution/death-watch.js';
 import { CallFailure } from '../../src/kernel/call-failure.js';
 import { fail, succeed } from '../../src/kernel/outcome.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
-import { createEngineServer } from '../support/servers.js';
 
 interface DeathWorld {
   watch: DeathWatch;
--- a/features/steps/execution-phased-steps.ts
+++ b/features/steps/execution-phased-steps.ts
@@ -2,9 +2,10 @@
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
+import { createModelRequest } from '../../harness/model-fixtures.js';
 import { HttpBackends } from '../../src/backends/http-backends.js';
 import type { Refusal } from '../../src/domain/refusal.js';
-import type { AnswerEvent, ModelAnswer, ModelRequest } from '../../src/domain/request.js';
+import type { AnswerEvent, ModelAnswer } from '../../src/domain/request.js';
 import { PhasedModelExecution } from '../../src/execution/phased-model-execution.js';
 import type { Outcome } from '../../src/kernel/outcome.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
@@ -33,21 +34,6 @@
   return scenario.phased;
 }
 
-function createRequest(arrivedMs: number): ModelRequest {
-  return {
-    requestId: 'q1',
-    team: 'oval',
-    keyId: 'key1',
-    model: 'planner',
-    prompt: 'a prompt',
-    promptTokens: 8,
-    maxTokens: 8,
-    fingerprint: 'print1',
-    arrivedMs,
-    traceparent: undefined,
-  };
-}
-
 function isReservation({ path }: EngineCallRecord): boolean {
   return path === '/v1/reservations';
 }
@@ -67,7 +53,8 @@
 }
 
 async function runRequest(phased: NonNullable<PhasedWorld['phased']>, ageMs = 0): Promise<void> {
-  const request = createRequest(phased.clock.monotonicMs() - ageMs);
+  const arrivedMs = phased.clock.monotonicMs() - ageMs;
+  const request = createModelRequest({ keyId: 'key1', arrivedMs });
   await collect(phased, await phased.execution.run(request, phased.abort.signal));
 }
 
--- a/features/steps/execution-reaper-steps.ts
+++ b/features/steps/execution-reaper-steps.ts
@@ -2,6 +2,7 @@
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
 
+import { createEngineServer } from '../../harness/model-fixtures.js';
 import { registerFake } from '../../harness/module-fakes.js';
 import type { HoldFilter } from '../../src/backends/engine.js';
 import type { BackendServer } from '../../src/domain/backend-server.js';
@@ -12,7 +13,6 @@
 import { succeed } from '../../src/kernel/outcome.js';
 import type { PeerHandlers } from '../../src/peers/peers.js';
 import { createState, waitUntil } from '../support/fake-services.js';
-import { createEngineServer } from '../support/servers.js';
 
 interface ReaperState {
   reaper: ObservingHoldReaper;
--- a/features/steps/routing-choice-steps.ts
+++ b/features/steps/routing-choice-steps.ts
@@ -2,6 +2,7 @@
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
 
+import { createEngineServer } from '../../harness/model-fixtures.js';
 import type { BackendServer, PlainServer } from '../../src/domain/backend-server.js';
 import { createState } from '../support/fake-services.js';
 import {
@@ -14,7 +15,6 @@
   settle,
   stateOf,
 } from '../support/routing-fixtures.js';
-import { createEngineServer } from '../support/servers.js';
 
 const NONE: ReadonlySet<string> = new Set();
 const PROMPT = 'word '.repeat(200);
--- a/features/steps/routing-subset-steps.ts
+++ b/features/steps/routing-subset-steps.ts
@@ -2,15 +2,15 @@
 
 import { Then } from '@cucumber/cucumber';
 
+import { createEngineServer } from '../../harness/model-fixtures.js';
 import type { EngineServer } from '../../src/domain/backend-server.js';
 import { FailureBackoff } from '../../src/routing/failure-backoff.js';
 import { selectSubset } from '../../src/routing/subset.js';
-import { createEngineServer } from '../support/servers.js';
 
 function createFleet(count: number): EngineServer[] {
   const zones = ['a', 'b', 'c'];
   return Array.from({ length: count }, (_, index) =>
-    createEngineServer(`server-${index}`, 1, zones[index % 3]),
+    createEngineServer(`server-${index}`, { availabilityZone: zones[index % 3] ?? 'a' }),
   );
 }
 
--- a/features/support/fake-engine.ts
+++ b/features/support/fake-engine.ts
@@ -1,8 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 
+import { createEngineServer } from '../../harness/model-fixtures.js';
 import type { EngineServer } from '../../src/domain/backend-server.js';
-import { createEngineServer } from './servers.js';
 
 /** A fault of one call, consumed by the first call whose path matches. */
 export interface EngineFault {
@@ -52,7 +52,7 @@
   }
 
   describe(): EngineServer {
-    return createEngineServer(this.name, this.port);
+    return createEngineServer(this.name, { address: { host: '127.0.0.1', port: this.port } });
   }
 
   async stop(): Promise<void> {
--- a/features/support/orders-simulation.ts
+++ b/features/support/orders-simulation.ts
@@ -2,6 +2,7 @@
 
 import fc from 'fast-check';
 
+import { createEngineServer } from '../../harness/model-fixtures.js';
 import { EMPTY_MEMBERS, foldMember, listMembers } from '../../src/membership/member-fold.js';
 import type { MemberRecord } from '../../src/membership/member-record.js';
 import type { Member } from '../../src/membership/membership.js';
@@ -12,7 +13,6 @@
 import type { LogRecord } from '../../src/platform/log-service.js';
 import { createState } from './fake-services.js';
 import { createTestMember } from './lease-simulation.js';
-import { createEngineServer } from './servers.js';
 
 const FLIGHT_MS = 3000;
 const ROLES = ['prefill', 'decode', 'both'] as const;
@@ -202,11 +202,9 @@
   }
 
   private desired(): readonly DesiredEngine[] {
-    const servers = this.engines.map(({ checksFencing }, index) => ({
-      ...createEngineServer(`engine-${index}`),
-      role: this.role,
-      checksFencing,
-    }));
+    const servers = this.engines.map(({ checksFencing }, index) =>
+      createEngineServer(`engine-${index}`, { role: this.role, checksFencing }),
+    );
     return listDesiredEngines(createState(servers));
   }
 
--- a/features/support/routing-fixtures.ts
+++ b/features/support/routing-fixtures.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 
+import { createModelRequest } from '../../harness/model-fixtures.js';
 import { registerFake } from '../../harness/module-fakes.js';
 import type { BackendServer, EngineServer } from '../../src/domain/backend-server.js';
 import type { ModelRequest } from '../../src/domain/request.js';
@@ -35,18 +36,7 @@
 }
 
 export function createRequest(prompt = 'prompt'): ModelRequest {
-  return {
-    requestId: 'q1',
-    team: 'oval',
-    keyId: undefined,
-    model: 'planner',
-    prompt,
-    promptTokens: 10,
-    maxTokens: 10,
-    fingerprint: 'print1',
-    arrivedMs: 0,
-    traceparent: undefined,
-  };
+  return createModelRequest({ prompt, promptTokens: 10, maxTokens: 10 });
 }
 
 export function createAssignment(changes: Partial<Assignment>): Assignment {
