refactor(orders): name the choice of the commander an election

The type name Command stood for a command of the tool in src/cli and for the choice of the commander in src/orders. The latter is now CommanderElection, and its view of the membership ElectionView.

--- a/features/support/orders-simulation.ts
+++ b/features/support/orders-simulation.ts
@@ -7,7 +7,7 @@
 import type { MemberRecord } from '../../src/membership/member-record.js';
 import type { Member } from '../../src/membership/membership.js';
 import { SHARE_LEASE_MS } from '../../src/membership/share-lease.js';
-import { Command, type CommandView } from '../../src/orders/command.js';
+import { CommanderElection, type ElectionView } from '../../src/orders/commander-election.js';
 import { type DesiredEngine, listDesiredEngines } from '../../src/orders/desired-orders.js';
 import { OrderBook, type SentStep } from '../../src/orders/order-book.js';
 import type { LogRecord } from '../../src/platform/log-service.js';
@@ -46,7 +46,7 @@
   number: number | undefined;
   mode: string;
   leaseUntilMs: number;
-  readonly command: Command;
+  readonly election: CommanderElection;
   readonly prepared: Omit<Message, 'sentMs' | 'answered'>[];
 }
 
@@ -71,9 +71,9 @@
 
   private readonly nodes = [0, 1, 2].map((index): SimulatedNode => {
     const member = createTestMember(index, '');
-    const command = Command.create(FLIGHT_MS);
+    const election = CommanderElection.create(FLIGHT_MS);
     const empty = { state: EMPTY_MEMBERS, book: undefined, number: undefined, leaseUntilMs: 0 };
-    return { ...empty, member, command, mode: 'heal', prepared: [] };
+    return { ...empty, member, election, mode: 'heal', prepared: [] };
   });
 
   step([next, at]: readonly [string, number]): void {
@@ -116,13 +116,13 @@
   private tick(node: SimulatedNode): void {
     if (node.mode === 'freeze') return;
     if (node.mode === 'heal') this.follow(node);
-    const { command, member } = node;
-    const number = command.observe(this.view(node), this.nowMs);
+    const { election, member } = node;
+    const number = election.observe(this.view(node), this.nowMs);
     if (number !== node.number) {
       this.successions += number === undefined ? 0 : 1;
       Object.assign(node, { number, book: OrderBook.create(FLIGHT_MS) });
     }
-    if (node.mode === 'heal' && command.claim(this.view(node), this.nowMs)) {
+    if (node.mode === 'heal' && election.claim(this.view(node), this.nowMs)) {
       const succeeds = node.state.commander?.fencingNumber ?? 0;
       this.append({ ...{ format: 1, kind: 'commander', succeeds }, ...member });
     }
@@ -193,10 +193,10 @@
 
   private maySend(node: SimulatedNode, { server }: DesiredEngine, fencingNumber: number): boolean {
     const order = { fencingNumber, checksFencing: server.checksFencing };
-    return node.command.maySend(this.view(node), order, this.nowMs);
+    return node.election.maySend(this.view(node), order, this.nowMs);
   }
 
-  private view({ member, state, leaseUntilMs }: SimulatedNode): CommandView {
+  private view({ member, state, leaseUntilMs }: SimulatedNode): ElectionView {
     const leaseLive = this.nowMs < leaseUntilMs;
     return { self: member, members: listMembers(state), commander: state.commander, leaseLive };
   }
--- a/src/orders/command.ts
+++ b/src/orders/commander-election.ts
@@ -10,7 +10,7 @@
 export const CLAIM_RETRY_MS = 2000;
 
 /** What the membership tells about this VM and the commander. */
-export interface CommandView {
+export interface ElectionView {
   readonly self: Incarnation;
   readonly members: readonly Incarnation[];
   readonly commander: Commander | undefined;
@@ -18,8 +18,8 @@
   readonly leaseLive: boolean;
 }
 
-/** Decides when this VM claims the command and when it may send an order. */
-export class Command {
+/** Decides when this VM claims the role of commander and when it may send an order. */
+export class CommanderElection {
   private vacantSinceMs: number | undefined;
 
   private claimedMs = -Infinity;
@@ -29,13 +29,13 @@
   private constructor(private readonly flightMs: number) {}
 
   /**
-   * Creates a command that no VM has.
+   * Creates an election without a commander.
    *
    * @param flightMs - longest time between the sending of an order and its effect, in milliseconds
-   * @returns a new command
+   * @returns a new election
    */
-  static create(flightMs: number): Command {
-    return new Command(flightMs);
+  static create(flightMs: number): CommanderElection {
+    return new CommanderElection(flightMs);
   }
 
   /**
@@ -45,7 +45,7 @@
    * @param nowMs - present time on the monotonic clock, in milliseconds
    * @returns the fencing number of this VM's term, or undefined when it is not the commander
    */
-  observe(view: CommandView, nowMs: number): number | undefined {
+  observe(view: ElectionView, nowMs: number): number | undefined {
     const { commander, members } = view;
     const vacant = !commander || !members.some((member) => sameIncarnation(member, commander));
     this.vacantSinceMs = vacant ? (this.vacantSinceMs ?? nowMs) : undefined;
@@ -57,13 +57,13 @@
   }
 
   /**
-   * Decides whether this VM claims the command now, and if so notes the claim.
+   * Decides whether this VM claims the role of commander now, and if so notes the claim.
    *
    * @param view - the membership as it is now
    * @param nowMs - present time on the monotonic clock, in milliseconds
    * @returns true when a claim is to be appended
    */
-  claim({ self, members, leaseLive }: CommandView, nowMs: number): boolean {
+  claim({ self, members, leaseLive }: ElectionView, nowMs: number): boolean {
     if (this.vacantSinceMs === undefined || !leaseLive) return false;
     if (nowMs - this.claimedMs < CLAIM_RETRY_MS) return false;
     const ranked = rankByRendezvous('commander', members, ({ vm }) => vm);
@@ -83,7 +83,7 @@
    * @returns true while the order belongs to the present term and the lease runs
    */
   maySend(
-    view: CommandView,
+    view: ElectionView,
     order: { readonly fencingNumber: number; readonly checksFencing: boolean },
     nowMs: number,
   ): boolean {
@@ -94,7 +94,7 @@
   }
 }
 
-function findTerm({ commander, members, self }: CommandView): number | undefined {
+function findTerm({ commander, members, self }: ElectionView): number | undefined {
   if (!commander || !sameIncarnation(commander, self)) return undefined;
   return members.some((member) => sameIncarnation(member, self))
     ? commander.fencingNumber
--- a/src/orders/orders-task.ts
+++ b/src/orders/orders-task.ts
@@ -4,7 +4,7 @@
 import { assertInvariant } from '../kernel/invariant.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { Task } from '../kernel/task.js';
-import { Command, type CommandView } from './command.js';
+import { CommanderElection, type ElectionView } from './commander-election.js';
 import { type DesiredEngine, listDesiredEngines } from './desired-orders.js';
 import { OrderBook, type SentStep } from './order-book.js';
 import type { OrderReply, OrderSender } from './order-sender.js';
@@ -35,7 +35,7 @@
 
 /** Claims the command when it is vacant, and as the commander carries out what is due. */
 export class OrdersTask extends Task<OrdersMessage> {
-  private readonly command: Command;
+  private readonly election: CommanderElection;
 
   private term: Term | undefined;
 
@@ -48,7 +48,7 @@
     private readonly flightMs: number,
   ) {
     super();
-    this.command = Command.create(flightMs);
+    this.election = CommanderElection.create(flightMs);
   }
 
   /**
@@ -93,15 +93,15 @@
   private tick(): void {
     const view = this.view();
     const nowMs = this.clock.monotonicMs();
-    const fencingNumber = this.command.observe(view, nowMs);
-    if (this.command.claim(view, nowMs)) void this.kernel.find('membership').claimCommand();
+    const fencingNumber = this.election.observe(view, nowMs);
+    if (this.election.claim(view, nowMs)) void this.kernel.find('membership').claimCommand();
     if (fencingNumber !== this.term?.fencingNumber) this.beginTerm(fencingNumber);
     if (!this.term || !view.leaseLive) return;
     this.updateDesired(this.term);
     this.takeSteps(this.term, nowMs);
   }
 
-  private view(): CommandView {
+  private view(): ElectionView {
     const membership = this.kernel.find('membership');
     return {
       self: membership.self(),
@@ -156,7 +156,7 @@
 
   private maySend({ fencingNumber }: Term, { checksFencing }: EngineServer): boolean {
     const nowMs = this.clock.monotonicMs();
-    return this.command.maySend(this.view(), { fencingNumber, checksFencing }, nowMs);
+    return this.election.maySend(this.view(), { fencingNumber, checksFencing }, nowMs);
   }
 
   private settle({ book, fencingNumber }: Term, step: SentStep, reply: OrderReply): void {
