refactor(features): use arrow functions with the world of cucumber throughout

29 of the 43 step files used cucumber's world; 12 had functions with a this parameter, two of them beside world.

--- a/features/steps/configuration-cost-steps.ts
+++ b/features/steps/configuration-cost-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { Then } from '@cucumber/cucumber';
+import { Then, world } from '@cucumber/cucumber';
 
 import { type Fold, foldRecords } from '../../src/configuration/fold.js';
 import { encodeChange } from '../../src/configuration/record.js';
@@ -12,25 +12,24 @@
   fold: Fold;
 }
 
+const scenario = world as unknown as FoldWorld;
+
 /** Folds one more change of a team and measures it. */
-function measureChange(world: FoldWorld, index: number): number {
+function measureChange(index: number): number {
   const team = `team-${index * 97}`;
-  const { subjects, version } = world.fold.state;
+  const { subjects, version } = scenario.fold.state;
   const base = subjects.get(`team/${team}`) ?? 0;
   const data = encodeChange(`change-${index}`, base, 'test', createChange('team', team));
   const startMs = performance.now();
-  Object.assign(world, { fold: foldRecords(world.fold, [createRecord(version + 1, data)]) });
+  Object.assign(scenario, { fold: foldRecords(scenario.fold, [createRecord(version + 1, data)]) });
   const endMs = performance.now();
-  assert.equal(world.fold.verdicts.get(`change-${index}`)?.verdict, 'accepted');
+  assert.equal(scenario.fold.verdicts.get(`change-${index}`)?.verdict, 'accepted');
   return endMs - startMs;
 }
 
 // The bound is the processor time that a node may spend on control in a second; docs/CAPACITY.md.
-Then(
-  'a change of one team takes at most {int} ms of the configuration fold',
-  function then(this: FoldWorld, mostMs: number) {
-    const takenMs = Array.from({ length: CHANGES }, (_, index) => measureChange(this, index));
-    const medianMs = takenMs.toSorted((a, b) => a - b)[Math.trunc(CHANGES / 2)] ?? Infinity;
-    assert.ok(medianMs <= mostMs, `${medianMs} ms`);
-  },
-);
+Then('a change of one team takes at most {int} ms of the configuration fold', (mostMs: number) => {
+  const takenMs = Array.from({ length: CHANGES }, (_, index) => measureChange(index));
+  const medianMs = takenMs.toSorted((a, b) => a - b)[Math.trunc(CHANGES / 2)] ?? Infinity;
+  assert.ok(medianMs <= mostMs, `${medianMs} ms`);
+});
--- a/features/steps/configuration-older-end-steps.ts
+++ b/features/steps/configuration-older-end-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { createFold, foldRecords } from '../../src/configuration/fold.js';
 import { FoldTask } from '../../src/configuration/fold-task.js';
@@ -11,39 +11,41 @@
   foldTask?: FoldTask;
 }
 
+const scenario = world as unknown as OlderEndWorld;
+
 const RECORDS = createRecords('team oval 0; team crew 0; remove-team oval 1');
 
-function taskOf(world: OlderEndWorld): FoldTask {
-  assert.ok(world.foldTask);
-  return world.foldTask;
+function taskOf(): FoldTask {
+  assert.ok(scenario.foldTask);
+  return scenario.foldTask;
 }
 
-After(function stop(this: OlderEndWorld) {
-  this.foldTask?.close();
+After(() => {
+  scenario.foldTask?.close();
 });
 
-Given('a fold task that has taken three records', async function given(this: OlderEndWorld) {
-  this.foldTask = FoldTask.create(WithdrawnKeys.create());
-  this.foldTask.run();
-  assert.equal(await this.foldTask.take(RECORDS, true), RECORDS.length);
+Given('a fold task that has taken three records', async () => {
+  scenario.foldTask = FoldTask.create(WithdrawnKeys.create());
+  scenario.foldTask.run();
+  assert.equal(await scenario.foldTask.take(RECORDS, true), RECORDS.length);
 });
 
-When('the fold task is given older records', async function when(this: OlderEndWorld) {
-  await taskOf(this).take(RECORDS.slice(0, 2), true);
+When('the fold task is given older records', async () => {
+  await taskOf().take(RECORDS.slice(0, 2), true);
 });
 
-When('the fold task is given an older snapshot', async function when(this: OlderEndWorld) {
-  await taskOf(this).adopt(foldRecords(createFold(), RECORDS.slice(0, 2)), true);
+When('the fold task is given an older snapshot', async () => {
+  await taskOf().adopt(foldRecords(createFold(), RECORDS.slice(0, 2)), true);
 });
 
-When('the fold task is given records after a gap', async function when(this: OlderEndWorld) {
+When('the fold task is given records after a gap', async () => {
   const [record] = RECORDS;
   assert.ok(record);
-  await taskOf(this).take([{ ...record, offset: RECORDS.length + 2 }], true);
+  await taskOf().take([{ ...record, offset: RECORDS.length + 2 }], true);
 });
 
-Then('the fold task is as it was', function then(this: OlderEndWorld) {
-  const { version, state } = taskOf(this);
+Then('the fold task is as it was', () => {
+  const { version, state } = taskOf();
   assert.equal(version, RECORDS.length);
   assert.deepEqual([...(state?.teams.keys() ?? [])], ['crew']);
 });
--- a/features/steps/crash-prone-steps.ts
+++ b/features/steps/crash-prone-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { Given, Then, When } from '@cucumber/cucumber';
+import { Given, Then, When, world } from '@cucumber/cucumber';
 
 import { callCompletion, type CallerAnswer } from '../../harness/caller-client.js';
 import { daemonOf } from '../../harness/find-daemon.js';
@@ -20,6 +20,8 @@
   answers: CallerAnswer[];
 }
 
+const scenario = world as unknown as CrashWorld;
+
 const DAEMONS = 3;
 
 const BYSTANDERS = 9;
@@ -31,62 +33,57 @@
 
 Given(
   'a crash-prone fleet of {int} engine(s) in each pool that end at {}',
-  async function given(this: CrashWorld, engines: number, path: string) {
+  async (engines: number, path: string) => {
     // An engine that starts again has the fault before it takes a request.
     const engine = { fault: JSON.stringify({ path, kind: 'crash-on', text: CRASH_TEXT }) };
     const size = { daemons: DAEMONS, prefills: engines, decodes: engines, services: 0 };
-    await startGuaranteeFleet(this, { ...size, engine });
-    this.supervisor = EngineSupervisor.create(this.fleet);
+    await startGuaranteeFleet(scenario, { ...size, engine });
+    scenario.supervisor = EngineSupervisor.create(scenario.fleet);
   },
 );
 
-Given('crash-prone bystanders that run on the engines', async function given(this: CrashWorld) {
-  this.bystanders = Array.from({ length: BYSTANDERS }, (_, index) =>
-    beginStream(daemonOf(this.fleet, 1 + (index % DAEMONS)), {
-      ...{ key: this.crewKey, prompt: `bystander ${index}`, maxTokens: 80 },
+Given('crash-prone bystanders that run on the engines', async () => {
+  scenario.bystanders = Array.from({ length: BYSTANDERS }, (_, index) =>
+    beginStream(daemonOf(scenario.fleet, 1 + (index % DAEMONS)), {
+      ...{ key: scenario.crewKey, prompt: `bystander ${index}`, maxTokens: 80 },
     }),
   );
-  await waitForTokens(this.bystanders);
+  await waitForTokens(scenario.bystanders);
 });
 
-When(
-  'the crash-prone request is sent again and again through all daemons',
-  async function when(this: CrashWorld) {
-    this.answers = [];
-    for (let index = 0; index < SENDINGS; index += 1) {
-      const answer = await callCompletion(daemonOf(this.fleet, 1 + (index % DAEMONS)).callers, {
-        ...{ model: MODEL, key: this.visitorKey, prompt: CRASH_TEXT, maxTokens: 20 },
-      });
-      this.answers.push(answer);
-    }
-  },
-);
+When('the crash-prone request is sent again and again through all daemons', async () => {
+  scenario.answers = [];
+  for (let index = 0; index < SENDINGS; index += 1) {
+    const answer = await callCompletion(daemonOf(scenario.fleet, 1 + (index % DAEMONS)).callers, {
+      ...{ model: MODEL, key: scenario.visitorKey, prompt: CRASH_TEXT, maxTokens: 20 },
+    });
+    scenario.answers.push(answer);
+  }
+});
 
 Then(
   'it is refused as quarantined after at most {int} crash-prone engine deaths',
-  function then(this: CrashWorld, most: number) {
-    const codes = this.answers.map(({ code }) => code);
-    this.log(`${this.supervisor.deaths} deaths, answers ${codes.join(' ')}`);
-    assert.ok(this.supervisor.deaths > 0, 'no engine died');
-    assert.ok(this.supervisor.deaths <= most, `${this.supervisor.deaths} engines died`);
+  (most: number) => {
+    const codes = scenario.answers.map(({ code }) => code);
+    scenario.log(`${scenario.supervisor.deaths} deaths, answers ${codes.join(' ')}`);
+    assert.ok(scenario.supervisor.deaths > 0, 'no engine died');
+    assert.ok(scenario.supervisor.deaths <= most, `${scenario.supervisor.deaths} engines died`);
     assert.equal(codes.at(-1), 'quarantined');
-    assert.ok(this.answers.every(({ status }) => status !== 200));
+    assert.ok(scenario.answers.every(({ status }) => status !== 200));
   },
 );
 
 Then(
   'every crash-prone bystander is answered whole, at the latest when it is sent again',
-  async function then(this: CrashWorld) {
-    const ends = await Promise.all(
-      this.bystanders.map((bystander) => endOnceAgain(this, bystander)),
-    );
-    this.log(`${ends.filter((end) => end === 'again').length} bystanders were sent again`);
+  async () => {
+    const ends = await Promise.all(scenario.bystanders.map((bystander) => endOnceAgain(bystander)));
+    scenario.log(`${ends.filter((end) => end === 'again').length} bystanders were sent again`);
     // The same bodies run once more: neither they nor their team are blamed.
-    await Promise.all(this.bystanders.map((bystander) => sendAgain(this, bystander)));
+    await Promise.all(scenario.bystanders.map((bystander) => sendAgain(bystander)));
   },
 );
 
-async function endOnceAgain(world: CrashWorld, bystander: RunningStream): Promise<string> {
+async function endOnceAgain(bystander: RunningStream): Promise<string> {
   const answer = await bystander.answer;
   assert.ok(!(answer instanceof Error), String(answer));
   if (answer.whole) {
@@ -94,13 +91,13 @@
     return 'whole';
   }
   assert.equal(answer.code, 'server_failed');
-  await sendAgain(world, bystander);
+  await sendAgain(bystander);
   return 'again';
 }
 
-async function sendAgain(world: CrashWorld, { key, prompt, maxTokens }: RunningStream) {
+async function sendAgain({ key, prompt, maxTokens }: RunningStream) {
   const index = Number(prompt.split(' ').at(-1)) + 1;
   await assertWhole(
-    beginStream(daemonOf(world.fleet, 1 + (index % DAEMONS)), { key, prompt, maxTokens }),
+    beginStream(daemonOf(scenario.fleet, 1 + (index % DAEMONS)), { key, prompt, maxTokens }),
   );
 }
--- a/features/steps/engine-hold-filter-steps.ts
+++ b/features/steps/engine-hold-filter-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { type DataTable, Then } from '@cucumber/cucumber';
+import { type DataTable, Then, world } from '@cucumber/cucumber';
 
 import type { LaunchedStandIn } from '../../harness/stand-in-launcher.js';
 import { waitFor } from '../../harness/wait-for.js';
@@ -10,6 +10,8 @@
   engines: Record<'prefill' | 'decode', LaunchedStandIn>;
 }
 
+const scenario = world as unknown as EngineWorld;
+
 const { owner } = buildAttempt('a1');
 
 async function countHolds({ url }: LaunchedStandIn, filter: string): Promise<number> {
@@ -24,17 +26,14 @@
   }
 }
 
-Then(
-  'the decode engine lists holds by filter:',
-  async function then(this: EngineWorld, table: DataTable) {
-    await compare(this.engines.decode, table);
-  },
-);
+Then('the decode engine lists holds by filter:', async (table: DataTable) => {
+  await compare(scenario.engines.decode, table);
+});
 
 Then(
   'during a decode of {int} tokens the decode engine lists holds by filter:',
-  async function then(this: EngineWorld, maxTokens: number, table: DataTable) {
-    const { decode, prefill } = this.engines;
+  async (maxTokens: number, table: DataTable) => {
+    const { decode, prefill } = scenario.engines;
     await waitFor('the end of other work', async () => (await countHolds(decode, '')) === 0);
     const attempt = buildAttempt('a2');
     const ready = await prepareDecode(decode.address, prefill.address, attempt, 'hello');
--- a/features/steps/engine-memory-steps.ts
+++ b/features/steps/engine-memory-steps.ts
@@ -41,8 +41,8 @@
 
 const VISIT_TOKENS = 2000;
 
-After(async function stop(this: Partial<GuaranteeWorld>) {
-  await this.fleet?.stop();
+After(async () => {
+  await scenario.fleet?.stop();
 });
 
 Given(
--- a/features/steps/execution-reaper-steps.ts
+++ b/features/steps/execution-reaper-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { createEngineServer } from '../../harness/model-fixtures.js';
 import { registerFake } from '../../harness/module-fakes.js';
@@ -32,9 +32,11 @@
   reaper?: ReaperState;
 }
 
-function stateOf(world: ReaperWorld): ReaperState {
-  assert.ok(world.reaper);
-  return world.reaper;
+const scenario = world as unknown as ReaperWorld;
+
+function stateOf(): ReaperState {
+  assert.ok(scenario.reaper);
+  return scenario.reaper;
 }
 
 function createReaper(self: string, vms: readonly string[], servers: BackendServer[]): ReaperState {
@@ -100,7 +102,7 @@
   return { vm: 'vm1', incarnation: description.endsWith('old incarnation') ? 'i0' : 'i1' };
 }
 
-Given('a hold reaper that observes an engine alone', async function given(this: ReaperWorld) {
+Given('a hold reaper that observes an engine alone', async () => {
   // One of the first names is an engine that vm1 observes, whatever the hash.
   const names = Array.from({ length: 20 }, (_, index) => `engine${index}`);
   const probe = createReaper(
@@ -110,18 +112,18 @@
   );
   const [name] = probe.reaper.observed();
   assert.ok(name);
-  this.reaper = createReaper('vm1', ['vm1', 'vm2'], [createEngineServer(name)]);
-  await this.reaper.kernel.start();
+  scenario.reaper = createReaper('vm1', ['vm1', 'vm2'], [createEngineServer(name)]);
+  await scenario.reaper.kernel.start();
 });
 
-After(async function after(this: ReaperWorld) {
-  await this.reaper?.reaper.stop();
+After(async () => {
+  await scenario.reaper?.reaper.stop();
 });
 
 When(
   'the hold reaper finds a hold of {string} that is {int} ms old',
-  async function when(this: ReaperWorld, owner: string, ageMs: number) {
-    const state = stateOf(this);
+  async (owner: string, ageMs: number) => {
+    const state = stateOf();
     const ids = { requestId: 'q1', attemptId: 'attempt1', owner: ownerOf(owner) };
     await waitUntil(() => state.listed > 0, 'the first round has begun');
     Object.assign(state, { owner, holds: [{ ...ids, kind: 'decode', blocks: 1, ageMs }] });
@@ -144,31 +146,25 @@
 
 When(
   /^the hold reaper runs for a minute (with a log|during log outage)$/,
-  async function when(this: ReaperWorld, circumstances: string) {
-    await runForMinute(stateOf(this), circumstances === 'with a log' ? [] : undefined);
+  async (circumstances: string) => {
+    await runForMinute(stateOf(), circumstances === 'with a log' ? [] : undefined);
   },
 );
 
-When(
-  '{string} has gone and the hold reaper runs for a minute with a log',
-  async function when(this: ReaperWorld, name: string) {
-    const [vm = '', incarnation = ''] = name.split('/');
-    await runForMinute(stateOf(this), [{ vm, incarnation }]);
-  },
-);
+When('{string} has gone and the hold reaper runs for a minute with a log', async (name: string) => {
+  const [vm = '', incarnation = ''] = name.split('/');
+  await runForMinute(stateOf(), [{ vm, incarnation }]);
+});
 
-Then(
-  'the hold reaper has asked for all holds {int} times',
-  function then(this: ReaperWorld, times: number) {
-    const { filters } = stateOf(this);
-    assert.equal(filters.filter((filter) => !filter).length, times);
-  },
-);
+Then('the hold reaper has asked for all holds {int} times', (times: number) => {
+  const { filters } = stateOf();
+  assert.equal(filters.filter((filter) => !filter).length, times);
+});
 
 Then(
   'the hold reaper has otherwise asked for holds that had no call for {int} ms',
-  function then(this: ReaperWorld, idleMs: number) {
-    const filters = stateOf(this).filters.filter((filter) => filter !== undefined);
+  (idleMs: number) => {
+    const filters = stateOf().filters.filter((filter) => filter !== undefined);
     assert.ok(filters.length > 0);
     assert.ok(filters.every((filter) => filter.idleMs === idleMs));
   },
@@ -176,16 +172,16 @@
 
 Then(
   'the hold reaper has asked for the holds of {string} {int} times',
-  function then(this: ReaperWorld, name: string, times: number) {
-    const named = stateOf(this).filters.flatMap((filter) => filter?.gone ?? []);
+  (name: string, times: number) => {
+    const named = stateOf().filters.flatMap((filter) => filter?.gone ?? []);
     const names = named.map(({ vm, incarnation }) => `${vm}/${incarnation}`);
     assert.deepEqual([...new Set(names)], [name]);
     assert.equal(names.length, times);
   },
 );
 
-Then('the hold reaper has {string} it', function then(this: ReaperWorld, result: string) {
-  const { cancelled } = stateOf(this);
+Then('the hold reaper has {string} it', (result: string) => {
+  const { cancelled } = stateOf();
   assert.equal(cancelled.length > 0 ? 'released' : 'kept', result);
   assert.ok(cancelled.every((attemptId) => attemptId === 'attempt1'));
 });
@@ -220,8 +216,8 @@
 
 Then(
   'the hold reaper answers a peer that attempt {string} is unknown',
-  async function then(this: ReaperWorld, attemptId: string) {
-    const { handlers } = stateOf(this);
+  async (attemptId: string) => {
+    const { handlers } = stateOf();
     const handler = handlers.unknownAttempts as unknown as (request: object) => object;
     const answer = await handler({ attemptIds: [attemptId] });
     assert.deepEqual(answer, { incarnation: 'i1', unknownAttemptIds: [attemptId] });
--- a/features/steps/guarantees-rate-steps.ts
+++ b/features/steps/guarantees-rate-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { startFleet, type Fleet, type JsonChange } from '../../harness/fleet.js';
 import { planChanges, planSmallFleet } from '../../harness/plans.js';
@@ -31,80 +31,76 @@
   };
 }
 
-function ratedOf(world: RateWorld) {
-  assert.ok(world.rated);
-  return world.rated;
+const scenario = world as unknown as RateWorld;
+
+function ratedOf() {
+  assert.ok(scenario.rated);
+  return scenario.rated;
 }
 
-After(async function stop(this: RateWorld) {
-  await this.rated?.fleet.stop();
+After(async () => {
+  await scenario.rated?.fleet.stop();
 });
 
-Given('a rate-guarded fleet of {int} daemons', async function start(this: RateWorld, daemons) {
+Given('a rate-guarded fleet of {int} daemons', async (daemons) => {
   const changes = [...planChanges(), { kind: 'put-team', team: TEAM }];
   const size = { daemons: Number(daemons), engineArgs: ENGINE_ARGS, services: 0, relayed: true };
   const settings = { entryAddresses: { validForMs: 200 } };
   const fleet = await startFleet(planSmallFleet({ ...size, changes, settings }));
-  this.rated = { fleet, phases: [{ fromMs: 0, ...TEAM }], usedPercent: 0 };
+  scenario.rated = { fleet, phases: [{ fromMs: 0, ...TEAM }], usedPercent: 0 };
 });
 
-When(
-  'rate-guarded callers flood the fleet while {string}',
-  async function flood(this: RateWorld, name: string) {
-    const rated = ratedOf(this);
-    const { fleet, phases } = rated;
-    const event = RATE_EVENTS.get(name);
-    assert.ok(event, `no event "${name}"`);
-    const { text: key } = await fleet.giveKey(TEAM.name);
-    const { homes, others } = await findHomes(fleet, key);
-    let targets = [...fleet.daemons];
-    const count = () => countTokensRun(fleet, TEAM.name);
-    const run = async (seconds: number) =>
-      waitForTokens(count, (await count()) + seconds * (phases.at(-1)?.rate ?? 0));
-    const aim = (daemons: readonly (typeof targets)[number][]) => {
-      targets = [...daemons];
-    };
-    const changeTeam = async (fields: JsonChange) => {
-      const team = { ...TEAM, ...fields };
-      await fleet.apply([{ kind: 'put-team', team }]);
-      phases.push({ fromMs: Date.now() + CHANGE_MS, ...team });
-    };
-    const startMs = Date.now();
-    const load = startFlood({ key, callers: CALLERS, targets: () => targets });
-    await run(1);
-    const askHomes = async () => (await findHomes(fleet, key)).homes;
-    await event({ fleet, homes, others, askHomes, aim, run, changeTeam });
-    await run(1);
-    const elapsedS = (Date.now() - startMs) / 1000;
-    const ran = await count();
-    await load.stop();
-    rated.usedPercent = (100 * ran) / (TEAM.burst + TEAM.rate * elapsedS);
-    const counts = JSON.stringify(Object.fromEntries(load.counts));
-    reportFigure(this, `${ran} tokens in ${elapsedS.toFixed(1)} s, answers ${counts}`);
-  },
-);
+When('rate-guarded callers flood the fleet while {string}', async (name: string) => {
+  const rated = ratedOf();
+  const { fleet, phases } = rated;
+  const event = RATE_EVENTS.get(name);
+  assert.ok(event, `no event "${name}"`);
+  const { text: key } = await fleet.giveKey(TEAM.name);
+  const { homes, others } = await findHomes(fleet, key);
+  let targets = [...fleet.daemons];
+  const count = () => countTokensRun(fleet, TEAM.name);
+  const run = async (seconds: number) =>
+    waitForTokens(count, (await count()) + seconds * (phases.at(-1)?.rate ?? 0));
+  const aim = (daemons: readonly (typeof targets)[number][]) => {
+    targets = [...daemons];
+  };
+  const changeTeam = async (fields: JsonChange) => {
+    const team = { ...TEAM, ...fields };
+    await fleet.apply([{ kind: 'put-team', team }]);
+    phases.push({ fromMs: Date.now() + CHANGE_MS, ...team });
+  };
+  const startMs = Date.now();
+  const load = startFlood({ key, callers: CALLERS, targets: () => targets });
+  await run(1);
+  const askHomes = async () => (await findHomes(fleet, key)).homes;
+  await event({ fleet, homes, others, askHomes, aim, run, changeTeam });
+  await run(1);
+  const elapsedS = (Date.now() - startMs) / 1000;
+  const ran = await count();
+  await load.stop();
+  rated.usedPercent = (100 * ran) / (TEAM.burst + TEAM.rate * elapsedS);
+  const counts = JSON.stringify(Object.fromEntries(load.counts));
+  reportFigure(scenario, `${ran} tokens in ${elapsedS.toFixed(1)} s, answers ${counts}`);
+});
 
 Then(
   'the rate-guarded tokens at the engines stay within burst + rate x window in every window',
-  async function check(this: RateWorld) {
-    const { fleet, phases } = ratedOf(this);
+  async () => {
+    const { fleet, phases } = ratedOf();
     const runs = await readRuns(fleet, TEAM.name);
     const { tokens, allowed, windowMs, ratio } = findTightestWindow(runs, phases);
     const bound = `${tokens} of ${Math.floor(allowed)} tokens in ${windowMs} ms`;
     reportFigure(
-      this,
+      scenario,
       `${runs.length} attempts; tightest window: ${bound} (${(100 * ratio).toFixed(1)}%)`,
     );
     assert.ok(ratio <= 1, bound);
   },
 );
 
-Then(
-  'the rate-guarded load used at least {int} percent of what was allowed',
-  function checkUse(this: RateWorld, least: number) {
-    const { usedPercent } = ratedOf(this);
-    reportFigure(this, `used ${usedPercent.toFixed(1)}% of what was allowed`);
-    // Without this a fleet that runs nothing would pass.
-    assert.ok(usedPercent >= least, `used ${usedPercent.toFixed(1)}%`);
-  },
-);
+Then('the rate-guarded load used at least {int} percent of what was allowed', (least: number) => {
+  const { usedPercent } = ratedOf();
+  reportFigure(scenario, `used ${usedPercent.toFixed(1)}% of what was allowed`);
+  // Without this a fleet that runs nothing would pass.
+  assert.ok(usedPercent >= least, `used ${usedPercent.toFixed(1)}%`);
+});
--- a/features/steps/leaving-server-steps.ts
+++ b/features/steps/leaving-server-steps.ts
@@ -103,10 +103,10 @@
   },
 };
 
-After(async function stop(this: Partial<LeavingWorld>) {
-  this.stopped = true;
-  await this.load;
-  await Promise.allSettled(this.answers ?? []);
+After(async () => {
+  scenario.stopped = true;
+  await scenario.load;
+  await Promise.allSettled(scenario.answers ?? []);
 });
 
 Given('a leaving-server fleet', async () => {
--- a/features/steps/orders-steps.ts
+++ b/features/steps/orders-steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { Given, Then, When } from '@cucumber/cucumber';
+import { Given, Then, When, world } from '@cucumber/cucumber';
 import fc from 'fast-check';
 
 import type { Fleet, FleetDaemon } from '../../harness/fleet.js';
@@ -22,20 +22,22 @@
   healed: Promise<unknown>;
 }
 
+const scenario = world as unknown as OrdersWorld;
+
 const CHECKING = 'prefill-1';
 const IGNORING = 'decode-1';
 
 /** Longer than the time in which a silent member is removed, in milliseconds. */
 const FROZEN_MS = 12_000;
 
-async function readOrders({ fleet }: OrdersWorld, name: string): Promise<readonly Order[]> {
-  const record = await fleet.servers.get(name)?.readRecord<{ orders: readonly Order[] }>();
+async function readOrders(name: string): Promise<readonly Order[]> {
+  const record = await scenario.fleet.servers.get(name)?.readRecord<{ orders: readonly Order[] }>();
   return record?.orders ?? [];
 }
 
-async function waitForVersion(world: OrdersWorld, name: string, version: number, ms: number) {
+async function waitForVersion(name: string, version: number, ms: number) {
   const isWanted = ({ value }: Order) => value === `${MODEL}/${version}`;
-  const check = async () => (await readOrders(world, name)).some(isWanted);
+  const check = async () => (await readOrders(name)).some(isWanted);
   await waitFor(`version ${version} at ${name}`, check, { deadlineMs: ms });
 }
 
@@ -43,40 +45,37 @@
   return { kind: 'put-model', model: { name: MODEL, version: String(version) } };
 }
 
-async function findCommander(world: OrdersWorld): Promise<FleetDaemon> {
-  const newest = (await readOrders(world, IGNORING)).at(-1)?.commander;
-  const daemon = world.fleet.daemons.find(({ name }) => name === newest);
+async function findCommander(): Promise<FleetDaemon> {
+  const newest = (await readOrders(IGNORING)).at(-1)?.commander;
+  const daemon = scenario.fleet.daemons.find(({ name }) => name === newest);
   assert.ok(daemon, 'no commander');
   return daemon;
 }
 
-function eachEngine({ fleet }: OrdersWorld, act: (engine: LaunchedStandIn) => Promise<unknown>) {
-  const engines = [CHECKING, IGNORING].flatMap((name) => fleet.servers.get(name) ?? []);
+function eachEngine(act: (engine: LaunchedStandIn) => Promise<unknown>) {
+  const engines = [CHECKING, IGNORING].flatMap((name) => scenario.fleet.servers.get(name) ?? []);
   return Promise.all(engines.map(act));
 }
 
 /** Each event returns what ends it; the end is waited for before the records are judged. */
-const EVENTS: Readonly<
-  Record<string, (world: OrdersWorld, commander: FleetDaemon) => Promise<unknown>>
-> = {
+const EVENTS: Readonly<Record<string, (commander: FleetDaemon) => Promise<unknown>>> = {
   'no fault': async () => undefined,
-  'the commander killed': (_, { process }) => process.kill(),
-  'the commander frozen and resumed': async (_, { process }) => {
+  'the commander killed': ({ process }) => process.kill(),
+  'the commander frozen and resumed': async ({ process }) => {
     process.pause();
     return { end: delay(FROZEN_MS).then(process.resume) };
   },
-  'the commander cut from the log': async (_, { links }) => links?.log.cut(),
-  'the engines cut off for 3 s': async ({ fleet }) => {
+  'the commander cut from the log': async ({ links }) => links?.log.cut(),
+  'the engines cut off for 3 s': async () => {
+    const { fleet } = scenario;
     fleet.serverLinks.forEach((link) => link.cut());
     return { end: delay(3000).then(() => fleet.serverLinks.forEach((link) => link.heal())) };
   },
-  "the engines' answers lost twice": (world) =>
-    eachEngine(world, (engine) =>
-      engine.addFault({ path: '/v1/orders', kind: 'lost-answer', count: 2 }),
-    ),
-  'the engines restarted': (world) => eachEngine(world, (one) => one.setState({ restart: true })),
-  'the weights missing for 3 s': async ({ weights }) => {
-    await weights.addFault({ path: '/', kind: 'unavailable', forMs: 3000 });
+  "the engines' answers lost twice": () =>
+    eachEngine((engine) => engine.addFault({ path: '/v1/orders', kind: 'lost-answer', count: 2 })),
+  'the engines restarted': () => eachEngine((one) => one.setState({ restart: true })),
+  'the weights missing for 3 s': async () => {
+    await scenario.weights.addFault({ path: '/', kind: 'unavailable', forMs: 3000 });
   },
 };
 
@@ -119,73 +118,67 @@
   },
 );
 
-Given(
-  'an orders fleet whose engines have version 1',
-  { timeout: 60_000 },
-  async function given(this: OrdersWorld) {
-    this.weights = await launchStandIn('weight-store', ['--weights', `${MODEL}/1=1`]);
-    const plan = planSmallFleet({ decodes: 1, services: 0, relayed: true });
-    const ignores = { args: ['--role', 'decode', '--no-checks-fencing'] };
-    const servers = plan.servers.map((server) =>
-      server.name === IGNORING
-        ? { ...server, ...ignores }
-        : { ...server, fields: { ...server.fields, checksFencing: true } },
-    );
-    const changes = [putVersion(1)];
-    this.fleet = await startFleet({ ...plan, servers, changes, weightStoreUrl: this.weights.url });
-    await waitForVersion(this, CHECKING, 1, 10_000);
-    await waitForVersion(this, IGNORING, 1, 10_000);
-    await this.weights.setState({ [`${MODEL}/2`]: 1 });
-  },
-);
-
-When(
-  'version 2 is wanted of the orders fleet during {string}',
-  async function when(this: OrdersWorld, event: string) {
-    const commander = await findCommander(this);
-    const other = this.fleet.daemons.find((daemon) => daemon !== commander);
-    const begun = (await EVENTS[event]?.(this, commander)) as
-      { end?: Promise<unknown> } | undefined;
-    this.healed = begun?.end ?? Promise.resolve();
-    this.changedMs = Date.now();
-    await this.fleet.apply([putVersion(2)], other);
-  },
-);
+Given('an orders fleet whose engines have version 1', { timeout: 60_000 }, async () => {
+  scenario.weights = await launchStandIn('weight-store', ['--weights', `${MODEL}/1=1`]);
+  const plan = planSmallFleet({ decodes: 1, services: 0, relayed: true });
+  const ignores = { args: ['--role', 'decode', '--no-checks-fencing'] };
+  const servers = plan.servers.map((server) =>
+    server.name === IGNORING
+      ? { ...server, ...ignores }
+      : { ...server, fields: { ...server.fields, checksFencing: true } },
+  );
+  const changes = [putVersion(1)];
+  scenario.fleet = await startFleet({
+    ...plan,
+    servers,
+    changes,
+    weightStoreUrl: scenario.weights.url,
+  });
+  await waitForVersion(CHECKING, 1, 10_000);
+  await waitForVersion(IGNORING, 1, 10_000);
+  await scenario.weights.setState({ [`${MODEL}/2`]: 1 });
+});
+
+When('version 2 is wanted of the orders fleet during {string}', async (event: string) => {
+  const commander = await findCommander();
+  const other = scenario.fleet.daemons.find((daemon) => daemon !== commander);
+  const begun = (await EVENTS[event]?.(commander)) as { end?: Promise<unknown> } | undefined;
+  scenario.healed = begun?.end ?? Promise.resolve();
+  scenario.changedMs = Date.now();
+  await scenario.fleet.apply([putVersion(2)], other);
+});
 
 Then(
   'version 2 arrives at the orders engines within {int} s and {int} s',
   { timeout: 60_000 },
-  async function then(this: OrdersWorld, checking: number, ignoring: number) {
+  async (checking: number, ignoring: number) => {
     const bounds = Object.entries({ [CHECKING]: checking, [IGNORING]: ignoring });
     const arrivals = bounds.map(async ([name, seconds]) => {
-      await waitForVersion(this, name, 2, seconds * 1000);
-      this.log(`${name} after ${Date.now() - this.changedMs} ms`);
+      await waitForVersion(name, 2, seconds * 1000);
+      scenario.log(`${name} after ${Date.now() - scenario.changedMs} ms`);
     });
     await Promise.all(arrivals);
-    await this.healed;
+    await scenario.healed;
     // A repeated or late order of the former commander would come within this time.
     await delay(4000);
   },
 );
 
-Then(
-  'no older orders number took effect after a newer one',
-  async function then(this: OrdersWorld) {
-    for (const name of [CHECKING, IGNORING]) {
-      const numbers = (await readOrders(this, name)).map(({ fencingNumber }) => fencingNumber);
-      assert.deepEqual(
-        numbers,
-        [...numbers].sort((a, b) => a - b),
-      );
-    }
-  },
-);
+Then('no older orders number took effect after a newer one', async () => {
+  for (const name of [CHECKING, IGNORING]) {
+    const numbers = (await readOrders(name)).map(({ fencingNumber }) => fencingNumber);
+    assert.deepEqual(
+      numbers,
+      [...numbers].sort((a, b) => a - b),
+    );
+  }
+});
 
 Then(
   'no order of one orders commander took effect more than {int} times',
-  async function then(this: OrdersWorld, times: number) {
+  async (times: number) => {
     for (const name of [CHECKING, IGNORING]) {
-      const orders = (await readOrders(this, name)).map((order) => JSON.stringify(order));
+      const orders = (await readOrders(name)).map((order) => JSON.stringify(order));
       const most = Math.max(...orders.map((one) => orders.filter((each) => each === one).length));
       assert.ok(most <= times, `${name}: ${orders.join(' ')}`);
     }
--- a/features/steps/routing-choice-steps.ts
+++ b/features/steps/routing-choice-steps.ts
@@ -11,7 +11,7 @@
   createRequest,
   createRouting,
   type RoutingState,
-  type RoutingWorld,
+  scenario,
   settle,
   stateOf,
 } from '../support/routing-fixtures.js';
@@ -29,19 +29,16 @@
   return [...new Set(names)].sort().join(' ');
 }
 
-Given('routing over the engines {string}', async function given(this: RoutingWorld, names: string) {
-  this.routing = await createRouting(names.split(' ').map((name) => createEngineServer(name)));
+Given('routing over the engines {string}', async (names: string) => {
+  scenario.routing = await createRouting(names.split(' ').map((name) => createEngineServer(name)));
 });
 
-Given(
-  'routing over the plain servers {string}',
-  async function given(this: RoutingWorld, names: string) {
-    this.routing = await createRouting(names.split(' ').map(createPlain));
-  },
-);
+Given('routing over the plain servers {string}', async (names: string) => {
+  scenario.routing = await createRouting(names.split(' ').map(createPlain));
+});
 
-After(async function after(this: RoutingWorld) {
-  await this.routing?.routing.stop();
+After(async () => {
+  await scenario.routing?.routing.stop();
 });
 
 async function configure(state: RoutingState, servers: readonly BackendServer[]): Promise<void> {
@@ -50,113 +47,89 @@
   await settle();
 }
 
-When(
-  'routing learns that {string} is draining by configuration',
-  async function when(this: RoutingWorld, name: string) {
-    const state = stateOf(this);
-    const servers = [...state.fakes.state.servers.values()];
-    const drain = (server: BackendServer) => ({ ...server, draining: server.name === name });
-    await configure(state, servers.map(drain));
-  },
-);
+When('routing learns that {string} is draining by configuration', async (name: string) => {
+  const state = stateOf();
+  const servers = [...state.fakes.state.servers.values()];
+  const drain = (server: BackendServer) => ({ ...server, draining: server.name === name });
+  await configure(state, servers.map(drain));
+});
 
-When(
-  'routing learns that {string} is draining by load report',
-  function when(this: RoutingWorld, name: string) {
-    stateOf(this).routing.observe(name, createLoad({ draining: true }));
-  },
-);
+When('routing learns that {string} is draining by load report', (name: string) => {
+  stateOf().routing.observe(name, createLoad({ draining: true }));
+});
 
-When(
-  'routing learns that {string} is draining by vm list',
-  async function when(this: RoutingWorld, name: string) {
-    stateOf(this).fakes.listings.push({ vms: [], servers: [{ name, state: 'leaving' }] });
-    await settle();
-  },
-);
+When('routing learns that {string} is draining by vm list', async (name: string) => {
+  stateOf().fakes.listings.push({ vms: [], servers: [{ name, state: 'leaving' }] });
+  await settle();
+});
 
-When(
-  'routing learns that plain {string} is draining',
-  function when(this: RoutingWorld, name: string) {
-    stateOf(this).routing.observeDraining(name);
-  },
-);
+When('routing learns that plain {string} is draining', (name: string) => {
+  stateOf().routing.observeDraining(name);
+});
 
-When(
-  'routing learns that the entry of {string} changed',
-  async function when(this: RoutingWorld, name: string) {
-    const state = stateOf(this);
-    const servers = [...state.fakes.state.servers.values()];
-    const copy = (server: BackendServer) => (server.name === name ? { ...server } : server);
-    await configure(state, servers.map(copy));
-  },
-);
+When('routing learns that the entry of {string} changed', async (name: string) => {
+  const state = stateOf();
+  const servers = [...state.fakes.state.servers.values()];
+  const copy = (server: BackendServer) => (server.name === name ? { ...server } : server);
+  await configure(state, servers.map(copy));
+});
 
-When('routing learns that {string} failed', function when(this: RoutingWorld, name: string) {
-  stateOf(this).routing.observeFailure(name, false);
+When('routing learns that {string} failed', (name: string) => {
+  stateOf().routing.observeFailure(name, false);
 });
 
-When('routing assigns a suspect to {string}', function when(this: RoutingWorld, server: string) {
-  stateOf(this).routing.assign(createAssignment({ server, suspect: true }));
+When('routing assigns a suspect to {string}', (server: string) => {
+  stateOf().routing.assign(createAssignment({ server, suspect: true }));
 });
 
-When('routing prefills a long prompt on one engine', function when(this: RoutingWorld) {
-  const state = stateOf(this);
+When('routing prefills a long prompt on one engine', () => {
+  const state = stateOf();
   state.first = state.routing.choosePrefill(createRequest(PROMPT), NONE, false)?.name ?? '';
 });
 
 When(
   'routing hears that this engine has {int} more queued tokens',
-  function when(this: RoutingWorld, queuedPrefillTokens: number) {
-    const { routing, first } = stateOf(this);
+  (queuedPrefillTokens: number) => {
+    const { routing, first } = stateOf();
     routing.observe(first ?? '', createLoad({ queuedPrefillTokens }));
   },
 );
 
-Then(
-  'routing decodes and prefills only on {string}',
-  function then(this: RoutingWorld, names: string) {
-    const { routing } = stateOf(this);
-    const request = createRequest();
-    assert.equal(
-      collectNames(() => routing.chooseDecode(request, 1, NONE, false)?.name),
-      names,
-    );
-    assert.equal(
-      collectNames(() => routing.choosePrefill(request, NONE, false)?.name),
-      names,
-    );
-  },
-);
+Then('routing decodes and prefills only on {string}', (names: string) => {
+  const { routing } = stateOf();
+  const request = createRequest();
+  assert.equal(
+    collectNames(() => routing.chooseDecode(request, 1, NONE, false)?.name),
+    names,
+  );
+  assert.equal(
+    collectNames(() => routing.choosePrefill(request, NONE, false)?.name),
+    names,
+  );
+});
 
-Then(
-  'routing sends plain requests only to {string}',
-  function then(this: RoutingWorld, names: string) {
-    const { routing } = stateOf(this);
-    assert.equal(
-      collectNames(() => routing.chooseService('yard', NONE)?.name),
-      names,
-    );
-  },
-);
+Then('routing sends plain requests only to {string}', (names: string) => {
+  const { routing } = stateOf();
+  assert.equal(
+    collectNames(() => routing.chooseService('yard', NONE)?.name),
+    names,
+  );
+});
 
-Then(
-  'routing finds no server for another suspect but one for others',
-  function then(this: RoutingWorld) {
-    const { routing } = stateOf(this);
-    assert.equal(routing.chooseDecode(createRequest(), 1, NONE, true), undefined);
-    assert.equal(routing.choosePrefill(createRequest(), NONE, true), undefined);
-    assert.equal(routing.chooseDecode(createRequest(), 1, NONE, false)?.name, 'e1');
-  },
-);
+Then('routing finds no server for another suspect but one for others', () => {
+  const { routing } = stateOf();
+  assert.equal(routing.chooseDecode(createRequest(), 1, NONE, true), undefined);
+  assert.equal(routing.choosePrefill(createRequest(), NONE, true), undefined);
+  assert.equal(routing.chooseDecode(createRequest(), 1, NONE, false)?.name, 'e1');
+});
 
-Then('routing prefills the same prompt there again', function then(this: RoutingWorld) {
-  const { routing, first } = stateOf(this);
+Then('routing prefills the same prompt there again', () => {
+  const { routing, first } = stateOf();
   const choose = () => routing.choosePrefill(createRequest(PROMPT), NONE, false)?.name;
   assert.equal(collectNames(choose), first);
 });
 
-Then('routing prefills the same prompt elsewhere', function then(this: RoutingWorld) {
-  const { routing, first } = stateOf(this);
+Then('routing prefills the same prompt elsewhere', () => {
+  const { routing, first } = stateOf();
   assert.notEqual(routing.choosePrefill(createRequest(PROMPT), NONE, false)?.name, first);
 });
--- a/features/steps/silent-client-steps.ts
+++ b/features/steps/silent-client-steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { connect, type Socket } from 'node:net';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 import { request } from 'undici';
 
 import { runCtl, type CtlRun } from '../../harness/ctl.js';
@@ -20,6 +20,8 @@
   run: CtlRun;
 }
 
+const scenario = world as unknown as SilentWorld;
+
 const LARGE = '/services/large';
 
 /** Just below the largest answer that the daemon reads whole. */
@@ -43,9 +45,9 @@
   'answers not read': UNREAD.repeat(LARGE_ANSWERS),
 };
 
-function openSilent(world: SilentWorld, address: Address, text: string): Promise<void> {
+function openSilent(address: Address, text: string): Promise<void> {
   const socket = connect(address);
-  world.sockets.add(socket);
+  scenario.sockets.add(socket);
   socket.on('error', () => undefined);
   socket.pause();
   return new Promise((resolve) => {
@@ -53,10 +55,8 @@
   });
 }
 
-async function openAll(world: SilentWorld, address: Address, text: string): Promise<void> {
-  await Promise.all(
-    Array.from({ length: world.connections }, () => openSilent(world, address, text)),
-  );
+async function openAll(address: Address, text: string): Promise<void> {
+  await Promise.all(Array.from({ length: scenario.connections }, () => openSilent(address, text)));
 }
 
 async function isLive({ host, port }: Address): Promise<boolean> {
@@ -65,83 +65,74 @@
   return answer.statusCode === 200;
 }
 
-After(function close(this: Partial<SilentWorld>) {
-  this.sockets?.forEach((socket) => socket.destroy());
+After(() => {
+  scenario.sockets?.forEach((socket) => socket.destroy());
 });
 
 Given(
   'a silent-client daemon with room for {int} connections of callers',
-  async function given(this: SilentWorld, connections: number) {
-    Object.assign(this, { sockets: new Set(), connections });
+  async (connections: number) => {
+    Object.assign(scenario, { sockets: new Set(), connections });
     const limits = { callerConnections: connections, bodyMs: 1000 };
-    await startGuaranteeFleet(this, { daemons: 1, services: 0, settings: { limits } });
+    await startGuaranteeFleet(scenario, { daemons: 1, services: 0, settings: { limits } });
     const url = new URL(await openFixedServer((answer) => answer.end('a'.repeat(LARGE_BYTES))));
     const address = { host: url.hostname, port: Number(url.port) };
     const server = { kind: 'service', name: 'large-1', pool: 'large', availabilityZone: 'sando' };
     const route = { path: LARGE, pool: 'large', methods: ['GET'], repeatable: true, open: true };
-    await this.fleet.apply([
+    await scenario.fleet.apply([
       { kind: 'put-server', server: { ...server, address } },
       { kind: 'put-route', route },
     ]);
   },
 );
 
-When(
-  'silent-client callers take all connections, {}',
-  async function when(this: SilentWorld, state: string) {
-    const { callers } = daemonOf(this.fleet, 1);
-    await openAll(this, callers, WRITTEN[state] ?? assert.fail(state));
-    this.silentMs = performance.now();
-    await assert.rejects(isLive(callers), 'the daemon still has room');
-  },
-);
+When('silent-client callers take all connections, {}', async (state: string) => {
+  const { callers } = daemonOf(scenario.fleet, 1);
+  await openAll(callers, WRITTEN[state] ?? assert.fail(state));
+  scenario.silentMs = performance.now();
+  await assert.rejects(isLive(callers), 'the daemon still has room');
+});
 
-When('silent-client operators take all connections', async function when(this: SilentWorld) {
-  const { operators } = daemonOf(this.fleet, 1);
-  this.connections = OPERATORS;
-  await openAll(this, operators, PREFACE);
-  this.silentMs = performance.now();
+When('silent-client operators take all connections', async () => {
+  const { operators } = daemonOf(scenario.fleet, 1);
+  scenario.connections = OPERATORS;
+  await openAll(operators, PREFACE);
+  scenario.silentMs = performance.now();
   const { code, stderr } = await runCtl(operators, ['team', 'list']);
   assert.notEqual(code, 0, 'the daemon still has room');
-  this.log(`refused with ${code}: ${stderr}`);
+  scenario.log(`refused with ${code}: ${stderr}`);
 });
 
-Then(
-  'the silent-client daemon answers new callers within {int} s',
-  async function then(this: SilentWorld, seconds: number) {
-    const { callers } = daemonOf(this.fleet, 1);
-    await waitFor('room for a caller', () => isLive(callers), { deadlineMs: seconds * 1000 });
-    this.log(`room after ${Math.round(performance.now() - this.silentMs)} ms`);
-  },
-);
+Then('the silent-client daemon answers new callers within {int} s', async (seconds: number) => {
+  const { callers } = daemonOf(scenario.fleet, 1);
+  await waitFor('room for a caller', () => isLive(callers), { deadlineMs: seconds * 1000 });
+  scenario.log(`room after ${Math.round(performance.now() - scenario.silentMs)} ms`);
+});
 
-Then(
-  'the silent-client daemon answers new operators within {int} s',
-  async function then(this: SilentWorld, seconds: number) {
-    const { operators } = daemonOf(this.fleet, 1);
-    const deadlineMs = seconds * 1000;
-    const isAnswered = async () => (await runCtl(operators, ['team', 'list'])).code === 0;
-    await waitFor('room for an operator', isAnswered, { deadlineMs, everyMs: 500 });
-    this.log(`room after ${Math.round(performance.now() - this.silentMs)} ms`);
-  },
-);
+Then('the silent-client daemon answers new operators within {int} s', async (seconds: number) => {
+  const { operators } = daemonOf(scenario.fleet, 1);
+  const deadlineMs = seconds * 1000;
+  const isAnswered = async () => (await runCtl(operators, ['team', 'list'])).code === 0;
+  await waitFor('room for an operator', isAnswered, { deadlineMs, everyMs: 500 });
+  scenario.log(`room after ${Math.round(performance.now() - scenario.silentMs)} ms`);
+});
 
 When(
   'the silent-client operator runs {string} on a connection that goes silent',
-  async function when(this: SilentWorld, words: string) {
-    const relay = await createTcpRelay(daemonOf(this.fleet, 1).operators);
+  async (words: string) => {
+    const relay = await createTcpRelay(daemonOf(scenario.fleet, 1).operators);
     relay.silence();
-    this.silentMs = performance.now();
-    this.run = await runCtl(relay, words.split(' '));
+    scenario.silentMs = performance.now();
+    scenario.run = await runCtl(relay, words.split(' '));
   },
 );
 
 Then(
   'the silent-client command ends with {int} and {string} within {int} s',
-  function then(this: SilentWorld, code: number, text: string, seconds: number) {
-    const elapsedMs = Math.round(performance.now() - this.silentMs);
-    this.log(`ended after ${elapsedMs} ms`);
-    const { code: ended, stdout, stderr } = this.run;
+  (code: number, text: string, seconds: number) => {
+    const elapsedMs = Math.round(performance.now() - scenario.silentMs);
+    scenario.log(`ended after ${elapsedMs} ms`);
+    const { code: ended, stdout, stderr } = scenario.run;
     assert.equal(ended, code, stdout + stderr);
     assert.ok((stdout + stderr).includes(text), stdout + stderr);
     assert.ok(elapsedMs <= seconds * 1000, `it took ${elapsedMs} ms`);
--- a/features/support/routing-fixtures.ts
+++ b/features/support/routing-fixtures.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 
+import { world } from '@cucumber/cucumber';
+
 import { createModelRequest } from '../../harness/model-fixtures.js';
 import { registerFake } from '../../harness/module-fakes.js';
 import type { BackendServer, EngineServer } from '../../src/domain/backend-server.js';
@@ -20,13 +22,11 @@
   first?: string;
 }
 
-export interface RoutingWorld {
-  routing?: RoutingState;
-}
+export const scenario = world as unknown as { routing?: RoutingState };
 
-export function stateOf(world: RoutingWorld): RoutingState {
-  assert.ok(world.routing);
-  return world.routing;
+export function stateOf(): RoutingState {
+  assert.ok(scenario.routing);
+  return scenario.routing;
 }
 
 /** Builds the load report of an idle engine. */
