--- a/features/steps/configuration-steps.ts
+++ b/features/steps/configuration-steps.ts
@@ -35,12 +35,6 @@
   return scenario.fleet;
 }
 
-function findNode(vm: string): ConfigurationNode {
-  const node = getFleet().nodes.find((other) => other.vm === vm);
-  assert.ok(node, `no daemon ${vm}`);
-  return node;
-}
-
 function answerOf(node: ConfigurationNode, credential: string | undefined): string {
   const answer = node.configuration.authenticate(credential);
   return answer.kind === 'ok' ? answer.value.team : answer.failure.code;
@@ -56,7 +50,7 @@
 }
 
 async function putTeam(team: string, vm: string, base?: number) {
-  const { configuration } = findNode(vm);
+  const { configuration } = getFleet().find(vm);
   scenario.verdicts.push(await configuration.change(createChange('team', team), base, 'test'));
 }
 
@@ -219,7 +213,7 @@
   'the configuration log gets a team record {string} that only daemon {string} has read',
   async (team: string, vm: string) => {
     const { log } = getFleet();
-    const node = findNode(vm);
+    const node = getFleet().find(vm);
     const data = encodeChange('shown-once', 0, 'test', createChange('team', team));
     node.view.lagging = false;
     await log.append('configuration', [data]);
@@ -228,13 +222,13 @@
 );
 
 When('configuration daemon {string} notices the offset of {string}', (vm: string, peer: string) => {
-  const offset = findNode(peer).configuration.current()?.version ?? 0;
-  findNode(vm).configuration.noticeOffset(offset, peer);
+  const offset = getFleet().find(peer).configuration.current()?.version ?? 0;
+  getFleet().find(vm).configuration.noticeOffset(offset, peer);
 });
 
 When('configuration daemon {string} notices the digest of {string}', (vm: string, peer: string) => {
-  const digest = findNode(peer).configuration.withdrawnDigest();
-  findNode(vm).configuration.noticeDigest(digest, peer);
+  const digest = getFleet().find(peer).configuration.withdrawnDigest();
+  getFleet().find(vm).configuration.noticeDigest(digest, peer);
 });
 
 Given(
@@ -258,21 +252,21 @@
 When(
   'the key {string} is withdrawn through configuration daemon {string}',
   (keyId: string, vm: string) => {
-    assert.deepEqual(findNode(vm).configuration.withdraw([keyId]), [keyId]);
+    assert.deepEqual(getFleet().find(vm).configuration.withdraw([keyId]), [keyId]);
   },
 );
 
 Then(
   'configuration daemon {string} refuses the key {string} at once with {string}',
   (vm: string, keyId: string, code: string) => {
-    assert.equal(answerOf(findNode(vm), `Bearer ck_${keyId}_${SECRET}`), code);
+    assert.equal(answerOf(getFleet().find(vm), `Bearer ck_${keyId}_${SECRET}`), code);
   },
 );
 
 Then(
   'the configuration daemons {string} refuse the key {string} with {string}',
   async (names: string, keyId: string, code: string) => {
-    const nodes = names.split(', ').map((vm) => findNode(vm));
+    const nodes = names.split(', ').map((vm) => getFleet().find(vm));
     await waitFor(`${code} at ${names}`, () =>
       nodes.every((node) => answerOf(node, `Bearer ck_${keyId}_${SECRET}`) === code),
     );
@@ -313,7 +307,7 @@
 Then(
   'the configuration daemons {string} know the team {string}',
   async (names: string, team: string) => {
-    const nodes = names.split(', ').map((vm) => findNode(vm));
+    const nodes = names.split(', ').map((vm) => getFleet().find(vm));
     await waitFor(`team ${team} at ${names}`, () =>
       nodes.every((node) => node.configuration.current()?.teams.has(team)),
     );
@@ -324,7 +318,7 @@
   'configuration daemon {string} stays at version {int} for {int} ms',
   async (vm: string, version: number, ms: number) => {
     await clock.sleep(ms);
-    assert.equal(findNode(vm).configuration.current()?.version, version);
+    assert.equal(getFleet().find(vm).configuration.current()?.version, version);
   },
 );
 
@@ -332,18 +326,18 @@
   'configuration daemon {string} has no configuration after {int} ms',
   async (vm: string, ms: number) => {
     await clock.sleep(ms);
-    assert.equal(findNode(vm).configuration.current(), undefined);
+    assert.equal(getFleet().find(vm).configuration.current(), undefined);
   },
 );
 
 Then('configuration daemon {string} is at version {int}', async (vm: string, version: number) => {
-  const { configuration } = findNode(vm);
+  const { configuration } = getFleet().find(vm);
   await waitFor(`version ${version}`, () => configuration.current()?.version === version);
 });
 
 Then(
   'configuration daemon {string} answers the credential {string} with {string}',
   (vm: string, credential: string, answer: string) => {
-    assert.equal(answerOf(findNode(vm), credential || undefined), answer);
+    assert.equal(answerOf(getFleet().find(vm), credential || undefined), answer);
   },
 );
--- a/features/steps/engine-hold-filter-steps.ts
+++ b/features/steps/engine-hold-filter-steps.ts
@@ -4,7 +4,7 @@
 
 import type { LaunchedStandIn } from '../../harness/stand-in-launcher.js';
 import { waitFor } from '../../harness/wait-for.js';
-import { buildAttempt, callJson, prepareDecode, readDecode } from '../support/engine-client.js';
+import { buildAttempt, countHolds, prepareDecode, readDecode } from '../support/engine-client.js';
 
 interface EngineWorld {
   engines: Record<'prefill' | 'decode', LaunchedStandIn>;
@@ -14,15 +14,10 @@
 
 const { owner } = buildAttempt('a1');
 
-async function countHolds({ url }: LaunchedStandIn, filter: string): Promise<number> {
-  const query = filter.replace('OWNER', encodeURIComponent(`${owner.vm}/${owner.incarnation}`));
-  const { body } = await callJson('GET', `${url}/v1/holds?${query}`);
-  return (body.holds as unknown[]).length;
-}
-
 async function compare(engine: LaunchedStandIn, table: DataTable): Promise<void> {
   for (const { filter = '', holds } of table.hashes()) {
-    assert.equal(await countHolds(engine, filter), Number(holds), `filter "${filter}"`);
+    const query = filter.replace('OWNER', encodeURIComponent(`${owner.vm}/${owner.incarnation}`));
+    assert.equal(await countHolds(engine, query), Number(holds), `filter "${filter}"`);
   }
 }
 
@@ -34,7 +29,7 @@
   'during a decode of {int} tokens the decode engine lists holds by filter:',
   async (maxTokens: number, table: DataTable) => {
     const { decode, prefill } = scenario.engines;
-    await waitFor('the end of other work', async () => (await countHolds(decode, '')) === 0);
+    await waitFor('the end of other work', async () => (await countHolds(decode)) === 0);
     const attempt = buildAttempt('a2');
     const ready = await prepareDecode(decode.address, prefill.address, attempt, 'hello');
     const { reservationId } = ready;
--- a/features/steps/engine-stand-in-steps.ts
+++ b/features/steps/engine-stand-in-steps.ts
@@ -7,6 +7,7 @@
 import {
   buildAttempt,
   callJson,
+  countHolds,
   prepareDecode,
   readDecode,
   type JsonAnswer,
@@ -100,11 +101,6 @@
   return Promise.all([post('decode', path, { owner }), post('prefill', path, { owner })]);
 }
 
-async function countHolds(engine: LaunchedStandIn): Promise<number> {
-  const { body } = await callJson('GET', `${engine.url}/v1/holds`);
-  return (body.holds as unknown[]).length;
-}
-
 async function findAttempt(engine: LaunchedStandIn, attemptId: string) {
   const { attempts } = await engine.readRecord<EngineRecord>();
   return attempts.find((attempt) => attempt.attemptId === attemptId);
--- a/features/steps/execution-machine-steps.ts
+++ b/features/steps/execution-machine-steps.ts
@@ -8,6 +8,7 @@
 import type { AnswerEvent } from '../../src/domain/request.js';
 import type { AttemptAction, AttemptEvent } from '../../src/execution/attempt-events.js';
 import { AttemptMachine } from '../../src/execution/attempt-machine.js';
+import { readSeed } from '../support/seed.js';
 
 interface Command {
   readonly pick: number;
@@ -266,11 +267,10 @@
   'the attempt machine keeps its guarantees over {int} interleavings',
   { timeout: 60_000 },
   (runs: number) => {
-    const seed = Number(process.env.SEED ?? Date.now() % 2 ** 31);
     const property = fc.property(commands, (list) => {
       // Guards against lost, repeated or disordered answers, leaked holds and double settlements.
       new World().play(list);
     });
-    fc.assert(property, { numRuns: runs, seed });
+    fc.assert(property, { numRuns: runs, seed: readSeed() });
   },
 );
--- a/features/steps/guarantees-withdrawal-steps.ts
+++ b/features/steps/guarantees-withdrawal-steps.ts
@@ -3,6 +3,7 @@
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { startFleet, type Fleet, type FleetDaemon } from '../../harness/fleet.js';
+import { lastDaemonOf } from '../../harness/find-daemon.js';
 import { planSmallFleet } from '../../harness/plans.js';
 import { waitFor } from '../../harness/wait-for.js';
 import { readReadiness, reconnect, waitForIsolation } from '../support/guarantees-entry.js';
@@ -44,12 +45,6 @@
   return scenario.withdrawing;
 }
 
-function lastOf(fleet: Fleet): FleetDaemon {
-  const daemon = fleet.daemons.at(-1);
-  assert.ok(daemon);
-  return daemon;
-}
-
 async function isRefused(daemon: FleetDaemon, { text }: Key, code: string): Promise<boolean> {
   const answers = await sendOnKeyedRoutes(daemon, `Bearer ${text}`);
   return answers.every((answer) => answer.code === code);
@@ -155,7 +150,7 @@
       'every daemon to refuse the key',
       async () => {
         const refused = fleet.daemons.map((daemon) =>
-          isRefused(daemon, key, daemon === lastOf(fleet) ? lastCode : code),
+          isRefused(daemon, key, daemon === lastDaemonOf(fleet) ? lastCode : code),
         );
         return (await Promise.all(refused)).every(Boolean);
       },
@@ -182,7 +177,7 @@
   'the key-withdrawing daemon that is cut off is not ready and still serves open routes',
   async () => {
     const { fleet, kept, withdrawnMs } = withdrawingOf();
-    const daemon = lastOf(fleet);
+    const daemon = lastDaemonOf(fleet);
     const leftMs = WITHDRAWAL_MS - (performance.now() - withdrawnMs);
     await waitForIsolation(daemon, Math.max(1, leftMs));
     assert.ok(await isRefused(daemon, kept, 'isolated'));
@@ -195,7 +190,7 @@
   'the key-withdrawing daemon refuses that key as withdrawn when it is connected again',
   async () => {
     const { fleet, key, kept } = withdrawingOf();
-    const daemon = lastOf(fleet);
+    const daemon = lastDaemonOf(fleet);
     reconnect(fleet, daemon);
     await waitReadyWithoutKey(daemon, key, kept);
   },
@@ -208,7 +203,7 @@
 
 Then('the key-withdrawing daemon that was added never runs that key', async () => {
   const { fleet, key, kept } = withdrawingOf();
-  const daemon = lastOf(fleet);
+  const daemon = lastDaemonOf(fleet);
   const looks = Array.from({ length: 20 }, () => sendOnKeyedRoutes(daemon, `Bearer ${key.text}`));
   const early = (await Promise.all(looks)).flat().map(({ code }) => code);
   reportFigure(scenario, `answers of the new daemon at first: ${[...new Set(early)].join(', ')}`);
--- a/features/steps/membership-property-steps.ts
+++ b/features/steps/membership-property-steps.ts
@@ -14,8 +14,9 @@
 import { chooseWitnesses } from '../../src/membership/witness-set.js';
 import type { LogRecord } from '../../src/platform/log-service.js';
 import { createTestMember, LeaseSimulation, schedules } from '../support/lease-simulation.js';
+import { readSeed } from '../support/seed.js';
 
-const seed = Number(process.env.SEED ?? Math.floor(Math.random() * 2 ** 31));
+const seed = readSeed();
 
 const member = fc
   .tuple(fc.nat({ max: 9 }), fc.nat({ max: 3 }))
--- a/features/steps/operators-steps.ts
+++ b/features/steps/operators-steps.ts
@@ -46,14 +46,8 @@
   return scenario.operatorFleet;
 }
 
-function findNode(vm: string): ConfigurationNode {
-  const node = getFleet().nodes.find((other) => other.vm === vm);
-  assert.ok(node);
-  return node;
-}
-
 function runTool(words: string, token = TOKEN): Promise<CommandResult> {
-  const { port } = findNode('a').operators;
+  const { port } = getFleet().find('a').operators;
   const chosen = words.includes('--daemon') ? [] : ['--daemon', `127.0.0.1:${port}`];
   const list = ['--import', 'tsx', 'src/ctl.ts', ...words.split(' '), ...chosen];
   const env = { ...process.env, CUMINSPAR_OPERATOR_TOKEN: token };
@@ -112,7 +106,7 @@
 });
 
 Given('the operator daemon {string} stops answering operators', (vm: string) => {
-  findNode(vm).operators = { host: '127.0.0.1', port: 1 };
+  getFleet().find(vm).operators = { host: '127.0.0.1', port: 1 };
 });
 
 Then('the operator command exits with {int}', (code: number) => {
@@ -126,7 +120,7 @@
 Then(
   "the operator's key is answered with {string} by the daemons {string}",
   async (answer: string, names: string) => {
-    const nodes = names.split(', ').map((vm) => findNode(vm));
+    const nodes = names.split(', ').map((vm) => getFleet().find(vm));
     const read = (node: ConfigurationNode) => {
       const outcome = node.configuration.authenticate(`Bearer ${scenario.keyText}`);
       return outcome.kind === 'ok' ? outcome.value.team : outcome.failure.code;
--- a/features/steps/routing-property-steps.ts
+++ b/features/steps/routing-property-steps.ts
@@ -13,10 +13,7 @@
   type Candidate,
   type ChoiceRule,
 } from '../../src/routing/server-choice.js';
-
-function readSeed(): number {
-  return Number(process.env.SEED ?? Date.now() % 2 ** 31);
-}
+import { readSeed } from '../support/seed.js';
 
 const fleets = fc
   .array(
--- a/features/support/configuration-fleet.ts
+++ b/features/support/configuration-fleet.ts
@@ -1,3 +1,5 @@
+import assert from 'node:assert/strict';
+
 import { Code, ConnectError } from '@connectrpc/connect';
 
 import { createMember, registerFake } from '../../harness/module-fakes.js';
@@ -81,6 +83,13 @@
     await Promise.all(this.nodes.map((node) => node.kernel.stop()));
   }
 
+  /** Finds the daemon on a VM. */
+  find(vm: string): ConfigurationNode {
+    const node = this.nodes.find((other) => other.vm === vm);
+    assert.ok(node, `no daemon ${vm}`);
+    return node;
+  }
+
   private registerFakes(node: ConfigurationNode): void {
     const { kernel, vm, handlers, address } = node;
     registerFake(kernel, 'log', node.view);
--- a/features/support/engine-client.ts
+++ b/features/support/engine-client.ts
@@ -53,6 +53,18 @@
   return { status: answer.statusCode, headers: answer.headers, body: content };
 }
 
+/**
+ * Counts the holds that an engine lists.
+ *
+ * @param engine - address of the engine
+ * @param query - filter of the holds
+ * @returns the number of holds
+ */
+export async function countHolds({ url }: { readonly url: string }, query = ''): Promise<number> {
+  const { body } = await callJson('GET', `${url}/v1/holds?${query}`);
+  return (body.holds as unknown[]).length;
+}
+
 /**
  * Reserves, prefills and transfers, so that the attempt can decode.
  *
--- a/features/support/guarantees-configuration-faults.ts
+++ b/features/support/guarantees-configuration-faults.ts
@@ -1,5 +1,5 @@
 import type { Fleet, FleetDaemon, JsonChange } from '../../harness/fleet.js';
-import { daemonOf } from '../../harness/find-daemon.js';
+import { daemonOf, lastDaemonOf } from '../../harness/find-daemon.js';
 import { waitFor } from '../../harness/wait-for.js';
 import {
   appendDirectly,
@@ -105,7 +105,7 @@
   },
 
   'one daemon reading a replica with an older end': async (fleet) => {
-    const last = lastOf(fleet);
+    const last = lastDaemonOf(fleet);
     await restartOnReplica(fleet, last);
     await fleet.waitReady(last);
     await fleet.log.setState({ replicaLag: LAG_MS });
@@ -125,7 +125,7 @@
     const changed = await switchPreset(fleet);
     // The replica answers before the daemon can know from the list whom to ask.
     await fleet.vmList.addFault({ kind: 'delay', delayMs: 500 });
-    await restartOnReplica(fleet, lastOf(fleet));
+    await restartOnReplica(fleet, lastDaemonOf(fleet));
     return { ...changed, fromMs: performance.now() };
   },
 
@@ -149,7 +149,7 @@
       },
       { deadlineMs: 8000, everyMs: 50 },
     );
-    const last = lastOf(fleet);
+    const last = lastDaemonOf(fleet);
     await last.process.kill();
     // Without peers the daemon depends on the snapshot in the log.
     fleet.daemons.slice(0, -1).forEach((other) => fleet.separate(last, other));
@@ -158,7 +158,7 @@
   },
 
   'a daemon frozen over it and resumed': async (fleet) => {
-    const last = lastOf(fleet);
+    const last = lastDaemonOf(fleet);
     last.process.pause();
     const changed = await switchPreset(fleet);
     await sendChange(fleet, 2, { kind: 'switch-preset', name: 'quiet' });
@@ -169,7 +169,7 @@
   },
 
   'a daemon frozen past its fencing and resumed': async (fleet) => {
-    const last = lastOf(fleet);
+    const last = lastDaemonOf(fleet);
     last.process.pause();
     const changed = await switchPreset(fleet);
     await waitFor(
@@ -193,10 +193,6 @@
   },
 };
 
-function lastOf(fleet: Fleet): FleetDaemon {
-  return daemonOf(fleet, fleet.daemons.length);
-}
-
 function isCut({ links }: FleetDaemon): boolean {
   return links?.log.countOpen() === 0;
 }
--- a/harness/find-daemon.ts
+++ b/harness/find-daemon.ts
@@ -13,6 +13,16 @@
   return daemon;
 }
 
+/**
+ * Finds the daemon that became ready last.
+ *
+ * @param fleet - a running fleet
+ * @returns the daemon; throws when there is none
+ */
+export function lastDaemonOf(fleet: Fleet): FleetDaemon {
+  return daemonOf(fleet, fleet.daemons.length);
+}
+
 /**
  * Finds a daemon by its name.
  *
