test(orders): share the walk over the records of both engines

Two steps read and walked the orders of both engines on their own, and the commander was looked up by hand. All assertions stay.

--- a/features/steps/orders-steps.ts
+++ b/features/steps/orders-steps.ts
@@ -4,15 +4,16 @@
 import { Given, Then, When, world } from '@cucumber/cucumber';
 import fc from 'fast-check';
 
-import type { Fleet, FleetDaemon } from '../../harness/fleet.js';
+import { daemonNamed } from '../../harness/find-daemon.js';
+import { type Fleet, type FleetDaemon, startFleet } from '../../harness/fleet.js';
 import { MODEL, planSmallFleet } from '../../harness/plans.js';
 import { launchStandIn, type LaunchedStandIn } from '../../harness/stand-in-launcher.js';
 import { waitFor } from '../../harness/wait-for.js';
-import { startFleet } from '../../harness/fleet.js';
 import type { Order } from '../../src/backends/engine.js';
 import { HttpConnections } from '../../src/backends/http-connections.js';
 import { HttpEngine } from '../../src/backends/http-engine.js';
 import { orderSchedules, OrdersSimulation } from '../support/orders-simulation.js';
+import { readSeed } from '../support/seed.js';
 
 interface OrdersWorld {
   log: (text: string) => void;
@@ -45,11 +46,14 @@
   return { kind: 'put-model', model: { name: MODEL, version: String(version) } };
 }
 
+/** Checks the orders that took effect at each engine, oldest first. */
+async function checkOrders(check: (orders: readonly Order[], name: string) => void): Promise<void> {
+  for (const name of [CHECKING, IGNORING]) check(await readOrders(name), name);
+}
+
 async function findCommander(): Promise<FleetDaemon> {
-  const newest = (await readOrders(IGNORING)).at(-1)?.commander;
-  const daemon = scenario.fleet.daemons.find(({ name }) => name === newest);
-  assert.ok(daemon, 'no commander');
-  return daemon;
+  const newest = (await readOrders(IGNORING)).at(-1);
+  return daemonNamed(scenario.fleet, newest?.commander ?? 'of a commander');
 }
 
 function eachEngine(act: (engine: LaunchedStandIn) => Promise<unknown>) {
@@ -83,7 +87,7 @@
   'in {int} arbitrary orders schedules no older number takes effect after a newer one',
   { timeout: 120_000 },
   (numRuns: number) => {
-    const seed = Number(process.env.SEED ?? Math.floor(Math.random() * 2 ** 31));
+    const seed = readSeed();
     const totals = { effects: 0, successions: 0 };
     const property = fc.property(orderSchedules, (steps) => {
       const simulation = new OrdersSimulation();
@@ -127,13 +131,8 @@
       ? { ...server, ...ignores }
       : { ...server, fields: { ...server.fields, checksFencing: true } },
   );
-  const changes = [putVersion(1)];
-  scenario.fleet = await startFleet({
-    ...plan,
-    servers,
-    changes,
-    weightStoreUrl: scenario.weights.url,
-  });
+  const weightStoreUrl = scenario.weights.url;
+  scenario.fleet = await startFleet({ ...plan, servers, changes: [putVersion(1)], weightStoreUrl });
   await waitForVersion(CHECKING, 1, 10_000);
   await waitForVersion(IGNORING, 1, 10_000);
   await scenario.weights.setState({ [`${MODEL}/2`]: 1 });
@@ -165,22 +164,20 @@
 );
 
 Then('no older orders number took effect after a newer one', async () => {
-  for (const name of [CHECKING, IGNORING]) {
-    const numbers = (await readOrders(name)).map(({ fencingNumber }) => fencingNumber);
-    assert.deepEqual(
-      numbers,
-      [...numbers].sort((a, b) => a - b),
-    );
-  }
+  await checkOrders((orders) => {
+    const numbers = orders.map(({ fencingNumber }) => fencingNumber);
+    const ascending = numbers.toSorted((a, b) => a - b);
+    assert.deepEqual(numbers, ascending);
+  });
 });
 
 Then(
   'no order of one orders commander took effect more than {int} times',
   async (times: number) => {
-    for (const name of [CHECKING, IGNORING]) {
-      const orders = (await readOrders(name)).map((order) => JSON.stringify(order));
-      const most = Math.max(...orders.map((one) => orders.filter((each) => each === one).length));
-      assert.ok(most <= times, `${name}: ${orders.join(' ')}`);
-    }
+    await checkOrders((orders, name) => {
+      const texts = orders.map((order) => JSON.stringify(order));
+      const most = Math.max(...texts.map((one) => texts.filter((each) => each === one).length));
+      assert.ok(most <= times, `${name}: ${texts.join(' ')}`);
+    });
   },
 );
