--- a/src/membership/witness-set.ts
+++ b/src/membership/witness-set.ts
@@ -1,6 +1,6 @@
 import { nameIncarnation } from '../domain/vm.js';
 import type { Member } from './membership.js';
-import { scoreRendezvous } from '../kernel/rendezvous.js';
+import { rankByRendezvous } from '../kernel/rendezvous.js';
 
 /** Witnesses of a member beside itself. */
 export const OTHER_WITNESSES = 4;
@@ -16,19 +16,17 @@
 export function chooseWitnesses(members: readonly Member[], vm: string): readonly Member[] {
   const self = members.find((member) => member.vm === vm);
   if (!self) return [];
-  const rest = members
-    .filter((member) => member.region === self.region && member.vm !== vm)
-    .map((member) => ({ member, weight: scoreRendezvous(vm, member.vm) }))
-    .sort((a, b) => b.weight - a.weight || (a.member.vm < b.member.vm ? -1 : 1));
+  const others = members.filter((member) => member.region === self.region && member.vm !== vm);
+  const rest = rankByRendezvous(vm, others, (member) => member.vm);
   const chosen = [self];
   const perZone = new Map([[self.availabilityZone, 1]]);
   while (chosen.length <= OTHER_WITNESSES && rest.length > 0) {
-    const counts = rest.map(({ member }) => perZone.get(member.availabilityZone) ?? 0);
+    const counts = rest.map(({ availabilityZone }) => perZone.get(availabilityZone) ?? 0);
     const [next] = rest.splice(counts.indexOf(Math.min(...counts)), 1);
     if (!next) break;
-    const zone = next.member.availabilityZone;
+    const zone = next.availabilityZone;
     perZone.set(zone, (perZone.get(zone) ?? 0) + 1);
-    chosen.push(next.member);
+    chosen.push(next);
   }
   return chosen;
 }
