--- a/features/steps/engine-hold-filter-steps.ts
+++ b/features/steps/engine-hold-filter-steps.ts
@@ -1,41 +1,35 @@
 import assert from 'node:assert/strict';
 
-import { type DataTable, Then } from '@cucumber/cucumber';
+import { type DataTable, Then, world } from '@cucumber/cucumber';
 
 import type { LaunchedStandIn } from '../../harness/stand-in-launcher.js';
 import { waitFor } from '../../harness/wait-for.js';
-import { buildAttempt, callJson, prepareDecode, readDecode } from '../support/engine-client.js';
+import { buildAttempt, countHolds, prepareDecode, readDecode } from '../support/engine-client.js';
 
 interface EngineWorld {
   engines: Record<'prefill' | 'decode', LaunchedStandIn>;
 }
 
-const { owner } = buildAttempt('a1');
+const scenario = world as unknown as EngineWorld;
 
-async function countHolds({ url }: LaunchedStandIn, filter: string): Promise<number> {
-  const query = filter.replace('OWNER', encodeURIComponent(`${owner.vm}/${owner.incarnation}`));
-  const { body } = await callJson('GET', `${url}/v1/holds?${query}`);
-  return (body.holds as unknown[]).length;
-}
+const { owner } = buildAttempt('a1');
 
 async function compare(engine: LaunchedStandIn, table: DataTable): Promise<void> {
   for (const { filter = '', holds } of table.hashes()) {
-    assert.equal(await countHolds(engine, filter), Number(holds), `filter "${filter}"`);
+    const query = filter.replace('OWNER', encodeURIComponent(`${owner.vm}/${owner.incarnation}`));
+    assert.equal(await countHolds(engine, query), Number(holds), `filter "${filter}"`);
   }
 }
 
-Then(
-  'the decode engine lists holds by filter:',
-  async function then(this: EngineWorld, table: DataTable) {
-    await compare(this.engines.decode, table);
-  },
-);
+Then('the decode engine lists holds by filter:', async (table: DataTable) => {
+  await compare(scenario.engines.decode, table);
+});
 
 Then(
   'during a decode of {int} tokens the decode engine lists holds by filter:',
-  async function then(this: EngineWorld, maxTokens: number, table: DataTable) {
-    const { decode, prefill } = this.engines;
-    await waitFor('the end of other work', async () => (await countHolds(decode, '')) === 0);
+  async (maxTokens: number, table: DataTable) => {
+    const { decode, prefill } = scenario.engines;
+    await waitFor('the end of other work', async () => (await countHolds(decode)) === 0);
     const attempt = buildAttempt('a2');
     const ready = await prepareDecode(decode.address, prefill.address, attempt, 'hello');
     const { reservationId } = ready;
