feat(admission): keep slots from long answers of teams beyond their rates

Cause: at load 0.95 the team beyond its rate held 20 of the 80 decode slots, and the requests of other teams waited for slots until they were late.

Change: a request of a team that lately ran out of tokens leaves 5% of the slots free, times the cube of its output relative to the mean; a late request leaves 12% instead of 10%, times the square; both at most 25%. Short answers pass, long ones wait for a calm pool.

--- a/features/admission/properties.feature
+++ b/features/admission/properties.feature
@@ -23,6 +23,20 @@
   Scenario: a request that is admitted again keeps its place within the team
     Then an admission queue with the targets "late 20, again 10" serves "again, late"
 
+  # Guards the slots of teams inside their rates against long answers of a team beyond its rate.
+  Scenario Outline: a <kind> request of <output> tokens leaves <slots> slots free
+    Then an admission reserve of 80 slots and mean output 100 leaves <slots> to others for a <kind> request of <output> tokens
+
+    Examples:
+      | kind   | output | slots |
+      | late   | 100    | 9.6   |
+      | late   | 50     | 2.4   |
+      | late   | 300    | 20    |
+      | late   | 0      | 9.6   |
+      | excess | 100    | 4     |
+      | excess | 50     | 0.5   |
+      | excess | 300    | 20    |
+
   Scenario: only a fingerprint that was the single suspect of a second death is quarantined
     Then admission quarantine blames no innocent fingerprint in 2000 runs
 
--- a/features/steps/admission-property-steps.ts
+++ b/features/steps/admission-property-steps.ts
@@ -8,6 +8,7 @@
 import { DEATH_MERGE_MS, Quarantine } from '../../src/admission/quarantine.js';
 import { computeTeamLimits } from '../../src/admission/share-limits.js';
 import { ShareTable } from '../../src/admission/share-table.js';
+import { SlotReserve } from '../../src/admission/slot-reserve.js';
 import { TokenBucket } from '../../src/admission/token-bucket.js';
 import type { Member } from '../../src/membership/membership.js';
 import {
@@ -154,6 +155,17 @@
   },
 );
 
+Then(
+  'an admission reserve of {int} slots and mean output {int} leaves {float} to others for a {word} request of {int} tokens',
+  (slots: number, mean: number, left: number, kind: string, output: number) => {
+    const reserve = SlotReserve.create();
+    reserve.note(mean);
+    const kept =
+      kind === 'late' ? reserve.forLate(output, slots) : reserve.forExcess(output, slots);
+    assert.ok(Math.abs(kept - left) < 1e-9, `leaves ${kept} slots`);
+  },
+);
+
 Then('admission quarantine blames no innocent fingerprint in {int} runs', (runs: number) => {
   const deaths = fc.array(
     fc.record({
--- a/src/admission/admission-lanes.ts
+++ b/src/admission/admission-lanes.ts
@@ -1,5 +1,6 @@
 import { FairQueue } from './fair-queue.js';
 import { DISPATCH_DELAY_MS } from './share-limits.js';
+import { SlotReserve } from './slot-reserve.js';
 import type { Turn, WaitingRequest } from './waiting-request.js';
 
 /** Bound on waiting requests for one model. */
@@ -12,12 +13,16 @@
   /** Requests that can no longer meet the first-token target. */
   readonly lateQueue: FairQueue<WaitingRequest>;
   readonly turns: Set<Turn>;
+  readonly reserve: SlotReserve;
 }
 
 /** Keeps a lane for each model, and one without a model for plain services. */
 export class AdmissionLanes {
   private readonly lanes = new Map<string, Lane>();
 
+  /** Kept when a lane is forgotten, so that a model without requests keeps its mean output. */
+  private readonly reserves = new Map<string, SlotReserve>();
+
   private readonly blocked = new Set<string>();
 
   /**
@@ -53,7 +58,9 @@
     const known = this.lanes.get(model);
     if (known) return known;
     const [queue, lateQueue] = [this.createQueue(), this.createQueue()];
-    const lane = { model, queue, lateQueue, turns: new Set<Turn>() };
+    const reserve = this.reserves.get(model) ?? SlotReserve.create();
+    this.reserves.set(model, reserve);
+    const lane = { model, queue, lateQueue, turns: new Set<Turn>(), reserve };
     this.lanes.set(model, lane);
     return lane;
   }
--- a/src/admission/admission-task.ts
+++ b/src/admission/admission-task.ts
@@ -17,10 +17,6 @@
 /** How often capacity is read again while requests wait for it; load also changes without notice. */
 const CAPACITY_POLL_MS = 20;
 
-// With half of it, 4% of the goodput was lost.
-/** Share of the decode slots that late requests leave to those that arrive next. */
-const LATE_RESERVE = 0.1;
-
 /** Time from the end of a prefill to the first token: calls, transfer and one token. */
 const AFTER_PREFILL_MS = 50;
 
@@ -123,7 +119,9 @@
   private enqueue(request: WaitingRequest): void {
     if (request.finished) return;
     this.deadlines.put(request);
-    const evicted = this.lanes.obtain(request.lane).queue.push(request);
+    const lane = this.lanes.obtain(request.lane);
+    lane.reserve.note(request.refundable);
+    const evicted = lane.queue.push(request);
     if (evicted) this.refuseOverloaded(evicted);
     this.wakeTeam(request);
   }
@@ -162,15 +160,15 @@
     const late = lane.lateQueue.peek();
     const yields = onTime && late && this.yieldsTo(onTime, late, nowMs);
     const request = yields ? late : (onTime ?? late);
-    const reserve = onTime ? 0 : this.lateReserve(lane);
-    if (!request || !this.hasCapacity(lane, reserve)) return false;
+    if (!request || !this.hasCapacity(lane, onTime ? 0 : this.lateReserve(lane, request)))
+      return false;
     request.waitsFor = 'tokens';
     const supply = this.supplies.obtain(request.team);
     if (supply.isKnownShort(request.cost, nowMs)) {
       this.waitForTokens(supply, lane, nowMs);
       return true;
     }
-    if (!this.hasCapacity(lane, supply.wasShort(nowMs) ? this.reservedSlots() : 0)) {
+    if (!this.hasCapacity(lane, supply.wasShort(nowMs) ? this.excessReserve(lane, request) : 0)) {
       this.supplies.blockUntil(supply, nowMs + CAPACITY_POLL_MS);
       return true;
     }
@@ -185,12 +183,15 @@
     return isShort(onTime) && !isShort(late);
   }
 
-  private lateReserve({ model }: Lane): number {
-    return model === '' ? 0 : LATE_RESERVE * this.kernel.find('routing').decodeSlots(model);
+  private lateReserve({ model, reserve }: Lane, { refundable }: WaitingRequest): number {
+    if (model === '') return 0;
+    return reserve.forLate(refundable, this.kernel.find('routing').decodeSlots(model));
   }
 
-  private reservedSlots(): number {
-    return this.facts.preset()?.reservedSlots ?? 0;
+  private excessReserve({ model, reserve }: Lane, { refundable }: WaitingRequest): number {
+    if (model === '') return 0;
+    const scaled = reserve.forExcess(refundable, this.kernel.find('routing').decodeSlots(model));
+    return Math.max(this.facts.preset()?.reservedSlots ?? 0, scaled);
   }
 
   private isLate(request: WaitingRequest, nowMs: number): boolean {
