feat(admission): notice teams beyond their rates by what they send

Cause: at load 1.3 no team ran out of tokens, because requests that are refused for lack of slots take none. The team that sent five times its rate was served 84.6% of what its rate allows, and the others 59% and more.

Change: each VM keeps a bucket of the arrivals of a team, with the whole rate and burst. A team with a request that does not fit counts as beyond its rate for a second, so its requests leave slots free. A team inside its rate always fits, because a VM sees a part of its requests. Tokens are granted as before.

--- a/features/admission/properties.feature
+++ b/features/admission/properties.feature
@@ -37,6 +37,16 @@
       | excess | 50     | 0.5   |
       | excess | 300    | 20    |
 
+  # Guards teams inside their rates in a full pool, where no team runs out of tokens.
+  Scenario Outline: requests at <times> ms <which> of rate 1000 and burst 2000
+    Then admission demand at rate 1000 and burst 2000 finds "<beyond>" of the requests of 900 tokens at "<times>" ms beyond the rate
+
+    Examples:
+      | times               | which           | beyond     |
+      | 0, 0, 0, 100, 1700  | exceed a bucket | 0, 100     |
+      | 0, 900, 1800, 2700  | stay in a bucket |           |
+      | 0, 0, 20000, 20000  | stay in a bucket |           |
+
   Scenario: only a fingerprint that was the single suspect of a second death is quarantined
     Then admission quarantine blames no innocent fingerprint in 2000 runs
 
--- a/features/steps/admission-property-steps.ts
+++ b/features/steps/admission-property-steps.ts
@@ -9,6 +9,7 @@
 import { computeTeamLimits } from '../../src/admission/share-limits.js';
 import { ShareTable } from '../../src/admission/share-table.js';
 import { SlotReserve } from '../../src/admission/slot-reserve.js';
+import { TeamDemand } from '../../src/admission/team-demand.js';
 import { TokenBucket } from '../../src/admission/token-bucket.js';
 import type { Member } from '../../src/membership/membership.js';
 import {
@@ -166,6 +167,18 @@
   },
 );
 
+Then(
+  'admission demand at rate {int} and burst {int} finds {string} of the requests of {int} tokens at {string} ms beyond the rate',
+  (rate: number, burst: number, expected: string, tokens: number, times: string) => {
+    const demand = TeamDemand.create();
+    const beyond = times.split(', ').filter((time) => {
+      demand.sweep(Number(time));
+      return demand.exceeds('oval-crew', tokens, { rate, burst }, Number(time));
+    });
+    assert.equal(beyond.join(', '), expected);
+  },
+);
+
 Then('admission quarantine blames no innocent fingerprint in {int} runs', (runs: number) => {
   const deaths = fc.array(
     fc.record({
--- a/src/admission/admission-task.ts
+++ b/src/admission/admission-task.ts
@@ -8,6 +8,7 @@
 import { FleetFacts } from './fleet-facts.js';
 import { IndexedHeap } from './indexed-heap.js';
 import type { ShareTable } from './share-table.js';
+import { TeamDemand } from './team-demand.js';
 import { TeamSupplies } from './team-supplies.js';
 import { SHORTEST_WAIT_MS, type TeamSupply } from './team-supply.js';
 import { refuseDebit, sumGranted, TokenCollector } from './token-collector.js';
@@ -29,6 +30,8 @@
 
   private readonly supplies = TeamSupplies.create(this.lanes);
 
+  private readonly demand = TeamDemand.create();
+
   private readonly deadlines = IndexedHeap.create<WaitingRequest>(
     (left, right) => left.deadlineMs < right.deadlineMs,
   );
@@ -119,6 +122,7 @@
   private enqueue(request: WaitingRequest): void {
     if (request.finished) return;
     this.deadlines.put(request);
+    this.noteDemand(request);
     const lane = this.lanes.obtain(request.lane);
     lane.reserve.note(request.refundable);
     const evicted = lane.queue.push(request);
@@ -126,6 +130,13 @@
     this.wakeTeam(request);
   }
 
+  private noteDemand({ team, cost }: WaitingRequest): void {
+    const limits = this.facts.limitsOf(team);
+    const nowMs = this.clock.monotonicMs();
+    if (!limits || !this.demand.exceeds(team, cost, limits, nowMs)) return;
+    Object.assign(this.supplies.obtain(team), { shortMs: nowMs });
+  }
+
   /** A team that waits for the tokens of a larger request can run a smaller, newer one. */
   private wakeTeam({ team, cost }: WaitingRequest): void {
     const supply = this.supplies.obtain(team);
@@ -289,6 +300,7 @@
   ): void {
     const supply = this.supplies.obtain(team);
     supply.refundable = Math.max(0, supply.refundable - refundable);
+    this.demand.giveBack(team, unusedTokens);
     let left = unusedTokens;
     for (const part of [...parts].reverse()) {
       const returned = Math.min(left, part.granted);
@@ -302,6 +314,7 @@
     this.collector.sweep();
     this.lanes.sweep();
     this.supplies.sweep();
+    this.demand.sweep(this.clock.monotonicMs());
   }
 
   private expire(nowMs: number): void {
--- a/src/admission/team-supply.ts
+++ b/src/admission/team-supply.ts
@@ -4,7 +4,7 @@
 /** A reading older than this is not used in place of asking. */
 const FRESH_MS = 250;
 
-/** Time for which a team counts as short of tokens. */
+/** Time for which a team counts as short of tokens, or as beyond its rate. */
 const SHORT_MEMORY_MS = 1000;
 
 /** Wait when no home can be asked. */
@@ -33,7 +33,7 @@
   /** Tokens of requests in progress that may come back. */
   refundable = 0;
 
-  /** Monotonic time when a request of the team last waited for tokens. */
+  /** Monotonic time when a request of the team last waited for tokens or was beyond its rate. */
   shortMs = -Infinity;
 
   private reading: SupplyReading | undefined;
@@ -61,7 +61,7 @@
    * Tells whether the team sends about as much as its rate allows, or more.
    *
    * @param nowMs - monotonic time in milliseconds
-   * @returns true when one of its requests waited for tokens lately
+   * @returns true when one of its requests waited for tokens or was beyond the rate lately
    */
   wasShort(nowMs: number): boolean {
     return nowMs - this.shortMs < SHORT_MEMORY_MS;
