--- a/bench/modules/policies.ts
+++ b/bench/modules/policies.ts
@@ -59,6 +59,7 @@
   { name: 'reserve 4', preset: { reservedSlots: 4 } },
   { name: 'reserve 8', preset: { reservedSlots: 8 } },
   { name: 'queue 200 ms, reserve 4', preset: { queueMs: 200, reservedSlots: 4 } },
+  { name: 'queue 5 s', preset: { queueMs: 5000 } },
   { name: 'queue 5 s, reserve 4', preset: { queueMs: 5000, reservedSlots: 4 } },
   { name: 'queue 5 s, reserve 8', preset: { queueMs: 5000, reservedSlots: 8 } },
 ];
