docs(admission): say what counts as sent beyond a rate

Cause: the comment promised that no team inside its rate is noticed, but unused output tokens count until a request ends, and repeated requests count each time.

Change: the comment says so. No behaviour changes.

--- a/src/admission/team-demand.ts
+++ b/src/admission/team-demand.ts
@@ -11,7 +11,8 @@
 /**
  * Notices teams that send more than their rates allow. Their tokens do not show it while the pool is
  * full, because requests that are refused for lack of capacity take none. Each VM counts only what
- * it is asked for itself, so a team inside its rate is never noticed.
+ * it is asked for itself, so it never counts more than the team sends. A request counts with all the
+ * tokens that it may use until it has ended, and each repetition of a refused one counts again.
  */
 export class TeamDemand {
   private readonly levels = new Map<string, Level>();
