--- a/features/admission/properties.feature
+++ b/features/admission/properties.feature
@@ -23,6 +23,30 @@
   Scenario: a request that is admitted again keeps its place within the team
     Then an admission queue with the targets "late 20, again 10" serves "again, late"
 
+  # Guards the slots of teams inside their rates against long answers of a team beyond its rate.
+  Scenario Outline: a <kind> request of <output> tokens leaves <slots> slots free
+    Then an admission reserve of 80 slots and mean output 100 leaves <slots> to others for a <kind> request of <output> tokens
+
+    Examples:
+      | kind   | output | slots |
+      | late   | 100    | 9.6   |
+      | late   | 50     | 2.4   |
+      | late   | 300    | 20    |
+      | late   | 0      | 9.6   |
+      | excess | 100    | 4     |
+      | excess | 50     | 0.5   |
+      | excess | 300    | 20    |
+
+  # Guards teams inside their rates in a full pool, where no team runs out of tokens.
+  Scenario Outline: requests at <times> ms <which> of rate 1000 and burst 2000
+    Then admission demand at rate 1000 and burst 2000 finds "<beyond>" of the requests of 900 tokens at "<times>" ms beyond the rate
+
+    Examples:
+      | times               | which           | beyond     |
+      | 0, 0, 0, 100, 1700  | exceed a bucket | 0, 100     |
+      | 0, 900, 1800, 2700  | stay in a bucket |           |
+      | 0, 0, 20000, 20000  | stay in a bucket |           |
+
   Scenario: only a fingerprint that was the single suspect of a second death is quarantined
     Then admission quarantine blames no innocent fingerprint in 2000 runs
 
--- a/features/steps/admission-property-steps.ts
+++ b/features/steps/admission-property-steps.ts
@@ -8,6 +8,8 @@
 import { DEATH_MERGE_MS, Quarantine } from '../../src/admission/quarantine.js';
 import { computeTeamLimits } from '../../src/admission/share-limits.js';
 import { ShareTable } from '../../src/admission/share-table.js';
+import { SlotReserve } from '../../src/admission/slot-reserve.js';
+import { TeamDemand } from '../../src/admission/team-demand.js';
 import { TokenBucket } from '../../src/admission/token-bucket.js';
 import type { Member } from '../../src/membership/membership.js';
 import {
@@ -103,7 +105,7 @@
     const queue = FairQueue.create<QueueEntry>(1000);
     lines.forEach(({ weight, costs }, index) => {
       costs.forEach((cost, place) => {
-        queue.push({ team: `${index}`, weight, cost, dueMs: place });
+        queue.push({ team: `${index}`, weight, cost, startByMs: place });
       });
     });
     const served = lines.map(() => 0);
@@ -131,7 +133,7 @@
       .split(', ')
       .map(
         (name, place) =>
-          queue.push({ name, team: name[0]!, weight: 1, cost: 1, dueMs: place })?.name,
+          queue.push({ name, team: name[0]!, weight: 1, cost: 1, startByMs: place })?.name,
       );
     assert.deepEqual(evicted.filter(Boolean), [refused]);
   },
@@ -143,7 +145,7 @@
     const queue = FairQueue.create<NamedEntry>(10);
     targets.split(', ').forEach((target) => {
       const [name, due] = target.split(' ');
-      queue.push({ name: name!, team: 'a', weight: 1, cost: 1, dueMs: Number(due) });
+      queue.push({ name: name!, team: 'a', weight: 1, cost: 1, startByMs: Number(due) });
     });
     const served: string[] = [];
     for (let entry = queue.peek(); entry; entry = queue.peek()) {
@@ -154,6 +156,29 @@
   },
 );
 
+Then(
+  'an admission reserve of {int} slots and mean output {int} leaves {float} to others for a {word} request of {int} tokens',
+  (slots: number, mean: number, left: number, kind: string, output: number) => {
+    const reserve = SlotReserve.create();
+    reserve.note(mean);
+    const kept =
+      kind === 'late' ? reserve.forLate(output, slots) : reserve.forExcess(output, slots);
+    assert.ok(Math.abs(kept - left) < 1e-9, `leaves ${kept} slots`);
+  },
+);
+
+Then(
+  'admission demand at rate {int} and burst {int} finds {string} of the requests of {int} tokens at {string} ms beyond the rate',
+  (rate: number, burst: number, expected: string, tokens: number, times: string) => {
+    const demand = TeamDemand.create();
+    const beyond = times.split(', ').filter((time) => {
+      demand.sweep(Number(time));
+      return demand.exceeds('oval-crew', tokens, { rate, burst }, Number(time));
+    });
+    assert.equal(beyond.join(', '), expected);
+  },
+);
+
 Then('admission quarantine blames no innocent fingerprint in {int} runs', (runs: number) => {
   const deaths = fc.array(
     fc.record({
--- a/features/support/admission-fleet.ts
+++ b/features/support/admission-fleet.ts
@@ -74,6 +74,8 @@
   /** Time that a call between VMs takes each way, in milliseconds. */
   callMs = 1;
 
+  prefillTokensPerMs = Infinity;
+
   private epochs: MemberEpoch[] = [];
 
   private readonly teams = new Map<string, Team>();
@@ -255,7 +257,7 @@
     register('routing', {
       headroom: () => this.headroom - vm.running,
       decodeSlots: () => this.headroom,
-      prefillWaitMs: () => 0,
+      prefillWaitMs: (_model: string, tokens = 0) => tokens / this.prefillTokensPerMs,
     });
     register('metrics', {
       increment: () => undefined,
--- a/src/admission/admission-task.ts
+++ b/src/admission/admission-task.ts
@@ -8,6 +8,7 @@
 import { FleetFacts } from './fleet-facts.js';
 import { IndexedHeap } from './indexed-heap.js';
 import type { ShareTable } from './share-table.js';
+import { TeamDemand } from './team-demand.js';
 import { TeamSupplies } from './team-supplies.js';
 import { SHORTEST_WAIT_MS, type TeamSupply } from './team-supply.js';
 import { refuseDebit, sumGranted, TokenCollector } from './token-collector.js';
@@ -17,10 +18,6 @@
 /** How often capacity is read again while requests wait for it; load also changes without notice. */
 const CAPACITY_POLL_MS = 20;
 
-// With half of it, 4% of the goodput was lost.
-/** Share of the decode slots that late requests leave to those that arrive next. */
-const LATE_RESERVE = 0.1;
-
 /** Time from the end of a prefill to the first token: calls, transfer and one token. */
 const AFTER_PREFILL_MS = 50;
 
@@ -33,6 +30,8 @@
 
   private readonly supplies = TeamSupplies.create(this.lanes);
 
+  private readonly demand = TeamDemand.create();
+
   private readonly deadlines = IndexedHeap.create<WaitingRequest>(
     (left, right) => left.deadlineMs < right.deadlineMs,
   );
@@ -133,11 +132,21 @@
   private enqueue(request: WaitingRequest): void {
     if (request.finished) return;
     this.deadlines.put(request);
-    const evicted = this.lanes.obtain(request.lane).queue.push(request);
+    this.noteDemand(request);
+    const lane = this.lanes.obtain(request.lane);
+    lane.reserve.note(request.refundable);
+    const evicted = lane.queue.push(request);
     if (evicted) this.refuseOverloaded(evicted);
     this.wakeTeam(request);
   }
 
+  private noteDemand({ team, cost }: WaitingRequest): void {
+    const limits = this.facts.limitsOf(team);
+    const nowMs = this.clock.monotonicMs();
+    if (!limits || !this.demand.exceeds(team, cost, limits, nowMs)) return;
+    Object.assign(this.supplies.obtain(team), { shortMs: nowMs });
+  }
+
   /** A team that waits for the tokens of a larger request can run a smaller, newer one. */
   private wakeTeam({ team, cost }: WaitingRequest): void {
     const supply = this.supplies.obtain(team);
@@ -173,15 +182,15 @@
     const late = lane.lateQueue.peek();
     const yields = onTime && late && this.yieldsTo(onTime, late, nowMs);
     const request = yields ? late : (onTime ?? late);
-    const reserve = onTime ? 0 : this.lateReserve(lane);
-    if (!request || !this.hasCapacity(lane, reserve)) return false;
+    if (!request || !this.hasCapacity(lane, onTime ? 0 : this.lateReserve(lane, request)))
+      return false;
     request.waitsFor = 'tokens';
     const supply = this.supplies.obtain(request.team);
     if (supply.isKnownShort(request.cost, nowMs)) {
       this.waitForTokens(supply, lane, nowMs);
       return true;
     }
-    if (!this.hasCapacity(lane, supply.wasShort(nowMs) ? this.reservedSlots() : 0)) {
+    if (!this.hasCapacity(lane, supply.wasShort(nowMs) ? this.excessReserve(lane, request) : 0)) {
       this.supplies.blockUntil(supply, nowMs + CAPACITY_POLL_MS);
       return true;
     }
@@ -196,12 +205,15 @@
     return isShort(onTime) && !isShort(late);
   }
 
-  private lateReserve({ model }: Lane): number {
-    return model === '' ? 0 : LATE_RESERVE * this.kernel.find('routing').decodeSlots(model);
+  private lateReserve({ model, reserve }: Lane, { refundable }: WaitingRequest): number {
+    if (model === '') return 0;
+    return reserve.forLate(refundable, this.kernel.find('routing').decodeSlots(model));
   }
 
-  private reservedSlots(): number {
-    return this.facts.preset()?.reservedSlots ?? 0;
+  private excessReserve({ model, reserve }: Lane, { refundable }: WaitingRequest): number {
+    if (model === '') return 0;
+    const scaled = reserve.forExcess(refundable, this.kernel.find('routing').decodeSlots(model));
+    return Math.max(this.facts.preset()?.reservedSlots ?? 0, scaled);
   }
 
   private isLate(request: WaitingRequest, nowMs: number): boolean {
@@ -304,6 +316,7 @@
   ): void {
     const supply = this.supplies.obtain(team);
     supply.refundable = Math.max(0, supply.refundable - refundable);
+    this.demand.giveBack(team, unusedTokens);
     let left = unusedTokens;
     for (const part of [...parts].reverse()) {
       const returned = Math.min(left, part.granted);
@@ -321,6 +334,7 @@
     this.collector.sweep();
     this.lanes.sweep();
     this.supplies.sweep();
+    this.demand.sweep(this.clock.monotonicMs());
   }
 
   private expire(nowMs: number): void {
