refactor(admission): move debits of one request and the capacity of a lane out

The debits of one request at other homes and the tests of a lane's capacity are now classes of their own; a late answer no longer counts as one of the answers of a collection that has ended.

--- a/src/admission/admission-task.ts
+++ b/src/admission/admission-task.ts
@@ -7,20 +7,24 @@
 import type { AdmissionMessage, Collection } from './admission-message.js';
 import { FleetFacts } from './fleet-facts.js';
 import { IndexedHeap } from './indexed-heap.js';
+import { LaneCapacity } from './lane-capacity.js';
 import type { ShareTable } from './share-table.js';
 import { TeamDemand } from './team-demand.js';
 import { TeamSupplies } from './team-supplies.js';
 import { SHORTEST_WAIT_MS, type TeamSupply } from './team-supply.js';
-import { refuseDebit, sumGranted, TokenCollector } from './token-collector.js';
+import { refuseDebit, TokenCollector } from './token-collector.js';
 import { WakeAlarm } from './wake-alarm.js';
-import type { DebitPart, Funding, Turn, WaitingRequest } from './waiting-request.js';
+import {
+  type DebitPart,
+  type Funding,
+  sumGranted,
+  type Turn,
+  type WaitingRequest,
+} from './waiting-request.js';
 
 /** How often capacity is read again while requests wait for it; load also changes without notice. */
 const CAPACITY_POLL_MS = 20;
 
-/** Time from the end of a prefill to the first token: calls, transfer and one token. */
-const AFTER_PREFILL_MS = 50;
-
 /** Longest wait before homes are asked again; refunds of other VMs may have arrived there. */
 const LONGEST_BLOCK_MS = 250;
 
@@ -38,6 +42,8 @@
 
   private readonly facts: FleetFacts;
 
+  private readonly capacity: LaneCapacity;
+
   private readonly collector: TokenCollector;
 
   private readonly alarm: WakeAlarm;
@@ -51,6 +57,7 @@
   ) {
     super();
     this.facts = FleetFacts.create(kernel, clock, () => this.send({ kind: 'wake' }));
+    this.capacity = LaneCapacity.create(kernel, this.facts);
     this.collector = TokenCollector.create(kernel, clock, table, this.facts, (collection) =>
       this.send({ kind: 'collected', collection }),
     );
@@ -175,22 +182,24 @@
   /** Considers one request; a late one only when no other can take the capacity. */
   private serveNext(lane: Lane, nowMs: number): boolean {
     const onTime = lane.queue.peek();
-    if (onTime && this.isLate(onTime, nowMs)) {
+    if (onTime && this.capacity.isLate(onTime, nowMs)) {
       this.demote(lane, onTime);
       return true;
     }
     const late = lane.lateQueue.peek();
     const yields = onTime && late && this.yieldsTo(onTime, late, nowMs);
     const request = yields ? late : (onTime ?? late);
-    if (!request || !this.hasCapacity(lane, onTime ? 0 : this.lateReserve(lane, request)))
-      return false;
+    if (!request) return false;
+    const reserve = onTime ? 0 : this.capacity.lateReserve(lane, request);
+    if (!this.capacity.has(lane, reserve)) return false;
     request.waitsFor = 'tokens';
     const supply = this.supplies.obtain(request.team);
     if (supply.isKnownShort(request.cost, nowMs)) {
       this.waitForTokens(supply, lane, nowMs);
       return true;
     }
-    if (!this.hasCapacity(lane, supply.wasShort(nowMs) ? this.excessReserve(lane, request) : 0)) {
+    const isExcess = supply.wasShort(nowMs);
+    if (!this.capacity.has(lane, isExcess ? this.capacity.excessReserve(lane, request) : 0)) {
       this.supplies.blockUntil(supply, nowMs + CAPACITY_POLL_MS);
       return true;
     }
@@ -205,26 +214,6 @@
     return isShort(onTime) && !isShort(late);
   }
 
-  private lateReserve({ model, reserve }: Lane, { refundable }: WaitingRequest): number {
-    if (model === '') return 0;
-    return reserve.forLate(refundable, this.kernel.find('routing').decodeSlots(model));
-  }
-
-  private excessReserve({ model, reserve }: Lane, { refundable }: WaitingRequest): number {
-    if (model === '') return 0;
-    const scaled = reserve.forExcess(refundable, this.kernel.find('routing').decodeSlots(model));
-    return Math.max(this.facts.preset()?.reservedSlots ?? 0, scaled);
-  }
-
-  private isLate(request: WaitingRequest, nowMs: number): boolean {
-    if (request.lane === '') return false;
-    const { lane, promptTokens, dueMs } = request;
-    return (
-      nowMs + this.kernel.find('routing').prefillWaitMs(lane, promptTokens) + AFTER_PREFILL_MS >
-      dueMs
-    );
-  }
-
   private demote(lane: Lane, request: WaitingRequest): void {
     lane.queue.remove(request);
     Object.assign(request, { late: true });
@@ -236,11 +225,6 @@
     return request.late ? lane.lateQueue : lane.queue;
   }
 
-  private hasCapacity(lane: Lane, reserve: number): boolean {
-    if (lane.model === '') return true;
-    return this.kernel.find('routing').headroom(lane.model) > lane.turns.size + reserve;
-  }
-
   private collect(request: WaitingRequest, turn: Turn): void {
     const collection = this.collector.collect(request, turn);
     if (collection) this.finishCollection(collection);
@@ -293,7 +277,7 @@
     while (head) {
       const waitMs = supply.msUntil(head.cost, nowMs);
       if (supply.isHopeless(head.cost, head.deadlineMs, nowMs)) this.refuseRate(head, waitMs);
-      else if (!head.late && this.isLate(head, nowMs + waitMs)) this.demote(lane, head);
+      else if (!head.late && this.capacity.isLate(head, nowMs + waitMs)) this.demote(lane, head);
       else break;
       head = this.headOf(lane, supply.team);
     }
--- /dev/null
+++ b/src/admission/home-debits.ts
@@ -0,0 +1,109 @@
+import { randomUUID } from 'node:crypto';
+
+import type { Clock } from '../kernel/clock.js';
+import type { Member } from '../membership/membership.js';
+import type { RemoteDebits } from './remote-debits.js';
+import {
+  type DebitPart,
+  type Funding,
+  sumGranted,
+  type WaitingRequest,
+} from './waiting-request.js';
+
+/** Longest time for all debits of a request; leaves time to send it within the dispatch delay. */
+const COLLECTION_MS = 160;
+
+/** Wait for a home's answer before the next home is asked as well. */
+const SLOW_HOME_MS = 40;
+
+/** What homes on other VMs gave for one request. */
+export interface CollectedDebits {
+  /** All parts of the request, those of the own share included. */
+  readonly parts: readonly DebitPart[];
+  /** Number of other homes that answered. */
+  readonly answered: number;
+}
+
+/** Debits of one request at homes on other VMs. */
+export class HomeDebits {
+  private readonly parts: DebitPart[];
+
+  private readonly completed = new AbortController();
+
+  private answered = 0;
+
+  private constructor(
+    private readonly remote: RemoteDebits,
+    private readonly clock: Clock,
+    private readonly request: WaitingRequest,
+    private readonly funding: Funding,
+  ) {
+    this.parts = [...funding.parts];
+  }
+
+  /**
+   * Creates debits that have not been asked for.
+   *
+   * @param remote - calls the homes
+   * @param clock - source of time
+   * @param request - the request to fund
+   * @param funding - what the own share gave
+   * @returns new debits
+   */
+  static create(
+    remote: RemoteDebits,
+    clock: Clock,
+    request: WaitingRequest,
+    funding: Funding,
+  ): HomeDebits {
+    return new HomeDebits(remote, clock, request, funding);
+  }
+
+  /**
+   * Asks homes one after another, and the next one early when a home is slow. The slow answer is
+   * still waited for; a grant that is no longer needed goes back.
+   *
+   * @param homes - the homes, the preferred one first
+   * @returns what they gave until the request was funded or the time was over
+   */
+  async collect(homes: readonly Member[]): Promise<CollectedDebits> {
+    const asked: Promise<void>[] = [];
+    for (const home of homes) {
+      if (this.completed.signal.aborted || this.request.finished) break;
+      const asking = this.ask(home);
+      asked.push(asking);
+      await this.waitFor(asking, SLOW_HOME_MS);
+    }
+    await this.waitFor(Promise.all(asked), COLLECTION_MS);
+    this.completed.abort();
+    return { parts: this.parts, answered: this.answered };
+  }
+
+  private async ask(home: Member): Promise<void> {
+    const { team } = this.request;
+    const debitId = randomUUID();
+    const deadlineMs = this.funding.startedMs + COLLECTION_MS;
+    const outcome = await this.remote.debit(home, team, this.missing(), debitId, deadlineMs);
+    if (outcome.kind === 'failed') return;
+    const { granted } = outcome.value;
+    if (this.completed.signal.aborted) {
+      if (granted > 0) this.remote.refund(home, team, granted, debitId);
+      return;
+    }
+    this.answered += 1;
+    if (granted > 0) this.parts.push({ home, debitId, granted });
+    if (this.missing() <= 0) this.completed.abort();
+  }
+
+  private missing(): number {
+    return this.request.cost - sumGranted(this.parts);
+  }
+
+  /** Waits until a call has ended, the request is funded or the time is over. */
+  private async waitFor(calls: Promise<unknown>, ms: number): Promise<void> {
+    const ended = new AbortController();
+    const signal = AbortSignal.any([ended.signal, this.completed.signal]);
+    await Promise.race([calls, this.clock.sleep(ms, signal)]);
+    ended.abort();
+  }
+}
--- a/src/admission/token-collector.ts
+++ b/src/admission/token-collector.ts
@@ -6,17 +6,12 @@
 import type { Member } from '../membership/membership.js';
 import type { Collection, PeerDebit } from './admission-message.js';
 import type { FleetFacts } from './fleet-facts.js';
+import { HomeDebits } from './home-debits.js';
 import { HomeShares, type ShareGrant } from './home-shares.js';
 import { RemoteDebits } from './remote-debits.js';
 import { type ShareTable } from './share-table.js';
 import type { SupplyReading } from './team-supply.js';
-import type { DebitPart, Turn, WaitingRequest } from './waiting-request.js';
-
-/** Longest time for all debits of a request; leaves time to send it within the dispatch delay. */
-const COLLECTION_MS = 160;
-
-/** Wait for a home's answer before the next home is asked as well. */
-const SLOW_HOME_MS = 40;
+import { type DebitPart, sumGranted, type Turn, type WaitingRequest } from './waiting-request.js';
 
 /** Wait before a peer asks again while this VM may not spend. */
 const NO_LEASE_RETRY_MS = 250;
@@ -168,52 +163,17 @@
     return granted > 0 ? [{ home: own, debitId, granted }] : [];
   }
 
-  /**
-   * Asks homes one after another, and the next one early when a home is slow. The slow answer is
-   * still waited for; a grant that is no longer needed goes back.
-   */
   private async askOthers(collection: Collection, homes: readonly Member[]): Promise<void> {
     const { request, funding } = collection;
-    const { team, cost } = request;
-    const parts = [...funding.parts];
-    let { answered } = collection;
-    const completed = new AbortController();
-    const missing = () => cost - sumGranted(parts);
-    const ask = async (home: Member) => {
-      const debitId = randomUUID();
-      const deadlineMs = funding.startedMs + COLLECTION_MS;
-      const outcome = await this.remote.debit(home, team, missing(), debitId, deadlineMs);
-      if (outcome.kind === 'failed') return;
-      answered += 1;
-      const { granted } = outcome.value;
-      if (granted === 0) return;
-      if (completed.signal.aborted) this.remote.refund(home, team, granted, debitId);
-      else parts.push({ home, debitId, granted });
-      if (missing() <= 0) completed.abort();
-    };
-    const asked: Promise<void>[] = [];
-    for (const home of homes) {
-      if (completed.signal.aborted || request.finished) break;
-      const asking = ask(home);
-      asked.push(asking);
-      await this.waitAtMost(asking, SLOW_HOME_MS);
-    }
-    await this.waitAtMost(Promise.all(asked), COLLECTION_MS, completed.signal);
-    completed.abort();
-    const unanswered = homes.map((home) => this.remote.pausedUntil(team, home));
-    const pausedUntilMs = Math.max(collection.pausedUntilMs, ...unanswered);
-    this.collected({ ...collection, funding: { ...funding, parts }, answered, pausedUntilMs });
-  }
-
-  private async waitAtMost(
-    work: Promise<unknown>,
-    ms: number,
-    completed?: AbortSignal,
-  ): Promise<void> {
-    const ended = new AbortController();
-    const signal = completed ? AbortSignal.any([ended.signal, completed]) : ended.signal;
-    await Promise.race([work, this.clock.sleep(ms, signal)]);
-    ended.abort();
+    const debits = HomeDebits.create(this.remote, this.clock, request, funding);
+    const { parts, answered } = await debits.collect(homes);
+    const unanswered = homes.map((home) => this.remote.pausedUntil(request.team, home));
+    this.collected({
+      ...collection,
+      funding: { ...funding, parts },
+      answered: collection.answered + answered,
+      pausedUntilMs: Math.max(collection.pausedUntilMs, ...unanswered),
+    });
   }
 
   private shareBurst(team: string, homes: number): number {
@@ -229,13 +189,3 @@
 export function refuseDebit(): ShareGrant {
   return { granted: 0, retryAfterMs: NO_LEASE_RETRY_MS };
 }
-
-/**
- * Adds up tokens.
- *
- * @param parts - what homes gave
- * @returns their sum
- */
-export function sumGranted(parts: readonly DebitPart[]): number {
-  return parts.reduce((sum, part) => sum + part.granted, 0);
-}
--- a/src/admission/waiting-request.ts
+++ b/src/admission/waiting-request.ts
@@ -53,3 +53,13 @@
   /** True once `finish` was called. */
   finished: boolean;
 }
+
+/**
+ * Adds up tokens.
+ *
+ * @param parts - what homes gave
+ * @returns their sum
+ */
+export function sumGranted(parts: readonly DebitPart[]): number {
+  return parts.reduce((sum, part) => sum + part.granted, 0);
+}
