--- a/bench/admission-cost.ts
+++ b/bench/admission-cost.ts
@@ -1,6 +1,4 @@
 import { performance } from 'node:perf_hooks';
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
 
 import { createMember, registerFake } from '../harness/module-fakes.js';
 import type { Grant } from '../src/admission/grant.js';
@@ -12,6 +10,8 @@
 import type { Services } from '../src/kernel/service.js';
 import { SystemClock } from '../src/kernel/system-clock.js';
 import type { Member, MemberEpoch } from '../src/membership/membership.js';
+import { collectGarbage } from './collect-garbage.js';
+import { fitSlope } from './slope.js';
 
 const TEAM_COUNTS = [5, 500, 5000, 37_000];
 const MEMBER_COUNTS = [8, 64, 200, 390];
@@ -20,9 +20,6 @@
 const WARM_UP = 1000;
 const MEMORY_TEAMS = 5000;
 
-setFlagsFromString('--expose-gc');
-const collectGarbage = runInNewContext('gc') as () => void;
-
 interface Row {
   readonly varied: 'teams' | 'members';
   readonly debit: 'own' | 'peer';
@@ -181,14 +178,6 @@
   return (after - before) / MEMORY_TEAMS;
 }
 
-/** Fits a line and returns its slope. */
-function fitSlope(points: readonly (readonly [number, number])[]): number {
-  const meanX = points.reduce((sum, [x]) => sum + x, 0) / points.length;
-  const meanY = points.reduce((sum, [, y]) => sum + y, 0) / points.length;
-  const covariance = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0);
-  return covariance / points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
-}
-
 function round(value: number, digits: number): number {
   return Number(value.toFixed(digits));
 }
@@ -202,8 +191,8 @@
   const slopes = (['own', 'peer'] as const).flatMap((debit) =>
     (['teams', 'members'] as const).map((varied) => {
       const chosen = rows.filter((row) => row.debit === debit && row.varied === varied);
-      const slope = fitSlope(chosen.map((row) => [row[varied], row.microseconds]));
-      return { debit, varied, microsecondsPerThousand: round(slope * 1000, 3) };
+      const { perUnit } = fitSlope(chosen.map((row) => [row[varied], row.microseconds]));
+      return { debit, varied, microsecondsPerThousand: round(perUnit * 1000, 3) };
     }),
   );
   const bytesPerTeamInUse = Math.round(await measureMemory());
--- a/bench/configuration-cost.ts
+++ b/bench/configuration-cost.ts
@@ -1,20 +1,15 @@
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
-
 import type { Change } from '../src/configuration/change.js';
 import { readFold, writeFold } from '../src/configuration/fold-json.js';
 import { createFold, foldRecords, type Fold } from '../src/configuration/fold.js';
 import { hashSecret } from '../src/configuration/keys.js';
 import { encodeChange, encodeSnapshot } from '../src/configuration/record.js';
 import type { LogRecord } from '../src/platform/log-service.js';
+import { collectGarbage } from './collect-garbage.js';
 import { fitSlope } from './slope.js';
 
 const TEAMS = [1000, 10_000, 37_000];
 const SINGLE_CHANGES = 50;
 
-setFlagsFromString('--expose-gc');
-const collectGarbage = runInNewContext('gc') as () => void;
-
 interface Row {
   readonly teams: number;
   readonly foldAllMs: number;
--- a/bench/routing-cost.ts
+++ b/bench/routing-cost.ts
@@ -1,6 +1,4 @@
 import { createHash } from 'node:crypto';
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
 
 import { build, type Histogram } from 'hdr-histogram-js';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
@@ -14,6 +12,8 @@
 import { PrefixIndex } from '../src/routing/prefix-index.js';
 import { SubsetRouting } from '../src/routing/subset-routing.js';
 import type { Settings } from '../src/settings/schema.js';
+import { collectGarbage } from './collect-garbage.js';
+import { fitSlope } from './slope.js';
 
 const SERVER_COUNTS = [11, 50, 100, 250, 500, 1000];
 const BATCHES = 60;
@@ -40,8 +40,6 @@
   readonly bytes: number;
 }
 
-setFlagsFromString('--expose-gc');
-const collectGarbage = runInNewContext('gc') as () => void;
 const generator = xoroshiro128plus(1);
 const random = () => uniformFloat64(generator);
 
@@ -149,18 +147,6 @@
   return bytes / kept.size;
 }
 
-/** Least-squares slope of a column over the number of servers. */
-function fitSlope(rows: readonly Row[], column: keyof Row): number {
-  const meanX = rows.reduce((sum, row) => sum + row.servers, 0) / rows.length;
-  const meanY = rows.reduce((sum, row) => sum + row[column], 0) / rows.length;
-  const covariance = rows.reduce(
-    (sum, row) => sum + (row.servers - meanX) * (row[column] - meanY),
-    0,
-  );
-  const variance = rows.reduce((sum, row) => sum + (row.servers - meanX) ** 2, 0);
-  return covariance / variance;
-}
-
 function round(value: number): number {
   return Number(value.toPrecision(4));
 }
@@ -174,7 +160,12 @@
 measureRow(100);
 const rows = SERVER_COUNTS.map((count) => roundRow(measureRow(count)));
 const columns = Object.keys(rows[0] ?? {}).filter((name) => name !== 'servers') as (keyof Row)[];
-const slopes = Object.fromEntries(columns.map((name) => [name, round(fitSlope(rows, name))]));
+const slopes = Object.fromEntries(
+  columns.map((name) => {
+    const { perUnit } = fitSlope(rows.map((row) => [row.servers, row[name]]));
+    return [name, round(perUnit)];
+  }),
+);
 const bytesPerIndexEntry = round(measureIndexEntry());
 const elapsedMs = round(performance.now() - startedMs);
 console.table(rows);
