refactor(routing): state the tie break of server choices once

Cause: both ways to pick a server repeated the preference for the own zone, and Routing.decodeSlots had a default of 0 that its only subclass overrides. Change: one function makes the order; the method is abstract.

--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -79,10 +79,7 @@
    * @param model - name of the model
    * @returns slots of the usable engines
    */
-  // eslint-disable-next-line @typescript-eslint/no-unused-vars
-  decodeSlots(model: string): number {
-    return 0;
-  }
+  abstract decodeSlots(model: string): number;
 
   /**
    * Estimates the wait before a prefill that is sent now would begin, or end.
--- a/src/routing/server-choice.ts
+++ b/src/routing/server-choice.ts
@@ -28,6 +28,8 @@
   readonly random: () => number;
 }
 
+type Order<Server> = (a: Candidate<Server>, b: Candidate<Server>) => number;
+
 /**
  * Chooses a server to decode on: two at random with room, the better by free blocks, then slots.
  *
@@ -98,7 +100,7 @@
 
 function pickBetter<Server>(
   candidates: readonly Candidate<Server>[],
-  compare: (a: Candidate<Server>, b: Candidate<Server>) => number,
+  compare: Order<Server>,
   random: () => number,
 ): Candidate<Server> | undefined {
   const first = Math.floor(random() * candidates.length);
@@ -107,21 +109,23 @@
   const step = 1 + Math.floor(random() * (candidates.length - 1));
   const two = candidates[(first + step) % candidates.length];
   if (!one || !two) return one ?? two;
-  const order = compare(one, two) || Number(two.ownZone) - Number(one.ownZone);
-  return order <= 0 ? one : two;
+  return preferOwnZone(compare)(one, two) <= 0 ? one : two;
 }
 
 /** Considers all servers, from a random one on, so that equal ones are chosen equally often. */
 function pickBest<Server>(
   candidates: readonly Candidate<Server>[],
-  compare: (a: Candidate<Server>, b: Candidate<Server>) => number,
+  compare: Order<Server>,
   random: () => number,
 ): Candidate<Server> | undefined {
   const first = Math.floor(random() * candidates.length);
   const turned = [...candidates.slice(first), ...candidates.slice(0, first)];
-  const order = (a: Candidate<Server>, b: Candidate<Server>) =>
-    compare(a, b) || Number(b.ownZone) - Number(a.ownZone);
-  return turned.sort(order)[0];
+  return turned.sort(preferOwnZone(compare))[0];
+}
+
+/** Breaks ties of an order in favour of the own zone. */
+function preferOwnZone<Server>(compare: Order<Server>): Order<Server> {
+  return (a, b) => compare(a, b) || Number(b.ownZone) - Number(a.ownZone);
 }
 
 function compareRoom(a: Candidate<unknown>, b: Candidate<unknown>): number {
