--- a/features/admission/faults.feature
+++ b/features/admission/faults.feature
@@ -99,7 +99,7 @@
     Given an admission fleet of 6 VMs with the team "oval-crew" at rate 8000 and burst 16000
     When calls between admission VMs take <callMs> ms each way
     And admission carries 0.6 times the rate of "oval-crew" on the VMs at places "2" for 5000 ms
-    And admission has waited 1500 ms more
+    And admission time passes for 1500 ms
     Then admission refuses at most 0 of those requests
     And admission of "oval-crew" reaches 59 percent of rate × time
 
--- a/features/steps/admission-property-steps.ts
+++ b/features/steps/admission-property-steps.ts
@@ -17,6 +17,7 @@
   scheduleArbitrary,
   type Defects,
 } from '../support/admission-schedule.js';
+import { readSeed } from '../support/seed.js';
 
 interface NamedEntry extends QueueEntry {
   readonly name: string;
@@ -31,7 +32,7 @@
 }
 
 const FINGERPRINTS = ['a', 'b', 'c', 'd'];
-const seed = Number(process.env.ADMISSION_SEED ?? Date.now() % 1_000_000);
+const seed = readSeed();
 const createFullBucket = TokenBucket.create;
 const { claim } = HeadroomHistory.prototype;
 
@@ -65,7 +66,7 @@
   'admission schedules keep every window within the rate in {int} runs',
   { timeout: 60_000 },
   (runs: number) => {
-    process.stdout.write(`admission schedules: ADMISSION_SEED=${seed}\n`);
+    process.stdout.write(`admission schedules: SEED=${seed}\n`);
     const property = fc.property(scheduleArbitrary, (steps) => {
       assert.deepEqual(AdmissionSchedule.run(steps), []);
     });
--- a/features/steps/admission-steps.ts
+++ b/features/steps/admission-steps.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 
 import { After, Given, Then, When, type World, world } from '@cucumber/cucumber';
-import fc from 'fast-check';
 
 import type { Team } from '../../src/domain/team.js';
 import {
@@ -10,6 +9,7 @@
   type FleetVm,
   type PeerFault,
 } from '../support/admission-fleet.js';
+import { carry, createTeam } from '../support/admission-load.js';
 
 interface AdmissionWorld extends World {
   fleet: AdmissionFleet | undefined;
@@ -22,16 +22,10 @@
 
 const scenario = world as unknown as AdmissionWorld;
 
-const REQUEST_TOKENS = 100;
-
 After(async () => {
   await scenario.fleet?.stop();
 });
 
-function createTeam(name: string, rate: number, burst: number): Team {
-  return { name, rate, burst, weight: 1 };
-}
-
 async function askAndWait(vm: FleetVm, team: string, tokens: number) {
   const fleet = scenario.fleet!;
   let ended = false;
@@ -44,32 +38,6 @@
   scenario.result = await asked;
 }
 
-/** Sends requests of one team evenly over the given VMs; returns without waiting for the answers. */
-async function carry(
-  fleet: AdmissionFleet,
-  loads: readonly { team: string; perSecond: number }[],
-  choose: (index: number) => FleetVm,
-  ms: number,
-  options: { runMs?: number; used?: number; onStep?: (passedMs: number) => void } = {},
-): Promise<void> {
-  const { runMs = 50, used = REQUEST_TOKENS, onStep } = options;
-  const owed = loads.map(() => 0);
-  let count = 0;
-  const send = (team: string) => {
-    const vm = choose(count);
-    count += 1;
-    void fleet.ask(vm, team, REQUEST_TOKENS, { model: 'planner', runMs, used });
-  };
-  for (let passed = 0; passed < ms; passed += 2) {
-    for (const [index, { team, perSecond }] of loads.entries()) {
-      owed[index]! += (perSecond * 2) / 1000;
-      for (; owed[index]! >= REQUEST_TOKENS; owed[index]! -= REQUEST_TOKENS) send(team);
-    }
-    onStep?.(passed);
-    await fleet.advance(2);
-  }
-}
-
 Given(
   'an admission fleet of {int} VMs with the team {string} at rate {int} and burst {int}',
   async (vms: number, name: string, rate: number, burst: number) => {
@@ -225,8 +193,6 @@
   Object.assign(scenario.fleet!, { callMs: ms });
 });
 
-When('admission has waited {int} ms more', (ms: number) => scenario.fleet!.advance(ms));
-
 When(
   'admission applies the rate {int} and burst {int} to {string}',
   (rate: number, burst: number, name: string) => {
@@ -387,55 +353,3 @@
     assert.ok(reported !== undefined && reported <= share, `reported ${reported}`);
   },
 );
-
-const fleetEventArbitrary = fc.record({
-  atMs: fc.nat(1000).map((step) => step * 2),
-  kind: fc.constantFrom('fault', 'fault', 'heal', 'heal', 'fold', 'fold', 'join', 'die', 'lapse'),
-  fault: fc.constantFrom('refused' as const, 'silent' as const, 'lost-answer' as const),
-  who: fc.nat(11),
-});
-
-type FleetEvent = typeof fleetEventArbitrary extends fc.Arbitrary<infer Event> ? Event : never;
-
-function applyEvent(fleet: AdmissionFleet, event: FleetEvent): void {
-  const vm = fleet.vms[event.who % fleet.vms.length]!;
-  if (event.kind === 'fault') vm.fault = event.fault;
-  if (event.kind === 'heal') Object.assign(vm, { fault: undefined, lease: true });
-  if (event.kind === 'lapse') vm.lease = false;
-  if (event.kind === 'fold') fleet.fold();
-  if (event.kind === 'join') void fleet.join(event.atMs + 100);
-  if (event.kind === 'die' && fleet.vms.length > 2) void fleet.remove(vm);
-}
-
-async function runRandomFleet(events: readonly FleetEvent[], used: number): Promise<number> {
-  const teams = [createTeam('team-0', 1000, 1000), createTeam('team-1', 500, 1500)];
-  const fleet = await AdmissionFleet.create(5, teams);
-  const loads = teams.map(({ name, rate }) => ({ team: name, perSecond: rate * 3 }));
-  const onStep = (passed: number) => {
-    events.filter((event) => event.atMs === passed).forEach((event) => applyEvent(fleet, event));
-  };
-  const choose = (index: number) => fleet.vms[index % fleet.vms.length]!;
-  await carry(fleet, loads, choose, 2000, { onStep, used });
-  teams.forEach((team) => assert.deepEqual(fleet.findExcess(team), []));
-  await fleet.stop();
-  return fleet.results.filter((result) => result.sendable).length;
-}
-
-Then(
-  'admission fleets under random faults stay within burst + rate × window in {int} runs',
-  { timeout: 60_000 },
-  async (runs: number) => {
-    const seed = Number(process.env.ADMISSION_SEED ?? Date.now() % 1_000_000);
-    let admitted = 0;
-    const property = fc.asyncProperty(
-      fc.array(fleetEventArbitrary, { maxLength: 30, size: 'max' }),
-      fc.integer({ min: 1, max: REQUEST_TOKENS }),
-      async (events, used) => {
-        admitted += await runRandomFleet(events, used);
-      },
-    );
-    await fc.assert(property, { numRuns: runs, seed, endOnFailure: true });
-    process.stdout.write(`admission fleets: ADMISSION_SEED=${seed}, ${admitted} admitted\n`);
-    assert.ok(admitted >= runs * 10, `only ${admitted} requests were admitted`);
-  },
-);
--- /dev/null
+++ b/features/support/admission-load.ts
@@ -0,0 +1,36 @@
+import type { Team } from '../../src/domain/team.js';
+import type { AdmissionFleet, FleetVm } from './admission-fleet.js';
+
+/** Tokens of each request of a load. */
+export const REQUEST_TOKENS = 100;
+
+/** Makes a team of ordinary weight. */
+export function createTeam(name: string, rate: number, burst: number): Team {
+  return { name, rate, burst, weight: 1 };
+}
+
+/** Sends requests of one team evenly over the given VMs; returns without waiting for the answers. */
+export async function carry(
+  fleet: AdmissionFleet,
+  loads: readonly { team: string; perSecond: number }[],
+  choose: (index: number) => FleetVm,
+  ms: number,
+  options: { runMs?: number; used?: number; onStep?: (passedMs: number) => void } = {},
+): Promise<void> {
+  const { runMs = 50, used = REQUEST_TOKENS, onStep } = options;
+  const owed = loads.map(() => 0);
+  let count = 0;
+  const send = (team: string) => {
+    const vm = choose(count);
+    count += 1;
+    void fleet.ask(vm, team, REQUEST_TOKENS, { model: 'planner', runMs, used });
+  };
+  for (let passed = 0; passed < ms; passed += 2) {
+    for (const [index, { team, perSecond }] of loads.entries()) {
+      owed[index]! += (perSecond * 2) / 1000;
+      for (; owed[index]! >= REQUEST_TOKENS; owed[index]! -= REQUEST_TOKENS) send(team);
+    }
+    onStep?.(passed);
+    await fleet.advance(2);
+  }
+}
