refactor(admission): name an incarnation as the other modules do

Cause: the pauses of homes built the name by hand. Change: they call nameIncarnation; the keys are the same.

--- a/src/admission/remote-debits.ts
+++ b/src/admission/remote-debits.ts
@@ -1,5 +1,6 @@
 import { setImmediate as readSockets } from 'node:timers/promises';
 
+import { nameIncarnation } from '../domain/vm.js';
 import type { Clock } from '../kernel/clock.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
 import type { Kernel } from '../kernel/kernel.js';
@@ -194,5 +195,5 @@
 }
 
 function keyOf(home: Member, team = ''): string {
-  return `${home.vm}/${home.incarnation}/${team}`;
+  return `${nameIncarnation(home)}/${team}`;
 }
