--- a/bench/configuration-cost.ts
+++ b/bench/configuration-cost.ts
@@ -3,7 +3,7 @@
 import { createFold, foldRecords, type Fold } from '../src/configuration/fold.js';
 import { hashSecret } from '../src/configuration/keys.js';
 import { encodeChange, encodeSnapshot } from '../src/configuration/record.js';
-import type { LogRecord } from '../src/platform/log-service.js';
+import type { LogRecord } from '../src/infrastructure/log-service.js';
 import { collectGarbage } from './collect-garbage.js';
 import { fitSlope } from './slope.js';
 
--- a/features/steps/configuration-steps.ts
+++ b/features/steps/configuration-steps.ts
@@ -9,7 +9,7 @@
 import { encodeChange, encodeSnapshot } from '../../src/configuration/record.js';
 import { findNewestSnapshot } from '../../src/configuration/snapshot-assembly.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
-import type { LogRecord } from '../../src/platform/log-service.js';
+import type { LogRecord } from '../../src/infrastructure/log-service.js';
 import { waitFor } from '../../harness/wait-for.js';
 import { ConfigurationFleet, type ConfigurationNode } from '../support/configuration-fleet.js';
 import { FOLD_PROPERTIES } from '../support/configuration-properties.js';
--- a/features/steps/membership-property-steps.ts
+++ b/features/steps/membership-property-steps.ts
@@ -12,7 +12,7 @@
 } from '../../src/membership/member-fold.js';
 import type { MemberRecord } from '../../src/membership/member-record.js';
 import { chooseWitnesses } from '../../src/membership/witness-set.js';
-import type { LogRecord } from '../../src/platform/log-service.js';
+import type { LogRecord } from '../../src/infrastructure/log-service.js';
 import { createTestMember, LeaseSimulation, schedules } from '../support/lease-simulation.js';
 import { readSeed } from '../support/seed.js';
 
--- a/features/support/configuration-properties.ts
+++ b/features/support/configuration-properties.ts
@@ -9,7 +9,7 @@
 import { readFold, writeFold } from '../../src/configuration/fold-json.js';
 import { encodeChange, encodeSnapshot } from '../../src/configuration/record.js';
 import { findNewestSnapshot } from '../../src/configuration/snapshot-assembly.js';
-import type { LogRecord } from '../../src/platform/log-service.js';
+import type { LogRecord } from '../../src/infrastructure/log-service.js';
 import {
   anySteps,
   createChange,
--- a/features/support/configuration-records.ts
+++ b/features/support/configuration-records.ts
@@ -2,7 +2,7 @@
 
 import { type Change, changeSchema } from '../../src/configuration/change.js';
 import { hashSecret } from '../../src/configuration/keys.js';
-import type { LogRecord } from '../../src/platform/log-service.js';
+import type { LogRecord } from '../../src/infrastructure/log-service.js';
 
 /** Secret of every key that these fixtures give. */
 export const SECRET = 's3cret';
--- a/features/support/fake-log.ts
+++ b/features/support/fake-log.ts
@@ -1,13 +1,13 @@
 import { CallFailure } from '../../src/kernel/call-failure.js';
 import { fail, type Outcome, succeed } from '../../src/kernel/outcome.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
-import type { LogFailure } from '../../src/platform/log-failure.js';
+import type { LogFailure } from '../../src/infrastructure/log-failure.js';
 import {
   type LogPage,
   type LogQuery,
   type LogRecord,
   LogService,
-} from '../../src/platform/log-service.js';
+} from '../../src/infrastructure/log-service.js';
 
 const clock = SystemClock.create();
 
--- a/features/support/fake-services.ts
+++ b/features/support/fake-services.ts
@@ -8,7 +8,7 @@
 import { Channel } from '../../src/kernel/channel.js';
 import { Kernel } from '../../src/kernel/kernel.js';
 import { fail, succeed } from '../../src/kernel/outcome.js';
-import type { VmListing } from '../../src/platform/vm-list.js';
+import type { VmListing } from '../../src/infrastructure/vm-list.js';
 import { settingsSchema, type Settings } from '../../src/settings/schema.js';
 import { createSettingsInput } from './configuration-fixtures.js';
 
--- a/features/support/lease-simulation.ts
+++ b/features/support/lease-simulation.ts
@@ -14,7 +14,7 @@
 import type { Member } from '../../src/membership/membership.js';
 import { type Instant, ShareLease } from '../../src/membership/share-lease.js';
 import { chooseWitnesses } from '../../src/membership/witness-set.js';
-import type { LogRecord } from '../../src/platform/log-service.js';
+import type { LogRecord } from '../../src/infrastructure/log-service.js';
 import { weighted } from './weighted.js';
 
 const ACTION_WEIGHTS = {
--- a/features/support/log-view.ts
+++ b/features/support/log-view.ts
@@ -1,6 +1,6 @@
 import type { Outcome } from '../../src/kernel/outcome.js';
-import type { LogFailure } from '../../src/platform/log-failure.js';
-import { type LogPage, type LogQuery, LogService } from '../../src/platform/log-service.js';
+import type { LogFailure } from '../../src/infrastructure/log-failure.js';
+import { type LogPage, type LogQuery, LogService } from '../../src/infrastructure/log-service.js';
 import type { FakeLog } from './fake-log.js';
 
 /** One daemon's access to a shared log; it can be spared the lag of the other readers. */
--- a/features/support/membership/fake-log-store.ts
+++ b/features/support/membership/fake-log-store.ts
@@ -1,5 +1,5 @@
 import { parseMemberRecord } from '../../../src/membership/member-record.js';
-import type { LogRecord } from '../../../src/platform/log-service.js';
+import type { LogRecord } from '../../../src/infrastructure/log-service.js';
 
 /** The records that all VMs share, with the faults of the log service. */
 export class FakeLogStore {
--- a/features/support/membership/fake-vm-list.ts
+++ b/features/support/membership/fake-vm-list.ts
@@ -1,6 +1,6 @@
 import { empty, type Stream } from 'most';
 
-import { VmList, type VmListing } from '../../../src/platform/vm-list.js';
+import { VmList, type VmListing } from '../../../src/infrastructure/vm-list.js';
 
 /** A list that a test changes in place. */
 export class FakeVmList extends VmList {
--- a/features/support/membership/member-fleet.ts
+++ b/features/support/membership/member-fleet.ts
@@ -6,7 +6,7 @@
 import { WitnessedMembership } from '../../../src/membership/witnessed-membership.js';
 import { ConnectPeers } from '../../../src/peers/connect-peers.js';
 import { RecordSources } from '../../../src/peers/record-sources.js';
-import type { ListedVm } from '../../../src/platform/vm-list.js';
+import type { ListedVm } from '../../../src/infrastructure/vm-list.js';
 import { FakeConfiguration } from './fake-configuration.js';
 import { FakeLog } from './fake-log.js';
 import { FakeLogStore } from './fake-log-store.js';
--- a/features/support/orders-simulation.ts
+++ b/features/support/orders-simulation.ts
@@ -10,7 +10,7 @@
 import { CommanderElection, type ElectionView } from '../../src/orders/commander-election.js';
 import { type DesiredEngine, listDesiredEngines } from '../../src/orders/desired-orders.js';
 import { OrderBook, type SentStep } from '../../src/orders/order-book.js';
-import type { LogRecord } from '../../src/platform/log-service.js';
+import type { LogRecord } from '../../src/infrastructure/log-service.js';
 import { createState } from './fake-services.js';
 import { createTestMember } from './lease-simulation.js';
 import { weighted } from './weighted.js';
--- a/features/support/scheduled-log.ts
+++ b/features/support/scheduled-log.ts
@@ -2,13 +2,13 @@
 
 import { CallFailure } from '../../src/kernel/call-failure.js';
 import { fail, succeed, type Outcome } from '../../src/kernel/outcome.js';
-import type { LogFailure } from '../../src/platform/log-failure.js';
+import type { LogFailure } from '../../src/infrastructure/log-failure.js';
 import {
   LogService,
   type LogPage,
   type LogQuery,
   type LogRecord,
-} from '../../src/platform/log-service.js';
+} from '../../src/infrastructure/log-service.js';
 
 /** What happens to a call: `lost` takes effect and loses the answer, `late` takes effect after it. */
 export type LogFault = 'none' | 'unavailable' | 'lost' | 'dropped' | 'late' | 'stale';
--- a/src/assembly.ts
+++ b/src/assembly.ts
@@ -16,9 +16,9 @@
 import { CommandedOrders } from './orders/commanded-orders.js';
 import { ConnectPeers } from './peers/connect-peers.js';
 import { RecordSources } from './peers/record-sources.js';
-import { HttpLogService } from './platform/http-log-service.js';
-import { HttpVmList } from './platform/http-vm-list.js';
-import { HttpWeightStore } from './platform/http-weight-store.js';
+import { HttpLogService } from './infrastructure/http-log-service.js';
+import { HttpVmList } from './infrastructure/http-vm-list.js';
+import { HttpWeightStore } from './infrastructure/http-weight-store.js';
 import { SubsetRouting } from './routing/subset-routing.js';
 import type { Settings } from './settings/schema.js';
 
--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -6,7 +6,7 @@
 import type { Team, TeamKey } from '../domain/team.js';
 import type { Outcome } from '../kernel/outcome.js';
 import { Service } from '../kernel/service.js';
-import type { LogRecord } from '../platform/log-service.js';
+import type { LogRecord } from '../infrastructure/log-service.js';
 import type { Change } from './change.js';
 
 /** The configuration at one version; never modified, only replaced. */
--- a/src/configuration/fold-task.ts
+++ b/src/configuration/fold-task.ts
@@ -1,7 +1,7 @@
 import type { Stream } from 'most';
 
 import { Task } from '../kernel/task.js';
-import type { LogRecord } from '../platform/log-service.js';
+import type { LogRecord } from '../infrastructure/log-service.js';
 import type { ChangeVerdict, ConfigurationState } from './configuration.js';
 import { EventSource } from './event-source.js';
 import { createFold, type Fold, foldRecords } from './fold.js';
--- a/src/configuration/fold.ts
+++ b/src/configuration/fold.ts
@@ -1,4 +1,4 @@
-import type { LogRecord } from '../platform/log-service.js';
+import type { LogRecord } from '../infrastructure/log-service.js';
 import { presetSchema, subjectOf } from './change.js';
 import type { ChangeVerdict, ConfigurationState } from './configuration.js';
 import { CopyOnWriteMap } from './copy-on-write-map.js';
--- a/src/configuration/folded-configuration.ts
+++ b/src/configuration/folded-configuration.ts
@@ -5,7 +5,7 @@
 import type { Kernel } from '../kernel/kernel.js';
 import type { Outcome } from '../kernel/outcome.js';
 import type { PeerHandlers } from '../peers/peers.js';
-import type { LogRecord } from '../platform/log-service.js';
+import type { LogRecord } from '../infrastructure/log-service.js';
 import type { Settings } from '../settings/schema.js';
 import { authenticateKey } from './authenticate.js';
 import type { Change } from './change.js';
--- a/src/configuration/log-follower.ts
+++ b/src/configuration/log-follower.ts
@@ -1,8 +1,8 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import type { Outcome } from '../kernel/outcome.js';
-import type { LogFailure } from '../platform/log-failure.js';
-import type { LogPage, LogRecord } from '../platform/log-service.js';
+import type { LogFailure } from '../infrastructure/log-failure.js';
+import type { LogPage, LogRecord } from '../infrastructure/log-service.js';
 import { BackgroundLoop } from './background-loop.js';
 import { Backoff } from './backoff.js';
 import type { FoldTask } from './fold-task.js';
--- a/src/configuration/peer-source.ts
+++ b/src/configuration/peer-source.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import type { PeerClient } from '../peers/peers.js';
-import type { LogRecord } from '../platform/log-service.js';
+import type { LogRecord } from '../infrastructure/log-service.js';
 import { readFold } from './fold-json.js';
 import type { FoldTask } from './fold-task.js';
 import { CONFIGURATION_STREAM } from './stream-name.js';
--- a/src/configuration/recent-records.ts
+++ b/src/configuration/recent-records.ts
@@ -1,4 +1,4 @@
-import type { LogRecord } from '../platform/log-service.js';
+import type { LogRecord } from '../infrastructure/log-service.js';
 
 const MOST_RECORDS = 2048;
 const MOST_CHARACTERS = 4_194_304;
--- a/src/configuration/snapshot-assembly.ts
+++ b/src/configuration/snapshot-assembly.ts
@@ -1,4 +1,4 @@
-import type { LogRecord } from '../platform/log-service.js';
+import type { LogRecord } from '../infrastructure/log-service.js';
 import { type Fold } from './fold.js';
 import { readFold } from './fold-json.js';
 import { decodeRecord, type SnapshotPiece } from './record.js';
--- a/src/execution/at-most-once.ts
+++ b/src/execution/at-most-once.ts
@@ -6,7 +6,7 @@
 import type { Incarnation } from '../domain/vm.js';
 import type { Clock } from '../kernel/clock.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
-import type { LogService } from '../platform/log-service.js';
+import type { LogService } from '../infrastructure/log-service.js';
 import type { LedgerDecision } from './execution-ledger.js';
 import type { StoredOutcome } from './execution-record.js';
 import { hashKey, partitionOf, readIssueTime } from './idempotency-key.js';
--- a/src/execution/partition-log.ts
+++ b/src/execution/partition-log.ts
@@ -1,7 +1,7 @@
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
 import type { Clock } from '../kernel/clock.js';
-import type { LogFailure } from '../platform/log-failure.js';
-import type { LogService } from '../platform/log-service.js';
+import type { LogFailure } from '../infrastructure/log-failure.js';
+import type { LogService } from '../infrastructure/log-service.js';
 import { ExecutionLedger, type LedgerDecision } from './execution-ledger.js';
 import { parseExecutionRecord, type ExecutionRecord } from './execution-record.js';
 
--- a/src/platform/http-call.ts
+++ b/src/infrastructure/http-call.ts
@@ -32,7 +32,7 @@
 export interface HttpCall {
   readonly method: 'GET' | 'POST';
   readonly url: string;
-  /** Sent as JSON. */
+  /** Sent as JSON, or as it is when it is a buffer. */
   readonly body?: unknown;
   readonly deadlines: HttpDeadlines;
   readonly signal?: AbortSignal;
@@ -74,7 +74,13 @@
   });
 }
 
-function createConnector(connectMs: number): buildConnector.connector {
+/**
+ * Connects with a deadline of its own, because undici rounds short ones up to about a second.
+ *
+ * @param connectMs - longest wait for a connection, in milliseconds
+ * @returns a connector for undici
+ */
+export function createConnector(connectMs: number): buildConnector.connector {
   const connect = buildConnector({ timeout: 0 });
   return (options, callback) => {
     let expired = false;
@@ -108,6 +114,24 @@
   });
 }
 
+/**
+ * Makes a call and reads the answer as bytes.
+ *
+ * @param agent - connections to use
+ * @param call - the call
+ * @returns the answer with a `Buffer` as body, or why there is none
+ */
+export async function callHttpForBytes(
+  agent: Agent,
+  call: HttpCall,
+): Promise<Outcome<HttpAnswer & { readonly body: Buffer }, HttpCallFailure>> {
+  return withAnswer(agent, call, async ({ statusCode, headers, body }) => ({
+    status: statusCode,
+    headers,
+    body: Buffer.from(await body.arrayBuffer()),
+  }));
+}
+
 /**
  * Makes a call for its status and headers, and closes the connection without reading the body.
  *
@@ -126,11 +150,11 @@
   });
 }
 
-async function withAnswer(
+async function withAnswer<Answer>(
   agent: Agent,
   call: HttpCall,
-  read: (response: Dispatcher.ResponseData) => Promise<HttpAnswer>,
-): Promise<Outcome<HttpAnswer, HttpCallFailure>> {
+  read: (response: Dispatcher.ResponseData) => Promise<Answer>,
+): Promise<Outcome<Answer, HttpCallFailure>> {
   if (call.signal?.aborted) return fail(CallFailure.create('unsent', 'the call was aborted'));
   const deadline = new AbortController();
   const { firstByteMs, bodyMs } = call.deadlines;
@@ -154,6 +178,7 @@
   const signal = call.signal ? AbortSignal.any([call.signal, deadline]) : deadline;
   const options = { dispatcher: agent, method: call.method, signal };
   if (call.body === undefined) return options;
+  if (Buffer.isBuffer(call.body)) return { ...options, body: call.body };
   const headers = { 'content-type': 'application/json' };
   return { ...options, headers, body: JSON.stringify(call.body) };
 }
--- a/src/membership/member-fold.ts
+++ b/src/membership/member-fold.ts
@@ -1,5 +1,5 @@
 import { type Incarnation, sameIncarnation } from '../domain/vm.js';
-import type { LogRecord } from '../platform/log-service.js';
+import type { LogRecord } from '../infrastructure/log-service.js';
 import {
   type MemberChange,
   type MemberImage,
--- a/src/membership/member-stream.ts
+++ b/src/membership/member-stream.ts
@@ -1,5 +1,5 @@
 import type { Address } from '../domain/vm.js';
-import type { LogPage, LogRecord } from '../platform/log-service.js';
+import type { LogPage, LogRecord } from '../infrastructure/log-service.js';
 import { foldMembers, listMembers, loadMembers } from './member-fold.js';
 import { parseMemberImage } from './member-record.js';
 import {
--- a/src/membership/membership-context.ts
+++ b/src/membership/membership-context.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import type { Outcome } from '../kernel/outcome.js';
-import type { LogFailure } from '../platform/log-failure.js';
+import type { LogFailure } from '../infrastructure/log-failure.js';
 import type { MemberRecord } from './member-record.js';
 import type { MembershipTask } from './membership-task.js';
 
--- a/src/membership/membership-message.ts
+++ b/src/membership/membership-message.ts
@@ -1,5 +1,5 @@
 import type { Incarnation } from '../domain/vm.js';
-import type { LogRecord } from '../platform/log-service.js';
+import type { LogRecord } from '../infrastructure/log-service.js';
 import type { FenceEvidence, FencePromise } from './fence.js';
 import type { MemberState } from './member-fold.js';
 import type { Member } from './membership.js';
--- a/src/membership/membership-task.ts
+++ b/src/membership/membership-task.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../kernel/clock.js';
 import { assertInvariant } from '../kernel/invariant.js';
 import { Task } from '../kernel/task.js';
-import type { LogRecord } from '../platform/log-service.js';
+import type { LogRecord } from '../infrastructure/log-service.js';
 import { FENCE_WAIT_MS, type FenceEvidence, type FencePromise } from './fence.js';
 import {
   EMPTY_MEMBERS,
--- a/src/peers/record-sources.ts
+++ b/src/peers/record-sources.ts
@@ -2,7 +2,7 @@
 
 import { Service } from '../kernel/service.js';
 import type { Kernel } from '../kernel/kernel.js';
-import type { LogRecord } from '../platform/log-service.js';
+import type { LogRecord } from '../infrastructure/log-service.js';
 
 /** A folded stream that peers may read when the log does not supply it. */
 export interface RecordSource {
--- /dev/null
+++ b/src/relay/decode-places.ts
@@ -0,0 +1,163 @@
+import { Refusal } from '../domain/refusal.js';
+import type { Clock } from '../kernel/clock.js';
+import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+import { PlaceQueue, type PlaceEntry } from './place-queue.js';
+import type { RelayPool } from './relay-configuration.js';
+import type { RunContext } from './run-context.js';
+import type { CatalogServer } from './server-catalog.js';
+import { pickDecodeServer } from './server-picker.js';
+
+/** A reserved decode place. */
+export interface Place {
+  readonly server: CatalogServer;
+  readonly reservation: string;
+  /** Takes the place off this VM's load; the reservation itself is used up or released apart. */
+  readonly free: () => void;
+}
+
+/** A request for a place. */
+export interface PlaceRequest extends PlaceEntry {
+  readonly requestId: string;
+  readonly pool: RelayPool;
+  readonly excluded: ReadonlySet<string>;
+  readonly signal: AbortSignal;
+}
+
+interface Waiter extends PlaceRequest {
+  readonly settle: (outcome: Outcome<Place, Refusal>) => void;
+  /** Time of the last reservation that was sent although no room was known. */
+  probedMs: number;
+}
+
+/** Reservations that one VM may have on their way. */
+const MOST_RESERVING = 6;
+
+/** Pause between reservations that are tried although no room is known, in milliseconds. */
+const PROBE_MS = 250;
+
+/** Pause between looks at the queue when nothing else happens, in milliseconds. */
+const ROUND_MS = 40;
+
+/** Gives decode places to the requests that wait at this VM. */
+export class DecodePlaces {
+  private readonly queue = PlaceQueue.create<Waiter>();
+
+  private reserving = 0;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private probedMs = -Infinity;
+
+  private constructor(
+    private readonly context: RunContext,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Prepares a queue.
+   *
+   * @param context - what all runs share
+   * @param clock - time
+   * @returns a queue without requests
+   */
+  static create(context: RunContext, clock: Clock): DecodePlaces {
+    return new DecodePlaces(context, clock);
+  }
+
+  /** Requests that wait at this VM. */
+  get waiting(): number {
+    return this.queue.size;
+  }
+
+  /**
+   * Waits for a place.
+   *
+   * @param request - what is needed and until when
+   * @returns a reserved place, or a refusal
+   */
+  acquire(request: PlaceRequest): Promise<Outcome<Place, Refusal>> {
+    return new Promise((resolve) => {
+      let leave = () => {};
+      const settle = (outcome: Outcome<Place, Refusal>) => {
+        request.signal.removeEventListener('abort', leave);
+        resolve(outcome);
+      };
+      const waiter: Waiter = { ...request, settle, probedMs: -Infinity };
+      leave = () => {
+        this.queue.remove(waiter);
+        settle(fail(Refusal.create('cancelled', 'the request ended while it waited')));
+      };
+      request.signal.addEventListener('abort', leave, { once: true });
+      const retryAfterMs = this.queue.add(waiter, this.clock.monotonicMs());
+      if (retryAfterMs > 0) settle(fail(this.overloaded(retryAfterMs)));
+      else this.pump();
+    });
+  }
+
+  /** Looks whether waiting requests can be placed; called whenever room may have come free. */
+  pump(): void {
+    const nowMs = this.clock.monotonicMs();
+    this.queue
+      .expire(nowMs)
+      .forEach((waiter) => waiter.settle(fail(this.overloaded(this.queue.estimateWaitMs(nowMs)))));
+    while (this.reserving < MOST_RESERVING) {
+      const waiter = this.queue.next(nowMs);
+      if (!waiter) return;
+      const server = this.chooseServer(waiter, nowMs);
+      if (!server) break;
+      this.queue.take(waiter, nowMs);
+      void this.reserve(waiter, server);
+    }
+    this.lookLater();
+  }
+
+  private async reserve(waiter: Waiter, server: CatalogServer): Promise<void> {
+    const { upstream, loads, health } = this.context;
+    const engine = waiter.pool.engine!;
+    const free = loads.add(server.id, { running: 1, kvTokens: waiter.kvTokens });
+    this.reserving += 1;
+    const outcome = await upstream.reserve(server, waiter.kvTokens, engine.reservationMs);
+    this.reserving -= 1;
+    if (outcome.kind === 'failed') {
+      free();
+      const lacksRoom = outcome.failure === 'not-run';
+      health.note(server.id, lacksRoom ? 'full' : 'unreachable', this.clock.monotonicMs());
+      if (!waiter.signal.aborted) this.queue.putBack(waiter, this.clock.monotonicMs());
+    } else if (waiter.signal.aborted) {
+      free();
+      upstream.release(server, outcome.value);
+    } else {
+      waiter.settle(succeed({ server, reservation: outcome.value, free }));
+    }
+    this.pump();
+  }
+
+  private chooseServer(waiter: Waiter, nowMs: number): CatalogServer | undefined {
+    const { catalog, loads, health, availabilityZone } = this.context;
+    const servers = catalog
+      .usable(waiter.pool.name, nowMs)
+      .filter(({ stage }) => stage === 'decode' || stage === 'both');
+    const facts = { loads, health, availabilityZone, nowMs };
+    const engine = waiter.pool.engine!;
+    const server = pickDecodeServer(servers, waiter.excluded, waiter.kvTokens, engine, facts);
+    if (server || nowMs < this.probedMs + PROBE_MS) return server;
+    // What is known of other VMs may be out of date, so a place is asked for now and then all the same.
+    this.probedMs = nowMs;
+    const unlimited = { slots: Infinity, kvTokens: Infinity };
+    const widened = servers.map((each) => ({ ...each, slots: Infinity }));
+    const probe = pickDecodeServer(widened, waiter.excluded, 0, unlimited, facts);
+    return probe && servers.find(({ id }) => id === probe.id);
+  }
+
+  private overloaded(retryAfterMs: number): Refusal {
+    return Refusal.create('overloaded', 'no decode place comes free in time', { retryAfterMs });
+  }
+
+  private lookLater(): void {
+    if (this.timer || this.queue.size === 0) return;
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      this.pump();
+    }, ROUND_MS);
+  }
+}
--- /dev/null
+++ b/src/relay/event-splitter.ts
@@ -0,0 +1,64 @@
+const EVENT_END = '\n\n';
+
+/** Splits a stream of server-sent events so that only whole events are passed on. */
+export class EventSplitter {
+  private rest: Buffer = Buffer.alloc(0);
+
+  private lastId: string | undefined;
+
+  /**
+   * Creates a splitter.
+   *
+   * @returns a splitter at the start of a stream
+   */
+  static create(): EventSplitter {
+    return new EventSplitter();
+  }
+
+  /** Id of the last whole event that had one. */
+  get lastEventId(): string | undefined {
+    return this.lastId;
+  }
+
+  /**
+   * Takes a piece of the stream.
+   *
+   * @param piece - bytes of any length
+   * @returns the whole events that it completes; empty when there are none
+   */
+  push(piece: Buffer): Buffer {
+    const bytes = this.rest.length === 0 ? piece : Buffer.concat([this.rest, piece]);
+    const end = bytes.lastIndexOf(EVENT_END);
+    if (end < 0) {
+      this.rest = bytes;
+      return Buffer.alloc(0);
+    }
+    const whole = bytes.subarray(0, end + EVENT_END.length);
+    this.rest = bytes.subarray(end + EVENT_END.length);
+    this.noteId(whole);
+    return whole;
+  }
+
+  /**
+   * Takes what is left at the end of the stream.
+   *
+   * @returns bytes after the last whole event
+   */
+  flush(): Buffer {
+    const { rest } = this;
+    this.rest = Buffer.alloc(0);
+    return rest;
+  }
+
+  /** Drops a partial event, before the stream is continued from another server. */
+  dropPartial(): void {
+    this.rest = Buffer.alloc(0);
+  }
+
+  private noteId(events: Buffer): void {
+    const at = Math.max(events.lastIndexOf('\nid:') + 1, events.indexOf('id:') === 0 ? 0 : -1);
+    if (at < 0 || events.toString('latin1', at, at + 3) !== 'id:') return;
+    const lineEnd = events.indexOf('\n', at);
+    this.lastId = events.toString('utf8', at + 3, lineEnd).trim();
+  }
+}
--- /dev/null
+++ b/src/relay/plain-run.ts
@@ -0,0 +1,174 @@
+import type { Outcome } from '../kernel/outcome.js';
+import { Run, type Job, type RunEnd } from './run.js';
+import type { RunContext } from './run-context.js';
+import type { CatalogServer } from './server-catalog.js';
+import { pickPlainServer } from './server-picker.js';
+import type { OpenAnswer, UpstreamFailure } from './upstream.js';
+
+/** Answers up to this size are held until they are whole, so that a broken one can be repeated. */
+const HELD_BYTES = 262_144;
+
+/** First status of a server's own failures. */
+const SERVER_ERROR = 500;
+
+/** Multiple of the target after which an idempotent request is taken to another server. */
+const SILENCE_FACTOR = 3;
+
+/** Shortest silence, in milliseconds. */
+const LEAST_SILENCE_MS = 600;
+
+interface HeldAnswer {
+  readonly answer: OpenAnswer;
+  readonly pieces: readonly Buffer[];
+  /** What follows the held pieces; undefined when they are the whole body. */
+  readonly rest: AsyncIterator<Buffer> | undefined;
+}
+
+/** Runs a request on a server of a plain pool. */
+export class PlainRun extends Run {
+  /** A server's own failure, kept in case that no other server does better. */
+  private failedAnswer: { held: HeldAnswer; server: CatalogServer } | undefined;
+
+  /**
+   * Prepares a run.
+   *
+   * @param context - what all runs share
+   * @param job - the admitted request
+   * @returns a run that has not begun
+   */
+  static create(context: RunContext, job: Job): PlainRun {
+    return new PlainRun(context, job);
+  }
+
+  override async execute(): Promise<RunEnd> {
+    while (!this.job.signal.aborted) {
+      const server = this.choose();
+      if (!server || !this.mayArrive()) break;
+      const end = await this.attempt(server);
+      if (end) return end;
+    }
+    const { failedAnswer } = this;
+    if (failedAnswer && !this.job.sink.closed) {
+      return this.deliver(failedAnswer.held, failedAnswer.server);
+    }
+    return this.refuseUnserved('no server took the request');
+  }
+
+  private choose(): CatalogServer | undefined {
+    const { catalog } = this.context;
+    const servers = catalog.usable(this.job.pool.name, this.nowMs);
+    const server = pickPlainServer(servers, this.excluded, this.pickerFacts);
+    if (!server) {
+      this.decide('server', 'none', 'no server of the pool is left', { known: servers.length });
+    }
+    return server;
+  }
+
+  private async attempt(server: CatalogServer): Promise<RunEnd | undefined> {
+    const { loads, health } = this.context;
+    const free = loads.add(server.id, { running: 1 });
+    const watch = this.watchSilence();
+    try {
+      const outcome = await this.exchange(server, watch.signal);
+      watch.stop();
+      if (outcome.kind === 'failed') {
+        const failure = watch.expired() ? 'silent' : outcome.failure;
+        return this.afterFailure(server, failure);
+      }
+      const held = outcome.value;
+      const { status } = held.answer.head;
+      health.note(server.id, status >= SERVER_ERROR ? 'failed' : 'answered', this.nowMs);
+      if (status >= SERVER_ERROR && this.mayRunAgain()) {
+        this.decide('answer', 'again', 'the server failed', { server: server.id, status });
+        this.excluded.add(server.id);
+        this.failedAnswer = { held, server };
+        return undefined;
+      }
+      return await this.deliver(held, server);
+    } finally {
+      watch.stop();
+      free();
+    }
+  }
+
+  private async exchange(
+    server: CatalogServer,
+    signal: AbortSignal,
+  ): Promise<Outcome<HeldAnswer, UpstreamFailure>> {
+    const { upstream } = this.context;
+    const sentMs = this.nowMs;
+    const outcome = await upstream.send(server, this.job.request, this.sendOptions(signal));
+    const failure = outcome.kind === 'failed' ? outcome.failure : '';
+    if (failure !== 'unsent') this.noteArrival();
+    if (!['unsent', 'not-run', 'gone'].includes(failure)) {
+      this.mayHaveRun = true;
+      this.runs += 1;
+    }
+    const tookMs = Math.round(this.nowMs - sentMs);
+    this.decide('send', server.id, failure || 'answer', { tookMs, runs: this.runs });
+    if (outcome.kind === 'failed') return outcome;
+    return hold(outcome.value);
+  }
+
+  private async deliver({ answer, pieces, rest }: HeldAnswer, server: CatalogServer) {
+    const { sink } = this.job;
+    const { status } = answer.head;
+    sink.begin(answer.head);
+    for (const piece of pieces) await sink.write(piece);
+    try {
+      while (rest) {
+        const next = await rest.next();
+        if (next.done) break;
+        await sink.write(next.value);
+      }
+    } catch {
+      sink.cut();
+      return { kind: 'cut' as const, server: server.id, reason: 'the answer broke off' };
+    }
+    sink.end();
+    return { kind: 'answered' as const, server: server.id, status };
+  }
+
+  private afterFailure(server: CatalogServer, failure: UpstreamFailure): RunEnd | undefined {
+    if (failure !== 'cancelled') this.noteFailure(server, failure);
+    const unrun = failure === 'unsent' || failure === 'not-run' || failure === 'gone';
+    if (unrun || this.mayRunAgain()) return undefined;
+    return this.refuseUnserved('the server gave no whole answer');
+  }
+
+  private mayRunAgain(): boolean {
+    const { route, signal } = this.job;
+    return route.kind === 'idempotent' && this.runs < route.attempts && !signal.aborted;
+  }
+
+  /** Gives up a server that says nothing, when another one may run the request. */
+  private watchSilence() {
+    const { route, signal } = this.job;
+    const silence = new AbortController();
+    const mayRepeat = route.kind === 'idempotent' && this.runs + 1 < route.attempts;
+    const silenceMs = Math.max(LEAST_SILENCE_MS, route.targetMs * SILENCE_FACTOR);
+    const timer = mayRepeat ? setTimeout(() => silence.abort(), silenceMs) : undefined;
+    return {
+      signal: AbortSignal.any([signal, silence.signal]),
+      expired: () => silence.signal.aborted && !signal.aborted,
+      stop: () => clearTimeout(timer),
+    };
+  }
+}
+
+async function hold(answer: OpenAnswer): Promise<Outcome<HeldAnswer, UpstreamFailure>> {
+  const body = answer.body[Symbol.asyncIterator]();
+  const pieces: Buffer[] = [];
+  let size = 0;
+  try {
+    while (size <= HELD_BYTES) {
+      const next = await body.next();
+      if (next.done) return { kind: 'ok', value: { answer, pieces, rest: undefined } };
+      pieces.push(next.value);
+      size += next.value.length;
+    }
+    return { kind: 'ok', value: { answer, pieces, rest: body } };
+  } catch {
+    return { kind: 'failed', failure: 'broken' };
+  }
+}
--- /dev/null
+++ b/src/relay/relay.ts
@@ -0,0 +1,242 @@
+import { Refusal } from '../domain/refusal.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import { Service } from '../kernel/service.js';
+import { DecodePlaces } from './decode-places.js';
+import { PlainRun } from './plain-run.js';
+import type { RelayConfiguration, RelayRoute, RelayTeam } from './relay-configuration.js';
+import type { AnswerSink, RelayRequest } from './relay-request.js';
+import { RetryAllowance, type RetryLimits } from './retry-allowance.js';
+import { pickPool, RouteTable } from './route-table.js';
+import type { Job, RunEnd } from './run.js';
+import type { RunContext } from './run-context.js';
+import { ServerCatalog } from './server-catalog.js';
+import { ServerHealth } from './server-health.js';
+import { ServerLoads } from './server-loads.js';
+import { StagedRun } from './staged-run.js';
+import { TeamMeter } from './team-meter.js';
+
+/** What the relay is told about its deployment. */
+export interface RelayOptions {
+  readonly availabilityZone: string;
+  readonly retries: RetryLimits;
+}
+
+/** Time to wait before a request comes back while no configuration is known, in milliseconds. */
+const UNCONFIGURED_RETRY_MS = 1000;
+
+/** Time before a request comes back that a stopping VM has not begun, in milliseconds. */
+const DRAINING_RETRY_MS = 50;
+
+/** Serves requests of callers: finds the route and the team, charges the team, runs the request. */
+export class Relay extends Service {
+  readonly catalog = ServerCatalog.create();
+
+  readonly loads = ServerLoads.create();
+
+  readonly health = ServerHealth.create();
+
+  readonly meter = TeamMeter.create();
+
+  private readonly allowances = new Map<string, RetryAllowance>();
+
+  private readonly places = new Map<string, DecodePlaces>();
+
+  private table: RouteTable | undefined;
+
+  private running = 0;
+
+  private refusing = false;
+
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly options: RelayOptions,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  /**
+   * Prepares a relay without configuration; it refuses requests until it has one.
+   *
+   * @param kernel - where the relay finds `upstream`, `decisions`, `metrics` and `fleet`
+   * @param options - facts about the deployment
+   * @param clock - time
+   * @returns the relay
+   */
+  static create(kernel: Kernel, options: RelayOptions, clock: Clock): Relay {
+    return new Relay(kernel, options, clock);
+  }
+
+  /** The configuration in force, or undefined before the first. */
+  get configuration(): RelayConfiguration | undefined {
+    return this.table?.configuration;
+  }
+
+  /** Requests that have no final answer yet. */
+  get active(): number {
+    return this.running;
+  }
+
+  /** Requests that wait for a decode place. */
+  get waiting(): number {
+    return [...this.places.values()].reduce((sum, { waiting }) => sum + waiting, 0);
+  }
+
+  /**
+   * Puts a configuration in force; one that is not newer is ignored.
+   *
+   * @param configuration - an accepted configuration
+   * @returns whether it is in force now
+   */
+  configure(configuration: RelayConfiguration): boolean {
+    if (this.table && configuration.version <= this.table.configuration.version) return false;
+    this.table = RouteTable.create(configuration);
+    return true;
+  }
+
+  /** Refuses new streams from now on, because the process is about to stop. */
+  refuseStreams(): void {
+    this.refusing = true;
+  }
+
+  /** Looks again at the requests that wait, after news about servers. */
+  pump(): void {
+    this.places.forEach((places) => places.pump());
+  }
+
+  /**
+   * Serves a request; the sink has got the final answer when the promise resolves.
+   *
+   * @param request - the request, whole
+   * @param sink - where the answer goes
+   * @param left - aborted when the caller leaves
+   */
+  async serve(request: RelayRequest, sink: AnswerSink, left: AbortSignal): Promise<void> {
+    this.running += 1;
+    const metrics = this.kernel.find('metrics');
+    const end = await this.route(request, sink, left);
+    const tookMs = Math.round(this.clock.monotonicMs() - request.arrivedMs);
+    if (end.kind === 'refused' && !sink.closed) sink.refuse(end.refusal);
+    const result = end.kind === 'refused' ? end.refusal.code : end.kind;
+    metrics.increment('requests', { result });
+    metrics.timing('request.ms', tookMs, { result: end.kind });
+    this.record(request, end, tookMs);
+    this.running -= 1;
+  }
+
+  private record({ requestId, path }: RelayRequest, end: RunEnd, tookMs: number): void {
+    const facts: Record<string, string | number> = { tookMs, path };
+    facts['version'] = this.table?.configuration.version ?? -1;
+    if (end.kind === 'answered') facts['status'] = end.status;
+    if (end.kind !== 'refused') facts['server'] = end.server;
+    const choice = end.kind === 'refused' ? end.refusal.code : end.kind;
+    const reason =
+      end.kind === 'refused' ? end.refusal.message : end.kind === 'cut' ? end.reason : 'served';
+    this.kernel.find('decisions').record({ requestId, step: 'end', choice, reason, facts });
+  }
+
+  private async route(request: RelayRequest, sink: AnswerSink, left: AbortSignal): Promise<RunEnd> {
+    const { table } = this;
+    if (!table) return refuse('not_ready', 'no configuration is known yet', UNCONFIGURED_RETRY_MS);
+    const route = table.route(request.host, request.path);
+    if (!route) return refuse('route_unknown', 'no route matches');
+    const team = request.key === undefined ? undefined : table.team(request.key);
+    if (table.needsKeys && !route.open && !team) {
+      const missing = request.key === undefined;
+      return refuse(missing ? 'key_missing' : 'key_unknown', 'no team holds the key');
+    }
+    return this.admit(request, route, team, sink, left);
+  }
+
+  private async admit(
+    request: RelayRequest,
+    route: RelayRoute,
+    team: RelayTeam | undefined,
+    sink: AnswerSink,
+    left: AbortSignal,
+  ): Promise<RunEnd> {
+    const nowMs = this.clock.monotonicMs();
+    const pool = this.table!.pool(pickPool(route, Math.random()));
+    if (!pool)
+      return refuse('no_server', 'the route leads to no known pool', UNCONFIGURED_RETRY_MS);
+    this.allowance(pool.name).noteRequest(nowMs);
+    if (this.refusing && route.kind === 'stream') {
+      return refuse('draining', 'this VM is stopping', DRAINING_RETRY_MS);
+    }
+    const { promptTokens, outputTokens } = request;
+    const tokens =
+      promptTokens === undefined ? (team?.plainTokens ?? 0) : promptTokens + outputTokens;
+    if (team) {
+      const metering = this.meter.admit(team.name, team, tokens, nowMs);
+      if (metering.kind === 'exceeded') {
+        return refuse('rate_exceeded', 'the team has used its tokens', metering.retryAfterMs);
+      }
+    }
+    const timeoutAtMs = route.timeoutMs > 0 ? request.arrivedMs + route.timeoutMs : Infinity;
+    const endByMs = Math.min(request.deadlineAtMs, timeoutAtMs);
+    const ending = AbortSignal.timeout(Math.max(1, Math.ceil(endByMs - nowMs)));
+    const signal = AbortSignal.any([left, ending]);
+    const priority = team?.priority ?? route.priority;
+    const job: Job = { request, route, pool, team: team?.name, priority, endByMs, sink, signal };
+    const end = await this.run(job);
+    if (team && end.kind === 'refused' && end.refusal.run === 'not run') {
+      this.meter.refund(team.name, tokens);
+    }
+    return end;
+  }
+
+  private run(job: Job): Promise<RunEnd> {
+    const context = this.context();
+    if (!job.pool.engine || job.route.kind !== 'stream') {
+      return PlainRun.create(context, job).execute();
+    }
+    return StagedRun.create(context, job, this.placesOf(job.pool.name, context)).execute();
+  }
+
+  private placesOf(pool: string, context: RunContext): DecodePlaces {
+    const known = this.places.get(pool);
+    if (known) return known;
+    const places = DecodePlaces.create(context, this.clock);
+    this.places.set(pool, places);
+    return places;
+  }
+
+  private context(): RunContext {
+    const { kernel, clock, catalog, loads, health } = this;
+    return {
+      clock,
+      catalog,
+      loads,
+      health,
+      availabilityZone: this.options.availabilityZone,
+      upstream: kernel.find('upstream'),
+      decisions: kernel.find('decisions'),
+      metrics: kernel.find('metrics'),
+      fleetSize: () => kernel.find('fleet').size,
+      allowance: (pool) => this.allowance(pool),
+    };
+  }
+
+  private allowance(pool: string): RetryAllowance {
+    const known = this.allowances.get(pool);
+    if (known) return known;
+    const allowance = RetryAllowance.create(this.options.retries);
+    this.allowances.set(pool, allowance);
+    return allowance;
+  }
+}
+
+function refuse(
+  code: Parameters<typeof Refusal.create>[0],
+  message: string,
+  retryAfterMs?: number,
+): RunEnd {
+  return { kind: 'refused', refusal: Refusal.create(code, message, { retryAfterMs }) };
+}
+
+declare module '../kernel/service.js' {
+  interface Services {
+    relay: Relay;
+  }
+}
--- /dev/null
+++ b/src/relay/route-table.ts
@@ -0,0 +1,100 @@
+import type {
+  RelayConfiguration,
+  RelayPool,
+  RelayRoute,
+  RelayTeam,
+} from './relay-configuration.js';
+
+/** Finds routes, pools and teams of one configuration. */
+export class RouteTable {
+  private readonly hosts = new Map<string, Map<string, RelayRoute>>();
+
+  private readonly pools = new Map<string, RelayPool>();
+
+  private readonly teamsByKey = new Map<string, RelayTeam>();
+
+  private constructor(readonly configuration: RelayConfiguration) {
+    configuration.pools.forEach((pool) => this.pools.set(pool.name, pool));
+    configuration.routes.forEach((route) => this.addRoute(route));
+    configuration.teams?.forEach((team) =>
+      team.keys.forEach((key) => this.teamsByKey.set(key, team)),
+    );
+  }
+
+  /**
+   * Indexes a configuration.
+   *
+   * @param configuration - an accepted configuration
+   * @returns the index
+   */
+  static create(configuration: RelayConfiguration): RouteTable {
+    return new RouteTable(configuration);
+  }
+
+  /**
+   * Finds the route with the longest prefix of a path. Takes one lookup for each segment.
+   *
+   * @param host - host without port
+   * @param path - path without query
+   * @returns the route, or undefined
+   */
+  route(host: string, path: string): RelayRoute | undefined {
+    const prefixes = this.hosts.get(host.toLowerCase());
+    if (!prefixes) return undefined;
+    for (let end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+      const route = prefixes.get(path.slice(0, end + 1));
+      if (route) return route;
+      if (end === 0) return undefined;
+    }
+    return undefined;
+  }
+
+  /**
+   * Finds a pool.
+   *
+   * @param name - its name
+   * @returns the pool, or undefined
+   */
+  pool(name: string): RelayPool | undefined {
+    return this.pools.get(name);
+  }
+
+  /**
+   * Finds the team that holds a key.
+   *
+   * @param key - the secret that came with a request
+   * @returns the team, or undefined
+   */
+  team(key: string): RelayTeam | undefined {
+    return this.teamsByKey.get(key);
+  }
+
+  /** Whether requests need a key. */
+  get needsKeys(): boolean {
+    return this.configuration.teams !== undefined;
+  }
+
+  private addRoute(route: RelayRoute): void {
+    const host = route.host.toLowerCase();
+    const prefixes = this.hosts.get(host) ?? new Map<string, RelayRoute>();
+    prefixes.set(route.pathPrefix, route);
+    this.hosts.set(host, prefixes);
+  }
+}
+
+/**
+ * Picks one of a route's pools by weight.
+ *
+ * @param route - the route
+ * @param random - number from 0 up to 1
+ * @returns name of the pool
+ */
+export function pickPool({ pools }: RelayRoute, random: number): string {
+  const total = pools.reduce((sum, { weight }) => sum + weight, 0);
+  let rest = random * total;
+  for (const { pool, weight } of pools) {
+    rest -= weight;
+    if (rest < 0) return pool;
+  }
+  return pools.at(-1)?.pool ?? '';
+}
--- /dev/null
+++ b/src/relay/run-context.ts
@@ -0,0 +1,29 @@
+import type { Clock } from '../kernel/clock.js';
+import type { Decisions } from '../observability/decisions.js';
+import type { Metrics } from '../observability/metrics.js';
+import type { RetryAllowance } from './retry-allowance.js';
+import type { ServerCatalog } from './server-catalog.js';
+import type { ServerHealth } from './server-health.js';
+import type { ServerLoads } from './server-loads.js';
+import type { Upstream } from './upstream.js';
+
+/** What all runs of a VM share. */
+export interface RunContext {
+  readonly clock: Clock;
+  readonly upstream: Upstream;
+  readonly catalog: ServerCatalog;
+  readonly loads: ServerLoads;
+  readonly health: ServerHealth;
+  readonly decisions: Decisions;
+  readonly metrics: Metrics;
+  readonly availabilityZone: string;
+  /** VMs of the fleet, this one included. */
+  readonly fleetSize: () => number;
+  /**
+   * Finds the allowance for repeated sends of a pool.
+   *
+   * @param pool - name of the pool
+   * @returns its allowance
+   */
+  readonly allowance: (pool: string) => RetryAllowance;
+}
--- /dev/null
+++ b/src/relay/run.ts
@@ -0,0 +1,128 @@
+import { Refusal, type RefusalCode } from '../domain/refusal.js';
+import type { RelayPool, RelayRoute } from './relay-configuration.js';
+import type { AnswerSink, RelayRequest } from './relay-request.js';
+import type { RunContext } from './run-context.js';
+import type { CatalogServer } from './server-catalog.js';
+import type { SendOptions, UpstreamFailure } from './upstream.js';
+
+/** A request that has been admitted. */
+export interface Job {
+  readonly request: RelayRequest;
+  readonly route: RelayRoute;
+  readonly pool: RelayPool;
+  readonly team: string | undefined;
+  /** Rank, 0 first. */
+  readonly priority: number;
+  /** Monotonic time by which the caller must have a final answer, in milliseconds. */
+  readonly endByMs: number;
+  readonly sink: AnswerSink;
+  /** Ends with the caller's connection or at `endByMs`. */
+  readonly signal: AbortSignal;
+}
+
+/** How a run ended. */
+export type RunEnd =
+  | { readonly kind: 'answered'; readonly server: string; readonly status: number }
+  | { readonly kind: 'cut'; readonly server: string; readonly reason: string }
+  | { readonly kind: 'refused'; readonly refusal: Refusal };
+
+/** Longest wait for a connection to a server, in milliseconds: many round trips between zones. */
+const CONNECT_MS = 350;
+
+/** Time to wait before a request comes back when no server can take it now, in milliseconds. */
+const NO_SERVER_RETRY_MS = 500;
+
+/** Runs one admitted request on servers of a pool. */
+export abstract class Run {
+  /** Servers that this request is not sent to again. */
+  protected readonly excluded = new Set<string>();
+
+  /** True once a server may have begun to work on the request. */
+  protected mayHaveRun = false;
+
+  /** Servers that may have run the request. */
+  protected runs = 0;
+
+  /** Sends that reached a server, whether it took the request or not. */
+  private arrivals = 0;
+
+  protected constructor(
+    protected readonly context: RunContext,
+    protected readonly job: Job,
+  ) {}
+
+  /**
+   * Runs the request to its end; the caller has the answer, or the result says why not.
+   *
+   * @returns how the run ended; a refusal has not been sent yet
+   */
+  abstract execute(): Promise<RunEnd>;
+
+  protected get nowMs(): number {
+    return this.context.clock.monotonicMs();
+  }
+
+  protected get leftMs(): number {
+    return this.job.endByMs - this.nowMs;
+  }
+
+  protected get pickerFacts() {
+    const { loads, health, availabilityZone } = this.context;
+    return { loads, health, availabilityZone, nowMs: this.nowMs };
+  }
+
+  protected sendOptions(signal: AbortSignal = this.job.signal): SendOptions {
+    const { team } = this.job;
+    return {
+      deadlineMs: Math.max(1, Math.floor(this.leftMs)),
+      connectMs: Math.min(CONNECT_MS, Math.max(1, this.leftMs)),
+      team,
+      signal,
+    };
+  }
+
+  /** Asks for one more arrival at the pool; the first one of a request is free. */
+  protected mayArrive(): boolean {
+    if (this.arrivals === 0) return true;
+    const { allowance, fleetSize } = this.context;
+    return allowance(this.job.pool.name).take(fleetSize(), this.nowMs);
+  }
+
+  protected noteArrival(): void {
+    this.arrivals += 1;
+  }
+
+  protected noteFailure(server: CatalogServer, failure: UpstreamFailure): void {
+    const { health, metrics } = this.context;
+    this.excluded.add(server.id);
+    metrics.increment('upstream.failures', { reason: failure });
+    if (failure === 'unsent') health.note(server.id, 'unreachable', this.nowMs);
+    else if (failure === 'silent') health.note(server.id, 'silent', this.nowMs);
+    else if (failure === 'broken') health.note(server.id, 'failed', this.nowMs);
+    else if (failure === 'not-run') health.note(server.id, 'full', this.nowMs);
+  }
+
+  protected decide(
+    step: string,
+    choice: string,
+    reason: string,
+    facts: Readonly<Record<string, string | number | boolean>> = {},
+  ): void {
+    const { requestId, arrivedMs } = this.job.request;
+    const atMs = Math.round(this.nowMs - arrivedMs);
+    this.context.decisions.record({ requestId, step, choice, reason, facts: { atMs, ...facts } });
+  }
+
+  protected refuse(code: RefusalCode, message: string, retryAfterMs?: number): RunEnd {
+    const run = this.mayHaveRun ? 'unknown' : 'not run';
+    return { kind: 'refused', refusal: Refusal.create(code, message, { run, retryAfterMs }) };
+  }
+
+  /** The refusal that fits when no server is left to try. */
+  protected refuseUnserved(message: string): RunEnd {
+    if (this.job.sink.closed) return this.refuse('cancelled', 'the caller has left');
+    if (this.leftMs <= 0) return this.refuse('server_timeout', 'the time for the request is over');
+    if (this.mayHaveRun) return this.refuse('server_failed', message);
+    return this.refuse('overloaded', message, NO_SERVER_RETRY_MS);
+  }
+}
--- /dev/null
+++ b/src/relay/server-catalog.ts
@@ -0,0 +1,155 @@
+import type { Address } from '../domain/vm.js';
+
+/** What an engine does in the path of a request. */
+export type Stage = 'prefill' | 'decode' | 'both';
+
+/** A server as it announces itself. */
+export interface CatalogServer {
+  readonly id: string;
+  /** Start of the server, in milliseconds since the Unix epoch; 0 when not stated. */
+  readonly startedAtMs: number;
+  readonly pool: string;
+  readonly address: Address;
+  readonly availabilityZone: string;
+  /** Requests that it runs at once. */
+  readonly slots: number;
+  readonly leaving: boolean;
+  /** Undefined for plain services. */
+  readonly stage: Stage | undefined;
+}
+
+/** A change of the catalog; undefined says that the entry was removed. */
+export interface CatalogChange {
+  readonly id: string;
+  readonly server: CatalogServer | undefined;
+}
+
+/**
+ * Time after the store's return within which live servers have announced themselves again, in
+ * milliseconds; from the users' platform.
+ */
+export const RETURN_MS = 2000;
+
+/** Servers of all pools, with those that are leaving. */
+export class ServerCatalog {
+  private servers = new Map<string, CatalogServer>();
+
+  /** Servers whose entries went missing during an outage, with the time at which they are dropped. */
+  private readonly missing = new Map<string, number>();
+
+  /** Starts of servers that are known to leave; an older entry does not bring them back. */
+  private readonly leaving = new Map<string, number>();
+
+  private returnedMs = -Infinity;
+
+  /**
+   * Creates an empty catalog.
+   *
+   * @returns a new catalog
+   */
+  static create(): ServerCatalog {
+    return new ServerCatalog();
+  }
+
+  /**
+   * Says that the store answers again after an outage: entries that lapsed meanwhile may come back.
+   *
+   * @param nowMs - monotonic time
+   */
+  noteReturn(nowMs: number): void {
+    this.returnedMs = nowMs;
+  }
+
+  /**
+   * Applies a change.
+   *
+   * @param change - entry that was written or removed
+   * @param nowMs - monotonic time
+   */
+  apply({ id, server }: CatalogChange, nowMs: number): void {
+    if (server) {
+      this.put(server);
+      return;
+    }
+    if (!this.servers.has(id)) return;
+    if (nowMs < this.returnedMs + RETURN_MS) this.missing.set(id, this.returnedMs + RETURN_MS);
+    else this.servers.delete(id);
+  }
+
+  /**
+   * Replaces all entries, after changes have been missed.
+   *
+   * @param servers - the present entries
+   * @param nowMs - monotonic time
+   */
+  replace(servers: readonly CatalogServer[], nowMs: number): void {
+    const ids = new Set(servers.map(({ id }) => id));
+    [...this.servers.keys()]
+      .filter((id) => !ids.has(id))
+      .forEach((id) => this.apply({ id, server: undefined }, nowMs));
+    servers.forEach((server) => this.put(server));
+  }
+
+  /**
+   * Records that a server is leaving, whoever saw it.
+   *
+   * @param id - the server
+   * @param startedAtMs - its start
+   */
+  noteLeaving(id: string, startedAtMs: number): void {
+    this.leaving.set(id, Math.max(startedAtMs, this.leaving.get(id) ?? 0));
+  }
+
+  /** Servers that are known to leave, with their starts. */
+  get leavers(): ReadonlyMap<string, number> {
+    return this.leaving;
+  }
+
+  /**
+   * Lists the servers of a pool that may get new work.
+   *
+   * @param pool - name of the pool
+   * @param nowMs - monotonic time
+   * @returns servers in no particular order
+   */
+  usable(pool: string, nowMs: number): CatalogServer[] {
+    this.dropMissing(nowMs);
+    return [...this.servers.values()].filter(
+      (server) => server.pool === pool && !this.isLeaving(server),
+    );
+  }
+
+  /**
+   * Finds a server.
+   *
+   * @param id - the server
+   * @returns its newest entry, or undefined
+   */
+  find(id: string): CatalogServer | undefined {
+    return this.servers.get(id);
+  }
+
+  /** All entries, those of leaving servers included. */
+  get all(): CatalogServer[] {
+    return [...this.servers.values()];
+  }
+
+  private put(server: CatalogServer): void {
+    this.servers.set(server.id, server);
+    this.missing.delete(server.id);
+    if (server.leaving) this.noteLeaving(server.id, server.startedAtMs);
+  }
+
+  private isLeaving({ id, startedAtMs, leaving }: CatalogServer): boolean {
+    const left = this.leaving.get(id);
+    return leaving || (left !== undefined && startedAtMs <= left);
+  }
+
+  private dropMissing(nowMs: number): void {
+    this.missing.forEach((dueMs, id) => {
+      if (nowMs < dueMs) return;
+      this.missing.delete(id);
+      this.servers.delete(id);
+    });
+  }
+}
--- /dev/null
+++ b/src/relay/staged-run.ts
@@ -0,0 +1,288 @@
+import { EventSplitter } from './event-splitter.js';
+import { Run, type Job, type RunEnd } from './run.js';
+import type { RunContext } from './run-context.js';
+import type { DecodePlaces, Place } from './decode-places.js';
+import type { CatalogServer } from './server-catalog.js';
+import { pickPrefillServer } from './server-picker.js';
+import type { OpenAnswer, PrefillResult, SendOptions, UpstreamFailure } from './upstream.js';
+
+/** Longest silence of a stream before it is given up, in milliseconds; callers wait about as long. */
+const STREAM_SILENCE_MS = 3000;
+
+/** Silence of a prefill engine beyond the expected time, in milliseconds. */
+const PREFILL_SLACK_MS = 900;
+
+/** Time that prefill and transfer take in an idle pool, in milliseconds. */
+const IDLE_START_MS = 200;
+
+/** Shortest time that is worth starting an answer for, in milliseconds. */
+const LEAST_ANSWER_MS = 1500;
+
+/** Most places that one request takes in turn. */
+const MOST_ROUNDS = 4;
+
+/** Prompt tokens that a prefill engine reads in a millisecond, until it has been measured. */
+const FIRST_PREFILL_SPEED = 40;
+
+type Step<Value> =
+  { readonly kind: 'ok'; readonly value: Value } | { readonly kind: 'again' } | RunEnd;
+
+/** Runs a stream on a prefill engine and a decode engine. */
+export class StagedRun extends Run {
+  private readonly events = EventSplitter.create();
+
+  private begun = false;
+
+  private constructor(
+    context: RunContext,
+    job: Job,
+    private readonly places: DecodePlaces,
+  ) {
+    super(context, job);
+  }
+
+  /**
+   * Prepares a run.
+   *
+   * @param context - what all runs share
+   * @param job - the admitted request
+   * @param places - the decode places of the pool
+   * @returns a run that has not begun
+   */
+  static create(context: RunContext, job: Job, places: DecodePlaces): StagedRun {
+    return new StagedRun(context, job, places);
+  }
+
+  override async execute(): Promise<RunEnd> {
+    for (let round = 0; round < MOST_ROUNDS && !this.job.signal.aborted; round += 1) {
+      const end = await this.runRound();
+      if (end) return end;
+    }
+    return this.finishUnserved('no engine took the request');
+  }
+
+  private get kvTokens(): number {
+    const { promptTokens = 0, outputTokens } = this.job.request;
+    return promptTokens + outputTokens;
+  }
+
+  private async runRound(): Promise<RunEnd | undefined> {
+    const reserved = await this.reserve();
+    if (reserved.kind !== 'ok') return endOf(reserved);
+    const place = reserved.value;
+    try {
+      const prefilled = await this.prefill();
+      if (prefilled.kind !== 'ok') {
+        this.context.upstream.release(place.server, place.reservation);
+        return endOf(prefilled);
+      }
+      const end = await this.decode(place, prefilled.value);
+      return endOf(end);
+    } finally {
+      place.free();
+      this.places.pump();
+    }
+  }
+
+  private async reserve(): Promise<Step<Place>> {
+    const { request, route, pool, team, priority, signal, endByMs } = this.job;
+    const arrivedMs = this.nowMs;
+    const outcome = await this.places.acquire({
+      requestId: request.requestId,
+      team: team ?? '',
+      kvTokens: this.kvTokens,
+      priority,
+      startByMs: request.arrivedMs + route.targetMs - IDLE_START_MS,
+      giveUpMs: endByMs - LEAST_ANSWER_MS,
+      pool,
+      excluded: this.excluded,
+      signal,
+    });
+    const waitedMs = Math.round(this.nowMs - arrivedMs);
+    if (outcome.kind === 'failed') {
+      this.decide('place', 'none', outcome.failure.message, { waitedMs });
+      if (this.begun || this.mayHaveRun) return this.finishUnserved('no place to go on');
+      return { kind: 'refused', refusal: outcome.failure };
+    }
+    const { server } = outcome.value;
+    this.decide('place', server.id, 'reserved', { waitedMs, kvTokens: this.kvTokens });
+    return { kind: 'ok', value: outcome.value };
+  }
+
+  private async prefill(): Promise<Step<PrefillResult | undefined>> {
+    const { catalog, loads, upstream, metrics } = this.context;
+    const { request, pool } = this.job;
+    const promptTokens = request.promptTokens ?? 0;
+    const tried = new Set<string>();
+    while (!this.job.signal.aborted) {
+      const servers = catalog
+        .usable(pool.name, this.nowMs)
+        .filter(({ stage }) => stage === 'prefill');
+      const choice = pickPrefillServer(servers, tried, this.pickerFacts);
+      if (!choice) {
+        // A decode engine reads a prompt itself, at half the speed, when no prefill engine is left.
+        return { kind: 'ok', value: undefined };
+      }
+      if (tried.size > 0 && !this.mayArrive()) return this.finishUnserved('no prefill engine');
+      const { server, tokensAhead } = choice;
+      const free = loads.add(server.id, { prefillTokens: promptTokens });
+      const sentMs = this.nowMs;
+      const expectedMs = (tokensAhead + promptTokens) / FIRST_PREFILL_SPEED;
+      const options = this.deadlined(3 * expectedMs + PREFILL_SLACK_MS);
+      const outcome = await upstream.prefill(server, request, options.send);
+      options.stop();
+      free();
+      const tookMs = Math.round(this.nowMs - sentMs);
+      const failure = outcome.kind === 'failed' ? outcome.failure : '';
+      this.decide('prefill', server.id, failure || 'read', { tookMs, tokensAhead });
+      if (outcome.kind === 'ok') {
+        this.noteArrival();
+        metrics.timing('prefill.ms', tookMs);
+        this.context.health.note(server.id, 'answered', this.nowMs);
+        if (!this.job.signal.aborted) return outcome;
+        upstream.discard(outcome.value);
+        break;
+      }
+      this.notePrefillFailure(server, options.expired() ? 'silent' : outcome.failure);
+      tried.add(server.id);
+    }
+    return this.finishUnserved('the request ended before its prompt was read');
+  }
+
+  private notePrefillFailure(server: CatalogServer, failure: UpstreamFailure): void {
+    if (failure !== 'unsent') this.noteArrival();
+    if (failure === 'cancelled') return;
+    this.noteFailure(server, failure);
+    this.excluded.delete(server.id);
+  }
+
+  private async decode(
+    place: Place,
+    prefill: PrefillResult | undefined,
+  ): Promise<Step<never> | RunEnd> {
+    const { upstream, health } = this.context;
+    const { server, reservation } = place;
+    const resumeAfter = this.begun ? this.events.lastEventId : undefined;
+    const watch = this.watchProgress();
+    const sentMs = this.nowMs;
+    const outcome = await upstream.send(server, this.job.request, {
+      ...this.sendOptions(watch.signal),
+      reservation,
+      ...(prefill ? { prefill } : {}),
+      ...(resumeAfter === undefined ? {} : { resumeAfter }),
+    });
+    const tookMs = Math.round(this.nowMs - sentMs);
+    const failure = outcome.kind === 'failed' ? outcome.failure : '';
+    this.decide('decode', server.id, failure || 'answer', { tookMs, runs: this.runs });
+    if (outcome.kind === 'failed') {
+      watch.stop();
+      return this.afterDecodeFailure(place, prefill, watch.expired() ? 'silent' : outcome.failure);
+    }
+    this.mayHaveRun = true;
+    this.runs += 1;
+    const end = await this.forward(server, outcome.value, watch);
+    watch.stop();
+    const good = end.kind === 'answered' && end.status < 500;
+    if (!this.job.sink.closed) health.note(server.id, good ? 'answered' : 'failed', this.nowMs);
+    return end;
+  }
+
+  private async forward(
+    server: CatalogServer,
+    answer: OpenAnswer,
+    watch: ReturnType<StagedRun['watchProgress']>,
+  ): Promise<Step<never> | RunEnd> {
+    const { sink } = this.job;
+    const { status } = answer.head;
+    const continued = this.begun;
+    if (continued && status !== 200) return this.finishUnserved('the stream was not continued');
+    if (!continued) sink.begin(answer.head);
+    this.begun = true;
+    try {
+      for await (const piece of answer.body) {
+        watch.progress();
+        const whole = status === 200 ? this.events.push(piece) : piece;
+        if (whole.length > 0) await sink.write(whole);
+      }
+    } catch {
+      return this.afterBreak(server);
+    }
+    const rest = this.events.flush();
+    if (rest.length > 0) await sink.write(rest);
+    sink.end();
+    return { kind: 'answered', server: server.id, status };
+  }
+
+  private afterBreak(server: CatalogServer): Step<never> | RunEnd {
+    const { route, sink, signal } = this.job;
+    this.events.dropPartial();
+    const resumable = route.resumable && this.runs < route.attempts && !signal.aborted;
+    if (resumable && this.mayArrive()) {
+      this.decide('stream', 'again', 'the stream broke off', { server: server.id });
+      this.excluded.add(server.id);
+      return { kind: 'again' };
+    }
+    sink.cut();
+    return { kind: 'cut', server: server.id, reason: 'the stream broke off' };
+  }
+
+  private afterDecodeFailure(
+    { server, reservation }: Place,
+    prefill: PrefillResult | undefined,
+    failure: UpstreamFailure,
+  ): Step<never> | RunEnd {
+    const { upstream } = this.context;
+    if (failure !== 'unsent') this.noteArrival();
+    const unrun = failure === 'unsent' || failure === 'not-run' || failure === 'gone';
+    if (!unrun) {
+      this.mayHaveRun = true;
+      this.runs += 1;
+    }
+    if (failure === 'unsent' || failure === 'cancelled') {
+      upstream.release(server, reservation);
+      if (prefill) upstream.discard(prefill);
+    }
+    if (failure !== 'cancelled') this.noteFailure(server, failure);
+    // A handle that has lapsed says nothing against the decode engine.
+    if (failure === 'not-run') this.excluded.delete(server.id);
+    const { route, signal } = this.job;
+    const again = unrun || (route.resumable && this.runs < route.attempts);
+    if (again && !signal.aborted && this.mayArrive()) return { kind: 'again' };
+    return this.finishUnserved('the decode engine gave no answer');
+  }
+
+  private finishUnserved(message: string): RunEnd {
+    if (!this.begun) return this.refuseUnserved(message);
+    this.job.sink.cut();
+    return { kind: 'cut', server: '', reason: message };
+  }
+
+  private deadlined(ms: number): {
+    readonly send: SendOptions;
+    readonly stop: () => void;
+    readonly expired: () => boolean;
+  } {
+    const silence = new AbortController();
+    const timer = setTimeout(() => silence.abort(), ms);
+    return {
+      send: this.sendOptions(AbortSignal.any([this.job.signal, silence.signal])),
+      stop: () => clearTimeout(timer),
+      expired: () => silence.signal.aborted && !this.job.signal.aborted,
+    };
+  }
+
+  private watchProgress() {
+    const silence = new AbortController();
+    const timer = setTimeout(() => silence.abort(), STREAM_SILENCE_MS);
+    return {
+      signal: AbortSignal.any([this.job.signal, silence.signal]),
+      progress: () => timer.refresh(),
+      stop: () => clearTimeout(timer),
+      expired: () => silence.signal.aborted && !this.job.signal.aborted,
+    };
+  }
+}
+
+function endOf(step: Step<unknown>): RunEnd | undefined {
+  return step.kind === 'again' || step.kind === 'ok' ? undefined : step;
+}
--- a/src/routing/subset-routing.ts
+++ b/src/routing/subset-routing.ts
@@ -3,7 +3,7 @@
 import type { ModelRequest } from '../domain/request.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
-import type { VmListing } from '../platform/vm-list.js';
+import type { VmListing } from '../infrastructure/vm-list.js';
 import type { Settings } from '../settings/schema.js';
 import { EnginePoller } from './engine-poller.js';
 import { EngineTables, type Phase } from './engine-tables.js';
--- /dev/null
+++ b/src/state/state-follower.ts
@@ -0,0 +1,271 @@
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import type { Outcome } from '../kernel/outcome.js';
+import { Service } from '../kernel/service.js';
+import type { SharedState } from './peer-state.js';
+import type { CatalogSnapshot, ConfigurationRead, StoreFailure } from './state-store.js';
+
+/** What another VM has. */
+export interface StateOffer {
+  readonly host: string;
+  readonly configuration: number;
+  readonly catalog: number;
+}
+
+/** Longest wait of a read for the next configuration, in milliseconds. */
+const CONFIGURATION_WAIT_MS = 1500;
+
+/** Pause between reads of the servers' entries, in milliseconds; a quarter of the drain bound. */
+const CATALOG_PAUSE_MS = 400;
+
+/** Pause after a failed call to the store, in milliseconds. */
+const FAILURE_PAUSE_MS = 250;
+
+/** Time without an answer of the store that counts as an outage, in milliseconds. */
+const OUTAGE_MS = 1000;
+
+/** Time for which news of another VM is left to the store, in milliseconds. */
+const OFFER_GRACE_MS = 300;
+
+/** Pause between looks at the registered VMs, in milliseconds. */
+const DISCOVERY_PAUSE_MS = 5000;
+
+/** The same while this VM knows no other, in milliseconds. */
+const LONELY_PAUSE_MS = 1000;
+
+/** Follows configuration and servers in the store, and in other VMs while the store is out. */
+export class StateFollower extends Service {
+  private readonly ending = new AbortController();
+
+  private configurationOffset: number | undefined;
+
+  private serversOffset: number | undefined;
+
+  private answeredMs: number | undefined;
+
+  private offer: (StateOffer & { readonly sinceMs: number }) | undefined;
+
+  private fetching = false;
+
+  private registered = false;
+
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  /**
+   * Prepares a follower.
+   *
+   * @param kernel - where it finds `state-store`, `peer-state`, `relay`, `fleet` and `logs`
+   * @param clock - time
+   * @returns a follower that knows nothing yet
+   */
+  static create(kernel: Kernel, clock: Clock): StateFollower {
+    return new StateFollower(kernel, clock);
+  }
+
+  /** True when requests can be served. */
+  get ready(): boolean {
+    const { configuration } = this.kernel.find('relay');
+    return configuration !== undefined && this.serversOffset !== undefined;
+  }
+
+  /** End of the servers' entries that this VM knows; -1 at first. */
+  get catalogOffset(): number {
+    return this.serversOffset ?? -1;
+  }
+
+  /** Time since the store last answered, in milliseconds. */
+  get storeAgeMs(): number {
+    return this.answeredMs === undefined ? Infinity : this.clock.monotonicMs() - this.answeredMs;
+  }
+
+  /** What this VM can give to others. */
+  get shared(): SharedState {
+    const { configuration, catalog } = this.kernel.find('relay');
+    const offset = this.serversOffset;
+    return {
+      configuration,
+      catalog: offset === undefined ? undefined : { servers: catalog.all, offset },
+    };
+  }
+
+  override async start(): Promise<void> {
+    void this.followConfiguration();
+    void this.followServers();
+    void this.discover();
+    await Promise.resolve();
+  }
+
+  override async stop(): Promise<void> {
+    this.ending.abort();
+    await Promise.resolve();
+  }
+
+  /**
+   * Takes notice of what another VM has; it is fetched when the store does not give it soon.
+   *
+   * @param offer - what the VM has
+   */
+  noteOffer(offer: StateOffer): void {
+    const nowMs = this.clock.monotonicMs();
+    if (!this.isNews(offer)) return;
+    if (!this.offer || !this.isNews(this.offer)) this.offer = { ...offer, sinceMs: nowMs };
+    if (nowMs - this.offer.sinceMs < OFFER_GRACE_MS) return;
+    void this.fetchFrom(offer.host);
+  }
+
+  private isNews({ configuration, catalog }: StateOffer): boolean {
+    const version = this.kernel.find('relay').configuration?.version ?? -1;
+    if (configuration > version) return true;
+    return this.storeAgeMs > OUTAGE_MS && catalog > this.catalogOffset;
+  }
+
+  private async fetchFrom(host: string): Promise<void> {
+    if (this.fetching) return;
+    this.fetching = true;
+    const outcome = await this.kernel.find('peer-state').fetch(host);
+    this.fetching = false;
+    this.offer = undefined;
+    const logs = this.kernel.find('logs');
+    if (outcome.kind === 'failed') {
+      logs.warn('a VM gave no state', { host, error: outcome.failure.message });
+      return;
+    }
+    const { configuration, catalog } = outcome.value;
+    if (configuration && this.kernel.find('relay').configure(configuration)) {
+      logs.info('configuration in force', { version: configuration.version, source: host });
+    }
+    if (catalog && catalog.offset > this.catalogOffset) this.replaceServers(catalog, host);
+  }
+
+  private async followConfiguration(): Promise<void> {
+    while (!this.ending.signal.aborted) {
+      const store = this.kernel.find('state-store');
+      const outcome =
+        this.configurationOffset === undefined
+          ? await store.newestConfiguration()
+          : await store.nextConfiguration(this.configurationOffset, CONFIGURATION_WAIT_MS);
+      if (outcome.kind === 'ok') this.takeConfiguration(outcome.value);
+      else if (outcome.failure.reason === 'compacted') this.configurationOffset = undefined;
+      await this.afterCall(outcome, this.configurationOffset === undefined ? FAILURE_PAUSE_MS : 0);
+    }
+  }
+
+  private takeConfiguration({ configuration, offset }: ConfigurationRead): void {
+    this.configurationOffset = offset;
+    if (!configuration || !this.kernel.find('relay').configure(configuration)) {
+      if (!this.kernel.find('relay').configuration) this.configurationOffset = undefined;
+      return;
+    }
+    const { version, routes, teams } = configuration;
+    this.kernel.find('logs').info('configuration in force', {
+      version,
+      source: 'store',
+      offset,
+      routes: routes.length,
+      teams: teams?.length ?? 0,
+    });
+  }
+
+  private async followServers(): Promise<void> {
+    while (!this.ending.signal.aborted) {
+      const outcome =
+        this.serversOffset === undefined ? await this.readAllServers() : await this.readChanges();
+      if (outcome.kind === 'failed' && outcome.failure.reason === 'compacted') {
+        this.serversOffset = undefined;
+      }
+      await this.afterCall(outcome, outcome.kind === 'ok' ? CATALOG_PAUSE_MS : 0);
+    }
+  }
+
+  private async readAllServers(): Promise<Outcome<unknown, StoreFailure>> {
+    const outcome = await this.kernel.find('state-store').allServers();
+    if (outcome.kind === 'ok') {
+      this.noteAnswer();
+      this.replaceServers(outcome.value, 'store');
+    }
+    return outcome;
+  }
+
+  private async readChanges(): Promise<Outcome<unknown, StoreFailure>> {
+    const outcome = await this.kernel.find('state-store').serverChanges(this.serversOffset!);
+    if (outcome.kind === 'failed') return outcome;
+    this.noteAnswer();
+    const { catalog } = this.kernel.find('relay');
+    const nowMs = this.clock.monotonicMs();
+    const { changes, offset } = outcome.value;
+    changes.forEach((change) => {
+      const before = catalog.find(change.id);
+      catalog.apply(change, nowMs);
+      const { server } = change;
+      const same = before && server && describe(before) === describe(server);
+      if (!same) this.logServer(change.id, server ? describe(server) : 'removed', offset);
+    });
+    // A peer's snapshot may have been newer than what the store said just now.
+    this.serversOffset = Math.max(offset, this.serversOffset ?? 0);
+    return outcome;
+  }
+
+  private replaceServers({ servers, offset }: CatalogSnapshot, source: string): void {
+    this.kernel.find('relay').catalog.replace(servers, this.clock.monotonicMs());
+    this.serversOffset = offset;
+    this.kernel.find('logs').info('servers known', { source, servers: servers.length, offset });
+  }
+
+  private logServer(server: string, state: string, offset: number): void {
+    this.kernel.find('logs').info('server changed', { server, state, offset });
+  }
+
+  private async discover(): Promise<void> {
+    const fleet = this.kernel.find('fleet');
+    while (!this.ending.signal.aborted) {
+      const store = this.kernel.find('state-store');
+      if (!this.registered) this.registered = (await store.register()).kind === 'ok';
+      const hosts = await store.registeredHosts();
+      if (hosts.kind === 'ok') fleet.meet(hosts.value);
+      const lonely = fleet.peers.length === 0 || !this.registered;
+      await this.clock.sleep(lonely ? LONELY_PAUSE_MS : DISCOVERY_PAUSE_MS, this.ending.signal);
+    }
+  }
+
+  private async afterCall(outcome: Outcome<unknown, StoreFailure>, pauseMs: number): Promise<void> {
+    if (outcome.kind === 'ok') {
+      this.noteAnswer();
+      if (pauseMs > 0) await this.clock.sleep(pauseMs, this.ending.signal);
+      return;
+    }
+    const { reason, message } = outcome.failure;
+    this.kernel.find('metrics').increment('store.failures', { reason });
+    this.kernel.find('logs').warn('the store gave no answer', {
+      reason,
+      error: message,
+      ageMs: Math.round(Math.min(1e9, this.storeAgeMs)),
+    });
+    await this.clock.sleep(FAILURE_PAUSE_MS, this.ending.signal);
+  }
+
+  /** Notes an answer of the store; after an outage, entries may be on their way back. */
+  private noteAnswer(): void {
+    const { storeAgeMs } = this;
+    const nowMs = this.clock.monotonicMs();
+    this.answeredMs = nowMs;
+    if (storeAgeMs < OUTAGE_MS || storeAgeMs === Infinity) return;
+    this.kernel.find('relay').catalog.noteReturn(nowMs);
+    this.kernel.find('logs').info('the store answers again', { ageMs: Math.round(storeAgeMs) });
+  }
+}
+
+function describe({ leaving, stage, address }: CatalogSnapshot['servers'][number]): string {
+  const state = leaving ? 'leaving' : 'ready';
+  return `${state} ${stage ?? 'plain'} ${address.host}:${address.port}`;
+}
+
+declare module '../kernel/service.js' {
+  interface Services {
+    state: StateFollower;
+  }
+}
