feat(relay): roles follow the load; places reserve what answers are expected to need

Cause: decode memory bound (48 of 80 slots used), three of eight engines read prompts at a third of their speed, and callers leave a silent stream after four times its target. Ruled out: slots, prefill queue.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', 'src/gen/**', 'reports/**'] },
+  { ignores: ['dist/**', 'target/**', 'node_modules/**', 'src/gen/**', 'reports/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -30,7 +30,7 @@
     },
   },
   {
-    files: ['demo/**', 'bench/**', 'src/cli/**', 'src/ctl.ts', 'src/daemon.ts'],
+    files: ['demo/**', 'bench/**', 'src/cli/**', 'src/ctl.ts', 'src/daemon.ts', 'platform/main.ts'],
     rules: { 'no-console': 'off', 'n/no-process-exit': 'off', 'n/hashbang': 'off' },
   },
   {
--- a/src/relay/decode-places.ts
+++ b/src/relay/decode-places.ts
@@ -121,6 +121,14 @@
     if (outcome.kind === 'failed') {
       free();
       const lacksRoom = outcome.failure === 'not-run';
+      const { running, kvTokens } = loads.at(server.id);
+      this.context.decisions.record({
+        requestId: waiter.requestId,
+        step: 'reserve',
+        choice: server.id,
+        reason: outcome.failure,
+        facts: { running, kvTokens, needTokens: waiter.kvTokens, waiting: this.queue.size },
+      });
       health.note(server.id, lacksRoom ? 'full' : 'unreachable', this.clock.monotonicMs());
       if (!waiter.signal.aborted) this.queue.putBack(waiter, this.clock.monotonicMs());
     } else if (waiter.signal.aborted) {
--- a/src/relay/place-queue.ts
+++ b/src/relay/place-queue.ts
@@ -7,6 +7,8 @@
   readonly kvTokens: number;
   /** Rank, 0 first. */
   readonly priority: number;
+  /** False when the team has used its rate; such requests take what the others leave. */
+  readonly insideRate: boolean;
   /** Latest start at which the first event still comes within its target, monotonic milliseconds. */
   readonly startByMs: number;
   /** Latest start at which the answer is still of use, monotonic milliseconds. */
@@ -79,7 +81,8 @@
    * @returns 0 when it waits, or the time after which it may come back, in milliseconds
    */
   add(entry: Entry, nowMs: number): number {
-    if (nowMs + this.estimateWaitMs(nowMs, true) <= entry.startByMs) {
+    const punctual = nowMs + this.estimateWaitMs(nowMs, true) <= entry.startByMs;
+    if (entry.insideRate && punctual) {
       this.insert(entry, 'punctual');
       return 0;
     }
@@ -136,7 +139,8 @@
    */
   putBack(entry: Entry, nowMs: number): void {
     this.starts.pop();
-    const line = nowMs <= entry.startByMs ? 'punctual' : 'late';
+    const punctual = entry.insideRate && nowMs <= entry.startByMs;
+    const line = punctual ? 'punctual' : 'late';
     this[line].credit(this.insert(entry, line));
   }
 
--- a/src/relay/relay-configuration.ts
+++ b/src/relay/relay-configuration.ts
@@ -23,6 +23,8 @@
   readonly timeoutMs: number;
   /** Time to the answer, or to the first event of a stream, that callers expect, in milliseconds. */
   readonly targetMs: number;
+  /** Time after which callers leave a stream that sends nothing, in milliseconds. */
+  readonly patienceMs: number;
   /** Rank of the route, 0 first. */
   readonly priority: number;
   /** True when no key is needed. */
--- a/src/relay/relay-request.ts
+++ b/src/relay/relay-request.ts
@@ -27,6 +27,8 @@
   readonly promptTokens: number | undefined;
   /** Most tokens of the answer. */
   readonly outputTokens: number;
+  /** The caller's guess at the tokens of the answer; right at the median, often far off. */
+  readonly expectedTokens: number | undefined;
   readonly promptParts: readonly PromptPart[];
 }
 
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -13,13 +13,15 @@
 import { ServerCatalog } from './server-catalog.js';
 import { ServerHealth } from './server-health.js';
 import { ServerLoads } from './server-loads.js';
+import { CostAverage } from './stage-balance.js';
 import { StagedRun } from './staged-run.js';
-import { TeamMeter } from './team-meter.js';
+import { TeamMeter, type RateTolerance } from './team-meter.js';
 
 /** What the relay is told about its deployment. */
 export interface RelayOptions {
   readonly availabilityZone: string;
   readonly retries: RetryLimits;
+  readonly rateTolerance: RateTolerance;
 }
 
 /** Time to wait before a request comes back while no configuration is known, in milliseconds. */
@@ -36,10 +38,12 @@
 
   readonly health = ServerHealth.create();
 
-  readonly meter = TeamMeter.create();
+  readonly meter: TeamMeter;
 
   private readonly allowances = new Map<string, RetryAllowance>();
 
+  private readonly averages = new Map<string, CostAverage>();
+
   private readonly places = new Map<string, DecodePlaces>();
 
   private table: RouteTable | undefined;
@@ -54,6 +58,7 @@
     private readonly clock: Clock,
   ) {
     super();
+    this.meter = TeamMeter.create(options.rateTolerance);
   }
 
   /**
@@ -92,9 +97,24 @@
   configure(configuration: RelayConfiguration): boolean {
     if (this.table && configuration.version <= this.table.configuration.version) return false;
     this.table = RouteTable.create(configuration);
+    this.meter.configure(configuration.teams ?? [], this.clock.monotonicMs());
     return true;
   }
 
+  /**
+   * Finds what requests of a pool cost on average.
+   *
+   * @param pool - name of the pool
+   * @returns the average
+   */
+  costs(pool: string): CostAverage {
+    const known = this.averages.get(pool);
+    if (known) return known;
+    const average = CostAverage.create();
+    this.averages.set(pool, average);
+    return average;
+  }
+
   /** Refuses new streams from now on, because the process is about to stop. */
   refuseStreams(): void {
     this.refusing = true;
@@ -127,13 +147,13 @@
 
   private record({ requestId, path }: RelayRequest, end: RunEnd, tookMs: number): void {
     const facts: Record<string, string | number> = { tookMs, path };
-    facts['version'] = this.table?.configuration.version ?? -1;
-    if (end.kind === 'answered') facts['status'] = end.status;
-    if (end.kind !== 'refused') facts['server'] = end.server;
+    facts.version = this.table?.configuration.version ?? -1;
+    if (end.kind === 'answered') facts.status = end.status;
+    if (end.kind !== 'refused') facts.server = end.server;
     const choice = end.kind === 'refused' ? end.refusal.code : end.kind;
-    const reason =
-      end.kind === 'refused' ? end.refusal.message : end.kind === 'cut' ? end.reason : 'served';
-    this.kernel.find('decisions').record({ requestId, step: 'end', choice, reason, facts });
+    this.kernel
+      .find('decisions')
+      .record({ requestId, step: 'end', choice, reason: explainEnd(end), facts });
   }
 
   private async route(request: RelayRequest, sink: AnswerSink, left: AbortSignal): Promise<RunEnd> {
@@ -167,18 +187,33 @@
     const { promptTokens, outputTokens } = request;
     const tokens =
       promptTokens === undefined ? (team?.plainTokens ?? 0) : promptTokens + outputTokens;
+    let insideRate = true;
     if (team) {
       const metering = this.meter.admit(team.name, team, tokens, nowMs);
       if (metering.kind === 'exceeded') {
-        return refuse('rate_exceeded', 'the team has used its tokens', metering.retryAfterMs);
+        const { level, retryAfterMs } = metering;
+        const { tokensPerSecond: rate, burstTokens: burst } = team;
+        const facts = {
+          team: team.name,
+          tokens,
+          level,
+          rate,
+          burst,
+          vms: this.kernel.find('fleet').size,
+        };
+        const entry = { step: 'rate', choice: 'refuse', reason: 'the team has used its tokens' };
+        this.kernel.find('decisions').record({ requestId: request.requestId, ...entry, facts });
+        return refuse('rate_exceeded', entry.reason, retryAfterMs);
       }
+      insideRate = metering.insideRate;
     }
     const timeoutAtMs = route.timeoutMs > 0 ? request.arrivedMs + route.timeoutMs : Infinity;
     const endByMs = Math.min(request.deadlineAtMs, timeoutAtMs);
     const ending = AbortSignal.timeout(Math.max(1, Math.ceil(endByMs - nowMs)));
     const signal = AbortSignal.any([left, ending]);
     const priority = team?.priority ?? route.priority;
-    const job: Job = { request, route, pool, team: team?.name, priority, endByMs, sink, signal };
+    const limits = { priority, insideRate, endByMs, signal };
+    const job: Job = { request, route, pool, team: team?.name, ...limits, sink };
     const end = await this.run(job);
     if (team && end.kind === 'refused' && end.refusal.run === 'not run') {
       this.meter.refund(team.name, tokens);
@@ -214,6 +249,7 @@
       decisions: kernel.find('decisions'),
       metrics: kernel.find('metrics'),
       fleetSize: () => kernel.find('fleet').size,
+      costs: (pool) => this.costs(pool),
       allowance: (pool) => this.allowance(pool),
     };
   }
@@ -227,6 +263,11 @@
   }
 }
 
+function explainEnd(end: RunEnd): string {
+  if (end.kind === 'refused') return end.refusal.message;
+  return end.kind === 'cut' ? end.reason : 'served';
+}
+
 function refuse(
   code: Parameters<typeof Refusal.create>[0],
   message: string,
--- a/src/relay/run-context.ts
+++ b/src/relay/run-context.ts
@@ -5,6 +5,7 @@
 import type { ServerCatalog } from './server-catalog.js';
 import type { ServerHealth } from './server-health.js';
 import type { ServerLoads } from './server-loads.js';
+import type { CostAverage } from './stage-balance.js';
 import type { Upstream } from './upstream.js';
 
 /** What all runs of a VM share. */
@@ -19,6 +20,13 @@
   readonly availabilityZone: string;
   /** VMs of the fleet, this one included. */
   readonly fleetSize: () => number;
+  /**
+   * Finds what requests of a pool cost on average.
+   *
+   * @param pool - name of the pool
+   * @returns the average
+   */
+  readonly costs: (pool: string) => CostAverage;
   /**
    * Finds the allowance for repeated sends of a pool.
    *
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -13,6 +13,8 @@
   readonly team: string | undefined;
   /** Rank, 0 first. */
   readonly priority: number;
+  /** False when the team has used its rate and the request runs on what the others leave. */
+  readonly insideRate: boolean;
   /** Monotonic time by which the caller must have a final answer, in milliseconds. */
   readonly endByMs: number;
   readonly sink: AnswerSink;
--- a/src/relay/server-health.ts
+++ b/src/relay/server-health.ts
@@ -61,7 +61,9 @@
       record.pauseMs = 0;
       record.avoidedUntilMs = -Infinity;
     }
-    if (evidence === 'unreachable' || evidence === 'silent') this.pause(record, nowMs);
+    if (evidence === 'unreachable' || evidence === 'silent') {
+      Object.assign(record, nextPause(record, nowMs));
+    }
   }
 
   /**
@@ -125,12 +127,6 @@
     return pauses;
   }
 
-  private pause(record: Record, nowMs: number): void {
-    if (nowMs < record.avoidedUntilMs && record.pauseMs > 0) return;
-    record.pauseMs = Math.min(LONGEST_PAUSE_MS, record.pauseMs * 2 || FIRST_PAUSE_MS);
-    record.avoidedUntilMs = nowMs + record.pauseMs;
-  }
-
   private decay(server: string, nowMs: number): Record {
     const known = this.records.get(server);
     if (known) {
@@ -149,3 +145,9 @@
     return record;
   }
 }
+
+function nextPause({ avoidedUntilMs, pauseMs }: Record, nowMs: number): Partial<Record> {
+  if (nowMs < avoidedUntilMs && pauseMs > 0) return {};
+  const longer = Math.min(LONGEST_PAUSE_MS, pauseMs * 2 || FIRST_PAUSE_MS);
+  return { pauseMs: longer, avoidedUntilMs: nowMs + longer };
+}
--- /dev/null
+++ b/src/relay/stage-commander.ts
@@ -0,0 +1,164 @@
+import type { Clock } from '../kernel/clock.js';
+import type { Kernel } from '../kernel/kernel.js';
+import { Service } from '../kernel/service.js';
+import type { EnginePool } from './relay-configuration.js';
+import type { CatalogServer } from './server-catalog.js';
+import { balanceStages } from './stage-balance.js';
+
+/** Pause between looks at the split, in milliseconds. */
+const ROUND_MS = 500;
+
+/** Time for which a split must be wanted before an order is sent, in milliseconds. */
+const SETTLE_MS = 1500;
+
+/** Time after a change of role in which no other is ordered, in milliseconds. */
+const AFTER_CHANGE_MS = 4000;
+
+/** Orders the engines' roles, on the one VM that commands. */
+export class StageCommander extends Service {
+  private timer: NodeJS.Timeout | undefined;
+
+  private fence: number | undefined;
+
+  private leadingSinceMs: number | undefined;
+
+  private wantedSinceMs: number | undefined;
+
+  private changedMs = -Infinity;
+
+  private busy = false;
+
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly vm: string,
+    private readonly leaseMs: number,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  /**
+   * Prepares a commander; it is silent while another VM commands.
+   *
+   * @param kernel - where it finds `relay`, `fleet`, `state`, `state-store`, `upstream` and `logs`
+   * @param vm - name of this VM
+   * @param leaseMs - time that a predecessor's orders may be on their way, in milliseconds
+   * @param clock - time
+   * @returns the commander
+   */
+  static create(kernel: Kernel, vm: string, leaseMs: number, clock: Clock): StageCommander {
+    return new StageCommander(kernel, vm, leaseMs, clock);
+  }
+
+  override async start(): Promise<void> {
+    this.timer = setInterval(() => {
+      if (!this.busy) void this.round();
+    }, ROUND_MS);
+    await Promise.resolve();
+  }
+
+  override async stop(): Promise<void> {
+    clearInterval(this.timer);
+    await Promise.resolve();
+  }
+
+  private async round(): Promise<void> {
+    const nowMs = this.clock.monotonicMs();
+    if (!this.leads(nowMs)) return;
+    const pools = this.kernel.find('relay').configuration?.pools ?? [];
+    for (const { name, engine } of pools) {
+      if (!engine) continue;
+      this.busy = true;
+      await this.balance(name, engine, nowMs);
+      this.busy = false;
+    }
+  }
+
+  /** Tells whether this VM commands: it has the first name of the ready VMs, and for some time. */
+  private leads(nowMs: number): boolean {
+    const fleet = this.kernel.find('fleet');
+    const state = this.kernel.find('state');
+    const first = fleet.peers.every(
+      ({ vm, ready, draining }) => !ready || draining || vm > this.vm,
+    );
+    if (!first || !state.ready || fleet.isDraining || state.storeAgeMs > this.leaseMs / 2) {
+      this.leadingSinceMs = undefined;
+      this.fence = undefined;
+      return false;
+    }
+    this.leadingSinceMs ??= nowMs;
+    return nowMs - this.leadingSinceMs >= this.leaseMs;
+  }
+
+  private async balance(pool: string, engine: EnginePool, nowMs: number): Promise<void> {
+    const relay = this.kernel.find('relay');
+    const { cost } = relay.costs(pool);
+    const servers = relay.catalog.usable(pool, nowMs).filter(({ stage }) => stage !== 'both');
+    const prefill = servers.filter(({ stage }) => stage === 'prefill');
+    if (!cost || nowMs - this.changedMs < engine.roleChangeMs + AFTER_CHANGE_MS) return;
+    const wanted = balanceStages(servers.length, prefill.length, cost, engine);
+    if (wanted === prefill.length) {
+      this.wantedSinceMs = undefined;
+      return;
+    }
+    this.wantedSinceMs ??= nowMs;
+    if (nowMs - this.wantedSinceMs < SETTLE_MS) return;
+    const stage = wanted > prefill.length ? 'prefill' : 'decode';
+    const candidate = this.chooseEngine(servers, stage, nowMs);
+    if (candidate) await this.order(candidate, stage, { wanted, prefill: prefill.length, ...cost });
+  }
+
+  /** Chooses the healthy engine with the least work among those that have the other role. */
+  private chooseEngine(
+    servers: readonly CatalogServer[],
+    stage: 'prefill' | 'decode',
+    nowMs: number,
+  ): CatalogServer | undefined {
+    const { loads, health } = this.kernel.find('relay');
+    const weigh = ({ id }: CatalogServer) => {
+      const { running, prefillTokens } = loads.at(id);
+      return stage === 'decode' ? prefillTokens : running;
+    };
+    return servers
+      .filter((server) => server.stage !== stage && !health.avoids(server.id, nowMs))
+      .sort((left, right) => weigh(left) - weigh(right))[0];
+  }
+
+  private async order(
+    server: CatalogServer,
+    stage: 'prefill' | 'decode',
+    facts: Readonly<Record<string, number>>,
+  ): Promise<void> {
+    const fence = await this.claim();
+    if (fence === undefined || !this.leads(this.clock.monotonicMs())) return;
+    this.changedMs = this.clock.monotonicMs();
+    this.wantedSinceMs = undefined;
+    const outcome = await this.kernel.find('upstream').orderStage(server, stage, fence);
+    const result = outcome.kind === 'ok' ? 'accepted' : outcome.failure;
+    // A refused order may mean that another VM has commanded since; the next one has a new number.
+    if (outcome.kind === 'failed') this.fence = undefined;
+    const reason = 'prefill and decode are to be full at the same load';
+    const rounded = Object.fromEntries(
+      Object.entries(facts).map(([name, value]) => [name, Math.round(value)]),
+    );
+    this.kernel.find('logs').info('role ordered', {
+      ...{ server: server.id, stage, fence, result, reason },
+      ...rounded,
+    });
+  }
+
+  private async claim(): Promise<number | undefined> {
+    if (this.fence !== undefined) return this.fence;
+    const outcome = await this.kernel.find('state-store').claimCommand(this.vm);
+    if (outcome.kind === 'ok') this.fence = outcome.value;
+    const result = outcome.kind === 'ok' ? outcome.value : outcome.failure.reason;
+    this.kernel.find('logs').info('command over roles claimed', { result });
+    return this.fence;
+  }
+}
+
+declare module '../kernel/service.js' {
+  interface Services {
+    'stage-commander': StageCommander;
+  }
+}
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -18,6 +18,12 @@
 /** Shortest time that is worth starting an answer for, in milliseconds. */
 const LEAST_ANSWER_MS = 1500;
 
+/**
+ * Memory that is reserved for an answer, relative to the caller's guess. Answers that outgrow it may be
+ * preempted, which costs a prompt; more memory set aside lets fewer requests run.
+ */
+const EXPECTED_MARGIN = 1.7;
+
 /** Most places that one request takes in turn. */
 const MOST_ROUNDS = 4;
 
@@ -33,6 +39,9 @@
 
   private begun = false;
 
+  /** Time that the prompt took when no other was before it, in milliseconds. */
+  private prefillMs: number | undefined;
+
   private constructor(
     context: RunContext,
     job: Job,
@@ -62,8 +71,9 @@
   }
 
   private get kvTokens(): number {
-    const { promptTokens = 0, outputTokens } = this.job.request;
-    return promptTokens + outputTokens;
+    const { promptTokens = 0, outputTokens, expectedTokens } = this.job.request;
+    const expected = (expectedTokens ?? outputTokens) * EXPECTED_MARGIN;
+    return promptTokens + Math.min(outputTokens, expected);
   }
 
   private async runRound(): Promise<RunEnd | undefined> {
@@ -87,13 +97,15 @@
   private async reserve(): Promise<Step<Place>> {
     const { request, route, pool, team, priority, signal, endByMs } = this.job;
     const arrivedMs = this.nowMs;
+    const patienceEndMs = this.begun ? Infinity : request.arrivedMs + route.patienceMs;
     const outcome = await this.places.acquire({
       requestId: request.requestId,
       team: team ?? '',
       kvTokens: this.kvTokens,
       priority,
       startByMs: request.arrivedMs + route.targetMs - IDLE_START_MS,
-      giveUpMs: endByMs - LEAST_ANSWER_MS,
+      giveUpMs: Math.min(endByMs - LEAST_ANSWER_MS, patienceEndMs - IDLE_START_MS),
+      insideRate: this.job.insideRate,
       pool,
       excluded: this.excluded,
       signal,
@@ -105,7 +117,9 @@
       return { kind: 'refused', refusal: outcome.failure };
     }
     const { server } = outcome.value;
-    this.decide('place', server.id, 'reserved', { waitedMs, kvTokens: this.kvTokens });
+    const { promptTokens = 0, outputTokens } = request;
+    const facts = { waitedMs, kvTokens: this.kvTokens, promptTokens, outputTokens };
+    this.decide('place', server.id, 'reserved', facts);
     return { kind: 'ok', value: outcome.value };
   }
 
@@ -138,6 +152,7 @@
       if (outcome.kind === 'ok') {
         this.noteArrival();
         metrics.timing('prefill.ms', tookMs);
+        if (tokensAhead === 0) this.prefillMs = tookMs;
         this.context.health.note(server.id, 'answered', this.nowMs);
         if (!this.job.signal.aborted) return outcome;
         upstream.discard(outcome.value);
@@ -183,6 +198,14 @@
     const end = await this.forward(server, outcome.value, watch);
     watch.stop();
     const good = end.kind === 'answered' && end.status < 500;
+    if (good && this.prefillMs !== undefined) {
+      const cost = {
+        prefillMs: this.prefillMs,
+        decodeMs: this.nowMs - sentMs,
+        kvTokens: this.kvTokens,
+      };
+      this.context.costs(this.job.pool.name).add(cost);
+    }
     if (!this.job.sink.closed) health.note(server.id, good ? 'answered' : 'failed', this.nowMs);
     return end;
   }
--- a/src/relay/team-meter.ts
+++ b/src/relay/team-meter.ts
@@ -4,9 +4,20 @@
   readonly burstTokens: number;
 }
 
+/** How far a team may go beyond its rate; what lies beyond the rate is served last. */
+export interface RateTolerance {
+  /** Part of rate and burst that may be added. */
+  readonly part: number;
+  /** Tokens that may be added to the burst. */
+  readonly tokens: number;
+}
+
 /** Part of the burst that is there when a VM starts: what the team used before is not known. */
 const STARTING_PART = 0.5;
 
+/** Part of the tolerance that is used; the rest covers what is admitted between two digests. */
+const USED_PART = 0.5;
+
 interface Meter {
   rate: TeamRate;
   level: number;
@@ -19,7 +30,8 @@
 
 /** Whether a request fits the rate of its team. */
 export type Metering =
-  { readonly kind: 'admitted' } | { readonly kind: 'exceeded'; readonly retryAfterMs: number };
+  | { readonly kind: 'admitted'; readonly insideRate: boolean }
+  | { readonly kind: 'exceeded'; readonly retryAfterMs: number; readonly level: number };
 
 /**
  * Holds teams to their rates over the whole fleet. Every VM keeps a bucket with the whole rate and
@@ -32,13 +44,30 @@
   /** Part of the fleet that has not been heard, 0 to 1; it may spend its share unseen. */
   private unheardPart = 0;
 
+  private constructor(private readonly tolerance: RateTolerance) {}
+
   /**
    * Creates a meter.
    *
+   * @param tolerance - how far a team may go beyond its rate
    * @returns a meter without teams
    */
-  static create(): TeamMeter {
-    return new TeamMeter();
+  static create(tolerance: RateTolerance = { part: 0, tokens: 0 }): TeamMeter {
+    return new TeamMeter(tolerance);
+  }
+
+  /**
+   * Takes over the teams of a configuration, so that all VMs count alike from the same moment on.
+   *
+   * @param teams - the teams with their rates
+   * @param nowMs - monotonic time
+   */
+  configure(teams: readonly (TeamRate & { readonly name: string })[], nowMs: number): void {
+    const names = new Set(teams.map(({ name }) => name));
+    [...this.meters.keys()]
+      .filter((name) => !names.has(name))
+      .forEach((name) => this.meters.delete(name));
+    teams.forEach((team) => this.find(team.name, team, nowMs));
   }
 
   /**
@@ -62,19 +91,21 @@
    * @returns admitted, or when to come back
    */
   admit(team: string, rate: TeamRate, tokens: number, nowMs: number): Metering {
-    if (rate.tokensPerSecond <= 0) return { kind: 'admitted' };
+    if (rate.tokensPerSecond <= 0) return { kind: 'admitted', insideRate: true };
     const meter = this.find(team, rate, nowMs);
     this.fill(meter, nowMs);
+    const capacity = this.capacity(rate);
     // A request larger than the burst goes when the bucket is full, or it could never go.
-    const needed = Math.min(tokens, rate.burstTokens);
+    const needed = Math.min(tokens, capacity);
     if (meter.level < needed) {
-      const fillRate = rate.tokensPerSecond * (1 - this.unheardPart);
-      const retryAfterMs = ((needed - meter.level) / Math.max(1, fillRate)) * 1000;
-      return { kind: 'exceeded', retryAfterMs };
+      const retryAfterMs = (needed - meter.level) / Math.max(0.001, this.fillPerMs(rate));
+      return { kind: 'exceeded', retryAfterMs, level: Math.round(meter.level) };
     }
+    const insideRate =
+      meter.level - tokens >= capacity - rate.burstTokens || tokens > rate.burstTokens;
     meter.level -= tokens;
     meter.spent += tokens;
-    return { kind: 'admitted' };
+    return { kind: 'admitted', insideRate };
   }
 
   /**
@@ -86,7 +117,7 @@
   refund(team: string, tokens: number): void {
     const meter = this.meters.get(team);
     if (!meter) return;
-    meter.level = Math.min(meter.rate.burstTokens, meter.level + tokens);
+    meter.level = Math.min(this.capacity(meter.rate), meter.level + tokens);
     meter.spent -= tokens;
   }
 
@@ -132,10 +163,10 @@
     if (known) {
       this.fill(known, nowMs);
       known.rate = rate;
-      known.level = Math.min(known.level, rate.burstTokens);
+      known.level = Math.min(known.level, this.capacity(rate));
       return known;
     }
-    const level = rate.burstTokens * STARTING_PART;
+    const level = this.capacity(rate) * STARTING_PART;
     const meter: Meter = { rate, level, filledMs: nowMs, spent: 0, seen: new Map() };
     this.meters.set(team, meter);
     return meter;
@@ -143,11 +174,21 @@
 
   private fill(meter: Meter, nowMs: number): void {
     const elapsedMs = Math.max(0, nowMs - meter.filledMs);
-    const perMs = (meter.rate.tokensPerSecond * (1 - this.unheardPart)) / 1000;
-    const level = meter.level + perMs * elapsedMs;
+    const level = meter.level + this.fillPerMs(meter.rate) * elapsedMs;
     Object.assign(meter, {
       filledMs: Math.max(nowMs, meter.filledMs),
-      level: Math.min(meter.rate.burstTokens, level),
+      level: Math.min(this.capacity(meter.rate), level),
     });
   }
+
+  private fillPerMs({ tokensPerSecond }: TeamRate): number {
+    return (
+      (tokensPerSecond * (1 + USED_PART * this.tolerance.part) * (1 - this.unheardPart)) / 1000
+    );
+  }
+
+  private capacity({ burstTokens }: TeamRate): number {
+    const { part, tokens } = this.tolerance;
+    return (burstTokens * (1 + USED_PART * part) + USED_PART * tokens) * (1 - this.unheardPart);
+  }
 }
