--- /dev/null
+++ b/features/relay/relay-modules.feature
@@ -0,0 +1,116 @@
+Feature: Decisions of the relay
+
+  Scenario: the route with the longest prefix is chosen
+    Given relay routes for "/", "/a/", "/a/b/" and "/c/" of one host
+    Then the relay routes lead as follows
+      | path     | route |
+      | /a/b/x   | /a/b/ |
+      | /a/bx    | /a/   |
+      | /a/b     | /a/   |
+      | /c/      | /c/   |
+      | /d?x=/c/ | /     |
+
+  Scenario: repeats of a fleet stay within the allowance in every window
+    Given 6 relay VMs that share 52 repeats and 0.2 for each request in 10 s
+    When every relay VM asks for a repeat of each of its 20 requests a second for 30 s
+    Then no relay window of 10 s holds more repeats than allowed, and at least half of them are used
+
+  Scenario Outline: a team at several times its rate, counted by several VMs (pattern: hot team)
+    Given <vms> relay VMs with a team of 29000 tokens a second, and digests every 120 ms
+    When the team sends <factor> times its rate for 30 s through all relay VMs
+    Then the relay admits at most what the tolerance allows in every 8 s
+    And the relay admits at least 90 percent of the rate
+
+    Examples:
+      | vms | factor |
+      | 6   | 7.5    |
+      | 8   | 3      |
+      | 2   | 7.5    |
+
+  Scenario: a team inside its rate is not refused while every VM is heard
+    Given 6 relay VMs with a team of 29000 tokens a second, and digests every 120 ms
+    When the team sends 0.6 times its rate for 30 s through all relay VMs
+    Then the relay refuses none of its requests
+
+  Scenario: a cut fleet does not spend the rate twice (pattern: partition)
+    Given 6 relay VMs with a team of 29000 tokens a second, and digests every 120 ms
+    And relay VMs 1 and 2 are cut from the others from 10 s to 22 s
+    When the team sends 7.5 times its rate for 30 s through all relay VMs
+    Then the relay admits at most what the tolerance allows in every 8 s
+
+  Scenario: an entry that lapsed in an outage of the store is kept until servers can be back
+    Given a relay catalog with server "a" that started at 1
+    When the relay store returns at 1000 ms and the entry of "a" is removed at 1100 ms
+    Then relay server "a" is usable at 2900 ms and not at 3000 ms
+
+  Scenario: an entry that is removed while the store works is gone at once
+    Given a relay catalog with server "a" that started at 1
+    When the entry of relay server "a" is removed at 1100 ms
+    Then relay server "a" is not usable at 1100 ms
+
+  Scenario: what one VM knows of a leaving server holds against an older entry, not against a restart
+    Given a relay catalog with server "a" that started at 1
+    When another VM says that relay server "a" that started at 1 is leaving
+    Then relay server "a" is not usable at 100 ms
+    When relay server "a" announces itself again with start 1
+    Then relay server "a" is not usable at 200 ms
+    When relay server "a" announces itself again with start 2
+    Then relay server "a" is usable at 300 ms
+
+  Scenario: a stream is passed on in whole events, and its last id is known
+    When the relay splits "id: 1\ndata: a\n\nid: 2\nda" and "ta: b\n\nid: 3\nda"
+    Then the relay passes on "id: 1\ndata: a\n\n" and "id: 2\ndata: b\n\n"
+    And the relay would resume after "2"
+
+  Scenario Outline: the split of engines follows what requests cost
+    Then of <engines> relay engines <now> prefill ones become <wanted> at <prefillMs> ms prefill, <decodeMs> ms decode and <places> places
+
+    Examples:
+      | engines | now | prefillMs | decodeMs | places | wanted |
+      | 8       | 3   | 104       | 2828     | 9      | 2      |
+      | 8       | 2   | 104       | 2828     | 9      | 2      |
+      | 8       | 2   | 400       | 1000     | 9      | 6      |
+      | 8       | 0   | 1         | 9000     | 9      | 1      |
+      | 1       | 0   | 100       | 100      | 9      | 0      |
+
+  Scenario: a server that cannot be reached is avoided, and less after good answers
+    When relay server "a" has unreachable at 0 ms
+    Then relay server "a" is avoided at 100 ms
+    And relay server "a" is not avoided at 500 ms
+    When relay server "a" has unreachable at 500 ms
+    Then relay server "a" is avoided at 1200 ms
+    When relay server "a" has answered at 1200 ms
+    Then relay server "a" is not avoided at 1201 ms
+
+  Scenario: a VM that falls silent stops being named, then stops being counted
+    Given a relay fleet book that heard "b" and "c" at 0 ms
+    When the relay fleet book hears "b" at 2000 ms
+    Then the relay fleet book hears "b" at 2100 ms and counts 3 VMs
+    And the relay fleet book counts 2 VMs at 13000 ms
+
+  Scenario: an older digest of the same incarnation changes nothing
+    Given a relay fleet book that heard "b" and "c" at 0 ms
+    Then the relay fleet book refuses digest 0 of "b"
+
+  Scenario Outline: places in a burst of twice the capacity with a team at seven times its share (pattern: burst, hot team)
+    When <policy> serves the relay burst with seed <seed>
+    Then the relay queue serves as many on time and the worst team no worse than <policy>
+
+    Examples:
+      | policy            | seed |
+      | first come        | 1    |
+      | least slack       | 1    |
+      | fair by team only | 1    |
+      | first come        | 2    |
+      | least slack       | 2    |
+      | fair by team only | 2    |
+
+  Scenario: a request whose turn cannot come in time is turned away when it arrives
+    Given a relay queue with 200 waiting requests and 10 starts a second
+    When a relay request arrives that its caller leaves after 3600 ms
+    Then it is refused at once, to come back after 10 to 30 s
+
+  Scenario: a full pipe drops log lines and never waits
+    Given a relay log whose reader has stopped
+    When the relay log gets 20000 lines of 100 bytes
+    Then the relay log took less than 1000 ms, holds at most 300000 bytes and counts the rest as dropped
--- /dev/null
+++ b/features/steps/platform-contract-steps.ts
@@ -0,0 +1,163 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
+
+import { decodeConfiguration } from '../../platform/decode-configuration.js';
+import { decodeServer } from '../../platform/decode-server.js';
+import { decodePage, encodeKeyedRecord } from '../../platform/log-records.js';
+import { ServerCalls } from '../../platform/server-calls.js';
+import { decodeSettings } from '../../platform/settings.js';
+import { selectRequestHeaders } from '../../platform/wire-headers.js';
+import { SystemClock } from '../../src/kernel/system-clock.js';
+import { JsonLogs } from '../../src/observability/json-logs.js';
+import { createCatalogServer, createRelayRequest } from '../support/relay-fixtures.js';
+import { ScriptedServer } from '../support/scripted-server.js';
+import {
+  createPlatformConfiguration,
+  createPlatformSettings,
+} from '../support/platform-fixtures.js';
+
+interface ContractWorld {
+  scriptedServer: ScriptedServer | undefined;
+  platformCalls: ServerCalls | undefined;
+  closed: boolean;
+  outcomes: string[];
+  selected: string[];
+  decoded: ReturnType<typeof decodeConfiguration>;
+  settings: ReturnType<typeof decodeSettings>;
+}
+
+const scenario = world as unknown as ContractWorld;
+
+After(async () => {
+  scenario.scriptedServer?.close();
+  await scenario.platformCalls?.stop();
+});
+
+Given('a platform server that answers with {string}', async (script: string) => {
+  scenario.scriptedServer = await ScriptedServer.create(script);
+  scenario.closed = script === 'no listener';
+  if (scenario.closed) scenario.scriptedServer.close();
+  const logs = JsonLogs.create('error', 'test');
+  scenario.platformCalls = ServerCalls.create('test', SystemClock.create(), logs);
+  scenario.outcomes = [];
+});
+
+When('a request is sent to the platform server', async () => {
+  scenario.outcomes.push(await sendRequest(`r${scenario.outcomes.length}`));
+  await new Promise((resolve) => {
+    setTimeout(resolve, 60);
+  });
+});
+
+/** Nothing listens here. */
+const UNUSED_PORT = 1;
+
+async function sendRequest(requestId: string): Promise<string> {
+  const { scriptedServer: server, platformCalls: calls, closed } = scenario;
+  const port = closed ? UNUSED_PORT : server!.port;
+  const target = createCatalogServer({ address: { host: '127.0.0.1', port } });
+  const headers = ['Attempt-Id', requestId, 'Host', 'plans.example'];
+  const request = createRelayRequest({ requestId, headers });
+  const outcome = await calls!.send(target, request, {
+    deadlineMs: 1000,
+    team: undefined,
+    connectMs: 500,
+    signal: AbortSignal.timeout(3000),
+  });
+  if (outcome.kind === 'failed') return outcome.failure;
+  const { head, body } = outcome.value;
+  const pieces: Buffer[] = [];
+  try {
+    for await (const piece of body) pieces.push(piece);
+  } catch {
+    return 'cut';
+  }
+  assert.equal(Buffer.concat(pieces).toString(), 'ok');
+  return head.status === 200 ? 'whole' : `whole ${head.status}`;
+}
+
+Then('the platform call ends as {string}', (outcome: string) => {
+  assert.deepEqual(scenario.outcomes, [outcome]);
+});
+
+Then('no platform call ends with an answer of another request', () => {
+  assert.equal(scenario.outcomes[0], 'whole');
+  assert.ok(['whole', 'broken'].includes(scenario.outcomes[1]!), scenario.outcomes[1]);
+});
+
+When("a caller's headers {string} go on to a platform server", (text: string) => {
+  const raw = text.split(', ').flatMap((line) => line.split(': '));
+  scenario.selected = selectRequestHeaders(raw);
+});
+
+Then('the platform server gets the headers {string}', (names: string) => {
+  const seen = scenario.selected.filter((_, index) => index % 2 === 0);
+  assert.equal(seen.join(', '), names);
+});
+
+Then(/^the platform entry (.+) names no server$/, (entry: string) => {
+  assert.equal(decodeServer('i-1', Buffer.from(entry)), undefined);
+});
+
+When(
+  'the platform configuration has a route without a host, a route of an unknown kind and a team without a name',
+  () => {
+    const configuration = createPlatformConfiguration();
+    const routes = [
+      ...configuration.routes.slice(0, 1),
+      { pathPrefix: '/x/', kind: 'safe' },
+      { host: 'h', pathPrefix: '/y/', kind: 'odd' },
+    ];
+    const tenants = [...configuration.tenants, { apiKeys: ['k'] }];
+    const bytes = Buffer.from(JSON.stringify({ ...configuration, routes, tenants }));
+    scenario.decoded = decodeConfiguration(bytes);
+  },
+);
+
+Then(
+  'the platform configuration keeps {int} route and {int} team, and names {int} parts that were left out',
+  (routes: number, teams: number, leftOut: number) => {
+    assert.ok(scenario.decoded.kind === 'ok');
+    const { configuration, leftOut: named } = scenario.decoded.value;
+    assert.equal(configuration.routes.length, routes);
+    assert.equal(configuration.teams?.length, teams);
+    assert.equal(named.length, leftOut);
+  },
+);
+
+Then('the platform configuration {string} is refused', (text: string) => {
+  assert.equal(decodeConfiguration(Buffer.from(text)).kind, 'failed');
+});
+
+When('the platform settings lack the zone and have a port as text', () => {
+  const settings = { ...createPlatformSettings(), zone: undefined, portRange: ['7500', 7515] };
+  scenario.settings = decodeSettings(settings);
+});
+
+Then(
+  'the platform settings are refused because of {string} and {string}',
+  (first: string, second: string) => {
+    assert.ok(scenario.settings.kind === 'failed');
+    const fields = scenario.settings.failure.faults.map(({ field }) => field);
+    assert.deepEqual(fields.sort(), [first, second].sort());
+  },
+);
+
+Then('a platform page of {int} records is read whole, and no part of it is', (count: number) => {
+  const records = Array.from({ length: count }, (_, index) =>
+    encodeKeyedRecord({ key: `k${index}`, value: Buffer.from('value') }),
+  );
+  const head = Buffer.alloc(16);
+  head.writeBigUInt64BE(BigInt(count));
+  const page = Buffer.concat([head, ...records]);
+  assert.equal(decodePage(page)?.records.length, count);
+  const ends = new Set([16]);
+  records.reduce((at, record) => {
+    ends.add(at + record.length);
+    return at + record.length;
+  }, 16);
+  for (let length = 0; length < page.length; length += 1) {
+    if (!ends.has(length)) assert.equal(decodePage(page.subarray(0, length)), undefined);
+  }
+});
--- /dev/null
+++ b/features/steps/platform-path-steps.ts
@@ -0,0 +1,240 @@
+import assert from 'node:assert/strict';
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { request as sendHttp } from 'node:http';
+import { createServer, type AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
+
+import { PlatformLog } from '../../stand-ins/platform/platform-log.js';
+import { PlatformServer } from '../../stand-ins/platform/platform-server.js';
+import {
+  createPlatformConfiguration,
+  createPlatformSettings,
+  PLATFORM_HOST,
+  PLATFORM_KEY,
+} from '../support/platform-fixtures.js';
+
+interface CallerAnswer {
+  readonly status: number;
+  readonly body: string;
+  readonly seal: string | undefined;
+}
+
+interface PathWorld {
+  platformStore: PlatformLog;
+  platformServers: PlatformServer[];
+  platformRouter: ChildProcess;
+  platformFolder: string;
+  output: string;
+  ports: number[];
+  plan: CallerAnswer;
+  planId: string;
+  order: CallerAnswer;
+  stranger: CallerAnswer;
+  sent: number;
+}
+
+const scenario = world as unknown as PathWorld;
+
+const START_MS = 15_000;
+const TOKENS = '100,50';
+
+async function findFreePorts(count: number): Promise<number[]> {
+  const servers = await Promise.all(
+    Array.from({ length: count }, async () => {
+      const server = createServer();
+      await new Promise<void>((resolve) => {
+        server.listen(0, '127.0.0.1', resolve);
+      });
+      return server;
+    }),
+  );
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  servers.forEach((server) => server.close());
+  return ports;
+}
+
+async function waitUntil(condition: () => Promise<boolean> | boolean, mostMs: number) {
+  const untilMs = Date.now() + mostMs;
+  while (Date.now() < untilMs) {
+    if (await condition()) return;
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+  }
+  assert.fail(`not within ${mostMs} ms; the router wrote ${scenario.output.slice(-2000)}`);
+}
+
+function send(
+  port: number,
+  target: string,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<CallerAnswer> {
+  return new Promise((resolve, reject) => {
+    const call = sendHttp(
+      { port, host: '127.0.0.1', path: target, headers, agent: false },
+      (answer) => {
+        let body = '';
+        answer.on('data', (piece: Buffer) => {
+          body += piece.toString();
+        });
+        answer.on('error', reject);
+        answer.on('end', () => {
+          const seal = answer.headers['server-seal'] as string | undefined;
+          resolve({ status: answer.statusCode ?? 0, body, seal });
+        });
+      },
+    );
+    call.on('error', reject);
+    call.end();
+  });
+}
+
+function ask(target: string, id: string, key = PLATFORM_KEY): Promise<CallerAnswer> {
+  const headers = {
+    Host: PLATFORM_HOST,
+    'Attempt-Id': id,
+    'Deadline-Ms': '4000',
+    Authorization: `Bearer ${key}`,
+    ...(target.startsWith('/plan/') ? { 'Token-Count': TOKENS, Model: 'm' } : {}),
+  };
+  return send(scenario.ports[0]!, target, headers);
+}
+
+async function askPlan(): Promise<void> {
+  scenario.sent += 1;
+  scenario.planId = `plan-${scenario.sent}`;
+  scenario.plan = await ask('/plan/a', scenario.planId);
+}
+
+After(async () => {
+  scenario.platformRouter?.kill('SIGKILL');
+  scenario.platformServers?.forEach((server) => server.close());
+  scenario.platformStore?.close();
+  if (scenario.platformFolder) await rm(scenario.platformFolder, { recursive: true, force: true });
+});
+
+Given(
+  'a platform with a store, {int} prefill engine, {int} decode engines and {int} plain server',
+  async (prefill: number, decode: number, plain: number) => {
+    const stages = [
+      ...Array<'prefill'>(prefill).fill('prefill'),
+      ...Array<'decode'>(decode).fill('decode'),
+      ...Array<undefined>(plain).fill(undefined),
+    ];
+    scenario.sent = 0;
+    scenario.platformStore = await PlatformLog.create();
+    scenario.platformServers = await Promise.all(
+      stages.map((stage, index) => PlatformServer.create(`i-${index}`, stage)),
+    );
+    scenario.platformServers.forEach((server) => {
+      scenario.platformStore.put('keyed.servers', server.id, server.entry());
+    });
+    scenario.platformStore.put('keyed.op', 'config', createPlatformConfiguration());
+  },
+);
+
+Given('a router on the platform', async () => {
+  const [front, ready, control, directory, digest] = await findFreePorts(5);
+  scenario.ports = [front!, ready!, control!, directory!];
+  scenario.platformFolder = await mkdtemp(path.join(tmpdir(), 'cuminspar-'));
+  const settings = createPlatformSettings({
+    listen: {
+      front: `127.0.0.1:${front}`,
+      ready: `127.0.0.1:${ready}`,
+      control: `127.0.0.1:${control}`,
+      directory: `127.0.0.1:${directory}`,
+    },
+    portRange: [digest, digest! + 1],
+    provider: { address: scenario.platformStore.address },
+  });
+  const file = path.join(scenario.platformFolder, 'node.json');
+  await writeFile(file, JSON.stringify(settings));
+  const env = { ...process.env, CUMINSPAR_BOOT: file, NODE_OPTIONS: '' };
+  scenario.output = '';
+  scenario.platformRouter = spawn('node', ['--import', 'tsx', 'platform/main.ts'], { env });
+  [scenario.platformRouter.stdout, scenario.platformRouter.stderr].forEach((stream) =>
+    stream!.on('data', (piece: Buffer) => {
+      scenario.output += piece.toString();
+    }),
+  );
+  const isReady = () =>
+    send(ready!, '/ready').then(
+      ({ status }) => status === 200,
+      () => false,
+    );
+  await waitUntil(isReady, START_MS);
+  const { status, body } = await send(directory!, '/resolve?name=plans.example');
+  assert.equal(status, 200);
+  assert.deepEqual((JSON.parse(body) as { addresses: string[] }).addresses, [`127.0.0.1:${front}`]);
+});
+
+When("a caller asks the platform's router for a plan, an order and an unknown key", async () => {
+  await askPlan();
+  scenario.order = await ask('/order/a', 'order-1');
+  scenario.stranger = await ask('/order/a', 'order-2', 'unknown');
+});
+
+Then('the plan was read by the prefill engine and answered whole by a decode engine', () => {
+  const { plan, planId, platformServers: servers } = scenario;
+  assert.equal(plan.status, 200, plan.body);
+  assert.equal(plan.body, [1, 2, 3].map((id) => `id: ${id}\ndata: token ${id}\n\n`).join(''));
+  const seen = servers.flatMap((server) =>
+    server.seen.filter(({ id }) => id === planId).map((request) => ({ server, request })),
+  );
+  assert.equal(seen.length, 2);
+  const [read, decoded] = seen;
+  assert.equal(read!.server.stage, 'prefill');
+  assert.equal(read!.request.stage, 'prefill');
+  assert.equal(decoded!.server.stage, 'decode');
+  assert.ok(decoded!.request.hold, 'the decode place was reserved');
+  assert.match(decoded!.request.source ?? '', /^127\.0\.0\.1:\d+\/k\d+$/);
+  assert.equal(plan.seal, `seal.${decoded!.server.id}.${planId}`);
+});
+
+Then('the order ran once and the unknown key got 401', () => {
+  const { order, stranger, platformServers: servers } = scenario;
+  assert.equal(order.status, 200);
+  assert.equal(stranger.status, 401);
+  const runs = servers.flatMap(({ seen }) => seen).filter(({ id }) => id.startsWith('order'));
+  assert.equal(runs.length, 1);
+  assert.equal(runs[0]!.team, 'savannah');
+  assert.equal(runs[0]!.key, undefined, 'the key stays with the router');
+});
+
+Then("the router's log explains the plan by its id", () => {
+  const lines = scenario.output
+    .split('\n')
+    .filter((line) => line.startsWith('{'))
+    .map((line) => JSON.parse(line) as { request?: string; step?: string });
+  const steps = lines.filter(({ request }) => request === scenario.planId).map(({ step }) => step);
+  assert.deepEqual(steps, ['place', 'prefill', 'decode', 'end']);
+});
+
+When("the platform's plain server says that it is leaving", () => {
+  const server = scenario.platformServers.find(({ stage }) => stage === undefined)!;
+  scenario.platformStore.put('keyed.servers', server.id, server.entry('draining'));
+});
+
+Then(
+  "the platform's router refuses an order within {int} ms, truthfully not run",
+  async (mostMs: number) => {
+    const plain = scenario.platformServers.find(({ stage }) => stage === undefined)!;
+    await waitUntil(async () => {
+      scenario.sent += 1;
+      const before = plain.seen.length;
+      const { status } = await ask('/order/a', `late-${scenario.sent}`);
+      if (status !== 503) return false;
+      assert.equal(plain.seen.length, before);
+      return true;
+    }, mostMs);
+  },
+);
+
+When("the platform's store is out and the router gets an open plan", async () => {
+  scenario.platformStore.setOut(true);
+  await askPlan();
+});
--- /dev/null
+++ b/features/steps/relay-module-steps.ts
@@ -0,0 +1,299 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When, world, type DataTable } from '@cucumber/cucumber';
+
+import type { Digest } from '../../src/fleet/digest.js';
+import { FleetBook } from '../../src/fleet/fleet-book.js';
+import { LineWriter } from '../../src/observability/line-writer.js';
+import { EventSplitter } from '../../src/relay/event-splitter.js';
+import { PlaceQueue, type PlaceEntry } from '../../src/relay/place-queue.js';
+import { RetryAllowance } from '../../src/relay/retry-allowance.js';
+import { RouteTable } from '../../src/relay/route-table.js';
+import { ServerCatalog } from '../../src/relay/server-catalog.js';
+import { ServerHealth, type HealthEvidence } from '../../src/relay/server-health.js';
+import { balanceStages } from '../../src/relay/stage-balance.js';
+import { simulatePlaces, type PlacePolicy } from '../support/place-simulation.js';
+import {
+  createCatalogServer,
+  createDigest,
+  createRelayConfiguration,
+  createRelayRoute,
+} from '../support/relay-fixtures.js';
+
+interface RelayWorld {
+  table: RouteTable;
+  allowances: RetryAllowance[];
+  repeats: number[];
+  catalog: ServerCatalog;
+  splitter: EventSplitter;
+  passed: string[];
+  health: ServerHealth;
+  book: FleetBook;
+  results: Record<'relay' | 'other', { onTime: number; worstTeam: number }>;
+  queue: PlaceQueue<PlaceEntry>;
+  retryAfterMs: number;
+  writer: LineWriter;
+  tookMs: number;
+}
+
+const scenario = world as unknown as RelayWorld;
+
+const HOST = 'plans.example';
+const LINES = 20_000;
+const LINE = `${'x'.repeat(99)}\n`;
+
+function unescape(text: string): string {
+  return text.replaceAll('\\n', '\n');
+}
+
+function createEntry(startByMs: number, giveUpMs: number): PlaceEntry {
+  return { team: 'a', kvTokens: 10_000, priority: 1, insideRate: true, startByMs, giveUpMs };
+}
+
+Given(
+  'relay routes for {string}, {string}, {string} and {string} of one host',
+  (first: string, second: string, third: string, fourth: string) => {
+    const routes = [first, second, third, fourth].map((pathPrefix) =>
+      createRelayRoute({ name: pathPrefix, host: HOST, pathPrefix }),
+    );
+    scenario.table = RouteTable.create(createRelayConfiguration({ routes }));
+  },
+);
+
+Then('the relay routes lead as follows', (rows: DataTable) => {
+  rows.hashes().forEach(({ path, route }) => {
+    assert.equal(scenario.table.route(HOST, path!.split('?')[0]!)?.name, route, path);
+  });
+  assert.equal(scenario.table.route('other.example', '/a/'), undefined);
+});
+
+Given(
+  '{int} relay VMs that share {int} repeats and {float} for each request in {int} s',
+  (vms: number, slack: number, ratio: number, seconds: number) => {
+    const limits = { slack, ratio, windowMs: seconds * 1000 };
+    scenario.allowances = Array.from({ length: vms }, () => RetryAllowance.create(limits));
+    scenario.repeats = [];
+  },
+);
+
+When(
+  'every relay VM asks for a repeat of each of its {int} requests a second for {int} s',
+  (perSecond: number, seconds: number) => {
+    const { allowances, repeats } = scenario;
+    for (let nowMs = 0; nowMs < seconds * 1000; nowMs += 1000 / perSecond) {
+      allowances.forEach((allowance) => {
+        allowance.noteRequest(nowMs);
+        if (allowance.take(allowances.length, nowMs)) repeats.push(nowMs);
+      });
+    }
+  },
+);
+
+Then(
+  'no relay window of {int} s holds more repeats than allowed, and at least half of them are used',
+  (seconds: number) => {
+    const allowed = 0.2 * 20 * 6 * seconds + 52;
+    const counts = scenario.repeats.map(
+      (fromMs) =>
+        scenario.repeats.filter((atMs) => atMs >= fromMs && atMs < fromMs + seconds * 1000).length,
+    );
+    assert.ok(Math.max(...counts) <= allowed, `${Math.max(...counts)} of ${allowed}`);
+    assert.ok(Math.max(...counts) >= allowed / 2, `${Math.max(...counts)} of ${allowed}`);
+  },
+);
+
+Given('a relay catalog with server {string} that started at {int}', (id: string, at: number) => {
+  scenario.catalog = ServerCatalog.create();
+  scenario.catalog.replace([createCatalogServer({ id, startedAtMs: at })], 0);
+});
+
+When(
+  'the relay store returns at {int} ms and the entry of {string} is removed at {int} ms',
+  (returnMs: number, id: string, nowMs: number) => {
+    scenario.catalog.noteReturn(returnMs);
+    scenario.catalog.apply({ id, server: undefined }, nowMs);
+  },
+);
+
+When('the entry of relay server {string} is removed at {int} ms', (id: string, nowMs: number) => {
+  scenario.catalog.apply({ id, server: undefined }, nowMs);
+});
+
+When(
+  'another VM says that relay server {string} that started at {int} is leaving',
+  (id: string, startedAtMs: number) => scenario.catalog.noteLeaving(id, startedAtMs),
+);
+
+When(
+  'relay server {string} announces itself again with start {int}',
+  (id: string, startedAtMs: number) => {
+    scenario.catalog.apply({ id, server: createCatalogServer({ id, startedAtMs }) }, 0);
+  },
+);
+
+function isUsable(id: string, nowMs: number): boolean {
+  return scenario.catalog.usable('pool', nowMs).some((server) => server.id === id);
+}
+
+Then(
+  'relay server {string} is usable at {int} ms and not at {int} ms',
+  (id: string, before: number, after: number) => {
+    assert.equal(isUsable(id, before), true);
+    assert.equal(isUsable(id, after), false);
+  },
+);
+
+Then('relay server {string} is usable at {int} ms', (id: string, nowMs: number) => {
+  assert.equal(isUsable(id, nowMs), true);
+});
+
+Then('relay server {string} is not usable at {int} ms', (id: string, nowMs: number) => {
+  assert.equal(isUsable(id, nowMs), false);
+});
+
+When('the relay splits {string} and {string}', (first: string, second: string) => {
+  scenario.splitter = EventSplitter.create();
+  scenario.passed = [first, second].map((piece) =>
+    scenario.splitter.push(Buffer.from(unescape(piece))).toString(),
+  );
+});
+
+Then('the relay passes on {string} and {string}', (first: string, second: string) => {
+  assert.deepEqual(scenario.passed, [unescape(first), unescape(second)]);
+});
+
+Then('the relay would resume after {string}', (id: string) => {
+  assert.equal(scenario.splitter.lastEventId, id);
+});
+
+Then(
+  'of {int} relay engines {int} prefill ones become {int} at {int} ms prefill, {int} ms decode and {int} places',
+  (
+    engines: number,
+    now: number,
+    wanted: number,
+    prefillMs: number,
+    decodeMs: number,
+    places: number,
+  ) => {
+    const cost = { prefillMs, decodeMs, kvTokens: 1000 };
+    const room = { slots: 100, kvTokens: places * 1000 };
+    assert.equal(balanceStages(engines, now, cost, room), wanted);
+  },
+);
+
+When(
+  'relay server {string} has {word} at {int} ms',
+  (id: string, evidence: string, nowMs: number) => {
+    scenario.health ??= ServerHealth.create();
+    scenario.health.note(id, evidence as HealthEvidence, nowMs);
+  },
+);
+
+Then('relay server {string} is avoided at {int} ms', (id: string, nowMs: number) => {
+  assert.equal(scenario.health.avoids(id, nowMs), true);
+});
+
+Then('relay server {string} is not avoided at {int} ms', (id: string, nowMs: number) => {
+  assert.equal(scenario.health.avoids(id, nowMs), false);
+});
+
+Given(
+  'a relay fleet book that heard {string} and {string} at {int} ms',
+  (first: string, second: string, nowMs: number) => {
+    scenario.book = FleetBook.create('a');
+    [first, second].forEach((vm) => scenario.book.note(createDigest({ vm, sequence: 1 }), nowMs));
+  },
+);
+
+When('the relay fleet book hears {string} at {int} ms', (vm: string, nowMs: number) => {
+  assert.equal(scenario.book.note(createDigest({ vm, sequence: 2 }), nowMs), true);
+});
+
+Then(
+  'the relay fleet book hears {string} at {int} ms and counts {int} VMs',
+  (vm: string, nowMs: number, size: number) => {
+    const heard = scenario.book.heard(nowMs).map((digest: Digest) => digest.vm);
+    assert.deepEqual(heard, [vm]);
+    assert.equal(scenario.book.size(nowMs), size);
+  },
+);
+
+Then('the relay fleet book counts {int} VMs at {int} ms', (size: number, nowMs: number) => {
+  assert.equal(scenario.book.size(nowMs), size);
+});
+
+Then('the relay fleet book refuses digest {int} of {string}', (sequence: number, vm: string) => {
+  assert.equal(scenario.book.note(createDigest({ vm, sequence }), 10), false);
+});
+
+When(
+  /^(first come|least slack|fair by team only) serves the relay burst with seed (\d+)$/,
+  (policy: string, seed: string) => {
+    scenario.results = {
+      relay: simulatePlaces('relay', Number(seed)),
+      other: simulatePlaces(policy as PlacePolicy, Number(seed)),
+    };
+  },
+);
+
+Then(
+  /^the relay queue serves as many on time and the worst team no worse than (?:first come|least slack|fair by team only)$/,
+  () => {
+    const { relay, other } = scenario.results;
+    const seen = JSON.stringify(scenario.results);
+    assert.ok(relay.onTime >= other.onTime, seen);
+    assert.ok(relay.worstTeam >= other.worstTeam, seen);
+  },
+);
+
+Given(
+  'a relay queue with {int} waiting requests and {int} starts a second',
+  (waiting: number, perSecond: number) => {
+    scenario.queue = PlaceQueue.create<PlaceEntry>();
+    for (let index = 0; index < 4 * perSecond; index += 1) {
+      const entry = createEntry(100_000, 100_000);
+      scenario.queue.add(entry, 0);
+      scenario.queue.take(entry, index * 100);
+    }
+    for (let index = 0; index < waiting; index += 1) {
+      scenario.queue.add(createEntry(100_000, 100_000), 4000);
+    }
+  },
+);
+
+When('a relay request arrives that its caller leaves after {int} ms', (patienceMs: number) => {
+  scenario.retryAfterMs = scenario.queue.add(createEntry(4700, 4000 + patienceMs), 4000);
+});
+
+Then(
+  'it is refused at once, to come back after {int} to {int} s',
+  (least: number, most: number) => {
+    const seconds = scenario.retryAfterMs / 1000;
+    assert.ok(seconds >= least && seconds <= most, `${seconds} s`);
+  },
+);
+
+Given('a relay log whose reader has stopped', () => {
+  const full = Object.assign(new Error('full'), { code: 'EAGAIN' });
+  scenario.writer = LineWriter.create((chunk, done) => {
+    setTimeout(() => done(full, 0), 1000).unref();
+  });
+});
+
+When('the relay log gets {int} lines of {int} bytes', (lines: number, bytes: number) => {
+  assert.equal(lines, LINES);
+  assert.equal(LINE.length, bytes);
+  const startMs = performance.now();
+  for (let index = 0; index < lines; index += 1) scenario.writer.write(LINE);
+  scenario.tookMs = performance.now() - startMs;
+});
+
+Then(
+  'the relay log took less than {int} ms, holds at most {int} bytes and counts the rest as dropped',
+  (mostMs: number, mostBytes: number) => {
+    assert.ok(scenario.tookMs < mostMs, `${scenario.tookMs} ms`);
+    const kept = LINES - scenario.writer.dropped;
+    assert.ok(kept > 0 && kept * LINE.length <= mostBytes, `${kept} lines kept`);
+  },
+);
--- /dev/null
+++ b/features/steps/relay-rate-steps.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When, world } from '@cucumber/cucumber';
+
+import { TeamMeter } from '../../src/relay/team-meter.js';
+
+interface RateVm {
+  readonly name: string;
+  readonly meter: TeamMeter;
+  readonly heardMs: Map<string, number>;
+}
+
+interface RateWorld {
+  vms: RateVm[];
+  rate: number;
+  digestMs: number;
+  cut: { vms: Set<string>; fromMs: number; toMs: number } | undefined;
+  admitted: { atMs: number; tokens: number }[];
+  refused: number;
+}
+
+const scenario = world as unknown as RateWorld;
+
+const TOLERANCE = { part: 0.1, tokens: 110_000 };
+const WINDOW_MS = 8000;
+const TOKENS = 5000;
+const SILENT_MS = 1200;
+const TEAM = 'hot';
+
+function connected(left: string, right: string, nowMs: number): boolean {
+  const { cut } = scenario;
+  if (!cut || nowMs < cut.fromMs || nowMs >= cut.toMs) return true;
+  return cut.vms.has(left) === cut.vms.has(right);
+}
+
+function exchangeDigests(nowMs: number): void {
+  const { vms } = scenario;
+  vms.forEach((receiver) => {
+    vms
+      .filter(({ name }) => name !== receiver.name && connected(name, receiver.name, nowMs))
+      .forEach((sender) => {
+        receiver.meter.noteSpent(sender.name, sender.meter.spent, nowMs);
+        receiver.heardMs.set(sender.name, nowMs);
+      });
+    const silent = [...receiver.heardMs.values()].filter((atMs) => nowMs - atMs > SILENT_MS).length;
+    receiver.meter.setUnheardPart(silent / vms.length, nowMs);
+  });
+}
+
+Given(
+  '{int} relay VMs with a team of {int} tokens a second, and digests every {int} ms',
+  (vms: number, rate: number, digestMs: number) => {
+    const team = { name: TEAM, tokensPerSecond: rate, burstTokens: rate };
+    scenario.vms = Array.from({ length: vms }, (_, index) => {
+      const meter = TeamMeter.create(TOLERANCE);
+      meter.configure([team], 0);
+      return { name: String(index + 1), meter, heardMs: new Map<string, number>() };
+    });
+    Object.assign(scenario, { rate, digestMs, cut: undefined, admitted: [], refused: 0 });
+  },
+);
+
+Given(
+  'relay VMs {int} and {int} are cut from the others from {int} s to {int} s',
+  (first: number, second: number, from: number, to: number) => {
+    const vms = new Set([String(first), String(second)]);
+    scenario.cut = { vms, fromMs: from * 1000, toMs: to * 1000 };
+  },
+);
+
+When(
+  'the team sends {float} times its rate for {int} s through all relay VMs',
+  (factor: number, seconds: number) => {
+    const { vms, rate, digestMs, admitted } = scenario;
+    const pauseMs = (TOKENS * 1000) / (rate * factor);
+    let nextMs = 0;
+    let turn = 0;
+    for (let nowMs = 0; nowMs < seconds * 1000; nowMs += 1) {
+      if (nowMs % digestMs === 0) exchangeDigests(nowMs);
+      for (; nextMs <= nowMs; nextMs += pauseMs) {
+        const { meter } = vms[turn % vms.length]!;
+        turn += 1;
+        const team = { tokensPerSecond: rate, burstTokens: rate };
+        const { kind } = meter.admit(TEAM, team, TOKENS, nowMs);
+        if (kind === 'admitted') admitted.push({ atMs: nowMs, tokens: TOKENS });
+        else scenario.refused += 1;
+      }
+    }
+  },
+);
+
+Then('the relay admits at most what the tolerance allows in every 8 s', () => {
+  const { admitted, rate } = scenario;
+  const bound = ((rate * WINDOW_MS) / 1000 + rate) * (1 + TOLERANCE.part) + TOLERANCE.tokens;
+  const most = Math.max(
+    ...admitted.map(({ atMs: fromMs }) =>
+      admitted
+        .filter(({ atMs }) => atMs >= fromMs && atMs < fromMs + WINDOW_MS)
+        .reduce((sum, { tokens }) => sum + tokens, 0),
+    ),
+  );
+  assert.ok(most <= bound, `${most} tokens in a window, bound ${bound}`);
+});
+
+Then('the relay admits at least 90 percent of the rate', () => {
+  const total = scenario.admitted.reduce((sum, { tokens }) => sum + tokens, 0);
+  assert.ok(total >= 0.9 * scenario.rate * 30, `${total} tokens`);
+});
+
+Then('the relay refuses none of its requests', () => {
+  assert.equal(scenario.refused, 0);
+});
--- a/features/support/membership/fake-log.ts
+++ b/features/support/membership/fake-log.ts
@@ -3,7 +3,11 @@
 import { CallFailure } from '../../../src/kernel/call-failure.js';
 import { fail, type Outcome, succeed } from '../../../src/kernel/outcome.js';
 import type { LogFailure } from '../../../src/infrastructure/log-failure.js';
-import { type LogPage, type LogQuery, LogService } from '../../../src/infrastructure/log-service.js';
+import {
+  type LogPage,
+  type LogQuery,
+  LogService,
+} from '../../../src/infrastructure/log-service.js';
 import type { FakeLogStore } from './fake-log-store.js';
 import type { FaultyClock } from './faulty-clock.js';
 import { SPEED } from './waits.js';
--- /dev/null
+++ b/features/support/place-simulation.ts
@@ -0,0 +1,124 @@
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+import { FairQueue } from '../../src/admission/fair-queue.js';
+import { PlaceQueue, type PlaceEntry } from '../../src/relay/place-queue.js';
+
+/** How the next request is chosen. */
+export type PlacePolicy = 'relay' | 'first come' | 'least slack' | 'fair by team only';
+
+interface SimulatedRequest extends PlaceEntry {
+  readonly arrivedMs: number;
+  readonly holdMs: number;
+}
+
+interface PlaceResult {
+  readonly onTime: number;
+  readonly worstTeam: number;
+}
+
+const PLACES = 50;
+const TARGET_MS = 900;
+const START_MS = 200;
+const PATIENCE_MS = 3600;
+const END_MS = 20_000;
+const STEP_MS = 10;
+const TEAMS = ['hot', 'a', 'b', 'c', 'd'];
+
+interface Line {
+  add(request: SimulatedRequest, nowMs: number): void;
+  next(nowMs: number): SimulatedRequest | undefined;
+  take(request: SimulatedRequest, nowMs: number): void;
+}
+
+/** Load at 70% of the places, with twice that from 5 s to 10 s; the hot team sends seven parts of eleven then. */
+function createRequests(seed: number): SimulatedRequest[] {
+  const random = xoroshiro128plus(seed);
+  const requests: SimulatedRequest[] = [];
+  const meanHoldMs = 3000;
+  for (let nowMs = 0; nowMs < 15_000; nowMs += STEP_MS) {
+    const burst = nowMs >= 5000 && nowMs < 10_000;
+    const perStep = ((burst ? 1.9 : 0.7) * PLACES * STEP_MS) / meanHoldMs;
+    if (uniformInt(random, 0, 9999) >= perStep * 10_000) continue;
+    const hot = uniformInt(random, 0, 10) < (burst ? 7 : 2);
+    const team = hot ? 'hot' : TEAMS[uniformInt(random, 1, 4)]!;
+    requests.push({
+      team,
+      kvTokens: uniformInt(random, 5000, 15_000),
+      priority: 1,
+      insideRate: true,
+      startByMs: nowMs + TARGET_MS - START_MS,
+      giveUpMs: nowMs + PATIENCE_MS - START_MS,
+      arrivedMs: nowMs,
+      holdMs: uniformInt(random, 1000, 5000),
+    });
+  }
+  return requests;
+}
+
+function createLine(policy: PlacePolicy): Line {
+  if (policy === 'relay') return PlaceQueue.create<SimulatedRequest>();
+  if (policy === 'fair by team only') return createFairLine();
+  const waiting: SimulatedRequest[] = [];
+  const rank = (request: SimulatedRequest) =>
+    policy === 'first come' ? request.arrivedMs : request.startByMs + request.kvTokens / 1000;
+  return {
+    add: (request) => waiting.push(request),
+    next: (nowMs) => {
+      waiting.splice(0, waiting.length, ...waiting.filter(({ giveUpMs }) => giveUpMs >= nowMs));
+      return [...waiting].sort((left, right) => rank(left) - rank(right))[0];
+    },
+    take: (request) => waiting.splice(waiting.indexOf(request), 1),
+  };
+}
+
+function createFairLine(): Line {
+  type Item = SimulatedRequest & { weight: number; cost: number };
+  const queue = FairQueue.create<Item>(10_000);
+  return {
+    add: (request) => queue.push(Object.assign(request, { weight: 1, cost: request.kvTokens })),
+    next: (nowMs) => {
+      for (let item = queue.peek(); item; item = queue.peek()) {
+        if (item.giveUpMs >= nowMs) return item;
+        queue.remove(item);
+      }
+      return undefined;
+    },
+    take: (request) => queue.take(request as Item),
+  };
+}
+
+/**
+ * Plays a burst on decode places without network.
+ *
+ * @param policy - how the next request is chosen
+ * @param seed - seed of the load
+ * @returns parts of the requests, and of the worst team's, that start on time
+ */
+export function simulatePlaces(policy: PlacePolicy, seed: number): PlaceResult {
+  const line = createLine(policy);
+  const requests = createRequests(seed);
+  const busyUntil: number[] = [];
+  const onTime = new Map<string, number>();
+  let arrivals = 0;
+  for (let nowMs = 0; nowMs < END_MS; nowMs += STEP_MS) {
+    while (arrivals < requests.length && requests[arrivals]!.arrivedMs <= nowMs) {
+      line.add(requests[arrivals]!, nowMs);
+      arrivals += 1;
+    }
+    const running = busyUntil.filter((untilMs) => untilMs > nowMs);
+    busyUntil.splice(0, busyUntil.length, ...running);
+    for (let next = line.next(nowMs); next && busyUntil.length < PLACES; next = line.next(nowMs)) {
+      line.take(next, nowMs);
+      busyUntil.push(nowMs + next.holdMs);
+      const punctual = nowMs <= next.startByMs ? 1 : 0;
+      onTime.set(next.team, (onTime.get(next.team) ?? 0) + punctual);
+    }
+  }
+  const parts = TEAMS.map((team) => {
+    const sent = requests.filter((request) => request.team === team).length;
+    return (onTime.get(team) ?? 0) / sent;
+  });
+  const total = [...onTime.values()].reduce((sum, count) => sum + count, 0);
+  return { onTime: total / requests.length, worstTeam: Math.min(...parts) };
+}
--- /dev/null
+++ b/features/support/scripted-server.ts
@@ -0,0 +1,75 @@
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+
+/** Writes an answer to a request; `id` is the request's. */
+type Script = (socket: Socket, id: string) => void;
+
+const SEAL = 'Server-Seal: s';
+
+function head(id: string, lines: readonly string[], status = '200 OK'): string {
+  return [`HTTP/1.1 ${status}`, `Attempt-Id: ${id}`, ...lines, '', ''].join('\r\n');
+}
+
+function whole(id: string, lines: readonly string[] = [SEAL], status = '200 OK'): string {
+  return `${head(id, ['Content-Length: 2', ...lines], status)}ok`;
+}
+
+const SCRIPTS: Readonly<Record<string, Script>> = {
+  'a whole answer': (socket, id) => socket.write(whole(id)),
+  "another request's id": (socket) => socket.write(whole('other')),
+  'no id': (socket) =>
+    socket.write('HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok'),
+  'no signature': (socket, id) => socket.write(whole(id, [])),
+  'an encoded body': (socket, id) => socket.write(whole(id, [SEAL, 'Content-Encoding: gzip'])),
+  'not run': (socket, id) => socket.write(whole(id, ['Not-Run: 1'], '503 Service Unavailable')),
+  'another server': (socket, id) => socket.write(whole(id, [], '421 Misdirected Request')),
+  'a closed connection': (socket) => socket.end(),
+  'a reset': (socket) => socket.resetAndDestroy(),
+  'bytes that are no HTTP': (socket) => socket.write('\u0000\u0001\u0002 what is this\r\n\r\n'),
+  'a body that is cut': (socket, id) => socket.end(`${head(id, ['Content-Length: 9', SEAL])}ok`),
+  'no length, then the end': (socket, id) => socket.end(`${head(id, [SEAL])}ok`),
+  'no length, then a reset': (socket, id) => {
+    socket.write(`${head(id, [SEAL])}ok`);
+    setTimeout(() => socket.resetAndDestroy(), 50);
+  },
+  'its own failure': (socket, id) => socket.write(whole(id, [SEAL], '500 Internal Server Error')),
+  'a second answer': (socket, id) => {
+    socket.write(whole(id));
+    setTimeout(() => socket.write(whole(id)), 20);
+  },
+};
+
+/** A server that answers each request with the bytes of a script. */
+export class ScriptedServer {
+  private constructor(private readonly server: Server) {}
+
+  /**
+   * Starts a server on a free port of the loopback interface.
+   *
+   * @param script - name of the script; an unknown one leaves no listener
+   * @returns the server
+   */
+  static async create(script: string): Promise<ScriptedServer> {
+    const answer = SCRIPTS[script];
+    const server = createServer((socket) => {
+      socket.on('error', () => {});
+      socket.on('data', (bytes) => {
+        const id = /attempt-id: (\S+)/i.exec(bytes.toString('latin1'))?.[1] ?? '';
+        answer?.(socket, id);
+      });
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    return new ScriptedServer(server);
+  }
+
+  /** Port of the listener. */
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Ends the listener. */
+  close(): void {
+    this.server.close();
+  }
+}
--- a/src/infrastructure/http-call.ts
+++ b/src/infrastructure/http-call.ts
@@ -74,6 +74,14 @@
   });
 }
 
+/**
+ * undici takes an answer without a length for whole when its connection is reset. It knows a reset by
+ * the code of the error, so another code makes it report the error instead.
+ */
+function markReset(error: NodeJS.ErrnoException): void {
+  if (error.code === 'ECONNRESET') Object.assign(error, { code: 'CONNECTION_RESET' });
+}
+
 /**
  * Connects with a deadline of its own, because undici rounds short ones up to about a second.
  *
@@ -91,6 +99,7 @@
     }, connectMs);
     connect(options, (...result) => {
       clearTimeout(timer);
+      result[1]?.on('error', markReset);
       if (expired) result[1]?.destroy();
       else callback(...result);
     });
--- /dev/null
+++ b/stand-ins/platform/platform-log.ts
@@ -0,0 +1,158 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+interface LogRecord {
+  readonly key: string;
+  readonly value: Buffer;
+}
+
+/** Stand-in of the platform's log: keyed topics with one partition, reads that wait, and outages. */
+export class PlatformLog {
+  private readonly topics = new Map<string, Buffer[]>();
+
+  private readonly waiting = new Set<() => void>();
+
+  private out = false;
+
+  private constructor(private readonly server: Server) {}
+
+  /**
+   * Starts a log on a free port of the loopback interface.
+   *
+   * @returns the running log
+   */
+  static async create(): Promise<PlatformLog> {
+    const server = createServer();
+    const log = new PlatformLog(server);
+    server.on('request', (request, response) => {
+      void log.answer(request, response);
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    return log;
+  }
+
+  /** Host and port. */
+  get address(): string {
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /**
+   * Begins or ends an outage; calls are answered with 503 meanwhile.
+   *
+   * @param out - whether the log is out
+   */
+  setOut(out: boolean): void {
+    this.out = out;
+    this.wake();
+  }
+
+  /**
+   * Writes a record of a keyed topic, as the operator and the servers do.
+   *
+   * @param topic - name of the topic
+   * @param key - its key
+   * @param value - content that is encoded as JSON; undefined drops the key
+   */
+  put(topic: string, key: string, value: unknown): void {
+    const bytes = value === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(value));
+    const name = Buffer.from(key);
+    this.records(topic).push(Buffer.concat([Buffer.from([name.length]), name, bytes]));
+    this.wake();
+  }
+
+  /** Ends the log. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const pieces: Buffer[] = [];
+    for await (const piece of request as AsyncIterable<Buffer>) pieces.push(piece);
+    const url = new URL(request.url ?? '/', 'http://log');
+    const topic = url.searchParams.get('topic') ?? '';
+    if (this.out) response.writeHead(503).end();
+    else if (url.pathname === '/log-append')
+      this.append(topic, url, Buffer.concat(pieces), response);
+    else if (url.pathname === '/log-read') await this.read(topic, url, response);
+    else if (url.pathname === '/log-newest') this.newest(topic, response);
+    else response.writeHead(404).end();
+  }
+
+  private append(topic: string, url: URL, body: Buffer, response: ServerResponse): void {
+    const records = this.records(topic);
+    const at = url.searchParams.get('at');
+    if (at !== null && Number(at) !== records.length) {
+      response.writeHead(412).end(JSON.stringify({ end: records.length }));
+      return;
+    }
+    const offset = records.length;
+    for (let start = 0; start < body.length;) {
+      const end = start + 4 + body.readUInt32BE(start);
+      records.push(body.subarray(start + 4, end));
+      start = end;
+    }
+    this.wake();
+    response.end(JSON.stringify({ offset, end: records.length }));
+  }
+
+  private async read(topic: string, url: URL, response: ServerResponse): Promise<void> {
+    const from = Number(url.searchParams.get('from'));
+    const waitMs = Number(url.searchParams.get('waitMs') ?? 0);
+    const untilMs = Date.now() + waitMs;
+    while (this.records(topic).length <= from && Date.now() < untilMs && !this.out) {
+      await this.change(untilMs - Date.now());
+    }
+    const records = this.records(topic);
+    const head = Buffer.alloc(16);
+    head.writeBigUInt64BE(BigInt(records.length));
+    const framed = records.slice(from).flatMap((record) => {
+      const length = Buffer.alloc(4);
+      length.writeUInt32BE(record.length);
+      return [length, record];
+    });
+    response.end(Buffer.concat([head, ...framed]));
+  }
+
+  private newest(topic: string, response: ServerResponse): void {
+    const newest = new Map<string, { key: string; value: string; offset: number }>();
+    this.records(topic).forEach((record, offset) => {
+      const { key, value } = split(record);
+      if (value.length === 0) newest.delete(key);
+      else newest.set(key, { key, value: value.toString('base64'), offset });
+    });
+    const end = this.records(topic).length;
+    response.end(JSON.stringify({ items: [...newest.values()], more: false, end }));
+  }
+
+  private records(topic: string): Buffer[] {
+    const known = this.topics.get(topic);
+    if (known) return known;
+    const records: Buffer[] = [];
+    this.topics.set(topic, records);
+    return records;
+  }
+
+  private change(mostMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const waiting = { timer: setTimeout(() => done(), mostMs) };
+      const done = () => {
+        clearTimeout(waiting.timer);
+        this.waiting.delete(done);
+        resolve();
+      };
+      this.waiting.add(done);
+    });
+  }
+
+  private wake(): void {
+    [...this.waiting].forEach((done) => done());
+  }
+}
+
+function split(record: Buffer): LogRecord {
+  const length = record[0]!;
+  return { key: record.toString('utf8', 1, 1 + length), value: record.subarray(1 + length) };
+}
--- /dev/null
+++ b/stand-ins/platform/platform-server.ts
@@ -0,0 +1,116 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** What a server does. */
+export type PlatformStage = 'prefill' | 'decode' | undefined;
+
+/** A request as a server saw it. */
+export interface SeenRequest {
+  readonly id: string;
+  readonly stage: string | undefined;
+  readonly source: string | undefined;
+  readonly hold: string | undefined;
+  readonly team: string | undefined;
+  readonly key: string | undefined;
+}
+
+/** Stand-in of a server of the platform: a prefill engine, a decode engine or a plain service. */
+export class PlatformServer {
+  /** Requests that ran here, reading of prompts included. */
+  readonly seen: SeenRequest[] = [];
+
+  private holds = 0;
+
+  private constructor(
+    readonly id: string,
+    readonly stage: PlatformStage,
+    private readonly server: Server,
+  ) {}
+
+  /**
+   * Starts a server on a free port of the loopback interface.
+   *
+   * @param id - its id
+   * @param stage - its role; undefined for a plain service
+   * @returns the running server
+   */
+  static async create(id: string, stage: PlatformStage): Promise<PlatformServer> {
+    const http = createServer();
+    const server = new PlatformServer(id, stage, http);
+    http.on('request', (request, response) => {
+      void server.answer(request, response);
+    });
+    await new Promise<void>((resolve) => {
+      http.listen(0, '127.0.0.1', resolve);
+    });
+    return server;
+  }
+
+  /**
+   * Builds the entry with which the server announces itself.
+   *
+   * @param state - whether it takes new work
+   * @returns the entry
+   */
+  entry(state: 'ready' | 'draining' = 'ready'): Readonly<Record<string, unknown>> {
+    const { port } = this.server.address() as AddressInfo;
+    return {
+      service: this.stage === undefined ? 'yard' : 'planner',
+      address: `127.0.0.1:${port}`,
+      zone: 'sando',
+      slots: 4,
+      state,
+      ...(this.stage ? { stage: this.stage } : {}),
+      born: 1,
+    };
+  }
+
+  /** Ends the server. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    for await (const piece of request as AsyncIterable<Buffer>) void piece;
+    const { headers, url = '' } = request;
+    const header = (name: string) => headers[name] as string | undefined;
+    const expected = header('target-instance');
+    if (expected !== undefined && expected !== this.id) {
+      response.writeHead(421).end();
+      return;
+    }
+    if (url === '/hold-take') {
+      this.holds += 1;
+      response.end(JSON.stringify({ hold: `h${this.holds}` }));
+      return;
+    }
+    if (url.startsWith('/hold-drop/') || url.startsWith('/kv-handle/')) {
+      response.end();
+      return;
+    }
+    const id = header('attempt-id') ?? '';
+    this.seen.push({
+      id,
+      stage: header('stage'),
+      source: header('kv-source'),
+      hold: header('kv-hold'),
+      team: header('tenant'),
+      key: header('authorization'),
+    });
+    response.setHeader('Attempt-Id', id);
+    if (header('stage') === 'prefill') {
+      response.end(JSON.stringify({ kvHandleId: `k${this.seen.length}`, tokens: 10 }));
+      return;
+    }
+    response.setHeader('Server-Seal', `seal.${this.id}.${id}`);
+    if (this.stage === undefined) response.end('done');
+    else this.stream(response);
+  }
+
+  private stream(response: ServerResponse): void {
+    response.setHeader('Content-Type', 'text/event-stream');
+    [1, 2, 3].forEach((event) => response.write(`id: ${event}\ndata: token ${event}\n\n`));
+    response.end();
+  }
+}
