fix(platform): pass an answer without a length on without an end of its own

Ruled out: resets (mended before), answers with a length (undici reports them). Now such answers end with the caller's connection too, and a cut one is reset.

feat(relay): late requests leave decode places to the punctual ones of other VMs, by digests.

--- a/features/relay/relay-modules.feature
+++ b/features/relay/relay-modules.feature
@@ -111,6 +111,10 @@
       | least slack       | 2    |
       | fair by team only | 2    |
 
+  Scenario: late requests leave the places to the punctual ones of other VMs (pattern: burst at all VMs)
+    Given a relay queue with a request that is late already
+    Then the relay queue serves it only while no other VM has a request that can be on time
+
   Scenario: a request whose turn cannot come in time is turned away when it arrives
     Given a relay queue with 200 waiting requests and 10 starts a second
     When a relay request arrives that its caller leaves after 3600 ms
--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
 
+import { createServer } from 'node:http';
+import { connect, type AddressInfo } from 'node:net';
+
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
+import { CallerSink } from '../../platform/caller-sink.js';
 import { decodeConfiguration } from '../../platform/decode-configuration.js';
 import { decodeServer } from '../../platform/decode-server.js';
 import { decodePage, encodeKeyedRecord } from '../../platform/log-records.js';
@@ -25,6 +29,8 @@
   selected: string[];
   decoded: ReturnType<typeof decodeConfiguration>;
   settings: ReturnType<typeof decodeSettings>;
+  callerBytes: string;
+  callerReset: boolean;
 }
 
 const scenario = world as unknown as ContractWorld;
@@ -161,3 +167,44 @@
     if (!ends.has(length)) assert.equal(decodePage(page.subarray(0, length)), undefined);
   }
 });
+
+When(
+  /^the platform's caller gets an answer (with|without) a length that (is complete|is cut)$/,
+  async (length: string, ends: string) => {
+    const framed = length === 'with';
+    const server = createServer((_, response) => {
+      const sink = CallerSink.create(response, 'r', () => false);
+      const headers = framed ? ['Content-Length', '2'] : [];
+      sink.begin({ status: 200, headers, framed });
+      void sink.write(Buffer.from('ok'));
+      if (ends === 'is complete') sink.end();
+      else setTimeout(() => sink.cut(), 50);
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    scenario.callerBytes = '';
+    scenario.callerReset = false;
+    await new Promise<void>((resolve) => {
+      const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+      socket.on('data', (bytes) => {
+        scenario.callerBytes += bytes.toString();
+        if (framed && scenario.callerBytes.endsWith('ok')) socket.end();
+      });
+      socket.on('error', () => {
+        scenario.callerReset = true;
+      });
+      socket.on('close', () => resolve());
+      socket.write('GET / HTTP/1.1\r\nHost: x\r\n\r\n');
+    });
+    server.close();
+  },
+);
+
+Then(/^the platform's caller sees it (with its length|without framing|reset)$/, (seen: string) => {
+  const { callerBytes, callerReset } = scenario;
+  assert.match(callerBytes, /\r\n\r\nok$/);
+  assert.equal(callerReset, seen === 'reset');
+  assert.equal(/content-length: 2/i.test(callerBytes), seen === 'with its length');
+  assert.doesNotMatch(callerBytes, /transfer-encoding/i);
+});
--- a/features/steps/relay-module-steps.ts
+++ b/features/steps/relay-module-steps.ts
@@ -262,6 +262,17 @@
   },
 );
 
+Given('a relay queue with a request that is late already', () => {
+  scenario.queue = PlaceQueue.create<PlaceEntry>();
+  scenario.queue.add(createEntry(100, 5000), 200);
+});
+
+Then('the relay queue serves it only while no other VM has a request that can be on time', () => {
+  assert.equal(scenario.queue.punctualSize, 0);
+  assert.equal(scenario.queue.next(300, true), undefined);
+  assert.notEqual(scenario.queue.next(300, false), undefined);
+});
+
 When('a relay request arrives that its caller leaves after {int} ms', (patienceMs: number) => {
   scenario.retryAfterMs = scenario.queue.add(createEntry(4700, 4000 + patienceMs), 4000);
 });
--- a/features/support/relay-fixtures.ts
+++ b/features/support/relay-fixtures.ts
@@ -85,7 +85,7 @@
     configuration: 1,
     catalog: 1,
     storeAgeMs: 0,
-    waiting: 0,
+    punctual: 0,
     spent: {},
     loads: [],
     avoided: [],
--- a/features/users-platform/contract.feature
+++ b/features/users-platform/contract.feature
@@ -23,6 +23,16 @@
       | no listener             | unsent    |
       | its own failure         | whole 500 |
 
+  Scenario Outline: an answer whose end cannot be told from a cut is passed on without an end of its own
+    When the platform's caller gets an answer <framing> that <ends>
+    Then the platform's caller sees it <seen>
+
+    Examples:
+      | framing          | ends        | seen            |
+      | with a length    | is complete | with its length |
+      | without a length | is complete | without framing |
+      | without a length | is cut      | reset           |
+
   Scenario: a second answer on a connection belongs to no request
     Given a platform server that answers with "a second answer"
     When a request is sent to the platform server
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -15,7 +15,8 @@
   configuration: counter,
   catalog: counter,
   storeAgeMs: counter,
-  waiting: counter,
+  /** Requests that wait for a place and can still be on time. */
+  punctual: counter,
   spent: z.record(z.string(), z.tuple([counter, counter])),
   loads: z.array(z.tuple([z.string(), counter, counter, counter])),
   avoided: z.array(z.tuple([z.string(), counter])),
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -199,7 +199,7 @@
       configuration: relay.configuration?.version ?? -1,
       catalog: state.catalogOffset,
       storeAgeMs: Math.round(Math.min(1e9, state.storeAgeMs)),
-      waiting: relay.waiting,
+      punctual: relay.punctualWaiting,
       spent: relay.meter.spent,
       loads: [...relay.loads.ownLoads].map(([id, load]) => [
         id,
--- a/src/relay/decode-places.ts
+++ b/src/relay/decode-places.ts
@@ -69,6 +69,11 @@
     return this.queue.size;
   }
 
+  /** Requests that wait at this VM and can still be on time. */
+  get punctualWaiting(): number {
+    return this.queue.punctualSize;
+  }
+
   /**
    * Waits for a place.
    *
@@ -101,8 +106,8 @@
       .expire(nowMs)
       .forEach((waiter) => waiter.settle(fail(this.overloaded(this.queue.estimateWaitMs(nowMs)))));
     while (this.reserving < MOST_RESERVING) {
-      const waiter = this.queue.next(nowMs);
-      if (!waiter) return;
+      const waiter = this.queue.next(nowMs, this.context.punctualElsewhere());
+      if (!waiter) break;
       const server = this.chooseServer(waiter, nowMs);
       if (!server) break;
       this.queue.take(waiter, nowMs);
--- a/src/relay/place-queue.ts
+++ b/src/relay/place-queue.ts
@@ -94,15 +94,23 @@
     return waitMs;
   }
 
+  /** Requests that can still be on time. */
+  get punctualSize(): number {
+    return this.punctual.size;
+  }
+
   /**
    * Finds the request that is served next.
    *
    * @param nowMs - monotonic time
+   * @param punctualElsewhere - whether other VMs have requests that can still be on time; late ones
+   * leave the places to them
    * @returns the request, still in the queue, or undefined
    */
-  next(nowMs: number): Entry | undefined {
+  next(nowMs: number, punctualElsewhere = false): Entry | undefined {
     this.demote(nowMs);
-    return (this.punctual.peek() ?? this.late.peek())?.entry;
+    const punctual = this.punctual.peek()?.entry;
+    return punctual ?? (punctualElsewhere ? undefined : this.late.peek()?.entry);
   }
 
   /**
--- a/src/relay/relay-request.ts
+++ b/src/relay/relay-request.ts
@@ -37,6 +37,11 @@
   readonly status: number;
   /** Names and values in turn, without those of the connection. */
   readonly headers: readonly string[];
+  /**
+   * False when the body ends with its connection. Such a body cannot be told from one that was cut, so
+   * it is passed on in the same way and not given an end of its own.
+   */
+  readonly framed: boolean;
 }
 
 /** Where an answer goes. */
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -88,6 +88,11 @@
     return [...this.places.values()].reduce((sum, { waiting }) => sum + waiting, 0);
   }
 
+  /** Requests that wait for a decode place and can still be on time. */
+  get punctualWaiting(): number {
+    return [...this.places.values()].reduce((sum, { punctualWaiting }) => sum + punctualWaiting, 0);
+  }
+
   /**
    * Puts a configuration in force; one that is not newer is ignored.
    *
@@ -249,6 +254,7 @@
       decisions: kernel.find('decisions'),
       metrics: kernel.find('metrics'),
       fleetSize: () => kernel.find('fleet').size,
+      punctualElsewhere: () => kernel.find('fleet').peers.some(({ punctual }) => punctual > 0),
       costs: (pool) => this.costs(pool),
       allowance: (pool) => this.allowance(pool),
     };
--- a/src/relay/run-context.ts
+++ b/src/relay/run-context.ts
@@ -20,6 +20,8 @@
   readonly availabilityZone: string;
   /** VMs of the fleet, this one included. */
   readonly fleetSize: () => number;
+  /** Whether requests wait at other VMs that can still be on time. */
+  readonly punctualElsewhere: () => boolean;
   /**
    * Finds what requests of a pool cost on average.
    *
--- a/src/relay/server-catalog.ts
+++ b/src/relay/server-catalog.ts
@@ -30,6 +30,9 @@
  */
 export const RETURN_MS = 2000;
 
+/** Leaving servers that are remembered; each digest names all of them. */
+const MOST_LEAVERS = 40;
+
 /** Servers of all pools, with those that are leaving. */
 export class ServerCatalog {
   private servers = new Map<string, CatalogServer>();
@@ -97,7 +100,11 @@
    * @param startedAtMs - its start
    */
   noteLeaving(id: string, startedAtMs: number): void {
-    this.leaving.set(id, Math.max(startedAtMs, this.leaving.get(id) ?? 0));
+    const newest = Math.max(startedAtMs, this.leaving.get(id) ?? 0);
+    this.leaving.delete(id);
+    this.leaving.set(id, newest);
+    const [oldest] = this.leaving.keys();
+    if (this.leaving.size > MOST_LEAVERS && oldest !== undefined) this.leaving.delete(oldest);
   }
 
   /** Servers that are known to leave, with their starts. */
