feat(relay): a broken stream waits for its next place as a punctual request

The times of a broken stream count from the break now. Ruled out: the retry allowance.

Also tests of runs without network: what may run once, what is sent again, cancel, deadlines.

--- /dev/null
+++ b/features/relay/relay-runs.feature
@@ -0,0 +1,54 @@
+Feature: Runs of the relay
+
+  Scenario Outline: what may run once is sent again only when it surely has not run
+    Given a relay with 3 plain servers that do "<steps>"
+    When a relay request of kind "<kind>" with <attempts> attempts arrives
+    Then the relay sends it <sends> times and the caller gets <status>
+
+    Examples:
+      | kind       | attempts | steps                          | sends | status |
+      | once       | 1        | answer                         | 1     | 200    |
+      | once       | 3        | broken, answer                 | 1     | 502    |
+      | once       | 3        | silent, answer                 | 1     | 502    |
+      | once       | 3        | failure status, answer         | 1     | 500    |
+      | once       | 1        | not-run, answer                | 2     | 200    |
+      | once       | 1        | unsent, answer                 | 2     | 200    |
+      | once       | 1        | gone, answer                   | 2     | 200    |
+      | once       | 1        | not-run, broken, answer        | 2     | 502    |
+      | once       | 1        | not-run                        | 3     | 503    |
+      | idempotent | 2        | broken, answer                 | 2     | 200    |
+      | idempotent | 2        | failure status, answer         | 2     | 200    |
+      | idempotent | 2        | failure status, failure status | 2     | 500    |
+      | idempotent | 2        | broken, broken, answer         | 2     | 502    |
+      | idempotent | 1        | broken, answer                 | 1     | 502    |
+
+  Scenario Outline: a stream may be sent again only when it surely has not run, or where it may be resumed
+    Given a relay with 1 prefill engine and 3 decode engines that do "<steps>"
+    When a relay request of kind "<kind>" with <attempts> attempts arrives
+    Then the relay sends it <sends> times and the caller gets <status>
+    And the relay's caller has the events "<events>" and the answer is <end>
+
+    Examples:
+      | kind      | attempts | steps                 | sends | status | events | end   |
+      | stream    | 1        | answer                | 1     | 200    | 1,2    | whole |
+      | stream    | 1        | not-run, answer       | 2     | 200    | 1,2    | whole |
+      | stream    | 1        | broken, answer        | 1     | 502    |        | whole |
+      | stream    | 2        | stream breaks, answer | 1     | 200    | 1      | cut   |
+      | resumable | 2        | stream breaks, answer | 2     | 200    | 1,2,3  | whole |
+      | resumable | 1        | stream breaks, answer | 1     | 200    | 1      | cut   |
+
+  Scenario: a stream that breaks after its target goes on at another engine (pattern: servers dark in mid-stream)
+    Given a relay with 1 prefill engine and 3 decode engines that do "stream breaks late, answer"
+    When a relay request of kind "resumable" with 2 attempts arrives
+    Then the relay sends it 2 times and the caller gets 200
+    And the relay's caller has the events "1,2,3" and the answer is whole
+
+  Scenario: a caller that leaves ends the work at once and frees what was reserved
+    Given a relay with 1 prefill engine and 3 decode engines that do "hangs"
+    When a relay request of kind "stream" with 1 attempts arrives and its caller leaves after 50 ms
+    Then the relay has ended the send within 100 ms and given back its place and its prefill result
+
+  Scenario: the deadline that a server gets shrinks on the way
+    Given a relay with 3 plain servers that do "not-run, answer"
+    When a relay request of kind "once" with 1 attempts arrives that is 1000 ms old
+    Then every relay send has at most 4000 ms left
--- /dev/null
+++ b/features/steps/relay-run-steps.ts
@@ -0,0 +1,188 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When, world } from '@cucumber/cucumber';
+
+import type { Refusal } from '../../src/domain/refusal.js';
+import { Kernel } from '../../src/kernel/kernel.js';
+import type { Service, Services } from '../../src/kernel/service.js';
+import { SystemClock } from '../../src/kernel/system-clock.js';
+import { LineDecisions } from '../../src/observability/line-decisions.js';
+import { LineWriter } from '../../src/observability/line-writer.js';
+import { TextMetrics } from '../../src/observability/text-metrics.js';
+import { Relay } from '../../src/relay/relay.js';
+import type { RelayRoute } from '../../src/relay/relay-configuration.js';
+import { AnswerSink, type AnswerHead } from '../../src/relay/relay-request.js';
+import type { CatalogServer } from '../../src/relay/server-catalog.js';
+import { FakeUpstream, type UpstreamStep } from '../support/fake-upstream.js';
+import {
+  createCatalogServer,
+  createRelayConfiguration,
+  createRelayRequest,
+  createRelayRoute,
+} from '../support/relay-fixtures.js';
+
+class RecordingSink extends AnswerSink {
+  status = 0;
+
+  text = '';
+
+  ending: 'open' | 'whole' | 'cut' = 'open';
+
+  closed = false;
+
+  override refuse({ status, run }: Refusal): void {
+    this.status = status === 503 && run === 'unknown' ? 502 : status;
+    this.ending = 'whole';
+  }
+
+  override begin({ status }: AnswerHead): void {
+    this.status = status;
+  }
+
+  override write(piece: Buffer): undefined {
+    this.text += piece.toString();
+  }
+
+  override end(): void {
+    this.ending = 'whole';
+  }
+
+  override cut(): void {
+    this.ending = 'cut';
+  }
+}
+
+interface RunWorld {
+  relay: Relay;
+  upstream: FakeUpstream;
+  sink: RecordingSink;
+  engines: boolean;
+  tookMs: number;
+}
+
+const scenario = world as unknown as RunWorld;
+
+const ENGINE = {
+  slots: 4,
+  kvTokens: 70_000,
+  reservationMs: 2000,
+  prefillLifeMs: 500,
+  roleChangeMs: 6000,
+};
+
+/** Time that callers of these tests wait, in milliseconds. */
+const DEADLINE_MS = 5000;
+
+const RATES = {
+  retries: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+  rateTolerance: { part: 0, tokens: 0, windowMs: 8000 },
+};
+
+function build(steps: string, servers: readonly CatalogServer[]): void {
+  const kernel = Kernel.create();
+  const clock = SystemClock.create();
+  const writer = LineWriter.create((chunk, done) => done(null, chunk.length));
+  const upstream = FakeUpstream.create(steps.split(', ') as UpstreamStep[]);
+  const fleet = { size: 1, peers: [] } as unknown as Services['fleet'] & Service;
+  const relay = Relay.create(kernel, { availabilityZone: 'sando', ...RATES }, clock);
+  kernel.register('upstream', upstream);
+  kernel.register('decisions', LineDecisions.create(writer, 'test', clock));
+  kernel.register('metrics', TextMetrics.create());
+  kernel.register('fleet', fleet);
+  relay.catalog.replace(servers, 0);
+  Object.assign(scenario, { relay, upstream, engines: servers.some(({ stage }) => stage) });
+}
+
+function chooseRoute(kind: string, attempts: number): RelayRoute {
+  if (kind === 'resumable') {
+    return createRelayRoute({ kind: 'stream', resumable: true, attempts, patienceMs: 500 });
+  }
+  return createRelayRoute({ kind: kind as RelayRoute['kind'], attempts });
+}
+
+async function serve(kind: string, attempts: number, ageMs: number, left: AbortSignal) {
+  const { relay, engines } = scenario;
+  const pool = { name: 'pool', mostConnections: 0, engine: engines ? ENGINE : undefined };
+  const route = { ...chooseRoute(kind, attempts), timeoutMs: 6000 };
+  relay.configure(createRelayConfiguration({ routes: [route], pools: [pool] }));
+  scenario.sink = new RecordingSink();
+  const nowMs = SystemClock.create().monotonicMs();
+  const tokens = engines ? { promptTokens: 100, outputTokens: 50 } : {};
+  const times = { arrivedMs: nowMs - ageMs, deadlineAtMs: nowMs - ageMs + DEADLINE_MS };
+  const request = createRelayRequest({ ...tokens, ...times });
+  await relay.serve(request, scenario.sink, left);
+  scenario.tookMs = SystemClock.create().monotonicMs() - nowMs;
+}
+
+Given('a relay with {int} plain servers that do {string}', (count: number, steps: string) => {
+  const servers = Array.from({ length: count }, (_, index) =>
+    createCatalogServer({ id: `s${index}` }),
+  );
+  build(steps, servers);
+});
+
+Given(
+  'a relay with {int} prefill engine and {int} decode engines that do {string}',
+  (prefill: number, decode: number, steps: string) => {
+    const servers = Array.from({ length: prefill + decode }, (_, index) =>
+      createCatalogServer({ id: `e${index}`, stage: index < prefill ? 'prefill' : 'decode' }),
+    );
+    build(steps, servers);
+  },
+);
+
+When(
+  'a relay request of kind {string} with {int} attempts arrives',
+  async (kind: string, attempts: number) => {
+    await serve(kind, attempts, 0, new AbortController().signal);
+  },
+);
+
+When(
+  'a relay request of kind {string} with {int} attempts arrives that is {int} ms old',
+  async (kind: string, attempts: number, ageMs: number) => {
+    await serve(kind, attempts, ageMs, new AbortController().signal);
+  },
+);
+
+When(
+  'a relay request of kind {string} with {int} attempts arrives and its caller leaves after {int} ms',
+  async (kind: string, attempts: number, afterMs: number) => {
+    const left = new AbortController();
+    setTimeout(() => left.abort(), afterMs);
+    await serve(kind, attempts, 0, left.signal);
+    scenario.tookMs -= afterMs;
+  },
+);
+
+Then(
+  'the relay sends it {int} times and the caller gets {int}',
+  (sends: number, status: number) => {
+    assert.equal(scenario.upstream.sends.length, sends);
+    assert.equal(scenario.sink.status, status);
+  },
+);
+
+Then(
+  /^the relay's caller has the events "(.*)" and the answer is (whole|cut)$/,
+  (events: string, end: string) => {
+    const ids = [...scenario.sink.text.matchAll(/id: (\d+)/g)].map(([, id]) => id);
+    assert.equal(ids.join(','), events);
+    assert.equal(scenario.sink.ending, end);
+  },
+);
+
+Then(
+  'the relay has ended the send within {int} ms and given back its place and its prefill result',
+  (mostMs: number) => {
+    assert.ok(scenario.tookMs <= mostMs, `${scenario.tookMs} ms`);
+    assert.deepEqual(scenario.upstream.released, ['h1']);
+    assert.deepEqual(scenario.upstream.discarded, ['k1']);
+  },
+);
+
+Then('every relay send has at most {int} ms left', (mostMs: number) => {
+  scenario.upstream.sends.forEach(({ options }) => {
+    assert.ok(options.deadlineMs <= mostMs, `${options.deadlineMs} ms`);
+  });
+});
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -95,22 +95,19 @@
   }
 
   private async reserve(): Promise<Step<Place>> {
-    const { request, route, pool, team, priority, signal, endByMs } = this.job;
-    const arrivedMs = this.nowMs;
-    const patienceEndMs = this.begun ? Infinity : request.arrivedMs + route.patienceMs;
+    const { request, pool, team, priority, signal } = this.job;
+    const { nowMs } = this;
     const outcome = await this.places.acquire({
       requestId: request.requestId,
       team: team ?? '',
       kvTokens: this.kvTokens,
       priority,
-      startByMs: request.arrivedMs + route.targetMs - IDLE_START_MS,
-      giveUpMs: Math.min(endByMs - LEAST_ANSWER_MS, patienceEndMs - IDLE_START_MS),
-      insideRate: this.job.insideRate,
+      ...this.placeTimes(nowMs),
       pool,
       excluded: this.excluded,
       signal,
     });
-    const waitedMs = Math.round(this.nowMs - arrivedMs);
+    const waitedMs = Math.round(this.nowMs - nowMs);
     if (outcome.kind === 'failed') {
       this.decide('place', 'none', outcome.failure.message, { waitedMs });
       if (this.begun || this.mayHaveRun) return this.finishUnserved('no place to go on');
@@ -123,6 +120,18 @@
     return { kind: 'ok', value: outcome.value };
   }
 
+  /** Times by which a place is of use: for a broken stream they count from now, not from its arrival. */
+  private placeTimes(nowMs: number) {
+    const { request, route, endByMs, insideRate } = this.job;
+    const sinceMs = this.begun ? nowMs : request.arrivedMs;
+    const endMs = Math.min(endByMs - LEAST_ANSWER_MS, sinceMs + route.patienceMs - IDLE_START_MS);
+    return {
+      startByMs: sinceMs + route.targetMs - IDLE_START_MS,
+      giveUpMs: endMs,
+      insideRate: insideRate || this.begun,
+    };
+  }
+
   private async prefill(): Promise<Step<PrefillResult | undefined>> {
     const { catalog, loads, upstream, metrics } = this.context;
     const { request, pool } = this.job;
