--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { Service } from '../kernel/service.js';
+import { shuffle } from '../kernel/shuffle.js';
 import { decodeDigest, encodeDigest, type Digest } from './digest.js';
 import { FleetBook, GONE_MS } from './fleet-book.js';
 
@@ -214,13 +215,6 @@
   }
 }
 
-function shuffle<Item>(items: readonly Item[]): Item[] {
-  return items
-    .map((item) => ({ item, order: Math.random() }))
-    .sort((left, right) => left.order - right.order)
-    .map(({ item }) => item);
-}
-
 declare module '../kernel/service.js' {
   interface Services {
     fleet: Fleet;
--- a/src/infrastructure/http-call.ts
+++ b/src/infrastructure/http-call.ts
@@ -49,7 +49,7 @@
 export type HttpCallFailure = CallFailure<'unsent' | 'unknown'>;
 
 /** Errors that occur before a connection exists, so that nothing has been sent. */
-const UNSENT_CODES = new Set([
+export const UNSENT_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
--- a/src/relay/decode-places.ts
+++ b/src/relay/decode-places.ts
@@ -25,8 +25,6 @@
 
 interface Waiter extends PlaceRequest {
   readonly settle: (outcome: Outcome<Place, Refusal>) => void;
-  /** Time of the last reservation that was sent although no room was known. */
-  probedMs: number;
 }
 
 /** Reservations that one VM may have on their way. */
@@ -46,6 +44,7 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  /** Time of the last reservation that was sent although no room was known. */
   private probedMs = -Infinity;
 
   private constructor(
@@ -87,7 +86,7 @@
         request.signal.removeEventListener('abort', leave);
         resolve(outcome);
       };
-      const waiter: Waiter = { ...request, settle, probedMs: -Infinity };
+      const waiter: Waiter = { ...request, settle };
       leave = () => {
         this.queue.remove(waiter);
         settle(fail(Refusal.create('cancelled', 'the request ended while it waited')));
--- a/src/relay/server-picker.ts
+++ b/src/relay/server-picker.ts
@@ -1,3 +1,4 @@
+import { shuffle } from '../kernel/shuffle.js';
 import type { CatalogServer } from './server-catalog.js';
 import type { ServerHealth } from './server-health.js';
 import type { ServerLoads } from './server-loads.js';
@@ -106,11 +107,3 @@
   if (left === right) return 0;
   return left < right ? -1 : 1;
 }
-
-/** Equal servers are taken in random order, so that VMs do not all choose the same one. */
-function shuffle<Item>(items: readonly Item[]): Item[] {
-  return items
-    .map((item) => ({ item, order: Math.random() }))
-    .sort((left, right) => left.order - right.order)
-    .map(({ item }) => item);
-}
