refactor(relay): keep one watch for silence and one test for 'not run'

Three copies of the timer and three of the test stood in plain-run and staged-run. Also removes two fields that nothing read (connectMs, sealed).

--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -68,7 +68,6 @@
   const outcome = await calls!.send(target, request, {
     deadlineMs: 1000,
     team: undefined,
-    connectMs: 500,
     signal: AbortSignal.timeout(3000),
   });
   if (outcome.kind === 'failed') return outcome.failure;
--- a/features/support/fake-upstream.ts
+++ b/features/support/fake-upstream.ts
@@ -107,5 +107,5 @@
     if (step !== 'answer' && status === 200) throw new Error('reset');
     yield Buffer.from(`id: ${first + 1}\ndata: x\n\n`);
   }
-  return { head: { status, headers: [], framed: true }, sealed: true, body: body() };
+  return { head: { status, headers: [], framed: true }, body: body() };
 }
--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -3,7 +3,7 @@
 import type { RunContext } from './run-context.js';
 import type { CatalogServer } from './server-catalog.js';
 import { pickPlainServer } from './server-picker.js';
-import type { OpenAnswer, UpstreamFailure } from './upstream.js';
+import { provesNotRun, type OpenAnswer, type UpstreamFailure } from './upstream.js';
 
 /** Answers up to this size are held until they are whole, so that a broken one can be repeated. */
 const HELD_BYTES = 262_144;
@@ -67,7 +67,7 @@
   private async attempt(server: CatalogServer): Promise<RunEnd | undefined> {
     const { loads, health } = this.context;
     const free = loads.add(server.id, { running: 1 });
-    const watch = this.watchSilence();
+    const watch = this.watchSilence(this.silenceMs);
     try {
       const outcome = await this.exchange(server, watch.signal);
       watch.stop();
@@ -98,14 +98,14 @@
     const { upstream } = this.context;
     const sentMs = this.nowMs;
     const outcome = await upstream.send(server, this.job.request, this.sendOptions(signal));
-    const failure = outcome.kind === 'failed' ? outcome.failure : '';
+    const failure = outcome.kind === 'failed' ? outcome.failure : undefined;
     if (failure !== 'unsent') this.noteArrival();
-    if (!['unsent', 'not-run', 'gone'].includes(failure)) {
+    if (!failure || !provesNotRun(failure)) {
       this.mayHaveRun = true;
       this.runs += 1;
     }
     const tookMs = Math.round(this.nowMs - sentMs);
-    this.decide('send', server.id, failure || 'answer', { tookMs, runs: this.runs });
+    this.decide('send', server.id, failure ?? 'answer', { tookMs, runs: this.runs });
     if (outcome.kind === 'failed') return outcome;
     return hold(outcome.value);
   }
@@ -131,8 +131,7 @@
 
   private afterFailure(server: CatalogServer, failure: UpstreamFailure): RunEnd | undefined {
     if (failure !== 'cancelled') this.noteFailure(server, failure);
-    const unrun = failure === 'unsent' || failure === 'not-run' || failure === 'gone';
-    if (unrun || this.mayRunAgain()) return undefined;
+    if (provesNotRun(failure) || this.mayRunAgain()) return undefined;
     return this.refuseUnserved('the server gave no whole answer');
   }
 
@@ -141,18 +140,11 @@
     return route.kind === 'idempotent' && this.runs < route.attempts && !signal.aborted;
   }
 
-  /** Gives up a server that says nothing, when another one may run the request. */
-  private watchSilence() {
-    const { route, signal } = this.job;
-    const silence = new AbortController();
-    const mayRepeat = route.kind === 'idempotent' && this.runs + 1 < route.attempts;
-    const silenceMs = Math.max(LEAST_SILENCE_MS, route.targetMs * SILENCE_FACTOR);
-    const timer = mayRepeat ? setTimeout(() => silence.abort(), silenceMs) : undefined;
-    return {
-      signal: AbortSignal.any([signal, silence.signal]),
-      expired: () => silence.signal.aborted && !signal.aborted,
-      stop: () => clearTimeout(timer),
-    };
+  /** Silence after which a server is given up; undefined when no other one may run the request. */
+  private get silenceMs(): number | undefined {
+    const { route } = this.job;
+    if (route.kind !== 'idempotent' || this.runs + 1 >= route.attempts) return undefined;
+    return Math.max(LEAST_SILENCE_MS, route.targetMs * SILENCE_FACTOR);
   }
 }
 
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -28,12 +28,20 @@
   | { readonly kind: 'cut'; readonly server: string; readonly reason: string }
   | { readonly kind: 'refused'; readonly refusal: Refusal };
 
-/** Longest wait for a connection to a server, in milliseconds: many round trips between zones. */
-const CONNECT_MS = 350;
-
 /** Time to wait before a request comes back when no server can take it now, in milliseconds. */
 const NO_SERVER_RETRY_MS = 500;
 
+/** Ends a call to a server that makes no progress. */
+export interface SilenceWatch {
+  /** Ends with the run, or after the silence. */
+  readonly signal: AbortSignal;
+  /** Begins the time anew. */
+  readonly progress: () => void;
+  readonly stop: () => void;
+  /** True when the silence, and not the run, ended the call. */
+  readonly expired: () => boolean;
+}
+
 /** Runs one admitted request on servers of a pool. */
 export abstract class Run {
   /** Servers that this request is not sent to again. */
@@ -77,12 +85,24 @@
     const { team } = this.job;
     return {
       deadlineMs: Math.max(1, Math.floor(this.leftMs)),
-      connectMs: Math.min(CONNECT_MS, Math.max(1, this.leftMs)),
       team,
       signal,
     };
   }
 
+  /** Watches a call for silence; without a time it only ends with the run. */
+  protected watchSilence(ms: number | undefined): SilenceWatch {
+    const { signal } = this.job;
+    const silence = new AbortController();
+    const timer = ms === undefined ? undefined : setTimeout(() => silence.abort(), ms);
+    return {
+      signal: AbortSignal.any([signal, silence.signal]),
+      progress: () => timer?.refresh(),
+      stop: () => clearTimeout(timer),
+      expired: () => silence.signal.aborted && !signal.aborted,
+    };
+  }
+
   /** Asks for one more arrival at the pool; the first one of a request is free. */
   protected mayArrive(): boolean {
     if (this.arrivals === 0) return true;
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -1,10 +1,15 @@
 import { EventSplitter } from './event-splitter.js';
-import { Run, type Job, type RunEnd } from './run.js';
+import { Run, type Job, type RunEnd, type SilenceWatch } from './run.js';
 import type { RunContext } from './run-context.js';
 import type { DecodePlaces, Place } from './decode-places.js';
 import type { CatalogServer } from './server-catalog.js';
 import { pickPrefillServer } from './server-picker.js';
-import type { OpenAnswer, PrefillResult, SendOptions, UpstreamFailure } from './upstream.js';
+import {
+  provesNotRun,
+  type OpenAnswer,
+  type PrefillResult,
+  type UpstreamFailure,
+} from './upstream.js';
 
 /** Longest silence of a stream before it is given up, in milliseconds; callers wait about as long. */
 const STREAM_SILENCE_MS = 3000;
@@ -151,9 +156,9 @@
       const free = loads.add(server.id, { prefillTokens: promptTokens });
       const sentMs = this.nowMs;
       const expectedMs = (tokensAhead + promptTokens) / FIRST_PREFILL_SPEED;
-      const options = this.deadlined(3 * expectedMs + PREFILL_SLACK_MS);
-      const outcome = await upstream.prefill(server, request, options.send);
-      options.stop();
+      const watch = this.watchSilence(3 * expectedMs + PREFILL_SLACK_MS);
+      const outcome = await upstream.prefill(server, request, this.sendOptions(watch.signal));
+      watch.stop();
       free();
       const tookMs = Math.round(this.nowMs - sentMs);
       const failure = outcome.kind === 'failed' ? outcome.failure : '';
@@ -167,7 +172,7 @@
         upstream.discard(outcome.value);
         break;
       }
-      this.notePrefillFailure(server, options.expired() ? 'silent' : outcome.failure);
+      this.notePrefillFailure(server, watch.expired() ? 'silent' : outcome.failure);
       tried.add(server.id);
     }
     return this.finishUnserved('the request ended before its prompt was read');
@@ -187,7 +192,7 @@
     const { upstream, health } = this.context;
     const { server, reservation } = place;
     const resumeAfter = this.begun ? this.events.lastEventId : undefined;
-    const watch = this.watchProgress();
+    const watch = this.watchSilence(STREAM_SILENCE_MS);
     const sentMs = this.nowMs;
     const outcome = await upstream.send(server, this.job.request, {
       ...this.sendOptions(watch.signal),
@@ -222,7 +227,7 @@
   private async forward(
     server: CatalogServer,
     answer: OpenAnswer,
-    watch: ReturnType<StagedRun['watchProgress']>,
+    watch: SilenceWatch,
   ): Promise<Step<never> | RunEnd> {
     const { sink } = this.job;
     const { status } = answer.head;
@@ -265,7 +270,7 @@
   ): Step<never> | RunEnd {
     const { upstream } = this.context;
     if (failure !== 'unsent') this.noteArrival();
-    const unrun = failure === 'unsent' || failure === 'not-run' || failure === 'gone';
+    const unrun = provesNotRun(failure);
     if (!unrun) {
       this.mayHaveRun = true;
       this.runs += 1;
@@ -288,31 +293,6 @@
     this.job.sink.cut();
     return { kind: 'cut', server: '', reason: message };
   }
-
-  private deadlined(ms: number): {
-    readonly send: SendOptions;
-    readonly stop: () => void;
-    readonly expired: () => boolean;
-  } {
-    const silence = new AbortController();
-    const timer = setTimeout(() => silence.abort(), ms);
-    return {
-      send: this.sendOptions(AbortSignal.any([this.job.signal, silence.signal])),
-      stop: () => clearTimeout(timer),
-      expired: () => silence.signal.aborted && !this.job.signal.aborted,
-    };
-  }
-
-  private watchProgress() {
-    const silence = new AbortController();
-    const timer = setTimeout(() => silence.abort(), STREAM_SILENCE_MS);
-    return {
-      signal: AbortSignal.any([this.job.signal, silence.signal]),
-      progress: () => timer.refresh(),
-      stop: () => clearTimeout(timer),
-      expired: () => silence.signal.aborted && !this.job.signal.aborted,
-    };
-  }
 }
 
 function endOf(step: Step<unknown>): RunEnd | undefined {
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -11,14 +11,22 @@
  */
 export type UpstreamFailure = 'unsent' | 'not-run' | 'gone' | 'broken' | 'silent' | 'cancelled';
 
+/**
+ * Tells whether a failed call proves that the server did not run the request.
+ *
+ * @param failure - why there is no answer
+ * @returns true when the request may be sent to another server
+ */
+export function provesNotRun(failure: UpstreamFailure): boolean {
+  return failure === 'unsent' || failure === 'not-run' || failure === 'gone';
+}
+
 /** What a request to a server carries beside the caller's own content. */
 export interface SendOptions {
   /** Time that is left, in milliseconds. */
   readonly deadlineMs: number;
   readonly team: string | undefined;
   readonly signal: AbortSignal;
-  /** Longest wait for a connection, in milliseconds. */
-  readonly connectMs: number;
   /** Id of the last event that the caller has, when a stream is continued. */
   readonly resumeAfter?: string;
   /** Reserved place. */
@@ -37,8 +45,6 @@
 /** An answer whose head has arrived and belongs to the request. */
 export interface OpenAnswer {
   readonly head: AnswerHead;
-  /** True when the answer bears the server's signature. */
-  readonly sealed: boolean;
   /** Pieces of the body; throws when the answer breaks off. */
   readonly body: AsyncIterable<Buffer>;
 }
