fix(admission): renew a debit that became too old instead of queueing again

Cause: a debit must be sent within 250 ms. Change: a grant renews its debit before all waiting requests of the team, the decode place is kept, and orders renew for as long as the preset lets a request wait. Ruled out: a longer dispatch delay; it lowers the usable burst of every team.

--- a/features/admission/faults.feature
+++ b/features/admission/faults.feature
@@ -109,6 +109,14 @@
       | 30     |
       | 50     |
 
+  # Guards against a late event loop that wastes its team's tokens: each debit is too old when the
+  # request could be sent. Pattern: every send comes 300 ms after its debit, on a VM that is no home.
+  Scenario: a team inside its rate is served by a VM whose sends come late
+    Given an admission fleet of 6 VMs with the team "oval-crew" at rate 1000 and burst 2000
+    When admission on the VM at place 2 gets 100 requests a second for 6 tokens of "oval-crew" and can send each 300 ms after its debit
+    Then admission sends all 300 requests within 700 ms and 1 renewal each
+    And admission of "oval-crew" stays within burst + rate × window
+
   Scenario: a team inside its rate is not refused while VMs come and go
     Given an admission fleet of 6 VMs with 5 teams at rate 1000 and burst 2000
     When admission carries 60 percent of the rate of 5 teams for 20000 ms while VMs join and die
--- a/features/execution/phased-execution.feature
+++ b/features/execution/phased-execution.feature
@@ -62,6 +62,15 @@
     And phased execution was admitted 3 times in the same place
     And phased execution leaves no holds and settles each grant once
 
+  # Guards against requests that lose their turn and their decode place on a VM whose event loop is
+  # late: each time the debit became too old during the reservation, they began again at the end.
+  Scenario: a debit that became too old during the reservation is renewed and the decode place kept
+    Given phased execution over 2 engines
+    And phased execution gets a grant that can be sent after 1 renewal
+    When phased execution runs a request
+    Then phased execution answers "t0 t1 t2 t3"
+    And phased execution was admitted 1 time and reserved 1 decode place
+
   Scenario: a first token that can no longer come in time is refused before the prefill
     Given phased execution over 2 engines
     When phased execution runs a request that arrived 2000 ms ago
--- a/features/execution/routed-services.feature
+++ b/features/execution/routed-services.feature
@@ -4,7 +4,19 @@
   Scenario Outline: a debit that is too old to send is given back and made again when requests <may> be repeated
     Given a routed service whose requests <may> be repeated
     When the routed service gets a request
-    Then the routed service was sent 1 request, which only the second debit paid
+    Then the routed service was sent 1 request, which only debit 2 paid
+
+    Examples:
+      | may     |
+      | may     |
+      | may not |
+
+  # Guards against a refusal of requests inside their team's rate on a VM whose event loop is late: three
+  # debits in a row became too old to send, and the request was refused.
+  Scenario Outline: a debit that becomes too old 8 times is renewed when requests <may> be repeated
+    Given a routed service whose requests <may> be repeated and whose debit becomes too old 8 times
+    When the routed service gets a request
+    Then the routed service was sent 1 request, which only debit 9 paid
 
     Examples:
       | may     |
--- a/features/steps/admission-steps.ts
+++ b/features/steps/admission-steps.ts
@@ -18,8 +18,19 @@
   changedMs: number;
   carriedMs: number;
   startedMs: number;
+  sends: LateSend[];
 }
 
+/** A request whose send comes some time after its debit. */
+interface LateSend {
+  readonly sent: boolean;
+  readonly tookMs: number;
+  readonly renewals: number;
+}
+
+/** Time for which requests arrive whose sends come late, in seconds. */
+const LATE_SECONDS = 3;
+
 const scenario = world as unknown as AdmissionWorld;
 
 After(async () => {
@@ -38,6 +49,27 @@
   scenario.result = await asked;
 }
 
+/** Sends a request some time after its debit; the debit is renewed as long as it is too old. */
+async function sendLate(vm: FleetVm, team: string, tokens: number, lateMs: number): Promise<void> {
+  const fleet = scenario.fleet!;
+  const result = await fleet.ask(vm, team, tokens);
+  const { grant, askedMs } = result;
+  let renewals = 0;
+  Object.assign(result, { sendable: false });
+  if (grant) {
+    await fleet.clock.sleep(lateMs);
+    while (!grant.sendable() && renewals < 10) {
+      renewals += 1;
+      await grant.renew();
+    }
+    const sendable = grant.sendable();
+    fleet.results.push({ ...result, endedMs: fleet.clock.monotonicMs(), sendable });
+    grant.settle(tokens);
+  }
+  const sent = fleet.results.at(-1)!.sendable;
+  scenario.sends.push({ sent, tookMs: fleet.clock.monotonicMs() - askedMs, renewals });
+}
+
 Given(
   'an admission fleet of {int} VMs with the team {string} at rate {int} and burst {int}',
   async (vms: number, name: string, rate: number, burst: number) => {
@@ -170,6 +202,30 @@
   },
 );
 
+When(
+  'admission on the VM at place {int} gets {int} requests a second for {int} tokens of {string} and can send each {int} ms after its debit',
+  async (place: number, perSecond: number, tokens: number, team: string, lateMs: number) => {
+    const fleet = scenario.fleet!;
+    const vm = fleet.find(team, place);
+    scenario.sends = [];
+    for (let sent = 0; sent < LATE_SECONDS * perSecond; sent += 1) {
+      void sendLate(vm, team, tokens, lateMs);
+      await fleet.advance(1000 / perSecond);
+    }
+    await fleet.advance(2000);
+  },
+);
+
+Then(
+  'admission sends all {int} requests within {int} ms and {int} renewal each',
+  (count: number, ms: number, most: number) => {
+    const { sends } = scenario;
+    assert.equal(sends.filter(({ sent }) => sent).length, count);
+    const slow = sends.filter(({ tookMs, renewals }) => tookMs > ms || renewals > most);
+    assert.deepEqual(slow, []);
+  },
+);
+
 Then('the admission grant cannot be sent once the lease has lapsed', () => {
   assert.equal(scenario.result.grant!.sendable(), true);
   scenario.fleet!.find('oval-crew', 2).lease = false;
--- a/features/steps/execution-phased-steps.ts
+++ b/features/steps/execution-phased-steps.ts
@@ -94,6 +94,10 @@
   worldOf().fakes.unsendable = count;
 });
 
+Given('phased execution gets a grant that can be sent after 1 renewal', () => {
+  Object.assign(worldOf().fakes, { unsendable: 1, renewals: 1 });
+});
+
 When('phased execution runs a request', async () => {
   await runRequest(worldOf());
 });
@@ -191,6 +195,12 @@
   );
 });
 
+Then('phased execution was admitted 1 time and reserved 1 decode place', () => {
+  const { engines, fakes } = worldOf();
+  assert.equal(fakes.admitted.length, 1);
+  assert.equal(engines.flatMap(({ calls }) => calls.filter(isReservation)).length, 1);
+});
+
 Then('phased execution reported {int} death with the fingerprint', async (count: number) => {
   const { deaths } = worldOf().fakes;
   await waitUntil(() => deaths.length >= count, 'the death is reported');
--- a/features/steps/execution-service-steps.ts
+++ b/features/steps/execution-service-steps.ts
@@ -42,28 +42,32 @@
   await scenario.routed?.fakes.kernel.stop();
 });
 
-Given(/^a routed service whose requests (may|may not) be repeated$/, async (may: string) => {
-  const fakes = createFakeServices([]);
-  const { kernel, settings, grants } = fakes;
-  const sent: (readonly number[])[] = [];
-  const send = async () => {
-    sent.push(grants.flatMap(({ settled }) => settled));
-    return succeed(REPLY);
-  };
-  registerFake(kernel, 'log', createSlowLog(fakes));
-  registerFake(kernel, 'backends', { service: () => ({ send }) });
-  registerFake(kernel, 'routing', {
-    chooseService: () => ({ name: 'yard1' }),
-    observeDraining: () => undefined,
-  });
-  const execution = RoutedServiceExecution.create(kernel, settings, SystemClock.create());
-  kernel.register('service-execution', execution);
-  await kernel.start();
-  const repeatable = may === 'may';
-  // Without an intent, the first debit is too old as soon as it has been made.
-  fakes.unsendable = repeatable ? 1 : 0;
-  scenario.routed = { fakes, execution, route: { ...ORDER_ROUTE, repeatable }, sent };
-});
+Given(
+  /^a routed service whose requests (may|may not) be repeated(?: and whose debit becomes too old (\d+) times)?$/,
+  async (may: string, times: string | null) => {
+    const fakes = createFakeServices([]);
+    const { kernel, settings, grants } = fakes;
+    const sent: (readonly number[])[] = [];
+    const send = async () => {
+      sent.push(grants.flatMap(({ settled }) => settled));
+      return succeed(REPLY);
+    };
+    registerFake(kernel, 'log', createSlowLog(fakes));
+    registerFake(kernel, 'backends', { service: () => ({ send }) });
+    registerFake(kernel, 'routing', {
+      chooseService: () => ({ name: 'yard1' }),
+      observeDraining: () => undefined,
+    });
+    const execution = RoutedServiceExecution.create(kernel, settings, SystemClock.create());
+    kernel.register('service-execution', execution);
+    await kernel.start();
+    const repeatable = may === 'may';
+    // Without an intent, the first debit is too old as soon as it has been made.
+    fakes.unsendable = repeatable ? 1 : 0;
+    fakes.renewals = Number(times ?? 1);
+    scenario.routed = { fakes, execution, route: { ...ORDER_ROUTE, repeatable }, sent };
+  },
+);
 
 When('the routed service gets a request', async () => {
   const { execution, route } = scenario.routed!;
@@ -72,6 +76,7 @@
   assert.equal(outcome.kind === 'ok' && outcome.value.body, REPLY.body);
 });
 
-Then('the routed service was sent 1 request, which only the second debit paid', () => {
-  assert.deepEqual(scenario.routed!.sent, [[0, ORDER_ROUTE.tokens]]);
+Then('the routed service was sent 1 request, which only debit {int} paid', (number: number) => {
+  const unused = Array.from({ length: number - 1 }, () => 0);
+  assert.deepEqual(scenario.routed!.sent, [[...unused, ORDER_ROUTE.tokens]]);
 });
--- a/features/steps/guarantees-inside-rate-steps.ts
+++ b/features/steps/guarantees-inside-rate-steps.ts
@@ -108,8 +108,8 @@
     const figures = `${sent} sent, ${whole} whole, ${broken} broken, refused ${codes}`;
     reportFigure(scenario, `${figures}, through ${hosts.size} daemons`);
     assert.ok(hosts.size > 2, 'the callers stayed at the homes');
-    assert.ok(whole > 0.9 * sent, figures);
     const refusals = await explainRefusals(fleet, counts.refusedIds.slice(0, MOST_EXPLAINED));
+    assert.ok(whole > 0.9 * sent, `${figures}\n${refusals}`);
     assert.ok((100 * countRefused(counts)) / sent < most, `${figures}\n${refusals}`);
   },
 );
--- a/features/support/admission-schedule.ts
+++ b/features/support/admission-schedule.ts
@@ -315,6 +315,7 @@
       clock: debit.from.clock,
       leaseLive: () => true,
       refund: () => undefined,
+      giveBack: () => undefined,
       debit: async () => fail(Refusal.create('overloaded', 'not used')),
     }).sendable();
   }
--- a/features/support/fake-services.ts
+++ b/features/support/fake-services.ts
@@ -34,6 +34,8 @@
   readonly metrics: Map<string, number>;
   /** Grants that say that they cannot be sent, before those that can. */
   unsendable: number;
+  /** Renewals that a grant needs before it can be sent; Infinity when none helps. */
+  renewals: number;
   extendable: boolean;
   capacityChanges: number;
   state: ConfigurationState;
@@ -91,6 +93,7 @@
     deathsAtAdmission: [],
     metrics: new Map(),
     unsendable: 0,
+    renewals: Infinity,
     extendable: true,
     capacityChanges: 0,
     state: createState(servers),
@@ -137,7 +140,7 @@
     admit: async (request: AdmissionRequest) => {
       fakes.admitted.push(request);
       fakes.deathsAtAdmission.push(fakes.deaths.length);
-      const grant = createGrant(fakes.unsendable <= 0, fakes.extendable);
+      const grant = createGrant(fakes.unsendable <= 0, fakes.extendable, fakes.renewals);
       Object.assign(fakes, { unsendable: fakes.unsendable - 1 });
       fakes.grants.push(grant);
       return succeed(grant);
@@ -149,8 +152,9 @@
   });
 }
 
-function createGrant(sendable: boolean, extendable: boolean): FakeGrant {
+function createGrant(sendable: boolean, extendable: boolean, renewals: number): FakeGrant {
   const settled: number[] = [];
+  let needed = renewals;
   const extended: number[] = [];
   return {
     tokens: 100,
@@ -162,6 +166,13 @@
       extended.push(tokens);
       return extendable ? succeed(undefined) : fail(Refusal.create('rate_exceeded', 'no tokens'));
     },
+    async renew() {
+      needed -= 1;
+      // Each renewal gives the debit before it back, unused.
+      if (Number.isFinite(renewals)) settled.push(0);
+      if (needed <= 0) Object.assign(this, { sendable: () => true });
+      return succeed(undefined);
+    },
     settle: (tokens) => settled.push(tokens),
   };
 }
--- a/src/admission/grant.ts
+++ b/src/admission/grant.ts
@@ -24,6 +24,14 @@
    */
   abstract extend(tokens: number): Promise<Outcome<void, Refusal>>;
 
+  /**
+   * Replaces a debit that has become too old to be sent. The request keeps its place: the new debit
+   * goes before all waiting requests of its team.
+   *
+   * @returns nothing, or a refusal when the team has no tokens in time
+   */
+  abstract renew(): Promise<Outcome<void, Refusal>>;
+
   /**
    * Refunds what was not used; further calls have no effect.
    *
--- a/src/admission/shared-admission.ts
+++ b/src/admission/shared-admission.ts
@@ -15,7 +15,12 @@
 import type { ShareGrant } from './home-shares.js';
 import { ShareTable } from './share-table.js';
 import { SharedGrant } from './shared-grant.js';
-import type { Admitted, DebitPart, WaitingRequest } from './waiting-request.js';
+import {
+  type Admitted,
+  type DebitPart,
+  sumGranted,
+  type WaitingRequest,
+} from './waiting-request.js';
 
 /** How often gauges are sent and unused state is dropped. */
 const TICK_MS = 1000;
@@ -204,11 +209,20 @@
         this.task.send({ kind: 'settle', team, parts, unusedTokens, refundable });
         refundable = 0;
       },
+      giveBack: (parts: readonly DebitPart[]) => {
+        this.task.send({
+          kind: 'settle',
+          team,
+          parts,
+          unusedTokens: sumGranted(parts),
+          refundable: 0,
+        });
+      },
       debit: (tokens: number) => this.extend(request, Math.ceil(tokens)),
     });
   }
 
-  /** Debits more tokens for a request that runs; it goes before all waiting requests of its team. */
+  /** Debits tokens for a request that has been admitted; it goes before all waiting requests of its team. */
   private extend(request: AdmissionRequest, tokens: number): Promise<Outcome<Admitted, Refusal>> {
     const sinceMs = this.clock.monotonicMs();
     const refusal = this.checkSize(request.team, tokens);
--- a/src/admission/shared-grant.ts
+++ b/src/admission/shared-grant.ts
@@ -11,6 +11,8 @@
   readonly leaseLive: () => boolean;
   /** Gives unused tokens back to the homes of the parts. */
   readonly refund: (parts: readonly DebitPart[], unusedTokens: number) => void;
+  /** Gives a debit back that is made again. */
+  readonly giveBack: (parts: readonly DebitPart[]) => void;
   readonly debit: (tokens: number) => Promise<Outcome<Admitted, Refusal>>;
 }
 
@@ -21,7 +23,7 @@
   private settled = false;
 
   private constructor(
-    private readonly admitted: Admitted,
+    private admitted: Admitted,
     override readonly suspect: boolean,
     private readonly hooks: GrantHooks,
   ) {
@@ -66,6 +68,23 @@
     return succeed(undefined);
   }
 
+  override async renew(): Promise<Outcome<void, Refusal>> {
+    const { tokens } = this;
+    this.admitted.turn.close();
+    this.hooks.giveBack(this.parts.splice(0));
+    const outcome = await this.hooks.debit(tokens);
+    if (outcome.kind === 'failed') return outcome;
+    const { funding, turn } = outcome.value;
+    if (this.settled) {
+      turn.close();
+      this.hooks.giveBack(funding.parts);
+      return succeed(undefined);
+    }
+    this.parts.push(...funding.parts);
+    this.admitted = outcome.value;
+    return succeed(undefined);
+  }
+
   override settle(usedTokens: number): void {
     if (this.settled) return;
     this.settled = true;
--- a/src/execution/model-run.ts
+++ b/src/execution/model-run.ts
@@ -205,11 +205,7 @@
       return;
     }
     if (!this.machine.expects(step)) return;
-    if (!this.grant?.sendable()) {
-      this.records.decide('admission', 'again', 'the debit is too old to send');
-      this.dispatch({ kind: 'unsendable', step });
-      return;
-    }
+    if (!(await this.ensureSendable(step))) return;
     this.records.chooseServer('prefill-server', server, { excluded: excluded.size });
     round.prefillServer = server;
     this.send(step, server);
@@ -230,6 +226,23 @@
     else this.dispatch({ kind: 'prefilled', step, promptTokens: outcome.value.promptTokens });
   }
 
+  /** Renews a debit that has become too old while the decode place was reserved. */
+  private async ensureSendable(step: number): Promise<boolean> {
+    const { grant } = this;
+    if (grant?.sendable()) return true;
+    this.records.decide('admission', 'renew', 'the debit is too old to send');
+    const renewed = await grant?.renew();
+    if (!this.machine.expects(step)) return false;
+    if (renewed?.kind === 'failed') {
+      this.dispatch({ kind: 'refused', step, refusal: renewed.failure });
+      return false;
+    }
+    if (grant?.sendable()) return true;
+    this.records.decide('admission', 'again', 'the renewed debit is too old to send');
+    this.dispatch({ kind: 'unsendable', step });
+    return false;
+  }
+
   private takePrefill(round: Round, server: EngineServer, prefill: Prefill): void {
     Object.assign(round, { prefill });
     const computed = Math.max(0, prefill.promptTokens - prefill.cachedTokens);
--- a/src/execution/routed-service-execution.ts
+++ b/src/execution/routed-service-execution.ts
@@ -20,8 +20,8 @@
 /** Refusals after which another server may answer. */
 const SERVER_FAULTS: ReadonlySet<RefusalCode> = new Set(['server_failed', 'server_timeout']);
 
-/** Times that a request is admitted again because its debit became too old to be used. */
-const MAX_ADMISSIONS = 3;
+/** Least times that a debit which became too old is renewed, also when the queue time is over. */
+const LEAST_RENEWALS = 3;
 
 /** Sends requests to plain servers; see docs/design.md, section 6.2. */
 export class RoutedServiceExecution extends ServiceExecution {
@@ -210,12 +210,26 @@
   }
 
   private async refreshGrant(job: ServiceJob): Promise<Outcome<void, Refusal>> {
-    for (let tries = 0; tries < MAX_ADMISSIONS; tries += 1) {
-      if (job.sendable) return succeed(undefined);
+    if (!job.funded) {
       const admitted = await this.admit(job);
       if (admitted.kind === 'failed') return admitted;
     }
-    return fail(Refusal.create('overloaded', 'the debit could not be used in time'));
+    // An event loop that is late for some seconds makes several debits too old in a row.
+    const untilMs = this.clock.monotonicMs() + this.queueMs();
+    for (let renewals = 0; !job.sendable; renewals += 1) {
+      if (renewals >= LEAST_RENEWALS && this.clock.monotonicMs() > untilMs) {
+        return fail(Refusal.create('overloaded', 'the debit could not be used in time'));
+      }
+      const renewed = await job.renew();
+      if (renewed.kind === 'failed') return renewed;
+    }
+    return succeed(undefined);
+  }
+
+  /** Time that the preset in force lets a request wait, in milliseconds. */
+  private queueMs(): number {
+    const state = this.kernel.find('configuration').current();
+    return state?.presets.get(state.presetInForce)?.queueMs ?? 0;
   }
 
   private async admit(job: ServiceJob): Promise<Outcome<void, Refusal>> {
--- a/src/execution/service-job.ts
+++ b/src/execution/service-job.ts
@@ -1,6 +1,8 @@
 import type { Grant } from '../admission/grant.js';
+import type { Refusal } from '../domain/refusal.js';
 import type { ServiceRequest } from '../domain/request.js';
 import type { Route } from '../domain/route.js';
+import { succeed, type Outcome } from '../kernel/outcome.js';
 
 /** A request to a plain service in progress, with the tokens debited for its next sending. */
 export class ServiceJob {
@@ -29,6 +31,20 @@
     return !this.request.team || (this.grant?.sendable() ?? false);
   }
 
+  /** True when tokens are held, even if their debit has become too old. */
+  get funded(): boolean {
+    return !this.request.team || this.grant !== undefined;
+  }
+
+  /**
+   * Makes the debit of the tokens held again; the request keeps its place.
+   *
+   * @returns nothing, or a refusal when the team has no tokens in time
+   */
+  async renew(): Promise<Outcome<void, Refusal>> {
+    return (await this.grant?.renew()) ?? succeed(undefined);
+  }
+
   /**
    * Replaces the tokens held; unused ones are refunded.
    *
