feat(relay): choose plain servers by chance, and refuse what they cannot answer in time

All VMs sent to the server that was least loaded in news some 400 ms old; and in a burst every request waited in a full line. Change: a plain server is drawn by chance, an empty one twice as likely as a full one; beyond 2.5 requests a slot over the whole pool a part is refused at once and told when to come back.

--- a/features/relay/relay-modules.feature
+++ b/features/relay/relay-modules.feature
@@ -124,3 +124,31 @@
     Given a relay log whose reader has stopped
     When the relay log gets 20000 lines of 100 bytes
     Then the relay log took less than 1000 ms, holds at most 300000 bytes and counts the rest as dropped
+
+  # Guards against VMs that all send to the server that was least loaded some time ago.
+  Scenario Outline: <vms> VMs with news <newsMs> ms old do not crowd one plain server (pattern: old news)
+    When relay VMs play the plain load 0.7 with <vms> VMs, news <newsMs> ms old and seed <seed>
+    Then the relay turns away no more requests at full servers than "least loaded" and answers as many on time
+
+    Examples:
+      | vms | newsMs | seed |
+      | 64  | 400    | 1    |
+      | 64  | 400    | 2    |
+      | 6   | 120    | 1    |
+
+  # Guards against a line at the servers that makes every request late.
+  Scenario Outline: a plain pool at <load> times its capacity answers most on time (pattern: plain burst)
+    When relay VMs play the plain load <load> with <vms> VMs, news <newsMs> ms old and seed <seed>
+    Then the relay answers at least <times> times as many on time as "relay without refusals"
+
+    Examples:
+      | load | vms | newsMs | seed | times |
+      | 1.3  | 64  | 400    | 1    | 2     |
+      | 1.3  | 64  | 400    | 2    | 2     |
+      | 1.3  | 6   | 120    | 1    | 2     |
+      | 2.0  | 64  | 400    | 1    | 2     |
+      | 2.0  | 6   | 120    | 1    | 2     |
+
+  Scenario: a plain pool that can answer all refuses none (pattern: plain burst)
+    When relay VMs play the plain load 0.7 with 64 VMs, news 400 ms old and seed 1
+    Then the relay refuses no plain request
--- a/features/steps/relay-module-steps.ts
+++ b/features/steps/relay-module-steps.ts
@@ -11,6 +11,12 @@
 import { ServerCatalog } from '../../src/relay/server-catalog.js';
 import { ServerHealth, type HealthEvidence } from '../../src/relay/server-health.js';
 import { balanceStages } from '../../src/relay/stage-balance.js';
+import {
+  simulatePlain,
+  type PlainLoad,
+  type PlainPolicy,
+  type PlainResult,
+} from '../support/plain-simulation.js';
 import { simulatePlaces, type PlacePolicy } from '../support/place-simulation.js';
 import {
   createCatalogServer,
@@ -32,6 +38,8 @@
   queue: PlaceQueue<PlaceEntry>;
   retryAfterMs: number;
   writer: LineWriter;
+  plainLoad: PlainLoad;
+  plain: PlainResult;
   tookMs: number;
 }
 
@@ -307,3 +315,34 @@
     assert.ok(kept > 0 && kept * LINE.length <= mostBytes, `${kept} lines kept`);
   },
 );
+
+When(
+  'relay VMs play the plain load {float} with {int} VMs, news {int} ms old and seed {int}',
+  (load: number, vms: number, newsMs: number, seed: number) => {
+    scenario.plainLoad = { load, vms, newsMs, seed };
+    scenario.plain = simulatePlain('relay', scenario.plainLoad);
+  },
+);
+
+Then(
+  'the relay turns away no more requests at full servers than {string} and answers as many on time',
+  (policy: string) => {
+    const other = simulatePlain(policy as PlainPolicy, scenario.plainLoad);
+    const { onTime, shed } = scenario.plain;
+    assert.ok(shed <= other.shed, `${shed} to ${other.shed} turned away`);
+    assert.ok(onTime >= other.onTime, `${onTime} to ${other.onTime} on time`);
+  },
+);
+
+Then(
+  'the relay answers at least {float} times as many on time as {string}',
+  (times: number, policy: string) => {
+    const other = simulatePlain(policy as PlainPolicy, scenario.plainLoad);
+    const { onTime } = scenario.plain;
+    assert.ok(onTime >= times * other.onTime, `${onTime} to ${other.onTime} on time`);
+  },
+);
+
+Then('the relay refuses no plain request', () => {
+  assert.equal(scenario.plain.refused, 0);
+});
--- /dev/null
+++ b/features/support/plain-simulation.ts
@@ -0,0 +1,184 @@
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+import { computeRefusedPart } from '../../src/relay/plain-gate.js';
+import { ServerHealth } from '../../src/relay/server-health.js';
+import { ServerLoads, type VmLoads } from '../../src/relay/server-loads.js';
+import { pickPlainServer, type PickerFacts } from '../../src/relay/server-picker.js';
+import type { CatalogServer } from '../../src/relay/server-catalog.js';
+import { createCatalogServer } from './relay-fixtures.js';
+
+/** How a VM chooses a plain server. */
+export type PlainPolicy = 'relay' | 'relay without refusals' | 'least loaded' | 'random';
+
+/** A fleet before plain servers. */
+export interface PlainLoad {
+  readonly vms: number;
+  /** Age of what a VM knows of the others, in milliseconds. */
+  readonly newsMs: number;
+  /** Arrivals relative to what the servers can run. */
+  readonly load: number;
+  readonly seed: number;
+}
+
+/** What became of the requests. */
+export interface PlainResult {
+  readonly onTime: number;
+  readonly shed: number;
+  /** Requests that were refused without having been sent. */
+  readonly refused: number;
+}
+
+interface Job {
+  readonly vm: number;
+  readonly arrivedMs: number;
+  readonly workMs: number;
+  readonly excluded: Set<string>;
+  free: () => void;
+}
+
+interface Running {
+  readonly job: Job;
+  readonly endMs: number;
+}
+
+interface PlainServer {
+  readonly entry: CatalogServer;
+  readonly running: Running[];
+  readonly queue: Job[];
+}
+
+const SERVERS = 3;
+const SLOTS = 6;
+const QUEUED = 24;
+const ATTEMPTS = 2;
+const TARGET_MS = 193;
+const END_MS = 20_000;
+
+/** One fleet whose VMs know what the others do only after some time. */
+class PlainSimulation {
+  private readonly random;
+
+  private readonly servers: PlainServer[];
+
+  private readonly views: { loads: ServerLoads; health: ServerHealth }[];
+
+  private readonly result = { onTime: 0, shed: 0, refused: 0 };
+
+  private nowMs = 0;
+
+  constructor(
+    private readonly policy: PlainPolicy,
+    private readonly load: PlainLoad,
+  ) {
+    this.random = xoroshiro128plus(load.seed);
+    this.servers = Array.from({ length: SERVERS }, (_, index) => ({
+      entry: createCatalogServer({ id: `s${index}`, slots: SLOTS, availabilityZone: `z${index}` }),
+      running: [],
+      queue: [],
+    }));
+    this.views = Array.from({ length: load.vms }, () => ({
+      loads: ServerLoads.create(),
+      health: ServerHealth.create(),
+    }));
+  }
+
+  run(): PlainResult {
+    const perMs = (this.load.load * SERVERS * SLOTS) / 43;
+    for (this.nowMs = 0; this.nowMs < END_MS; this.nowMs += 1) {
+      if (this.nowMs % this.load.newsMs === 0) this.tell();
+      this.servers.forEach((server) => this.finish(server));
+      let expected = perMs;
+      while (expected > 0) {
+        if (uniformInt(this.random, 0, 9999) < Math.min(1, expected) * 10_000) this.arrive();
+        expected -= 1;
+      }
+    }
+    return this.result;
+  }
+
+  private tell(): void {
+    const snapshots = this.views.map(({ loads }): VmLoads => new Map(loads.ownLoads));
+    this.views.forEach(({ loads }, vm) => {
+      snapshots.forEach((snapshot, other) => {
+        if (other !== vm) loads.note(`vm-${other}`, snapshot);
+      });
+    });
+  }
+
+  private arrive(): void {
+    const vm = uniformInt(this.random, 0, this.load.vms - 1);
+    const workMs = uniformInt(this.random, 15, 71);
+    const job = { vm, arrivedMs: this.nowMs, workMs, excluded: new Set<string>() };
+    if (this.refuses(vm)) this.result.refused += 1;
+    else this.send({ ...job, free: () => undefined });
+  }
+
+  private refuses(vm: number): boolean {
+    if (this.policy !== 'relay') return false;
+    const entries = this.servers.map(({ entry }) => entry);
+    const part = computeRefusedPart(entries, this.views[vm]!.loads, true);
+    return uniformInt(this.random, 0, 9999) < part * 10_000;
+  }
+
+  private send(job: Job): void {
+    const { loads, health } = this.views[job.vm]!;
+    const facts = { loads, health, availabilityZone: `z${job.vm % SERVERS}`, nowMs: this.nowMs };
+    const id = this.choose(job.excluded, facts);
+    const server = this.servers.find(({ entry }) => entry.id === id)!;
+    if (server.queue.length < QUEUED) {
+      Object.assign(job, { free: loads.add(server.entry.id, { running: 1 }) });
+      server.queue.push(job);
+      this.start(server);
+      return;
+    }
+    this.result.shed += 1;
+    job.excluded.add(server.entry.id);
+    health.note(server.entry.id, 'full', this.nowMs);
+    if (job.excluded.size < ATTEMPTS) this.send(job);
+  }
+
+  private choose(excluded: Set<string>, facts: PickerFacts): string {
+    const entries = this.servers.map(({ entry }) => entry);
+    const left = entries.filter(({ id }) => !excluded.has(id));
+    if (this.policy === 'random') return left[uniformInt(this.random, 0, left.length - 1)]!.id;
+    if (this.policy.startsWith('relay')) {
+      const draw = () => uniformInt(this.random, 0, 999_999) / 1_000_000;
+      return pickPlainServer(entries, excluded, facts, draw)!.id;
+    }
+    const order = left.map(({ id, availabilityZone }) => {
+      const away = availabilityZone === facts.availabilityZone ? 0 : 0.1;
+      const full = facts.health.isFull(id, this.nowMs) ? 1 : 0;
+      return { id, score: facts.loads.at(id).running / SLOTS + away + full };
+    });
+    return order.sort((a, b) => a.score - b.score)[0]!.id;
+  }
+
+  private start({ running, queue }: PlainServer): void {
+    while (running.length < SLOTS && queue.length > 0) {
+      const job = queue.shift()!;
+      running.push({ job, endMs: this.nowMs + job.workMs });
+    }
+  }
+
+  private finish(server: PlainServer): void {
+    const ended = server.running.filter(({ endMs }) => endMs <= this.nowMs);
+    ended.forEach((each) => {
+      server.running.splice(server.running.indexOf(each), 1);
+      each.job.free();
+      if (this.nowMs - each.job.arrivedMs <= TARGET_MS) this.result.onTime += 1;
+    });
+    this.start(server);
+  }
+}
+
+/**
+ * Plays a load on three plain servers.
+ *
+ * @param policy - how servers are chosen
+ * @param load - size of the fleet and of the load
+ * @returns requests answered on time, and sends that a full server turned away
+ */
+export function simulatePlain(policy: PlainPolicy, load: PlainLoad): PlainResult {
+  return new PlainSimulation(policy, load).run();
+}
--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -1,4 +1,5 @@
 import type { Outcome } from '../kernel/outcome.js';
+import { computeRefusedPart } from './plain-gate.js';
 import { Run, type Job, type RunEnd } from './run.js';
 import type { RunContext } from './run-context.js';
 import type { CatalogServer } from './server-catalog.js';
@@ -14,6 +15,13 @@
 /** Multiple of the target after which an idempotent request is taken to another server. */
 const SILENCE_FACTOR = 3;
 
+/**
+ * Time after which a refused request may come back, in milliseconds: a few times the age of the news
+ * that it was refused by, and spread so that not all come back at once.
+ */
+const LEAST_RETRY_MS = 300;
+const RETRY_SPREAD_MS = 600;
+
 /** Shortest silence, in milliseconds. */
 const LEAST_SILENCE_MS = 600;
 
@@ -41,6 +49,8 @@
   }
 
   override async execute(): Promise<RunEnd> {
+    const refusal = this.refuseExcess();
+    if (refusal) return refusal;
     while (!this.job.signal.aborted) {
       const server = this.choose();
       if (!server || !this.mayArrive()) break;
@@ -54,6 +64,21 @@
     return this.refuseUnserved('no server took the request');
   }
 
+  /** Refuses what the servers could not answer in time, before anything is sent. */
+  private refuseExcess(): RunEnd | undefined {
+    const { catalog, health, loads } = this.context;
+    const servers = catalog
+      .usable(this.job.pool.name, this.nowMs)
+      .filter(({ id }) => !health.avoids(id, this.nowMs));
+    const part = computeRefusedPart(servers, loads, this.job.insideRate);
+    if (part <= Math.random()) return undefined;
+    const retryAfterMs = LEAST_RETRY_MS + Math.random() * RETRY_SPREAD_MS;
+    const running = servers.reduce((sum, { id }) => sum + loads.at(id).running, 0);
+    const facts = { part: Math.round(100 * part), running, servers: servers.length };
+    this.decide('server', 'refuse', 'the servers have more requests than they can answer', facts);
+    return this.refuse('overloaded', 'the servers cannot answer in time', retryAfterMs);
+  }
+
   private choose(): CatalogServer | undefined {
     const { catalog } = this.context;
     const servers = catalog.usable(this.job.pool.name, this.nowMs);
--- a/src/relay/server-picker.ts
+++ b/src/relay/server-picker.ts
@@ -12,33 +12,47 @@
   readonly nowMs: number;
 }
 
+/** Preference for plain servers of this VM's zone. */
+const NEAR_FACTOR = 1.3;
+
+/** Weight of a plain server that has just turned a request away. */
+const FULL_FACTOR = 0.1;
+
 /** Relative load by which a server of another zone must be better, in parts of its slots. */
 const ZONE_PREFERENCE = 0.1;
 
 /**
- * Chooses the plain server with the fewest requests for its slots, in this zone first when the loads
- * are near. Servers that fail are used only when there is no other.
+ * Chooses a plain server by chance; an empty one is twice as likely as a full one. More would make VMs
+ * with the same news go to the same server all at once. Servers that fail are used only when there is no other.
+ *
+ * Pattern: many VMs, each with few requests and news that is older than a request lasts.
  *
  * @param servers - servers of the pool that may get work
  * @param excluded - ids of servers that this request may not use
  * @param facts - loads, health and time
+ * @param draw - gives random numbers from 0 to 1
  * @returns the server, or undefined when none is left
  */
 export function pickPlainServer(
   servers: readonly CatalogServer[],
   excluded: ReadonlySet<string>,
-  facts: PickerFacts,
+  { loads, health, availabilityZone, nowMs }: PickerFacts,
+  draw: () => number = Math.random,
 ): CatalogServer | undefined {
-  const { loads, health, availabilityZone, nowMs } = facts;
-  const scored = shuffle(servers.filter(({ id }) => !excluded.has(id))).map((server) => {
-    const away = server.availabilityZone === availabilityZone ? 0 : ZONE_PREFERENCE;
-    const load = loads.at(server.id).running / Math.max(1, server.slots);
-    const penalty = health.avoids(server.id, nowMs) ? Infinity : 0;
-    const full = health.isFull(server.id, nowMs) ? 1 : 0;
-    return { server, rank: penalty, score: load + away + full };
+  const usable = servers.filter(({ id }) => !excluded.has(id));
+  const healthy = usable.filter(({ id }) => !health.avoids(id, nowMs));
+  const weighed = (healthy.length > 0 ? healthy : usable).map((server) => {
+    const free = Math.max(0, 1 - loads.at(server.id).running / Math.max(1, server.slots));
+    const near = server.availabilityZone === availabilityZone ? NEAR_FACTOR : 1;
+    const full = health.isFull(server.id, nowMs) ? FULL_FACTOR : 1;
+    return { server, weight: (1 + free) * near * full };
   });
-  scored.sort((left, right) => compare(left.rank, right.rank) || left.score - right.score);
-  return scored[0]?.server;
+  let left = draw() * weighed.reduce((sum, { weight }) => sum + weight, 0);
+  const chosen = weighed.find(({ weight }) => {
+    left -= weight;
+    return left < 0;
+  });
+  return (chosen ?? weighed.at(-1))?.server;
 }
 
 /**
@@ -102,8 +116,3 @@
   scored.sort((left, right) => left.score - right.score);
   return scored[0]?.server;
 }
-
-function compare(left: number, right: number): number {
-  if (left === right) return 0;
-  return left < right ? -1 : 1;
-}
