--- a/features/relay/relay-modules.feature
+++ b/features/relay/relay-modules.feature
@@ -152,3 +152,13 @@
   Scenario: a plain pool that can answer all refuses none (pattern: plain burst)
     When relay VMs play the plain load 0.7 with 64 VMs, news 400 ms old and seed 1
     Then the relay refuses no plain request
+
+  # Guards against engines whose memory is promised many times over within one round of news.
+  Scenario Outline: VMs with the same <news> news do not all take the same engine (pattern: old news)
+    When 64 relay VMs choose among 20 decode engines by the same <news> news
+    Then at most <most> of the relay VMs take the same engine
+
+    Examples:
+      | news  | most |
+      | old   | 16   |
+      | fresh | 64   |
--- a/features/steps/relay-module-steps.ts
+++ b/features/steps/relay-module-steps.ts
@@ -10,6 +10,8 @@
 import { RouteTable } from '../../src/relay/route-table.js';
 import { ServerCatalog } from '../../src/relay/server-catalog.js';
 import { ServerHealth, type HealthEvidence } from '../../src/relay/server-health.js';
+import { ServerLoads } from '../../src/relay/server-loads.js';
+import { pickDecodeServer } from '../../src/relay/server-picker.js';
 import { balanceStages } from '../../src/relay/stage-balance.js';
 import {
   simulatePlain,
@@ -40,6 +42,7 @@
   writer: LineWriter;
   plainLoad: PlainLoad;
   plain: PlainResult;
+  chosen: string[];
   tookMs: number;
 }
 
@@ -346,3 +349,27 @@
 Then('the relay refuses no plain request', () => {
   assert.equal(scenario.plain.refused, 0);
 });
+
+When(
+  /^(\d+) relay VMs choose among (\d+) decode engines by the same (old|fresh) news$/,
+  (vms: string, engines: string, news: string) => {
+    const loads = ServerLoads.create();
+    const servers = Array.from({ length: Number(engines) }, (_, index) =>
+      createCatalogServer({ id: `e${index}`, slots: 12, stage: 'decode' }),
+    );
+    servers.forEach(({ id }, index) => loads.add(id, { running: 1 + (index % 5) }));
+    loads.add('e7', { running: -1 });
+    const facts = { loads, health: ServerHealth.create(), availabilityZone: 'sando', nowMs: 0 };
+    const capacity = { slots: 12, kvTokens: 73_000 };
+    scenario.chosen = Array.from({ length: Number(vms) }, () => {
+      const choice = { ...facts, newsIsOld: news === 'old' };
+      return pickDecodeServer(servers, new Set(), 5000, capacity, choice)!.id;
+    });
+  },
+);
+
+Then('at most {int} of the relay VMs take the same engine', (most: number) => {
+  const counts = new Map<string, number>();
+  scenario.chosen.forEach((id) => counts.set(id, (counts.get(id) ?? 0) + 1));
+  assert.ok(Math.max(...counts.values()) <= most, JSON.stringify([...counts]));
+});
--- a/src/relay/decode-places.ts
+++ b/src/relay/decode-places.ts
@@ -1,4 +1,5 @@
 import { Refusal } from '../domain/refusal.js';
+import { MOST_IN_MESH } from '../fleet/hub-ranking.js';
 import type { Clock } from '../kernel/clock.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
 import { PlaceQueue, type PlaceEntry } from './place-queue.js';
@@ -149,7 +150,8 @@
     const servers = catalog
       .usable(waiter.pool.name, nowMs)
       .filter(({ stage }) => stage === 'decode' || stage === 'both');
-    const facts = { loads, health, availabilityZone, nowMs };
+    const newsIsOld = this.context.fleetSize() > MOST_IN_MESH;
+    const facts = { loads, health, availabilityZone, nowMs, newsIsOld };
     const engine = waiter.pool.engine!;
     const server = pickDecodeServer(servers, waiter.excluded, waiter.kvTokens, engine, facts);
     if (server || nowMs < this.probedMs + PROBE_MS) return server;
--- a/src/relay/server-picker.ts
+++ b/src/relay/server-picker.ts
@@ -10,6 +10,8 @@
   /** Zone of this VM. */
   readonly availabilityZone: string;
   readonly nowMs: number;
+  /** True when many VMs choose by the same news before they hear of each other's choices. */
+  readonly newsIsOld?: boolean;
 }
 
 /** Preference for plain servers of this VM's zone. */
@@ -18,6 +20,9 @@
 /** Weight of a plain server that has just turned a request away. */
 const FULL_FACTOR = 0.1;
 
+/** Engines that are compared where news is old. */
+const DRAWN = 2;
+
 /** Relative load by which a server of another zone must be better, in parts of its slots. */
 const ZONE_PREFERENCE = 0.1;
 
@@ -85,7 +90,9 @@
 }
 
 /**
- * Chooses the decode engine with the most room for a request.
+ * Chooses the decode engine with the most room for a request. Where the news of other VMs is old, it is
+ * the better of two drawn by chance: otherwise many VMs take the same engine at once, and the memory of
+ * their requests outgrows it later.
  *
  * @param servers - engines that may decode
  * @param excluded - ids of servers that this request may not use
@@ -99,7 +106,7 @@
   excluded: ReadonlySet<string>,
   needTokens: number,
   capacity: Room,
-  { loads, health, availabilityZone, nowMs }: PickerFacts,
+  { loads, health, availabilityZone, nowMs, newsIsOld = false }: PickerFacts,
 ): CatalogServer | undefined {
   const usable = servers.filter(({ id }) => !excluded.has(id) && !health.isFull(id, nowMs));
   const healthy = usable.filter(({ id }) => !health.avoids(id, nowMs));
@@ -112,7 +119,8 @@
       const away = server.availabilityZone === availabilityZone ? 0 : ZONE_PREFERENCE / 2;
       return { server, fits: slots >= 1 && free >= needTokens, score: used + away };
     })
-    .filter(({ fits }) => fits);
+    .filter(({ fits }) => fits)
+    .slice(0, newsIsOld ? DRAWN : undefined);
   scored.sort((left, right) => left.score - right.score);
   return scored[0]?.server;
 }
