feat(soak): run the programs of the users' platform under faults from outside

Several VMs run as processes on loopback addresses of their own; store and servers stand behind relays. Faults of a seeded schedule overlap: kills, pauses, stops and reloads of VMs, a store that is out, cut, slow or silent, servers that are cut, slow, silent or replaced, changes of the configuration. Callers ask for addresses, keep them and their connections. Checked from callers' and servers' view: runs, refusals, answers, keys, leaving servers, recovery, ends of processes. First finding, in the stand-in: it took the order to change a role for a request without an id, and counted two of them as a request that ran twice.

--- /dev/null
+++ b/bench/platform-soak.ts
@@ -0,0 +1,23 @@
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+
+import { runPlatformSoak } from './platform-soak/run.js';
+
+const { seed, seconds, vms, runs } = await yargs(hideBin(process.argv))
+  .option('seed', { type: 'number', default: 1, describe: 'of the first run' })
+  .option('runs', { type: 'number', default: 1, describe: 'runs, each with the next seed' })
+  .option('seconds', { type: 'number', default: 20, describe: 'length of the schedule' })
+  .option('vms', { type: 'number', default: 6, describe: 'processes of the router' })
+  .strict()
+  .parseAsync();
+
+let failed = 0;
+for (let run = 0; run < runs; run += 1) {
+  const report = await runPlatformSoak({ seed: seed + run, seconds, vms });
+  const { broken, faults, requests, served, folder } = report;
+  console.log(`seed ${seed + run}: ${faults} faults, ${served} of ${requests} served, ${folder}`);
+  broken.slice(0, 10).forEach((promise) => console.log(`  broken: ${promise}`));
+  if (broken.length > 0) failed += 1;
+}
+console.log(`${runs - failed} runs kept all promises, ${failed} did not`);
+process.exit(failed > 0 ? 1 : 0);
--- /dev/null
+++ b/bench/platform-soak/callers.ts
@@ -0,0 +1,140 @@
+import { Agent, request } from 'node:http';
+
+import { PLATFORM_HOST, PLATFORM_KEY } from '../../harness/platform-fixtures.js';
+import type { SoakPlatform } from './soak-platform.js';
+import type { SoakVm } from './soak-vm.js';
+
+/** What a caller saw of one request. */
+export interface CallerRecord {
+  readonly id: string;
+  readonly kind: 'order' | 'plan' | 'stranger';
+  readonly atMs: number;
+  /** 0 when the connection broke before the head of the answer. */
+  readonly status: number;
+  readonly body: string;
+  readonly seal: string | undefined;
+  /** True when the answer came with its end. */
+  readonly whole: boolean;
+}
+
+const DEADLINE_MS = 3000;
+const ENTRY_TTL_MS = 1000;
+const PAUSE_MS = 60;
+
+/** Body of a plan that is whole. */
+export const WHOLE_PLAN = [1, 2, 3].map((id) => `id: ${id}\ndata: token ${id}\n\n`).join('');
+
+/** Sends requests as a caller does: it asks for addresses, keeps them for a while, and its connections. */
+export class Caller {
+  readonly records: CallerRecord[] = [];
+
+  private readonly agent = new Agent({ keepAlive: true, maxSockets: 4 });
+
+  private addresses: readonly string[] = [];
+
+  private askedMs = 0;
+
+  private sent = 0;
+
+  private constructor(
+    private readonly name: string,
+    private readonly platform: SoakPlatform,
+  ) {}
+
+  /**
+   * Prepares a caller.
+   *
+   * @param name - prefix of the ids of its requests
+   * @param platform - whose VMs it asks
+   * @returns a caller that has sent nothing
+   */
+  static create(name: string, platform: SoakPlatform): Caller {
+    return new Caller(name, platform);
+  }
+
+  /**
+   * Sends requests one after another.
+   *
+   * @param running - false when no more are to be sent
+   */
+  async run(running: () => boolean): Promise<void> {
+    while (running()) {
+      await this.sendNext();
+      await new Promise((resolve) => {
+        setTimeout(resolve, PAUSE_MS);
+      });
+    }
+    this.agent.destroy();
+  }
+
+  private async sendNext(): Promise<void> {
+    this.sent += 1;
+    const kind = this.sent % 10 === 0 ? 'stranger' : (['order', 'plan'] as const)[this.sent % 2]!;
+    const address = await this.chooseAddress();
+    if (!address) return;
+    this.records.push(await this.send(address, kind, `${this.name}-${this.sent}`));
+  }
+
+  private async chooseAddress(): Promise<string | undefined> {
+    if (Date.now() - this.askedMs > ENTRY_TTL_MS) {
+      const { vms } = this.platform;
+      const vm = vms[Math.floor(Math.random() * vms.length)]!;
+      this.addresses = (await askEntry(vm)) ?? this.addresses;
+      this.askedMs = Date.now();
+    }
+    return this.addresses[Math.floor(Math.random() * this.addresses.length)];
+  }
+
+  private send(address: string, kind: CallerRecord['kind'], id: string): Promise<CallerRecord> {
+    const [host, port] = address.split(':');
+    const target = kind === 'plan' ? '/plan/a' : '/order/a';
+    const headers = {
+      Host: PLATFORM_HOST,
+      'Attempt-Id': id,
+      'Deadline-Ms': String(DEADLINE_MS),
+      Authorization: `Bearer ${kind === 'stranger' ? 'unknown' : PLATFORM_KEY}`,
+      ...(kind === 'plan' ? { 'Token-Count': '100,50', Model: 'm' } : {}),
+    };
+    const record = { id, kind, atMs: Date.now(), status: 0, body: '', whole: false };
+    return new Promise((resolve) => {
+      const options = { host, port, path: target, headers, agent: this.agent };
+      const call = request(options, (answer) => {
+        let body = '';
+        const seal = answer.headers['server-seal'] as string | undefined;
+        const end = (whole: boolean) =>
+          resolve({ ...record, status: answer.statusCode ?? 0, body, seal, whole });
+        answer.on('data', (piece: Buffer) => {
+          body += piece.toString();
+        });
+        answer.on('end', () => end(answer.complete));
+        answer.on('error', () => end(false));
+      });
+      call.setTimeout(DEADLINE_MS + 1000, () => call.destroy());
+      call.on('error', () => resolve({ ...record, seal: undefined }));
+      call.end();
+    });
+  }
+}
+
+/** Asks a VM for entry addresses; undefined when it gives none. */
+function askEntry({ host, ports }: SoakVm): Promise<readonly string[] | undefined> {
+  return new Promise((resolve) => {
+    const options = { host, port: ports.directory, path: `/resolve?name=${PLATFORM_HOST}` };
+    const call = request({ ...options, agent: false, timeout: 1000 }, (answer) => {
+      let body = '';
+      answer.on('data', (piece: Buffer) => {
+        body += piece.toString();
+      });
+      answer.on('error', () => resolve(undefined));
+      answer.on('end', () => resolve(readAddresses(answer.statusCode, body)));
+    });
+    call.on('timeout', () => call.destroy());
+    call.on('error', () => resolve(undefined));
+    call.end();
+  });
+}
+
+function readAddresses(status: number | undefined, body: string): readonly string[] | undefined {
+  if (status !== 200) return undefined;
+  return (JSON.parse(body) as { addresses: string[] }).addresses;
+}
--- /dev/null
+++ b/bench/platform-soak/soak-platform.ts
@@ -0,0 +1,124 @@
+import { mkdtemp } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+
+import { findFreePorts } from '../../harness/free-ports.js';
+import { createPlatformConfiguration } from '../../harness/platform-fixtures.js';
+import { createTcpRelay, type TcpRelay } from '../../harness/tcp-relay.js';
+import { PlatformLog } from '../../stand-ins/platform/platform-log.js';
+import { PlatformServer, type PlatformStage } from '../../stand-ins/platform/platform-server.js';
+import { SoakVm, type VmPorts } from './soak-vm.js';
+
+/** A server behind a relay. */
+export interface SoakServer {
+  readonly server: PlatformServer;
+  readonly relay: TcpRelay;
+  /** When it said that it leaves; undefined while it stays. */
+  leavingMs: number | undefined;
+}
+
+/** Time for which a leaving server still serves, in milliseconds: twice what the routers have to notice. */
+export const DRAIN_MS = 4000;
+
+const STAGES: readonly PlatformStage[] = [
+  ...(['prefill', 'prefill', 'decode', 'decode', 'decode'] as const),
+  ...[undefined, undefined, undefined],
+];
+
+/** Store, servers and VMs of a soak run. */
+export class SoakPlatform {
+  readonly servers: SoakServer[] = [];
+
+  /** Servers that have left, for what they saw. */
+  readonly left: SoakServer[] = [];
+
+  vms: SoakVm[] = [];
+
+  private version = 3;
+
+  private nextServer = 0;
+
+  private constructor(
+    readonly store: PlatformLog,
+    readonly storeRelay: TcpRelay,
+    readonly folder: string,
+  ) {}
+
+  /**
+   * Starts store, servers and VMs.
+   *
+   * @param count - number of VMs
+   * @returns the platform; the VMs may not be ready yet
+   */
+  static async create(count: number): Promise<SoakPlatform> {
+    const store = await PlatformLog.create();
+    const [host, port] = store.address.split(':');
+    const storeRelay = await createTcpRelay({ host: host!, port: Number(port) });
+    const folder = await mkdtemp(path.join(tmpdir(), 'cuminspar-soak-'));
+    const platform = new SoakPlatform(store, storeRelay, folder);
+    for (const stage of STAGES) await platform.add(stage);
+    store.put('keyed.op', 'config', createPlatformConfiguration());
+    const [front, ready, control, directory, digest, metrics] = await findFreePorts(6);
+    const ports = { front, ready, control, directory, digest, metrics } as VmPorts;
+    const address = `${storeRelay.host}:${storeRelay.port}`;
+    platform.vms = await Promise.all(
+      Array.from({ length: count }, (_, index) => SoakVm.create(index + 1, ports, address, folder)),
+    );
+    await Promise.all(platform.vms.map((vm) => vm.start()));
+    return platform;
+  }
+
+  /**
+   * Adds a server and announces it.
+   *
+   * @param stage - its role
+   */
+  async add(stage: PlatformStage): Promise<void> {
+    const server = await PlatformServer.create(`i-${this.nextServer}`, stage);
+    this.nextServer += 1;
+    const [host, port] = server.entry().address.split(':');
+    const relay = await createTcpRelay({ host: host!, port: Number(port) });
+    const added = { server, relay, leavingMs: undefined };
+    this.servers.push(added);
+    this.announce(added, 'ready');
+  }
+
+  /**
+   * Replaces a server: the new one starts first, the old one leaves.
+   *
+   * @param old - the server that leaves
+   */
+  async replace(old: SoakServer): Promise<void> {
+    if (old.leavingMs !== undefined) return;
+    await this.add(old.server.stage);
+    this.announce(old, 'draining');
+    Object.assign(old, { leavingMs: Date.now() });
+    this.servers.splice(this.servers.indexOf(old), 1);
+    this.left.push(old);
+    await new Promise((resolve) => {
+      setTimeout(resolve, DRAIN_MS);
+    });
+    this.store.put('keyed.servers', old.server.id, undefined);
+  }
+
+  /** Writes the configuration again under a higher version. */
+  changeConfiguration(): void {
+    this.version += 7;
+    const configuration = { ...createPlatformConfiguration(), version: this.version };
+    this.store.put('keyed.op', 'config', configuration);
+  }
+
+  /** Ends everything that this run has started. */
+  async close(): Promise<void> {
+    await Promise.all(this.vms.map((vm) => vm.end('SIGKILL')));
+    await Promise.all([...this.servers, ...this.left].map(({ relay }) => relay.close()));
+    [...this.servers, ...this.left].forEach(({ server }) => server.close());
+    await this.storeRelay.close();
+    this.store.close();
+  }
+
+  private announce({ server, relay }: SoakServer, state: 'ready' | 'draining'): void {
+    const address = `${relay.host}:${relay.port}`;
+    this.store.put('keyed.servers', server.id, { ...server.entry(state), address });
+  }
+}
--- /dev/null
+++ b/bench/platform-soak/soak-vm.ts
@@ -0,0 +1,118 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { createWriteStream } from 'node:fs';
+import { writeFile } from 'node:fs/promises';
+import path from 'node:path';
+
+import { createPlatformSettings } from '../../harness/platform-fixtures.js';
+import { findProgram } from '../../harness/process-launcher.js';
+
+/** Ports of a VM; each VM has a loopback address of its own. */
+export interface VmPorts {
+  readonly front: number;
+  readonly ready: number;
+  readonly control: number;
+  readonly directory: number;
+  readonly digest: number;
+  readonly metrics: number;
+}
+
+/** Time from the stop signal to the kill, in seconds. */
+const GRACE_S = 3;
+
+/** One VM that runs the program of the platform as a process. */
+export class SoakVm {
+  private child: ChildProcess | undefined;
+
+  /** Ends that no fault asked for. */
+  readonly surprises: string[] = [];
+
+  private ending = false;
+
+  private constructor(
+    readonly host: string,
+    readonly ports: VmPorts,
+    private readonly folder: string,
+  ) {}
+
+  /**
+   * Writes the settings of a VM.
+   *
+   * @param index - number of the VM, from 1
+   * @param ports - its ports, the same on all VMs
+   * @param store - host and port of the store
+   * @param folder - where settings and logs go
+   * @returns a VM that does not run yet
+   */
+  static async create(
+    index: number,
+    ports: VmPorts,
+    store: string,
+    folder: string,
+  ): Promise<SoakVm> {
+    const host = `127.0.1.${index}`;
+    const at = (port: number, of = host) => `${of}:${port}`;
+    const settings = createPlatformSettings({
+      node: `front-sando-${index}`,
+      ip: host,
+      listen: {
+        front: at(ports.front),
+        ready: at(ports.ready),
+        control: at(ports.control),
+        directory: at(ports.directory),
+      },
+      portRange: [ports.digest, ports.digest + 1],
+      seeds: [at(ports.control, '127.0.1.1'), at(ports.control, '127.0.1.2')],
+      bounds: { ...createPlatformSettings().bounds, graceS: GRACE_S },
+      provider: { address: store },
+    });
+    await writeFile(path.join(folder, `${host}.json`), JSON.stringify(settings));
+    return new SoakVm(host, ports, folder);
+  }
+
+  /** Starts the process; has no effect while it runs. */
+  async start(): Promise<void> {
+    if (this.child) return;
+    const settings = path.join(this.folder, `${this.host}.json`);
+    const metrics = ['--metrics-port', String(this.ports.metrics)];
+    const program = [...(await findProgram('platform/main')), ...metrics];
+    const env = { ...process.env, CUMINSPAR_BOOT: settings, NODE_OPTIONS: '' };
+    const child = spawn(process.execPath, program, { env, stdio: ['ignore', 'pipe', 'pipe'] });
+    const log = createWriteStream(path.join(this.folder, `${this.host}.log`), { flags: 'a' });
+    child.stdout.pipe(log, { end: false });
+    child.stderr.pipe(log, { end: false });
+    this.child = child;
+    this.ending = false;
+    child.once('exit', (code, signal) => {
+      log.end();
+      this.child = undefined;
+      if (!this.ending) this.surprises.push(`${this.host} ended with ${code ?? signal}`);
+    });
+    await once(child, 'spawn');
+  }
+
+  /**
+   * Sends a signal to the process, if it runs.
+   *
+   * @param signal - the signal
+   */
+  signal(signal: NodeJS.Signals): void {
+    this.child?.kill(signal);
+  }
+
+  /**
+   * Ends the process; it is killed when the grace period is over.
+   *
+   * @param signal - how
+   */
+  async end(signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+    const { child } = this;
+    if (!child) return;
+    this.ending = true;
+    const ended = once(child, 'exit');
+    child.kill(signal);
+    const timer = setTimeout(() => child.kill('SIGKILL'), GRACE_S * 1000);
+    await ended;
+    clearTimeout(timer);
+  }
+}
--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -19,7 +19,7 @@
 import {
   createPlatformConfiguration,
   createPlatformSettings,
-} from '../support/platform-fixtures.js';
+} from '../../harness/platform-fixtures.js';
 
 interface ContractWorld {
   scriptedServer: ScriptedServer | undefined;
--- a/features/steps/platform-path-steps.ts
+++ b/features/steps/platform-path-steps.ts
@@ -15,7 +15,7 @@
   createPlatformSettings,
   PLATFORM_HOST,
   PLATFORM_KEY,
-} from '../support/platform-fixtures.js';
+} from '../../harness/platform-fixtures.js';
 
 interface CallerAnswer {
   readonly status: number;
--- /dev/null
+++ b/features/steps/platform-soak-steps.ts
@@ -0,0 +1,25 @@
+import assert from 'node:assert/strict';
+
+import { Then, When, world } from '@cucumber/cucumber';
+
+import { runPlatformSoak, type PlatformSoakReport } from '../../bench/platform-soak/run.js';
+
+const scenario = world as unknown as { platformSoak: PlatformSoakReport };
+
+/** Start, schedule, recovery and the traffic after it take 30 s and more on a busy machine. */
+const RUN_TIMEOUT_MS = 120_000;
+
+When(
+  'the platform soak runs for {int} s with {int} VMs and the seed {int}',
+  { timeout: RUN_TIMEOUT_MS },
+  async (seconds: number, vms: number, seed: number) => {
+    scenario.platformSoak = await runPlatformSoak({ seconds, vms, seed });
+  },
+);
+
+Then('the platform soak has broken no promise and has served most requests', () => {
+  const { broken, faults, requests, served, folder } = scenario.platformSoak;
+  assert.deepEqual(broken, [], `logs in ${folder}`);
+  assert.ok(faults > 5, `${faults} faults`);
+  assert.ok(served > requests / 2, `${served} of ${requests} served`);
+});
--- a/harness/process-launcher.ts
+++ b/harness/process-launcher.ts
@@ -96,7 +96,13 @@
   await Promise.all(ends);
 }
 
-async function findProgram(entry: string): Promise<string[]> {
+/**
+ * Finds how a program of the project is run: built where it was built, else through tsx.
+ *
+ * @param entry - path without extension
+ * @returns arguments for node
+ */
+export async function findProgram(entry: string): Promise<string[]> {
   const built = `dist/${entry}.js`;
   const isBuilt = await access(built).then(
     () => true,
--- a/stand-ins/platform/platform-server.ts
+++ b/stand-ins/platform/platform-server.ts
@@ -12,6 +12,8 @@
   readonly hold: string | undefined;
   readonly team: string | undefined;
   readonly key: string | undefined;
+  /** When it began to run, in milliseconds since the Unix epoch. */
+  readonly atMs: number;
 }
 
 /** Stand-in of a server of the platform: a prefill engine, a decode engine or a plain service. */
@@ -19,6 +21,9 @@
   /** Requests that ran here, reading of prompts included. */
   readonly seen: SeenRequest[] = [];
 
+  /** Orders to change its role; they are accepted and not carried out. */
+  orders = 0;
+
   private holds = 0;
 
   private constructor(
@@ -52,7 +57,7 @@
    * @param state - whether it takes new work
    * @returns the entry
    */
-  entry(state: 'ready' | 'draining' = 'ready'): Readonly<Record<string, unknown>> {
+  entry(state: 'ready' | 'draining' = 'ready') {
     const { port } = this.server.address() as AddressInfo;
     return {
       service: this.stage === undefined ? 'yard' : 'planner',
@@ -85,6 +90,11 @@
       response.end(JSON.stringify({ hold: `h${this.holds}` }));
       return;
     }
+    if (url === '/order') {
+      this.orders += 1;
+      response.writeHead(202).end();
+      return;
+    }
     if (url.startsWith('/hold-drop/') || url.startsWith('/kv-handle/')) {
       response.end();
       return;
@@ -97,6 +107,7 @@
       hold: header('kv-hold'),
       team: header('tenant'),
       key: header('authorization'),
+      atMs: Date.now(),
     });
     response.setHeader('Attempt-Id', id);
     if (header('stage') === 'prefill') {
