--- /dev/null
+++ b/bench/fleet-cost.ts
@@ -0,0 +1,41 @@
+import { FleetSimulation } from '../harness/fleet-simulation.js';
+
+/** Sizes that are measured: without hubs, the users' sites, and the design size. */
+const SIZES = [6, 16, 17, 80, 300, 390] as const;
+
+const SERVERS = 31;
+const TEAMS = 16;
+const WARM_MS = 10_000;
+const MEASURED_MS = 4000;
+
+/** Measures the traffic of digests for one size; each VM works at two servers and has 16 teams. */
+async function measure(count: number): Promise<void> {
+  const simulation = await FleetSimulation.create(count);
+  const teams = Array.from({ length: TEAMS }, (_, index) => ({
+    name: `team-${index}`,
+    tokensPerSecond: 30_000,
+    burstTokens: 30_000,
+  }));
+  simulation.vms.forEach(({ loads, meter }, index) => {
+    meter.configure(teams, simulation.clock.monotonicMs());
+    [index, index + 7].forEach((server) =>
+      loads.add(`i-${1_000_000_000 + (server % SERVERS)}`, { running: 1, kvTokens: 5200 }),
+    );
+  });
+  await simulation.advance(WARM_MS);
+  simulation.vms.forEach((vm) => Object.assign(vm, { bytes: 0 }));
+  const cpu = process.cpuUsage();
+  await simulation.advance(MEASURED_MS);
+  const used = process.cpuUsage(cpu);
+  const rates = simulation.vms
+    .map(({ bytes }) => bytes / MEASURED_MS)
+    .sort((left, right) => left - right);
+  const median = rates[Math.floor(count / 2)]!;
+  const msPerSecond = (used.user + used.system) / MEASURED_MS / count;
+  const row = [count, median.toFixed(1), rates.at(-1)!.toFixed(1), msPerSecond.toFixed(2)];
+  console.log(row.join('\t'));
+  await Promise.all(simulation.vms.map(({ fleet }) => fleet.stop()));
+}
+
+console.log('VMs\tKB/s, median\tKB/s, busiest\tms/s of processor time, mean');
+for (const size of SIZES) await measure(size);
--- a/features/steps/fleet-steps.ts
+++ b/features/steps/fleet-steps.ts
@@ -2,7 +2,7 @@
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
-import { FleetSimulation, FLEET_TEAM, type SimulatedVm } from '../support/fleet-simulation.js';
+import { FleetSimulation, FLEET_TEAM, type SimulatedVm } from '../../harness/fleet-simulation.js';
 
 interface FleetWorld {
   simulation?: FleetSimulation;
--- a/features/support/fleet-simulation.ts
+++ b/harness/fleet-simulation.ts
@@ -1,13 +1,13 @@
 import { setImmediate as flush } from 'node:timers/promises';
 
-import { registerFake } from '../../harness/module-fakes.js';
-import { Fleet } from '../../src/fleet/fleet.js';
-import { Kernel } from '../../src/kernel/kernel.js';
-import { ManualClock } from '../../src/kernel/manual-clock.js';
-import { ServerCatalog } from '../../src/relay/server-catalog.js';
-import { ServerHealth } from '../../src/relay/server-health.js';
-import { ServerLoads } from '../../src/relay/server-loads.js';
-import { TeamMeter } from '../../src/relay/team-meter.js';
+import { registerFake } from './module-fakes.js';
+import { Fleet } from '../src/fleet/fleet.js';
+import { Kernel } from '../src/kernel/kernel.js';
+import { ManualClock } from '../src/kernel/manual-clock.js';
+import { ServerCatalog } from '../src/relay/server-catalog.js';
+import { ServerHealth } from '../src/relay/server-health.js';
+import { ServerLoads } from '../src/relay/server-loads.js';
+import { TeamMeter } from '../src/relay/team-meter.js';
 import { MemoryDatagrams } from './memory-datagrams.js';
 
 /** One VM of the simulated fleet. */
--- a/features/support/memory-datagrams.ts
+++ b/harness/memory-datagrams.ts
@@ -1,4 +1,4 @@
-import { Datagrams } from '../../src/fleet/datagrams.js';
+import { Datagrams } from '../src/fleet/datagrams.js';
 
 type Receive = (datagram: Buffer) => void;
 
