refactor(fleet): move the choice of hubs out of the fleet

Which VMs are hubs and to which of them this VM reports is now HubChoice; a role names the four ways in which a VM tells its work. Behaviour is unchanged.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { Service } from '../kernel/service.js';
-import { rankByRendezvous, scoreRendezvous } from '../kernel/rendezvous.js';
+import { scoreRendezvous } from '../kernel/rendezvous.js';
 import { shuffle } from '../kernel/shuffle.js';
 import type { Datagrams } from './datagrams.js';
 import {
@@ -17,7 +17,7 @@
 } from './digest.js';
 import { FleetBook, GONE_MS } from './fleet-book.js';
 import { Hub } from './hub.js';
-import { chooseHubs } from './hub-ranking.js';
+import { HubChoice } from './hub-choice.js';
 import { WorkSources } from './work-sources.js';
 
 /** What a VM needs to take part in a fleet. */
@@ -49,24 +49,6 @@
 /** Rounds between lists of a hub's reporters to the other hubs. */
 const LIST_ROUNDS = 4;
 
-/** Time without a summary after which another hub is chosen, in milliseconds. */
-const HUB_SILENT_MS = 600;
-
-/** Time for which only one hub is asked, in milliseconds. */
-const FIRST_HUB_MS = 300;
-
-/** Time without an answer after which the hubs that were asked are taken for dead, in milliseconds. */
-const SEEK_MS = 700;
-
-/** Time for which a VM is not taken for a hub after it gave no answer, in milliseconds. */
-const SUSPECT_MS = 10_000;
-
-/** Time for which a VM that is no ranked hub any more still serves its reporters, in milliseconds. */
-const RETIRING_MS = 1500;
-
-/** Time for which a hub is kept that answered but is not among the ranked ones, in milliseconds. */
-const ADOPTED_MS = 5000;
-
 /**
  * Keeps the VMs of the fleet informed of each other, by datagrams. In a small fleet every VM sends its
  * digest to all others. In a larger one it reports to one hub; the hubs exchange the sums of their
@@ -78,6 +60,8 @@
 
   private readonly book: FleetBook;
 
+  private readonly choice: HubChoice;
+
   private readonly hub = Hub.create();
 
   private readonly sources: WorkSources;
@@ -87,9 +71,6 @@
   /** VMs that have asked for a list of the fleet, with their hosts. */
   private readonly newcomers = new Map<string, string>();
 
-  /** VMs that gave no answer as hubs, with the time until which they are not chosen. */
-  private readonly suspects = new Map<string, number>();
-
   private readonly ending = new AbortController();
 
   private ticks = 0;
@@ -98,21 +79,6 @@
 
   private draining = false;
 
-  private hubs: readonly string[] = [];
-
-  /** The hub of this VM: itself when it is one, empty in a small fleet and while one is sought. */
-  private ownHub = '';
-
-  private hubHeardMs = 0;
-
-  private adoptedMs = 0;
-
-  /** When this VM was last among the ranked hubs. */
-  private rankedMs = -Infinity;
-
-  /** Since when hubs have been asked without an answer. */
-  private seekingMs: number | undefined;
-
   /** Number of the last list of the own hub. */
   private knownList = 0;
 
@@ -126,6 +92,7 @@
   ) {
     super();
     this.book = FleetBook.create(options.vm);
+    this.choice = HubChoice.create(options.vm, this.book);
     this.sources = WorkSources.create(kernel);
     this.meet(options.seedHosts);
   }
@@ -201,7 +168,7 @@
       await this.clock.sleep(ROUND_MS, this.ending.signal);
       if (this.ending.signal.aborted) return;
       this.ticks += 1;
-      if (this.hubs.length === 0 || this.ticks % 2 === 0) this.round();
+      if (this.choice.role === 'mesh' || this.ticks % 2 === 0) this.round();
       this.kernel.find('relay').pump();
     }
   }
@@ -210,12 +177,14 @@
   round(): void {
     const nowMs = this.clock.monotonicMs();
     this.expire(nowMs);
-    this.chooseHub(nowMs);
+    const { ownHub } = this.choice;
+    this.choice.update(this.describe(), this.hub.reporterNames.length > 0, nowMs);
+    this.noteHubChange(ownHub, nowMs);
     this.sequence += 1;
     const work = this.composeWork(nowMs);
     const digest = encodeMessage(this.composeDigest(nowMs, work));
     this.receivers(nowMs).forEach((host) => this.datagrams.send(digest, host));
-    if (this.ownHub === this.vm) this.sendSums(nowMs, work);
+    if (this.choice.role === 'hub') this.sendSums(nowMs, work);
   }
 
   /** Hosts that get this VM's digest in this round. */
@@ -229,77 +198,27 @@
   }
 
   private chooseReceivers(heard: readonly FleetMember[]): string[] {
-    if (this.hubs.length === 0) {
+    if (this.choice.role === 'mesh') {
       return shuffle(heard.map(({ host }) => host)).slice(0, MOST_RECEIVERS);
     }
-    const wanted = this.ownHub === '' ? this.soughtHubs() : [this.ownHub];
+    const nowMs = this.clock.monotonicMs();
+    const hubs = this.choice.receivers(nowMs);
     return this.book
-      .known(this.clock.monotonicMs())
-      .filter(({ vm }) => wanted.includes(vm))
+      .known(nowMs)
+      .filter(({ vm }) => hubs.includes(vm))
       .map(({ host }) => host);
   }
 
-  private chooseHub(nowMs: number): void {
-    const before = this.ownHub;
-    this.suspects.forEach((untilMs, vm) => {
-      if (untilMs < nowMs) this.suspects.delete(vm);
-    });
-    this.hubs = this.rankHubs(nowMs);
-    if (this.hubs.includes(this.vm)) this.rankedMs = nowMs;
-    const retires = this.hub.reporterNames.length > 0 && nowMs - this.rankedMs < RETIRING_MS;
-    if (this.hubs.length === 0) this.ownHub = '';
-    else if (this.hubs.includes(this.vm) || retires) this.ownHub = this.vm;
-    else if (!this.keepsHub(nowMs)) this.seek(nowMs);
-    if (this.ownHub !== before) this.noteHubChange(before, nowMs);
-  }
-
-  private rankHubs(nowMs: number): string[] {
-    const known = this.book.known(nowMs).filter(({ vm }) => !this.suspects.has(vm));
-    return chooseHubs([this.describe(), ...known], this.book.size(nowMs));
-  }
-
-  private keepsHub(nowMs: number): boolean {
-    if (this.ownHub === '' || this.ownHub === this.vm) return false;
-    const isDraining = this.peers.some(({ vm, draining }) => vm === this.ownHub && draining);
-    if (isDraining || nowMs - this.hubHeardMs > HUB_SILENT_MS) return false;
-    return this.hubs.includes(this.ownHub) || nowMs - this.adoptedMs < ADOPTED_MS;
-  }
-
-  /** Hubs that are asked: at first the one that this VM's name leads to, then all. */
-  private soughtHubs(): readonly string[] {
-    const askedMs = this.clock.monotonicMs() - (this.seekingMs ?? 0);
-    if (askedMs > FIRST_HUB_MS) return this.hubs;
-    return rankByRendezvous(this.vm, this.hubs, (hub) => hub).slice(0, 1);
-  }
-
-  /** Asks hubs for the fleet; the first that answers is taken. */
-  private seek(nowMs: number): void {
-    const isNew = this.ownHub !== '' || this.seekingMs === undefined;
-    if (isNew) this.seekingMs = nowMs;
-    this.ownHub = '';
-    if (nowMs - (this.seekingMs ?? nowMs) <= SEEK_MS) return;
-    this.hubs.forEach((hub) => this.suspects.set(hub, nowMs + SUSPECT_MS));
-    this.hubs = this.rankHubs(nowMs);
-    this.seekingMs = nowMs;
-    if (this.hubs.includes(this.vm)) this.ownHub = this.vm;
-  }
-
-  private adopt(hub: string, nowMs: number): void {
-    const before = this.ownHub;
-    this.ownHub = hub;
-    this.adoptedMs = nowMs;
-    this.hubHeardMs = nowMs;
-    this.noteHubChange(before, nowMs);
-  }
-
   private noteHubChange(before: string, nowMs: number): void {
-    if (this.ownHub !== '') this.seekingMs = undefined;
+    const { ownHub: hub, role } = this.choice;
+    if (hub === before) return;
     if (before === this.vm) this.hub.clear();
-    if (this.ownHub === this.vm) this.listDue = true;
+    if (role === 'hub') this.listDue = true;
     this.knownList = 0;
-    if (this.ownHub !== '' || this.hubs.length === 0) this.sources.clear();
+    // While a hub is sought, the last news of the old one is better than none.
+    if (role !== 'seeking') this.sources.clear();
     const vms = this.book.size(nowMs);
-    this.kernel.find('logs').info('hub of the fleet', { hub: this.ownHub, before, vms });
+    this.kernel.find('logs').info('hub of the fleet', { hub, before, vms });
   }
 
   private sendSums(nowMs: number, work: FleetWork): void {
@@ -328,7 +247,7 @@
   private partners(nowMs: number): string[] {
     const ranked = this.book
       .known(nowMs)
-      .filter(({ vm }) => this.hubs.includes(vm))
+      .filter(({ vm }) => this.choice.hubs.includes(vm))
       .map(({ host }) => host);
     return [...new Set([...ranked, ...this.hub.partners.map(({ host }) => host)])];
   }
@@ -345,8 +264,8 @@
     if (!this.book.note(digest, nowMs)) return;
     this.meet([digest.host, ...digest.hosts]);
     if (before?.ready !== digest.ready || before.draining !== digest.draining) this.listDue = true;
-    this.suspects.delete(digest.vm);
-    if (this.hubs.length === 0) {
+    this.choice.noteHeard(digest.vm);
+    if (this.choice.role === 'mesh') {
       this.sources.apply(digest.vm, digest.incarnation, digest, nowMs);
     } else if (digest.hub === this.vm) {
       this.hub.noteReporter(digest, nowMs);
@@ -357,21 +276,23 @@
 
   private receiveSummary(summary: Summary, nowMs: number): void {
     const { hub, incarnation, whole, members } = summary;
-    const isSeeking = this.hubs.length > 0 && this.ownHub === '';
-    this.suspects.delete(hub);
-    if (whole && isSeeking) this.adopt(hub, nowMs);
-    const isOwn = whole && hub === this.ownHub;
-    const isPart = !whole && this.ownHub === this.vm;
+    this.choice.noteHeard(hub);
+    if (whole && this.choice.role === 'seeking') {
+      this.choice.adopt(hub, nowMs);
+      this.noteHubChange('', nowMs);
+    }
+    const isOwn = whole && hub === this.choice.ownHub;
+    const isPart = !whole && this.choice.role === 'hub';
     if (isPart && !this.hub.notePart(summary, nowMs)) return;
     // A VM that takes itself for a hub by mistake does not know the whole fleet.
-    if (isPart && !this.hubs.includes(hub)) this.newcomers.set(hub, summary.host);
+    if (isPart && !this.choice.hubs.includes(hub)) this.newcomers.set(hub, summary.host);
     if (!isOwn && !isPart) {
       this.book.noteForeignList(hub, members ?? [], nowMs);
       return;
     }
     const takesList = members !== undefined && this.book.noteList(hub, members, nowMs);
     if (!members) this.book.refresh(hub, nowMs);
-    if (isOwn) this.hubHeardMs = nowMs;
+    if (isOwn) this.choice.noteHeard(hub, nowMs);
     if (isOwn && takesList) this.knownList = summary.list;
     this.sources.apply(`hub ${hub}`, incarnation, summary, nowMs);
     this.kernel.find('state').noteOffer(summary);
@@ -390,11 +311,10 @@
   }
 
   private validSources(nowMs: number): Set<string> {
-    if (this.hubs.length === 0) {
-      return new Set(this.book.known(nowMs, GONE_MS).map(({ vm }) => vm));
-    }
-    if (this.ownHub === '') return new Set(this.sources.names);
-    if (this.ownHub !== this.vm) return new Set([`hub ${this.ownHub}`]);
+    const { role, ownHub } = this.choice;
+    if (role === 'mesh') return new Set(this.book.known(nowMs, GONE_MS).map(({ vm }) => vm));
+    if (role === 'seeking') return new Set(this.sources.names);
+    if (role === 'reporter') return new Set([`hub ${ownHub}`]);
     const parts = this.hub.partners.map(({ vm }) => `hub ${vm}`);
     return new Set([...this.hub.reporterNames, ...parts]);
   }
@@ -442,7 +362,7 @@
       ...work,
       ...this.describeState(),
       sequence: this.sequence,
-      hub: this.ownHub,
+      hub: this.choice.ownHub,
       list: this.knownList,
       hosts,
     };
--- a/src/state/state-follower.ts
+++ b/src/state/state-follower.ts
@@ -23,7 +23,7 @@
 const CONFIGURATION_WAIT_MS = 3000;
 
 /** Pause between reads of the servers' entries on the VMs that follow the store, in milliseconds. */
-const WATCHER_PAUSE_MS = 400;
+const FOLLOWER_PAUSE_MS = 400;
 
 /** Pause between looks at whether this VM has to follow the store, in milliseconds. */
 const CALM_PAUSE_MS = 200;
@@ -35,7 +35,7 @@
 const FAILED_AUDIT_PAUSE_MS = 5000;
 
 /** VMs that follow the store; the others hear its news from them. */
-const WATCHERS = 3;
+const FOLLOWERS = 3;
 
 /** Pause after a failed call to the store, in milliseconds. */
 const FAILURE_PAUSE_MS = 250;
@@ -185,7 +185,7 @@
 
   /** True when this VM reads the store's news itself. */
   private get follows(): boolean {
-    return this.rank < WATCHERS;
+    return this.rank < FOLLOWERS;
   }
 
   private async fetchFrom(host: string): Promise<void> {
@@ -252,7 +252,7 @@
       if (outcome.kind === 'failed' && outcome.failure.reason === 'compacted') {
         this.serversOffset = undefined;
       }
-      await this.afterCall(outcome, WATCHER_PAUSE_MS);
+      await this.afterCall(outcome, FOLLOWER_PAUSE_MS);
     }
   }
 
