refactor(fleet): drop an unused reading and a second copy of findFreePorts

Found by reading the change: nothing reads SpendingLedger.sources, and the steps of the platform's path had a copy of harness/free-ports. Behaviour is unchanged. Measured: types, lint and format pass; 9 scenarios of the fleet and the path on the stand-in pass.

--- a/features/steps/platform-path-steps.ts
+++ b/features/steps/platform-path-steps.ts
@@ -2,7 +2,6 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { request as sendHttp } from 'node:http';
-import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 
@@ -10,6 +9,7 @@
 
 import { PlatformLog } from '../../stand-ins/platform/platform-log.js';
 import { PlatformServer } from '../../stand-ins/platform/platform-server.js';
+import { findFreePorts } from '../../harness/free-ports.js';
 import {
   createPlatformConfiguration,
   createPlatformSettings,
@@ -42,21 +42,6 @@
 const START_MS = 15_000;
 const TOKENS = '100,50';
 
-async function findFreePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from({ length: count }, async () => {
-      const server = createServer();
-      await new Promise<void>((resolve) => {
-        server.listen(0, '127.0.0.1', resolve);
-      });
-      return server;
-    }),
-  );
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  servers.forEach((server) => server.close());
-  return ports;
-}
-
 async function waitUntil(condition: () => Promise<boolean> | boolean, mostMs: number) {
   const untilMs = Date.now() + mostMs;
   while (Date.now() < untilMs) {
--- a/src/fleet/spending-ledger.ts
+++ b/src/fleet/spending-ledger.ts
@@ -55,11 +55,6 @@
     this.entries.delete(source);
   }
 
-  /** Sources that are followed. */
-  get sources(): string[] {
-    return [...this.entries.keys()];
-  }
-
   /**
    * Sums all sources but one.
    *
