feat(relay): use failing plain servers for what the sound ones cannot answer

Requests that may run again go to failing servers once the sound ones have no slot free, the others once they would wait long.

--- a/features/relay/relay-modules.feature
+++ b/features/relay/relay-modules.feature
@@ -149,6 +149,19 @@
       | 2.0  | 64  | 400    | 1    | 2     |
       | 2.0  | 6   | 120    | 1    | 2     |
 
+  # Guards against a pool whose load all goes to the one server that does not fail.
+  Scenario Outline: <failing> of 3 plain servers fail half of their requests (pattern: grey servers)
+    When relay VMs play the plain load <load> with <vms> VMs and <failing> failing servers, news 100 ms old and seed <seed>
+    Then the relay answers at least <times> times as many on time as "relay without failing servers"
+    And the relay fails no more plain requests than "random"
+
+    Examples:
+      | failing | load | vms | seed | times |
+      | 2       | 0.5  | 8   | 1    | 1.2   |
+      | 2       | 0.5  | 8   | 2    | 1.2   |
+      | 2       | 0.7  | 8   | 3    | 1.2   |
+      | 1       | 0.7  | 8   | 4    | 1     |
+
   Scenario: a plain pool that can answer all refuses none (pattern: plain burst)
     When relay VMs play the plain load 0.7 with 64 VMs, news 400 ms old and seed 1
     Then the relay refuses no plain request
--- a/features/steps/relay-module-steps.ts
+++ b/features/steps/relay-module-steps.ts
@@ -327,6 +327,20 @@
   },
 );
 
+When(
+  'relay VMs play the plain load {float} with {int} VMs and {int} failing servers, news {int} ms old and seed {int}',
+  (load: number, vms: number, failing: number, newsMs: number, seed: number) => {
+    scenario.plainLoad = { load, vms, failing, newsMs, seed };
+    scenario.plain = simulatePlain('relay', scenario.plainLoad);
+  },
+);
+
+Then('the relay fails no more plain requests than {string}', (policy: string) => {
+  const other = simulatePlain(policy as PlainPolicy, scenario.plainLoad);
+  const { failed } = scenario.plain;
+  assert.ok(failed <= other.failed, `${failed} to ${other.failed} failed`);
+});
+
 Then(
   'the relay turns away no more requests at full servers than {string} and answers as many on time',
   (policy: string) => {
--- a/features/support/plain-simulation.ts
+++ b/features/support/plain-simulation.ts
@@ -4,12 +4,13 @@
 import { computeRefusedPart } from '../../src/relay/plain-gate.js';
 import { ServerHealth } from '../../src/relay/server-health.js';
 import { ServerLoads, type VmLoads } from '../../src/relay/server-loads.js';
-import { pickPlainServer, type PickerFacts } from '../../src/relay/server-picker.js';
+import { listPlainServers, pickPlainServer } from '../../src/relay/server-picker.js';
 import type { CatalogServer } from '../../src/relay/server-catalog.js';
 import { createCatalogServer } from './relay-fixtures.js';
 
 /** How a VM chooses a plain server. */
-export type PlainPolicy = 'relay' | 'relay without refusals' | 'least loaded' | 'random';
+export type PlainPolicy =
+  'relay' | 'relay without refusals' | 'relay without failing servers' | 'least loaded' | 'random';
 
 /** A fleet before plain servers. */
 export interface PlainLoad {
@@ -19,6 +20,8 @@
   /** Arrivals relative to what the servers can run. */
   readonly load: number;
   readonly seed: number;
+  /** Servers that fail half of their requests. */
+  readonly failing?: number;
 }
 
 /** What became of the requests. */
@@ -27,12 +30,16 @@
   readonly shed: number;
   /** Requests that were refused without having been sent. */
   readonly refused: number;
+  /** Requests that a server failed and that could not run again. */
+  readonly failed: number;
 }
 
 interface Job {
   readonly vm: number;
   readonly arrivedMs: number;
   readonly workMs: number;
+  /** Whether it may run twice; one of three requests may. */
+  readonly repeatable: boolean;
   readonly excluded: Set<string>;
   free: () => void;
 }
@@ -44,6 +51,7 @@
 
 interface PlainServer {
   readonly entry: CatalogServer;
+  readonly fails: boolean;
   readonly running: Running[];
   readonly queue: Job[];
 }
@@ -63,7 +71,7 @@
 
   private readonly views: { loads: ServerLoads; health: ServerHealth }[];
 
-  private readonly result = { onTime: 0, shed: 0, refused: 0 };
+  private readonly result = { onTime: 0, shed: 0, refused: 0, failed: 0 };
 
   private nowMs = 0;
 
@@ -74,6 +82,7 @@
     this.random = xoroshiro128plus(load.seed);
     this.servers = Array.from({ length: SERVERS }, (_, index) => ({
       entry: createCatalogServer({ id: `s${index}`, slots: SLOTS, availabilityZone: `z${index}` }),
+      fails: index < (load.failing ?? 0),
       running: [],
       queue: [],
     }));
@@ -109,22 +118,42 @@
   private arrive(): void {
     const vm = uniformInt(this.random, 0, this.load.vms - 1);
     const workMs = uniformInt(this.random, 15, 71);
-    const job = { vm, arrivedMs: this.nowMs, workMs, excluded: new Set<string>() };
-    if (this.refuses(vm)) this.result.refused += 1;
+    const repeatable = uniformInt(this.random, 0, 2) === 0;
+    const job = { vm, arrivedMs: this.nowMs, workMs, repeatable, excluded: new Set<string>() };
+    if (this.refuses(job)) this.result.refused += 1;
     else this.send({ ...job, free: () => undefined });
   }
 
-  private refuses(vm: number): boolean {
-    if (this.policy !== 'relay') return false;
-    const entries = this.servers.map(({ entry }) => entry);
-    const part = computeRefusedPart(entries, this.views[vm]!.loads, true);
+  private refuses(job: Pick<Job, 'vm' | 'repeatable' | 'excluded'>): boolean {
+    if (!this.policy.startsWith('relay') || this.policy === 'relay without refusals') return false;
+    const { loads } = this.views[job.vm]!;
+    const part = computeRefusedPart(this.listServers(job), loads, true);
     return uniformInt(this.random, 0, 9999) < part * 10_000;
   }
 
+  /** Servers that a request may go to; the older policy leaves failing ones out while one is sound. */
+  private listServers(job: Pick<Job, 'vm' | 'repeatable' | 'excluded'>): readonly CatalogServer[] {
+    const entries = this.servers.map(({ entry }) => entry);
+    if (this.policy !== 'relay without failing servers') {
+      return listPlainServers(entries, this.describe(job));
+    }
+    const { health } = this.views[job.vm]!;
+    const sound = entries.filter(
+      ({ id }) => !health.avoids(id, this.nowMs) && !job.excluded.has(id),
+    );
+    return sound.length > 0 ? sound : entries;
+  }
+
+  private describe({ vm, repeatable, excluded }: Pick<Job, 'vm' | 'repeatable' | 'excluded'>) {
+    const { loads, health } = this.views[vm]!;
+    const once = !repeatable || excluded.size + 1 >= ATTEMPTS;
+    const availabilityZone = `z${vm % SERVERS}`;
+    return { loads, health, availabilityZone, nowMs: this.nowMs, repeatable: !once };
+  }
+
   private send(job: Job): void {
     const { loads, health } = this.views[job.vm]!;
-    const facts = { loads, health, availabilityZone: `z${job.vm % SERVERS}`, nowMs: this.nowMs };
-    const id = this.choose(job.excluded, facts);
+    const id = this.choose(job);
     const server = this.servers.find(({ entry }) => entry.id === id)!;
     if (server.queue.length < QUEUED) {
       Object.assign(job, { free: loads.add(server.entry.id, { running: 1 }) });
@@ -138,13 +167,16 @@
     if (job.excluded.size < ATTEMPTS) this.send(job);
   }
 
-  private choose(excluded: Set<string>, facts: PickerFacts): string {
+  private choose(job: Job): string {
+    const { excluded } = job;
     const entries = this.servers.map(({ entry }) => entry);
     const left = entries.filter(({ id }) => !excluded.has(id));
     if (this.policy === 'random') return left[uniformInt(this.random, 0, left.length - 1)]!.id;
+    const facts = this.describe(job);
     if (this.policy.startsWith('relay')) {
       const draw = () => uniformInt(this.random, 0, 999_999) / 1_000_000;
-      return pickPlainServer(entries, excluded, facts, draw)!.id;
+      const allowed = this.policy.endsWith('failing servers') ? this.listServers(job) : entries;
+      return pickPlainServer(allowed, excluded, facts, draw)!.id;
     }
     const order = left.map(({ id, availabilityZone }) => {
       const away = availabilityZone === facts.availabilityZone ? 0 : 0.1;
@@ -166,10 +198,23 @@
     ended.forEach((each) => {
       server.running.splice(server.running.indexOf(each), 1);
       each.job.free();
+      if (!this.passes(server, each.job)) return;
       if (this.nowMs - each.job.arrivedMs <= TARGET_MS) this.result.onTime += 1;
     });
     this.start(server);
   }
+
+  /** Ends a run; one that its server fails is sent to another server where it may run again. */
+  private passes({ entry, fails }: PlainServer, job: Job): boolean {
+    const { health } = this.views[job.vm]!;
+    const failed = fails && uniformInt(this.random, 0, 1) === 0;
+    health.note(entry.id, failed ? 'failed' : 'answered', this.nowMs);
+    if (!failed) return true;
+    job.excluded.add(entry.id);
+    if (job.repeatable && job.excluded.size < ATTEMPTS) this.send(job);
+    else this.result.failed += 1;
+    return false;
+  }
 }
 
 /**
--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -3,7 +3,7 @@
 import { Run, type Job, type RunEnd } from './run.js';
 import type { RunContext } from './run-context.js';
 import type { CatalogServer } from './server-catalog.js';
-import { pickPlainServer } from './server-picker.js';
+import { listPlainServers, pickPlainServer, type PickerFacts } from './server-picker.js';
 import { provesNotRun, type OpenAnswer, type UpstreamFailure } from './upstream.js';
 
 /** Answers up to this size are held until they are whole, so that a broken one can be repeated. */
@@ -66,10 +66,9 @@
 
   /** Refuses what the servers could not answer in time, before anything is sent. */
   private refuseExcess(): RunEnd | undefined {
-    const { catalog, health, loads } = this.context;
-    const servers = catalog
-      .usable(this.job.pool.name, this.nowMs)
-      .filter(({ id }) => !health.avoids(id, this.nowMs));
+    const { catalog, loads } = this.context;
+    const known = catalog.usable(this.job.pool.name, this.nowMs);
+    const servers = listPlainServers(known, this.plainFacts);
     const part = computeRefusedPart(servers, loads, this.job.insideRate);
     if (part <= Math.random()) return undefined;
     const retryAfterMs = LEAST_RETRY_MS + Math.random() * RETRY_SPREAD_MS;
@@ -82,7 +81,7 @@
   private choose(): CatalogServer | undefined {
     const { catalog } = this.context;
     const servers = catalog.usable(this.job.pool.name, this.nowMs);
-    const server = pickPlainServer(servers, this.excluded, this.pickerFacts);
+    const server = pickPlainServer(servers, this.excluded, this.plainFacts);
     if (!server) {
       this.decide('server', 'none', 'no server of the pool is left', { known: servers.length });
     }
@@ -161,14 +160,23 @@
   }
 
   private mayRunAgain(): boolean {
-    const { route, signal } = this.job;
-    return route.kind === 'idempotent' && this.runs < route.attempts && !signal.aborted;
+    return this.isRepeatable(0) && !this.job.signal.aborted;
+  }
+
+  /** Tells whether the request may run again after a number of runs that have not ended yet. */
+  private isRepeatable(running: number): boolean {
+    const { route } = this.job;
+    return route.kind === 'idempotent' && this.runs + running < route.attempts;
+  }
+
+  private get plainFacts(): PickerFacts {
+    return { ...this.pickerFacts, repeatable: this.isRepeatable(1) };
   }
 
   /** Silence after which a server is given up; undefined when no other one may run the request. */
   private get silenceMs(): number | undefined {
+    if (!this.isRepeatable(1)) return undefined;
     const { route } = this.job;
-    if (route.kind !== 'idempotent' || this.runs + 1 >= route.attempts) return undefined;
     return Math.max(LEAST_SILENCE_MS, route.targetMs * SILENCE_FACTOR);
   }
 }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -11,7 +11,7 @@
 import type { Job, RunEnd } from './run.js';
 import type { RunContext } from './run-context.js';
 import { ServerCatalog } from './server-catalog.js';
-import { ServerHealth } from './server-health.js';
+import { ServerHealth, type ServerState } from './server-health.js';
 import { ServerLoads } from './server-loads.js';
 import { CostAverage } from './stage-balance.js';
 import { StagedRun } from './staged-run.js';
@@ -93,6 +93,25 @@
     return [...this.places.values()].reduce((sum, { punctualWaiting }) => sum + punctualWaiting, 0);
   }
 
+  /**
+   * Counts the usable servers of each pool by what their answers say of them.
+   *
+   * @returns counts by name of the pool
+   */
+  countServers(): Map<string, Record<ServerState, number>> {
+    const nowMs = this.clock.monotonicMs();
+    const pools = new Set(this.catalog.all.map(({ pool }) => pool));
+    return new Map(
+      [...pools].map((pool) => {
+        const counts = { sound: 0, failing: 0, unreachable: 0 };
+        this.catalog.usable(pool, nowMs).forEach(({ id }) => {
+          counts[this.health.judge(id, nowMs)] += 1;
+        });
+        return [pool, counts];
+      }),
+    );
+  }
+
   /**
    * Puts a configuration in force; one that is not newer is ignored.
    *
--- a/src/relay/server-health.ts
+++ b/src/relay/server-health.ts
@@ -1,6 +1,9 @@
 /** How a request ended at a server, as far as it speaks for or against the server. */
 export type HealthEvidence = 'answered' | 'failed' | 'unreachable' | 'silent' | 'full';
 
+/** What the answers of a server say of it. */
+export type ServerState = 'sound' | 'failing' | 'unreachable';
+
 interface Record {
   /** Recent share of failures, 0 to 1. */
   failures: number;
@@ -92,6 +95,29 @@
     return nowMs < record.avoidedUntilMs || this.decay(server, nowMs).failures > GREY_SHARE;
   }
 
+  /**
+   * Judges a server by its answers.
+   *
+   * @param server - id of the server
+   * @param nowMs - monotonic time
+   * @returns `unreachable` also for a server that fell silent, `failing` for one that fails often
+   */
+  judge(server: string, nowMs: number): ServerState {
+    if (nowMs < (this.records.get(server)?.avoidedUntilMs ?? -Infinity)) return 'unreachable';
+    return this.avoids(server, nowMs) ? 'failing' : 'sound';
+  }
+
+  /**
+   * Tells which part of its requests a server has failed lately.
+   *
+   * @param server - id of the server
+   * @param nowMs - monotonic time
+   * @returns share of failures, 0 to 1
+   */
+  failureShare(server: string, nowMs: number): number {
+    return this.records.has(server) ? this.decay(server, nowMs).failures : 0;
+  }
+
   /**
    * Tells whether a server has just turned a request away for lack of room.
    *
--- a/src/relay/server-picker.ts
+++ b/src/relay/server-picker.ts
@@ -10,6 +10,8 @@
   /** Zone of this VM. */
   readonly availabilityZone: string;
   readonly nowMs: number;
+  /** True for requests that may run again after a failure. */
+  readonly repeatable?: boolean;
   /** True when many VMs choose by the same news before they hear of each other's choices. */
   readonly newsIsOld?: boolean;
 }
@@ -20,15 +22,52 @@
 /** Weight of a plain server that has just turned a request away. */
 const FULL_FACTOR = 0.1;
 
+/** Requests for each slot of the sound servers from which repeatable ones also go to failing servers. */
+const BUSY_RATIO = 1;
+
+/**
+ * The same for requests that may run once only. More would be refused or late at the sound servers,
+ * while a failing one answers the most part of them.
+ */
+const CROWDED_RATIO = 2;
+
+/** Share of failures from which a server is not worth a request that may run once only. */
+const HOPELESS_SHARE = 0.6;
+
 /** Engines that are compared where news is old. */
 const DRAWN = 2;
 
 /** Relative load by which a server of another zone must be better, in parts of its slots. */
 const ZONE_PREFERENCE = 0.1;
 
+/**
+ * Lists the plain servers that a request may be sent to. Servers that fail a part of their requests are
+ * left out until the sound servers have no slot free, and by requests that may run once only until they
+ * would wait long; without them the sound ones would get more than they can answer in time.
+ *
+ * Pattern: most servers of a pool fail half of their requests for some seconds.
+ *
+ * @param servers - servers of the pool
+ * @param facts - loads, health, time and the kind of request
+ * @returns the sound servers, with failing ones where needed; all servers when none is sound or failing
+ */
+export function listPlainServers(
+  servers: readonly CatalogServer[],
+  { loads, health, nowMs, repeatable = false }: PickerFacts,
+): readonly CatalogServer[] {
+  const sound = servers.filter(({ id }) => !health.avoids(id, nowMs));
+  const failing = servers.filter(({ id }) => health.judge(id, nowMs) === 'failing');
+  if (sound.length === 0) return failing.length > 0 ? failing : servers;
+  const slots = sound.reduce((sum, server) => sum + server.slots, 0);
+  const running = sound.reduce((sum, { id }) => sum + loads.at(id).running, 0);
+  if (running < (repeatable ? BUSY_RATIO : CROWDED_RATIO) * slots) return sound;
+  const most = repeatable ? 1 : HOPELESS_SHARE;
+  return [...sound, ...failing.filter(({ id }) => health.failureShare(id, nowMs) <= most)];
+}
+
 /**
  * Chooses a plain server by chance; an empty one is twice as likely as a full one. More would make VMs
- * with the same news go to the same server all at once. Servers that fail are used only when there is no other.
+ * with the same news go to the same server all at once.
  *
  * Pattern: many VMs, each with few requests and news that is older than a request lasts.
  *
@@ -41,16 +80,17 @@
 export function pickPlainServer(
   servers: readonly CatalogServer[],
   excluded: ReadonlySet<string>,
-  { loads, health, availabilityZone, nowMs }: PickerFacts,
+  facts: PickerFacts,
   draw: () => number = Math.random,
 ): CatalogServer | undefined {
+  const { loads, health, availabilityZone, nowMs } = facts;
   const usable = servers.filter(({ id }) => !excluded.has(id));
-  const healthy = usable.filter(({ id }) => !health.avoids(id, nowMs));
-  const weighed = (healthy.length > 0 ? healthy : usable).map((server) => {
+  const weighed = listPlainServers(usable, facts).map((server) => {
     const free = Math.max(0, 1 - loads.at(server.id).running / Math.max(1, server.slots));
     const near = server.availabilityZone === availabilityZone ? NEAR_FACTOR : 1;
     const full = health.isFull(server.id, nowMs) ? FULL_FACTOR : 1;
-    return { server, weight: (1 + free) * near * full };
+    const sound = 1 - health.failureShare(server.id, nowMs);
+    return { server, weight: (1 + free) * near * full * sound };
   });
   let left = draw() * weighed.reduce((sum, { weight }) => sum + weight, 0);
   const chosen = weighed.find(({ weight }) => {
