fix(state): bound the time for which a removed server may come back after an outage

Cause: a VM kept entries that went missing after an outage for 2 s from the moment at which it noticed the store's return, up to 5 s late on VMs that ask seldom, and handed on both the entries, as if they were there, and the time anew. The time counts from the last failed call, what is left of it is handed on, and missing entries are not. Test without network: 20 followers, an outage of 2.4 s, a removal 0.7 s and another change 1.7 s later; the removed server stayed in use on most VMs, now on none.

--- a/features/fleet/store-followers.feature
+++ b/features/fleet/store-followers.feature
@@ -29,3 +29,19 @@
     When 3000 ms pass for the store followers
     And the store forgets its history and is out
     Then every store follower stays ready for 5000 ms
+
+  # Guards against a server that stays in use because VMs hand on an entry that has gone missing after
+  # an outage, or the time for which it may come back. Servers may be sent work for 3 s after they leave.
+  Scenario: a server that is removed soon after an outage is gone on every VM
+    Given 20 store followers that hear each other
+    When the store gets a second server
+    And 3000 ms pass for the store followers
+    And the store is out for the followers
+    And 2400 ms pass for the store followers
+    And the store is back for the followers
+    And 700 ms pass for the store followers
+    And the store gets the news that the second server is gone
+    And 1000 ms pass for the store followers
+    And the store gets a third server
+    And 1900 ms pass for the store followers
+    Then no store follower uses the second server
--- a/features/steps/store-follower-steps.ts
+++ b/features/steps/store-follower-steps.ts
@@ -38,6 +38,29 @@
   followersOf().forget();
 });
 
+When(/^the store gets a (second|third) server$/, (place: string) => {
+  followersOf().addServer(place === 'second' ? 'b' : 'c');
+});
+
+When('the store gets the news that the second server is gone', () => {
+  followersOf().removeServer();
+});
+
+When(/^the store is (out|back) for the followers$/, (state: string) => {
+  followersOf().refuseAll(state === 'out');
+});
+
+Then('no store follower uses the second server', () => {
+  const { vms, clock } = followersOf();
+  const using = vms.filter(({ relay }) =>
+    relay.catalog.usable('pool', clock.monotonicMs()).some(({ id }) => id === 'b'),
+  );
+  assert.deepEqual(
+    using.map(({ name }) => name),
+    [],
+  );
+});
+
 Then('the store has got at most {int} calls', (most: number) => {
   const calls = followersOf().vms.reduce((sum, vm) => sum + vm.calls, 0);
   assert.ok(calls <= most, `${calls} calls`);
--- a/features/support/store-follower-fleet.ts
+++ b/features/support/store-follower-fleet.ts
@@ -44,6 +44,9 @@
 
   private rounds = 0;
 
+  /** False once the servers write no heartbeats any more. */
+  private beating = true;
+
   /** First change that the store still has. */
   private first = 0;
 
@@ -61,6 +64,22 @@
     this.changes.push({ id: 'a', server: createCatalogServer({ id: 'a', leaving: true }) });
   }
 
+  /** Adds a server. */
+  addServer(id: string): void {
+    this.changes.push({ id, server: createCatalogServer({ id }) });
+  }
+
+  /** Removes the second server, which is the last change. */
+  removeServer(): void {
+    this.changes.push({ id: 'b', server: undefined });
+    this.beating = false;
+  }
+
+  /** Turns every VM away, or none. */
+  refuseAll(refused: boolean): void {
+    this.vms.forEach((vm) => Object.assign(vm, { refused }));
+  }
+
   /** Turns away the VMs that read the store now. */
   refuseFollowers(): void {
     this.vms
@@ -79,12 +98,19 @@
     for (let passed = 0; passed < ms; passed += 20) {
       this.clock.advance(20);
       // The servers write their heartbeats all the time.
-      if (passed % 200 === 0) this.changes.push(this.changes.at(-1)!);
+      const [first] = this.changes;
+      if (this.beating && passed % 200 === 0) this.changes.push(this.lastOf('a') ?? first!);
       if (passed % DIGEST_MS === 0) this.tell();
+      // Requests look for servers all the time.
+      this.vms.forEach(({ relay }) => relay.catalog.usable('pool', this.clock.monotonicMs()));
       await flush();
     }
   }
 
+  private lastOf(id: string): CatalogChange | undefined {
+    return this.changes.findLast((change) => change.id === id);
+  }
+
   private tell(): void {
     const offers = this.vms.map(({ name, follower, relay }) => ({
       host: name,
@@ -172,8 +198,8 @@
       },
       allServers: () =>
         answer(() => {
-          const server = this.changes.at(-1)!.server!;
-          return succeed({ servers: [server], offset: this.changes.length });
+          const servers = ['a', 'b', 'c'].flatMap((id) => this.lastOf(id)?.server ?? []);
+          return succeed({ servers, offset: this.changes.length });
         }),
       serverChanges: (offset: number) => answer(() => read(offset)),
     };
--- a/src/relay/server-catalog.ts
+++ b/src/relay/server-catalog.ts
@@ -61,26 +61,27 @@
    * Says that the store answers again after an outage: entries that lapsed meanwhile may come back.
    *
    * @param nowMs - monotonic time
+   * @param leftMs - time that is left for it, in milliseconds
    */
-  noteReturn(nowMs: number): void {
-    this.returnedMs = nowMs;
+  noteReturn(nowMs: number, leftMs = RETURN_MS): void {
+    this.returnedMs = Math.max(this.returnedMs, nowMs + leftMs - RETURN_MS);
   }
 
   /**
-   * Tells whether entries that lapsed in an outage may still come back.
+   * Tells for how long entries that lapsed in an outage may still come back.
    *
    * @param nowMs - monotonic time
-   * @returns true for some time after the store's return
+   * @returns milliseconds; 0 when no outage has ended lately
    */
-  settles(nowMs: number): boolean {
-    return nowMs < this.returnedMs + RETURN_MS;
+  settlingMs(nowMs: number): number {
+    return Math.max(0, this.returnedMs + RETURN_MS - nowMs);
   }
 
-  /** Hash of all entries; the same on all VMs that know the same entries. */
+  /** Hash of the present entries; the same on all VMs that know the same ones. */
   get hash(): number {
     this.knownHash ??= scoreRendezvous(
       'catalog',
-      [...this.servers.values()].map(describeServer).sort().join('\n'),
+      this.present.map(describeServer).sort().join('\n'),
     );
     return this.knownHash;
   }
@@ -97,8 +98,10 @@
       return;
     }
     if (!this.servers.has(id)) return;
-    if (this.settles(nowMs)) this.missing.set(id, this.returnedMs + RETURN_MS);
-    else this.remove(id);
+    const leftMs = this.settlingMs(nowMs);
+    if (leftMs === 0) this.remove(id);
+    else if (!this.missing.has(id)) this.missing.set(id, nowMs + leftMs);
+    this.knownHash = undefined;
   }
 
   /**
@@ -158,7 +161,12 @@
     return this.servers.get(id);
   }
 
-  /** All entries, those of leaving servers included. */
+  /** Entries that the store has, those of leaving servers included. */
+  get present(): CatalogServer[] {
+    return this.all.filter(({ id }) => !this.missing.has(id));
+  }
+
+  /** All entries, with those that went missing in an outage and may come back. */
   get all(): CatalogServer[] {
     return [...this.servers.values()];
   }
--- a/src/state/peer-state.ts
+++ b/src/state/peer-state.ts
@@ -8,8 +8,8 @@
 export interface SharedState {
   readonly configuration: RelayConfiguration | undefined;
   readonly catalog: CatalogSnapshot | undefined;
-  /** True while entries that lapsed in an outage may still come back. */
-  readonly settling: boolean;
+  /** Time for which entries that lapsed in an outage may still come back, in milliseconds. */
+  readonly settlingMs: number;
 }
 
 /** Fetches state from other VMs. */
--- a/src/state/state-follower.ts
+++ b/src/state/state-follower.ts
@@ -3,6 +3,7 @@
 import type { Outcome } from '../kernel/outcome.js';
 import { rankByRendezvous } from '../kernel/rendezvous.js';
 import { Service } from '../kernel/service.js';
+import { RETURN_MS } from '../relay/server-catalog.js';
 import type { SharedState } from './peer-state.js';
 import type { CatalogSnapshot, ConfigurationRead, StoreFailure } from './state-store.js';
 
@@ -65,6 +66,9 @@
   /** True when the last call to the store brought no answer. */
   private failing = false;
 
+  /** When a call to the store last brought no answer. */
+  private failedMs = -Infinity;
+
   /** True once the servers' entries have been read, even if their changes were missed since. */
   private knowsServers = false;
 
@@ -144,8 +148,8 @@
     const isOther = offset !== undefined && catalog.hash !== than.catalogHash;
     return {
       configuration: isNew ? configuration : undefined,
-      catalog: isOther ? { servers: catalog.all, offset } : undefined,
-      settling: catalog.settles(this.clock.monotonicMs()),
+      catalog: isOther ? { servers: catalog.present, offset } : undefined,
+      settlingMs: catalog.settlingMs(this.clock.monotonicMs()),
     };
   }
 
@@ -193,6 +197,7 @@
     this.fetching = true;
     const version = this.kernel.find('relay').configuration?.version ?? -1;
     const known = { configuration: version, catalogHash: this.catalogHash };
+    const askedMs = this.clock.monotonicMs();
     const outcome = await this.kernel.find('peer-state').fetch(host, known);
     this.fetching = false;
     this.offer = undefined;
@@ -201,12 +206,15 @@
       logs.warn('a VM gave no state', { host, error: outcome.failure.message });
       return;
     }
-    const { configuration, catalog, settling } = outcome.value;
+    const { configuration, catalog, settlingMs } = outcome.value;
     if (configuration && this.kernel.find('relay').configure(configuration)) {
       logs.info('configuration in force', { version: configuration.version, source: host });
     }
     if (!catalog || catalog.offset <= this.catalogOffset) return;
-    if (settling) this.kernel.find('relay').catalog.noteReturn(this.clock.monotonicMs());
+    // Counted from the question on, so that the time does not grow from VM to VM.
+    const nowMs = this.clock.monotonicMs();
+    const leftMs = settlingMs - (nowMs - askedMs);
+    if (leftMs > 0) this.kernel.find('relay').catalog.noteReturn(nowMs, leftMs);
     this.replaceServers(catalog, host);
   }
 
@@ -325,6 +333,7 @@
       return;
     }
     this.failing = true;
+    this.failedMs = this.clock.monotonicMs();
     const { reason, message } = outcome.failure;
     this.kernel.find('metrics').increment('store.failures', { reason });
     this.kernel.find('logs').warn('the store gave no answer', {
@@ -342,7 +351,9 @@
     this.answeredMs = nowMs;
     this.failing = false;
     if (storeAgeMs < OUTAGE_MS || storeAgeMs === Infinity) return;
-    this.kernel.find('relay').catalog.noteReturn(nowMs);
+    // The store may have returned soon after the last failure; a VM that asks it seldom learns it late.
+    const sinceMs = Math.max(0, nowMs - this.failedMs - FAILURE_PAUSE_MS);
+    this.kernel.find('relay').catalog.noteReturn(nowMs, RETURN_MS - sinceMs);
     this.kernel.find('logs').info('the store answers again', { ageMs: Math.round(storeAgeMs) });
   }
 }
