fix(fleet): leave the others' part of the rates to them until a new VM has met them

Cause: after a restart of all VMs each of them takes the whole rate of a team until it hears the others, about 2 s in a fleet of 64; a full bucket also lets one request through that is larger than the bucket, at each VM. VMs that are known by name from the store count as at work for 3 s after the start. Ruled out: an empty bucket at the start; it refuses teams inside their rates after each restart.

--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -55,6 +55,18 @@
     And each VM of the simulated fleet spends 1000 tokens a second for 10 s while the first 2 VMs die
     Then each VM of the simulated fleet has counted 85 to 105 percent of what was spent
 
+  # Guards against VMs that each spend the whole rate until they have met: a fleet of 64 needs 2 s for it.
+  Scenario Outline: a team does not exceed its rate while a fleet restarts (pattern: all of <vms> VMs at once)
+    Given a simulated fleet of <vms> VMs that restart at once
+    When a team sends 4 times its rate through all VMs of the simulated fleet for 4000 ms
+    Then the simulated fleet has admitted at most burst + rate × time of the team
+    And the simulated fleet has admitted at least half of rate × time of the team
+
+    Examples:
+      | vms |
+      | 8   |
+      | 64  |
+
   Scenario: a VM that stops is left out at once
     Given a simulated fleet of 80 VMs
     When 10000 ms pass in the simulated fleet
--- a/features/steps/fleet-steps.ts
+++ b/features/steps/fleet-steps.ts
@@ -2,7 +2,12 @@
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
-import { FleetSimulation, FLEET_TEAM, type SimulatedVm } from '../../harness/fleet-simulation.js';
+import {
+  FleetSimulation,
+  FLEET_TEAM,
+  PRESSING_TEAM,
+  type SimulatedVm,
+} from '../../harness/fleet-simulation.js';
 
 interface FleetWorld {
   simulation?: FleetSimulation;
@@ -10,6 +15,8 @@
   spent: number;
   /** The team's level at each VM before that. */
   levels: number[];
+  /** What the pressing team got, and the time that it pressed. */
+  pressed?: { admitted: number; ms: number };
 }
 
 const scenario = world as unknown as FleetWorld;
@@ -17,6 +24,9 @@
 /** Simulated time of a few hundred VMs takes longer than real time on a busy machine. */
 const SIMULATION = { timeout: 180_000 } as const;
 
+/** Tokens of one request of the pressing team. */
+const PRESSING_TOKENS = 5000;
+
 /** Time over which traffic is measured, in milliseconds. */
 const MEASURED_MS = 4000;
 
@@ -61,6 +71,43 @@
   scenario.simulation = await FleetSimulation.create(count);
 });
 
+Given('a simulated fleet of {int} VMs that restart at once', SIMULATION, async (count: number) => {
+  scenario.simulation = await FleetSimulation.restart(count);
+});
+
+When(
+  'a team sends {int} times its rate through all VMs of the simulated fleet for {int} ms',
+  SIMULATION,
+  async (times: number, ms: number) => {
+    const simulation = simulationOf();
+    const { name, tokensPerSecond } = PRESSING_TEAM;
+    const pauseMs = (1000 * PRESSING_TOKENS) / (times * tokensPerSecond);
+    scenario.pressed = { admitted: 0, ms };
+    let nextMs = 0;
+    for (let passed = 0; passed < ms; passed += 20) {
+      for (; nextMs <= passed; nextMs += pauseMs) {
+        const { meter } = simulation.vms[Math.round(nextMs / pauseMs) % simulation.vms.length]!;
+        const nowMs = simulation.clock.monotonicMs();
+        const { kind } = meter.admit(name, PRESSING_TEAM, PRESSING_TOKENS, nowMs);
+        if (kind === 'admitted') scenario.pressed.admitted += PRESSING_TOKENS;
+      }
+      await simulation.advance(20);
+    }
+  },
+);
+
+Then('the simulated fleet has admitted at most burst + rate × time of the team', () => {
+  const { admitted, ms } = scenario.pressed!;
+  const most = PRESSING_TEAM.burstTokens + (PRESSING_TEAM.tokensPerSecond * ms) / 1000;
+  assert.ok(admitted <= most, `${admitted} tokens, at most ${most}`);
+});
+
+Then('the simulated fleet has admitted at least half of rate × time of the team', () => {
+  const { admitted, ms } = scenario.pressed!;
+  const least = (0.5 * PRESSING_TEAM.tokensPerSecond * ms) / 1000;
+  assert.ok(admitted >= least, `${admitted} tokens, at least ${least}`);
+});
+
 When('{int} ms pass in the simulated fleet', SIMULATION, async (ms: number) => {
   await simulationOf().advance(ms);
 });
--- a/harness/fleet-simulation.ts
+++ b/harness/fleet-simulation.ts
@@ -35,6 +35,9 @@
 /** A team whose tokens hardly come back, so that its level shows what was counted. */
 export const FLEET_TEAM = { name: 'crew', tokensPerSecond: 0.001, burstTokens: 1e9 };
 
+/** A team that presses against its rate while the fleet starts. */
+export const PRESSING_TEAM = { name: 'hot', tokensPerSecond: 30_000, burstTokens: 30_000 };
+
 /** Many members of a fleet in one process, on one manual clock and without a network. */
 export class FleetSimulation {
   readonly clock = ManualClock.create(1_000_000);
@@ -43,8 +46,21 @@
 
   /** Starts a fleet of which each VM knows the first three hosts only. */
   static async create(count: number): Promise<FleetSimulation> {
+    const simulation = new FleetSimulation();
+    for (let index = 0; index < count; index += 1) {
+      await simulation.add(index);
+      await simulation.advance(7);
+    }
+    return simulation;
+  }
+
+  /** Starts a fleet whose VMs start at once and get the hosts of all from the store 20 ms later. */
+  static async restart(count: number): Promise<FleetSimulation> {
     const simulation = new FleetSimulation();
     for (let index = 0; index < count; index += 1) await simulation.add(index);
+    await simulation.advance(20);
+    const hosts = simulation.vms.map(({ host }) => host);
+    simulation.vms.forEach(({ fleet }) => fleet.meet(hosts));
     return simulation;
   }
 
@@ -71,11 +87,10 @@
       alive: true,
       receive: () => undefined,
     };
-    vm.meter.configure([FLEET_TEAM], this.clock.monotonicMs());
+    vm.meter.configure([FLEET_TEAM, PRESSING_TEAM], this.clock.monotonicMs());
     this.registerFakes(kernel, vm);
     this.vms.push(vm);
     await vm.fleet.start();
-    await this.advance(7);
     return vm;
   }
 
--- a/src/fleet/fleet-book.ts
+++ b/src/fleet/fleet-book.ts
@@ -161,10 +161,11 @@
    * Computes the part of the fleet that is silent but may still be at work.
    *
    * @param nowMs - monotonic time
+   * @param named - other VMs that are known by name, heard or not
    * @returns 0 to less than 1
    */
-  unheardPart(nowMs: number): number {
-    const size = this.size(nowMs);
+  unheardPart(nowMs: number, named = 0): number {
+    const size = Math.max(this.size(nowMs), 1 + named);
     return (size - 1 - this.heard(nowMs).length) / size;
   }
 
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -46,6 +46,12 @@
 /** Rounds between digests to seeds and to hosts that are only known by name. */
 const DISCOVERY_ROUNDS = 8;
 
+/**
+ * Time after the start for which VMs that are known by name count as at work, in milliseconds. A fleet of
+ * 64 VMs that restarts at once has met again after two seconds.
+ */
+const MEETING_MS = 3000;
+
 /** Rounds between lists of a hub's reporters to the other hubs. */
 const LIST_ROUNDS = 4;
 
@@ -75,6 +81,8 @@
 
   private ticks = 0;
 
+  private startedMs = -Infinity;
+
   private sequence = 0;
 
   private draining = false;
@@ -137,6 +145,7 @@
 
   override async start(): Promise<void> {
     await this.datagrams.start((datagram) => this.receive(datagram));
+    this.startedMs = this.clock.monotonicMs();
     this.round();
     void this.run();
   }
@@ -159,7 +168,10 @@
    * @param hosts - IP numbers
    */
   meet(hosts: readonly string[]): void {
-    hosts.filter((host) => host !== this.options.host).forEach((host) => this.hosts.add(host));
+    const others = hosts.filter((host) => host !== this.options.host && !this.hosts.has(host));
+    others.forEach((host) => this.hosts.add(host));
+    if (others.length > 0 && this.startedMs > -Infinity)
+      this.limitSpending(this.clock.monotonicMs());
   }
 
   /** Sends in every round of a small fleet and in every second one of a larger fleet. */
@@ -307,7 +319,14 @@
       this.kernel.find('logs').info('a VM has left the fleet', { peer: vm });
     });
     this.meet(this.options.seedHosts);
-    relay.meter.setUnheardPart(this.book.unheardPart(nowMs), nowMs);
+    this.limitSpending(nowMs);
+  }
+
+  /** Leaves the others' part of the rates to them while they are not heard. */
+  private limitSpending(nowMs: number): void {
+    const meeting = nowMs < this.startedMs + MEETING_MS;
+    const part = this.book.unheardPart(nowMs, meeting ? this.hosts.size : 0);
+    this.kernel.find('relay').meter.setUnheardPart(part, nowMs, meeting && part > 0);
   }
 
   private validSources(nowMs: number): Set<string> {
--- a/src/relay/team-meter.ts
+++ b/src/relay/team-meter.ts
@@ -55,6 +55,9 @@
   /** Part of the fleet that has not been heard, 0 to 1; it may spend its share unseen. */
   private unheardPart = 0;
 
+  /** True while this VM has just started and does not know yet what the others spend. */
+  private meeting = false;
+
   private constructor(private readonly tolerance: RateTolerance) {}
 
   /**
@@ -86,8 +89,10 @@
    *
    * @param part - 0 when every known VM is heard, up to 1
    * @param nowMs - monotonic time
+   * @param meeting - whether this VM has just started
    */
-  setUnheardPart(part: number, nowMs: number): void {
+  setUnheardPart(part: number, nowMs: number, meeting = false): void {
+    this.meeting = meeting;
     const bounded = Math.min(1, Math.max(0, part));
     if (bounded === this.unheardPart) return;
     this.unheardPart = bounded;
@@ -107,10 +112,12 @@
     if (rate.tokensPerSecond <= 0) return { kind: 'admitted', insideRate: true };
     const { all, inside } = this.find(team, rate, nowMs);
     const { tokensPerMs, capacity } = this.wholeSize(rate);
-    // A request larger than the bucket goes when the bucket is full, or it could never go.
+    // A request larger than the bucket goes when the bucket is full, or it could never go. When all VMs
+    // have just started, one such request at each of them would be many times the team's rate.
     const small = tokens <= SMALL_PART * rate.burstTokens;
     const overdraft = small ? SMALL_USE * this.tolerance.tokens : 0;
-    const needed = Math.min(tokens, capacity) - overdraft;
+    const most = this.meeting ? rate.burstTokens : capacity;
+    const needed = Math.min(tokens, most) - overdraft;
     const level = all.level(nowMs);
     if (level < needed) {
       const retryAfterMs = (needed - level) / Math.max(0.001, tokensPerMs);
