feat(relay): reserve twice the guessed answer; do not trust connections from before a break

Ruled out: 2.6 times the guess (fewer run at once). Module test: read again 2.5 percent of prompt tokens at 1.5, under 1 at 2.

Connections from before the last break that any VM told are not used again; a new one is refused before anything is sent. Contract test: three open connections gave broken, unsent, broken; now all unsent after the news.

--- a/features/relay/relay-modules.feature
+++ b/features/relay/relay-modules.feature
@@ -88,6 +88,16 @@
     When relay server "a" has answered at 1200 ms
     Then relay server "a" is not avoided at 1201 ms
 
+  # Guards requests that may run once only: the first one on each lost connection has an unknown outcome.
+  Scenario: connections to a server that broke off at any VM are not trusted
+    When relay server "a" has broken at 100 ms
+    Then connections to relay server "a" are trusted from 100 ms on
+    When another VM avoids relay server "a" at 2000 ms
+    And another VM avoids relay server "a" at 2200 ms
+    Then connections to relay server "a" are trusted from 2000 ms on
+    When relay server "a" has failed at 3000 ms
+    Then connections to relay server "a" are trusted from 2000 ms on
+
   Scenario: a VM that falls silent stops being named, then stops being counted
     Given a relay fleet book that heard "b" and "c" at 0 ms
     When the relay fleet book hears "b" at 2000 ms
@@ -162,6 +172,18 @@
       | 2       | 0.7  | 8   | 3    | 1.2   |
       | 1       | 0.7  | 8   | 4    | 1     |
 
+  # Guards against prompts that are read again because answers outgrow the memory reserved for them.
+  Scenario Outline: answers far longer than their callers guessed (pattern: short memory)
+    When a decode engine plays requests whose sizes are guessed, with seed <seed>
+    Then it reads at most 2 percent of the prompt tokens again
+    And it ends at least 1.05 times as many requests as with memory for the longest answers
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
   Scenario: a plain pool that can answer all refuses none (pattern: plain burst)
     When relay VMs play the plain load 0.7 with 64 VMs, news 400 ms old and seed 1
     Then the relay refuses no plain request
--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -56,12 +56,38 @@
   });
 });
 
+When('{int} requests are sent to the platform server at once', async (count: number) => {
+  const { port } = scenario.scriptedServer!;
+  const ids = Array.from({ length: count }, (_, index) => `r${index}`);
+  scenario.outcomes = await Promise.all(ids.map((id) => sendRequest(id, { port })));
+});
+
+When(
+  'the platform server goes down and {int} requests are sent to it after the news',
+  async (count: number) => {
+    const { port } = scenario.scriptedServer!;
+    scenario.scriptedServer!.goDown();
+    scenario.outcomes = [];
+    const connectedAfterMs = SystemClock.create().monotonicMs();
+    for (let index = 0; index < count; index += 1) {
+      scenario.outcomes.push(await sendRequest(`s${index}`, { port, connectedAfterMs }));
+    }
+  },
+);
+
+Then('the platform calls end as {string}', (outcomes: string) => {
+  assert.equal(scenario.outcomes.join(', '), outcomes);
+});
+
 /** Nothing listens here. */
 const UNUSED_PORT = 1;
 
-async function sendRequest(requestId: string): Promise<string> {
+async function sendRequest(
+  requestId: string,
+  options: { port?: number; connectedAfterMs?: number } = {},
+): Promise<string> {
   const { scriptedServer: server, platformCalls: calls, closed } = scenario;
-  const port = closed ? UNUSED_PORT : server!.port;
+  const port = options.port ?? (closed ? UNUSED_PORT : server!.port);
   const target = createCatalogServer({ address: { host: '127.0.0.1', port } });
   const headers = ['Attempt-Id', requestId, 'Host', 'plans.example'];
   const request = createRelayRequest({ requestId, headers });
@@ -69,6 +95,7 @@
     deadlineMs: 1000,
     team: undefined,
     signal: AbortSignal.timeout(3000),
+    connectedAfterMs: options.connectedAfterMs ?? -Infinity,
   });
   if (outcome.kind === 'failed') return outcome.failure;
   const { head, body } = outcome.value;
--- a/features/steps/relay-module-steps.ts
+++ b/features/steps/relay-module-steps.ts
@@ -11,6 +11,7 @@
 import { ServerCatalog } from '../../src/relay/server-catalog.js';
 import { ServerHealth, type HealthEvidence } from '../../src/relay/server-health.js';
 import { ServerLoads } from '../../src/relay/server-loads.js';
+import { EXPECTED_MARGIN } from '../../src/relay/place-size.js';
 import { pickDecodeServer } from '../../src/relay/server-picker.js';
 import { balanceStages } from '../../src/relay/stage-balance.js';
 import {
@@ -19,6 +20,7 @@
   type PlainPolicy,
   type PlainResult,
 } from '../support/plain-simulation.js';
+import { simulatePreemption, type PreemptionResult } from '../support/preemption-simulation.js';
 import { simulatePlaces, type PlacePolicy } from '../support/place-simulation.js';
 import {
   createCatalogServer,
@@ -42,6 +44,7 @@
   writer: LineWriter;
   plainLoad: PlainLoad;
   plain: PlainResult;
+  preemption: Record<'relay' | 'whole', PreemptionResult>;
   chosen: string[];
   tookMs: number;
 }
@@ -200,6 +203,17 @@
   },
 );
 
+When('another VM avoids relay server {string} at {int} ms', (id: string, nowMs: number) => {
+  scenario.health.noteAvoided(id, 400, nowMs);
+});
+
+Then(
+  'connections to relay server {string} are trusted from {int} ms on',
+  (id: string, fromMs: number) => {
+    assert.equal(scenario.health.brokenMs(id), fromMs);
+  },
+);
+
 Then('relay server {string} is avoided at {int} ms', (id: string, nowMs: number) => {
   assert.equal(scenario.health.avoids(id, nowMs), true);
 });
@@ -360,6 +374,26 @@
   },
 );
 
+When('a decode engine plays requests whose sizes are guessed, with seed {int}', (seed: number) => {
+  scenario.preemption = {
+    relay: simulatePreemption(EXPECTED_MARGIN, seed),
+    whole: simulatePreemption(Infinity, seed),
+  };
+});
+
+Then('it reads at most {int} percent of the prompt tokens again', (percent: number) => {
+  const { readAgain } = scenario.preemption.relay;
+  assert.ok(100 * readAgain <= percent, `${100 * readAgain} percent`);
+});
+
+Then(
+  'it ends at least {float} times as many requests as with memory for the longest answers',
+  (times: number) => {
+    const { relay, whole } = scenario.preemption;
+    assert.ok(relay.finished >= times * whole.finished, `${relay.finished} to ${whole.finished}`);
+  },
+);
+
 Then('the relay refuses no plain request', () => {
   assert.equal(scenario.plain.refused, 0);
 });
--- /dev/null
+++ b/features/support/preemption-simulation.ts
@@ -0,0 +1,128 @@
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+import { computePlaceTokens } from '../../src/relay/place-size.js';
+
+/** What an engine did in a time in which requests always waited. */
+export interface PreemptionResult {
+  readonly finished: number;
+  /** Tokens that were read again after a preemption, relative to all prompt tokens. */
+  readonly readAgain: number;
+}
+
+interface Stream {
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly reserved: number;
+  made: number;
+}
+
+/** Memory of the engine, in tokens. */
+const MEMORY = 73_378;
+
+/** Most requests that it runs at once. */
+const SLOTS = 12;
+
+/** Largest answer, in tokens. */
+const MOST_OUTPUT = 8190;
+
+/** Tokens that each request makes in a step. */
+const STEP_TOKENS = 30;
+
+const STEPS = 20_000;
+
+/** Spread of the logarithm of sizes and of guesses. */
+const SPREAD = 0.47;
+
+/** One decode engine whose memory is always full, and requests whose callers guess the answer's size. */
+class PreemptionSimulation {
+  private readonly random;
+
+  private readonly running: Stream[] = [];
+
+  private finished = 0;
+
+  private readAgain = 0;
+
+  private promptTokens = 0;
+
+  constructor(
+    private readonly margin: number,
+    seed: number,
+  ) {
+    this.random = xoroshiro128plus(seed);
+  }
+
+  run(): PreemptionResult {
+    let next = this.createStream();
+    for (let step = 0; step < STEPS; step += 1) {
+      while (this.running.length < SLOTS && this.reservable() >= next.reserved) {
+        this.running.push(next);
+        this.promptTokens += next.promptTokens;
+        next = this.createStream();
+      }
+      this.advance();
+    }
+    return { finished: this.finished, readAgain: this.readAgain / this.promptTokens };
+  }
+
+  /** Memory that is neither in use nor reserved; a request that outgrew its place uses what it has. */
+  private reservable(): number {
+    const taken = this.running.map((stream) => Math.max(stream.reserved, sizeOf(stream)));
+    return MEMORY - taken.reduce((sum, tokens) => sum + tokens, 0);
+  }
+
+  private advance(): void {
+    this.running.forEach((stream) => {
+      Object.assign(stream, { made: Math.min(stream.outputTokens, stream.made + STEP_TOKENS) });
+    });
+    const ended = this.running.filter(({ made, outputTokens }) => made >= outputTokens);
+    ended.forEach((stream) => this.running.splice(this.running.indexOf(stream), 1));
+    this.finished += ended.length;
+    while (this.reservable() < 0 && this.preempt());
+  }
+
+  /** Takes the newest request out that has outgrown its place; all of it is read again later. */
+  private preempt(): boolean {
+    const newest = this.running.findLastIndex((stream) => sizeOf(stream) > stream.reserved);
+    if (newest < 0) return false;
+    const [stream] = this.running.splice(newest, 1);
+    this.readAgain += sizeOf(stream!);
+    return true;
+  }
+
+  private createStream(): Stream {
+    const promptTokens = Math.min(11_000, this.draw(5000));
+    const outputTokens = Math.min(MOST_OUTPUT, this.draw(4400));
+    const expectedTokens = this.draw(outputTokens);
+    const sizes = { promptTokens, outputTokens: MOST_OUTPUT, expectedTokens };
+    return {
+      promptTokens,
+      outputTokens,
+      reserved: computePlaceTokens(sizes, this.margin),
+      made: 0,
+    };
+  }
+
+  /** Draws a size from a log-normal distribution around a median. */
+  private draw(median: number): number {
+    const uniform = () => uniformInt(this.random, 0, 999_999) / 1_000_000;
+    const normal = Array.from({ length: 12 }, uniform).reduce((sum, value) => sum + value, -6);
+    return Math.ceil(median * Math.exp(SPREAD * normal));
+  }
+}
+
+function sizeOf({ promptTokens, made }: Stream): number {
+  return promptTokens + made;
+}
+
+/**
+ * Plays requests on one decode engine that always has others waiting.
+ *
+ * @param margin - memory reserved for an answer relative to its caller's guess
+ * @param seed - seed of the sizes
+ * @returns requests that ended, and what was read again
+ */
+export function simulatePreemption(margin: number, seed: number): PreemptionResult {
+  return new PreemptionSimulation(margin, seed).run();
+}
--- a/features/support/scripted-server.ts
+++ b/features/support/scripted-server.ts
@@ -40,6 +40,8 @@
 
 /** A server that answers each request with the bytes of a script. */
 export class ScriptedServer {
+  private isDown = false;
+
   private constructor(private readonly server: Server) {}
 
   /**
@@ -50,9 +52,15 @@
    */
   static async create(script: string): Promise<ScriptedServer> {
     const answer = SCRIPTS[script];
-    const server = createServer((socket) => {
+    const server = createServer();
+    const scripted = new ScriptedServer(server);
+    server.on('connection', (socket) => {
       socket.on('error', () => {});
       socket.on('data', (bytes) => {
+        if (scripted.isDown) {
+          socket.resetAndDestroy();
+          return;
+        }
         const id = /attempt-id: (\S+)/i.exec(bytes.toString('latin1'))?.[1] ?? '';
         answer?.(socket, id);
       });
@@ -60,7 +68,13 @@
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
     });
-    return new ScriptedServer(server);
+    return scripted;
+  }
+
+  /** Accepts no connection any more, and resets the open ones with the next request. */
+  goDown(): void {
+    this.isDown = true;
+    this.server.close();
   }
 
   /** Port of the listener. */
--- a/features/users-platform/contract.feature
+++ b/features/users-platform/contract.feature
@@ -33,6 +33,14 @@
       | without a length | is complete | without framing |
       | without a length | is cut      | reset           |
 
+  # Guards requests that may run once only: on a connection that the server has lost they end with an
+  # unknown outcome, while a new connection is refused before anything is sent.
+  Scenario: open connections to a server that went down are not used after the news of it
+    Given a platform server that answers with "a whole answer"
+    When 3 requests are sent to the platform server at once
+    And the platform server goes down and 3 requests are sent to it after the news
+    Then the platform calls end as "unsent, unsent, unsent"
+
   Scenario: a second answer on a connection belongs to no request
     Given a platform server that answers with "a second answer"
     When a request is sent to the platform server
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -311,7 +311,6 @@
   }
 
   private expire(nowMs: number): void {
-    const relay = this.kernel.find('relay');
     this.hub.expire(nowMs);
     this.sources.retain(this.validSources(nowMs), nowMs);
     this.book.drop(nowMs).forEach(({ vm, host }) => {
--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -121,7 +121,7 @@
   ): Promise<Outcome<HeldAnswer, UpstreamFailure>> {
     const { upstream } = this.context;
     const sentMs = this.nowMs;
-    const outcome = await upstream.send(server, this.job.request, this.sendOptions(signal));
+    const outcome = await upstream.send(server, this.job.request, this.sendOptions(server, signal));
     const failure = outcome.kind === 'failed' ? outcome.failure : undefined;
     if (failure !== 'unsent') this.noteArrival();
     if (!failure || !provesNotRun(failure)) {
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -81,12 +81,13 @@
     return { loads, health, availabilityZone, nowMs: this.nowMs };
   }
 
-  protected sendOptions(signal: AbortSignal = this.job.signal): SendOptions {
+  protected sendOptions(server: CatalogServer, signal: AbortSignal): SendOptions {
     const { team } = this.job;
     return {
       deadlineMs: Math.max(1, Math.floor(this.leftMs)),
       team,
       signal,
+      connectedAfterMs: this.context.health.brokenMs(server.id),
     };
   }
 
@@ -120,7 +121,7 @@
     metrics.increment('upstream.failures', { reason: failure });
     if (failure === 'unsent') health.note(server.id, 'unreachable', this.nowMs);
     else if (failure === 'silent') health.note(server.id, 'silent', this.nowMs);
-    else if (failure === 'broken') health.note(server.id, 'failed', this.nowMs);
+    else if (failure === 'broken') health.note(server.id, 'broken', this.nowMs);
     else if (failure === 'not-run') health.note(server.id, 'full', this.nowMs);
   }
 
--- a/src/relay/server-health.ts
+++ b/src/relay/server-health.ts
@@ -1,5 +1,5 @@
 /** How a request ended at a server, as far as it speaks for or against the server. */
-export type HealthEvidence = 'answered' | 'failed' | 'unreachable' | 'silent' | 'full';
+export type HealthEvidence = 'answered' | 'failed' | 'broken' | 'unreachable' | 'silent' | 'full';
 
 /** What the answers of a server say of it. */
 export type ServerState = 'sound' | 'failing' | 'unreachable';
@@ -12,6 +12,8 @@
   fullUntilMs: number;
   /** Length of the last pause, in milliseconds. */
   pauseMs: number;
+  /** When a connection to the server last broke or could not be made, as far as any VM told. */
+  brokenMs: number;
 }
 
 /** Weight of the newest answer in the share of failures. */
@@ -64,6 +66,7 @@
       record.pauseMs = 0;
       record.avoidedUntilMs = -Infinity;
     }
+    if (evidence === 'unreachable' || evidence === 'broken') record.brokenMs = nowMs;
     if (evidence === 'unreachable' || evidence === 'silent') {
       Object.assign(record, nextPause(record, nowMs));
     }
@@ -78,6 +81,7 @@
    */
   noteAvoided(server: string, forMs: number, nowMs: number): void {
     const record = this.decay(server, nowMs);
+    if (nowMs >= record.avoidedUntilMs) record.brokenMs = nowMs;
     const untilMs = nowMs + Math.min(forMs, LONGEST_PAUSE_MS);
     record.avoidedUntilMs = Math.max(record.avoidedUntilMs, untilMs);
   }
@@ -139,6 +143,16 @@
     if (record) record.fullUntilMs = -Infinity;
   }
 
+  /**
+   * Tells when connections to a server may have been lost: those from before are not to be trusted.
+   *
+   * @param server - id of the server
+   * @returns monotonic time; -Infinity when none was lost
+   */
+  brokenMs(server: string): number {
+    return this.records.get(server)?.brokenMs ?? -Infinity;
+  }
+
   /**
    * Lists the servers that this VM could not reach.
    *
@@ -166,6 +180,7 @@
       avoidedUntilMs: -Infinity,
       fullUntilMs: -Infinity,
       pauseMs: 0,
+      brokenMs: -Infinity,
     };
     this.records.set(server, record);
     return record;
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -2,6 +2,7 @@
 import { Run, type Job, type RunEnd, type SilenceWatch } from './run.js';
 import type { RunContext } from './run-context.js';
 import type { DecodePlaces, Place } from './decode-places.js';
+import { computePlaceTokens } from './place-size.js';
 import type { CatalogServer } from './server-catalog.js';
 import { pickPrefillServer } from './server-picker.js';
 import {
@@ -23,12 +24,6 @@
 /** Shortest time that is worth starting an answer for, in milliseconds. */
 const LEAST_ANSWER_MS = 1500;
 
-/**
- * Memory that is reserved for an answer, relative to the caller's guess. Answers that outgrow it may be
- * preempted, which costs a prompt; more memory set aside lets fewer requests run.
- */
-const EXPECTED_MARGIN = 1.5;
-
 /** Most places that one request takes in turn. */
 const MOST_ROUNDS = 4;
 
@@ -76,9 +71,7 @@
   }
 
   private get kvTokens(): number {
-    const { promptTokens = 0, outputTokens, expectedTokens } = this.job.request;
-    const expected = (expectedTokens ?? outputTokens) * EXPECTED_MARGIN;
-    return promptTokens + Math.min(outputTokens, expected);
+    return computePlaceTokens(this.job.request);
   }
 
   private async runRound(): Promise<RunEnd | undefined> {
@@ -157,7 +150,11 @@
       const sentMs = this.nowMs;
       const expectedMs = (tokensAhead + promptTokens) / FIRST_PREFILL_SPEED;
       const watch = this.watchSilence(3 * expectedMs + PREFILL_SLACK_MS);
-      const outcome = await upstream.prefill(server, request, this.sendOptions(watch.signal));
+      const outcome = await upstream.prefill(
+        server,
+        request,
+        this.sendOptions(server, watch.signal),
+      );
       watch.stop();
       free();
       const tookMs = Math.round(this.nowMs - sentMs);
@@ -195,7 +192,7 @@
     const watch = this.watchSilence(STREAM_SILENCE_MS);
     const sentMs = this.nowMs;
     const outcome = await upstream.send(server, this.job.request, {
-      ...this.sendOptions(watch.signal),
+      ...this.sendOptions(server, watch.signal),
       reservation,
       ...(prefill ? { prefill } : {}),
       ...(resumeAfter === undefined ? {} : { resumeAfter }),
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -27,6 +27,8 @@
   readonly deadlineMs: number;
   readonly team: string | undefined;
   readonly signal: AbortSignal;
+  /** Only connections opened later are used, monotonic milliseconds; older ones may have been lost. */
+  readonly connectedAfterMs?: number;
   /** Id of the last event that the caller has, when a stream is continued. */
   readonly resumeAfter?: string;
   /** Reserved place. */
