--- a/features/support/engine-client.ts
+++ b/features/support/engine-client.ts
@@ -125,6 +125,8 @@
       const parts = (rest + String(chunk)).split('\n\n');
       rest = parts.pop() ?? '';
       parts.forEach((part) => events.push(JSON.parse(part.replace(/^data: /, '')) as never));
+      // One chunk may hold several events; this reader leaves in the middle of it.
+      events.splice(tokens);
       if (events.length >= tokens) break;
     }
     return { status: answer.statusCode, events, closed: events.length < tokens };
