refactor: call what was there instead of writing it again

The sum of slots and requests of plain servers stood in three places, the judgement of a server in two; both have one now (ServerLoads.sum, ServerHealth.judge). Fleet and hub choice look one VM up instead of listing all for each digest. The platform soak waits by the delay of node:timers like the soak beside it, and the scripted server keeps its port.

--- a/bench/platform-soak/callers.ts
+++ b/bench/platform-soak/callers.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import { PLATFORM_HOST, PLATFORM_KEY } from '../../harness/platform-fixtures.js';
 import type { SoakPlatform } from './soak-platform.js';
@@ -60,9 +61,7 @@
   async run(running: () => boolean): Promise<void> {
     while (running()) {
       await this.sendNext();
-      await new Promise((resolve) => {
-        setTimeout(resolve, PAUSE_MS);
-      });
+      await delay(PAUSE_MS);
     }
     this.agent.destroy();
   }
--- a/bench/platform-soak/events.ts
+++ b/bench/platform-soak/events.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { createRandom } from '../soak/schedule.js';
 import type { SoakPlatform } from './soak-platform.js';
 
@@ -66,10 +68,7 @@
   const { place, forMs } = fault;
   const vm = platform.vms[place % platform.vms.length]!;
   const server = platform.servers[place % platform.servers.length]!;
-  const wait = () =>
-    new Promise<void>((resolve) => {
-      setTimeout(resolve, forMs);
-    });
+  const wait = () => delay(forMs);
   const { storeRelay } = platform;
   switch (fault.kind) {
     case 'kill-vm':
--- a/bench/platform-soak/run.ts
+++ b/bench/platform-soak/run.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { Caller } from './callers.js';
 import { carryOut, createFaults } from './events.js';
 import { findBroken, RECOVER_MS } from './promises.js';
@@ -40,20 +42,20 @@
     Caller.create(`c${index}`, platform),
   );
   try {
-    await pause(START_MS);
+    await delay(START_MS);
     let running = true;
     const traffic = callers.map((caller) => caller.run(() => running));
     const faults = createFaults(plan.seed, plan.seconds * 1000);
     await Promise.all(
       faults.map(async (fault) => {
-        await pause(fault.atMs);
+        await delay(fault.atMs);
         await carryOut(platform, fault);
       }),
     );
     const healedMs = Date.now();
     // A fault may have ended a VM that another one had just begun to start.
     await Promise.all(platform.vms.map((vm) => vm.start()));
-    await pause(RECOVER_MS + AFTER_MS);
+    await delay(RECOVER_MS + AFTER_MS);
     running = false;
     await Promise.all(traffic);
     const records = callers.flatMap((caller) => caller.records);
@@ -65,9 +67,3 @@
     await platform.close();
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/bench/platform-soak/soak-platform.ts
+++ b/bench/platform-soak/soak-platform.ts
@@ -1,6 +1,7 @@
 import { mkdtemp } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import { findFreePorts } from '../../harness/free-ports.js';
 import { createPlatformConfiguration } from '../../harness/platform-fixtures.js';
@@ -95,9 +96,7 @@
     Object.assign(old, { leavingMs: Date.now() });
     this.servers.splice(this.servers.indexOf(old), 1);
     this.left.push(old);
-    await new Promise((resolve) => {
-      setTimeout(resolve, DRAIN_MS);
-    });
+    await delay(DRAIN_MS);
     this.store.put('keyed.servers', old.server.id, undefined);
   }
 
--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -57,20 +57,18 @@
 });
 
 When('{int} requests are sent to the platform server at once', async (count: number) => {
-  const { port } = scenario.scriptedServer!;
   const ids = Array.from({ length: count }, (_, index) => `r${index}`);
-  scenario.outcomes = await Promise.all(ids.map((id) => sendRequest(id, { port })));
+  scenario.outcomes = await Promise.all(ids.map((id) => sendRequest(id)));
 });
 
 When(
   'the platform server goes down and {int} requests are sent to it after the news',
   async (count: number) => {
-    const { port } = scenario.scriptedServer!;
     scenario.scriptedServer!.goDown();
     scenario.outcomes = [];
     const connectedAfterMs = SystemClock.create().monotonicMs();
     for (let index = 0; index < count; index += 1) {
-      scenario.outcomes.push(await sendRequest(`s${index}`, { port, connectedAfterMs }));
+      scenario.outcomes.push(await sendRequest(`s${index}`, connectedAfterMs));
     }
   },
 );
@@ -82,12 +80,9 @@
 /** Nothing listens here. */
 const UNUSED_PORT = 1;
 
-async function sendRequest(
-  requestId: string,
-  options: { port?: number; connectedAfterMs?: number } = {},
-): Promise<string> {
+async function sendRequest(requestId: string, connectedAfterMs = -Infinity): Promise<string> {
   const { scriptedServer: server, platformCalls: calls, closed } = scenario;
-  const port = options.port ?? (closed ? UNUSED_PORT : server!.port);
+  const port = closed ? UNUSED_PORT : server!.port;
   const target = createCatalogServer({ address: { host: '127.0.0.1', port } });
   const headers = ['Attempt-Id', requestId, 'Host', 'plans.example'];
   const request = createRelayRequest({ requestId, headers });
@@ -95,7 +90,7 @@
     deadlineMs: 1000,
     team: undefined,
     signal: AbortSignal.timeout(3000),
-    connectedAfterMs: options.connectedAfterMs ?? -Infinity,
+    connectedAfterMs,
   });
   if (outcome.kind === 'failed') return outcome.failure;
   const { head, body } = outcome.value;
--- a/features/support/scripted-server.ts
+++ b/features/support/scripted-server.ts
@@ -40,6 +40,9 @@
 
 /** A server that answers each request with the bytes of a script. */
 export class ScriptedServer {
+  /** Port of the listener, also after its end. */
+  port = 0;
+
   private isDown = false;
 
   private constructor(private readonly server: Server) {}
@@ -68,6 +71,7 @@
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
     });
+    scripted.port = (server.address() as AddressInfo).port;
     return scripted;
   }
 
@@ -77,11 +81,6 @@
     this.server.close();
   }
 
-  /** Port of the listener. */
-  get port(): number {
-    return (this.server.address() as AddressInfo).port;
-  }
-
   /** Ends the listener. */
   close(): void {
     this.server.close();
--- a/src/fleet/fleet-book.ts
+++ b/src/fleet/fleet-book.ts
@@ -134,6 +134,18 @@
       .map(({ member }) => member);
   }
 
+  /**
+   * Finds a VM that is heard.
+   *
+   * @param vm - name of the VM
+   * @param nowMs - monotonic time
+   * @returns the VM, or undefined when it is unknown or silent
+   */
+  find(vm: string, nowMs: number): FleetMember | undefined {
+    const peer = this.peers.get(vm);
+    return peer && this.isHeard(peer, nowMs) ? peer.member : undefined;
+  }
+
   /**
    * Lists the VMs that were heard within a time, the silent ones included.
    *
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -272,7 +272,7 @@
   }
 
   private receiveDigest(digest: Digest, nowMs: number): void {
-    const before = this.book.heard(nowMs).find(({ vm }) => vm === digest.vm);
+    const before = this.book.find(digest.vm, nowMs);
     if (!this.book.note(digest, nowMs)) return;
     this.meet([digest.host, ...digest.hosts]);
     if (before?.ready !== digest.ready || before.draining !== digest.draining) this.listDue = true;
--- a/src/fleet/hub-choice.ts
+++ b/src/fleet/hub-choice.ts
@@ -144,8 +144,7 @@
 
   private keepsHub(nowMs: number): boolean {
     if (this.own === '' || this.own === this.vm) return false;
-    const heard = this.book.heard(nowMs);
-    const isDraining = heard.some(({ vm, draining }) => vm === this.own && draining);
+    const isDraining = this.book.find(this.own, nowMs)?.draining ?? false;
     if (isDraining || nowMs - this.heardMs > HUB_SILENT_MS) return false;
     return this.ranked.includes(this.own) || nowMs - this.adoptedMs < ADOPTED_MS;
   }
--- a/src/relay/plain-gate.ts
+++ b/src/relay/plain-gate.ts
@@ -33,8 +33,7 @@
   loads: ServerLoads,
   insideRate: boolean,
 ): number {
-  const slots = servers.reduce((sum, server) => sum + server.slots, 0);
-  const running = servers.reduce((sum, { id }) => sum + loads.at(id).running, 0);
+  const { slots, running } = loads.sum(servers);
   if (slots === 0) return 0;
   const most = insideRate ? FULL_RATIO : EXCESS_RATIO;
   const ratio = running / slots;
--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -72,7 +72,7 @@
     const part = computeRefusedPart(servers, loads, this.job.insideRate);
     if (part <= Math.random()) return undefined;
     const retryAfterMs = LEAST_RETRY_MS + Math.random() * RETRY_SPREAD_MS;
-    const running = servers.reduce((sum, { id }) => sum + loads.at(id).running, 0);
+    const { running } = loads.sum(servers);
     const facts = { part: Math.round(100 * part), running, servers: servers.length };
     this.decide('server', 'refuse', 'the servers have more requests than they can answer', facts);
     return this.refuse('overloaded', 'the servers cannot answer in time', retryAfterMs);
--- a/src/relay/server-catalog.ts
+++ b/src/relay/server-catalog.ts
@@ -99,8 +99,11 @@
     }
     if (!this.servers.has(id)) return;
     const leftMs = this.settlingMs(nowMs);
-    if (leftMs === 0) this.remove(id);
-    else if (!this.missing.has(id)) this.missing.set(id, nowMs + leftMs);
+    if (leftMs === 0) {
+      this.remove(id);
+      return;
+    }
+    if (!this.missing.has(id)) this.missing.set(id, nowMs + leftMs);
     this.knownHash = undefined;
   }
 
--- a/src/relay/server-health.ts
+++ b/src/relay/server-health.ts
@@ -94,9 +94,7 @@
    * @returns true when it could not be reached lately or fails often
    */
   avoids(server: string, nowMs: number): boolean {
-    const record = this.records.get(server);
-    if (!record) return false;
-    return nowMs < record.avoidedUntilMs || this.decay(server, nowMs).failures > GREY_SHARE;
+    return this.judge(server, nowMs) !== 'sound';
   }
 
   /**
@@ -108,7 +106,7 @@
    */
   judge(server: string, nowMs: number): ServerState {
     if (nowMs < (this.records.get(server)?.avoidedUntilMs ?? -Infinity)) return 'unreachable';
-    return this.avoids(server, nowMs) ? 'failing' : 'sound';
+    return this.failureShare(server, nowMs) > GREY_SHARE ? 'failing' : 'sound';
   }
 
   /**
--- a/src/relay/server-loads.ts
+++ b/src/relay/server-loads.ts
@@ -81,6 +81,22 @@
     return { running, kvTokens, prefillTokens };
   }
 
+  /**
+   * Sums the slots of servers and the requests at them.
+   *
+   * @param servers - the servers
+   * @returns slots, and requests of all VMs
+   */
+  sum(servers: readonly { readonly id: string; readonly slots: number }[]): {
+    readonly slots: number;
+    readonly running: number;
+  } {
+    return {
+      slots: servers.reduce((sum, { slots }) => sum + slots, 0),
+      running: servers.reduce((sum, { id }) => sum + this.at(id).running, 0),
+    };
+  }
+
   /** Work of this VM, for its digest. */
   get ownLoads(): VmLoads {
     return this.own;
--- a/src/relay/server-picker.ts
+++ b/src/relay/server-picker.ts
@@ -1,6 +1,6 @@
 import { shuffle } from '../kernel/shuffle.js';
 import type { CatalogServer } from './server-catalog.js';
-import type { ServerHealth } from './server-health.js';
+import type { ServerHealth, ServerState } from './server-health.js';
 import type { ServerLoads } from './server-loads.js';
 
 /** What a choice is made from. */
@@ -55,11 +55,11 @@
   servers: readonly CatalogServer[],
   { loads, health, nowMs, repeatable = false }: PickerFacts,
 ): readonly CatalogServer[] {
-  const sound = servers.filter(({ id }) => !health.avoids(id, nowMs));
-  const failing = servers.filter(({ id }) => health.judge(id, nowMs) === 'failing');
+  const select = (state: ServerState) =>
+    servers.filter(({ id }) => health.judge(id, nowMs) === state);
+  const [sound, failing] = [select('sound'), select('failing')];
   if (sound.length === 0) return failing.length > 0 ? failing : servers;
-  const slots = sound.reduce((sum, server) => sum + server.slots, 0);
-  const running = sound.reduce((sum, { id }) => sum + loads.at(id).running, 0);
+  const { slots, running } = loads.sum(sound);
   if (running < (repeatable ? BUSY_RATIO : CROWDED_RATIO) * slots) return sound;
   const most = repeatable ? 1 : HOPELESS_SHARE;
   return [...sound, ...failing.filter(({ id }) => health.failureShare(id, nowMs) <= most)];
