fix: charge every send to a server, and share the retry budget by digests

Cause: a further round of a stream is two sends, the prompt and the run, but one was charged, and a first prompt of a further round left without being charged. Read and shown in simulation: a VM that restarts began with an unused share.

Also: each VM had the slack divided by the fleet, 1.8 retries in 10 s at 195 VMs, while the rest of the allowance lay idle.

Change: SendCharges is the one place where sends of a request are charged before they leave, by the rule for free sends; rounds are charged whole and not begun otherwise; sends that did not leave are refunded. RetryBudget divides what is left among reachable VMs by the requests and retries in digests. A refused retry is a decision line and a counter.

--- a/features/steps/relay-module-steps.ts
+++ b/features/steps/relay-module-steps.ts
@@ -84,7 +84,9 @@
   '{int} relay VMs that share {int} retries plus {float} per request in {int} s',
   (vms: number, slack: number, ratio: number, seconds: number) => {
     const limits = { slack, ratio, windowMs: seconds * 1000 };
-    scenario.budgets = Array.from({ length: vms }, () => RetryBudget.create(limits));
+    scenario.budgets = Array.from({ length: vms }, () =>
+      RetryBudget.create(limits, -limits.windowMs),
+    );
     scenario.retryTimesMs = [];
   },
 );
@@ -96,7 +98,8 @@
     for (let nowMs = 0; nowMs < seconds * 1000; nowMs += 1000 / perSecond) {
       budgets.forEach((budget) => {
         budget.recordRequest(nowMs);
-        if (budget.tryAcquire(budgets.length, nowMs)) retryTimesMs.push(nowMs);
+        const alone = { size: budgets.length, reachable: 1, reportedMs: nowMs };
+        if (budget.tryAcquire(1, alone, nowMs)) retryTimesMs.push(nowMs);
       });
     }
   },
--- a/features/steps/relay-run-steps.ts
+++ b/features/steps/relay-run-steps.ts
@@ -13,6 +13,7 @@
 import type { RelayRoute } from '../../src/relay/relay-configuration.js';
 import { AnswerSink, type AnswerHead } from '../../src/relay/relay-request.js';
 import type { CatalogServer } from '../../src/relay/server-catalog.js';
+import { listRetries } from '../support/retry-simulation.js';
 import { FakeUpstream, type UpstreamStep } from '../support/fake-upstream.js';
 import {
   createCatalogServer,
@@ -58,6 +59,8 @@
   sink: RecordingSink;
   engines: boolean;
   tookMs: number;
+  /** Number of requests that arrived at once. */
+  count: number;
 }
 
 const scenario = world as unknown as RunWorld;
@@ -83,7 +86,8 @@
   const clock = SystemClock.create();
   const writer = LineWriter.create((chunk, done) => done(null, chunk.length));
   const upstream = FakeUpstream.create(steps.split(', ') as UpstreamStep[]);
-  const fleet = { size: 1, peers: [] } as unknown as Services['fleet'] & Service;
+  const contact = { size: 1, reachable: 1, reportedMs: 0 };
+  const fleet = { size: 1, peers: [], contact } as unknown as Services['fleet'] & Service;
   const relay = Relay.create(kernel, { availabilityZone: 'sando', ...RATES }, clock);
   kernel.register('upstream', upstream);
   kernel.register('decisions', JsonDecisions.create(writer, 'test', clock));
@@ -100,7 +104,13 @@
   return createRelayRoute({ kind: kind as RelayRoute['kind'], attempts });
 }
 
-async function serve(kind: string, attempts: number, ageMs: number, disconnected: AbortSignal) {
+async function serve(
+  kind: string,
+  attempts: number,
+  ageMs: number,
+  disconnected: AbortSignal,
+  requestId = 'r',
+) {
   const { relay, engines } = scenario;
   const pool = { name: 'pool', mostConnections: 0, engine: engines ? ENGINE : undefined };
   const route = { ...chooseRoute(kind, attempts), timeoutMs: 6000 };
@@ -109,7 +119,7 @@
   const nowMs = SystemClock.create().monotonicMs();
   const tokens = engines ? { promptTokens: 100, outputTokens: 50 } : {};
   const times = { arrivedMs: nowMs - ageMs, deadlineAtMs: nowMs - ageMs + DEADLINE_MS };
-  const request = createRelayRequest({ ...tokens, ...times });
+  const request = createRelayRequest({ requestId, ...tokens, ...times });
   await relay.serve(request, scenario.sink, disconnected);
   scenario.tookMs = SystemClock.create().monotonicMs() - nowMs;
 }
@@ -122,7 +132,7 @@
 });
 
 Given(
-  'a relay with {int} prefill engine and {int} decode engines that do {string}',
+  'a relay with {int} prefill engine(s) and {int} decode engines that do {string}',
   (prefill: number, decode: number, steps: string) => {
     const servers = Array.from({ length: prefill + decode }, (_, index) =>
       createCatalogServer({ id: `e${index}`, stage: index < prefill ? 'prefill' : 'decode' }),
@@ -138,6 +148,17 @@
   },
 );
 
+When(
+  '{int} relay requests of kind {string} with {int} attempts arrive at once',
+  async (count: number, kind: string, attempts: number) => {
+    const { signal } = new AbortController();
+    scenario.count = count;
+    await Promise.all(
+      Array.from({ length: count }, (_, index) => serve(kind, attempts, 0, signal, `r${index}`)),
+    );
+  },
+);
+
 When(
   'a relay request of kind {string} with {int} attempts arrives that is {int} ms old',
   async (kind: string, attempts: number, ageMs: number) => {
@@ -181,6 +202,18 @@
   },
 );
 
+Then("the relay's servers see at most {int} retries, and all are charged", (most: number) => {
+  const { upstream, relay } = scenario;
+  const retries = listRetries(upstream.arrivals).length;
+  assert.ok(retries > 0 && retries <= most, `${retries} retries`);
+  assert.equal(relay.retryBudgets.totals.pool![1], retries);
+});
+
+Then('the retry budget of the relay is unused', () => {
+  assert.ok(scenario.upstream.sends.length > scenario.count);
+  assert.deepEqual(scenario.relay.retryBudgets.totals, { pool: [scenario.count, 0] });
+});
+
 Then('every relay send has at most {int} ms left', (mostMs: number) => {
   scenario.upstream.sends.forEach(({ options }) => {
     assert.ok(options.deadlineMs <= mostMs, `${options.deadlineMs} ms`);
--- a/features/support/fake-upstream.ts
+++ b/features/support/fake-upstream.ts
@@ -8,6 +8,7 @@
   type SendOptions,
   type UpstreamFailure,
 } from '../../src/relay/upstream.js';
+import type { Arrival } from './retry-simulation.js';
 
 /** Scripted result of a send. */
 export type UpstreamStep =
@@ -26,6 +27,9 @@
 export class FakeUpstream extends Upstream {
   readonly sends: RecordedSend[] = [];
 
+  /** Everything that reached a server. */
+  readonly arrivals: Arrival[] = [];
+
   readonly released: string[] = [];
 
   readonly discarded: string[] = [];
@@ -55,6 +59,7 @@
   ): Promise<Outcome<OpenAnswer, UpstreamFailure>> {
     this.sends.push({ server: server.id, options });
     const step = this.steps.length > 1 ? this.steps.shift()! : this.steps[0]!;
+    if (step !== 'unsent') this.recordArrival(request, 'run', isAnswer(step));
     if (step === 'hangs') {
       await new Promise((resolve) => {
         options.signal.addEventListener('abort', resolve, { once: true });
@@ -65,11 +70,23 @@
     return fail(step);
   }
 
-  override async prefill(server: CatalogServer): Promise<Outcome<PrefillResult, UpstreamFailure>> {
+  override async prefill(
+    server: CatalogServer,
+    request: RelayRequest,
+  ): Promise<Outcome<PrefillResult, UpstreamFailure>> {
     this.prefills += 1;
+    this.recordArrival(request, 'prefill', true);
     return Promise.resolve(succeed({ server, handle: `k${this.prefills}`, tokens: 100 }));
   }
 
+  private recordArrival(
+    { requestId }: RelayRequest,
+    kind: Arrival['kind'],
+    accepted: boolean,
+  ): void {
+    this.arrivals.push({ atMs: 0, request: requestId, kind, accepted });
+  }
+
   override async reserve(): Promise<Outcome<string, UpstreamFailure>> {
     this.reservations += 1;
     return Promise.resolve(succeed(`h${this.reservations}`));
--- a/features/support/relay-fixtures.ts
+++ b/features/support/relay-fixtures.ts
@@ -92,6 +92,7 @@
     reachesStore: true,
     punctual: 0,
     spent: {},
+    retries: {},
     loads: [],
     avoided: [],
     leavers: [],
--- a/harness/fleet-simulation.ts
+++ b/harness/fleet-simulation.ts
@@ -4,6 +4,7 @@
 import { Fleet } from '../src/fleet/fleet.js';
 import { Kernel } from '../src/kernel/kernel.js';
 import { ManualClock } from '../src/kernel/manual-clock.js';
+import { RetryBudgets } from '../src/relay/retry-budgets.js';
 import { ServerCatalog } from '../src/relay/server-catalog.js';
 import { ServerHealth } from '../src/relay/server-health.js';
 import { ServerLoads } from '../src/relay/server-loads.js';
@@ -17,6 +18,7 @@
   readonly fleet: Fleet;
   readonly loads: ServerLoads;
   readonly rateLimiter: TeamRateLimiter;
+  readonly retryBudgets: RetryBudgets;
   readonly catalog: ServerCatalog;
   /** Bytes of datagrams that it has sent and received. */
   bytes: number;
@@ -32,6 +34,9 @@
 
 const TOLERANCE = { part: 0, tokens: 0, windowMs: 8000 };
 
+/** Retries to one pool over the whole fleet. */
+export const RETRIES = { ratio: 0.2, slack: 52, windowMs: 10_000 };
+
 /** A team whose bucket hardly refills, so that its level shows the spending that was counted. */
 export const FLEET_TEAM = { name: 'crew', tokensPerSecond: 0.001, burstTokens: 1e9 };
 
@@ -44,6 +49,9 @@
 
   readonly vms: SimulatedVm[] = [];
 
+  /** Number of VMs on the first side of a split. */
+  private firstSide: number | undefined;
+
   /** Starts a fleet in which each VM knows only the first three hosts. */
   static async create(count: number): Promise<FleetSimulation> {
     const simulation = new FleetSimulation();
@@ -64,8 +72,8 @@
     return simulation;
   }
 
-  /** Adds a VM. */
-  async add(index: number): Promise<SimulatedVm> {
+  /** Adds a VM, or puts it in the place of one that is dead. */
+  async add(index: number, place = this.vms.length): Promise<SimulatedVm> {
     const host = `10.0.${Math.floor(index / 200)}.${(index % 200) + 1}`;
     const kernel = Kernel.create();
     const options = {
@@ -82,6 +90,7 @@
       fleet: Fleet.create(kernel, options, this.createDatagrams(host), this.clock),
       loads: ServerLoads.create(),
       rateLimiter: TeamRateLimiter.create(TOLERANCE),
+      retryBudgets: RetryBudgets.create(RETRIES, this.clock.monotonicMs()),
       catalog: ServerCatalog.create(),
       bytes: 0,
       alive: true,
@@ -89,11 +98,23 @@
     };
     vm.rateLimiter.configure([FLEET_TEAM, OVERLOADING_TEAM], this.clock.monotonicMs());
     this.registerFakes(kernel, vm);
-    this.vms.push(vm);
+    this.vms[place] = vm;
     await vm.fleet.start();
     return vm;
   }
 
+  /** Kills a VM and starts a new process on its host. */
+  async replace(vm: SimulatedVm): Promise<SimulatedVm> {
+    Object.assign(vm, { alive: false });
+    const index = this.vms.indexOf(vm);
+    return this.add(index, index);
+  }
+
+  /** Drops all datagrams between the first VMs and the others; undefined heals the fleet. */
+  split(first: number | undefined): void {
+    this.firstSide = first;
+  }
+
   /** Finds a VM by its host. */
   findByHost(host: string): SimulatedVm | undefined {
     return this.vms.find((vm) => vm.host === host);
@@ -104,7 +125,7 @@
     const [sender, receiver] = [this.findByHost(from)!, this.findByHost(to)];
     if (datagram.length > MAX_DATAGRAM_BYTES)
       throw new Error(`datagram too large: ${datagram.length} bytes`);
-    if (!sender.alive) return;
+    if (!sender.alive || this.isCut(sender, receiver)) return;
     sender.bytes += datagram.length;
     if (!receiver?.alive) return;
     receiver.bytes += datagram.length;
@@ -124,6 +145,12 @@
     return this.vms.filter(({ alive }) => alive);
   }
 
+  private isCut(sender: SimulatedVm, receiver: SimulatedVm | undefined): boolean {
+    const { firstSide } = this;
+    if (firstSide === undefined || !receiver) return false;
+    return this.vms.indexOf(sender) < firstSide !== this.vms.indexOf(receiver) < firstSide;
+  }
+
   private createDatagrams(host: string): MemoryDatagrams {
     return MemoryDatagrams.create(
       (receive) => Object.assign(this.findByHost(host)!, { receive }),
@@ -131,9 +158,10 @@
     );
   }
 
-  private registerFakes(kernel: Kernel, { loads, rateLimiter, catalog }: SimulatedVm): void {
+  private registerFakes(kernel: Kernel, vm: SimulatedVm): void {
+    const { loads, rateLimiter, retryBudgets, catalog } = vm;
     registerFake(kernel, 'relay', {
-      ...{ loads, rateLimiter, catalog, health: ServerHealth.create() },
+      ...{ loads, rateLimiter, retryBudgets, catalog, health: ServerHealth.create() },
       configuration: { version: 1 },
       punctualWaiting: 0,
       dispatchWaiting: () => undefined,
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -46,6 +46,8 @@
   punctual: finiteNumber,
   /** Tokens by team since the start of the process: all, and those within the rate. */
   spent: z.record(z.string(), z.tuple([finiteNumber, finiteNumber])),
+  /** Requests and retries by pool since the start of the process; VMs of earlier releases send none. */
+  retries: z.record(z.string(), z.tuple([finiteNumber, finiteNumber])).default({}),
   /** Server id, running requests, KV cache tokens and prompt tokens waiting for or in prefill. */
   loads: z.array(z.tuple([z.string(), finiteNumber, finiteNumber, finiteNumber])),
   avoided: z.array(z.tuple([z.string(), finiteNumber])),
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { Service } from '../kernel/service.js';
+import type { FleetContact } from '../relay/retry-budget.js';
 import { scoreRendezvous } from '../kernel/rendezvous.js';
 import { shuffle } from '../kernel/shuffle.js';
 import type { Datagrams } from './datagrams.js';
@@ -52,6 +53,13 @@
  */
 const DISCOVERY_MS = 3000;
 
+/**
+ * Time after which what a VM has spent is known to the VMs that it reaches, in milliseconds: a round or two
+ * without hubs; with hubs the reports to a hub, between hubs and back, and the search for another hub.
+ */
+const MESH_REPORT_MS = 400;
+const HUB_REPORT_MS = 1500;
+
 /** Rounds between the lists of its reporters that a hub sends to the other hubs. */
 const MEMBER_LIST_ROUNDS = 4;
 
@@ -128,6 +136,18 @@
     return this.peerTable.size(this.clock.monotonicMs());
   }
 
+  /** Contact of this VM with the others that share limits. */
+  get contact(): FleetContact {
+    const nowMs = this.clock.monotonicMs();
+    const { peerTable } = this;
+    const delayMs = this.hubSelector.role === 'mesh' ? MESH_REPORT_MS : HUB_REPORT_MS;
+    return {
+      size: peerTable.size(nowMs),
+      reachable: 1 + peerTable.reachable(nowMs).length,
+      reportedMs: peerTable.oldestContactMs(nowMs) - delayMs,
+    };
+  }
+
   /** VMs that are reachable now. */
   get peers(): readonly FleetMember[] {
     return this.peerTable.reachable(this.clock.monotonicMs());
@@ -372,6 +392,7 @@
     return {
       punctual: relay.punctualWaiting,
       spent: relay.rateLimiter.spent,
+      retries: relay.retryBudgets.totals,
       loads: [...relay.loads.ownLoads].map(([id, { running, kvTokens, prefillTokens }]) => [
         ...([id, running, Math.round(kvTokens), prefillTokens] as const),
       ]),
--- a/src/fleet/hub-aggregator.ts
+++ b/src/fleet/hub-aggregator.ts
@@ -1,6 +1,6 @@
 import type { Digest, FleetMember, FleetWork, Summary } from './digest.js';
 import { toMember } from './digest.js';
-import { SpendingLedger } from './spending-ledger.js';
+import { WorkLedger } from './work-ledger.js';
 
 /** Time without a digest after which the work of a reporter is no longer summed, in milliseconds. */
 export const REPORTER_EXPIRY_MS = 1200;
@@ -20,10 +20,10 @@
   private readonly partials = new Map<string, Received<Summary>>();
 
   /** Spending of this VM and its reporters. */
-  private readonly localSpending = SpendingLedger.create();
+  private readonly local = WorkLedger.create();
 
   /** Spending in the partial sums of other hubs. */
-  private readonly remoteSpending = SpendingLedger.create();
+  private readonly remote = WorkLedger.create();
 
   /**
    * Creates a hub without reporters.
@@ -57,10 +57,9 @@
    */
   recordDigest(digest: Digest, nowMs: number): void {
     const known = this.digestsByReporter.get(digest.vm)?.message;
-    if (known && known.incarnation !== digest.incarnation)
-      this.localSpending.retire(ledgerKey(known));
+    if (known && known.incarnation !== digest.incarnation) this.local.retire(ledgerKey(known));
     this.digestsByReporter.set(digest.vm, { message: digest, receivedMs: nowMs });
-    this.localSpending.record(ledgerKey(digest), digest.spent);
+    this.local.record(ledgerKey(digest), digest);
   }
 
   /**
@@ -74,9 +73,9 @@
     const known = this.partials.get(partial.hub)?.message;
     const sameIncarnation = known?.incarnation === partial.incarnation;
     if (known && sameIncarnation && partial.sequence <= known.sequence) return false;
-    if (known && !sameIncarnation) this.remoteSpending.retire(`${known.hub}/${known.incarnation}`);
+    if (known && !sameIncarnation) this.remote.retire(`${known.hub}/${known.incarnation}`);
     this.partials.set(partial.hub, { message: partial, receivedMs: nowMs });
-    this.remoteSpending.record(`${partial.hub}/${partial.incarnation}`, partial.spent);
+    this.remote.record(`${partial.hub}/${partial.incarnation}`, partial);
     // The partial sum contains the hub's own work; as a reporter the hub would be counted twice.
     this.dropReporter(partial.hub);
     return true;
@@ -94,7 +93,7 @@
     this.partials.forEach(({ receivedMs, message }, hub) => {
       if (nowMs - receivedMs <= PARTIAL_EXPIRY_MS) return;
       this.partials.delete(hub);
-      this.remoteSpending.retire(`${hub}/${message.incarnation}`);
+      this.remote.retire(`${hub}/${message.incarnation}`);
     });
   }
 
@@ -111,10 +110,10 @@
    * @returns the sum and the reporters that it includes
    */
   sumPartial(own: FleetWork): FleetWork & { readonly members: readonly FleetMember[] } {
-    this.localSpending.record('self', own.spent);
+    this.local.record('self', own);
     const digests = this.reporterDigests;
     const members = digests.map(toMember);
-    return { ...sumWork([own, ...digests]), spent: this.localSpending.sum(), members };
+    return { ...sumWork([own, ...digests]), ...this.local.sum(), members };
   }
 
   /**
@@ -125,21 +124,23 @@
    * @returns the sum
    */
   sumTotal(own: FleetWork, except?: string): FleetWork {
-    this.localSpending.record('self', own.spent);
+    this.local.record('self', own);
     const reporter = except === undefined ? undefined : this.digestsByReporter.get(except)?.message;
     const digests = this.reporterDigests.filter(({ vm }) => vm !== except);
     const partials = [...this.partials.values()].map(({ message }) => message);
     const self = except === undefined ? [] : [own];
-    const local = this.localSpending.sum(reporter ? ledgerKey(reporter) : 'self');
-    const spent = addSpending(local, this.remoteSpending.sum());
-    return { ...sumWork([...self, ...digests, ...partials]), spent };
+    const local = this.local.sum(reporter ? ledgerKey(reporter) : 'self');
+    const remote = this.remote.sum();
+    const spent = addCounters(local.spent, remote.spent);
+    const retries = addCounters(local.retries, remote.retries);
+    return { ...sumWork([...self, ...digests, ...partials]), spent, retries };
   }
 
   private dropReporter(vm: string): void {
     const known = this.digestsByReporter.get(vm);
     if (!known) return;
     this.digestsByReporter.delete(vm);
-    this.localSpending.retire(ledgerKey(known.message));
+    this.local.retire(ledgerKey(known.message));
   }
 }
 
@@ -148,7 +149,7 @@
 }
 
 /** Sums everything except the spending, for which a ledger is needed. */
-function sumWork(works: readonly FleetWork[]): Omit<FleetWork, 'spent'> {
+function sumWork(works: readonly FleetWork[]): Omit<FleetWork, 'spent' | 'retries'> {
   const loads = new Map<string, [number, number, number]>();
   const avoided = new Map<string, number>();
   const leavers = new Map<string, number>();
@@ -168,11 +169,11 @@
   };
 }
 
-function addSpending(left: FleetWork['spent'], right: FleetWork['spent']): FleetWork['spent'] {
+function addCounters(left: FleetWork['spent'], right: FleetWork['spent']): FleetWork['spent'] {
   const sums = { ...left };
-  Object.entries(right).forEach(([team, [all, inside]]) => {
-    const [sumAll, sumInside] = sums[team] ?? [0, 0];
-    sums[team] = [sumAll + all, sumInside + inside];
+  Object.entries(right).forEach(([name, [first, second]]) => {
+    const [sumFirst, sumSecond] = sums[name] ?? [0, 0];
+    sums[name] = [sumFirst + first, sumSecond + second];
   });
   return sums;
 }
--- a/src/fleet/peer-table.ts
+++ b/src/fleet/peer-table.ts
@@ -136,6 +136,18 @@
       .map(({ member }) => member);
   }
 
+  /**
+   * Returns when this VM last had contact with every reachable VM.
+   *
+   * @param nowMs - monotonic time, in milliseconds
+   * @returns time of the longest silence's start, or the present time without reachable VMs
+   */
+  oldestContactMs(nowMs: number): number {
+    return [...this.peers.values()]
+      .filter((peer) => this.isReachable(peer, nowMs))
+      .reduce((oldest, { seenMs }) => Math.min(oldest, seenMs), nowMs);
+  }
+
   /**
    * Finds a reachable VM.
    *
--- a/src/fleet/remote-work.ts
+++ b/src/fleet/remote-work.ts
@@ -41,7 +41,7 @@
    * @param nowMs - monotonic time, in milliseconds
    */
   apply(source: string, incarnation: string, work: FleetWork, nowMs: number): void {
-    const { loads, rateLimiter, health, catalog } = this.kernel.find('relay');
+    const { loads, rateLimiter, retryBudgets, health, catalog } = this.kernel.find('relay');
     const byServer = work.loads.map(
       ([id, running, kvTokens, prefillTokens]) =>
         [id, { running, kvTokens, prefillTokens }] as const,
@@ -51,6 +51,7 @@
     this.lastSpendingMs.set(spender, nowMs);
     loads.update(source, new Map(byServer));
     rateLimiter.recordSpent(spender, work.spent, nowMs);
+    retryBudgets.recordReported(spender, work.retries, nowMs);
     work.avoided.forEach(([id, ms]) => health.recordAvoided(id, ms, nowMs));
     work.leavers.forEach(([id, startedAtMs]) => catalog.recordLeaving(id, startedAtMs));
   }
@@ -64,7 +65,7 @@
    * @param nowMs - monotonic time, in milliseconds
    */
   retain(valid: ReadonlySet<string>, nowMs: number): void {
-    const { loads, rateLimiter } = this.kernel.find('relay');
+    const { loads, rateLimiter, retryBudgets } = this.kernel.find('relay');
     this.punctualBySource.forEach((_punctual, source) => {
       if (valid.has(source)) return;
       this.punctualBySource.delete(source);
@@ -74,6 +75,7 @@
       if (nowMs - lastMs <= PEER_EXPIRY_MS) return;
       this.lastSpendingMs.delete(spender);
       rateLimiter.removeVm(spender);
+      retryBudgets.removeSource(spender);
     });
   }
 
--- a/src/fleet/spending-ledger.ts
+++ b/src/fleet/spending-ledger.ts
@@ -1,6 +1,7 @@
 import type { FleetWork } from './digest.js';
 
-type Totals = FleetWork['spent'];
+/** Pairs of counters by name. */
+type Totals = FleetWork['spent'] | FleetWork['retries'];
 
 interface Entry {
   last: Totals;
@@ -8,7 +9,7 @@
 }
 
 /**
- * Sums the tokens that several VMs have spent. The sum never decreases: what a VM has spent stays in
+ * Sums what several VMs have spent: tokens by team, or requests and retries by pool. The sum never decreases: what a VM has spent stays in
  * it after the VM leaves, and a new VM is counted from its first digest on.
  */
 export class SpendingLedger {
@@ -29,7 +30,7 @@
    * Records the totals of a source.
    *
    * @param source - identifies a VM or hub with its incarnation
-   * @param totals - tokens by team since the source started
+   * @param totals - counters since the source started
    */
   record(source: string, totals: Totals): void {
     const entry = this.entries.get(source);
@@ -59,7 +60,7 @@
    * Sums all sources but one.
    *
    * @param except - source to leave out
-   * @returns tokens by team
+   * @returns sums of the counters
    */
   sum(except?: string): Totals {
     const sums = new Map<string, [number, number]>(this.retired);
--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -4,6 +4,7 @@
 import type { RunContext } from './run-context.js';
 import type { CatalogServer } from './server-catalog.js';
 import { listPlainServers, pickPlainServer, type PickerFacts } from './server-picker.js';
+import { toSendResult, type SendResult } from './send-charges.js';
 import { provesNotRun, type OpenAnswer, type UpstreamFailure } from './upstream.js';
 
 /** Responses up to this size are buffered until they are complete, so that a broken one can be retried. */
@@ -48,13 +49,14 @@
     return new PlainRun(context, job);
   }
 
-  override async execute(): Promise<RunResult> {
+  protected override async run(): Promise<RunResult> {
     const refusal = this.shedLoad();
     if (refusal) return refusal;
     while (!this.job.signal.aborted) {
       const server = this.chooseServer();
-      if (!server || !this.acquireSend()) break;
-      const end = await this.attempt(server);
+      const settle = server && this.beginSend('run');
+      if (!server || !settle) break;
+      const end = await this.attempt(server, settle);
       if (end) return end;
     }
     const { failedAnswer } = this;
@@ -95,12 +97,15 @@
     return server;
   }
 
-  private async attempt(server: CatalogServer): Promise<RunResult | undefined> {
+  private async attempt(
+    server: CatalogServer,
+    settle: (result: SendResult) => void,
+  ): Promise<RunResult | undefined> {
     const { loads, health } = this.context;
     const releaseLoad = loads.add(server.id, { running: 1 });
     const timeout = this.startProgressTimeout(this.attemptTimeoutMs);
     try {
-      const outcome = await this.exchange(server, timeout.signal);
+      const outcome = await this.exchange(server, timeout.signal, settle);
       timeout.stop();
       if (outcome.kind === 'failed') {
         const failure = timeout.expired() ? 'silent' : outcome.failure;
@@ -129,12 +134,13 @@
   private async exchange(
     server: CatalogServer,
     signal: AbortSignal,
+    settle: (result: SendResult) => void,
   ): Promise<Outcome<BufferedAnswer, UpstreamFailure>> {
     const { upstream } = this.context;
     const sentMs = this.nowMs;
     const outcome = await upstream.send(server, this.job.request, this.sendOptions(server, signal));
     const failure = outcome.kind === 'failed' ? outcome.failure : undefined;
-    if (failure !== 'unsent') this.recordSend();
+    settle(toSendResult(failure));
     if (!failure || !provesNotRun(failure)) {
       this.mayHaveRun = true;
       this.runs += 1;
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -6,7 +6,8 @@
 import { PlainRun } from './plain-run.js';
 import type { RelayConfiguration, RelayRoute, RelayTeam } from './relay-configuration.js';
 import type { AnswerSink, RelayRequest } from './relay-request.js';
-import { RetryBudget, type RetryLimits } from './retry-budget.js';
+import type { RetryLimits } from './retry-budget.js';
+import { RetryBudgets } from './retry-budgets.js';
 import { pickPool, RouteTable } from './route-table.js';
 import type { Job, RunResult } from './run.js';
 import type { RunContext } from './run-context.js';
@@ -40,7 +41,7 @@
 
   readonly rateLimiter: TeamRateLimiter;
 
-  private readonly retryBudgets = new Map<string, RetryBudget>();
+  readonly retryBudgets: RetryBudgets;
 
   private readonly costAverages = new Map<string, CostAverage>();
 
@@ -59,6 +60,7 @@
   ) {
     super();
     this.rateLimiter = TeamRateLimiter.create(options.rateTolerance);
+    this.retryBudgets = RetryBudgets.create(options.retries, clock.monotonicMs());
   }
 
   /**
@@ -211,7 +213,7 @@
     const pool = this.table!.pool(pickPool(route, Math.random()));
     if (!pool)
       return refuse('no_server', 'the route leads to no known pool', UNCONFIGURED_RETRY_MS);
-    this.retryBudget(pool.name).recordRequest(nowMs);
+    this.retryBudgets.forPool(pool.name).recordRequest(nowMs);
     if (this.refusesStreams && route.kind === 'stream') {
       return refuse('draining', 'this VM is stopping', DRAINING_RETRY_MS);
     }
@@ -280,19 +282,12 @@
       decisions: kernel.find('decisions'),
       metrics: kernel.find('metrics'),
       fleetSize: () => kernel.find('fleet').size,
+      fleetContact: () => kernel.find('fleet').contact,
       punctualElsewhere: () => kernel.find('fleet').punctualElsewhere,
       costAverage: (pool) => this.costAverage(pool),
-      retryBudget: (pool) => this.retryBudget(pool),
+      retryBudget: (pool) => this.retryBudgets.forPool(pool),
     };
   }
-
-  private retryBudget(pool: string): RetryBudget {
-    const known = this.retryBudgets.get(pool);
-    if (known) return known;
-    const budget = RetryBudget.create(this.options.retries);
-    this.retryBudgets.set(pool, budget);
-    return budget;
-  }
 }
 
 function explainEnd(end: RunResult): string {
--- a/src/relay/run-context.ts
+++ b/src/relay/run-context.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Decisions } from '../observability/decisions.js';
 import type { Metrics } from '../observability/metrics.js';
-import type { RetryBudget } from './retry-budget.js';
+import type { FleetContact, RetryBudget } from './retry-budget.js';
 import type { ServerCatalog } from './server-catalog.js';
 import type { ServerHealth } from './server-health.js';
 import type { ServerLoads } from './server-loads.js';
@@ -20,6 +20,8 @@
   readonly availabilityZone: string;
   /** Number of VMs in the fleet, this one included. */
   readonly fleetSize: () => number;
+  /** Contact of this VM with the others, for limits that they share. */
+  readonly fleetContact: () => FleetContact;
   /** Whether requests that can still meet their target wait at other VMs. */
   readonly punctualElsewhere: () => boolean;
   /**
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -2,6 +2,7 @@
 import type { RelayPool, RelayRoute } from './relay-configuration.js';
 import type { AnswerSink, RelayRequest } from './relay-request.js';
 import type { RunContext } from './run-context.js';
+import { SendCharges, type SendKind, type SendResult } from './send-charges.js';
 import type { CatalogServer } from './server-catalog.js';
 import type { SendOptions, UpstreamFailure } from './upstream.js';
 
@@ -53,20 +54,28 @@
   /** Number of sends that may have been processed by a server. */
   protected runs = 0;
 
-  /** Number of sends that reached a server, whether it accepted the request or not. */
-  private sends = 0;
+  private readonly charges: SendCharges;
 
   protected constructor(
     protected readonly context: RunContext,
     protected readonly job: Job,
-  ) {}
+  ) {
+    const budget = context.retryBudget(job.pool.name);
+    this.charges = SendCharges.create(budget, context.fleetContact);
+  }
 
   /**
    * Runs the request to completion; afterwards the caller has the answer, or the result says why not.
    *
    * @returns how the run ended; a refusal still has to be sent
    */
-  abstract execute(): Promise<RunResult>;
+  async execute(): Promise<RunResult> {
+    const result = await this.run();
+    this.charges.refundUnused(this.nowMs);
+    return result;
+  }
+
+  protected abstract run(): Promise<RunResult>;
 
   protected get nowMs(): number {
     return this.context.clock.monotonicMs();
@@ -104,18 +113,28 @@
     };
   }
 
-  /**
-   * Acquires permission to send the request; every send after the first that reached a server is charged
-   * to the pool's retry budget.
-   */
-  protected acquireSend(): boolean {
-    if (this.sends === 0) return true;
-    const { retryBudget, fleetSize } = this.context;
-    return retryBudget(this.job.pool.name).tryAcquire(fleetSize(), this.nowMs);
+  /** Charges several sends in advance, so that they are not begun unless the retry budget covers all. */
+  protected prepaySends(kinds: readonly SendKind[]): boolean {
+    return this.charges.prepay(kinds, this.nowMs) || this.recordUncovered();
+  }
+
+  /** Charges a send that is about to leave; undefined when the retry budget does not cover it. */
+  protected beginSend(kind: SendKind): ((result: SendResult) => void) | undefined {
+    const settle = this.charges.begin(kind, this.nowMs);
+    if (settle) return (result) => settle(result, this.nowMs);
+    this.recordUncovered();
+    return undefined;
   }
 
-  protected recordSend(): void {
-    this.sends += 1;
+  private recordUncovered(): false {
+    const { retryBudget, fleetContact } = this.context;
+    const contact = fleetContact();
+    const { used, left } = retryBudget(this.job.pool.name).assess(contact, this.nowMs);
+    const { size: vms, reachable } = contact;
+    const facts = { used, left: Math.round(10 * left) / 10, vms, reachable };
+    this.recordDecision('retry', 'refuse', 'the retry budget does not cover another send', facts);
+    this.context.metrics.increment('retries.refused');
+    return false;
   }
 
   protected recordFailure(server: CatalogServer, failure: UpstreamFailure): void {
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -4,6 +4,7 @@
 import type { DecodeScheduler, DecodeSlot } from './decode-scheduler.js';
 import { computeReservedTokens } from './reservation-size.js';
 import type { CatalogServer } from './server-catalog.js';
+import { toSendResult, type SendKind } from './send-charges.js';
 import { pickPrefillServer } from './server-picker.js';
 import {
   provesNotRun,
@@ -30,6 +31,9 @@
 /** Prefill speed from which the expected time is computed, in prompt tokens per millisecond. */
 const ASSUMED_PREFILL_TOKENS_PER_MS = 40;
 
+/** Sends of a round in which a prefill engine reads the prompt. */
+const ROUND_SENDS: readonly SendKind[] = ['prefill', 'run'];
+
 type StepResult<Value> =
   { readonly kind: 'ok'; readonly value: Value } | { readonly kind: 'again' } | RunResult;
 
@@ -63,7 +67,7 @@
     return new StagedRun(context, job, scheduler);
   }
 
-  override async execute(): Promise<RunResult> {
+  protected override async run(): Promise<RunResult> {
     for (let round = 0; round < MAX_ROUNDS && !this.job.signal.aborted; round += 1) {
       const end = await this.runRound();
       if (end) return end;
@@ -146,7 +150,10 @@
         // Without a prefill engine, the decode engine prefills the prompt itself, at half the speed.
         return { kind: 'ok', value: undefined };
       }
-      if (tried.size > 0 && !this.acquireSend()) return this.finishUnserved('no prefill engine');
+      // A prompt that was read must still be able to run.
+      if (!this.prepaySends(ROUND_SENDS)) return this.finishUnserved('no prefill engine');
+      const settle = this.beginSend('prefill');
+      if (!settle) return this.finishUnserved('no prefill engine');
       const { server, tokensAhead } = choice;
       const releaseLoad = loads.add(server.id, { prefillTokens: promptTokens });
       const sentMs = this.nowMs;
@@ -160,10 +167,10 @@
       timeout.stop();
       releaseLoad();
       const tookMs = Math.round(this.nowMs - sentMs);
-      const failure = outcome.kind === 'failed' ? outcome.failure : '';
-      this.recordDecision('prefill', server.id, failure || 'read', { tookMs, tokensAhead });
+      const failure = outcome.kind === 'failed' ? outcome.failure : undefined;
+      settle(toSendResult(failure));
+      this.recordDecision('prefill', server.id, failure ?? 'read', { tookMs, tokensAhead });
       if (outcome.kind === 'ok') {
-        this.recordSend();
         metrics.timing('prefill.ms', tookMs);
         if (tokensAhead === 0) this.prefillMs = tookMs;
         this.context.health.record(server.id, 'answered', this.nowMs);
@@ -178,7 +185,6 @@
   }
 
   private recordPrefillFailure(server: CatalogServer, failure: UpstreamFailure): void {
-    if (failure !== 'unsent') this.recordSend();
     if (failure === 'cancelled') return;
     this.recordFailure(server, failure);
     this.excluded.delete(server.id);
@@ -190,6 +196,11 @@
   ): Promise<StepResult<never> | RunResult> {
     const { upstream, health } = this.context;
     const { server, reservation } = slot;
+    const settle = this.beginSend('run');
+    if (!settle) {
+      this.releaseUnused(slot, prefill);
+      return this.finishUnserved('the retry budget covers no further send');
+    }
     const resumeAfter = this.headSent ? this.events.lastEventId : undefined;
     const timeout = this.startProgressTimeout(STREAM_IDLE_TIMEOUT_MS);
     const sentMs = this.nowMs;
@@ -200,8 +211,9 @@
       ...(resumeAfter === undefined ? {} : { resumeAfter }),
     });
     const tookMs = Math.round(this.nowMs - sentMs);
-    const failure = outcome.kind === 'failed' ? outcome.failure : '';
-    this.recordDecision('decode', server.id, failure || 'answer', { tookMs, runs: this.runs });
+    const failure = outcome.kind === 'failed' ? outcome.failure : undefined;
+    settle(toSendResult(failure));
+    this.recordDecision('decode', server.id, failure ?? 'answer', { tookMs, runs: this.runs });
     if (outcome.kind === 'failed') {
       timeout.stop();
       return this.handleDecodeFailure(
@@ -257,7 +269,7 @@
     const { route, sink, signal } = this.job;
     this.events.dropPartial();
     const resumable = route.resumable && this.runs < route.attempts && !signal.aborted;
-    if (resumable && this.acquireSend()) {
+    if (resumable && this.prepayRound()) {
       this.recordDecision('stream', 'again', 'the stream ended before it was complete', {
         server: server.id,
       });
@@ -269,30 +281,41 @@
   }
 
   private handleDecodeFailure(
-    { server, reservation }: DecodeSlot,
+    slot: DecodeSlot,
     prefill: PrefillResult | undefined,
     failure: UpstreamFailure,
   ): StepResult<never> | RunResult {
-    const { upstream } = this.context;
-    if (failure !== 'unsent') this.recordSend();
+    const { server } = slot;
     const notRun = provesNotRun(failure);
     if (!notRun) {
       this.mayHaveRun = true;
       this.runs += 1;
     }
-    if (failure === 'unsent' || failure === 'cancelled') {
-      upstream.release(server, reservation);
-      if (prefill) upstream.discard(prefill);
-    }
+    if (failure === 'unsent' || failure === 'cancelled') this.releaseUnused(slot, prefill);
     if (failure !== 'cancelled') this.recordFailure(server, failure);
     // An expired prefill handle is no evidence against the decode engine.
     if (failure === 'not-run') this.excluded.delete(server.id);
     const { route, signal } = this.job;
     const retryable = notRun || (route.resumable && this.runs < route.attempts);
-    if (retryable && !signal.aborted && this.acquireSend()) return { kind: 'again' };
+    if (retryable && !signal.aborted && this.prepayRound()) return { kind: 'again' };
     return this.finishUnserved('the decode engine did not run or complete the request');
   }
 
+  private releaseUnused({ server, reservation }: DecodeSlot, prefill?: PrefillResult): void {
+    const { upstream } = this.context;
+    upstream.release(server, reservation);
+    if (prefill) upstream.discard(prefill);
+  }
+
+  /** Charges the sends of another round. */
+  private prepayRound(): boolean {
+    const { catalog } = this.context;
+    const hasPrefill = catalog
+      .usable(this.job.pool.name, this.nowMs)
+      .some(({ stage }) => stage === 'prefill');
+    return this.prepaySends(hasPrefill ? ROUND_SENDS : ['run']);
+  }
+
   private finishUnserved(message: string): RunResult {
     if (!this.headSent) return this.refuseUnserved(message);
     this.job.sink.abort();
