fix: limit what a peer can send, and count events as progress

Cause: readers of answers had a deadline but no size limit, and a stream was kept alive by any byte.

Change: readLimited is the one reader of bodies into memory; each reader states its limit, and beyond it the connection is closed, the call fails as possibly run, and the message names peer and limit. What is no body (heads, interim answers, chunk extensions, trailers, unasked bytes) is limited by the bytes on the connection since the last request. The log reader asks for fewer records after a page that was too large. Only events with data extend the time of a stream; an event has at most 1 MiB.

Ruled out: the product's own engine streams, whose progress counts events already, and its plain answers, which end at 1 MiB.

Found and not changed: undici opens a new connection after it has closed one in the middle of an answer, also when nothing waits for it.

--- a/features/relay/relay-runs.feature
+++ b/features/relay/relay-runs.feature
@@ -37,6 +37,27 @@
       | resumable | 2        | stream breaks, answer | 2     | 200    | 1,2,3  | whole |
       | resumable | 1        | stream breaks, answer | 1     | 200    | 1      | cut   |
 
+  # Progress is an event that carries data: bytes alone prove nothing about the server's work.
+  Scenario Outline: a stream with <step> ends when it makes no progress for 3 s
+    Given a relay with 1 prefill engine and 3 decode engines that do "<step>"
+    When a relay request of kind "stream" with 1 attempts arrives
+    Then the relay sends it 1 times and the caller gets 200
+    And the relay's caller has the events "<events>" and the answer is <end>
+    And the relay took between <least> and <most> ms
+
+    Examples:
+      | step                   | events      | end   | least | most |
+      | slow events            | 1,2,2,2,2,2 | whole | 3500  | 4900 |
+      | comments for ever      | 1           | cut   | 2900  | 4900 |
+      | half an event for ever | 1           | cut   | 2900  | 4900 |
+      | an event without end   | 1           | cut   | 0     | 3000 |
+
+  Scenario: a stalled stream that may be resumed goes on at another engine
+    Given a relay with 1 prefill engine and 3 decode engines that do "comments for ever, answer"
+    When a relay request of kind "resumable" with 2 attempts arrives
+    Then the relay sends it 2 times and the caller gets 200
+    And the relay's caller has the events "1,2,3" and the answer is whole
+
   Scenario: a stream that breaks after its target resumes at another engine (pattern: servers dark in mid-stream)
     Given a relay with 1 prefill engine and 3 decode engines that do "stream breaks late, answer"
     When a relay request of kind "resumable" with 2 attempts arrives
--- a/features/steps/relay-run-steps.ts
+++ b/features/steps/relay-run-steps.ts
@@ -214,6 +214,11 @@
   assert.deepEqual(scenario.relay.retryBudgets.totals, { pool: [scenario.count, 0] });
 });
 
+Then('the relay took between {int} and {int} ms', (least: number, most: number) => {
+  const { tookMs } = scenario;
+  assert.ok(tookMs >= least && tookMs <= most, `${tookMs} ms`);
+});
+
 Then('every relay send has at most {int} ms left', (mostMs: number) => {
   scenario.upstream.sends.forEach(({ options }) => {
     assert.ok(options.deadlineMs <= mostMs, `${options.deadlineMs} ms`);
--- a/features/support/fake-upstream.ts
+++ b/features/support/fake-upstream.ts
@@ -1,3 +1,5 @@
+import { setTimeout } from 'node:timers/promises';
+
 import { fail, succeed, type Outcome } from '../../src/kernel/outcome.js';
 import type { RelayRequest } from '../../src/relay/relay-request.js';
 import type { CatalogServer } from '../../src/relay/server-catalog.js';
@@ -11,8 +13,26 @@
 import type { Arrival } from './retry-simulation.js';
 
 /** Scripted result of a send. */
-export type UpstreamStep =
-  'answer' | 'failure status' | 'stream breaks' | 'stream breaks late' | 'hangs' | UpstreamFailure;
+export type UpstreamStep = 'hangs' | AnswerStep | UpstreamFailure;
+
+type AnswerStep = (typeof ANSWER_STEPS)[number];
+
+const ANSWER_STEPS = [
+  'answer',
+  'failure status',
+  'stream breaks',
+  'stream breaks late',
+  'slow events',
+  'comments for ever',
+  'half an event for ever',
+  'an event without end',
+] as const;
+
+/** Pause between the pieces of a slow or endless stream, in milliseconds. */
+const PIECE_INTERVAL_MS = 900;
+
+/** Pieces of a sound but slow stream; together they take longer than a stream may be idle. */
+const SLOW_PIECES = 4;
 
 /** Delay of a late break, in milliseconds; longer than the route's `patienceMs`. */
 const LATE_BREAK_MS = 600;
@@ -105,23 +125,37 @@
   }
 }
 
-type AnswerStep = Exclude<UpstreamStep, UpstreamFailure | 'hangs'>;
-
 function isAnswer(step: UpstreamStep): step is AnswerStep {
-  return ['answer', 'failure status', 'stream breaks', 'stream breaks late'].includes(step);
+  return (ANSWER_STEPS as readonly string[]).includes(step);
 }
 
-function createAnswer(step: AnswerStep, { resumeAfter }: SendOptions): OpenAnswer {
+/** Pieces of streams that make no progress, or hardly any. */
+function describeSlow(
+  step: AnswerStep,
+  first: number,
+): { piece: string; count: number } | undefined {
+  if (step === 'slow events') return { piece: `id: ${first + 1}\ndata: x\n\n`, count: SLOW_PIECES };
+  if (step === 'comments for ever') return { piece: ': still here\n\n', count: Infinity };
+  if (step === 'half an event for ever') return { piece: 'x', count: Infinity };
+  return undefined;
+}
+
+function createAnswer(step: AnswerStep, { resumeAfter, signal }: SendOptions): OpenAnswer {
   const status = step === 'failure status' ? 500 : 200;
   const first = Number(resumeAfter ?? 0) + 1;
   async function* body() {
     yield Buffer.from(`id: ${first}\ndata: x\n\n`);
-    if (step === 'stream breaks late') {
-      await new Promise((resolve) => {
-        setTimeout(resolve, LATE_BREAK_MS);
-      });
+    const slow = describeSlow(step, first);
+    for (let sent = 0; slow && sent < slow.count; sent += 1) {
+      await setTimeout(PIECE_INTERVAL_MS, undefined, { signal });
+      yield Buffer.from(slow.piece);
+    }
+    while (step === 'an event without end' && !signal.aborted) {
+      await setTimeout(0);
+      yield Buffer.alloc(65_536, 'x');
     }
-    if (step !== 'answer' && status === 200) throw new Error('reset');
+    if (step === 'stream breaks late') await setTimeout(LATE_BREAK_MS);
+    if (step.startsWith('stream breaks')) throw new Error('reset');
     yield Buffer.from(`id: ${first + 1}\ndata: x\n\n`);
   }
   return { head: { status, headers: [], framed: true }, body: body() };
--- a/src/infrastructure/http-call.ts
+++ b/src/infrastructure/http-call.ts
@@ -1,7 +1,10 @@
+import type { Socket } from 'node:net';
+
 import { Agent, buildConnector, request, type Dispatcher } from 'undici';
 
 import { CallFailure } from '../kernel/call-failure.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+import { readLimited } from './limited-body.js';
 
 /** Deadlines of a call, in milliseconds. */
 export interface HttpDeadlines {
@@ -35,6 +38,8 @@
   /** Sent as JSON, or unchanged when it is a buffer. */
   readonly body?: unknown;
   readonly deadlines: HttpDeadlines;
+  /** Largest accepted body of the answer, in bytes; a larger one fails the call as `unknown`. */
+  readonly maxBodyBytes: number;
   readonly signal?: AbortSignal;
 }
 
@@ -48,6 +53,12 @@
 /** A call without a complete answer: `unsent`, or `unknown` when it may have reached the server. */
 export type HttpCallFailure = CallFailure<'unsent' | 'unknown'>;
 
+/** Largest head of an answer with its interim answers, in bytes. */
+const MAX_HEAD_BYTES = 262_144;
+
+/** Bytes that a byte of a body may take on the connection, with the framing of small chunks. */
+const FRAMING_FACTOR = 2;
+
 /** Codes of errors that occur before a connection exists, so that nothing has been sent. */
 export const UNSENT_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
@@ -62,11 +73,13 @@
  * them, because a request on a connection that the server is closing has an unknown effect.
  *
  * @param deadlines - deadlines of the adapter's calls
+ * @param maxBodyBytes - largest body that any of its calls accepts, in bytes
  * @returns an agent without open connections
  */
-export function createAgent(deadlines: HttpDeadlines): Agent {
+export function createAgent(deadlines: HttpDeadlines, maxBodyBytes: number): Agent {
+  const maxAnswerBytes = FRAMING_FACTOR * maxBodyBytes + MAX_HEAD_BYTES;
   return new Agent({
-    connect: createConnector(deadlines.connectMs),
+    connect: createConnector(deadlines.connectMs, maxAnswerBytes),
     headersTimeout: 0,
     bodyTimeout: 0,
     keepAliveTimeout: 1000,
@@ -83,13 +96,35 @@
   if (error.code === 'ECONNRESET') Object.assign(error, { code: 'CONNECTION_RESET' });
 }
 
+/**
+ * Closes a connection on which more arrives after a request than an answer may have. It covers what is no
+ * body: heads, interim answers, chunk extensions, trailers and bytes that nothing asked for.
+ */
+function limitAnswers(socket: Socket, maxAnswerBytes: number): void {
+  let written = socket.bytesWritten;
+  let readBefore = socket.bytesRead;
+  let answerStart = readBefore;
+  socket.on('readable', () => {
+    if (socket.bytesWritten !== written) answerStart = readBefore;
+    written = socket.bytesWritten;
+    readBefore = socket.bytesRead;
+    if (readBefore - answerStart <= maxAnswerBytes) return;
+    const message = `more than ${maxAnswerBytes} bytes arrived from ${socket.remoteAddress}:${socket.remotePort} in answer to one request`;
+    socket.destroy(Object.assign(new Error(message), { code: 'ANSWER_TOO_LARGE' }));
+  });
+}
+
 /**
  * Creates a connector with its own timer, because undici rounds short timeouts up to about a second.
  *
  * @param connectMs - timeout for connecting, in milliseconds
+ * @param maxAnswerBytes - bytes after a request beyond which its connection is closed
  * @returns a connector for undici
  */
-export function createConnector(connectMs: number): buildConnector.connector {
+export function createConnector(
+  connectMs: number,
+  maxAnswerBytes: number,
+): buildConnector.connector {
   const connect = buildConnector({ timeout: 0 });
   return (options, callback) => {
     let expired = false;
@@ -101,6 +136,7 @@
     connect(options, (...result) => {
       clearTimeout(timer);
       result[1]?.on('error', replaceResetCode);
+      if (result[1]) limitAnswers(result[1], maxAnswerBytes);
       if (expired) result[1]?.destroy();
       else callback(...result);
     });
@@ -119,8 +155,8 @@
   call: HttpCall,
 ): Promise<Outcome<HttpAnswer, HttpCallFailure>> {
   return withAnswer(agent, call, async ({ statusCode, headers, body }) => {
-    const text = await body.text();
-    return { status: statusCode, headers, body: parseJson(text) };
+    const bytes = await readLimited(body, call.maxBodyBytes);
+    return { status: statusCode, headers, body: parseJson(bytes.toString('utf8')) };
   });
 }
 
@@ -138,7 +174,7 @@
   return withAnswer(agent, call, async ({ statusCode, headers, body }) => ({
     status: statusCode,
     headers,
-    body: Buffer.from(await body.arrayBuffer()),
+    body: await readLimited(body, call.maxBodyBytes),
   }));
 }
 
@@ -196,7 +232,7 @@
 function toFailure(error: unknown): HttpCallFailure {
   const { code, message } = error as { code?: string; message?: string };
   const reason = UNSENT_CODES.has(code ?? '') ? 'unsent' : 'unknown';
-  return CallFailure.create(reason, message || (code ?? String(error)));
+  return CallFailure.create(reason, message || (code ?? String(error)), error);
 }
 
 function parseJson(text: string): unknown {
--- a/src/infrastructure/http-log-service.ts
+++ b/src/infrastructure/http-log-service.ts
@@ -11,10 +11,20 @@
   type HttpCallFailure,
   type HttpDeadlines,
 } from './http-call.js';
+import { BodyTooLarge } from './limited-body.js';
 import type { LogFailure } from './log-failure.js';
 import { LogService, type LogPage, type LogQuery } from './log-service.js';
 import { UrlRotation } from './url-rotation.js';
 
+/** Largest accepted page of records, in bytes; several streams are read at once on a VM of 200 MB. */
+const MAX_PAGE_BYTES = 8_388_608;
+
+/** Largest accepted answer to an append, in bytes. */
+const MAX_APPEND_ANSWER_BYTES = 65_536;
+
+/** Factor by which the number of records of a page falls after one that was too large. */
+const PAGE_SHRINK_FACTOR = 4;
+
 const appendSchema = z.object({ firstOffset: z.int().positive() });
 const pageSchema = z.object({
   records: z.array(
@@ -44,6 +54,9 @@
 
   private readonly stopping = new AbortController();
 
+  /** Maximum number of records of a page; lower after a page that was too large. */
+  private maxRecords = Infinity;
+
   private constructor(
     urls: readonly string[],
     private readonly deadlines: HttpDeadlines,
@@ -51,7 +64,7 @@
     super();
     this.readUrls = UrlRotation.create(urls);
     this.appendUrls = UrlRotation.create(urls);
-    this.agent = createAgent(deadlines);
+    this.agent = createAgent(deadlines, MAX_PAGE_BYTES);
   }
 
   /**
@@ -72,6 +85,7 @@
     const base = this.appendUrls.current();
     const answer = await callHttp(this.agent, {
       method: 'POST',
+      maxBodyBytes: MAX_APPEND_ANSWER_BYTES,
       url: buildUrl(base, stream),
       body: { records },
       deadlines: this.deadlines,
@@ -89,19 +103,29 @@
     const base = this.readUrls.current();
     const { stream, from, limit, waitMs, signal } = query;
     const { firstByteMs } = this.deadlines;
+    const records = Math.min(limit, this.maxRecords);
     const stop = this.stopping.signal;
     const answer = await callHttp(this.agent, {
       method: 'GET',
-      url: `${buildUrl(base, stream)}?from=${from}&limit=${limit}&waitMs=${waitMs}`,
+      url: `${buildUrl(base, stream)}?from=${from}&limit=${records}&waitMs=${waitMs}`,
+      maxBodyBytes: MAX_PAGE_BYTES,
       deadlines: { ...this.deadlines, firstByteMs: firstByteMs + waitMs },
       signal: signal ? AbortSignal.any([signal, stop]) : stop,
     });
     if (answer.kind === 'failed' && !signal?.aborted) this.replaceConnections(answer.failure);
+    this.adaptPageSize(records, answer);
     const outcome = parseReadAnswer(answer);
     if (outcome.kind === 'failed' && !signal?.aborted) this.readUrls.markFailed(base);
     return outcome;
   }
 
+  /** Asks for fewer records after a page that was too large, and for more again after a good one. */
+  private adaptPageSize(records: number, answer: Outcome<HttpAnswer, HttpCallFailure>): void {
+    if (answer.kind === 'ok') this.maxRecords *= 2;
+    else if (answer.failure.cause instanceof BodyTooLarge)
+      this.maxRecords = Math.max(1, Math.floor(records / PAGE_SHRINK_FACTOR));
+  }
+
   /**
    * Replaces the connections after a call that failed on an open one: the fault probably affects the
    * others too, so the idle ones are not reused. Calls in progress on them end normally or at their
@@ -110,7 +134,7 @@
   private replaceConnections(failure: HttpCallFailure): void {
     if (failure.reason === 'unsent' || this.stopping.signal.aborted) return;
     const replaced = this.agent;
-    this.agent = createAgent(this.deadlines);
+    this.agent = createAgent(this.deadlines, MAX_PAGE_BYTES);
     replaced.close().catch(() => undefined);
   }
 
--- a/src/infrastructure/http-vm-list.ts
+++ b/src/infrastructure/http-vm-list.ts
@@ -7,6 +7,9 @@
 import { buildDeadlines, callHttp, createAgent, type HttpDeadlines } from './http-call.js';
 import { VmList, type VmListing } from './vm-list.js';
 
+/** Largest accepted listing, in bytes: some 5,000 VMs and servers. */
+const MAX_LISTING_BYTES = 1_048_576;
+
 const state = z.enum(['live', 'leaving']);
 const port = z.int().min(1).max(65_535);
 const listingSchema = z.object({
@@ -55,7 +58,7 @@
   ) {
     super();
     this.deadlines = buildDeadlines(options.timeoutMs, options.connectMs);
-    this.agent = createAgent(this.deadlines);
+    this.agent = createAgent(this.deadlines, MAX_LISTING_BYTES);
   }
 
   /**
@@ -100,7 +103,14 @@
   private async fetchListing(signal: AbortSignal): Promise<VmListing | undefined> {
     const url = `${this.options.url.replace(/\/+$/, '')}/v1/vms`;
     const { deadlines } = this;
-    const answer = await callHttp(this.agent, { method: 'GET', url, deadlines, signal });
+    const call = {
+      method: 'GET' as const,
+      url,
+      deadlines,
+      maxBodyBytes: MAX_LISTING_BYTES,
+      signal,
+    };
+    const answer = await callHttp(this.agent, call);
     if (answer.kind === 'failed' || answer.value.status !== 200) return undefined;
     return listingSchema.safeParse(answer.value.body).data;
   }
--- a/src/infrastructure/http-weight-store.ts
+++ b/src/infrastructure/http-weight-store.ts
@@ -27,7 +27,7 @@
   private constructor(private readonly options: HttpWeightStoreOptions) {
     super();
     this.deadlines = buildDeadlines(options.timeoutMs, options.connectMs);
-    this.agent = createAgent(this.deadlines);
+    this.agent = createAgent(this.deadlines, 0);
   }
 
   /**
@@ -44,7 +44,12 @@
     const path = [model, version].map(encodeURIComponent).join('/');
     const url = `${this.options.url.replace(/\/+$/, '')}/v1/weights/${path}`;
     const { deadlines } = this;
-    const answer = await callHttpForHeaders(this.agent, { method: 'GET', url, deadlines });
+    const answer = await callHttpForHeaders(this.agent, {
+      method: 'GET',
+      url,
+      deadlines,
+      maxBodyBytes: 0,
+    });
     if (answer.kind === 'failed') return answer;
     const { status, headers } = answer.value;
     if (status !== 200) return fail(new Error(`the weight store answered with status ${status}`));
--- a/src/kernel/call-failure.ts
+++ b/src/kernel/call-failure.ts
@@ -5,8 +5,9 @@
   private constructor(
     readonly reason: Reason,
     message: string,
+    cause: unknown,
   ) {
-    super(message);
+    super(message, { cause });
   }
 
   /**
@@ -14,9 +15,14 @@
    *
    * @param reason - kind of failure
    * @param message - what happened
+   * @param cause - the error that made the call fail
    * @returns a new failure
    */
-  static create<Reason extends string>(reason: Reason, message: string): CallFailure<Reason> {
-    return new CallFailure(reason, message);
+  static create<Reason extends string>(
+    reason: Reason,
+    message: string,
+    cause?: unknown,
+  ): CallFailure<Reason> {
+    return new CallFailure(reason, message, cause);
   }
 }
--- a/src/relay/event-splitter.ts
+++ b/src/relay/event-splitter.ts
@@ -1,8 +1,16 @@
 const EVENT_END = '\n\n';
 
+/** Largest accepted event, in bytes; engines may put many tokens into one event. */
+const MAX_EVENT_BYTES = 1_048_576;
+
+const NOTHING = Buffer.alloc(0);
+
 /** Splits a stream of server-sent events so that only complete events are forwarded. */
 export class EventSplitter {
-  private partial: Buffer = Buffer.alloc(0);
+  /** Chunks after the last complete event. */
+  private partial: Buffer[] = [];
+
+  private partialBytes = 0;
 
   private lastId: string | undefined;
 
@@ -20,6 +28,11 @@
     return this.lastId;
   }
 
+  /** True when the incomplete event is too large, so that the stream cannot be a sound one. */
+  get isOversized(): boolean {
+    return this.partialBytes > MAX_EVENT_BYTES;
+  }
+
   /**
    * Accepts a chunk of the stream.
    *
@@ -27,14 +40,15 @@
    * @returns all events that are complete now; empty when there are none
    */
   push(chunk: Buffer): Buffer {
-    const bytes = this.partial.length === 0 ? chunk : Buffer.concat([this.partial, chunk]);
-    const end = bytes.lastIndexOf(EVENT_END);
-    if (end < 0) {
-      this.partial = bytes;
-      return Buffer.alloc(0);
+    if (!this.endsEvent(chunk)) {
+      this.keep(chunk);
+      return NOTHING;
     }
-    const complete = bytes.subarray(0, end + EVENT_END.length);
-    this.partial = bytes.subarray(end + EVENT_END.length);
+    const bytes = this.partial.length === 0 ? chunk : Buffer.concat([...this.partial, chunk]);
+    const end = bytes.lastIndexOf(EVENT_END) + EVENT_END.length;
+    const complete = bytes.subarray(0, end);
+    this.dropPartial();
+    if (end < bytes.length) this.keep(bytes.subarray(end));
     this.recordLastId(complete);
     return complete;
   }
@@ -45,14 +59,27 @@
    * @returns bytes after the last complete event
    */
   flush(): Buffer {
-    const { partial } = this;
-    this.partial = Buffer.alloc(0);
-    return partial;
+    const rest = Buffer.concat(this.partial);
+    this.dropPartial();
+    return rest;
   }
 
   /** Drops an incomplete event before the stream is resumed from another server. */
   dropPartial(): void {
-    this.partial = Buffer.alloc(0);
+    this.partial = [];
+    this.partialBytes = 0;
+  }
+
+  /** Returns whether a chunk completes an event, whose end may have begun in the previous chunk. */
+  private endsEvent(chunk: Buffer): boolean {
+    const isSplitEnd = this.partial.at(-1)?.at(-1) === 0x0a && chunk[0] === 0x0a;
+    return isSplitEnd || chunk.includes(EVENT_END);
+  }
+
+  private keep(chunk: Buffer): void {
+    if (chunk.length === 0) return;
+    this.partial.push(chunk);
+    this.partialBytes += chunk.length;
   }
 
   private recordLastId(events: Buffer): void {
@@ -62,3 +89,13 @@
     this.lastId = events.toString('utf8', at + 3, lineEnd).trim();
   }
 }
+
+/**
+ * Returns whether events carry data. Comments do not: a server in trouble may send them for ever.
+ *
+ * @param events - complete events
+ * @returns true when at least one has a data field
+ */
+export function carriesData(events: Buffer): boolean {
+  return events.subarray(0, 5).toString('latin1') === 'data:' || events.includes('\ndata:');
+}
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -1,4 +1,4 @@
-import { EventSplitter } from './event-splitter.js';
+import { carriesData, EventSplitter } from './event-splitter.js';
 import { Run, type Job, type RunResult, type ProgressTimeout } from './run.js';
 import type { RunContext } from './run-context.js';
 import type { DecodeScheduler, DecodeSlot } from './decode-scheduler.js';
@@ -252,9 +252,11 @@
     this.headSent = true;
     try {
       for await (const chunk of answer.body) {
-        timeout.refresh();
         const complete = status === 200 ? this.events.push(chunk) : chunk;
+        // Only events are progress: a stalled server may send comments or parts of an event for ever.
+        if (status !== 200 || carriesData(complete)) timeout.refresh();
         if (complete.length > 0) await sink.write(complete);
+        if (this.events.isOversized) return this.handleBrokenStream(server);
       }
     } catch {
       return this.handleBrokenStream(server);
