perf: keep the calls to the store from growing with the fleet

Change: the intervals of VMs that are no store readers grow with the fleet beyond 16 VMs; a VM that reaches no other keeps the short one.

--- a/features/fleet/store-followers.feature
+++ b/features/fleet/store-followers.feature
@@ -6,6 +6,20 @@
     When 60000 ms pass for the store followers
     Then the store has got at most 1200 calls
 
+  # Three readers make 8.5 calls a second; the rest must not grow with the fleet.
+  Scenario Outline: a running fleet of <vms> VMs calls the store at most 12 times a second
+    Given <vms> store followers that exchange digests
+    When 5000 ms pass for the store followers
+    And the calls to the store are counted from now on
+    And 60000 ms pass for the store followers
+    Then the store has got at most 720 calls
+
+    Examples:
+      | vms |
+      | 20  |
+      | 80  |
+      | 195 |
+
   Scenario: a change in the store is known to every VM
     Given 80 store followers that exchange digests
     When 3000 ms pass for the store followers
--- a/features/steps/store-follower-steps.ts
+++ b/features/steps/store-follower-steps.ts
@@ -26,6 +26,10 @@
   await followersOf().advance(ms);
 });
 
+When('the calls to the store are counted from now on', () => {
+  followersOf().resetCalls();
+});
+
 When('the store gets configuration {int} and a server that is leaving', (version: number) => {
   followersOf().change(version);
 });
--- a/features/support/store-follower-fleet.ts
+++ b/features/support/store-follower-fleet.ts
@@ -93,6 +93,11 @@
     this.vms.forEach((vm) => Object.assign(vm, { refused: true }));
   }
 
+  /** Forgets the calls to the store so far. */
+  resetCalls(): void {
+    this.vms.forEach((vm) => Object.assign(vm, { calls: 0 }));
+  }
+
   /** Advances the time; the VMs exchange digests meanwhile. */
   async advance(ms: number): Promise<void> {
     for (let passed = 0; passed < ms; passed += 20) {
@@ -158,6 +163,9 @@
       vm: vm.name,
       isDraining: false,
       addHosts: () => undefined,
+      get size() {
+        return vms.length;
+      },
       get peers() {
         return vms
           .filter((other) => other !== vm)
--- a/src/state/state-follower.ts
+++ b/src/state/state-follower.ts
@@ -29,9 +29,15 @@
 /** Interval between checks whether this VM has to read the store, in milliseconds. */
 const READ_CHECK_INTERVAL_MS = 200;
 
-/** Interval between reads of the store on a VM that gets changes from other VMs, in milliseconds. */
+/**
+ * Interval between reads of the store on a VM that gets changes from other VMs, in milliseconds, in a
+ * fleet of up to AUDITED_FLEET_SIZE VMs. It grows with the fleet, so that the calls to the store do not.
+ */
 const AUDIT_INTERVAL_MS = 30_000;
 
+/** Size of a fleet from which on the intervals of VMs that are no store readers grow. */
+const AUDITED_FLEET_SIZE = 16;
+
 /** Interval between these reads after a failed call to the store, in milliseconds. */
 const FAILED_AUDIT_INTERVAL_MS = 5000;
 
@@ -50,7 +56,7 @@
  */
 const ADVERTISEMENT_GRACE_MS = 300;
 
-/** Interval between reads of the registered VMs, in milliseconds. */
+/** Interval between reads of the registered VMs, in milliseconds; it grows with the fleet, too. */
 const DISCOVERY_INTERVAL_MS = 20_000;
 
 /**
@@ -205,6 +211,11 @@
     return this.rank < STORE_READERS;
   }
 
+  /** Factor of the intervals on VMs that are no store readers. */
+  private get fleetFactor(): number {
+    return Math.max(1, this.kernel.find('fleet').size / AUDITED_FLEET_SIZE);
+  }
+
   private async fetchFrom(host: string): Promise<void> {
     if (this.fetching) return;
     this.fetching = true;
@@ -283,7 +294,8 @@
   /** Waits until this VM must read the store: as a store reader, for its first state, or as an audit. */
   private async waitUntilReadDue(isUnknown: () => boolean, readMs: number): Promise<void> {
     for (;;) {
-      const pauseMs = this.failing ? FAILED_AUDIT_INTERVAL_MS : AUDIT_INTERVAL_MS;
+      const intervalMs = this.failing ? FAILED_AUDIT_INTERVAL_MS : AUDIT_INTERVAL_MS;
+      const pauseMs = intervalMs * this.fleetFactor;
       const isDue = this.clock.monotonicMs() - readMs > pauseMs;
       if (isDue || isUnknown() || this.readsStore || this.stopping.signal.aborted) return;
       await this.clock.sleep(READ_CHECK_INTERVAL_MS, this.stopping.signal);
@@ -336,14 +348,28 @@
       if (!this.registered) this.registered = (await store.register()).kind === 'ok';
       const hosts = await store.registeredHosts();
       if (hosts.kind === 'ok') fleet.addHosts(hosts.value);
-      const retrySoon = fleet.peers.length === 0 || !this.registered;
-      await this.clock.sleep(
-        retrySoon ? DISCOVERY_RETRY_DELAY_MS : DISCOVERY_INTERVAL_MS,
-        this.stopping.signal,
-      );
+      const retrySoon = this.isAlone || !this.registered;
+      await this.waitUntilDiscoveryDue(retrySoon);
     }
   }
 
+  /** Waits until the registered VMs must be read again; store readers read them more often in a large fleet. */
+  private async waitUntilDiscoveryDue(retrySoon: boolean): Promise<void> {
+    const pauseMs = retrySoon ? DISCOVERY_RETRY_DELAY_MS : DISCOVERY_INTERVAL_MS;
+    const { signal } = this.stopping;
+    const readMs = this.clock.monotonicMs();
+    await this.clock.sleep(pauseMs, signal);
+    while (!retrySoon && !signal.aborted && !this.readsStore && !this.isAlone) {
+      if (this.clock.monotonicMs() - readMs >= pauseMs * this.fleetFactor) return;
+      await this.clock.sleep(DISCOVERY_RETRY_DELAY_MS, signal);
+    }
+  }
+
+  /** Whether this VM reaches no other one. */
+  private get isAlone(): boolean {
+    return this.kernel.find('fleet').peers.length === 0;
+  }
+
   private async handleCallOutcome(
     outcome: Outcome<unknown, StoreFailure>,
     pauseMs: number,
