fix: share the cost of requests, and count retries of a part that returns

Change: digests carry the sums of each VM, with a half-life of 8 s, and hubs add them. Shown by a simulated fleet of 8, 80 and 195 VMs in which each VM runs one stream: all know its cost within a second.

Cause: a VM that hears from a source for the first time, or again after it was removed, did not count what it had spent; after a cut of 12 s both sides of a fleet of 2 spent the budget once more. Found by the split scenario of 2 VMs, which failed once: 134 of 132. Change: the first report of a source counts as spent just now, up to its part, and hubs go on counting another hub where they stopped.

--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -47,6 +47,21 @@
       | 8    |
       | 40   |
 
+  # Guards against a fleet in which the commander of the engines' roles runs too few streams itself to know
+  # what they cost, and therefore never changes a role.
+  Scenario Outline: every VM of a fleet of <vms> knows the cost of streams of which each VM runs one
+    Given a simulated fleet of <vms> VMs
+    When 10000 ms pass in the simulated fleet
+    And each VM of the simulated fleet runs one stream of 100 ms prefill, 3000 ms decode and 8000 tokens
+    And 1000 ms pass in the simulated fleet
+    Then each VM of the simulated fleet knows this cost of a stream
+
+    Examples:
+      | vms |
+      | 8   |
+      | 80  |
+      | 195 |
+
   # Guards against spending that is counted twice or lost when its route through the hubs changes. A VM
   # whose hub dies gets no updates for at most 1.5 s, which is 15 percent of the time here.
   Scenario: what teams spend is counted once by every VM while hubs die
--- a/features/relay/retry-budget.feature
+++ b/features/relay/retry-budget.feature
@@ -53,6 +53,9 @@
     Examples:
       | vms | seed |
       | 2   | 1    |
+      | 2   | 111  |
+      | 2   | 411  |
+      | 6   | 112  |
       | 6   | 2    |
       | 16  | 3    |
       | 40  | 4    |
--- a/features/steps/fleet-steps.ts
+++ b/features/steps/fleet-steps.ts
@@ -164,6 +164,28 @@
   },
 );
 
+/** Cost of a stream in milliseconds and tokens. */
+const STREAM_COST = { prefillMs: 100, decodeMs: 3000, kvTokens: 8000 };
+
+When(
+  'each VM of the simulated fleet runs one stream of 100 ms prefill, 3000 ms decode and 8000 tokens',
+  () => {
+    const { liveVms, clock } = simulationOf();
+    liveVms.forEach(({ costs }) => costs.add('planner', STREAM_COST, clock.monotonicMs()));
+  },
+);
+
+Then('each VM of the simulated fleet knows this cost of a stream', () => {
+  const { liveVms, clock } = simulationOf();
+  liveVms.forEach(({ name, costs }) => {
+    const average = costs.average('planner', clock.monotonicMs());
+    assert.ok(average, `${name} knows no cost`);
+    assert.ok(Math.abs(average.prefillMs - STREAM_COST.prefillMs) < 2, `${average.prefillMs}`);
+    assert.ok(Math.abs(average.decodeMs - STREAM_COST.decodeMs) < 60, `${average.decodeMs}`);
+    assert.ok(Math.abs(average.kvTokens - STREAM_COST.kvTokens) < 160, `${average.kvTokens}`);
+  });
+});
+
 Then('each VM of the simulated fleet reaches all others', () => {
   assert.deepEqual(findIncompleteViews(), []);
 });
--- a/features/support/relay-fixtures.ts
+++ b/features/support/relay-fixtures.ts
@@ -93,6 +93,7 @@
     punctual: 0,
     spent: {},
     retries: {},
+    costs: {},
     loads: [],
     avoided: [],
     leavers: [],
--- a/harness/fleet-simulation.ts
+++ b/harness/fleet-simulation.ts
@@ -4,6 +4,7 @@
 import { Fleet } from '../src/fleet/fleet.js';
 import { Kernel } from '../src/kernel/kernel.js';
 import { ManualClock } from '../src/kernel/manual-clock.js';
+import { PoolCosts } from '../src/relay/pool-costs.js';
 import { RetryBudgets } from '../src/relay/retry-budgets.js';
 import { ServerCatalog } from '../src/relay/server-catalog.js';
 import { ServerHealth } from '../src/relay/server-health.js';
@@ -19,6 +20,7 @@
   readonly loads: ServerLoads;
   readonly rateLimiter: TeamRateLimiter;
   readonly retryBudgets: RetryBudgets;
+  readonly costs: PoolCosts;
   readonly catalog: ServerCatalog;
   /** Bytes of datagrams that it has sent and received. */
   bytes: number;
@@ -91,6 +93,7 @@
       loads: ServerLoads.create(),
       rateLimiter: TeamRateLimiter.create(TOLERANCE),
       retryBudgets: RetryBudgets.create(RETRIES, this.clock.monotonicMs()),
+      costs: PoolCosts.create(),
       catalog: ServerCatalog.create(),
       bytes: 0,
       alive: true,
@@ -159,9 +162,9 @@
   }
 
   private registerFakes(kernel: Kernel, vm: SimulatedVm): void {
-    const { loads, rateLimiter, retryBudgets, catalog } = vm;
+    const { loads, costs, rateLimiter, retryBudgets, catalog } = vm;
     registerFake(kernel, 'relay', {
-      ...{ loads, rateLimiter, retryBudgets, catalog, health: ServerHealth.create() },
+      ...{ loads, costs, rateLimiter, retryBudgets, catalog, health: ServerHealth.create() },
       configuration: { version: 1 },
       punctualWaiting: 0,
       dispatchWaiting: () => undefined,
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -48,6 +48,10 @@
   spent: z.record(z.string(), z.tuple([finiteNumber, finiteNumber])),
   /** Requests and retries by pool since the start of the process; VMs of earlier releases send none. */
   retries: z.record(z.string(), z.tuple([finiteNumber, finiteNumber])).default({}),
+  /** Requests, and sums of their prefill time, decode time and KV cache tokens, by pool. */
+  costs: z
+    .record(z.string(), z.tuple([finiteNumber, finiteNumber, finiteNumber, finiteNumber]))
+    .default({}),
   /** Server id, running requests, KV cache tokens and prompt tokens waiting for or in prefill. */
   loads: z.array(z.tuple([z.string(), finiteNumber, finiteNumber, finiteNumber])),
   avoided: z.array(z.tuple([z.string(), finiteNumber])),
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -299,10 +299,10 @@
       this.memberListDue = true;
     this.hubSelector.recordContact(digest.vm);
     if (this.hubSelector.role === 'mesh') {
-      this.remoteWork.apply(digest.vm, digest.incarnation, digest, nowMs);
+      this.remoteWork.apply(digest.vm, digest.incarnation, digest, 1 / this.size, nowMs);
     } else if (digest.hub === this.vm) {
       this.aggregator.recordDigest(digest, nowMs);
-      this.remoteWork.apply(digest.vm, digest.incarnation, digest, nowMs);
+      this.remoteWork.apply(digest.vm, digest.incarnation, digest, 1 / this.size, nowMs);
     } else if (digest.hub === '') this.listRequesters.set(digest.vm, digest.host);
     this.kernel.find('state').handleAdvertisement(digest);
   }
@@ -328,7 +328,9 @@
     if (!members) this.peerTable.refreshList(hub, nowMs);
     if (isOwn) this.hubSelector.recordContact(hub, nowMs);
     if (isOwn && listAccepted) this.memberListId = summary.list;
-    this.remoteWork.apply(`hub ${hub}`, incarnation, summary, nowMs);
+    const others = 1 - 1 / this.size;
+    const part = isOwn ? others : others / Math.max(1, this.hubSelector.hubs.length);
+    this.remoteWork.apply(`hub ${hub}`, incarnation, summary, part, nowMs);
     this.kernel.find('state').handleAdvertisement(summary);
   }
 
@@ -393,6 +395,7 @@
       punctual: relay.punctualWaiting,
       spent: relay.rateLimiter.spent,
       retries: relay.retryBudgets.totals,
+      costs: relay.costs.reported(nowMs),
       loads: [...relay.loads.ownLoads].map(([id, { running, kvTokens, prefillTokens }]) => [
         ...([id, running, Math.round(kvTokens), prefillTokens] as const),
       ]),
--- a/src/fleet/hub-aggregator.ts
+++ b/src/fleet/hub-aggregator.ts
@@ -1,3 +1,4 @@
+import { addSums } from '../relay/pool-costs.js';
 import type { Digest, FleetMember, FleetWork, Summary } from './digest.js';
 import { toMember } from './digest.js';
 import { WorkLedger } from './work-ledger.js';
@@ -23,7 +24,7 @@
   private readonly local = WorkLedger.create();
 
   /** Spending in the partial sums of other hubs. */
-  private readonly remote = WorkLedger.create();
+  private readonly remote = WorkLedger.create(true);
 
   /**
    * Creates a hub without reporters.
@@ -153,17 +154,22 @@
   const loads = new Map<string, [number, number, number]>();
   const avoided = new Map<string, number>();
   const leavers = new Map<string, number>();
+  const costs: FleetWork['costs'] = {};
   works.forEach((work) => {
     work.loads.forEach(([id, running, kvTokens, prefillTokens]) => {
       const sum = loads.get(id) ?? [0, 0, 0];
       loads.set(id, [sum[0] + running, sum[1] + kvTokens, sum[2] + prefillTokens]);
     });
+    Object.entries(work.costs).forEach(([pool, sums]) => {
+      costs[pool] = [...addSums(costs[pool] ?? [0, 0, 0, 0], sums)];
+    });
     work.avoided.forEach(([id, ms]) => avoided.set(id, Math.max(ms, avoided.get(id) ?? 0)));
     work.leavers.forEach(([id, atMs]) => leavers.set(id, Math.max(atMs, leavers.get(id) ?? 0)));
   });
   return {
     punctual: works.reduce((sum, { punctual }) => sum + punctual, 0),
     loads: [...loads].map(([id, [running, kv, prefill]]) => [id, running, kv, prefill]),
+    costs,
     avoided: [...avoided],
     leavers: [...leavers],
   };
--- a/src/fleet/remote-work.ts
+++ b/src/fleet/remote-work.ts
@@ -38,10 +38,11 @@
    * @param source - name of the VM or hub
    * @param incarnation - incarnation of the process at the source
    * @param work - reported work, which replaces that of the last report
+   * @param part - part of the fleet whose work it is, 0 to 1
    * @param nowMs - monotonic time, in milliseconds
    */
-  apply(source: string, incarnation: string, work: FleetWork, nowMs: number): void {
-    const { loads, rateLimiter, retryBudgets, health, catalog } = this.kernel.find('relay');
+  apply(source: string, incarnation: string, work: FleetWork, part: number, nowMs: number): void {
+    const { loads, costs, rateLimiter, retryBudgets, health, catalog } = this.kernel.find('relay');
     const byServer = work.loads.map(
       ([id, running, kvTokens, prefillTokens]) =>
         [id, { running, kvTokens, prefillTokens }] as const,
@@ -50,8 +51,9 @@
     this.punctualBySource.set(source, work.punctual);
     this.lastSpendingMs.set(spender, nowMs);
     loads.update(source, new Map(byServer));
+    costs.update(source, work.costs);
     rateLimiter.recordSpent(spender, work.spent, nowMs);
-    retryBudgets.recordReported(spender, work.retries, nowMs);
+    retryBudgets.recordReported(spender, work.retries, part, nowMs);
     work.avoided.forEach(([id, ms]) => health.recordAvoided(id, ms, nowMs));
     work.leavers.forEach(([id, startedAtMs]) => catalog.recordLeaving(id, startedAtMs));
   }
@@ -65,11 +67,12 @@
    * @param nowMs - monotonic time, in milliseconds
    */
   retain(valid: ReadonlySet<string>, nowMs: number): void {
-    const { loads, rateLimiter, retryBudgets } = this.kernel.find('relay');
+    const { loads, costs, rateLimiter, retryBudgets } = this.kernel.find('relay');
     this.punctualBySource.forEach((_punctual, source) => {
       if (valid.has(source)) return;
       this.punctualBySource.delete(source);
       loads.removeVm(source);
+      costs.removeSource(source);
     });
     this.lastSpendingMs.forEach((lastMs, spender) => {
       if (nowMs - lastMs <= PEER_EXPIRY_MS) return;
--- a/src/fleet/spending-ledger.ts
+++ b/src/fleet/spending-ledger.ts
@@ -3,6 +3,9 @@
 /** Pairs of counters by name. */
 type Totals = FleetWork['spent'] | FleetWork['retries'];
 
+/** Maximum number of retired sources that are remembered. */
+const MAX_ABSENT = 100;
+
 interface Entry {
   last: Totals;
   readonly spent: Map<string, [number, number]>;
@@ -17,13 +20,20 @@
 
   private readonly retired = new Map<string, [number, number]>();
 
+  /** Last totals of retired sources, with the oldest first; empty unless sources may return. */
+  private readonly absent = new Map<string, Totals>();
+
+  private constructor(private readonly mayReturn: boolean) {}
+
   /**
    * Creates an empty ledger.
    *
+   * @param mayReturn - whether a retired source is the only one that knows what it spends until it
+   *   returns, as after a partition; otherwise other sources count it meanwhile
    * @returns a new ledger
    */
-  static create(): SpendingLedger {
-    return new SpendingLedger();
+  static create(mayReturn = false): SpendingLedger {
+    return new SpendingLedger(mayReturn);
   }
 
   /**
@@ -33,11 +43,12 @@
    * @param totals - counters since the source started
    */
   record(source: string, totals: Totals): void {
-    const entry = this.entries.get(source);
-    if (!entry) {
-      this.entries.set(source, { last: totals, spent: new Map() });
-      return;
-    }
+    const entry = this.entries.get(source) ?? {
+      last: this.absent.get(source) ?? totals,
+      spent: new Map<string, [number, number]>(),
+    };
+    this.entries.set(source, entry);
+    this.absent.delete(source);
     Object.entries(totals).forEach(([team, [all, inside]]) => {
       const [lastAll, lastInside] = entry.last[team] ?? [0, 0];
       add(entry.spent, team, all - lastAll, inside - lastInside);
@@ -54,6 +65,13 @@
     const entry = this.entries.get(source);
     entry?.spent.forEach(([all, inside], team) => add(this.retired, team, all, inside));
     this.entries.delete(source);
+    if (entry && this.mayReturn) this.remember(source, entry.last);
+  }
+
+  private remember(source: string, totals: Totals): void {
+    const [oldest] = this.absent.keys();
+    if (oldest !== undefined && this.absent.size >= MAX_ABSENT) this.absent.delete(oldest);
+    this.absent.set(source, totals);
   }
 
   /**
--- a/src/fleet/work-ledger.ts
+++ b/src/fleet/work-ledger.ts
@@ -8,15 +8,20 @@
 export class WorkLedger {
   private readonly tokens = SpendingLedger.create();
 
-  private readonly retries = SpendingLedger.create();
+  private readonly retries: SpendingLedger;
+
+  private constructor(mayReturn: boolean) {
+    this.retries = SpendingLedger.create(mayReturn);
+  }
 
   /**
    * Creates an empty ledger.
    *
+   * @param mayReturn - whether the retries of a retired source are counted when it returns
    * @returns a new ledger
    */
-  static create(): WorkLedger {
-    return new WorkLedger();
+  static create(mayReturn = false): WorkLedger {
+    return new WorkLedger(mayReturn);
   }
 
   /**
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -4,6 +4,7 @@
 import { Service } from '../kernel/service.js';
 import { DecodeScheduler } from './decode-scheduler.js';
 import { PlainRun } from './plain-run.js';
+import { PoolCosts } from './pool-costs.js';
 import type { RelayConfiguration, RelayRoute, RelayTeam } from './relay-configuration.js';
 import type { AnswerSink, RelayRequest } from './relay-request.js';
 import type { RetryLimits } from './retry-budget.js';
@@ -14,7 +15,6 @@
 import { ServerCatalog } from './server-catalog.js';
 import { ServerHealth, type ServerState } from './server-health.js';
 import { ServerLoads } from './server-loads.js';
-import { CostAverage } from './stage-balance.js';
 import { StagedRun } from './staged-run.js';
 import { TeamRateLimiter, type RateTolerance } from './team-rate-limiter.js';
 
@@ -43,7 +43,7 @@
 
   readonly retryBudgets: RetryBudgets;
 
-  private readonly costAverages = new Map<string, CostAverage>();
+  readonly costs = PoolCosts.create();
 
   private readonly schedulers = new Map<string, DecodeScheduler>();
 
@@ -130,20 +130,6 @@
     return true;
   }
 
-  /**
-   * Returns the average cost of a pool's requests.
-   *
-   * @param pool - name of the pool
-   * @returns the running average
-   */
-  costAverage(pool: string): CostAverage {
-    const known = this.costAverages.get(pool);
-    if (known) return known;
-    const average = CostAverage.create();
-    this.costAverages.set(pool, average);
-    return average;
-  }
-
   /** Refuses new streams from now on because the process is about to stop. */
   refuseStreams(): void {
     this.refusesStreams = true;
@@ -284,7 +270,7 @@
       fleetSize: () => kernel.find('fleet').size,
       fleetContact: () => kernel.find('fleet').contact,
       punctualElsewhere: () => kernel.find('fleet').punctualElsewhere,
-      costAverage: (pool) => this.costAverage(pool),
+      costs: this.costs,
       retryBudget: (pool) => this.retryBudgets.forPool(pool),
     };
   }
--- a/src/relay/retry-budget.ts
+++ b/src/relay/retry-budget.ts
@@ -111,14 +111,18 @@
    *
    * @param source - the VM or hub and its incarnation
    * @param totals - requests and retries since the start of the source
+   * @param part - part of the fleet that the source reports, 0 to 1
    * @param nowMs - monotonic time, in milliseconds
    */
-  recordReported(source: string, totals: RetryTotals, nowMs: number): void {
-    // What a source spent before its first report may not fall into the current window.
-    const [lastRequests, lastRetries] = this.reported.get(source) ?? totals;
+  recordReported(source: string, totals: RetryTotals, part: number, nowMs: number): void {
+    const last = this.reported.get(source);
     const slice = this.slice(nowMs);
-    slice.requests += Math.max(0, totals[0] - lastRequests);
-    slice.retries += totals[1] - lastRetries;
+    slice.requests += last ? Math.max(0, totals[0] - last[0]) : 0;
+    // When a source spent what it reports first is not known, for example after a partition, so that as
+    // much counts as it may have spent in this window.
+    slice.retries += last
+      ? totals[1] - last[1]
+      : Math.min(totals[1], USED_FRACTION * this.limits.slack * part);
     this.reported.set(source, totals);
   }
 
--- a/src/relay/retry-budgets.ts
+++ b/src/relay/retry-budgets.ts
@@ -46,15 +46,17 @@
    *
    * @param source - the VM or hub and its incarnation
    * @param totals - requests and retries by pool since the start of the source
+   * @param part - part of the fleet that the source reports, 0 to 1
    * @param nowMs - monotonic time, in milliseconds
    */
   recordReported(
     source: string,
     totals: Readonly<Record<string, RetryTotals>>,
+    part: number,
     nowMs: number,
   ): void {
     Object.entries(totals).forEach(([pool, each]) =>
-      this.forPool(pool).recordReported(source, each, nowMs),
+      this.forPool(pool).recordReported(source, each, part, nowMs),
     );
   }
 
--- a/src/relay/run-context.ts
+++ b/src/relay/run-context.ts
@@ -1,11 +1,11 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Decisions } from '../observability/decisions.js';
 import type { Metrics } from '../observability/metrics.js';
+import type { PoolCosts } from './pool-costs.js';
 import type { FleetContact, RetryBudget } from './retry-budget.js';
 import type { ServerCatalog } from './server-catalog.js';
 import type { ServerHealth } from './server-health.js';
 import type { ServerLoads } from './server-loads.js';
-import type { CostAverage } from './stage-balance.js';
 import type { Upstream } from './upstream.js';
 
 /** Services and state that all runs of a VM share. */
@@ -24,13 +24,8 @@
   readonly fleetContact: () => FleetContact;
   /** Whether requests that can still meet their target wait at other VMs. */
   readonly punctualElsewhere: () => boolean;
-  /**
-   * Returns the average cost of a pool's requests.
-   *
-   * @param pool - name of the pool
-   * @returns the running average
-   */
-  readonly costAverage: (pool: string) => CostAverage;
+  /** Average cost of requests by pool. */
+  readonly costs: PoolCosts;
   /**
    * Returns the retry budget of a pool.
    *
--- a/src/relay/stage-commander.ts
+++ b/src/relay/stage-commander.ts
@@ -92,7 +92,7 @@
 
   private async balance(pool: string, engine: EnginePool, nowMs: number): Promise<void> {
     const relay = this.kernel.find('relay');
-    const { cost } = relay.costAverage(pool);
+    const cost = relay.costs.average(pool, nowMs);
     const servers = relay.catalog.usable(pool, nowMs).filter(({ stage }) => stage !== 'both');
     const prefill = servers.filter(({ stage }) => stage === 'prefill');
     if (!cost || nowMs - this.lastChangeMs < engine.roleChangeMs + COOLDOWN_MS) return;
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -233,7 +233,7 @@
         decodeMs: this.nowMs - sentMs,
         kvTokens: this.kvTokens,
       };
-      this.context.costAverage(this.job.pool.name).add(cost);
+      this.context.costs.add(this.job.pool.name, cost, this.nowMs);
     }
     if (!this.job.sink.closed) health.record(server.id, good ? 'answered' : 'failed', this.nowMs);
     return end;
