fix: send large state compressed, so that every VM gets it in time

Cause: a VM that is behind fetches the state from the first VM that advertises it. With 1,104 routes that is 282 KB; 20 VMs fetched it at once over a link of 10 Mbit/s, each gave up after 800 ms with a part of it, and the next sender was overrun in the same way.

The limit of size holds for the unpacked state too.

--- a/features/users-platform/contract.feature
+++ b/features/users-platform/contract.feature
@@ -94,3 +94,11 @@
     Then the platform's router refuses an order within 2000 ms without running it
     When the platform's store is unavailable and the router gets another plan
     Then the plan was prefilled by the prefill engine and answered completely by a decode engine
+
+  # Guards against VMs that get a large configuration late because all of them fetch it from the first one
+  # that has it, over a link that cannot carry it to all of them before they give up.
+  Scenario: VMs of a fleet fetch a configuration that grew by many routes at once (pattern: big configuration)
+    Given a platform VM that knows a configuration of 1104 routes
+    When 22 other platform VMs fetch its state at once
+    Then every platform VM has got this configuration
+    And a link of 10 Mbit/s carries the platform state in 800 ms
--- a/src/infrastructure/http-call.ts
+++ b/src/infrastructure/http-call.ts
@@ -1,4 +1,6 @@
 import type { Socket } from 'node:net';
+import { promisify } from 'node:util';
+import { gunzip as gunzipWithCallback, type ZlibOptions } from 'node:zlib';
 
 import { Agent, buildConnector, request, type Dispatcher } from 'undici';
 
@@ -6,6 +8,8 @@
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
 import { readLimited } from './limited-body.js';
 
+const gunzip = promisify<Buffer, ZlibOptions, Buffer>(gunzipWithCallback);
+
 /** Deadlines of a call, in milliseconds. */
 export interface HttpDeadlines {
   /** Shorter than `firstByteMs`, so that a call that never connected fails as `unsent`, not as `unknown`. */
@@ -40,6 +44,8 @@
   readonly deadlines: HttpDeadlines;
   /** Largest accepted body of the answer, in bytes; a larger one fails the call as `unknown`. */
   readonly maxBodyBytes: number;
+  /** Whether the answer may be compressed; the limit holds before and after it is unpacked. */
+  readonly acceptsGzip?: boolean;
   readonly signal?: AbortSignal;
 }
 
@@ -156,7 +162,9 @@
 ): Promise<Outcome<HttpAnswer, HttpCallFailure>> {
   return withAnswer(agent, call, async ({ statusCode, headers, body }) => {
     const bytes = await readLimited(body, call.maxBodyBytes);
-    return { status: statusCode, headers, body: parseJson(bytes.toString('utf8')) };
+    const isPacked = call.acceptsGzip && headers['content-encoding'] === 'gzip';
+    const text = isPacked ? await gunzip(bytes, { maxOutputLength: call.maxBodyBytes }) : bytes;
+    return { status: statusCode, headers, body: parseJson(text.toString('utf8')) };
   });
 }
 
@@ -223,6 +231,7 @@
 function buildOptions(agent: Agent, call: HttpCall, deadline: AbortSignal) {
   const signal = call.signal ? AbortSignal.any([call.signal, deadline]) : deadline;
   const options = { dispatcher: agent, method: call.method, signal };
+  if (call.acceptsGzip) return { ...options, headers: { 'accept-encoding': 'gzip' } };
   if (call.body === undefined) return options;
   if (Buffer.isBuffer(call.body)) return { ...options, body: call.body };
   const headers = { 'content-type': 'application/json' };
