fix: order roles by the whole cost of streams, several engines at once

Cause: of the streams that start together the short ones end first.

Change: an average is used 5 s after enough requests are known, and up to 8 percent of a pool's engines change their roles at once.

--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -49,11 +49,10 @@
 
   # Guards against a fleet in which the commander of the engines' roles runs too few streams itself to know
   # what they cost, and therefore never changes a role.
-  Scenario Outline: every VM of a fleet of <vms> knows the cost of streams of which each VM runs one
+  Scenario Outline: every VM of a fleet of <vms> knows the cost of streams of which each VM runs few
     Given a simulated fleet of <vms> VMs
     When 10000 ms pass in the simulated fleet
-    And each VM of the simulated fleet runs one stream of 100 ms prefill, 3000 ms decode and 8000 tokens
-    And 1000 ms pass in the simulated fleet
+    And each VM of the simulated fleet ends a stream of 100 ms prefill, 3000 ms decode and 8000 tokens each second for 8 s
     Then each VM of the simulated fleet knows this cost of a stream
 
     Examples:
--- a/features/relay/relay-modules.feature
+++ b/features/relay/relay-modules.feature
@@ -79,6 +79,13 @@
       | 8       | 0   | 1         | 9000     | 9      | 1      |
       | 1       | 0   | 100       | 100      | 9      | 0      |
 
+  # Guards against an engine that is made a prefill engine although decode engines are short: the streams
+  # that end first are the short ones, so that decoding seems to take little time.
+  Scenario: the cost of streams is not taken from those that end first (pattern: start of traffic)
+    When relay streams of 1000 to 5000 ms start 25 times a second for 20 s
+    Then the relay's average decode time is never below 80 percent of the real one
+    And the relay knows it after 8 s
+
   Scenario: an unreachable server is avoided for a pause, which a good answer ends early
     When relay server "a" is recorded as unreachable at 0 ms
     Then relay server "a" is avoided at 100 ms
--- a/features/steps/fleet-steps.ts
+++ b/features/steps/fleet-steps.ts
@@ -168,10 +168,17 @@
 const STREAM_COST = { prefillMs: 100, decodeMs: 3000, kvTokens: 8000 };
 
 When(
-  'each VM of the simulated fleet runs one stream of 100 ms prefill, 3000 ms decode and 8000 tokens',
-  () => {
+  'each VM of the simulated fleet ends a stream of 100 ms prefill, 3000 ms decode and 8000 tokens each second for {int} s',
+  SIMULATION,
+  async (seconds: number) => {
     const { liveVms, clock } = simulationOf();
-    liveVms.forEach(({ costs }) => costs.add('planner', STREAM_COST, clock.monotonicMs()));
+    for (let second = 0; second < seconds; second += 1) {
+      liveVms.forEach(({ costs }) => {
+        costs.add('planner', STREAM_COST, clock.monotonicMs());
+        costs.average('planner', clock.monotonicMs());
+      });
+      await simulationOf().advance(1000);
+    }
   },
 );
 
--- a/features/steps/relay-module-steps.ts
+++ b/features/steps/relay-module-steps.ts
@@ -6,6 +6,7 @@
 import { LineWriter } from '../../src/observability/line-writer.js';
 import { EventSplitter } from '../../src/relay/event-splitter.js';
 import { DecodeQueue, type DecodeQueueEntry } from '../../src/relay/decode-queue.js';
+import { PoolCosts } from '../../src/relay/pool-costs.js';
 import { RetryBudget } from '../../src/relay/retry-budget.js';
 import { RouteTable } from '../../src/relay/route-table.js';
 import { ServerCatalog } from '../../src/relay/server-catalog.js';
@@ -47,6 +48,8 @@
   preemption: Record<'relay' | 'whole', PreemptionResult>;
   chosen: string[];
   tookMs: number;
+  averages: { readonly nowMs: number; readonly decodeMs: number | undefined }[];
+  realDecodeMs: number;
 }
 
 const scenario = world as unknown as RelayWorld;
@@ -199,6 +202,46 @@
   },
 );
 
+When(
+  'relay streams of {int} to {int} ms start {int} times a second for {int} s',
+  (shortestMs: number, longestMs: number, perSecond: number, seconds: number) => {
+    const costs = PoolCosts.create();
+    const lengths = [0.1, 0.5, 0.9, 0.3, 0.7].map(
+      (part) => shortestMs + part * (longestMs - shortestMs),
+    );
+    const intervalMs = 1000 / perSecond;
+    const ends = Array.from({ length: perSecond * seconds }, (_, index) => {
+      const decodeMs = lengths[index % lengths.length]!;
+      return { atMs: index * intervalMs + decodeMs, decodeMs };
+    }).sort((left, right) => left.atMs - right.atMs);
+    scenario.averages = [];
+    for (let nowMs = 0; nowMs <= seconds * 1000; nowMs += 100) {
+      for (let next = ends[0]; next && next.atMs <= nowMs; next = ends[0]) {
+        costs.add('planner', { prefillMs: 100, decodeMs: next.decodeMs, kvTokens: 1 }, next.atMs);
+        ends.shift();
+      }
+      const decodeMs = costs.average('planner', nowMs)?.decodeMs;
+      scenario.averages.push({ nowMs, decodeMs });
+    }
+    scenario.realDecodeMs = (shortestMs + longestMs) / 2;
+  },
+);
+
+Then(
+  "the relay's average decode time is never below {int} percent of the real one",
+  (percent: number) => {
+    const least = (percent / 100) * scenario.realDecodeMs;
+    scenario.averages.forEach(({ nowMs, decodeMs = Infinity }) =>
+      assert.ok(decodeMs >= least, `${decodeMs} ms after ${nowMs} ms`),
+    );
+  },
+);
+
+Then('the relay knows it after {int} s', (seconds: number) => {
+  const known = scenario.averages.find(({ decodeMs }) => decodeMs !== undefined);
+  assert.ok(known && known.nowMs <= seconds * 1000, `${known?.nowMs}`);
+});
+
 When(
   'relay server {string} is recorded as {word} at {int} ms',
   (id: string, evidence: string, nowMs: number) => {
--- a/src/relay/pool-costs.ts
+++ b/src/relay/pool-costs.ts
@@ -14,6 +14,12 @@
 /** Weighted number of requests below which no average is known. */
 const MIN_REQUESTS = 6;
 
+/**
+ * Time after the first requests ended before which no average is known, in milliseconds: of the requests
+ * that started together, the short ones end first.
+ */
+const MIN_HISTORY_MS = 5000;
+
 const NO_REQUESTS: CostSums = [0, 0, 0, 0];
 
 interface OwnSums {
@@ -30,6 +36,9 @@
 
   private readonly others = new Map<string, Readonly<Record<string, CostSums>>>();
 
+  /** Monotonic time since which enough requests of a pool have been known, in milliseconds. */
+  private readonly knownSinceMs = new Map<string, number>();
+
   /**
    * Creates an instance without requests.
    *
@@ -90,7 +99,7 @@
    *
    * @param pool - name of the pool
    * @param nowMs - monotonic time, in milliseconds
-   * @returns the average, or undefined while there are too few requests
+   * @returns the average, or undefined while it would rest on too few requests or on too short a time
    */
   average(pool: string, nowMs: number): RequestCost | undefined {
     const sums = [...this.others.values()].map((byPool) => byPool[pool] ?? NO_REQUESTS);
@@ -98,7 +107,13 @@
       addSums,
       this.ownSums(pool, nowMs),
     );
-    if (requests < MIN_REQUESTS) return undefined;
+    if (requests < MIN_REQUESTS) {
+      this.knownSinceMs.delete(pool);
+      return undefined;
+    }
+    const sinceMs = this.knownSinceMs.get(pool) ?? nowMs;
+    this.knownSinceMs.set(pool, sinceMs);
+    if (nowMs - sinceMs < MIN_HISTORY_MS) return undefined;
     return {
       prefillMs: prefillMs / requests,
       decodeMs: decodeMs / requests,
--- a/src/relay/stage-commander.ts
+++ b/src/relay/stage-commander.ts
@@ -14,6 +14,9 @@
 /** Cooldown after an engine has changed its role, in milliseconds; added to the pool's role change time. */
 const COOLDOWN_MS = 4000;
 
+/** Largest fraction of a pool's engines that change their roles at once, but at least one engine. */
+const MAX_CHANGED_FRACTION = 0.08;
+
 /** Orders engines to change their roles, on the one VM that is the commander. */
 export class StageCommander extends Service {
   private timer: NodeJS.Timeout | undefined;
@@ -92,6 +95,7 @@
 
   private async balance(pool: string, engine: EnginePool, nowMs: number): Promise<void> {
     const relay = this.kernel.find('relay');
+    // Also asked while no change is possible, so that the history of the average begins with the traffic.
     const cost = relay.costs.average(pool, nowMs);
     const servers = relay.catalog.usable(pool, nowMs).filter(({ stage }) => stage !== 'both');
     const prefill = servers.filter(({ stage }) => stage === 'prefill');
@@ -104,17 +108,19 @@
     this.wantedSinceMs ??= nowMs;
     if (nowMs - this.wantedSinceMs < STABILIZATION_MS) return;
     const stage = wanted > prefill.length ? 'prefill' : 'decode';
-    const candidate = this.chooseEngine(servers, stage, nowMs);
-    if (candidate)
+    const most = Math.max(1, Math.floor(servers.length * MAX_CHANGED_FRACTION));
+    const changes = Math.min(Math.abs(wanted - prefill.length), most);
+    const candidates = this.rankEngines(servers, stage, nowMs).slice(0, changes);
+    for (const candidate of candidates)
       await this.orderRole(candidate, stage, { wanted, prefill: prefill.length, ...cost });
   }
 
-  /** Chooses the least loaded healthy engine among those that have another role. */
-  private chooseEngine(
+  /** Ranks the healthy engines that have another role, the least loaded first. */
+  private rankEngines(
     servers: readonly CatalogServer[],
     stage: 'prefill' | 'decode',
     nowMs: number,
-  ): CatalogServer | undefined {
+  ): CatalogServer[] {
     const { loads, health } = this.kernel.find('relay');
     const loadOf = ({ id }: CatalogServer) => {
       const { running, prefillTokens } = loads.totalAt(id);
@@ -122,7 +128,7 @@
     };
     return servers
       .filter((server) => server.stage !== stage && !health.isAvoided(server.id, nowMs))
-      .sort((left, right) => loadOf(left) - loadOf(right))[0];
+      .sort((left, right) => loadOf(left) - loadOf(right));
   }
 
   private async orderRole(
