feat: refuse late requests by the queues and starts of all VMs

Cause: each VM estimated the wait for a decode slot from its own queue and at least 4 starts a second of its own. At 195 VMs that is 780 a second where the fleet starts 30, so nothing was refused on arrival and what became late was held until its caller left.

Change: digests carry waiting requests and starts per second; the wait of late requests follows from those of all VMs. A request that becomes late and would not be served in time is refused then, with the time at which the queues are drained, so that its caller can come back.

--- a/features/relay/relay-modules.feature
+++ b/features/relay/relay-modules.feature
@@ -137,6 +137,20 @@
     When a relay request arrives whose caller gives up after 3600 ms
     Then it is refused at once, to be retried after 10 to 30 s
 
+  # Guards against callers that are held to the end because each VM sees only its own short queue.
+  Scenario Outline: requests at <vms> VMs that will not be served are refused while they can come back (pattern: burst at all VMs)
+    When <vms> relay VMs with news <newsMs> ms old queue for the slots of one pool, with seed <seed>
+    Then VMs that know all queues serve more relay requests than VMs that know their own
+    And they hold fewer relay requests to the end, and at most 2 percent fewer start on time
+
+    Examples:
+      | vms | newsMs | seed |
+      | 64  | 500    | 1    |
+      | 64  | 500    | 2    |
+      | 195 | 1000   | 1    |
+      | 195 | 1000   | 2    |
+      | 390 | 1000   | 1    |
+
   Scenario: a full pipe drops log lines and never waits
     Given a relay log whose reader has stopped
     When the relay log gets 20000 lines of 100 bytes
--- a/features/steps/relay-module-steps.ts
+++ b/features/steps/relay-module-steps.ts
@@ -21,6 +21,7 @@
   type PlainPolicy,
   type PlainResult,
 } from '../support/plain-simulation.js';
+import { simulateQueueFleet, type QueueFleetResult } from '../support/queue-fleet-simulation.js';
 import { simulatePreemption, type PreemptionResult } from '../support/preemption-simulation.js';
 import { simulateDecodeQueue, type QueuePolicy } from '../support/decode-queue-simulation.js';
 import {
@@ -50,6 +51,7 @@
   tookMs: number;
   averages: { readonly nowMs: number; readonly decodeMs: number | undefined }[];
   realDecodeMs: number;
+  queues: Record<'all' | 'own', QueueFleetResult>;
 }
 
 const scenario = world as unknown as RelayWorld;
@@ -237,6 +239,30 @@
   },
 );
 
+When(
+  '{int} relay VMs with news {int} ms old queue for the slots of one pool, with seed {int}',
+  (vms: number, newsMs: number, seed: number) => {
+    scenario.queues = {
+      all: simulateQueueFleet(vms, newsMs, 'of all VMs', seed),
+      own: simulateQueueFleet(vms, newsMs, 'of its own VM', seed),
+    };
+  },
+);
+
+Then('VMs that know all queues serve more relay requests than VMs that know their own', () => {
+  const { all, own } = scenario.queues;
+  assert.ok(all.served > own.served, `${all.served} and ${own.served}`);
+});
+
+Then(
+  'they hold fewer relay requests to the end, and at most {int} percent fewer start on time',
+  (percent: number) => {
+    const { all, own } = scenario.queues;
+    assert.ok(all.held < own.held, `${all.held} and ${own.held}`);
+    assert.ok(all.onTime >= own.onTime - percent / 100, `${all.onTime} and ${own.onTime}`);
+  },
+);
+
 Then('the relay knows it after {int} s', (seconds: number) => {
   const known = scenario.averages.find(({ decodeMs }) => decodeMs !== undefined);
   assert.ok(known && known.nowMs <= seconds * 1000, `${known?.nowMs}`);
--- a/features/steps/relay-run-steps.ts
+++ b/features/steps/relay-run-steps.ts
@@ -87,7 +87,9 @@
   const writer = LineWriter.create((chunk, done) => done(null, chunk.length));
   const upstream = FakeUpstream.create(steps.split(', ') as UpstreamStep[]);
   const contact = { size: 1, reachable: 1, reportedMs: 0 };
-  const fleet = { size: 1, peers: [], contact } as unknown as Services['fleet'] & Service;
+  const queuesElsewhere = { waiting: 0, punctual: 0, startsPerSecond: 0 };
+  const fleet = { size: 1, peers: [], contact, queuesElsewhere } as unknown as Services['fleet'] &
+    Service;
   const relay = Relay.create(kernel, { availabilityZone: 'sando', ...RATES }, clock);
   kernel.register('upstream', upstream);
   kernel.register('decisions', JsonDecisions.create(writer, 'test', clock));
--- a/features/support/relay-fixtures.ts
+++ b/features/support/relay-fixtures.ts
@@ -91,6 +91,8 @@
     list: 0,
     reachesStore: true,
     punctual: 0,
+    waiting: 0,
+    startsPerSecond: 0,
     spent: {},
     retries: {},
     costs: {},
--- a/harness/fleet-simulation.ts
+++ b/harness/fleet-simulation.ts
@@ -167,6 +167,8 @@
       ...{ loads, costs, rateLimiter, retryBudgets, catalog, health: ServerHealth.create() },
       configuration: { version: 1 },
       punctualWaiting: 0,
+      waiting: 0,
+      startsPerSecond: 0,
       dispatchWaiting: () => undefined,
     });
     registerFake(kernel, 'state', {
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -44,6 +44,9 @@
 const workSchema = z.object({
   /** Number of requests that wait for a slot and can still meet their deadline. */
   punctual: finiteNumber,
+  /** Number of all requests that wait for a slot, and starts per second. */
+  waiting: finiteNumber.default(0),
+  startsPerSecond: finiteNumber.default(0),
   /** Tokens by team since the start of the process: all, and those within the rate. */
   spent: z.record(z.string(), z.tuple([finiteNumber, finiteNumber])),
   /** Requests and retries by pool since the start of the process; VMs of earlier releases send none. */
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { Service } from '../kernel/service.js';
+import type { QueuesElsewhere } from '../relay/decode-queue.js';
 import type { FleetContact } from '../relay/retry-budget.js';
 import { scoreRendezvous } from '../kernel/rendezvous.js';
 import { shuffle } from '../kernel/shuffle.js';
@@ -153,9 +154,9 @@
     return this.peerTable.reachable(this.clock.monotonicMs());
   }
 
-  /** True when another VM has requests that wait for a slot and can still meet their deadline. */
-  get punctualElsewhere(): boolean {
-    return this.remoteWork.punctual > 0;
+  /** Requests that wait for decode slots at other VMs, and their starts. */
+  get queuesElsewhere(): QueuesElsewhere {
+    return this.remoteWork.queues;
   }
 
   /** True once this VM is stopping. */
@@ -393,6 +394,8 @@
     const relay = this.kernel.find('relay');
     return {
       punctual: relay.punctualWaiting,
+      waiting: relay.waiting,
+      startsPerSecond: relay.startsPerSecond,
       spent: relay.rateLimiter.spent,
       retries: relay.retryBudgets.totals,
       costs: relay.costs.reported(nowMs),
--- a/src/fleet/hub-aggregator.ts
+++ b/src/fleet/hub-aggregator.ts
@@ -168,6 +168,8 @@
   });
   return {
     punctual: works.reduce((sum, { punctual }) => sum + punctual, 0),
+    waiting: works.reduce((sum, { waiting }) => sum + waiting, 0),
+    startsPerSecond: works.reduce((sum, { startsPerSecond }) => sum + startsPerSecond, 0),
     loads: [...loads].map(([id, [running, kv, prefill]]) => [id, running, kv, prefill]),
     costs,
     avoided: [...avoided],
--- a/src/fleet/remote-work.ts
+++ b/src/fleet/remote-work.ts
@@ -1,11 +1,12 @@
 import type { Kernel } from '../kernel/kernel.js';
+import type { QueuesElsewhere } from '../relay/decode-queue.js';
 import type { FleetWork } from './digest.js';
 import { PEER_EXPIRY_MS } from './peer-table.js';
 
 /** Passes the work of other VMs to the relay. Each report of a source, a VM or a hub, replaces its last one. */
 export class RemoteWork {
-  /** Number of waiting requests that can still meet their deadline, by source. */
-  private readonly punctualBySource = new Map<string, number>();
+  /** Waiting requests and starts by source. */
+  private readonly queuesBySource = new Map<string, QueuesElsewhere>();
 
   /** Monotonic time of the last spending report, in milliseconds, by source and incarnation. */
   private readonly lastSpendingMs = new Map<string, number>();
@@ -24,12 +25,18 @@
 
   /** Names of the sources whose load is counted. */
   get names(): string[] {
-    return [...this.punctualBySource.keys()];
+    return [...this.queuesBySource.keys()];
   }
 
-  /** Number of requests that wait for a slot at other VMs and can still meet their deadline. */
-  get punctual(): number {
-    return [...this.punctualBySource.values()].reduce((sum, punctual) => sum + punctual, 0);
+  /** Requests that wait for decode slots at other VMs, and their starts. */
+  get queues(): QueuesElsewhere {
+    const sum = (count: (queues: QueuesElsewhere) => number) =>
+      [...this.queuesBySource.values()].reduce((total, each) => total + count(each), 0);
+    return {
+      waiting: sum(({ waiting }) => waiting),
+      punctual: sum(({ punctual }) => punctual),
+      startsPerSecond: sum(({ startsPerSecond }) => startsPerSecond),
+    };
   }
 
   /**
@@ -48,7 +55,8 @@
         [id, { running, kvTokens, prefillTokens }] as const,
     );
     const spender = `${source}/${incarnation}`;
-    this.punctualBySource.set(source, work.punctual);
+    const { waiting, punctual, startsPerSecond } = work;
+    this.queuesBySource.set(source, { waiting, punctual, startsPerSecond });
     this.lastSpendingMs.set(spender, nowMs);
     loads.update(source, new Map(byServer));
     costs.update(source, work.costs);
@@ -68,9 +76,9 @@
    */
   retain(valid: ReadonlySet<string>, nowMs: number): void {
     const { loads, costs, rateLimiter, retryBudgets } = this.kernel.find('relay');
-    this.punctualBySource.forEach((_punctual, source) => {
+    this.queuesBySource.forEach((_queues, source) => {
       if (valid.has(source)) return;
-      this.punctualBySource.delete(source);
+      this.queuesBySource.delete(source);
       loads.removeVm(source);
       costs.removeSource(source);
     });
--- a/src/relay/decode-queue.ts
+++ b/src/relay/decode-queue.ts
@@ -25,14 +25,29 @@
 /** Window over which the rate of starts is measured, in milliseconds. */
 const RATE_WINDOW_MS = 4000;
 
-/** Lower bound of the start rate, which also applies before any start was seen, in starts per second. */
+/**
+ * Lower bound of the start rate of a pool, which also applies before any start was seen, in starts per
+ * second.
+ */
 const INITIAL_STARTS_PER_SECOND = 4;
 
+/** Queues of the other VMs for the same pool. */
+export interface QueuesElsewhere {
+  /** Number of waiting requests. */
+  readonly waiting: number;
+  /** Number of those that can still meet their target. */
+  readonly punctual: number;
+  readonly startsPerSecond: number;
+}
+
+const NO_OTHER_QUEUES: QueuesElsewhere = { waiting: 0, punctual: 0, startsPerSecond: 0 };
+
 /**
  * Decides which request gets the next decode slot under overload. Requests that can still meet their
  * target (punctual ones) go first, with fair queueing between teams; late ones wait behind them and use
  * the remaining capacity. A request that is not going to be served in time is rejected on arrival rather
- * than when its time has run out.
+ * than when its time has run out. All VMs draw on the same engines, so the wait follows from the queues
+ * and the starts of all of them.
  *
  * Load pattern: bursts of twice the pool's capacity, one team at several times its rate.
  */
@@ -48,16 +63,23 @@
 
   private starts: number[] = [];
 
-  private constructor(private readonly lateFactor: number) {}
+  private constructor(
+    private readonly lateFactor: number,
+    private readonly elsewhere: () => QueuesElsewhere,
+  ) {}
 
   /**
    * Creates an empty queue.
    *
+   * @param elsewhere - returns the queues of the other VMs
    * @param lateFactor - fraction of a request's remaining time that it may wait in the late queue
    * @returns a new queue
    */
-  static create<Entry extends DecodeQueueEntry>(lateFactor = 0.6): DecodeQueue<Entry> {
-    return new DecodeQueue<Entry>(lateFactor);
+  static create<Entry extends DecodeQueueEntry>(
+    elsewhere = () => NO_OTHER_QUEUES,
+    lateFactor = 0.6,
+  ): DecodeQueue<Entry> {
+    return new DecodeQueue<Entry>(lateFactor, elsewhere);
   }
 
   /** Number of waiting requests, punctual and late. */
@@ -73,8 +95,12 @@
    * @returns wait for a decode slot, in milliseconds
    */
   estimateWaitMs(nowMs: number, punctualOnly = false): number {
-    const ahead = punctualOnly ? this.punctual.size : this.waiting.size;
-    return (ahead * 1000) / this.startsPerSecond(nowMs);
+    const own = this.startsPerSecond(nowMs);
+    // What is known of other VMs is too old to tell which of them is served within a target.
+    if (punctualOnly) return (this.punctual.size * 1000) / Math.max(INITIAL_STARTS_PER_SECOND, own);
+    const { waiting, startsPerSecond } = this.elsewhere();
+    const rate = Math.max(INITIAL_STARTS_PER_SECOND, own + startsPerSecond);
+    return ((this.waiting.size + waiting) * 1000) / rate;
   }
 
   /**
@@ -91,13 +117,28 @@
       return 0;
     }
     const waitMs = this.estimateWaitMs(nowMs);
-    if (waitMs <= this.lateFactor * (entry.giveUpMs - nowMs)) {
+    if (this.isWorthWaiting(entry, waitMs, nowMs)) {
       this.insert(entry, 'late');
       return 0;
     }
     return waitMs;
   }
 
+  private isWorthWaiting({ giveUpMs }: Entry, waitMs: number, nowMs: number): boolean {
+    return waitMs <= this.lateFactor * (giveUpMs - nowMs);
+  }
+
+  /**
+   * Measures the starts at this VM.
+   *
+   * @param nowMs - monotonic time, in milliseconds
+   * @returns starts per second over the last seconds
+   */
+  startsPerSecond(nowMs: number): number {
+    this.starts = this.starts.filter((atMs) => atMs > nowMs - RATE_WINDOW_MS);
+    return (this.starts.length * 1000) / RATE_WINDOW_MS;
+  }
+
   /** Number of waiting requests that can still meet their target. */
   get punctualSize(): number {
     return this.punctual.size;
@@ -112,7 +153,6 @@
    * @returns the request, or undefined when none may be served now
    */
   next(nowMs: number, punctualElsewhere = false): Entry | undefined {
-    this.demote(nowMs);
     const punctual = this.punctual.peek()?.entry;
     return punctual ?? (punctualElsewhere ? undefined : this.late.peek()?.entry);
   }
@@ -157,7 +197,8 @@
   }
 
   /**
-   * Removes the requests whose answer would come too late to be useful.
+   * Removes the requests whose answer would come too late to be useful, and those that have become late
+   * and would not be served in time: their callers may come back when the queues are shorter.
    *
    * @param nowMs - monotonic time, in milliseconds
    * @returns the removed requests, to be refused
@@ -165,7 +206,7 @@
   expire(nowMs: number): Entry[] {
     const expired = [...this.waiting.keys()].filter(({ giveUpMs }) => giveUpMs < nowMs);
     expired.forEach((entry) => this.remove(entry));
-    return expired;
+    return [...expired, ...this.demote(nowMs)];
   }
 
   private insert(entry: Entry, queue: 'punctual' | 'late'): QueuedEntry<Entry> {
@@ -182,18 +223,18 @@
     return item;
   }
 
-  private demote(nowMs: number): void {
+  /** Moves the requests that have become late to the late queue; returns those that leave instead. */
+  private demote(nowMs: number): Entry[] {
     const late = [...this.waiting].filter(
       ([entry, { queue }]) => queue === 'punctual' && entry.startByMs < nowMs,
     );
-    late.forEach(([entry, { item }]) => {
-      this.punctual.remove(item);
-      this.insert(entry, 'late');
-    });
-  }
-
-  private startsPerSecond(nowMs: number): number {
-    this.starts = this.starts.filter((atMs) => atMs > nowMs - RATE_WINDOW_MS);
-    return Math.max(INITIAL_STARTS_PER_SECOND, (this.starts.length * 1000) / RATE_WINDOW_MS);
+    return late
+      .map(([entry]) => entry)
+      .filter((entry) => {
+        this.remove(entry);
+        const stays = this.isWorthWaiting(entry, this.estimateWaitMs(nowMs), nowMs);
+        if (stays) this.insert(entry, 'late');
+        return !stays;
+      });
   }
 }
--- a/src/relay/decode-scheduler.ts
+++ b/src/relay/decode-scheduler.ts
@@ -40,7 +40,7 @@
 
 /** Reserves decode slots for the requests of a pool that wait at this VM. */
 export class DecodeScheduler {
-  private readonly queue = DecodeQueue.create<Waiter>();
+  private readonly queue: DecodeQueue<Waiter>;
 
   private pendingReservations = 0;
 
@@ -52,7 +52,9 @@
   private constructor(
     private readonly context: RunContext,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.queue = DecodeQueue.create<Waiter>(context.queuesElsewhere);
+  }
 
   /**
    * Creates a scheduler.
@@ -75,6 +77,11 @@
     return this.queue.punctualSize;
   }
 
+  /** Starts per second at this VM. */
+  get startsPerSecond(): number {
+    return this.queue.startsPerSecond(this.clock.monotonicMs());
+  }
+
   /**
    * Waits for a decode slot.
    *
@@ -111,7 +118,7 @@
         waiter.settle(fail(this.createOverloadRefusal(this.queue.estimateWaitMs(nowMs)))),
       );
     while (this.pendingReservations < MAX_PENDING_RESERVATIONS) {
-      const waiter = this.queue.next(nowMs, this.context.punctualElsewhere());
+      const waiter = this.queue.next(nowMs, this.context.queuesElsewhere().punctual > 0);
       if (!waiter) break;
       const server = this.chooseServer(waiter, nowMs);
       if (!server) break;
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -98,6 +98,11 @@
     );
   }
 
+  /** Starts per second on decode slots at this VM. */
+  get startsPerSecond(): number {
+    return [...this.schedulers.values()].reduce((sum, each) => sum + each.startsPerSecond, 0);
+  }
+
   /**
    * Counts the usable servers of each pool by health state.
    *
@@ -269,7 +274,7 @@
       metrics: kernel.find('metrics'),
       fleetSize: () => kernel.find('fleet').size,
       fleetContact: () => kernel.find('fleet').contact,
-      punctualElsewhere: () => kernel.find('fleet').punctualElsewhere,
+      queuesElsewhere: () => kernel.find('fleet').queuesElsewhere,
       costs: this.costs,
       retryBudget: (pool) => this.retryBudgets.forPool(pool),
     };
--- a/src/relay/run-context.ts
+++ b/src/relay/run-context.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Decisions } from '../observability/decisions.js';
 import type { Metrics } from '../observability/metrics.js';
+import type { QueuesElsewhere } from './decode-queue.js';
 import type { PoolCosts } from './pool-costs.js';
 import type { FleetContact, RetryBudget } from './retry-budget.js';
 import type { ServerCatalog } from './server-catalog.js';
@@ -22,8 +23,8 @@
   readonly fleetSize: () => number;
   /** Contact of this VM with the others, for limits that they share. */
   readonly fleetContact: () => FleetContact;
-  /** Whether requests that can still meet their target wait at other VMs. */
-  readonly punctualElsewhere: () => boolean;
+  /** Requests that wait for decode slots at other VMs, and their starts. */
+  readonly queuesElsewhere: () => QueuesElsewhere;
   /** Average cost of requests by pool. */
   readonly costs: PoolCosts;
   /**
