--- a/src/fleet/peer-table.ts
+++ b/src/fleet/peer-table.ts
@@ -140,7 +140,7 @@
    * Returns when this VM last had contact with every reachable VM.
    *
    * @param nowMs - monotonic time, in milliseconds
-   * @returns time of the longest silence's start, or the present time without reachable VMs
+   * @returns the earliest time at which one of them was last seen, or `nowMs` when none is reachable
    */
   oldestContactMs(nowMs: number): number {
     return [...this.peers.values()]
--- a/src/fleet/spending-ledger.ts
+++ b/src/fleet/spending-ledger.ts
@@ -12,8 +12,9 @@
 }
 
 /**
- * Sums what several VMs have spent: tokens by team, or requests and retries by pool. The sum never decreases: what a VM has spent stays in
- * it after the VM leaves, and a new VM is counted from its first digest on.
+ * Sums what several VMs have spent: tokens by team, or requests and retries by pool. The sum never
+ * decreases: what a VM has spent stays in it after the VM leaves, and a new VM is counted from its first
+ * digest on.
  */
 export class SpendingLedger {
   private readonly entries = new Map<string, Entry>();
--- a/src/relay/retry-budget.ts
+++ b/src/relay/retry-budget.ts
@@ -168,32 +168,48 @@
    * @param nowMs - monotonic time, in milliseconds
    * @returns the fleet's use and this VM's rest
    */
-  assess({ size, reachable, reportedMs }: FleetContact, nowMs: number): RetryAllowance {
-    const { ratio, slack, windowMs } = this.limits;
-    const isStarting = nowMs < this.startedMs + windowMs;
-    const unreportedSinceMs = isStarting ? this.startedMs : reportedMs;
-    if (this.roundingDrawnMs <= reportedMs) {
-      this.roundingDrawnMs = nowMs;
-      this.rounding = this.random();
-    }
+  assess(fleet: FleetContact, nowMs: number): RetryAllowance {
+    const { reportedMs } = fleet;
+    const isStarting = nowMs < this.startedMs + this.limits.windowMs;
+    this.drawRounding(reportedMs, nowMs);
     this.expire(nowMs);
-    const sum = (count: (slice: Slice) => number) =>
-      this.slices.reduce((total, slice) => total + count(slice), 0);
-    const unreported = sum(({ startMs, ownRetries }) =>
-      startMs + windowMs / SLICES > unreportedSinceMs ? ownRetries : 0,
-    );
-    const used = sum(({ retries }) => retries);
-    const own = sum(({ ownRequests }) => ownRequests);
-    const others = sum(({ requests }) => requests) - own;
-    // Both sides of a split know the same requests from before it.
-    const othersPart = size > 1 ? (reachable - 1) / (size - 1) : 0;
-    const allowed =
-      USED_FRACTION * (ratio * (own + others * othersPart) + (slack * reachable) / size);
-    const share = USED_FRACTION * (ratio * own + slack / size);
+    const used = this.sum(({ retries }) => retries);
+    const unreported = this.countUnreported(isStarting ? this.startedMs : reportedMs);
+    const { allowed, share } = this.computeLimits(fleet);
     const free = Math.max(0, allowed - (used - unreported));
     const fraction = isStarting ? STARTING_FRACTION : 1;
-    const left = fraction * free * (share / Math.max(share, allowed)) - unreported;
-    return { used, left };
+    return { used, left: (fraction * free * share) / Math.max(share, allowed) - unreported };
+  }
+
+  /** Computes what the reachable VMs may spend in a window together, and the part of this VM. */
+  private computeLimits({ size, reachable }: FleetContact) {
+    const { ratio, slack } = this.limits;
+    const own = this.sum(({ ownRequests }) => ownRequests);
+    const others = this.sum(({ requests }) => requests) - own;
+    // Both sides of a split know the same requests from before it.
+    const othersPart = size > 1 ? (reachable - 1) / (size - 1) : 0;
+    const requests = own + others * othersPart;
+    return {
+      allowed: USED_FRACTION * (ratio * requests + (slack * reachable) / size),
+      share: USED_FRACTION * (ratio * own + slack / size),
+    };
+  }
+
+  /** Counts the retries of this VM that others may not know yet. */
+  private countUnreported(sinceMs: number): number {
+    const sliceMs = this.limits.windowMs / SLICES;
+    return this.sum(({ startMs, ownRetries }) => (startMs + sliceMs > sinceMs ? ownRetries : 0));
+  }
+
+  /** Draws a number for rounding once for each time in which the others have not been told. */
+  private drawRounding(reportedMs: number, nowMs: number): void {
+    if (this.roundingDrawnMs > reportedMs) return;
+    this.roundingDrawnMs = nowMs;
+    this.rounding = this.random();
+  }
+
+  private sum(count: (slice: Slice) => number): number {
+    return this.slices.reduce((total, slice) => total + count(slice), 0);
   }
 
   private charge(sends: number, nowMs: number): void {
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -75,6 +75,7 @@
     return result;
   }
 
+  /** Runs the request; sends that were charged in advance and not used are refunded afterwards. */
   protected abstract run(): Promise<RunResult>;
 
   protected get nowMs(): number {
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -151,9 +151,8 @@
         return { kind: 'ok', value: undefined };
       }
       // A prompt that was read must still be able to run.
-      if (!this.prepaySends(ROUND_SENDS)) return this.finishUnserved('no prefill engine');
-      const settle = this.beginSend('prefill');
-      if (!settle) return this.finishUnserved('no prefill engine');
+      const settle = this.prepaySends(ROUND_SENDS) ? this.beginSend('prefill') : undefined;
+      if (!settle) return this.finishUnserved('the retry budget covers no further send');
       const { server, tokensAhead } = choice;
       const releaseLoad = loads.add(server.id, { prefillTokens: promptTokens });
       const sentMs = this.nowMs;
