--- a/src/relay/decode-queue.ts
+++ b/src/relay/decode-queue.ts
@@ -31,7 +31,7 @@
  */
 const INITIAL_STARTS_PER_SECOND = 4;
 
-/** Queues of the other VMs for the same pool. */
+/** Queues of the other VMs, over all pools: digests do not tell them apart. */
 export interface QueuesElsewhere {
   /** Number of waiting requests. */
   readonly waiting: number;
--- a/src/relay/retry-budget.ts
+++ b/src/relay/retry-budget.ts
@@ -118,8 +118,8 @@
     const last = this.reported.get(source);
     const slice = this.slice(nowMs);
     slice.requests += last ? Math.max(0, totals[0] - last[0]) : 0;
-    // When a source spent what it reports first is not known, for example after a partition, so that as
-    // much counts as it may have spent in this window.
+    // A first report does not say when its retries were made, which after a partition may be just now. So
+    // the most that the source may have spent in this window is counted.
     slice.retries += last
       ? totals[1] - last[1]
       : Math.min(totals[1], USED_FRACTION * this.limits.slack * part);
