feat: log the requests during which a connection to a server broke

Callers saw pools without servers while one request was repeated with new ids. Decision lines name requests by id, so they could not tell whether one attempt or several crashed the servers. An 'unanswered' line names the fingerprint (path, team, body) of each request whose connection broke before the server began to answer; upstream.unanswered counts them.

--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -147,6 +147,7 @@
     }
     const tookMs = Math.round(this.nowMs - sentMs);
     this.recordDecision('send', server.id, failure ?? 'answer', { tookMs, runs: this.runs });
+    if (failure === 'broken') this.recordUnanswered(server);
     if (outcome.kind === 'failed') return outcome;
     return bufferAnswer(outcome.value);
   }
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -1,6 +1,7 @@
 import { Refusal, type RefusalCode } from '../domain/refusal.js';
 import type { RelayPool, RelayRoute } from './relay-configuration.js';
 import type { AnswerSink, RelayRequest } from './relay-request.js';
+import { fingerprintRequest } from './request-fingerprint.js';
 import type { RunContext } from './run-context.js';
 import { SendCharges, type SendKind, type SendResult } from './send-charges.js';
 import type { CatalogServer } from './server-catalog.js';
@@ -148,6 +149,19 @@
     else if (failure === 'not-run') health.record(server.id, 'full', this.nowMs);
   }
 
+  /** Records that a connection broke before the server began to answer, so that the request may be the cause. */
+  protected recordUnanswered(server: CatalogServer): void {
+    const fingerprint = fingerprintRequest(this.job.request, this.job.team);
+    const facts = { fingerprint, runs: this.runs };
+    this.recordDecision(
+      'unanswered',
+      server.id,
+      'the connection broke before the server began to answer',
+      facts,
+    );
+    this.context.metrics.increment('upstream.unanswered');
+  }
+
   protected recordDecision(
     step: string,
     choice: string,
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -44,6 +44,9 @@
   /** True once status and headers have been sent to the caller. */
   private headSent = false;
 
+  /** True once the server of the current send has generated an event. */
+  private answerBegun = false;
+
   /** Prefill time, in milliseconds; only recorded when no other prompt was queued ahead. */
   private prefillMs: number | undefined;
 
@@ -185,6 +188,7 @@
 
   private recordPrefillFailure(server: CatalogServer, failure: UpstreamFailure): void {
     if (failure === 'cancelled') return;
+    if (failure === 'broken') this.recordUnanswered(server);
     this.recordFailure(server, failure);
     this.excluded.delete(server.id);
   }
@@ -249,11 +253,15 @@
     if (continued && status !== 200) return this.finishUnserved('the stream was not continued');
     if (!continued) sink.writeHead(answer.head);
     this.headSent = true;
+    this.answerBegun = false;
     try {
       for await (const chunk of answer.body) {
         const complete = status === 200 ? this.events.push(chunk) : chunk;
         // Only events are progress: a stalled server may send comments or parts of an event for ever.
-        if (status !== 200 || carriesData(complete)) timeout.refresh();
+        if (status !== 200 || carriesData(complete)) {
+          timeout.refresh();
+          this.answerBegun = true;
+        }
         if (complete.length > 0) await sink.write(complete);
         if (this.events.isOversized) return this.handleBrokenStream(server);
       }
@@ -269,6 +277,7 @@
   private handleBrokenStream(server: CatalogServer): StepResult<never> | RunResult {
     const { route, sink, signal } = this.job;
     this.events.dropPartial();
+    if (!this.answerBegun) this.recordUnanswered(server);
     const resumable = route.resumable && this.runs < route.attempts && !signal.aborted;
     if (resumable && this.prepayRound()) {
       this.recordDecision('stream', 'again', 'the stream ended before it was complete', {
@@ -293,6 +302,7 @@
       this.runs += 1;
     }
     if (failure === 'unsent' || failure === 'cancelled') this.releaseUnused(slot, prefill);
+    if (failure === 'broken') this.recordUnanswered(server);
     if (failure !== 'cancelled') this.recordFailure(server, failure);
     // An expired prefill handle is no evidence against the decode engine.
     if (failure === 'not-run') this.excluded.delete(server.id);
