fix: refuse requests that crash the servers that run them

Callers saw whole pools end, again and again: one request, sent with new ids to any VM, took down 15 plain servers (all three of the pool at once, four times) or 10 engines; 30% of the calls were refused meanwhile. The users' rule: no more than three sends after the third crash.

Cause: the relay had no memory of the requests during which servers ended, in one attempt (the next server got it within 0.1 s) nor across VMs. Ruled out: the general retry budget, since one request makes all the sends.

Change: relay/crash-ledger. A server that is gone after its connections broke has crashed; the requests that it had not begun to answer are suspects until a server begins to answer one like them. With two crashes a request is refused as not run for 15 s, four times as long after each further one. Digests carry the crashes; merging them is idempotent. A quarantined request that may have run ends with 502, since 503 promises that it has not.

Test: features/relay/crashes.feature. On the code before, 12, 12, 8 and 8 servers crashed (at most 3 allowed; the row of resumable streams did not end in 45 s); now 12 passed, three times.

--- /dev/null
+++ b/features/relay/crashes.feature
@@ -0,0 +1,56 @@
+Feature: Requests that crash the servers that run them
+
+  # Guards against one request, sent again with new ids, that takes down one server after the other.
+  Scenario Outline: a <kind> request that crashes servers is refused after two or three crashes (pattern: one deadly request sent again)
+    Given a relay with <servers> that do "answer"
+    When a relay request of kind "<kind>" with <attempts> attempts that crashes servers arrives 8 times, with 40 sound ones after each
+    Then at most 3 relay servers have crashed
+    And the crashing relay request is refused as not run, with a time to retry
+    And every sound relay request was answered
+
+    Examples:
+      | kind       | attempts | servers                                 |
+      | idempotent | 2        | 12 plain servers                        |
+      | idempotent | 3        | 12 plain servers                        |
+      | once       | 1        | 12 plain servers                        |
+      | stream     | 1        | 2 prefill engines and 12 decode engines |
+      | resumable  | 3        | 2 prefill engines and 12 decode engines |
+
+  Scenario Outline: <vms> VMs learn of a request that crashed servers on two of them
+    Given a simulated fleet of <vms> VMs
+    When request "deadly" is on two servers of the simulated fleet that crash
+    Then all VMs of the simulated fleet refuse "deadly" within <ms> ms
+    And no VM of the simulated fleet refuses "sound"
+    When a VM of the simulated fleet is replaced
+    Then all VMs of the simulated fleet refuse "deadly" within 3000 ms
+
+    Examples:
+      | vms | ms   |
+      | 2   | 500  |
+      | 8   | 500  |
+      | 40  | 2000 |
+      | 80  | 2000 |
+
+  Scenario: a request that a server has answered since is no cause of the crashes (pattern: several servers crash at once)
+    Given a simulated fleet of 8 VMs
+    When request "bystander" is on two servers of the simulated fleet that crash
+    Then all VMs of the simulated fleet refuse "bystander" within 500 ms
+    When a server answers "bystander" at a VM of the simulated fleet
+    Then no VM of the simulated fleet refuses "bystander" after 500 ms
+
+  Scenario: the quarantine grows with the crashes, and ends
+    Given a simulated fleet of 2 VMs
+    When request "deadly" is on two servers of the simulated fleet that crash
+    Then all VMs of the simulated fleet refuse "deadly" within 500 ms
+    And no VM of the simulated fleet refuses "deadly" after 15000 ms
+    When request "deadly" is on one more server of the simulated fleet that crashes
+    Then all VMs of the simulated fleet refuse "deadly" within 500 ms
+    And all VMs of the simulated fleet refuse "deadly" after 50000 ms
+    And no VM of the simulated fleet refuses "deadly" after 10000 ms
+
+  # Servers that reset single connections, and stay, have not crashed.
+  Scenario: a request whose connections break while the servers stay is not quarantined
+    Given a relay with 12 plain servers that do "broken"
+    When 6 relay requests of kind "idempotent" with 2 attempts arrive at once
+    And a relay request of kind "idempotent" with 2 attempts arrives
+    Then the relay sends it 14 times and the caller gets 502
--- /dev/null
+++ b/features/steps/crash-steps.ts
@@ -0,0 +1,187 @@
+import assert from 'node:assert/strict';
+
+import { Then, When, world } from '@cucumber/cucumber';
+
+import type { FleetSimulation, SimulatedVm } from '../../harness/fleet-simulation.js';
+import type { Refusal } from '../../src/domain/refusal.js';
+import { SystemClock } from '../../src/kernel/system-clock.js';
+import type { Relay } from '../../src/relay/relay.js';
+import type { RelayRoute } from '../../src/relay/relay-configuration.js';
+import { AnswerSink, type AnswerHead, type RelayRequest } from '../../src/relay/relay-request.js';
+import { CRASH, type FakeUpstream } from '../support/fake-upstream.js';
+import {
+  createCatalogServer,
+  createRelayConfiguration,
+  createRelayRequest,
+  createRelayRoute,
+} from '../support/relay-fixtures.js';
+
+interface CrashWorld {
+  relay: Relay;
+  upstream: FakeUpstream;
+  engines: boolean;
+  simulation: FleetSimulation;
+  lastRefusal: Refusal | undefined;
+  /** Statuses of the sound requests. */
+  soundStatuses: number[];
+  crashes: number;
+}
+
+const scenario = world as unknown as CrashWorld;
+
+const SIMULATION = { timeout: 180_000 } as const;
+
+const ENGINE = {
+  ...{ slots: 40, kvTokens: 70_000, reservationMs: 2000 },
+  ...{ prefillLifeMs: 500, roleChangeMs: 6000 },
+};
+
+/** Time in which callers of these tests wait for an answer, in milliseconds. */
+const DEADLINE_MS = 5000;
+
+class StatusSink extends AnswerSink {
+  status = 0;
+
+  refusal: Refusal | undefined;
+
+  closed = false;
+
+  override refuse(refusal: Refusal): void {
+    this.refusal = refusal;
+    this.status = refusal.status;
+  }
+
+  override writeHead({ status }: AnswerHead): void {
+    this.status = status;
+  }
+
+  override write(): undefined {}
+
+  override end(): void {}
+
+  override abort(): void {
+    this.status = 0;
+  }
+}
+
+function createRoute(kind: string, attempts: number): RelayRoute {
+  const resumable = kind === 'resumable';
+  const route = resumable ? 'stream' : (kind as RelayRoute['kind']);
+  return createRelayRoute({ kind: route, resumable, attempts, timeoutMs: 6000 });
+}
+
+function createRequest(overrides: Partial<RelayRequest>): RelayRequest {
+  const arrivedMs = SystemClock.create().monotonicMs();
+  const times = { arrivedMs, deadlineAtMs: arrivedMs + DEADLINE_MS };
+  const tokens = scenario.engines ? { promptTokens: 100, outputTokens: 50 } : {};
+  return createRelayRequest({ ...times, ...tokens, ...overrides });
+}
+
+async function serve(overrides: Partial<RelayRequest>): Promise<StatusSink> {
+  const sink = new StatusSink();
+  await scenario.relay.serve(createRequest(overrides), sink, new AbortController().signal);
+  return sink;
+}
+
+function isRefused({ crashes }: SimulatedVm, suspect: string): boolean {
+  return crashes.findCause(() => [suspect], scenario.simulation.clock.monotonicMs()) !== undefined;
+}
+
+function listRefusing(suspect: string): string[] {
+  const { liveVms } = scenario.simulation;
+  return liveVms.filter((vm) => isRefused(vm, suspect)).map(({ name }) => name);
+}
+
+function crashServer(suspect: string): void {
+  const { simulation } = scenario;
+  const { liveVms, clock } = simulation;
+  scenario.crashes = (scenario.crashes ?? 0) + 1;
+  const server = createCatalogServer({ id: `crashed-${scenario.crashes}` });
+  const vm = liveVms[scenario.crashes % liveVms.length]!;
+  const others = [`other-${scenario.crashes}`];
+  vm.crashes.recordUnanswered(server, [suspect], clock.monotonicMs());
+  vm.crashes.recordUnanswered(server, others, clock.monotonicMs());
+}
+
+When(
+  'a relay request of kind {string} with {int} attempts that crashes servers arrives {int} times, with {int} sound ones after each',
+  { timeout: 60_000 },
+  async (kind: string, attempts: number, times: number, sound: number) => {
+    const pool = {
+      name: 'pool',
+      mostConnections: 0,
+      engine: scenario.engines ? ENGINE : undefined,
+    };
+    const routes = [createRoute(kind, attempts)];
+    scenario.relay.configure(createRelayConfiguration({ routes, pools: [pool] }));
+    scenario.soundStatuses = [];
+    for (let index = 0; index < times; index += 1) {
+      const body = Buffer.from(CRASH);
+      const deadly = await serve({ requestId: `deadly-${index}`, body });
+      scenario.lastRefusal = deadly.refusal;
+      for (let count = 0; count < sound; count += 1) {
+        const requestId = `sound-${index}-${count}`;
+        const { status } = await serve({ requestId, body: Buffer.from(requestId) });
+        scenario.soundStatuses.push(status);
+      }
+    }
+  },
+);
+
+Then('at most {int} relay servers have crashed', (most: number) => {
+  const { size } = scenario.upstream.crashed;
+  assert.ok(size > 0 && size <= most, `${size} servers crashed`);
+});
+
+Then('the crashing relay request is refused as not run, with a time to retry', () => {
+  const { lastRefusal } = scenario;
+  assert.equal(lastRefusal?.code, 'quarantined');
+  assert.equal(lastRefusal.run, 'not run');
+  assert.ok(lastRefusal.retryAfterMs! > 0);
+});
+
+Then('every sound relay request was answered', () => {
+  assert.deepEqual(new Set(scenario.soundStatuses), new Set([200]));
+});
+
+When('request {string} is on two servers of the simulated fleet that crash', (suspect: string) => {
+  crashServer(suspect);
+  crashServer(suspect);
+});
+
+When(
+  'request {string} is on one more server of the simulated fleet that crashes',
+  (suspect: string) => crashServer(suspect),
+);
+
+When('a VM of the simulated fleet is replaced', SIMULATION, async () => {
+  const { simulation } = scenario;
+  await simulation.replace(simulation.liveVms.at(-1)!);
+});
+
+When('a server answers {string} at a VM of the simulated fleet', (suspect: string) => {
+  scenario.simulation.liveVms[0]!.crashes.recordAnswered(() => [suspect]);
+});
+
+Then(
+  /^all VMs of the simulated fleet refuse "(.*)" (?:within|after) (\d+) ms$/,
+  SIMULATION,
+  async (suspect: string, ms: string) => {
+    const { simulation } = scenario;
+    await simulation.advance(Number(ms));
+    assert.equal(listRefusing(suspect).length, simulation.liveVms.length);
+  },
+);
+
+Then('no VM of the simulated fleet refuses {string}', (suspect: string) => {
+  assert.deepEqual(listRefusing(suspect), []);
+});
+
+Then(
+  'no VM of the simulated fleet refuses {string} after {int} ms',
+  SIMULATION,
+  async (suspect: string, ms: number) => {
+    await scenario.simulation.advance(ms);
+    assert.deepEqual(listRefusing(suspect), []);
+  },
+);
--- a/features/support/fake-upstream.ts
+++ b/features/support/fake-upstream.ts
@@ -12,6 +12,9 @@
 } from '../../src/relay/upstream.js';
 import type { Arrival } from './retry-simulation.js';
 
+/** A body with this text crashes the server that begins to answer it. */
+export const CRASH = 'crash';
+
 /** Scripted result of a send. */
 export type UpstreamStep = 'hangs' | AnswerStep | UpstreamFailure;
 
@@ -58,6 +61,9 @@
 
   private reservations = 0;
 
+  /** Servers that have crashed. */
+  private readonly down = new Set<string>();
+
   private constructor(private readonly steps: UpstreamStep[]) {
     super();
   }
@@ -77,7 +83,9 @@
     request: RelayRequest,
     options: SendOptions,
   ): Promise<Outcome<OpenAnswer, UpstreamFailure>> {
+    if (this.down.has(server.id)) return fail('unsent');
     this.sends.push({ server: server.id, options });
+    if (request.body.includes(CRASH)) return this.crash(server, request, options);
     const step = this.steps.length > 1 ? this.steps.shift()! : this.steps[0]!;
     if (step !== 'unsent') this.recordArrival(request, 'run', isAnswer(step));
     if (step === 'hangs') {
@@ -99,6 +107,27 @@
     return Promise.resolve(succeed({ server, handle: `k${this.prefills}`, tokens: 100 }));
   }
 
+  /** Servers that have crashed. */
+  get crashed(): ReadonlySet<string> {
+    return this.down;
+  }
+
+  private crash(
+    server: CatalogServer,
+    request: RelayRequest,
+    { reservation }: SendOptions,
+  ): Outcome<OpenAnswer, UpstreamFailure> {
+    this.down.add(server.id);
+    this.recordArrival(request, 'run', false);
+    if (reservation === undefined) return fail('broken');
+    async function* body(): AsyncGenerator<Buffer> {
+      await setTimeout(1);
+      yield Buffer.alloc(0);
+      throw new Error('reset');
+    }
+    return succeed({ head: { status: 200, headers: [], framed: true }, body: body() });
+  }
+
   private recordArrival(
     { requestId }: RelayRequest,
     kind: Arrival['kind'],
@@ -107,7 +136,8 @@
     this.arrivals.push({ atMs: 0, request: requestId, kind, accepted });
   }
 
-  override async reserve(): Promise<Outcome<string, UpstreamFailure>> {
+  override async reserve(server: CatalogServer): Promise<Outcome<string, UpstreamFailure>> {
+    if (this.down.has(server.id)) return Promise.resolve(fail('unsent'));
     this.reservations += 1;
     return Promise.resolve(succeed(`h${this.reservations}`));
   }
--- a/features/support/relay-fixtures.ts
+++ b/features/support/relay-fixtures.ts
@@ -99,6 +99,7 @@
     loads: [],
     avoided: [],
     leavers: [],
+    crashes: [],
     hosts: [],
     ...overrides,
   };
--- a/harness/fleet-simulation.ts
+++ b/harness/fleet-simulation.ts
@@ -4,6 +4,7 @@
 import { Fleet } from '../src/fleet/fleet.js';
 import { Kernel } from '../src/kernel/kernel.js';
 import { ManualClock } from '../src/kernel/manual-clock.js';
+import { CrashLedger } from '../src/relay/crash-ledger.js';
 import { PoolCosts } from '../src/relay/pool-costs.js';
 import { RetryBudgets } from '../src/relay/retry-budgets.js';
 import { ServerCatalog } from '../src/relay/server-catalog.js';
@@ -22,6 +23,7 @@
   readonly retryBudgets: RetryBudgets;
   readonly costs: PoolCosts;
   readonly catalog: ServerCatalog;
+  readonly crashes: CrashLedger;
   /** Bytes of datagrams that it has sent and received. */
   bytes: number;
   alive: boolean;
@@ -95,6 +97,7 @@
       retryBudgets: RetryBudgets.create(RETRIES, this.clock.monotonicMs()),
       costs: PoolCosts.create(),
       catalog: ServerCatalog.create(),
+      crashes: CrashLedger.create(() => true),
       bytes: 0,
       alive: true,
       receive: () => undefined,
@@ -162,9 +165,10 @@
   }
 
   private registerFakes(kernel: Kernel, vm: SimulatedVm): void {
-    const { loads, costs, rateLimiter, retryBudgets, catalog } = vm;
+    const { loads, costs, rateLimiter, retryBudgets, catalog, crashes } = vm;
     registerFake(kernel, 'relay', {
-      ...{ loads, costs, rateLimiter, retryBudgets, catalog, health: ServerHealth.create() },
+      ...{ loads, costs, rateLimiter, retryBudgets, catalog, crashes },
+      health: ServerHealth.create(),
       configuration: { version: 1 },
       punctualWaiting: 0,
       waiting: 0,
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -59,6 +59,10 @@
   loads: z.array(z.tuple([z.string(), finiteNumber, finiteNumber, finiteNumber])),
   avoided: z.array(z.tuple([z.string(), finiteNumber])),
   leavers: z.array(z.tuple([z.string(), finiteNumber])),
+  /** Crash id, age in milliseconds, suspects and cleared suspects; VMs of earlier releases send none. */
+  crashes: z
+    .array(z.tuple([name, finiteNumber, z.array(name).max(64), z.array(name).max(64)]))
+    .default([]),
 });
 
 const digestSchema = z.object({
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -404,6 +404,7 @@
       ]),
       avoided: [...relay.health.avoided(nowMs)].map(([id, ms]) => [id, Math.round(ms)]),
       leavers: [...relay.catalog.leavers],
+      crashes: relay.crashes.reports(nowMs),
     };
   }
 
--- a/src/fleet/hub-aggregator.ts
+++ b/src/fleet/hub-aggregator.ts
@@ -1,3 +1,4 @@
+import { mergeCrashReports } from '../relay/crash-ledger.js';
 import { addSums } from '../relay/pool-costs.js';
 import type { Digest, FleetMember, FleetWork, Summary } from './digest.js';
 import { toMember } from './digest.js';
@@ -174,6 +175,7 @@
     costs,
     avoided: [...avoided],
     leavers: [...leavers],
+    crashes: mergeCrashReports(works.map(({ crashes }) => crashes)),
   };
 }
 
--- a/src/fleet/remote-work.ts
+++ b/src/fleet/remote-work.ts
@@ -49,7 +49,8 @@
    * @param nowMs - monotonic time, in milliseconds
    */
   apply(source: string, incarnation: string, work: FleetWork, part: number, nowMs: number): void {
-    const { loads, costs, rateLimiter, retryBudgets, health, catalog } = this.kernel.find('relay');
+    const { loads, costs, rateLimiter, retryBudgets, health, catalog, crashes } =
+      this.kernel.find('relay');
     const byServer = work.loads.map(
       ([id, running, kvTokens, prefillTokens]) =>
         [id, { running, kvTokens, prefillTokens }] as const,
@@ -63,6 +64,7 @@
     rateLimiter.recordSpent(spender, work.spent, nowMs);
     retryBudgets.recordReported(spender, work.retries, part, nowMs);
     work.avoided.forEach(([id, ms]) => health.recordAvoided(id, ms, nowMs));
+    crashes.recordReported(work.crashes, nowMs);
     work.leavers.forEach(([id, startedAtMs]) => catalog.recordLeaving(id, startedAtMs));
   }
 
--- /dev/null
+++ b/src/relay/crash-ledger.ts
@@ -0,0 +1,251 @@
+import type { CatalogServer } from './server-catalog.js';
+
+/** Number of crashes from which on a request is quarantined. */
+const MIN_CRASHES = 2;
+
+/** Quarantine after {@link MIN_CRASHES}, in milliseconds; each further crash multiplies it. */
+const INITIAL_QUARANTINE_MS = 15_000;
+const QUARANTINE_FACTOR = 4;
+
+/** Time for which crashes are remembered, and the longest quarantine, in milliseconds. */
+const CRASH_EXPIRY_MS = 600_000;
+
+/** Time within which a server must be seen to be gone after a connection to it broke, in milliseconds. */
+const CONFIRMATION_MS = 5000;
+
+/** Maximum number of crashes, of broken connections without confirmation, and of suspects of a crash. */
+const MAX_CRASHES = 128;
+const MAX_BREAKS = 256;
+const MAX_SUSPECTS = 64;
+
+/** Limits of what is reported to other VMs: a digest must stay small. */
+const MAX_REPORTED_CRASHES = 8;
+const MAX_REPORTED_SUSPECTS = 12;
+const MAX_REPORTED_CLEARED = 6;
+
+/** Time for which a crash is reported that shares no suspect with another one, in milliseconds. */
+const UNRELATED_REPORT_MS = 10_000;
+
+interface Crash {
+  readonly id: string;
+  /** Monotonic time, in milliseconds. */
+  readonly atMs: number;
+  readonly suspects: Set<string>;
+  /** Former suspects that a server has answered since. */
+  readonly cleared: Set<string>;
+}
+
+interface Break {
+  readonly server: CatalogServer;
+  readonly atMs: number;
+  readonly suspects: readonly string[];
+}
+
+/** A crash as a VM reports it: server with its incarnation, age in milliseconds, suspects, cleared suspects. */
+export type CrashReport = [id: string, ageMs: number, suspects: string[], cleared: string[]];
+
+/** Why a request is quarantined. */
+export interface CrashCause {
+  readonly suspect: string;
+  readonly crashes: number;
+  /** Remaining quarantine, in milliseconds. */
+  readonly remainingMs: number;
+}
+
+/** Tells whether a server has ended or cannot be reached since a connection to it broke. */
+export type ServerEndCheck = (server: CatalogServer, sinceMs: number) => boolean;
+
+/**
+ * Finds the requests that crash servers. A server that is gone after its connections broke has crashed,
+ * and the requests that it had not begun to answer are suspects, until a server begins to answer one
+ * like them. VMs exchange the crashes that they know; merging them is idempotent and needs no order.
+ */
+export class CrashLedger {
+  /** Crashes by server and incarnation, the oldest first. */
+  private readonly crashes = new Map<string, Crash>();
+
+  private breaks: Break[] = [];
+
+  /** Crashes of each suspect that is not cleared; undefined after a change. */
+  private index: Map<string, Crash[]> | undefined;
+
+  private constructor(private readonly hasEnded: ServerEndCheck) {}
+
+  /**
+   * Creates a ledger without crashes.
+   *
+   * @param hasEnded - tells whether a server has ended since a time
+   * @returns a new ledger
+   */
+  static create(hasEnded: ServerEndCheck): CrashLedger {
+    return new CrashLedger(hasEnded);
+  }
+
+  /**
+   * Records that a connection broke before the server began to answer.
+   *
+   * @param server - the server
+   * @param suspects - what may have crashed it
+   * @param nowMs - monotonic time, in milliseconds
+   */
+  recordUnanswered(server: CatalogServer, suspects: readonly string[], nowMs: number): void {
+    this.breaks.push({ server, atMs: nowMs, suspects });
+    if (this.breaks.length > MAX_BREAKS) this.breaks.shift();
+  }
+
+  /**
+   * Records that a server has begun to answer a request, which clears it of all known crashes.
+   *
+   * @param suspects - returns what may crash a server; only called while there are crashes
+   */
+  recordAnswered(suspects: () => readonly string[]): void {
+    if (this.crashes.size === 0) return;
+    suspects().forEach((suspect) => {
+      this.crashesBySuspect.get(suspect)?.forEach(({ cleared }) => {
+        cleared.add(suspect);
+        this.index = undefined;
+      });
+    });
+  }
+
+  /**
+   * Returns why a request must not be sent to a server.
+   *
+   * @param suspects - returns what may crash a server; only called while there are crashes
+   * @param nowMs - monotonic time, in milliseconds
+   * @returns the cause, or undefined when the request may be sent
+   */
+  findCause(suspects: () => readonly string[], nowMs: number): CrashCause | undefined {
+    this.update(nowMs);
+    if (this.crashes.size === 0) return undefined;
+    const causes = suspects().flatMap((suspect) => this.assess(suspect, nowMs));
+    return causes.find(({ remainingMs }) => remainingMs > 0);
+  }
+
+  /**
+   * Lists crashes for the other VMs, those with common suspects first.
+   *
+   * @param nowMs - monotonic time, in milliseconds
+   * @returns a limited number of crashes
+   */
+  reports(nowMs: number): CrashReport[] {
+    this.update(nowMs);
+    const recurrence = (suspect: string) => this.crashesBySuspect.get(suspect)?.length ?? 0;
+    const ranked = [...this.crashes.values()]
+      .map(({ id, atMs, suspects, cleared }) => {
+        const open = [...suspects].filter((suspect) => !cleared.has(suspect));
+        open.sort((left, right) => recurrence(right) - recurrence(left));
+        return { id, ageMs: nowMs - atMs, open, cleared, related: recurrence(open[0] ?? '') };
+      })
+      .filter(({ related, ageMs }) => related >= MIN_CRASHES || ageMs <= UNRELATED_REPORT_MS)
+      .sort((left, right) => right.related - left.related || left.ageMs - right.ageMs);
+    return ranked
+      .slice(0, MAX_REPORTED_CRASHES)
+      .map(({ id, ageMs, open, cleared }) => limitReport([id, ageMs, open, [...cleared]]));
+  }
+
+  /**
+   * Merges crashes that other VMs have reported.
+   *
+   * @param reports - untrusted reports
+   * @param nowMs - monotonic time, in milliseconds
+   */
+  recordReported(reports: readonly CrashReport[], nowMs: number): void {
+    reports.slice(0, MAX_REPORTED_CRASHES).forEach((report) => {
+      const [id, ageMs, suspects, cleared] = limitReport(report);
+      if (ageMs > CRASH_EXPIRY_MS) return;
+      const crash = this.findOrCreate(id, nowMs - Math.max(0, ageMs));
+      addLimited(crash.suspects, suspects);
+      addLimited(crash.cleared, cleared);
+      this.index = undefined;
+    });
+  }
+
+  private get crashesBySuspect(): ReadonlyMap<string, readonly Crash[]> {
+    if (this.index) return this.index;
+    const index = new Map<string, Crash[]>();
+    this.crashes.forEach((crash) => {
+      crash.suspects.forEach((suspect) => {
+        if (crash.cleared.has(suspect)) return;
+        index.set(suspect, [...(index.get(suspect) ?? []), crash]);
+      });
+    });
+    this.index = index;
+    return index;
+  }
+
+  private assess(suspect: string, nowMs: number): CrashCause[] {
+    const confirmed = this.crashesBySuspect.get(suspect) ?? [];
+    if (confirmed.length === 0) return [];
+    // After one crash, a break counts before it is confirmed: the next send would come sooner.
+    const pending = this.breaks.filter(({ suspects }) => suspects.includes(suspect));
+    const servers = new Set(pending.map(({ server }) => server.id));
+    const crashes = confirmed.length + servers.size;
+    if (crashes < MIN_CRASHES) return [];
+    const newestMs = Math.max(...[...confirmed, ...pending].map(({ atMs }) => atMs));
+    const lengthMs = INITIAL_QUARANTINE_MS * QUARANTINE_FACTOR ** (crashes - MIN_CRASHES);
+    const remainingMs = newestMs + Math.min(CRASH_EXPIRY_MS, lengthMs) - nowMs;
+    return [{ suspect, crashes, remainingMs }];
+  }
+
+  /** Turns breaks into crashes once the server is seen to be gone, and drops what is too old. */
+  private update(nowMs: number): void {
+    if (this.breaks.length > 0) {
+      const ended = new Set(this.breaks.filter(({ server, atMs }) => this.hasEnded(server, atMs)));
+      ended.forEach(({ server, atMs, suspects }) => {
+        const crash = this.findOrCreate(`${server.id}/${server.startedAtMs}`, atMs);
+        addLimited(crash.suspects, suspects);
+        this.index = undefined;
+      });
+      this.breaks = this.breaks.filter(
+        (each) => !ended.has(each) && nowMs - each.atMs <= CONFIRMATION_MS,
+      );
+    }
+    this.crashes.forEach(({ id, atMs }) => {
+      if (nowMs - atMs <= CRASH_EXPIRY_MS && this.crashes.size <= MAX_CRASHES) return;
+      this.crashes.delete(id);
+      this.index = undefined;
+    });
+  }
+
+  private findOrCreate(id: string, atMs: number): Crash {
+    const known = this.crashes.get(id);
+    if (known) return known;
+    const crash = { id, atMs, suspects: new Set<string>(), cleared: new Set<string>() };
+    this.crashes.set(id, crash);
+    return crash;
+  }
+}
+
+/**
+ * Merges the crashes that several VMs report.
+ *
+ * @param lists - reports of the VMs
+ * @returns each crash once, with what all VMs know of it
+ */
+export function mergeCrashReports(lists: readonly (readonly CrashReport[])[]): CrashReport[] {
+  const merged = new Map<string, CrashReport>();
+  lists.flat().forEach(([id, ageMs, suspects, cleared]) => {
+    const [, knownAgeMs, knownSuspects, knownCleared] = merged.get(id) ?? [id, ageMs, [], []];
+    const allCleared = new Set([...knownCleared, ...cleared]);
+    const all = [...new Set([...knownSuspects, ...suspects])];
+    const open = all.filter((suspect) => !allCleared.has(suspect));
+    merged.set(id, limitReport([id, Math.max(knownAgeMs, ageMs), open, [...allCleared]]));
+  });
+  return [...merged.values()].slice(0, MAX_REPORTED_CRASHES);
+}
+
+function limitReport([id, ageMs, suspects, cleared]: CrashReport): CrashReport {
+  return [
+    id,
+    Math.round(ageMs),
+    suspects.slice(0, MAX_REPORTED_SUSPECTS),
+    cleared.slice(-MAX_REPORTED_CLEARED),
+  ];
+}
+
+function addLimited(suspects: Set<string>, added: readonly string[]): void {
+  added.forEach((suspect) => {
+    if (suspects.size < MAX_SUSPECTS) suspects.add(suspect);
+  });
+}
--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -118,6 +118,7 @@
         status >= MIN_SERVER_ERROR_STATUS ? 'failed' : 'answered',
         this.nowMs,
       );
+      if (status < MIN_SERVER_ERROR_STATUS) this.recordAnswered();
       if (status >= MIN_SERVER_ERROR_STATUS && this.mayRunAgain()) {
         this.recordDecision('answer', 'again', 'the server failed', { server: server.id, status });
         this.excluded.add(server.id);
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { Service } from '../kernel/service.js';
+import { CrashLedger } from './crash-ledger.js';
 import { DecodeScheduler } from './decode-scheduler.js';
 import { PlainRun } from './plain-run.js';
 import { PoolCosts } from './pool-costs.js';
@@ -12,7 +13,7 @@
 import { pickPool, RouteTable } from './route-table.js';
 import type { Job, RunResult } from './run.js';
 import type { RunContext } from './run-context.js';
-import { ServerCatalog } from './server-catalog.js';
+import { ServerCatalog, type CatalogServer } from './server-catalog.js';
 import { ServerHealth, type ServerState } from './server-health.js';
 import { ServerLoads } from './server-loads.js';
 import { StagedRun } from './staged-run.js';
@@ -39,6 +40,8 @@
 
   readonly health = ServerHealth.create();
 
+  readonly crashes = CrashLedger.create((server, sinceMs) => this.hasEnded(server, sinceMs));
+
   readonly rateLimiter: TeamRateLimiter;
 
   readonly retryBudgets: RetryBudgets;
@@ -253,6 +256,11 @@
     return StagedRun.create(context, job, this.scheduler(job.pool.name, context)).execute();
   }
 
+  private hasEnded({ id, startedAtMs }: CatalogServer, sinceMs: number): boolean {
+    if (this.health.unreachableMs(id) >= sinceMs) return true;
+    return this.catalog.find(id)?.startedAtMs !== startedAtMs;
+  }
+
   private scheduler(pool: string, context: RunContext): DecodeScheduler {
     const known = this.schedulers.get(pool);
     if (known) return known;
@@ -262,12 +270,13 @@
   }
 
   private context(): RunContext {
-    const { kernel, clock, catalog, loads, health } = this;
+    const { kernel, clock, catalog, loads, health, crashes } = this;
     return {
       clock,
       catalog,
       loads,
       health,
+      crashes,
       availabilityZone: this.options.availabilityZone,
       upstream: kernel.find('upstream'),
       decisions: kernel.find('decisions'),
--- a/src/relay/run-context.ts
+++ b/src/relay/run-context.ts
@@ -2,6 +2,7 @@
 import type { Decisions } from '../observability/decisions.js';
 import type { Metrics } from '../observability/metrics.js';
 import type { QueuesElsewhere } from './decode-queue.js';
+import type { CrashLedger } from './crash-ledger.js';
 import type { PoolCosts } from './pool-costs.js';
 import type { FleetContact, RetryBudget } from './retry-budget.js';
 import type { ServerCatalog } from './server-catalog.js';
@@ -16,6 +17,8 @@
   readonly catalog: ServerCatalog;
   readonly loads: ServerLoads;
   readonly health: ServerHealth;
+  /** Crashes of servers and the requests that may have caused them. */
+  readonly crashes: CrashLedger;
   readonly decisions: Decisions;
   readonly metrics: Metrics;
   readonly availabilityZone: string;
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -1,6 +1,7 @@
 import { Refusal, type RefusalCode } from '../domain/refusal.js';
 import type { RelayPool, RelayRoute } from './relay-configuration.js';
 import type { AnswerSink, RelayRequest } from './relay-request.js';
+import type { CrashCause } from './crash-ledger.js';
 import { fingerprintRequest } from './request-fingerprint.js';
 import type { RunContext } from './run-context.js';
 import { SendCharges, type SendKind, type SendResult } from './send-charges.js';
@@ -57,6 +58,9 @@
 
   private readonly charges: SendCharges;
 
+  /** What may crash a server; computed when it is first needed. */
+  private suspects: readonly string[] | undefined;
+
   protected constructor(
     protected readonly context: RunContext,
     protected readonly job: Job,
@@ -71,7 +75,7 @@
    * @returns how the run ended; a refusal still has to be sent
    */
   async execute(): Promise<RunResult> {
-    const result = await this.run();
+    const result = this.isQuarantined() ? this.refuseUnserved('quarantined') : await this.run();
     this.charges.refundUnused(this.nowMs);
     return result;
   }
@@ -120,8 +124,12 @@
     return this.charges.prepay(kinds, this.nowMs) || this.recordUncovered();
   }
 
-  /** Charges a send that is about to leave; undefined when the retry budget does not cover it. */
+  /**
+   * Charges a send that is about to leave; undefined when the retry budget does not cover it or the
+   * request crashes servers.
+   */
   protected beginSend(kind: SendKind): ((result: SendResult) => void) | undefined {
+    if (this.isQuarantined()) return undefined;
     const settle = this.charges.begin(kind, this.nowMs);
     if (settle) return (result) => settle(result, this.nowMs);
     this.recordUncovered();
@@ -151,8 +159,9 @@
 
   /** Records that a connection broke before the server began to answer, so that the request may be the cause. */
   protected recordUnanswered(server: CatalogServer): void {
-    const fingerprint = fingerprintRequest(this.job.request, this.job.team);
+    const [fingerprint = ''] = this.listSuspects();
     const facts = { fingerprint, runs: this.runs };
+    this.context.crashes.recordUnanswered(server, this.listSuspects(), this.nowMs);
     this.recordDecision(
       'unanswered',
       server.id,
@@ -162,6 +171,31 @@
     this.context.metrics.increment('upstream.unanswered');
   }
 
+  /** Records that a server has begun to answer, so that the request does not crash servers. */
+  protected recordAnswered(): void {
+    this.context.crashes.recordAnswered(() => this.listSuspects());
+  }
+
+  /** Returns whether the request must not be sent because it crashes servers. */
+  protected isQuarantined(): boolean {
+    const cause = this.findCrashCause();
+    if (!cause) return false;
+    const { suspect, crashes, remainingMs } = cause;
+    const facts = { suspect, crashes, remainingMs: Math.round(remainingMs) };
+    this.recordDecision('crashes', 'refuse', 'servers crash when they run the request', facts);
+    this.context.metrics.increment('requests.quarantined');
+    return true;
+  }
+
+  private findCrashCause(): CrashCause | undefined {
+    return this.context.crashes.findCause(() => this.listSuspects(), this.nowMs);
+  }
+
+  private listSuspects(): readonly string[] {
+    this.suspects ??= [fingerprintRequest(this.job.request, this.job.team)];
+    return this.suspects;
+  }
+
   protected recordDecision(
     step: string,
     choice: string,
@@ -184,6 +218,14 @@
     if (this.remainingMs <= 0)
       return this.refuse('server_timeout', 'the time for the request is over');
     if (this.mayHaveRun) return this.refuse('server_failed', message);
+    const cause = this.findCrashCause();
+    if (cause) {
+      return this.refuse(
+        'quarantined',
+        'servers crash when they run the request',
+        cause.remainingMs,
+      );
+    }
     return this.refuse('overloaded', message, NO_SERVER_RETRY_MS);
   }
 }
--- a/src/relay/server-health.ts
+++ b/src/relay/server-health.ts
@@ -14,6 +14,8 @@
   pauseMs: number;
   /** When a connection to the server last broke or could not be opened, as reported by any VM. */
   brokenMs: number;
+  /** When a connection to the server could last not be opened, as reported by any VM. */
+  unreachableMs: number;
 }
 
 /** Weight of the latest answer in the failure share. */
@@ -67,6 +69,7 @@
       record.avoidedUntilMs = -Infinity;
     }
     if (evidence === 'unreachable' || evidence === 'broken') record.brokenMs = nowMs;
+    if (evidence === 'unreachable') record.unreachableMs = nowMs;
     if (evidence === 'unreachable' || evidence === 'silent') {
       Object.assign(record, nextPause(record, nowMs));
     }
@@ -81,7 +84,8 @@
    */
   recordAvoided(server: string, forMs: number, nowMs: number): void {
     const record = this.decay(server, nowMs);
-    if (nowMs >= record.avoidedUntilMs) record.brokenMs = nowMs;
+    if (nowMs >= record.avoidedUntilMs)
+      Object.assign(record, { brokenMs: nowMs, unreachableMs: nowMs });
     const untilMs = nowMs + Math.min(forMs, MAX_PAUSE_MS);
     record.avoidedUntilMs = Math.max(record.avoidedUntilMs, untilMs);
   }
@@ -151,6 +155,16 @@
     return this.records.get(server)?.brokenMs ?? -Infinity;
   }
 
+  /**
+   * Returns when a server could last not be reached.
+   *
+   * @param server - id of the server
+   * @returns monotonic time, in milliseconds; -Infinity when it always could
+   */
+  unreachableMs(server: string): number {
+    return this.records.get(server)?.unreachableMs ?? -Infinity;
+  }
+
   /**
    * Lists the servers that this VM itself could not reach.
    *
@@ -179,6 +193,7 @@
       fullUntilMs: -Infinity,
       pauseMs: 0,
       brokenMs: -Infinity,
+      unreachableMs: -Infinity,
     };
     this.records.set(server, record);
     return record;
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -83,6 +83,7 @@
   }
 
   private async runRound(): Promise<RunResult | undefined> {
+    if (this.isQuarantined()) return this.finishUnserved('the request may not be sent again');
     const reserved = await this.reserve();
     if (reserved.kind !== 'ok') return finalResult(reserved);
     const slot = reserved.value;
@@ -155,7 +156,7 @@
       }
       // A prompt that was read must still be able to run.
       const settle = this.prepaySends(ROUND_SENDS) ? this.beginSend('prefill') : undefined;
-      if (!settle) return this.finishUnserved('the retry budget covers no further send');
+      if (!settle) return this.finishUnserved('the request may not be sent again');
       const { server, tokensAhead } = choice;
       const releaseLoad = loads.add(server.id, { prefillTokens: promptTokens });
       const sentMs = this.nowMs;
@@ -202,7 +203,7 @@
     const settle = this.beginSend('run');
     if (!settle) {
       this.releaseUnused(slot, prefill);
-      return this.finishUnserved('the retry budget covers no further send');
+      return this.finishUnserved('the request may not be sent again');
     }
     const resumeAfter = this.headSent ? this.events.lastEventId : undefined;
     const timeout = this.startProgressTimeout(STREAM_IDLE_TIMEOUT_MS);
@@ -260,7 +261,7 @@
         // Only events are progress: a stalled server may send comments or parts of an event for ever.
         if (status !== 200 || carriesData(complete)) {
           timeout.refresh();
-          this.answerBegun = true;
+          this.noteProgress(status);
         }
         if (complete.length > 0) await sink.write(complete);
         if (this.events.isOversized) return this.handleBrokenStream(server);
@@ -274,6 +275,11 @@
     return { kind: 'answered', server: server.id, status };
   }
 
+  private noteProgress(status: number): void {
+    if (!this.answerBegun && status === 200) this.recordAnswered();
+    this.answerBegun = true;
+  }
+
   private handleBrokenStream(server: CatalogServer): StepResult<never> | RunResult {
     const { route, sink, signal } = this.job;
     this.events.dropPartial();
