--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -160,7 +160,8 @@
   /** Records that a connection broke before the server began to answer, so that the request may be the cause. */
   protected recordUnanswered(server: CatalogServer): void {
     const [fingerprint = ''] = this.listSuspects();
-    const facts = { fingerprint, runs: this.runs };
+    const parts = this.job.request.promptParts.map(({ id }) => id).join(' ');
+    const facts = { fingerprint, runs: this.runs, ...(parts ? { parts } : {}) };
     this.context.crashes.recordUnanswered(server, this.listSuspects(), this.nowMs);
     this.recordDecision(
       'unanswered',
