fix: refuse prompts with a part that crashes servers

Callers saw engines crash one after the other, nine in 22 s: each of the prompts crashed the server that began to answer it, and no two of them were alike, so the memory of whole requests did not help.

Cause: no VM related the crashes. Ruled out: retries (one server by request), servers that end by themselves.

Change: the parts of a prompt, except the last, are suspects like the request. The first part is cleared by the next sound answer. A part is quarantined from three crashes on, unless something that the prompt does not contain explains the same crashes; with five crashes, only if it explains more.

Test: features/relay/crashes.feature. Without the explanation by other parts, the last scenario fails.

--- a/features/relay/crashes.feature
+++ b/features/relay/crashes.feature
@@ -54,3 +54,28 @@
     When 6 relay requests of kind "idempotent" with 2 attempts arrive at once
     And a relay request of kind "idempotent" with 2 attempts arrives
     Then the relay sends it 14 times and the caller gets 502
+
+  # Guards against prompts that are all different and have one part in common that crashes servers.
+  Scenario Outline: <kind> prompts with the parts "<deadly>" crash five servers at most, and those with "<sound>" are served (pattern: a prompt part that crashes servers)
+    Given a relay with 2 prefill engines and 24 decode engines that do "answer"
+    When 10 relay prompts of kind "<kind>" with the parts "<deadly>" crash servers, with 60 sound ones with the parts "<sound>" after each
+    Then at most 5 relay servers have crashed
+    And the crashing relay request is refused as not run, with a time to retry
+    And every sound relay request was answered
+
+    Examples:
+      | kind      | deadly             | sound              |
+      | stream    | system, bad        | system, good       |
+      | stream    | system, topic, bad | system, topic      |
+      | stream    | system, bad, topic | system, topic      |
+      | stream    | bad                | system             |
+      | resumable | system, topic, bad | system, topic      |
+      | resumable | system, bad, topic | system, topic, own |
+
+  # Here no sound prompt has cleared the other parts before the crashes are known.
+  Scenario: prompts that share all parts but one with those that crashed servers are served
+    Given a relay with 2 prefill engines and 24 decode engines that do "answer"
+    When 10 relay prompts of kind "stream" with the parts "system, topic, bad" crash servers, with 60 sound ones with the parts "system" after each
+    And 1 relay prompts of kind "stream" with the parts "system, topic, bad" crash servers, with 60 sound ones with the parts "system, topic" after each
+    Then at most 5 relay servers have crashed
+    And every sound relay request was answered
--- a/features/steps/crash-steps.ts
+++ b/features/steps/crash-steps.ts
@@ -7,7 +7,12 @@
 import { SystemClock } from '../../src/kernel/system-clock.js';
 import type { Relay } from '../../src/relay/relay.js';
 import type { RelayRoute } from '../../src/relay/relay-configuration.js';
-import { AnswerSink, type AnswerHead, type RelayRequest } from '../../src/relay/relay-request.js';
+import {
+  AnswerSink,
+  type AnswerHead,
+  type PromptPart,
+  type RelayRequest,
+} from '../../src/relay/relay-request.js';
 import { CRASH, type FakeUpstream } from '../support/fake-upstream.js';
 import {
   createCatalogServer,
@@ -83,6 +88,11 @@
   return sink;
 }
 
+/** Lists the parts of a prompt; the last one is its own. */
+function createParts(shared: string, own: string): PromptPart[] {
+  return [...shared.split(', '), own].map((id) => ({ id, tokens: 10 }));
+}
+
 function isRefused({ crashes }: SimulatedVm, suspect: string): boolean {
   return crashes.findCause(() => [suspect], scenario.simulation.clock.monotonicMs()) !== undefined;
 }
@@ -128,6 +138,30 @@
   },
 );
 
+When(
+  '{int} relay prompts of kind {string} with the parts {string} crash servers, with {int} sound ones with the parts {string} after each',
+  { timeout: 60_000 },
+  async (count: number, kind: string, deadlyParts: string, sound: number, soundParts: string) => {
+    const pools = [{ name: 'pool', mostConnections: 0, engine: ENGINE }];
+    const routes = [createRoute(kind, 2)];
+    scenario.relay.configure(createRelayConfiguration({ routes, pools }));
+    scenario.soundStatuses = [];
+    const statusOf = async (requestId: string) => {
+      const body = Buffer.from(requestId);
+      return (await serve({ requestId, body, promptParts: createParts(soundParts, requestId) }))
+        .status;
+    };
+    for (let index = 0; index < count; index += 1) {
+      const requestId = `deadly-${index}`;
+      const body = Buffer.from(`${CRASH} ${index}`);
+      const promptParts = createParts(deadlyParts, requestId);
+      scenario.lastRefusal = (await serve({ requestId, body, promptParts })).refusal;
+      for (let each = 0; each < sound; each += 1)
+        scenario.soundStatuses.push(await statusOf(`sound-${index}-${each}`));
+    }
+  },
+);
+
 Then('at most {int} relay servers have crashed', (most: number) => {
   const { size } = scenario.upstream.crashed;
   assert.ok(size > 0 && size <= most, `${size} servers crashed`);
--- a/src/relay/crash-ledger.ts
+++ b/src/relay/crash-ledger.ts
@@ -1,9 +1,16 @@
+import { isPromptPart } from './crash-suspects.js';
 import type { CatalogServer } from './server-catalog.js';
 
 /** Number of crashes from which on a request is quarantined. */
 const MIN_CRASHES = 2;
 
-/** Quarantine after {@link MIN_CRASHES}, in milliseconds; each further crash multiplies it. */
+/** Number of crashes from which on the requests with a prompt part are quarantined. */
+const MIN_PART_CRASHES = 3;
+
+/** Number of crashes from which on another suspect with the same crashes no longer excuses a prompt part. */
+const CERTAIN_CRASHES = 5;
+
+/** Quarantine after the least number of crashes, in milliseconds; each further crash multiplies it. */
 const INITIAL_QUARANTINE_MS = 15_000;
 const QUARANTINE_FACTOR = 4;
 
@@ -118,7 +125,8 @@
   findCause(suspects: () => readonly string[], nowMs: number): CrashCause | undefined {
     this.update(nowMs);
     if (this.crashes.size === 0) return undefined;
-    const causes = suspects().flatMap((suspect) => this.assess(suspect, nowMs));
+    const own = suspects();
+    const causes = own.flatMap((suspect) => this.assess(suspect, own, nowMs));
     return causes.find(({ remainingMs }) => remainingMs > 0);
   }
 
@@ -174,20 +182,35 @@
     return index;
   }
 
-  private assess(suspect: string, nowMs: number): CrashCause[] {
+  private assess(suspect: string, own: readonly string[], nowMs: number): CrashCause[] {
     const confirmed = this.crashesBySuspect.get(suspect) ?? [];
     if (confirmed.length === 0) return [];
     // After one crash, a break counts before it is confirmed: the next send would come sooner.
     const pending = this.breaks.filter(({ suspects }) => suspects.includes(suspect));
     const servers = new Set(pending.map(({ server }) => server.id));
     const crashes = confirmed.length + servers.size;
-    if (crashes < MIN_CRASHES) return [];
+    const minCrashes = isPromptPart(suspect) ? MIN_PART_CRASHES : MIN_CRASHES;
+    if (crashes < minCrashes) return [];
+    if (isPromptPart(suspect) && this.isExplained(confirmed, own)) return [];
     const newestMs = Math.max(...[...confirmed, ...pending].map(({ atMs }) => atMs));
-    const lengthMs = INITIAL_QUARANTINE_MS * QUARANTINE_FACTOR ** (crashes - MIN_CRASHES);
+    const lengthMs = INITIAL_QUARANTINE_MS * QUARANTINE_FACTOR ** (crashes - minCrashes);
     const remainingMs = newestMs + Math.min(CRASH_EXPIRY_MS, lengthMs) - nowMs;
     return [{ suspect, crashes, remainingMs }];
   }
 
+  /**
+   * Returns whether something that the request does not contain explains the same crashes: of the parts
+   * that a prompt shares with those that crash servers, most are sound.
+   */
+  private isExplained(crashes: readonly Crash[], own: readonly string[]): boolean {
+    const candidates = [...(crashes[0]?.suspects ?? [])].filter((other) => !own.includes(other));
+    return candidates.some((other) => {
+      const explained = this.crashesBySuspect.get(other) ?? [];
+      if (explained.length === crashes.length && crashes.length >= CERTAIN_CRASHES) return false;
+      return crashes.every((crash) => explained.includes(crash));
+    });
+  }
+
   /** Turns breaks into crashes once the server is seen to be gone, and drops what is too old. */
   private update(nowMs: number): void {
     if (this.breaks.length > 0) {
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -2,7 +2,7 @@
 import type { RelayPool, RelayRoute } from './relay-configuration.js';
 import type { AnswerSink, RelayRequest } from './relay-request.js';
 import type { CrashCause } from './crash-ledger.js';
-import { fingerprintRequest } from './request-fingerprint.js';
+import { listCrashSuspects } from './crash-suspects.js';
 import type { RunContext } from './run-context.js';
 import { SendCharges, type SendKind, type SendResult } from './send-charges.js';
 import type { CatalogServer } from './server-catalog.js';
@@ -193,7 +193,7 @@
   }
 
   private listSuspects(): readonly string[] {
-    this.suspects ??= [fingerprintRequest(this.job.request, this.job.team)];
+    this.suspects ??= listCrashSuspects(this.job.request, this.job.team);
     return this.suspects;
   }
 
