fix: ignore server entries with an address or number that cannot be used

Here: an entry with port 99999, or with a host that is no IP address, became a server, and the first request to it threw 'Invalid URL' outside the outcome of the call, which ends the process as an unhandled rejection. Deep nesting and 1e400 were refused before.

Addresses must be an IPv4 address and a port from 1 to 65535, slots at most 100,000; a call whose connections cannot be set up ends as 'unsent'.

--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -12,6 +12,7 @@
 import { ServerClient } from '../../platform/server-client.js';
 import { decodeSettings } from '../../platform/settings.js';
 import { selectRequestHeaders } from '../../platform/wire-headers.js';
+import type { Address } from '../../src/domain/vm.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
 import { JsonLogs } from '../../src/observability/json-logs.js';
 import { createCatalogServer, createRelayRequest } from '../support/relay-fixtures.js';
@@ -80,10 +81,18 @@
 /** Port without a listener. */
 const UNUSED_PORT = 1;
 
-async function sendRequest(requestId: string, connectedAfterMs = -Infinity): Promise<string> {
-  const { scriptedServer: server, platformClient: calls, noListener: closed } = scenario;
-  const port = closed ? UNUSED_PORT : server!.port;
-  const target = createCatalogServer({ address: { host: '127.0.0.1', port } });
+function scriptedAddress(): Address {
+  const { scriptedServer: server, noListener: closed } = scenario;
+  return { host: '127.0.0.1', port: closed ? UNUSED_PORT : server!.port };
+}
+
+async function sendRequest(
+  requestId: string,
+  connectedAfterMs = -Infinity,
+  address = scriptedAddress(),
+): Promise<string> {
+  const { platformClient: calls } = scenario;
+  const target = createCatalogServer({ address });
   const headers = ['Attempt-Id', requestId, 'Host', 'plans.example'];
   const request = createRelayRequest({ requestId, headers });
   const outcome = await calls!.send(target, request, {
@@ -127,6 +136,19 @@
   assert.equal(decodeServer('i-1', Buffer.from(entry)), undefined);
 });
 
+Then('a platform entry that is nested {int} levels deep yields no server', (levels: number) => {
+  const entry = `{"service":${'['.repeat(levels)}${']'.repeat(levels)}}`;
+  assert.equal(decodeServer('i-1', Buffer.from(entry)), undefined);
+});
+
+When(
+  'a request is sent to the platform server with the address {string}',
+  async (address: string) => {
+    const [host = '', port] = address.split(':');
+    scenario.outcomes.push(await sendRequest('r0', -Infinity, { host, port: Number(port) }));
+  },
+);
+
 When(
   'the platform configuration has a route without a host, a route of an unknown kind and a team without a name',
   () => {
--- a/features/users-platform/contract.feature
+++ b/features/users-platform/contract.feature
@@ -68,6 +68,27 @@
       | {"address":"10.0.0.1:80","slots":4,"state":"ready"}                                    |
       | {"service":"s","address":"10.0.0.1:80","slots":4,"state":"ready","stage":"elsewhere"}  |
       | {"service":"s","address":"10.0.0.1:80","slots":4,"state":"ready","born":"yesterday"}   |
+      | {"service":"s","address":"10.0.0.1:99999","slots":4,"state":"ready"}                   |
+      | {"service":"s","address":"10.0.0.1:0","slots":4,"state":"ready"}                       |
+      | {"service":"s","address":"10.0.0.999:80","slots":4,"state":"ready"}                    |
+      | {"service":"s","address":"a b:80","slots":4,"state":"ready"}                           |
+      | {"service":"s","address":"10.0.0.1:80","slots":1e400,"state":"ready"}                  |
+      | {"service":"s","address":"10.0.0.1:80","slots":1e300,"state":"ready"}                  |
+      | {"service":"s","address":"10.0.0.1:80","slots":4,"state":"ready","born":1e300}         |
+
+  # Guards against a process that ends, or no longer follows the entries, because of one odd entry.
+  Scenario: a deeply nested entry of another writer yields no server
+    Then a platform entry that is nested 1000000 levels deep yields no server
+
+  Scenario Outline: a request to <address> fails as not sent
+    Given a platform server that answers with "no listener"
+    When a request is sent to the platform server with the address "<address>"
+    Then the platform call ends as "unsent"
+
+    Examples:
+      | address       |
+      | 10.0.0.1:99999 |
+      | a b:80        |
 
   Scenario: a configuration with invalid parts keeps the valid ones
     When the platform configuration has a route without a host, a route of an unknown kind and a team without a name
