fix: treat a stream that ends inside an event as broken off

A stream without a length that ended inside an event was passed on with the rest of that event and a regular end, so callers could take it for complete. It is resumed where the route allows it, and cut otherwise. Answers that state another content type are passed on as before.

Two scenarios guard what other operators saw: the text of an error in the middle of a stream, or an end that looks complete, after the next server refused to continue it.

--- a/features/relay/relay-runs.feature
+++ b/features/relay/relay-runs.feature
@@ -36,6 +36,21 @@
       | stream    | 2        | stream breaks, answer | 1     | 200    | 1      | cut   |
       | resumable | 2        | stream breaks, answer | 2     | 200    | 1,2,3  | whole |
       | resumable | 1        | stream breaks, answer | 1     | 200    | 1      | cut   |
+      | stream | 1 | stream ends inside an event | 1 | 200 | 1 | cut |
+      | resumable | 2 | stream ends inside an event, answer | 2 | 200 | 1,2,3 | whole |
+
+  # Guards against the text of an error in the middle of a stream, and against an end that looks complete.
+  Scenario Outline: a stream that broke off and is refused by the next server ends as cut
+    Given a relay with 1 prefill engine and 3 decode engines that do "stream breaks, <step>"
+    When a relay request of kind "resumable" with 2 attempts arrives
+    Then the relay sends it 2 times and the caller gets 200
+    And the relay's caller has the events "1" and the answer is cut
+    And the relay's caller has no text of an error
+
+    Examples:
+      | step           |
+      | failure status |
+      | broken         |
 
   # Progress is an event that carries data: bytes alone prove nothing about the server's work.
   Scenario Outline: a stream with <step> ends when it makes no progress for 3 s
--- a/features/steps/relay-run-steps.ts
+++ b/features/steps/relay-run-steps.ts
@@ -14,7 +14,7 @@
 import { AnswerSink, type AnswerHead } from '../../src/relay/relay-request.js';
 import type { CatalogServer } from '../../src/relay/server-catalog.js';
 import { listRetries } from '../support/retry-simulation.js';
-import { FakeUpstream, type UpstreamStep } from '../support/fake-upstream.js';
+import { FAILURE_TEXT, FakeUpstream, type UpstreamStep } from '../support/fake-upstream.js';
 import {
   createCatalogServer,
   createRelayConfiguration,
@@ -195,6 +195,10 @@
   },
 );
 
+Then("the relay's caller has no text of an error", () => {
+  assert.ok(!scenario.sink.text.includes(FAILURE_TEXT));
+});
+
 Then(
   'the relay has ended the send within {int} ms and released its reservation and its prefill result',
   (mostMs: number) => {
--- a/features/support/fake-upstream.ts
+++ b/features/support/fake-upstream.ts
@@ -15,6 +15,9 @@
 /** A body with this text crashes the server that begins to answer it. */
 export const CRASH = 'crash';
 
+/** Body of an answer with a failure status. */
+export const FAILURE_TEXT = '{"error":"the server failed"}';
+
 /** Scripted result of a send. */
 export type UpstreamStep = 'hangs' | AnswerStep | UpstreamFailure;
 
@@ -25,6 +28,7 @@
   'failure status',
   'stream breaks',
   'stream breaks late',
+  'stream ends inside an event',
   'slow events',
   'comments for ever',
   'half an event for ever',
@@ -174,6 +178,10 @@
   const status = step === 'failure status' ? 500 : 200;
   const first = Number(resumeAfter ?? 0) + 1;
   async function* body() {
+    if (status !== 200) {
+      yield Buffer.from(FAILURE_TEXT);
+      return;
+    }
     yield Buffer.from(`id: ${first}\ndata: x\n\n`);
     const slow = describeSlow(step, first);
     for (let sent = 0; slow && sent < slow.count; sent += 1) {
@@ -186,6 +194,10 @@
     }
     if (step === 'stream breaks late') await setTimeout(LATE_BREAK_MS);
     if (step.startsWith('stream breaks')) throw new Error('reset');
+    if (step === 'stream ends inside an event') {
+      yield Buffer.from(`id: ${first + 1}\ndata:`);
+      return;
+    }
     yield Buffer.from(`id: ${first + 1}\ndata: x\n\n`);
   }
   return { head: { status, headers: [], framed: true }, body: body() };
--- a/src/relay/event-splitter.ts
+++ b/src/relay/event-splitter.ts
@@ -1,3 +1,5 @@
+import type { AnswerHead } from './relay-request.js';
+
 const EVENT_END = '\n\n';
 
 /** Largest accepted event, in bytes; engines may put many tokens into one event. */
@@ -33,6 +35,11 @@
     return this.partialBytes > MAX_EVENT_BYTES;
   }
 
+  /** True when the bytes so far end inside an event; blank lines at the end are none. */
+  get endsInsideEvent(): boolean {
+    return this.partial.some((chunk) => /\S/.test(chunk.toString('latin1')));
+  }
+
   /**
    * Accepts a chunk of the stream.
    *
@@ -99,3 +106,16 @@
 export function carriesData(events: Buffer): boolean {
   return events.subarray(0, 5).toString('latin1') === 'data:' || events.includes('\ndata:');
 }
+
+/**
+ * Returns whether an answer is a stream of events; without a content type it is taken for one.
+ *
+ * @param head - status and headers of the answer
+ * @returns false when the answer states another content type
+ */
+export function isEventStream({ headers }: AnswerHead): boolean {
+  const at = headers.findIndex(
+    (name, index) => index % 2 === 0 && name.toLowerCase() === 'content-type',
+  );
+  return at < 0 || headers[at + 1]!.toLowerCase().startsWith('text/event-stream');
+}
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -1,4 +1,4 @@
-import { carriesData, EventSplitter } from './event-splitter.js';
+import { carriesData, EventSplitter, isEventStream } from './event-splitter.js';
 import { Run, type Job, type RunResult, type ProgressTimeout } from './run.js';
 import type { RunContext } from './run-context.js';
 import type { DecodeScheduler, DecodeSlot } from './decode-scheduler.js';
@@ -269,6 +269,9 @@
     } catch {
       return this.handleBrokenStream(server);
     }
+    if (status === 200 && isEventStream(answer.head) && this.events.endsInsideEvent) {
+      return this.handleBrokenStream(server);
+    }
     const rest = this.events.flush();
     if (rest.length > 0) await sink.write(rest);
     sink.end();
