fix: accept a refusal only for its own request and send

Other operators saw 'not run, try again' for requests that ran: a faulty server wrote an earlier refusal once more on a kept connection.

--- a/features/relay/relay-runs.feature
+++ b/features/relay/relay-runs.feature
@@ -88,3 +88,11 @@
     Given a relay with 3 plain servers that do "not-run, answer"
     When a relay request of kind "once" with 1 attempts arrives that is 1000 ms old
     Then every relay send has at most 4000 ms left
+
+  # Guards a request that may run once: on a kept connection, a copy of the earlier refusal with the
+  # same id would be taken for the answer to the second send.
+  Scenario: a request that a server refused is sent to it again on a new connection only
+    Given a relay with 1 prefill engine and 1 decode engines that do "not-run, answer"
+    When a relay request of kind "stream" with 1 attempts arrives
+    Then the relay sends it 2 times and the caller gets 200
+    And the second send uses no connection that was open at the first
--- a/features/steps/crash-steps.ts
+++ b/features/steps/crash-steps.ts
@@ -171,7 +171,7 @@
   const { lastRefusal } = scenario;
   assert.equal(lastRefusal?.code, 'quarantined');
   assert.equal(lastRefusal.run, 'not run');
-  assert.ok(lastRefusal.retryAfterMs! > 0);
+  assert.ok(lastRefusal.retryAfterMs! > 0, `retry after ${lastRefusal.retryAfterMs} ms`);
 });
 
 Then('every sound relay request was answered', () => {
--- a/features/steps/relay-run-steps.ts
+++ b/features/steps/relay-run-steps.ts
@@ -195,8 +195,15 @@
   },
 );
 
+Then('the second send uses no connection that was open at the first', () => {
+  const [first, second] = scenario.upstream.sends;
+  assert.equal(second!.server, first!.server);
+  const afterMs = second!.options.connectedAfterMs!;
+  assert.ok(afterMs >= first!.atMs, `connections opened after ${afterMs}, sent at ${first!.atMs}`);
+});
+
 Then("the relay's caller has no text of an error", () => {
-  assert.ok(!scenario.sink.text.includes(FAILURE_TEXT));
+  assert.ok(!scenario.sink.text.includes(FAILURE_TEXT), scenario.sink.text);
 });
 
 Then(
--- a/features/support/fake-upstream.ts
+++ b/features/support/fake-upstream.ts
@@ -1,5 +1,6 @@
 import { setTimeout } from 'node:timers/promises';
 
+import { SystemClock } from '../../src/kernel/system-clock.js';
 import { fail, succeed, type Outcome } from '../../src/kernel/outcome.js';
 import type { RelayRequest } from '../../src/relay/relay-request.js';
 import type { CatalogServer } from '../../src/relay/server-catalog.js';
@@ -48,6 +49,8 @@
 export interface RecordedSend {
   readonly server: string;
   readonly options: SendOptions;
+  /** Monotonic time, in milliseconds. */
+  readonly atMs: number;
 }
 
 /** Simulates the servers of a pool without network: each send takes the next step; the last one repeats. */
@@ -68,6 +71,8 @@
   /** Servers that have crashed. */
   private readonly down = new Set<string>();
 
+  private readonly clock = SystemClock.create();
+
   private constructor(private readonly steps: UpstreamStep[]) {
     super();
   }
@@ -88,7 +93,7 @@
     options: SendOptions,
   ): Promise<Outcome<OpenAnswer, UpstreamFailure>> {
     if (this.down.has(server.id)) return fail('unsent');
-    this.sends.push({ server: server.id, options });
+    this.sends.push({ server: server.id, options, atMs: this.clock.monotonicMs() });
     if (request.body.includes(CRASH)) return this.crash(server, request, options);
     const step = this.steps.length > 1 ? this.steps.shift()! : this.steps[0]!;
     if (step !== 'unsent') this.recordArrival(request, 'run', isAnswer(step));
--- a/features/support/scripted-server.ts
+++ b/features/support/scripted-server.ts
@@ -21,6 +21,10 @@
   'no signature': (socket, id) => socket.write(whole(id, [])),
   'an encoded body': (socket, id) => socket.write(whole(id, [SEAL, 'Content-Encoding: gzip'])),
   'not run': (socket, id) => socket.write(whole(id, ['Not-Run: 1'], '503 Service Unavailable')),
+  'not run, without an id': (socket) =>
+    socket.write('HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n'),
+  'not run, for another request': (socket) =>
+    socket.write(whole('other', ['Not-Run: 1'], '503 Service Unavailable')),
   'another server': (socket, id) => socket.write(whole(id, [], '421 Misdirected Request')),
   'a closed connection': (socket) => socket.end(),
   'a reset': (socket) => socket.resetAndDestroy(),
--- a/features/users-platform/contract.feature
+++ b/features/users-platform/contract.feature
@@ -13,6 +13,8 @@
       | no signature            | broken    |
       | an encoded body         | broken    |
       | not run                 | not-run   |
+      | not run, without an id | broken |
+      | not run, for another request | broken |
       | another server          | gone      |
       | a closed connection     | broken    |
       | a reset                 | broken    |
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -6,7 +6,7 @@
 import type { RunContext } from './run-context.js';
 import { SendCharges, type SendKind, type SendResult } from './send-charges.js';
 import type { CatalogServer } from './server-catalog.js';
-import type { SendOptions, UpstreamFailure } from './upstream.js';
+import { provesNotRun, type SendOptions, type UpstreamFailure } from './upstream.js';
 
 /** A request that has been admitted. */
 export interface Job {
@@ -56,6 +56,9 @@
   /** Number of sends that may have been processed by a server. */
   protected runs = 0;
 
+  /** When a server last refused this request, as monotonic time in milliseconds, by server id. */
+  private readonly refusedMs = new Map<string, number>();
+
   private readonly charges: SendCharges;
 
   /** What may crash a server; computed when it is first needed. */
@@ -102,7 +105,11 @@
       deadlineMs: Math.max(1, Math.floor(this.remainingMs)),
       team,
       signal,
-      connectedAfterMs: this.context.health.brokenMs(server.id),
+      // The server may send a copy of its refusal on the connection, with the id of the request.
+      connectedAfterMs: Math.max(
+        this.context.health.brokenMs(server.id),
+        this.refusedMs.get(server.id) ?? -Infinity,
+      ),
     };
   }
 
@@ -150,6 +157,7 @@
   protected recordFailure(server: CatalogServer, failure: UpstreamFailure): void {
     const { health, metrics } = this.context;
     this.excluded.add(server.id);
+    if (provesNotRun(failure)) this.refusedMs.set(server.id, this.nowMs);
     metrics.increment('upstream.failures', { reason: failure });
     if (failure === 'unsent') health.record(server.id, 'unreachable', this.nowMs);
     else if (failure === 'silent') health.record(server.id, 'silent', this.nowMs);
