fix: end quarantines at different times on the VMs of a fleet

When a quarantine ended, it ended on all VMs within a round of digests, so each of them could send the next such request before the first crash was known to the others: 36 of 40 VMs within a second in a simulation, one server each. Each VM now stretches its quarantines by its own factor of 1 to 2.

--- a/features/relay/crashes.feature
+++ b/features/relay/crashes.feature
@@ -42,11 +42,19 @@
     Given a simulated fleet of 2 VMs
     When request "deadly" is on two servers of the simulated fleet that crash
     Then all VMs of the simulated fleet refuse "deadly" within 500 ms
-    And no VM of the simulated fleet refuses "deadly" after 15000 ms
+    And all VMs of the simulated fleet refuse "deadly" after 14000 ms
+    And no VM of the simulated fleet refuses "deadly" after 15600 ms
     When request "deadly" is on one more server of the simulated fleet that crashes
     Then all VMs of the simulated fleet refuse "deadly" within 500 ms
-    And all VMs of the simulated fleet refuse "deadly" after 50000 ms
-    And no VM of the simulated fleet refuses "deadly" after 10000 ms
+    And all VMs of the simulated fleet refuse "deadly" after 59000 ms
+    And no VM of the simulated fleet refuses "deadly" after 60600 ms
+
+  # Guards against a crash of one server by each VM when a quarantine ends on all of them at once.
+  Scenario: the VMs of a fleet end a quarantine one after the other
+    Given a simulated fleet of 40 VMs
+    When request "deadly" is on two servers of the simulated fleet that crash
+    Then all VMs of the simulated fleet refuse "deadly" within 2000 ms
+    And at most a fifth of the VMs of the simulated fleet end the quarantine of "deadly" in any 1000 ms
 
   # Servers that reset single connections, and stay, have not crashed.
   Scenario: a request whose connections break while the servers stay is not quarantined
--- a/features/steps/crash-steps.ts
+++ b/features/steps/crash-steps.ts
@@ -219,3 +219,19 @@
     assert.deepEqual(listRefusing(suspect), []);
   },
 );
+
+Then(
+  'at most a fifth of the VMs of the simulated fleet end the quarantine of {string} in any {int} ms',
+  SIMULATION,
+  async (suspect: string, windowMs: number) => {
+    const { simulation } = scenario;
+    const size = simulation.liveVms.length;
+    let before = listRefusing(suspect).length;
+    while (before > 0) {
+      await simulation.advance(windowMs);
+      const after = listRefusing(suspect).length;
+      assert.ok(before - after <= size / 5, `${before - after} of ${size} ended at once`);
+      before = after;
+    }
+  },
+);
--- a/harness/fleet-simulation.ts
+++ b/harness/fleet-simulation.ts
@@ -97,7 +97,7 @@
       retryBudgets: RetryBudgets.create(RETRIES, this.clock.monotonicMs()),
       costs: PoolCosts.create(),
       catalog: ServerCatalog.create(),
-      crashes: CrashLedger.create(() => true),
+      crashes: CrashLedger.create(() => true, createDraws(index)),
       bytes: 0,
       alive: true,
       receive: () => undefined,
@@ -182,3 +182,9 @@
     registerFake(kernel, 'logs', { info: () => undefined, warn: () => undefined });
   }
 }
+
+/** Returns a source of numbers from 0 to 1 that are spread evenly over the indexes. */
+function createDraws(index: number): () => number {
+  const goldenRatio = 0.618034;
+  return () => (index * goldenRatio) % 1;
+}
--- a/src/relay/crash-ledger.ts
+++ b/src/relay/crash-ledger.ts
@@ -76,16 +76,25 @@
   /** Crashes of each suspect that is not cleared; undefined after a change. */
   private index: Map<string, Crash[]> | undefined;
 
-  private constructor(private readonly hasEnded: ServerEndCheck) {}
+  /** Factor of this VM's quarantines, 1 to 2: if they ended at once, every VM would send the next request. */
+  private readonly jitter: number;
+
+  private constructor(
+    private readonly hasEnded: ServerEndCheck,
+    random: () => number,
+  ) {
+    this.jitter = 1 + random();
+  }
 
   /**
    * Creates a ledger without crashes.
    *
    * @param hasEnded - tells whether a server has ended since a time
+   * @param random - source of numbers from 0 to 1, by which the ends of quarantines differ between VMs
    * @returns a new ledger
    */
-  static create(hasEnded: ServerEndCheck): CrashLedger {
-    return new CrashLedger(hasEnded);
+  static create(hasEnded: ServerEndCheck, random: () => number = Math.random): CrashLedger {
+    return new CrashLedger(hasEnded, random);
   }
 
   /**
@@ -194,7 +203,7 @@
     if (isPromptPart(suspect) && this.isExplained(confirmed, own)) return [];
     const newestMs = Math.max(...[...confirmed, ...pending].map(({ atMs }) => atMs));
     const lengthMs = INITIAL_QUARANTINE_MS * QUARANTINE_FACTOR ** (crashes - minCrashes);
-    const remainingMs = newestMs + Math.min(CRASH_EXPIRY_MS, lengthMs) - nowMs;
+    const remainingMs = newestMs + Math.min(CRASH_EXPIRY_MS, lengthMs * this.jitter) - nowMs;
     return [{ suspect, crashes, remainingMs }];
   }
 
