fix: keep long ids of prompt parts out of digests

Callers choose the ids of prompt parts, and all VMs reject a digest with a name of more than 100 characters: a crash during a prompt with longer ids would have cut a VM off from the others. Long ids are hashed, at most 32 parts are suspects, and the longest quarantine is 5 to 10 min, so that its end differs between VMs too.

--- a/features/relay/crashes.feature
+++ b/features/relay/crashes.feature
@@ -38,6 +38,13 @@
     When a server answers "bystander" at a VM of the simulated fleet
     Then no VM of the simulated fleet refuses "bystander" after 500 ms
 
+  # Guards the digests, which all VMs reject when a value in them is too long.
+  Scenario: prompt parts with long ids are reported like others
+    Given a simulated fleet of 8 VMs
+    When a prompt with 200 parts that have ids of 300 digits is on three servers of the simulated fleet that crash
+    Then all VMs of the simulated fleet refuse the prompt with long ids within 500 ms
+    And no VM of the simulated fleet has lost contact
+
   Scenario: the quarantine grows with the crashes, and ends
     Given a simulated fleet of 2 VMs
     When request "deadly" is on two servers of the simulated fleet that crash
--- a/features/steps/crash-steps.ts
+++ b/features/steps/crash-steps.ts
@@ -5,6 +5,7 @@
 import type { FleetSimulation, SimulatedVm } from '../../harness/fleet-simulation.js';
 import type { Refusal } from '../../src/domain/refusal.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
+import { listCrashSuspects } from '../../src/relay/crash-suspects.js';
 import type { Relay } from '../../src/relay/relay.js';
 import type { RelayRoute } from '../../src/relay/relay-configuration.js';
 import {
@@ -30,6 +31,7 @@
   /** Statuses of the sound requests. */
   soundStatuses: number[];
   crashes: number;
+  suspects: readonly string[];
 }
 
 const scenario = world as unknown as CrashWorld;
@@ -93,23 +95,23 @@
   return [...shared.split(', '), own].map((id) => ({ id, tokens: 10 }));
 }
 
-function isRefused({ crashes }: SimulatedVm, suspect: string): boolean {
-  return crashes.findCause(() => [suspect], scenario.simulation.clock.monotonicMs()) !== undefined;
+function isRefused({ crashes }: SimulatedVm, suspects: readonly string[]): boolean {
+  return crashes.findCause(() => suspects, scenario.simulation.clock.monotonicMs()) !== undefined;
 }
 
-function listRefusing(suspect: string): string[] {
+function listRefusing(...suspects: readonly string[]): string[] {
   const { liveVms } = scenario.simulation;
-  return liveVms.filter((vm) => isRefused(vm, suspect)).map(({ name }) => name);
+  return liveVms.filter((vm) => isRefused(vm, suspects)).map(({ name }) => name);
 }
 
-function crashServer(suspect: string): void {
+function crashServer(...suspects: readonly string[]): void {
   const { simulation } = scenario;
   const { liveVms, clock } = simulation;
   scenario.crashes = (scenario.crashes ?? 0) + 1;
   const server = createCatalogServer({ id: `crashed-${scenario.crashes}` });
   const vm = liveVms[scenario.crashes % liveVms.length]!;
   const others = [`other-${scenario.crashes}`];
-  vm.crashes.recordUnanswered(server, [suspect], clock.monotonicMs());
+  vm.crashes.recordUnanswered(server, suspects, clock.monotonicMs());
   vm.crashes.recordUnanswered(server, others, clock.monotonicMs());
 }
 
@@ -188,6 +190,37 @@
   (suspect: string) => crashServer(suspect),
 );
 
+When(
+  'a prompt with {int} parts that have ids of {int} digits is on three servers of the simulated fleet that crash',
+  (count: number, digits: number) => {
+    const promptParts = Array.from({ length: count }, (_, index) => ({
+      id: `${index}`.padStart(digits, '0'),
+      tokens: 10,
+    }));
+    scenario.suspects = listCrashSuspects(createRelayRequest({ promptParts }), 'team');
+    for (let crash = 0; crash < 3; crash += 1) crashServer(...scenario.suspects);
+  },
+);
+
+Then(
+  'all VMs of the simulated fleet refuse the prompt with long ids within {int} ms',
+  async (ms: number) => {
+    const { simulation, suspects } = scenario;
+    await simulation.advance(ms);
+    assert.equal(listRefusing(...suspects).length, simulation.liveVms.length);
+  },
+);
+
+Then('no VM of the simulated fleet has lost contact', async () => {
+  const { simulation } = scenario;
+  await simulation.advance(3000);
+  const { liveVms } = simulation;
+  assert.deepEqual(
+    new Set(liveVms.map(({ fleet }) => fleet.peers.length)),
+    new Set([liveVms.length - 1]),
+  );
+});
+
 When('a VM of the simulated fleet is replaced', SIMULATION, async () => {
   const { simulation } = scenario;
   await simulation.replace(simulation.liveVms.at(-1)!);
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -60,9 +60,7 @@
   avoided: z.array(z.tuple([z.string(), finiteNumber])),
   leavers: z.array(z.tuple([z.string(), finiteNumber])),
   /** Crash id, age in milliseconds, suspects and cleared suspects; VMs of earlier releases send none. */
-  crashes: z
-    .array(z.tuple([name, finiteNumber, z.array(name).max(64), z.array(name).max(64)]))
-    .default([]),
+  crashes: z.array(z.tuple([z.string(), finiteNumber, z.array(name), z.array(name)])).default([]),
 });
 
 const digestSchema = z.object({
--- a/src/relay/crash-ledger.ts
+++ b/src/relay/crash-ledger.ts
@@ -14,7 +14,10 @@
 const INITIAL_QUARANTINE_MS = 15_000;
 const QUARANTINE_FACTOR = 4;
 
-/** Time for which crashes are remembered, and the longest quarantine, in milliseconds. */
+/** Longest quarantine before jitter, in milliseconds. */
+const MAX_QUARANTINE_MS = 300_000;
+
+/** Time for which crashes are remembered, in milliseconds. */
 const CRASH_EXPIRY_MS = 600_000;
 
 /** Time within which a server must be seen to be gone after a connection to it broke, in milliseconds. */
@@ -172,9 +175,10 @@
       const [id, ageMs, suspects, cleared] = limitReport(report);
       if (ageMs > CRASH_EXPIRY_MS) return;
       const crash = this.findOrCreate(id, nowMs - Math.max(0, ageMs));
+      const known = crash.suspects.size + crash.cleared.size;
       addLimited(crash.suspects, suspects);
       addLimited(crash.cleared, cleared);
-      this.index = undefined;
+      if (crash.suspects.size + crash.cleared.size > known) this.index = undefined;
     });
   }
 
@@ -203,7 +207,7 @@
     if (isPromptPart(suspect) && this.isExplained(confirmed, own)) return [];
     const newestMs = Math.max(...[...confirmed, ...pending].map(({ atMs }) => atMs));
     const lengthMs = INITIAL_QUARANTINE_MS * QUARANTINE_FACTOR ** (crashes - minCrashes);
-    const remainingMs = newestMs + Math.min(CRASH_EXPIRY_MS, lengthMs * this.jitter) - nowMs;
+    const remainingMs = newestMs + this.jitter * Math.min(MAX_QUARANTINE_MS, lengthMs) - nowMs;
     return [{ suspect, crashes, remainingMs }];
   }
 
--- a/src/relay/crash-suspects.ts
+++ b/src/relay/crash-suspects.ts
@@ -1,8 +1,16 @@
+import { createHash } from 'node:crypto';
+
 import { fingerprintRequest } from './request-fingerprint.js';
 import type { RelayRequest } from './relay-request.js';
 
 const PART_PREFIX = 'part ';
 
+/** Maximum number of parts of a prompt that are suspects. */
+const MAX_PARTS = 32;
+
+/** Length of an id from which on its hash is used; callers choose ids, and digests limit names. */
+const MAX_ID_LENGTH = 32;
+
 /**
  * Lists what may crash a server that runs a request: the request itself, and each part of its prompt
  * that other requests may have in common, which excludes the last one.
@@ -12,8 +20,14 @@
  * @returns the fingerprint of the request first, then its parts
  */
 export function listCrashSuspects(request: RelayRequest, team: string | undefined): string[] {
-  const shared = request.promptParts.slice(0, -1).map(({ id }) => `${PART_PREFIX}${id}`);
-  return [fingerprintRequest(request, team), ...new Set(shared)];
+  const shared = request.promptParts.slice(0, -1).slice(0, MAX_PARTS);
+  const parts = new Set(shared.map(({ id }) => `${PART_PREFIX}${shortenId(id)}`));
+  return [fingerprintRequest(request, team), ...parts];
+}
+
+function shortenId(id: string): string {
+  if (id.length <= MAX_ID_LENGTH) return id;
+  return createHash('sha256').update(id).digest('hex').slice(0, MAX_ID_LENGTH);
 }
 
 /**
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -78,7 +78,9 @@
    * @returns how the run ended; a refusal still has to be sent
    */
   async execute(): Promise<RunResult> {
-    const result = this.isQuarantined() ? this.refuseUnserved('quarantined') : await this.run();
+    const result = this.isQuarantined()
+      ? this.refuseUnserved('the request may not be sent')
+      : await this.run();
     this.charges.refundUnused(this.nowMs);
     return result;
   }
