fix: keep the deadline of a request across garbage collections

Cause: Relay.admit kept only the result of AbortSignal.any(), which refers to its sources weakly in Node 20; so does the timer of AbortSignal.timeout(). Once admit runs as optimized code, the next full garbage collection removes the timeout signal. Ruled out: the connection pools and the attempt timeouts, whose timers refer to their controllers.

The deadline is an AbortController that its timer refers to, cancelled at the end of the request. The linter rejects AbortSignal.timeout in the product.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -29,6 +29,15 @@
       'no-void': ['error', { allowAsStatement: true }],
     },
   },
+  {
+    files: ['src/**', 'platform/**', 'harness/**', 'stand-ins/**', 'bench/**'],
+    rules: {
+      'no-restricted-properties': [
+        'error',
+        { object: 'AbortSignal', property: 'timeout', message: 'Use kernel/deadline.' },
+      ],
+    },
+  },
   {
     files: ['demo/**', 'bench/**', 'src/cli/**', 'src/ctl.ts', 'src/daemon.ts', 'platform/main.ts'],
     rules: { 'no-console': 'off', 'n/no-process-exit': 'off', 'n/hashbang': 'off' },
--- a/features/relay/relay-runs.feature
+++ b/features/relay/relay-runs.feature
@@ -89,6 +89,19 @@
     When a relay request of kind "once" with 1 attempts arrives that is 1000 ms old
     Then every relay send has at most 4000 ms left
 
+  # Guards against deadlines that a garbage collection removes, so that callers get no answer.
+  Scenario Outline: a <kind> request that waits for a server during garbage collections ends at its deadline
+    Given a relay with <servers> that do "hangs"
+    And the relay has served 5000 requests of kind "<kind>" with 1 attempts
+    When a relay request of kind "<kind>" with 1 attempts arrives that is 4000 ms old, with garbage collections until it ends
+    Then the relay's caller gets 504
+    And the relay took between 900 and 1500 ms
+
+    Examples:
+      | kind       | servers                                |
+      | once       | 3 plain servers                        |
+      | idempotent | 3 plain servers                        |
+
   # Guards a request that may run once: on a kept connection, a copy of the earlier refusal with the
   # same id would be taken for the answer to the second send.
   Scenario: a request that a server refused is sent to it again on a new connection only
--- a/features/steps/relay-run-steps.ts
+++ b/features/steps/relay-run-steps.ts
@@ -2,6 +2,7 @@
 
 import { Given, Then, When, world } from '@cucumber/cucumber';
 
+import { collectGarbage } from '../../bench/collect-garbage.js';
 import type { Refusal } from '../../src/domain/refusal.js';
 import { Kernel } from '../../src/kernel/kernel.js';
 import type { Service, Services } from '../../src/kernel/service.js';
@@ -73,6 +74,8 @@
   roleChangeMs: 6000,
 };
 
+const GARBAGE_COLLECTION_INTERVAL_MS = 100;
+
 /** Deadline of the callers in these tests, in milliseconds. */
 const DEADLINE_MS = 5000;
 
@@ -143,6 +146,17 @@
   },
 );
 
+// Optimized code keeps fewer objects alive than code that has run once.
+Given(
+  'the relay has served {int} requests of kind {string} with {int} attempts',
+  { timeout: 60_000 },
+  async (count: number, kind: string, attempts: number) => {
+    scenario.upstream.answerFirst(count);
+    for (let index = 0; index < count; index += 1)
+      await serve(kind, attempts, 0, new AbortController().signal);
+  },
+);
+
 When(
   'a relay request of kind {string} with {int} attempts arrives',
   async (kind: string, attempts: number) => {
@@ -168,6 +182,15 @@
   },
 );
 
+When(
+  'a relay request of kind {string} with {int} attempts arrives that is {int} ms old, with garbage collections until it ends',
+  async (kind: string, attempts: number, ageMs: number) => {
+    const timer = setInterval(collectGarbage, GARBAGE_COLLECTION_INTERVAL_MS);
+    await serve(kind, attempts, ageMs, new AbortController().signal);
+    clearInterval(timer);
+  },
+);
+
 When(
   'a relay request of kind {string} with {int} attempts arrives and its caller disconnects after {int} ms',
   async (kind: string, attempts: number, afterMs: number) => {
@@ -186,6 +209,10 @@
   },
 );
 
+Then("the relay's caller gets {int}", (status: number) => {
+  assert.equal(scenario.sink.status, status);
+});
+
 Then(
   /^the relay's caller has the events "(.*)" and the answer is (whole|cut)$/,
   (events: string, end: string) => {
--- a/features/support/fake-upstream.ts
+++ b/features/support/fake-upstream.ts
@@ -87,6 +87,15 @@
     return new FakeUpstream([...steps]);
   }
 
+  /**
+   * Answers sends before the next step is taken.
+   *
+   * @param count - number of sends
+   */
+  answerFirst(count: number): void {
+    this.steps.unshift(...Array.from({ length: count }, () => 'answer' as const));
+  }
+
   override async send(
     server: CatalogServer,
     request: RelayRequest,
--- a/features/support/guarantees-load.ts
+++ b/features/support/guarantees-load.ts
@@ -4,6 +4,7 @@
 import { callCompletion } from '../../harness/caller-client.js';
 import type { FleetDaemon } from '../../harness/fleet.js';
 import { MODEL } from '../../harness/plans.js';
+import { Deadline } from '../../src/kernel/deadline.js';
 
 /** Closed-loop load: each caller sends its next request as soon as the previous one is answered. */
 export interface FloodPlan {
@@ -80,10 +81,12 @@
   ended: AbortSignal,
 ): Promise<string> {
   const early = turn % 2 === 0 ? EARLY_STOP_SUFFIX : '';
-  const signal = AbortSignal.any([ended, AbortSignal.timeout(ANSWER_TIMEOUT_MS)]);
+  const deadline = Deadline.create(ANSWER_TIMEOUT_MS);
+  const signal = AbortSignal.any([ended, deadline.signal]);
   const call = { model: MODEL, prompt: `${turn} ${PROMPT}${early}`, maxTokens: OUTPUT_TOKENS };
   const answer = await callCompletion(target.callers, { ...call, key, signal, stream: true }).catch(
     () => undefined,
   );
+  deadline.cancel();
   return answer ? (answer.code ?? 'ok') : 'broken';
 }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,5 +1,6 @@
 import { Refusal } from '../domain/refusal.js';
 import type { Clock } from '../kernel/clock.js';
+import { Deadline } from '../kernel/deadline.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { Service } from '../kernel/service.js';
 import { CrashLedger } from './crash-ledger.js';
@@ -236,12 +237,13 @@
     }
     const timeoutAtMs = route.timeoutMs > 0 ? request.arrivedMs + route.timeoutMs : Infinity;
     const endByMs = Math.min(request.deadlineAtMs, timeoutAtMs);
-    const deadline = AbortSignal.timeout(Math.max(1, Math.ceil(endByMs - nowMs)));
-    const signal = AbortSignal.any([disconnected, deadline]);
+    const deadline = Deadline.create(endByMs - nowMs);
+    const signal = AbortSignal.any([disconnected, deadline.signal]);
     const priority = team?.priority ?? route.priority;
     const limits = { priority, insideRate, endByMs, signal };
     const job: Job = { request, route, pool, team: team?.name, ...limits, sink };
     const end = await this.run(job);
+    deadline.cancel();
     if (team && end.kind === 'refused' && end.refusal.run === 'not run') {
       this.rateLimiter.refund(team.name, tokens, insideRate);
     }
