fix: suspect requests whose server crashes after the answer has begun

Cause: the first event counted as proof that a request is sound. It cleared the request and its parts of all known crashes, and a later break recorded no suspect. Plain services had the same gap after the head of an answer.

Ruled out: the exchange of crashes between VMs and the limits of reports; the same streams are refused when the engine crashes before its first event.

An answer clears its request when it is complete or has gone on for a second; any break before that makes it a suspect. Parts that servers have answered in the last 10 s are cleared of new crashes at once, since the sound prompts of a crashed server are suspects now. A connection that the router closed itself makes no suspect.

--- a/features/relay/crashes.feature
+++ b/features/relay/crashes.feature
@@ -1,20 +1,28 @@
 Feature: Requests that crash the servers that run them
 
   # Guards against one request, sent again with new ids, that takes down one server after the other.
-  Scenario Outline: a <kind> request that crashes servers is refused after two or three crashes (pattern: one deadly request sent again)
+  Scenario Outline: a <kind> request that crashes servers <point> is refused after two or three crashes (pattern: one deadly request sent again)
     Given a relay with <servers> that do "answer"
+    And servers of the relay crash <point>
     When a relay request of kind "<kind>" with <attempts> attempts that crashes servers arrives 8 times, with 40 sound ones after each
     Then at most 3 relay servers have crashed
     And the crashing relay request is refused as not run, with a time to retry
     And every sound relay request was answered
 
     Examples:
-      | kind       | attempts | servers                                 |
-      | idempotent | 2        | 12 plain servers                        |
-      | idempotent | 3        | 12 plain servers                        |
-      | once       | 1        | 12 plain servers                        |
-      | stream     | 1        | 2 prefill engines and 12 decode engines |
-      | resumable  | 3        | 2 prefill engines and 12 decode engines |
+      | kind       | attempts | servers                                 | point                 |
+      | idempotent | 2        | 12 plain servers                        | before the head       |
+      | idempotent | 3        | 12 plain servers                        | before the head       |
+      | once       | 1        | 12 plain servers                        | before the head       |
+      | stream     | 1        | 2 prefill engines and 12 decode engines | before the head       |
+      | resumable  | 3        | 2 prefill engines and 12 decode engines | before the head       |
+      | idempotent | 2        | 12 plain servers                        | after the head        |
+      | once       | 1        | 12 plain servers                        | after the head        |
+      | stream     | 1        | 2 prefill engines and 12 decode engines | after the head        |
+      | resumable  | 3        | 2 prefill engines and 12 decode engines | after the head        |
+      | stream     | 1        | 12 plain servers                        | after the first event |
+      | stream     | 1        | 2 prefill engines and 12 decode engines | after the first event |
+      | resumable  | 3        | 2 prefill engines and 12 decode engines | after the first event |
 
   Scenario Outline: <vms> VMs learn of a request that crashed servers on two of them
     Given a simulated fleet of <vms> VMs
@@ -73,6 +81,7 @@
   # Guards against prompts that are all different and have one part in common that crashes servers.
   Scenario Outline: <kind> prompts with the parts "<deadly>" crash five servers at most, and those with "<sound>" are served (pattern: a prompt part that crashes servers)
     Given a relay with 2 prefill engines and 24 decode engines that do "answer"
+    And servers of the relay crash after the head
     When 10 relay prompts of kind "<kind>" with the parts "<deadly>" crash servers, with 60 sound ones with the parts "<sound>" after each
     Then at most 5 relay servers have crashed
     And the crashing relay request is refused as not run, with a time to retry
@@ -87,9 +96,34 @@
       | resumable | system, topic, bad | system, topic      |
       | resumable | system, bad, topic | system, topic, own |
 
+  # Guards against a part whose servers crash after the first event: an answer that has begun proves nothing.
+  Scenario Outline: <kind> prompts with a part that crashes servers <point> are refused, and sound ones served
+    Given a relay with 2 prefill engines and 24 decode engines that do "answer"
+    And servers of the relay crash <point>
+    When 10 relay prompts of kind "<kind>" with the parts "system, topic, bad" crash servers, with 60 sound ones with the parts "system, topic" after each
+    Then at most 5 relay servers have crashed
+    And the crashing relay request is refused as not run, with a time to retry
+    And every sound relay request was answered
+
+    Examples:
+      | kind      | point                 |
+      | stream    | after the head        |
+      | resumable | after the head        |
+      | stream    | after the first event |
+      | resumable | after the first event |
+
+  # Guards sound prompts: while no answer is complete yet, their parts are on the crashed servers too.
+  Scenario: parts that servers have answered before are no cause of crashes (pattern: the servers of a zone crash at once)
+    Given a simulated fleet of 8 VMs
+    When servers answer the parts "system" at all VMs of the simulated fleet
+    And the parts "system, topic" are on 3 servers of the simulated fleet that crash
+    Then no VM of the simulated fleet refuses the part "system" after 500 ms
+    And all VMs of the simulated fleet refuse the part "topic"
+
   # Here no sound prompt has cleared the other parts before the crashes are known.
   Scenario: prompts that share all parts but one with those that crashed servers are served
     Given a relay with 2 prefill engines and 24 decode engines that do "answer"
+    And servers of the relay crash after the head
     When 10 relay prompts of kind "stream" with the parts "system, topic, bad" crash servers, with 60 sound ones with the parts "system" after each
     And 1 relay prompts of kind "stream" with the parts "system, topic, bad" crash servers, with 60 sound ones with the parts "system, topic" after each
     Then at most 5 relay servers have crashed
--- a/features/steps/crash-steps.ts
+++ b/features/steps/crash-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { Then, When, world } from '@cucumber/cucumber';
+import { Given, Then, When, world } from '@cucumber/cucumber';
 
 import type { FleetSimulation, SimulatedVm } from '../../harness/fleet-simulation.js';
 import type { Refusal } from '../../src/domain/refusal.js';
@@ -14,7 +14,7 @@
   type PromptPart,
   type RelayRequest,
 } from '../../src/relay/relay-request.js';
-import { CRASH, type FakeUpstream } from '../support/fake-upstream.js';
+import { CRASH, type CrashPoint, type FakeUpstream } from '../support/fake-upstream.js';
 import {
   createCatalogServer,
   createRelayConfiguration,
@@ -115,6 +115,10 @@
   vm.crashes.recordUnanswered(server, others, clock.monotonicMs());
 }
 
+Given(/^servers of the relay crash (.*)$/, (point: CrashPoint) => {
+  scenario.upstream.crashPoint = point;
+});
+
 When(
   'a relay request of kind {string} with {int} attempts that crashes servers arrives {int} times, with {int} sound ones after each',
   { timeout: 60_000 },
@@ -226,8 +230,42 @@
   await simulation.replace(simulation.liveVms.at(-1)!);
 });
 
+/** Names the parts of a prompt as suspects. */
+function listParts(parts: string): string[] {
+  return parts.split(', ').map((part) => `part ${part}`);
+}
+
+When('servers answer the parts {string} at all VMs of the simulated fleet', (parts: string) => {
+  const { liveVms, clock } = scenario.simulation;
+  const suspects = listParts(parts);
+  liveVms.forEach(({ crashes }) =>
+    crashes.recordAnswered(suspects, () => suspects, clock.monotonicMs()),
+  );
+});
+
+When(
+  'the parts {string} are on {int} servers of the simulated fleet that crash',
+  (parts: string, count: number) => {
+    for (let crash = 0; crash < count; crash += 1) crashServer(...listParts(parts));
+  },
+);
+
+Then(
+  'no VM of the simulated fleet refuses the part {string} after {int} ms',
+  SIMULATION,
+  async (part: string, ms: number) => {
+    await scenario.simulation.advance(ms);
+    assert.deepEqual(listRefusing(...listParts(part)), []);
+  },
+);
+
+Then('all VMs of the simulated fleet refuse the part {string}', (part: string) => {
+  assert.equal(listRefusing(...listParts(part)).length, scenario.simulation.liveVms.length);
+});
+
 When('a server answers {string} at a VM of the simulated fleet', (suspect: string) => {
-  scenario.simulation.liveVms[0]!.crashes.recordAnswered(() => [suspect]);
+  const { liveVms, clock } = scenario.simulation;
+  liveVms[0]!.crashes.recordAnswered([], () => [suspect], clock.monotonicMs());
 });
 
 Then(
--- a/features/support/fake-upstream.ts
+++ b/features/support/fake-upstream.ts
@@ -16,6 +16,9 @@
 /** A body with this text crashes the server that begins to answer it. */
 export const CRASH = 'crash';
 
+/** How far the answer has come when a request crashes its server. */
+export type CrashPoint = 'before the head' | 'after the head' | 'after the first event';
+
 /** Body of an answer with a failure status. */
 export const FAILURE_TEXT = '{"error":"the server failed"}';
 
@@ -66,6 +69,8 @@
 
   prefills = 0;
 
+  crashPoint: CrashPoint = 'before the head';
+
   private reservations = 0;
 
   /** Servers that have crashed. */
@@ -103,7 +108,7 @@
   ): Promise<Outcome<OpenAnswer, UpstreamFailure>> {
     if (this.down.has(server.id)) return fail('unsent');
     this.sends.push({ server: server.id, options, atMs: this.clock.monotonicMs() });
-    if (request.body.includes(CRASH)) return this.crash(server, request, options);
+    if (request.body.includes(CRASH)) return this.crash(server, request);
     const step = this.steps.length > 1 ? this.steps.shift()! : this.steps[0]!;
     if (step !== 'unsent') this.recordArrival(request, 'run', isAnswer(step));
     if (step === 'hangs') {
@@ -133,14 +138,14 @@
   private crash(
     server: CatalogServer,
     request: RelayRequest,
-    { reservation }: SendOptions,
   ): Outcome<OpenAnswer, UpstreamFailure> {
+    const { crashPoint } = this;
     this.down.add(server.id);
     this.recordArrival(request, 'run', false);
-    if (reservation === undefined) return fail('broken');
+    if (crashPoint === 'before the head') return fail('broken');
     async function* body(): AsyncGenerator<Buffer> {
       await setTimeout(1);
-      yield Buffer.alloc(0);
+      yield Buffer.from(crashPoint === 'after the head' ? '' : 'id: 1\ndata: x\n\n');
       throw new Error('reset');
     }
     return succeed({ head: { status: 200, headers: [], framed: true }, body: body() });
--- a/src/relay/crash-ledger.ts
+++ b/src/relay/crash-ledger.ts
@@ -23,11 +23,17 @@
 /** Time within which a server must be seen to be gone after a connection to it broke, in milliseconds. */
 const CONFIRMATION_MS = 5000;
 
+/** Time for which a complete answer clears a prompt part of crashes that come after it, in milliseconds. */
+const SOUND_EXPIRY_MS = 10_000;
+
 /** Maximum number of crashes, of broken connections without confirmation, and of suspects of a crash. */
 const MAX_CRASHES = 128;
 const MAX_BREAKS = 256;
 const MAX_SUSPECTS = 64;
 
+/** Maximum number of prompt parts that are remembered as sound. */
+const MAX_SOUND_PARTS = 512;
+
 /** Limits of what is reported to other VMs: a digest must stay small. */
 const MAX_REPORTED_CRASHES = 8;
 const MAX_REPORTED_SUSPECTS = 12;
@@ -41,7 +47,7 @@
   /** Monotonic time, in milliseconds. */
   readonly atMs: number;
   readonly suspects: Set<string>;
-  /** Former suspects that a server has answered since. */
+  /** Former suspects that a server has answered completely. */
   readonly cleared: Set<string>;
 }
 
@@ -49,6 +55,8 @@
   readonly server: CatalogServer;
   readonly atMs: number;
   readonly suspects: readonly string[];
+  /** How long the server had been answering, in milliseconds. */
+  readonly answeredMs: number;
 }
 
 /** A crash as a VM reports it: server with its incarnation, age in milliseconds, suspects, cleared suspects. */
@@ -67,8 +75,8 @@
 
 /**
  * Finds the requests that crash servers. A server that is gone after its connections broke has crashed,
- * and the requests that it had not begun to answer are suspects, until a server begins to answer one
- * like them. VMs exchange the crashes that they know; merging them is idempotent and needs no order.
+ * and the requests that it had not begun to answer, or only just, are suspects, until a server answers
+ * one like them. VMs exchange the crashes that they know; merging them is idempotent and needs no order.
  */
 export class CrashLedger {
   /** Crashes by server and incarnation, the oldest first. */
@@ -76,6 +84,9 @@
 
   private breaks: Break[] = [];
 
+  /** When a server last answered a prompt with a part, as monotonic time in milliseconds; the oldest first. */
+  private readonly soundParts = new Map<string, number>();
+
   /** Crashes of each suspect that is not cleared; undefined after a change. */
   private index: Map<string, Crash[]> | undefined;
 
@@ -101,23 +112,37 @@
   }
 
   /**
-   * Records that a connection broke before the server began to answer.
+   * Records that a connection broke before a server had answered a request.
    *
    * @param server - the server
    * @param suspects - what may have crashed it
    * @param nowMs - monotonic time, in milliseconds
+   * @param answeredMs - how long the server had been answering, in milliseconds
    */
-  recordUnanswered(server: CatalogServer, suspects: readonly string[], nowMs: number): void {
-    this.breaks.push({ server, atMs: nowMs, suspects });
+  recordUnanswered(
+    server: CatalogServer,
+    suspects: readonly string[],
+    nowMs: number,
+    answeredMs = 0,
+  ): void {
+    this.breaks.push({ server, atMs: nowMs, suspects, answeredMs });
     if (this.breaks.length > MAX_BREAKS) this.breaks.shift();
   }
 
   /**
-   * Records that a server has begun to answer a request, which clears it of all known crashes.
+   * Records that a server has answered a request, which clears it of all known crashes, and its prompt
+   * parts also of those that become known soon.
    *
-   * @param suspects - returns what may crash a server; only called while there are crashes
+   * @param parts - its prompt parts that may crash a server
+   * @param suspects - returns all that may crash a server; only called while there are crashes
+   * @param nowMs - monotonic time, in milliseconds
    */
-  recordAnswered(suspects: () => readonly string[]): void {
+  recordAnswered(parts: readonly string[], suspects: () => readonly string[], nowMs: number): void {
+    parts.forEach((part) => {
+      this.soundParts.delete(part);
+      this.soundParts.set(part, nowMs);
+    });
+    dropOldest(this.soundParts, MAX_SOUND_PARTS);
     if (this.crashes.size === 0) return;
     suspects().forEach((suspect) => {
       this.crashesBySuspect.get(suspect)?.forEach(({ cleared }) => {
@@ -228,9 +253,12 @@
   private update(nowMs: number): void {
     if (this.breaks.length > 0) {
       const ended = new Set(this.breaks.filter(({ server, atMs }) => this.hasEnded(server, atMs)));
-      ended.forEach(({ server, atMs, suspects }) => {
+      // Limits drop the last suspects, so the most likely ones come first.
+      const ranked = [...ended].sort((left, right) => left.answeredMs - right.answeredMs);
+      ranked.forEach(({ server, atMs, suspects }) => {
         const crash = this.findOrCreate(`${server.id}/${server.startedAtMs}`, atMs);
         addLimited(crash.suspects, suspects);
+        this.clearSound(crash, nowMs);
         this.index = undefined;
       });
       this.breaks = this.breaks.filter(
@@ -244,6 +272,14 @@
     });
   }
 
+  /** Clears the parts that servers have answered shortly before: what crashes servers crashes each one. */
+  private clearSound({ suspects, cleared }: Crash, nowMs: number): void {
+    suspects.forEach((suspect) => {
+      const soundMs = this.soundParts.get(suspect);
+      if (soundMs !== undefined && nowMs - soundMs <= SOUND_EXPIRY_MS) cleared.add(suspect);
+    });
+  }
+
   private findOrCreate(id: string, atMs: number): Crash {
     const known = this.crashes.get(id);
     if (known) return known;
@@ -285,3 +321,10 @@
     if (suspects.size < MAX_SUSPECTS) suspects.add(suspect);
   });
 }
+
+function dropOldest(entries: Map<string, number>, maxEntries: number): void {
+  while (entries.size > maxEntries) {
+    const [oldest] = entries.keys();
+    entries.delete(oldest!);
+  }
+}
--- a/src/relay/crash-suspects.ts
+++ b/src/relay/crash-suspects.ts
@@ -20,9 +20,18 @@
  * @returns the fingerprint of the request first, then its parts
  */
 export function listCrashSuspects(request: RelayRequest, team: string | undefined): string[] {
-  const shared = request.promptParts.slice(0, -1).slice(0, MAX_PARTS);
-  const parts = new Set(shared.map(({ id }) => `${PART_PREFIX}${shortenId(id)}`));
-  return [fingerprintRequest(request, team), ...parts];
+  return [fingerprintRequest(request, team), ...listSharedParts(request)];
+}
+
+/**
+ * Lists the suspects among the parts of a prompt, which needs no fingerprint of the request.
+ *
+ * @param request - the caller's request
+ * @returns its parts but the last one, each once
+ */
+export function listSharedParts({ promptParts }: RelayRequest): string[] {
+  const shared = promptParts.slice(0, -1).slice(0, MAX_PARTS);
+  return [...new Set(shared.map(({ id }) => `${PART_PREFIX}${shortenId(id)}`))];
 }
 
 function shortenId(id: string): string {
--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -118,7 +118,6 @@
         status >= MIN_SERVER_ERROR_STATUS ? 'failed' : 'answered',
         this.nowMs,
       );
-      if (status < MIN_SERVER_ERROR_STATUS) this.recordAnswered();
       if (status >= MIN_SERVER_ERROR_STATUS && this.mayRunAgain()) {
         this.recordDecision('answer', 'again', 'the server failed', { server: server.id, status });
         this.excluded.add(server.id);
@@ -148,7 +147,6 @@
     }
     const tookMs = Math.round(this.nowMs - sentMs);
     this.recordDecision('send', server.id, failure ?? 'answer', { tookMs, runs: this.runs });
-    if (failure === 'broken') this.recordUnanswered(server);
     if (outcome.kind === 'failed') return outcome;
     return bufferAnswer(outcome.value);
   }
@@ -165,6 +163,7 @@
         await sink.write(next.value);
       }
     } catch {
+      this.recordUnanswered(server);
       sink.abort();
       return {
         kind: 'cut' as const,
@@ -172,11 +171,13 @@
         reason: 'the response ended before it was complete',
       };
     }
+    if (status < MIN_SERVER_ERROR_STATUS) this.recordAnswered();
     sink.end();
     return { kind: 'answered' as const, server: server.id, status };
   }
 
   private handleFailure(server: CatalogServer, failure: UpstreamFailure): RunResult | undefined {
+    if (failure === 'broken') this.recordUnanswered(server);
     if (failure !== 'cancelled') this.recordFailure(server, failure);
     if (provesNotRun(failure) || this.mayRunAgain()) return undefined;
     return this.refuseUnserved('the server did not return a complete response');
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -2,7 +2,7 @@
 import type { RelayPool, RelayRoute } from './relay-configuration.js';
 import type { AnswerSink, RelayRequest } from './relay-request.js';
 import type { CrashCause } from './crash-ledger.js';
-import { listCrashSuspects } from './crash-suspects.js';
+import { listCrashSuspects, listSharedParts } from './crash-suspects.js';
 import type { RunContext } from './run-context.js';
 import { SendCharges, type SendKind, type SendResult } from './send-charges.js';
 import type { CatalogServer } from './server-catalog.js';
@@ -167,24 +167,29 @@
     else if (failure === 'not-run') health.record(server.id, 'full', this.nowMs);
   }
 
-  /** Records that a connection broke before the server began to answer, so that the request may be the cause. */
-  protected recordUnanswered(server: CatalogServer): void {
+  /**
+   * Records that a connection broke before the server had answered, so that the request may be the cause.
+   * A connection that this VM has closed itself is no evidence.
+   */
+  protected recordUnanswered(server: CatalogServer, answeredMs = 0): void {
+    if (this.job.signal.aborted) return;
     const [fingerprint = ''] = this.listSuspects();
     const parts = this.job.request.promptParts.map(({ id }) => id).join(' ');
-    const facts = { fingerprint, runs: this.runs, ...(parts ? { parts } : {}) };
-    this.context.crashes.recordUnanswered(server, this.listSuspects(), this.nowMs);
+    const facts = { fingerprint, runs: this.runs, answeredMs: Math.round(answeredMs) };
+    this.context.crashes.recordUnanswered(server, this.listSuspects(), this.nowMs, answeredMs);
     this.recordDecision(
       'unanswered',
       server.id,
-      'the connection broke before the server began to answer',
-      facts,
+      'the connection broke before the server had answered',
+      { ...facts, ...(parts ? { parts } : {}) },
     );
     this.context.metrics.increment('upstream.unanswered');
   }
 
-  /** Records that a server has begun to answer, so that the request does not crash servers. */
+  /** Records that a server has answered, so that the request does not crash servers. */
   protected recordAnswered(): void {
-    this.context.crashes.recordAnswered(() => this.listSuspects());
+    const parts = listSharedParts(this.job.request);
+    this.context.crashes.recordAnswered(parts, () => this.listSuspects(), this.nowMs);
   }
 
   /** Returns whether the request must not be sent because it crashes servers. */
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -16,6 +16,12 @@
 /** Time without data after which a stream is aborted, in milliseconds; callers wait about as long. */
 const STREAM_IDLE_TIMEOUT_MS = 3000;
 
+/**
+ * Time from the first event of an answer after which a request is taken not to crash its server, in
+ * milliseconds: one that does crashes it when the answer begins, which may be after the first event.
+ */
+const SOUND_ANSWER_MS = 1000;
+
 /** Time granted to a prefill engine in addition to three times the expected time, in milliseconds. */
 const PREFILL_SLACK_MS = 900;
 
@@ -44,8 +50,8 @@
   /** True once status and headers have been sent to the caller. */
   private headSent = false;
 
-  /** True once the server of the current send has generated an event. */
-  private answerBegun = false;
+  /** Monotonic times of the first and the last event of the current send, in milliseconds. */
+  private eventTimes: { readonly firstMs: number; readonly lastMs: number } | undefined;
 
   /** Prefill time, in milliseconds; only recorded when no other prompt was queued ahead. */
   private prefillMs: number | undefined;
@@ -254,14 +260,14 @@
     if (continued && status !== 200) return this.finishUnserved('the stream was not continued');
     if (!continued) sink.writeHead(answer.head);
     this.headSent = true;
-    this.answerBegun = false;
+    this.eventTimes = undefined;
     try {
       for await (const chunk of answer.body) {
         const complete = status === 200 ? this.events.push(chunk) : chunk;
         // Only events are progress: a stalled server may send comments or parts of an event for ever.
         if (status !== 200 || carriesData(complete)) {
           timeout.refresh();
-          this.noteProgress(status);
+          if (status === 200) this.noteEvent();
         }
         if (complete.length > 0) await sink.write(complete);
         if (this.events.isOversized) return this.handleBrokenStream(server);
@@ -272,21 +278,28 @@
     if (status === 200 && isEventStream(answer.head) && this.events.endsInsideEvent) {
       return this.handleBrokenStream(server);
     }
+    if (status === 200) this.recordAnswered();
     const rest = this.events.flush();
     if (rest.length > 0) await sink.write(rest);
     sink.end();
     return { kind: 'answered', server: server.id, status };
   }
 
-  private noteProgress(status: number): void {
-    if (!this.answerBegun && status === 200) this.recordAnswered();
-    this.answerBegun = true;
+  /** How long the server of the current send has generated events, in milliseconds. */
+  private get answeredMs(): number {
+    return this.eventTimes ? this.eventTimes.lastMs - this.eventTimes.firstMs : 0;
+  }
+
+  private noteEvent(): void {
+    const { nowMs, answeredMs: beforeMs } = this;
+    this.eventTimes = { firstMs: this.eventTimes?.firstMs ?? nowMs, lastMs: nowMs };
+    if (beforeMs < SOUND_ANSWER_MS && this.answeredMs >= SOUND_ANSWER_MS) this.recordAnswered();
   }
 
   private handleBrokenStream(server: CatalogServer): StepResult<never> | RunResult {
     const { route, sink, signal } = this.job;
     this.events.dropPartial();
-    if (!this.answerBegun) this.recordUnanswered(server);
+    if (this.answeredMs < SOUND_ANSWER_MS) this.recordUnanswered(server, this.answeredMs);
     const resumable = route.resumable && this.runs < route.attempts && !signal.aborted;
     if (resumable && this.prepayRound()) {
       this.recordDecision('stream', 'again', 'the stream ended before it was complete', {
