fix: refuse requests that a stopping VM cannot answer in time

Cause: a stopping VM refused new streams only; plain requests were accepted until the forced end, which a long stream brings about. Ruled out: requests that cross the close of their connection; the servers had run the lost ones.

At the end, requests in progress are answered: not run, or may have run.

--- a/features/relay/relay-runs.feature
+++ b/features/relay/relay-runs.feature
@@ -89,6 +89,35 @@
     When a relay request of kind "once" with 1 attempts arrives that is 1000 ms old
     Then every relay send has at most 4000 ms left
 
+  # Guards against requests that a stopping VM passes on just before it ends, and then cuts.
+  Scenario Outline: a stopping relay refuses a <kind> request that may last longer than the relay, and serves the others
+    Given a relay with <servers> that do "answer"
+    When the relay stops in 2000 ms
+    And a relay request of kind "<kind>" with 2 attempts arrives
+    Then the relay sends it 0 times and the caller gets 503
+    When a relay request of kind "<kind>" with 2 attempts arrives that is <age> ms old
+    Then the relay sends it 1 times and the caller gets 200
+
+    Examples:
+      | kind       | servers                               | age  |
+      | once       | 3 plain servers                       | 4000 |
+      | idempotent | 3 plain servers                       | 4000 |
+      | stream     | 3 plain servers                       | 4000 |
+      | stream     | 1 prefill engine and 3 decode engines | 3200 |
+
+  # Guards against requests whose connections just end with the process, also those that have not run.
+  Scenario Outline: at the end of a stop, a <kind> request that <state> is answered <status>
+    Given a relay with <servers> that do "hangs"
+    When a relay request of kind "<kind>" with 1 attempts arrives and the relay ends all requests after 300 ms
+    Then the relay's caller gets <status>
+    And the relay took between 250 and 600 ms
+
+    Examples:
+      | kind   | state                     | servers                               | status |
+      | once   | a server runs             | 3 plain servers                       | 502    |
+      | stream | a server runs             | 1 prefill engine and 3 decode engines | 502    |
+      | stream | waits for a decode engine | 1 prefill engine and 0 decode engines | 503    |
+
   # Guards against deadlines that a garbage collection removes, so that callers get no answer.
   Scenario Outline: a <kind> request that waits for a server during garbage collections ends at its deadline
     Given a relay with <servers> that do "hangs"
--- a/features/steps/relay-run-steps.ts
+++ b/features/steps/relay-run-steps.ts
@@ -191,6 +191,19 @@
   },
 );
 
+When('the relay stops in {int} ms', (ms: number) => {
+  const nowMs = SystemClock.create().monotonicMs();
+  scenario.relay.beginStop({ acceptAllUntilMs: nowMs, endMs: nowMs + ms });
+});
+
+When(
+  'a relay request of kind {string} with {int} attempts arrives and the relay ends all requests after {int} ms',
+  async (kind: string, attempts: number, afterMs: number) => {
+    setTimeout(() => scenario.relay.endRequests(), afterMs);
+    await serve(kind, attempts, 0, new AbortController().signal);
+  },
+);
+
 When(
   'a relay request of kind {string} with {int} attempts arrives and its caller disconnects after {int} ms',
   async (kind: string, attempts: number, afterMs: number) => {
--- a/src/kernel/deadline.ts
+++ b/src/kernel/deadline.ts
@@ -30,6 +30,12 @@
     return this.controller.signal;
   }
 
+  /** Aborts the signal now. */
+  expire(): void {
+    clearTimeout(this.timer);
+    this.controller.abort();
+  }
+
   /** Stops the timer; the signal is not aborted any more. */
   cancel(): void {
     clearTimeout(this.timer);
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -30,7 +30,15 @@
 /** Retry delay for callers while no configuration is known, in milliseconds. */
 const UNCONFIGURED_RETRY_MS = 1000;
 
-/** Retry delay for streams that a stopping VM refuses to start, in milliseconds. */
+/** When a relay that stops accepts requests, as monotonic times in milliseconds. */
+export interface StopSchedule {
+  /** Until then every request is accepted; callers still have the address of this VM. */
+  readonly acceptAllUntilMs: number;
+  /** Only requests whose time is over by then are accepted later. */
+  readonly endMs: number;
+}
+
+/** Retry delay for requests that a stopping VM refuses, in milliseconds. */
 const DRAINING_RETRY_MS = 50;
 
 /** Serves requests of callers: resolves route and team, charges the team, and runs the request. */
@@ -55,7 +63,10 @@
 
   private running = 0;
 
-  private refusesStreams = false;
+  private stopSchedule: StopSchedule | undefined;
+
+  /** Deadlines of the requests that have been admitted and are not answered yet. */
+  private readonly deadlines = new Set<Deadline>();
 
   private constructor(
     private readonly kernel: Kernel,
@@ -139,9 +150,19 @@
     return true;
   }
 
-  /** Refuses new streams from now on because the process is about to stop. */
-  refuseStreams(): void {
-    this.refusesStreams = true;
+  /**
+   * Begins to stop: a request is refused as not run unless it is certain to be answered before the end.
+   *
+   * @param schedule - until when requests are accepted
+   */
+  beginStop(schedule: StopSchedule): void {
+    this.stopSchedule = schedule;
+  }
+
+  /** Refuses all requests from now on, and ends those in progress; callers are told what has run. */
+  endRequests(): void {
+    this.stopSchedule = { acceptAllUntilMs: -Infinity, endMs: -Infinity };
+    this.deadlines.forEach((deadline) => deadline.expire());
   }
 
   /** Tries again to assign decode slots to waiting requests, after updates about servers. */
@@ -209,7 +230,9 @@
     if (!pool)
       return refuse('no_server', 'the route leads to no known pool', UNCONFIGURED_RETRY_MS);
     this.retryBudgets.forPool(pool.name).recordRequest(nowMs);
-    if (this.refusesStreams && route.kind === 'stream') {
+    const timeoutAtMs = route.timeoutMs > 0 ? request.arrivedMs + route.timeoutMs : Infinity;
+    const endByMs = Math.min(request.deadlineAtMs, timeoutAtMs);
+    if (!this.accepts(endByMs, nowMs)) {
       return refuse('draining', 'this VM is stopping', DRAINING_RETRY_MS);
     }
     const { promptTokens, outputTokens } = request;
@@ -235,14 +258,14 @@
       }
       insideRate = decision.insideRate;
     }
-    const timeoutAtMs = route.timeoutMs > 0 ? request.arrivedMs + route.timeoutMs : Infinity;
-    const endByMs = Math.min(request.deadlineAtMs, timeoutAtMs);
     const deadline = Deadline.create(endByMs - nowMs);
     const signal = AbortSignal.any([disconnected, deadline.signal]);
     const priority = team?.priority ?? route.priority;
     const limits = { priority, insideRate, endByMs, signal };
     const job: Job = { request, route, pool, team: team?.name, ...limits, sink };
+    this.deadlines.add(deadline);
     const end = await this.run(job);
+    this.deadlines.delete(deadline);
     deadline.cancel();
     if (team && end.kind === 'refused' && end.refusal.run === 'not run') {
       this.rateLimiter.refund(team.name, tokens, insideRate);
@@ -250,6 +273,13 @@
     return end;
   }
 
+  /** Returns whether a request may be accepted whose time is over at a monotonic time. */
+  private accepts(endByMs: number, nowMs: number): boolean {
+    const { stopSchedule } = this;
+    if (!stopSchedule) return true;
+    return nowMs < stopSchedule.acceptAllUntilMs || endByMs <= stopSchedule.endMs;
+  }
+
   private run(job: Job): Promise<RunResult> {
     const context = this.context();
     if (!job.pool.engine || job.route.kind !== 'stream') {
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -123,8 +123,8 @@
     const waitedMs = Math.round(this.nowMs - nowMs);
     if (outcome.kind === 'failed') {
       this.recordDecision('place', 'none', outcome.failure.message, { waitedMs });
-      if (this.headSent || this.mayHaveRun)
-        return this.finishUnserved('no decode slot became free to continue the request');
+      if (this.headSent || this.mayHaveRun || signal.aborted)
+        return this.finishUnserved('no decode slot became free for the request');
       return { kind: 'refused', refusal: outcome.failure };
     }
     const { server } = outcome.value;
