test(platform): end answers of servers at each of their bytes

Other operators report a server that stopped in the middle of its answer's head and closed, whose callers got a 200 with an empty or short body framed as whole.

--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -16,7 +16,12 @@
 import { SystemClock } from '../../src/kernel/system-clock.js';
 import { JsonLogs } from '../../src/observability/json-logs.js';
 import { createCatalogServer, createRelayRequest } from '../support/relay-fixtures.js';
-import { ScriptedServer } from '../support/scripted-server.js';
+import {
+  FRAMED_ANSWERS,
+  ScriptedServer,
+  UNFRAMED_HEADS,
+  type AnswerBytes,
+} from '../support/scripted-server.js';
 import {
   createPlatformConfiguration,
   createPlatformSettings,
@@ -36,6 +41,8 @@
 
 const scenario = world as unknown as ContractWorld;
 
+const STEP = { timeout: 30_000 } as const;
+
 After(async () => {
   scenario.scriptedServer?.close();
   await scenario.platformClient?.stop();
@@ -50,6 +57,38 @@
   scenario.outcomes = [];
 });
 
+/** Sends one request for each length of the truncated answer, each to a server of its own. */
+async function sendTruncated(answer: AnswerBytes): Promise<void> {
+  const logs = JsonLogs.create('error', 'test');
+  scenario.platformClient = ServerClient.create('test', SystemClock.create(), logs);
+  scenario.outcomes = [];
+  const { length } = answer('r0');
+  for (let size = 0; size < length; size += 1) {
+    const server = await ScriptedServer.create((socket, id) =>
+      socket.end(answer(id).slice(0, size)),
+    );
+    const address = { host: '127.0.0.1', port: server.port };
+    scenario.outcomes.push(`${await sendRequest('r0', -Infinity, address)} ${size}`);
+    server.close();
+  }
+}
+
+When(/^platform answers (.*) end at each of their bytes$/, STEP, async (framing: string) => {
+  await sendTruncated(FRAMED_ANSWERS[framing]!);
+});
+
+When(/^platform answers (.*) end at each byte of their heads$/, STEP, async (framing: string) => {
+  await sendTruncated(UNFRAMED_HEADS[framing]!);
+});
+
+Then('no platform call ends as whole', () => {
+  assert.ok(scenario.outcomes.length > 0);
+  assert.deepEqual(
+    scenario.outcomes.filter((outcome) => !/^(broken|cut) /.test(outcome)),
+    [],
+  );
+});
+
 When('a request is sent to the platform server', async () => {
   scenario.outcomes.push(await sendRequest(`r${scenario.outcomes.length}`));
   await new Promise((resolve) => {
--- a/features/support/scripted-server.ts
+++ b/features/support/scripted-server.ts
@@ -3,6 +3,9 @@
 /** Writes an answer to a request; `id` is the request's attempt id. */
 type Script = (socket: Socket, id: string) => void;
 
+/** Builds the complete bytes of an answer. */
+export type AnswerBytes = (id: string) => string;
+
 const SEAL = 'Server-Seal: s';
 
 function head(id: string, lines: readonly string[], status = '200 OK'): string {
@@ -42,6 +45,24 @@
   },
 };
 
+/** Answers with one body in each framing that marks its end. */
+export const FRAMED_ANSWERS: Readonly<Record<string, AnswerBytes>> = {
+  'with a length': (id) => whole(id),
+  'with a length of zero': (id) => head(id, ['Content-Length: 0', SEAL]),
+  'with a length, on a connection that closes': (id) => whole(id, [SEAL, 'Connection: close']),
+  'in chunks': (id) => `${head(id, ['Transfer-Encoding: chunked', SEAL])}2\r\nok\r\n0\r\n\r\n`,
+  'after an interim answer': (id) => `HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n${whole(id)}`,
+  'after an interim answer that closes': (id) =>
+    `HTTP/1.1 103 Early Hints\r\nConnection: close\r\n\r\n${whole(id)}`,
+  'without content': (id) => head(id, [SEAL], '204 No Content'),
+};
+
+/** The head of an answer whose body ends with its connection. */
+export const UNFRAMED_HEADS: Readonly<Record<string, AnswerBytes>> = {
+  'without a length': (id) => head(id, [SEAL]),
+  'of HTTP/1.0': (id) => head(id, [SEAL]).replace('HTTP/1.1', 'HTTP/1.0'),
+};
+
 /** A server that answers each request with the raw bytes of a script. */
 export class ScriptedServer {
   /** Port of the listener, also after it has been closed. */
@@ -54,11 +75,11 @@
   /**
    * Starts a server on a free port of the loopback interface.
    *
-   * @param script - name of the script; with an unknown name, requests get no answer
+   * @param script - a script, or the name of one; with an unknown name, requests get no answer
    * @returns the server
    */
-  static async create(script: string): Promise<ScriptedServer> {
-    const answer = SCRIPTS[script];
+  static async create(script: string | Script): Promise<ScriptedServer> {
+    const answer = typeof script === 'string' ? SCRIPTS[script] : script;
     const server = createServer();
     const scripted = new ScriptedServer(server);
     server.on('connection', (socket) => {
--- a/features/users-platform/contract.feature
+++ b/features/users-platform/contract.feature
@@ -25,6 +25,31 @@
       | no listener             | unsent    |
       | its own failure         | whole 500 |
 
+  # Guards against a server that stops in the middle of its answer, whose caller gets an empty or short
+  # body that looks whole.
+  Scenario Outline: an answer <framing> that ends at any of its bytes is not taken for whole
+    When platform answers <framing> end at each of their bytes
+    Then no platform call ends as whole
+
+    Examples:
+      | framing                                    |
+      | with a length                              |
+      | with a length of zero                      |
+      | with a length, on a connection that closes |
+      | in chunks                                  |
+      | after an interim answer                    |
+      | after an interim answer that closes        |
+      | without content                            |
+
+  Scenario Outline: an answer <framing> whose head ends at any of its bytes is not taken for whole
+    When platform answers <framing> end at each byte of their heads
+    Then no platform call ends as whole
+
+    Examples:
+      | framing          |
+      | without a length |
+      | of HTTP/1.0      |
+
   Scenario Outline: an answer whose end cannot be distinguished from a truncation is forwarded without an explicit end
     When the platform's caller gets an answer <framing> that <ends>
     Then the platform's caller sees it <seen>
