fix: send nothing new to servers that say in their answers that they leave

Cause: no code read the header Server-Leaving. Ruled out: entries of the store that are read late, and VMs that start again.

Each answer with the header marks that start of the server as leaving; digests spread it as they spread announcements. Servers that have an entry are no longer forgotten when more than 40 leave at once.

--- a/features/relay/relay-modules.feature
+++ b/features/relay/relay-modules.feature
@@ -54,6 +54,12 @@
     When the entry of relay server "a" is removed at 1100 ms
     Then relay server "a" is not usable at 1100 ms
 
+  # Guards servers that say so only in their answers: forgotten, they would get requests again.
+  Scenario: servers with an entry stay known to leave, however many leave
+    Given 120 relay servers that are known to leave, and 120 that have left
+    Then none of the relay servers that leave is usable
+    And a digest names at most 40 of the relay servers that leave
+
   Scenario: a server reported as leaving is reactivated by a restart, not by an older entry
     Given a relay catalog with server "a" that started at 1
     When another VM reports that relay server "a" that started at 1 is leaving
--- a/features/steps/endless-answer-steps.ts
+++ b/features/steps/endless-answer-steps.ts
@@ -41,7 +41,7 @@
 function createClientReader(
   call: (client: ServerClient, signal: AbortSignal) => Promise<boolean>,
 ): Reader {
-  const client = ServerClient.create('test', clock, logs);
+  const client = ServerClient.create('test', clock, logs, () => {});
   return { stop: () => client.stop(), call: () => call(client, AbortSignal.timeout(2000)) };
 }
 
--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -32,6 +32,8 @@
   platformClient: ServerClient | undefined;
   noListener: boolean;
   outcomes: string[];
+  /** Ids of the servers that said they are leaving, one for each answer. */
+  leavers: string[];
   selected: string[];
   decoded: ReturnType<typeof decodeConfiguration>;
   settings: ReturnType<typeof decodeSettings>;
@@ -53,14 +55,17 @@
   scenario.noListener = script === 'no listener';
   if (scenario.noListener) scenario.scriptedServer.close();
   const logs = JsonLogs.create('error', 'test');
-  scenario.platformClient = ServerClient.create('test', SystemClock.create(), logs);
+  scenario.leavers = [];
+  scenario.platformClient = ServerClient.create('test', SystemClock.create(), logs, ({ id }) =>
+    scenario.leavers.push(id),
+  );
   scenario.outcomes = [];
 });
 
 /** Sends one request for each length of the truncated answer, each to a server of its own. */
 async function sendTruncated(answer: AnswerBytes): Promise<void> {
   const logs = JsonLogs.create('error', 'test');
-  scenario.platformClient = ServerClient.create('test', SystemClock.create(), logs);
+  scenario.platformClient = ServerClient.create('test', SystemClock.create(), logs, () => {});
   scenario.outcomes = [];
   const { length } = answer('r0');
   for (let size = 0; size < length; size += 1) {
@@ -156,6 +161,10 @@
   assert.deepEqual(scenario.outcomes, [outcome]);
 });
 
+Then(/^the platform server (is|is not) known to leave$/, (known: string) => {
+  assert.equal(scenario.leavers.length, known === 'is' ? 1 : 0);
+});
+
 Then('no platform call ends with an answer of another request', () => {
   assert.equal(scenario.outcomes[0], 'whole');
   assert.ok(['whole', 'broken'].includes(scenario.outcomes[1]!), scenario.outcomes[1]);
--- a/features/steps/platform-path-steps.ts
+++ b/features/steps/platform-path-steps.ts
@@ -35,6 +35,8 @@
   order: CallerAnswer;
   unknownKeyAnswer: CallerAnswer;
   sentCount: number;
+  platformLeavers: PlatformServer[];
+  statuses: number[];
 }
 
 const scenario = world as unknown as PathWorld;
@@ -106,7 +108,7 @@
 });
 
 Given(
-  'a platform with a store, {int} prefill engine, {int} decode engines and {int} plain server',
+  'a platform with a store, {int} prefill engine, {int} decode engines and {int} plain server(s)',
   async (prefill: number, decode: number, plain: number) => {
     const stages = [
       ...Array<'prefill'>(prefill).fill('prefill'),
@@ -234,3 +236,36 @@
   scenario.platformStore.setUnavailable(true);
   await requestPlan();
 });
+
+When(/^the platform's store is (available|not available)$/, (state: string) => {
+  scenario.platformStore.setUnavailable(state === 'not available');
+});
+
+When('a platform engine and a plain server say in their answers that they leave', () => {
+  const { platformServers: servers } = scenario;
+  scenario.platformLeavers = (['decode', undefined] as const).map((stage) =>
+    servers.find((server) => server.stage === stage)!,
+  );
+  scenario.platformLeavers.forEach((server) => Object.assign(server, { isLeaving: true }));
+});
+
+When(
+  "a caller sends the platform's router {int} orders and {int} plans",
+  async (orders: number, plans: number) => {
+    scenario.statuses = [];
+    for (let index = 0; index < orders; index += 1)
+      scenario.statuses.push((await sendAsCaller('/order/a', `o-${index}`)).status);
+    for (let index = 0; index < plans; index += 1)
+      scenario.statuses.push((await sendAsCaller('/plan/a', `p-${index}`)).status);
+  },
+);
+
+Then("the platform's leaving servers got at most {int} run each", (most: number) => {
+  scenario.platformLeavers.forEach(({ id, requests }) =>
+    assert.ok(requests.length <= most, `${id} got ${requests.length}`),
+  );
+});
+
+Then('the other orders and plans were answered by the other servers', () => {
+  assert.deepEqual(new Set(scenario.statuses), new Set([200]));
+});
--- a/features/steps/relay-module-steps.ts
+++ b/features/steps/relay-module-steps.ts
@@ -136,6 +136,29 @@
   scenario.catalog.apply({ id, server: undefined }, nowMs);
 });
 
+Given(
+  '{int} relay servers that are known to leave, and {int} that have left',
+  (present: number, gone: number) => {
+    const ids = Array.from({ length: present }, (_, index) => `leaving-${index}`);
+    scenario.catalog = ServerCatalog.create();
+    scenario.catalog.replace(
+      ids.map((id) => createCatalogServer({ id })),
+      0,
+    );
+    ids.forEach((id) => scenario.catalog.recordLeaving(id, 1));
+    for (let index = 0; index < gone; index += 1)
+      scenario.catalog.recordLeaving(`gone-${index}`, 1);
+  },
+);
+
+Then('none of the relay servers that leave is usable', () => {
+  assert.deepEqual(scenario.catalog.usable('pool', 0), []);
+});
+
+Then('a digest names at most {int} of the relay servers that leave', (most: number) => {
+  assert.ok(scenario.catalog.leavers.size <= most, `${scenario.catalog.leavers.size} named`);
+});
+
 When(
   'another VM reports that relay server {string} that started at {int} is leaving',
   (id: string, startedAtMs: number) => scenario.catalog.recordLeaving(id, startedAtMs),
--- a/features/support/scripted-server.ts
+++ b/features/support/scripted-server.ts
@@ -7,6 +7,7 @@
 export type AnswerBytes = (id: string) => string;
 
 const SEAL = 'Server-Seal: s';
+const LEAVING = 'Server-Leaving: 1';
 
 function head(id: string, lines: readonly string[], status = '200 OK'): string {
   return [`HTTP/1.1 ${status}`, `Attempt-Id: ${id}`, ...lines, '', ''].join('\r\n');
@@ -39,6 +40,15 @@
     setTimeout(() => socket.resetAndDestroy(), 50);
   },
   'its own failure': (socket, id) => socket.write(whole(id, [SEAL], '500 Internal Server Error')),
+  'a whole answer, leaving': (socket, id) => socket.write(whole(id, [SEAL, LEAVING])),
+  'its own failure, leaving': (socket, id) =>
+    socket.write(whole(id, [SEAL, LEAVING], '500 Internal Server Error')),
+  'not run, leaving': (socket, id) =>
+    socket.write(whole(id, ['Not-Run: 1', LEAVING], '503 Service Unavailable')),
+  'another server, leaving': (socket, id) =>
+    socket.write(whole(id, [LEAVING], '421 Misdirected Request')),
+  'a whole answer, not leaving': (socket, id) =>
+    socket.write(whole(id, [SEAL, 'Server-Leaving: 0'])),
   'a second answer': (socket, id) => {
     socket.write(whole(id));
     setTimeout(() => socket.write(whole(id)), 20);
--- a/features/users-platform/contract.feature
+++ b/features/users-platform/contract.feature
@@ -25,6 +25,21 @@
       | no listener             | unsent    |
       | its own failure         | whole 500 |
 
+  # Guards against requests to servers that say in their answers that they leave, and nowhere else.
+  Scenario Outline: a server that sends <answer> <leaves> known to leave
+    Given a platform server that answers with "<answer>"
+    When a request is sent to the platform server
+    Then the platform call ends as "<outcome>"
+    And the platform server <leaves> known to leave
+
+    Examples:
+      | answer                      | outcome   | leaves |
+      | a whole answer, leaving     | whole     | is     |
+      | its own failure, leaving    | whole 500 | is     |
+      | not run, leaving            | not-run   | is     |
+      | another server, leaving     | gone      | is not |
+      | a whole answer, not leaving | whole     | is not |
+
   # Guards against a server that stops in the middle of its answer, whose caller gets an empty or short
   # body that looks whole.
   Scenario Outline: an answer <framing> that ends at any of its bytes is not taken for whole
@@ -143,6 +158,21 @@
     When the platform's store is unavailable and the router gets another plan
     Then the plan was prefilled by the prefill engine and answered completely by a decode engine
 
+  # Guards against requests to servers that announce nothing in the store, or while it is out.
+  Scenario Outline: servers that say in their answers that they leave get no new requests, <state> (pattern: servers leave while the store is out)
+    Given a platform with a store, 1 prefill engine, 3 decode engines and 3 plain servers
+    And a router on the platform
+    When <change>
+    And a platform engine and a plain server say in their answers that they leave
+    And a caller sends the platform's router 30 orders and 15 plans
+    Then the platform's leaving servers got at most 1 run each
+    And the other orders and plans were answered by the other servers
+
+    Examples:
+      | state                     | change                                     |
+      | the store is there        | the platform's store is available          |
+      | the store is out          | the platform's store is not available      |
+
   # Guards against VMs that get a large configuration late because all of them fetch it from the first one
   # that has it, over a link that cannot carry it to all of them before they give up.
   Scenario: VMs of a fleet fetch a configuration that grew by many routes at once (pattern: big configuration)
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -150,6 +150,19 @@
     return true;
   }
 
+  /**
+   * Records that a server has said itself that it is leaving: it gets no new requests, whatever the store
+   * says of it, until it is started again. The other VMs learn it from digests.
+   *
+   * @param server - the server as it was known when it was called
+   */
+  recordLeaving({ id, startedAtMs }: CatalogServer): void {
+    if (!this.catalog.recordLeaving(id, startedAtMs)) return;
+    const entry = { requestId: '', step: 'leaving', choice: id, reason: 'the server said so' };
+    this.kernel.find('decisions').record({ ...entry, facts: { startedAtMs } });
+    this.kernel.find('metrics').increment('servers.leaving');
+  }
+
   /**
    * Begins to stop: a request is refused as not run unless it is certain to be answered before the end.
    *
--- a/src/relay/server-catalog.ts
+++ b/src/relay/server-catalog.ts
@@ -31,7 +31,7 @@
  */
 export const REANNOUNCE_MS = 2000;
 
-/** Maximum number of remembered leaving servers; each digest lists all of them. */
+/** Maximum number of leaving servers in a digest, and of remembered ones that have no entry. */
 const MAX_LEAVERS = 40;
 
 /** Servers of all pools, including those that are leaving. */
@@ -127,18 +127,21 @@
    *
    * @param id - id of the server
    * @param startedAtMs - start time of the server, in milliseconds since the Unix epoch
+   * @returns whether it was not known to leave
    */
-  recordLeaving(id: string, startedAtMs: number): void {
-    const newest = Math.max(startedAtMs, this.leaving.get(id) ?? 0);
+  recordLeaving(id: string, startedAtMs: number): boolean {
+    const knownMs = this.leaving.get(id);
     this.leaving.delete(id);
-    this.leaving.set(id, newest);
-    const [oldest] = this.leaving.keys();
-    if (this.leaving.size > MAX_LEAVERS && oldest !== undefined) this.leaving.delete(oldest);
+    this.leaving.set(id, Math.max(startedAtMs, knownMs ?? 0));
+    // A server that has an entry stays known: it would get requests again.
+    const gone = [...this.leaving.keys()].filter((other) => !this.servers.has(other));
+    gone.slice(0, -MAX_LEAVERS).forEach((other) => this.leaving.delete(other));
+    return knownMs === undefined || knownMs < startedAtMs;
   }
 
-  /** Start times of the servers that are known to leave, by id. */
+  /** Start times of the servers that were last known to leave, by id. */
   get leavers(): ReadonlyMap<string, number> {
-    return this.leaving;
+    return new Map([...this.leaving].slice(-MAX_LEAVERS));
   }
 
   /**
--- a/stand-ins/platform/platform-server.ts
+++ b/stand-ins/platform/platform-server.ts
@@ -24,6 +24,9 @@
   /** Number of orders to change the role; orders are accepted but not carried out. */
   orderCount = 0;
 
+  /** Whether the server says in its answers that it is leaving. */
+  isLeaving = false;
+
   private holdCount = 0;
 
   private constructor(
@@ -80,6 +83,7 @@
     for await (const chunk of request as AsyncIterable<Buffer>) void chunk;
     const { headers, url = '' } = request;
     const header = (name: string) => headers[name] as string | undefined;
+    if (this.isLeaving) response.setHeader('Server-Leaving', '1');
     const expected = header('target-instance');
     if (expected !== undefined && expected !== this.id) {
       response.writeHead(421).end();
