fix: cut no stream while its caller still waits

The users saw requests without a whole answer around SIGTERM (LOST), without a record of which.

Ruled out: processes that end early, kept connections, stops that overlap, SIGHUP during a stop.

A stream is cut when its callers must have given up; only one that may go on at another engine leaves a silent one after 3 s, which ends no answer.

The outline "ends when it makes no progress for 3 s" keeps its steps and bounds; its name no longer states the constant.

--- a/features/relay/relay-runs.feature
+++ b/features/relay/relay-runs.feature
@@ -53,7 +53,26 @@
       | broken         |
 
   # Progress is an event that carries data: bytes alone prove nothing about the server's work.
-  Scenario Outline: a stream with <step> ends when it makes no progress for 3 s
+  # Guards against a sound engine that pauses, as it does to make room, and whose stream is cut while its
+  # caller still waits.
+  Scenario Outline: a stream of kind "<kind>" whose events pause for 3.3 s is whole
+    Given a relay with 1 prefill engine and 3 decode engines that do "a long pause"
+    When a relay request of kind "<kind>" with <attempts> attempts arrives
+    Then the relay sends it 1 times and the caller gets 200
+    And the relay's caller has the events "1,2" and the answer is whole
+
+    Examples:
+      | kind                | attempts |
+      | stream              | 1        |
+      | patiently resumable | 1        |
+
+  Scenario: a stream that pauses for 3.3 s goes on at another engine where it may be resumed
+    Given a relay with 1 prefill engine and 3 decode engines that do "a long pause, answer"
+    When a relay request of kind "patiently resumable" with 2 attempts arrives
+    Then the relay sends it 2 times and the caller gets 200
+    And the relay's caller has the events "1,2,3" and the answer is whole
+
+  Scenario Outline: a stream with <step> ends when it makes no progress while its caller waits
     Given a relay with 1 prefill engine and 3 decode engines that do "<step>"
     When a relay request of kind "stream" with 1 attempts arrives
     Then the relay sends it 1 times and the caller gets 200
--- a/features/steps/relay-run-steps.ts
+++ b/features/steps/relay-run-steps.ts
@@ -106,6 +106,9 @@
   if (kind === 'resumable') {
     return createRelayRoute({ kind: 'stream', resumable: true, attempts, patienceMs: 500 });
   }
+  if (kind === 'patiently resumable') {
+    return createRelayRoute({ kind: 'stream', resumable: true, attempts });
+  }
   return createRelayRoute({ kind: kind as RelayRoute['kind'], attempts });
 }
 
--- a/features/support/fake-upstream.ts
+++ b/features/support/fake-upstream.ts
@@ -34,6 +34,7 @@
   'stream breaks late',
   'stream ends inside an event',
   'slow events',
+  'a long pause',
   'comments for ever',
   'half an event for ever',
   'an event without end',
@@ -45,6 +46,9 @@
 /** Pieces of a sound but slow stream; together they take longer than a stream may be idle. */
 const SLOW_PIECES = 4;
 
+/** Pause of a sound stream that its callers bear, in milliseconds. */
+const LONG_PAUSE_MS = 3300;
+
 /** Delay of a late break, in milliseconds; longer than the route's `patienceMs`. */
 const LATE_BREAK_MS = 600;
 
@@ -211,6 +215,7 @@
       await setTimeout(0);
       yield Buffer.alloc(65_536, 'x');
     }
+    if (step === 'a long pause') await setTimeout(LONG_PAUSE_MS, undefined, { signal });
     if (step === 'stream breaks late') await setTimeout(LATE_BREAK_MS);
     if (step.startsWith('stream breaks')) throw new Error('reset');
     if (step === 'stream ends inside an event') {
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -13,8 +13,11 @@
   type UpstreamFailure,
 } from './upstream.js';
 
-/** Time without data after which a stream is aborted, in milliseconds; callers wait about as long. */
-const STREAM_IDLE_TIMEOUT_MS = 3000;
+/** Time without events after which a stream is resumed at another engine, in milliseconds. */
+const RESUME_TIMEOUT_MS = 3000;
+
+/** Time by which a stream outlives the patience of its callers, in milliseconds: events are on their way. */
+const PATIENCE_MARGIN_MS = 200;
 
 /**
  * Time from the first event of an answer after which a request is taken not to crash its server, in
@@ -200,6 +203,17 @@
     this.excluded.delete(server.id);
   }
 
+  /**
+   * Time without events after which the current send is aborted, in milliseconds. Only a stream that may
+   * go on elsewhere is aborted while its caller still waits: the engine may be slow and sound.
+   */
+  private get idleTimeoutMs(): number {
+    const { route } = this.job;
+    const toleratedMs = route.patienceMs + PATIENCE_MARGIN_MS;
+    const resumable = route.resumable && this.runs + 1 < route.attempts;
+    return resumable ? Math.min(RESUME_TIMEOUT_MS, toleratedMs) : toleratedMs;
+  }
+
   private async decode(
     slot: DecodeSlot,
     prefill: PrefillResult | undefined,
@@ -212,7 +226,7 @@
       return this.finishUnserved('the request may not be sent again');
     }
     const resumeAfter = this.headSent ? this.events.lastEventId : undefined;
-    const timeout = this.startProgressTimeout(STREAM_IDLE_TIMEOUT_MS);
+    const timeout = this.startProgressTimeout(this.idleTimeoutMs);
     const sentMs = this.nowMs;
     const outcome = await upstream.send(server, this.job.request, {
       ...this.sendOptions(server, timeout.signal),
