feat(relay): log how much of an answer was passed on and whether its end was marked

Cause: the logs of the incident cannot distinguish its hypotheses: nothing says whether an answer had a length, or how many bytes of it the router passed on. Result: 'the log says how much of an answer …' (two rows) passes; the rows could not run before, as the facts did not exist.

--- a/features/relay/relay-runs.feature
+++ b/features/relay/relay-runs.feature
@@ -52,6 +52,17 @@
       | failure status |
       | broken         |
 
+  # Guards against logs that cannot tell whether an answer was passed on as it came from the server.
+  Scenario Outline: the log says how much of an answer to a request of kind "<kind>" was passed on
+    Given a relay with 1 plain server that do "<step>"
+    When a relay request of kind "<kind>" with 1 attempt arrives
+    Then the last decision about the relay's request names <bytes> bytes of a body with a marked end
+
+    Examples:
+      | kind       | step           | bytes |
+      | once       | answer         | 30    |
+      | idempotent | failure status | 29    |
+
   # Progress is an event that carries data: bytes alone prove nothing about the server's work.
   # Guards against a sound engine that pauses, as it does to make room, and whose stream is cut while its
   # caller still waits.
--- a/features/steps/relay-run-steps.ts
+++ b/features/steps/relay-run-steps.ts
@@ -56,6 +56,7 @@
 
 interface RunWorld {
   relay: Relay;
+  decisions: JsonDecisions;
   upstream: FakeUpstream;
   sink: RecordingSink;
   engines: boolean;
@@ -95,11 +96,17 @@
     Service;
   const relay = Relay.create(kernel, { availabilityZone: 'sando', ...RATES }, clock);
   kernel.register('upstream', upstream);
-  kernel.register('decisions', JsonDecisions.create(writer, 'test', clock));
+  const decisions = JsonDecisions.create(writer, 'test', clock);
+  kernel.register('decisions', decisions);
   kernel.register('metrics', PrometheusMetrics.create());
   kernel.register('fleet', fleet);
   relay.catalog.replace(servers, 0);
-  Object.assign(scenario, { relay, upstream, engines: servers.some(({ stage }) => stage) });
+  Object.assign(scenario, {
+    relay,
+    decisions,
+    upstream,
+    engines: servers.some(({ stage }) => stage),
+  });
 }
 
 function chooseRoute(kind: string, attempts: number): RelayRoute {
@@ -132,7 +139,7 @@
   scenario.tookMs = SystemClock.create().monotonicMs() - nowMs;
 }
 
-Given('a relay with {int} plain servers that do {string}', (count: number, steps: string) => {
+Given('a relay with {int} plain server(s) that do {string}', (count: number, steps: string) => {
   const servers = Array.from({ length: count }, (_, index) =>
     createCatalogServer({ id: `s${index}` }),
   );
@@ -161,7 +168,7 @@
 );
 
 When(
-  'a relay request of kind {string} with {int} attempts arrives',
+  'a relay request of kind {string} with {int} attempt(s) arrives',
   async (kind: string, attempts: number) => {
     await serve(kind, attempts, 0, new AbortController().signal);
   },
@@ -245,6 +252,15 @@
   assert.ok(afterMs >= first!.atMs, `connections opened after ${afterMs}, sent at ${first!.atMs}`);
 });
 
+Then(
+  "the last decision about the relay's request names {int} bytes of a body with a marked end",
+  async (bytes: number) => {
+    const entries = await scenario.decisions.explain('r');
+    const { step, facts } = entries.at(-1)!;
+    assert.deepEqual([step, facts.bytes, facts.framed], ['end', bytes, true]);
+  },
+);
+
 Then("the relay's caller has no text of an error", () => {
   assert.ok(!scenario.sink.text.includes(FAILURE_TEXT), scenario.sink.text);
 });
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -3,6 +3,7 @@
 import { Deadline } from '../kernel/deadline.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { Service } from '../kernel/service.js';
+import { CountedSink, type SentAnswer } from './counted-sink.js';
 import { CrashLedger } from './crash-ledger.js';
 import { DecodeScheduler } from './decode-scheduler.js';
 import { PlainRun } from './plain-run.js';
@@ -193,18 +194,24 @@
   async serve(request: RelayRequest, sink: AnswerSink, disconnected: AbortSignal): Promise<void> {
     this.running += 1;
     const metrics = this.kernel.find('metrics');
-    const end = await this.route(request, sink, disconnected);
+    const counted = CountedSink.create(sink);
+    const end = await this.route(request, counted, disconnected);
     const tookMs = Math.round(this.clock.monotonicMs() - request.arrivedMs);
     if (end.kind === 'refused' && !sink.closed) sink.refuse(end.refusal);
     const result = end.kind === 'refused' ? end.refusal.code : end.kind;
     metrics.increment('requests', { result });
     metrics.timing('request.ms', tookMs, { result: end.kind });
-    this.record(request, end, tookMs);
+    this.record(request, end, tookMs, counted.sent);
     this.running -= 1;
   }
 
-  private record({ requestId, path }: RelayRequest, end: RunResult, tookMs: number): void {
-    const facts: Record<string, string | number> = { tookMs, path };
+  private record(
+    { requestId, path }: RelayRequest,
+    end: RunResult,
+    tookMs: number,
+    sent: SentAnswer | undefined,
+  ): void {
+    const facts: Record<string, string | number | boolean> = { tookMs, path, ...sent };
     facts.version = this.table?.configuration.version ?? -1;
     if (end.kind === 'answered') facts.status = end.status;
     if (end.kind !== 'refused') facts.server = end.server;
