fix: take no reset connection for the end of an answer

What callers saw: an answer without a length, 200 with none or part of its body and an ordinary close (MIXED). Cause: when a reset arrives before the data in front of it has been read, Node reports the end of the stream and no error; undici completes an answer without a length at that end. Only resets that arrive after the data came as ECONNRESET, the only case that was handled. Evidence: trace of a bare client and a server process, 60 connections each: reset at once, 47 ended without an error and 13 with ECONNRESET; 1 ms later 5, 2 ms later 1, 4 ms and later none. In all 53, getpeername failed with ENOTCONN at the end; in all 300 ordinary ends it did not. Before the change 159 of 600 calls (resets after 0 to 6 ms, server as a process) and 50 of 50 (one process) ended as whole. Ruled out: truncated answers with a length or chunks, which undici reports. Change: a connection that has no peer address any more at its end was reset and is destroyed with an error. It uses undici's own error code for sockets, so that a reset of an idle connection fails no request that waits for another one.

--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -22,6 +22,7 @@
   UNFRAMED_HEADS,
   type AnswerBytes,
 } from '../support/scripted-server.js';
+import { launchProcess, type LaunchedProcess } from '../../harness/process-launcher.js';
 import {
   createPlatformConfiguration,
   createPlatformSettings,
@@ -30,6 +31,7 @@
 interface ContractWorld {
   scriptedServer: ScriptedServer | undefined;
   platformClient: ServerClient | undefined;
+  resettingServer: LaunchedProcess | undefined;
   noListener: boolean;
   outcomes: string[];
   /** Ids of the servers that said they are leaving, one for each answer. */
@@ -48,6 +50,7 @@
 After(async () => {
   scenario.scriptedServer?.close();
   await scenario.platformClient?.stop();
+  await scenario.resettingServer?.kill();
 });
 
 Given('a platform server that answers with {string}', async (script: string) => {
@@ -62,6 +65,39 @@
   scenario.outcomes = [];
 });
 
+Given(
+  'a platform server in a process of its own that resets answers without a length',
+  async () => {
+    scenario.resettingServer = await launchProcess('stand-ins/resetting-server');
+    const logs = JsonLogs.create('error', 'test');
+    scenario.platformClient = ServerClient.create('test', SystemClock.create(), logs, () => {});
+    scenario.outcomes = [];
+  },
+);
+
+/** Requests to the resetting server that are in progress at the same time. */
+const RESET_REQUESTS_AT_ONCE = 20;
+
+When(
+  '{int} requests are sent to the resetting platform server, with resets after 0 to 6 ms',
+  STEP,
+  async (count: number) => {
+    const port = Number(scenario.resettingServer!.ready.port);
+    for (let sent = 0; sent < count; sent += RESET_REQUESTS_AT_ONCE) {
+      const ids = Array.from({ length: RESET_REQUESTS_AT_ONCE }, (_, index) => `r${sent + index}`);
+      const address = { host: '127.0.0.1', port };
+      const outcomes = ids.map((id) => sendRequest(id, -Infinity, address));
+      scenario.outcomes.push(...(await Promise.all(outcomes)));
+    }
+  },
+);
+
+Then('no platform call ends as {string}', (outcome: string) => {
+  assert.ok(scenario.outcomes.length > 0);
+  const count = scenario.outcomes.filter((each) => each === outcome).length;
+  assert.equal(count, 0, `${count} of ${scenario.outcomes.length} calls`);
+});
+
 /** Sends one request for each length of the truncated answer, each to a server of its own. */
 async function sendTruncated(answer: AnswerBytes): Promise<void> {
   const logs = JsonLogs.create('error', 'test');
--- a/features/support/scripted-server.ts
+++ b/features/support/scripted-server.ts
@@ -39,6 +39,12 @@
     socket.write(`${head(id, [SEAL])}ok`);
     setTimeout(() => socket.resetAndDestroy(), 50);
   },
+  // Within one process, the reset always arrives before the client has read the data.
+  'no length, with a reset at once': (socket, id) => {
+    socket.write(`${head(id, [SEAL])}ok`);
+    socket.resetAndDestroy();
+    socket.destroy();
+  },
   'its own failure': (socket, id) => socket.write(whole(id, [SEAL], '500 Internal Server Error')),
   'a whole answer, leaving': (socket, id) => socket.write(whole(id, [SEAL, LEAVING])),
   'its own failure, leaving': (socket, id) =>
--- a/features/users-platform/contract.feature
+++ b/features/users-platform/contract.feature
@@ -25,6 +25,19 @@
       | no listener             | unsent    |
       | its own failure         | whole 500 |
 
+  # Guards against an answer without a length whose server resets its connection right after some data:
+  # Node reports the end of such a connection, and no error.
+  Scenario: an answer without a length that the server resets at once is not taken for whole
+    Given a platform server that answers with "no length, with a reset at once"
+    When 50 requests are sent to the platform server at once
+    Then no platform call ends as "whole"
+
+  # Guards against the same with resets that arrive with the data, between it, and after it.
+  Scenario: an answer without a length is not taken for whole, whenever the server resets it
+    Given a platform server in a process of its own that resets answers without a length
+    When 600 requests are sent to the resetting platform server, with resets after 0 to 6 ms
+    Then no platform call ends as "whole"
+
   # Guards against requests to servers that say in their answers that they leave, and nowhere else.
   Scenario Outline: a server that sends <answer> <leaves> known to leave
     Given a platform server that answers with "<answer>"
--- a/src/infrastructure/http-call.ts
+++ b/src/infrastructure/http-call.ts
@@ -6,6 +6,7 @@
 
 import { CallFailure } from '../kernel/call-failure.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+import { reportResets } from './connection-end.js';
 import { readLimited } from './limited-body.js';
 
 const gunzip = promisify<Buffer, ZlibOptions, Buffer>(gunzipWithCallback);
@@ -93,15 +94,6 @@
   });
 }
 
-/**
- * Replaces the code of reset errors. undici treats an answer without a length as complete when its
- * connection is reset. It recognizes a reset by the code of the error; with another code it reports the
- * error.
- */
-function replaceResetCode(error: NodeJS.ErrnoException): void {
-  if (error.code === 'ECONNRESET') Object.assign(error, { code: 'CONNECTION_RESET' });
-}
-
 /**
  * Closes a connection on which more arrives after a request than an answer may have. It covers what is no
  * body: heads, interim answers, chunk extensions, trailers and bytes that nothing asked for.
@@ -141,8 +133,10 @@
     }, connectMs);
     connect(options, (...result) => {
       clearTimeout(timer);
-      result[1]?.on('error', replaceResetCode);
-      if (result[1]) limitAnswers(result[1], maxAnswerBytes);
+      if (result[1]) {
+        reportResets(result[1]);
+        limitAnswers(result[1], maxAnswerBytes);
+      }
       if (expired) result[1]?.destroy();
       else callback(...result);
     });
