fix: do not end the process when a server closes its connection before a slow caller

Change: the end of a connection is held until the reader reads when it is told that the connection is readable, which a paused reader does not. A reset is held in the same way, so that an answer with a length that is complete in the buffers is not lost.

--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -47,6 +47,8 @@
 
 const STEP = { timeout: 30_000 } as const;
 
+const clock = SystemClock.create();
+
 After(async () => {
   scenario.scriptedServer?.close();
   await scenario.platformClient?.stop();
@@ -130,6 +132,45 @@
   );
 });
 
+/** Sizes of the bodies that are read slowly, in bytes: from less to more than the buffers of a connection. */
+const SLOW_SIZES = Array.from({ length: 25 }, (_, index) => (index + 1) * 16_000);
+
+/** Time between two chunks that a slow reader takes, in milliseconds. */
+const SLOW_READ_INTERVAL_MS = 30;
+
+/** Time from an answer to the reset of its connection, in milliseconds: the reader has begun to read. */
+const LATE_RESET_MS = 15;
+
+When(
+  /^answers without a length of 16 to 400 kB that (end|are reset) are read slowly from the platform server$/,
+  STEP,
+  async (end: string) => {
+    const logs = JsonLogs.create('error', 'test');
+    scenario.platformClient = ServerClient.create('test', SystemClock.create(), logs, () => {});
+    scenario.outcomes = [];
+    for (const size of SLOW_SIZES) {
+      const body = 'x'.repeat(size);
+      const server = await ScriptedServer.create((socket, id) => {
+        socket.write(`${UNFRAMED_HEADS['without a length']!(id)}${body}`);
+        if (end === 'end') socket.end();
+        else setTimeout(() => socket.resetAndDestroy().destroy(), LATE_RESET_MS);
+      });
+      const address = { host: '127.0.0.1', port: server.port };
+      const slowly = { body, intervalMs: SLOW_READ_INTERVAL_MS };
+      scenario.outcomes.push(await sendRequest('r0', -Infinity, address, slowly));
+      server.close();
+    }
+  },
+);
+
+Then('the platform calls all end as {string}', (outcome: string) => {
+  assert.ok(scenario.outcomes.length > 0);
+  assert.deepEqual(
+    scenario.outcomes.filter((each) => each !== outcome),
+    [],
+  );
+});
+
 When('a request is sent to the platform server', async () => {
   scenario.outcomes.push(await sendRequest(`r${scenario.outcomes.length}`));
   await new Promise((resolve) => {
@@ -170,6 +211,7 @@
   requestId: string,
   connectedAfterMs = -Infinity,
   address = scriptedAddress(),
+  expected = { body: 'ok', intervalMs: 0 },
 ): Promise<string> {
   const { platformClient: calls } = scenario;
   const target = createCatalogServer({ address });
@@ -185,11 +227,14 @@
   const { head, body } = outcome.value;
   const chunks: Buffer[] = [];
   try {
-    for await (const chunk of body) chunks.push(chunk);
+    for await (const chunk of body) {
+      chunks.push(chunk);
+      if (expected.intervalMs > 0) await clock.sleep(expected.intervalMs);
+    }
   } catch {
     return 'cut';
   }
-  assert.equal(Buffer.concat(chunks).toString(), 'ok');
+  assert.equal(Buffer.concat(chunks).toString(), expected.body);
   return head.status === 200 ? 'whole' : `whole ${head.status}`;
 }
 
--- a/features/users-platform/contract.feature
+++ b/features/users-platform/contract.feature
@@ -38,6 +38,17 @@
     When 600 requests are sent to the resetting platform server, with resets after 0 to 6 ms
     Then no platform call ends as "whole"
 
+  # Guards against a process that ends by itself because a server's connection ends while the caller of
+  # an answer without a length reads more slowly than the server sends.
+  Scenario Outline: an answer without a length that <ends> reaches a slow reader as <outcome>
+    When answers without a length of 16 to 400 kB that <end> are read slowly from the platform server
+    Then the platform calls all end as "<outcome>"
+
+    Examples:
+      | ends        | end        | outcome |
+      | is complete | end        | whole   |
+      | is reset    | are reset  | cut     |
+
   # Guards against requests to servers that say in their answers that they leave, and nowhere else.
   Scenario Outline: a server that sends <answer> <leaves> known to leave
     Given a platform server that answers with "<answer>"
--- a/src/infrastructure/connection-end.ts
+++ b/src/infrastructure/connection-end.ts
@@ -3,22 +3,47 @@
 import { errors } from 'undici';
 
 /**
- * Makes a client connection report resets as errors. An answer without a length is complete when its
- * connection is closed, but not when it is reset.
+ * Prepares the end of a client connection for undici:
  *
- * Node reports the end of the stream and no error when a reset arrives before the data has been read.
- * undici takes an error with the code of a reset for the end of the answer.
+ * - A reset is reported as an error. An answer without a length is complete when its connection is closed,
+ *   but not when it is reset. Node reports the end of the stream and no error when a reset arrives before
+ *   the data has been read, and undici takes an error with the code of a reset for the end of the answer.
+ * - The end is reported while the reader takes data. undici throws when a connection ends while it has
+ *   paused its parser for a slow caller.
  *
  * @param socket - a connection whose peer address has not been read; Node would keep the address
  */
-export function reportResets(socket: Socket): void {
+export function guardEnd(socket: Socket): void {
   const push = socket.push.bind(socket);
+  const read = socket.read.bind(socket);
+  let heldEnd: 'closed' | 'reset' | undefined;
+  let isOffering = false;
+  // A reader that has paused does not read when it is told that the connection is readable.
+  const offerEnd = () => {
+    if (!heldEnd || socket.destroyed) return;
+    isOffering = true;
+    socket.emit('readable');
+    isOffering = false;
+  };
+  const releaseEnd = () => {
+    if (heldEnd === 'reset') socket.destroy(createResetError());
+    else push(null);
+    heldEnd = undefined;
+  };
   Object.assign(socket, {
     push(chunk: unknown, encoding?: BufferEncoding): boolean {
-      if (chunk !== null || !wasReset(socket)) return push(chunk, encoding);
-      socket.destroy(createResetError());
+      if (chunk !== null) return push(chunk, encoding);
+      heldEnd = wasReset(socket) ? 'reset' : 'closed';
+      process.nextTick(offerEnd);
       return false;
     },
+    read(size?: number): unknown {
+      // Node itself reads with a size, to fill the buffer.
+      if (size !== undefined || !heldEnd) return read(size);
+      if (!isOffering) process.nextTick(offerEnd);
+      else if (socket.readableLength === 0) releaseEnd();
+      return read();
+    },
   });
   socket.on('error', (error: NodeJS.ErrnoException) => {
     if (error.code === 'ECONNRESET') Object.assign(error, { code: createResetError().code });
--- a/src/infrastructure/http-call.ts
+++ b/src/infrastructure/http-call.ts
@@ -6,7 +6,7 @@
 
 import { CallFailure } from '../kernel/call-failure.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
-import { reportResets } from './connection-end.js';
+import { guardEnd } from './connection-end.js';
 import { readLimited } from './limited-body.js';
 
 const gunzip = promisify<Buffer, ZlibOptions, Buffer>(gunzipWithCallback);
@@ -134,7 +134,7 @@
     connect(options, (...result) => {
       clearTimeout(timer);
       if (result[1]) {
-        reportResets(result[1]);
+        guardEnd(result[1]);
         limitAnswers(result[1], maxAnswerBytes);
       }
       if (expired) result[1]?.destroy();
