fix(backends): take no reset connection for the end of a plain answer

On the product's own interface, an answer of a plain service without a length was passed on as whole when its connection was reset. Cause: HttpConnections opened its connections with undici's own connector, which takes ECONNRESET, and the end that Node reports in its place, for the end of such an answer. Evidence: both rows of the new test failed before, with a reset at once and with one 50 ms later; the same answer with an ordinary close passed. Ruled out: answers with a length or chunks (rows half-body and trickle passed before). Change: the connections use the connector of the other clients, without a limit of bytes; readBody has its own.

--- a/features/backends/backends.feature
+++ b/features/backends/backends.feature
@@ -92,8 +92,25 @@
       | trickle      | timeout | true  | 1        |
       | too-large    | broken  | true  | 1        |
 
-  Scenario: a plain response is complete, reports draining, and the key is not forwarded
-    Given a backends plain service with the fault "none"
+  # Guards against an answer without a length whose connection is reset and that is taken for whole.
+  Scenario Outline: a plain answer without a length that ends by <fault> is not taken for whole
+    Given a backends plain service with the fault "<fault>"
+    When backends send a plain request
+    Then the backends plain call fails with "broken" and sent "true"
+    And the backends plain service got 1 requests
+
+    Examples:
+      | fault                |
+      | unframed-reset       |
+      | unframed-reset-later |
+
+  Scenario Outline: a plain response is complete, reports draining, and the key is not forwarded: <fault>
+    Given a backends plain service with the fault "<fault>"
     When backends send a plain request
     Then the backends plain response is 201 "done" and draining
     And the backends plain service saw no authorization header
+
+    Examples:
+      | fault    |
+      | none     |
+      | unframed |
--- a/features/support/fake-plain-service.ts
+++ b/features/support/fake-plain-service.ts
@@ -1,8 +1,21 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 
 import type { PlainServer } from '../../src/domain/backend-server.js';
 
+const UNFRAMED_HEAD = 'HTTP/1.1 201 Created\r\nX-Draining: 1\r\n\r\n';
+
+/** Resets at once arrive before a client in the same process has read the data in front of them. */
+function resetUnframed(socket: Socket, delayMs = 0): void {
+  const reset = () => {
+    socket.resetAndDestroy();
+    socket.destroy();
+  };
+  socket.write(`${UNFRAMED_HEAD}do`);
+  if (delayMs === 0) reset();
+  else setTimeout(reset, delayMs);
+}
+
 /** A plain service that shows the same fault in each of its responses. */
 export class FakePlainService {
   readonly requests: IncomingMessage[] = [];
@@ -48,6 +61,9 @@
     request.resume();
     if (this.fault === 'silent') return;
     if (this.fault === 'reset') response.destroy();
+    else if (this.fault === 'unframed-reset') resetUnframed(request.socket);
+    else if (this.fault === 'unframed-reset-later') resetUnframed(request.socket, 50);
+    else if (this.fault === 'unframed') request.socket.end(`${UNFRAMED_HEAD}done`);
     else if (this.fault === 'headers-only') response.flushHeaders();
     else if (this.fault === 'half-body') {
       response.writeHead(200, { 'content-length': '10' }).write('do');
--- a/src/backends/http-connections.ts
+++ b/src/backends/http-connections.ts
@@ -3,6 +3,7 @@
 import { Pool } from 'undici';
 
 import { formatAddress, type Address } from '../domain/vm.js';
+import { createConnector } from '../infrastructure/http-call.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
 import type { ProgressDeadline } from './progress-deadline.js';
 
@@ -70,7 +71,7 @@
       new Pool(`http://${formatAddress(address)}`, {
         allowH2: false,
         pipelining: 1,
-        connect: { timeout: limits.connectMs },
+        connect: createConnector(limits.connectMs),
         keepAliveTimeout: limits.idleMs,
         keepAliveMaxTimeout: limits.idleMs,
         // The progress deadline of each call covers the wait for the headers and for the body.
--- a/src/infrastructure/http-call.ts
+++ b/src/infrastructure/http-call.ts
@@ -116,12 +116,12 @@
  * Creates a connector with its own timer, because undici rounds short timeouts up to about a second.
  *
  * @param connectMs - timeout for connecting, in milliseconds
- * @param maxAnswerBytes - bytes after a request beyond which its connection is closed
+ * @param maxAnswerBytes - bytes after a request beyond which its connection is closed; unlimited by default
  * @returns a connector for undici
  */
 export function createConnector(
   connectMs: number,
-  maxAnswerBytes: number,
+  maxAnswerBytes = Infinity,
 ): buildConnector.connector {
   const connect = buildConnector({ timeout: 0 });
   return (options, callback) => {
