--- a/features/support/scripted-server.ts
+++ b/features/support/scripted-server.ts
@@ -1,7 +1,7 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 
-/** Writes an answer to a request; `id` is the request's attempt id. */
-type Script = (socket: Socket, id: string) => void;
+/** Writes an answer to a request; `id` is the request's attempt id, `request` its bytes as Latin-1. */
+type Script = (socket: Socket, id: string, request: string) => void;
 
 /** Builds the complete bytes of an answer. */
 export type AnswerBytes = (id: string) => string;
@@ -105,8 +105,9 @@
           socket.resetAndDestroy();
           return;
         }
-        const id = /attempt-id: (\S+)/i.exec(bytes.toString('latin1'))?.[1] ?? '';
-        answer?.(socket, id);
+        const request = bytes.toString('latin1');
+        const id = /attempt-id: (\S+)/i.exec(request)?.[1] ?? '';
+        answer?.(socket, id, request);
       });
     });
     await new Promise<void>((resolve) => {
