fix(relay): take no stream that ends inside an event for whole, without engines too

Cause: PlainRun does not look at events. An answer without a length whose server closes the connection in the ordinary way is complete for it wherever it ends. Of the 7 rows of the new test 3 failed before: the stream that ends inside an event, the same after a long event, and an event without end. Ruled out: StagedRun, which looks at events; answers of other types, other statuses and other kinds of routes, which have rows. Change: PlainRun reads streams through EventSplitter, and one that ends inside an event throws as a truncated answer does: 502 while it is buffered, a reset when part of it has been passed on. As in StagedRun, an event of more than 1 MB breaks a stream off.

--- a/features/relay/relay-runs.feature
+++ b/features/relay/relay-runs.feature
@@ -39,6 +39,23 @@
       | stream | 1 | stream ends inside an event | 1 | 200 | 1 | cut |
       | resumable | 2 | stream ends inside an event, answer | 2 | 200 | 1,2,3 | whole |
 
+  # Guards against a stream without engines that its server breaks off inside an event and that looks complete.
+  Scenario Outline: a stream without engines that does "<step>" is <end>
+    Given a relay with 3 plain servers that do "<step>"
+    When a relay request of kind "<kind>" with 1 attempts arrives
+    Then the relay sends it 1 times and the caller gets <status>
+    And the relay's caller has the events "<events>" and the answer is <end>
+
+    Examples:
+      | kind   | step                                         | status | events | end   |
+      | stream | answer                                       | 200    | 1,2    | whole |
+      | stream | stream ends inside an event                  | 502    |        | whole |
+      | stream | stream ends inside an event after a long one | 200    | 1,2,3  | cut   |
+      | stream | an event without end                         | 200    | 1      | cut   |
+      | stream | text of another type                         | 200    |        | whole |
+      | stream | failure status                               | 500    |        | whole |
+      | once   | stream ends inside an event                  | 200    | 1,2    | whole |
+
   # Guards against the text of an error in the middle of a stream, and against an end that looks complete.
   Scenario Outline: a stream that broke off and is refused by the next server ends as cut
     Given a relay with 1 prefill engine and 3 decode engines that do "stream breaks, <step>"
--- a/features/support/fake-upstream.ts
+++ b/features/support/fake-upstream.ts
@@ -33,6 +33,8 @@
   'stream breaks',
   'stream breaks late',
   'stream ends inside an event',
+  'stream ends inside an event after a long one',
+  'text of another type',
   'slow events',
   'a long pause',
   'comments for ever',
@@ -40,6 +42,9 @@
   'an event without end',
 ] as const;
 
+/** Length of a long event, more than a plain run buffers. */
+const LONG_DATA = 300_000;
+
 /** Pause between the pieces of a slow or endless stream, in milliseconds. */
 const PIECE_INTERVAL_MS = 900;
 
@@ -205,6 +210,10 @@
       yield Buffer.from(FAILURE_TEXT);
       return;
     }
+    if (step === 'text of another type') {
+      yield Buffer.from('a text');
+      return;
+    }
     yield Buffer.from(`id: ${first}\ndata: x\n\n`);
     const slow = describeSlow(step, first);
     for (let sent = 0; slow && sent < slow.count; sent += 1) {
@@ -218,11 +227,14 @@
     if (step === 'a long pause') await setTimeout(LONG_PAUSE_MS, undefined, { signal });
     if (step === 'stream breaks late') await setTimeout(LATE_BREAK_MS);
     if (step.startsWith('stream breaks')) throw new Error('reset');
-    if (step === 'stream ends inside an event') {
-      yield Buffer.from(`id: ${first + 1}\ndata:`);
+    if (step === 'stream ends inside an event after a long one')
+      yield Buffer.from(`id: ${first + 1}\ndata: ${'x'.repeat(LONG_DATA)}\n\n`);
+    if (step.startsWith('stream ends inside an event')) {
+      yield Buffer.from(`id: ${first + (step === 'stream ends inside an event' ? 1 : 2)}\ndata:`);
       return;
     }
     yield Buffer.from(`id: ${first + 1}\ndata: x\n\n`);
   }
-  return { head: { status, headers: [], framed: true }, body: body() };
+  const headers = step === 'text of another type' ? ['Content-Type', 'text/plain'] : [];
+  return { head: { status, headers, framed: true }, body: body() };
 }
--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -1,4 +1,5 @@
 import type { Outcome } from '../kernel/outcome.js';
+import { EventSplitter, isEventStream } from './event-splitter.js';
 import { computeRefusalProbability } from './load-shedding.js';
 import { Run, type Job, type RunResult } from './run.js';
 import type { RunContext } from './run-context.js';
@@ -148,7 +149,14 @@
     const tookMs = Math.round(this.nowMs - sentMs);
     this.recordDecision('send', server.id, failure ?? 'answer', { tookMs, runs: this.runs });
     if (outcome.kind === 'failed') return outcome;
-    return bufferAnswer(outcome.value);
+    return bufferAnswer(this.checkEnd(outcome.value));
+  }
+
+  /** Makes a stream that ends inside an event a truncated answer. */
+  private checkEnd(answer: OpenAnswer): OpenAnswer {
+    const { head, body } = answer;
+    const isStream = this.job.route.kind === 'stream' && head.status === 200 && isEventStream(head);
+    return isStream ? { head, body: requireWholeEvents(body) } : answer;
   }
 
   private async deliver({ answer, chunks, rest }: BufferedAnswer, server: CatalogServer) {
@@ -205,6 +213,16 @@
   }
 }
 
+async function* requireWholeEvents(body: AsyncIterable<Buffer>): AsyncGenerator<Buffer> {
+  const events = EventSplitter.create();
+  for await (const chunk of body) {
+    events.push(chunk);
+    if (events.isOversized) throw new Error('an event is too large');
+    yield chunk;
+  }
+  if (events.endsInsideEvent) throw new Error('the stream ended inside an event');
+}
+
 async function bufferAnswer(answer: OpenAnswer): Promise<Outcome<BufferedAnswer, UpstreamFailure>> {
   const body = answer.body[Symbol.asyncIterator]();
   const chunks: Buffer[] = [];
