--- a/features/steps/platform-path-steps.ts
+++ b/features/steps/platform-path-steps.ts
@@ -128,8 +128,8 @@
 );
 
 Given('a router on the platform', async () => {
-  const [front, ready, control, directory, digest] = await findFreePorts(5);
-  scenario.ports = [front!, ready!, control!, directory!];
+  const [front, ready, control, directory, metrics, digest] = await findFreePorts(6);
+  scenario.ports = [front!, ready!, control!, directory!, metrics!];
   scenario.platformDirectory = await mkdtemp(path.join(tmpdir(), 'cuminspar-'));
   const settings = createPlatformSettings({
     listen: {
@@ -145,7 +145,8 @@
   await writeFile(file, JSON.stringify(settings));
   const env = { ...process.env, CUMINSPAR_BOOT: file, NODE_OPTIONS: '' };
   scenario.output = '';
-  scenario.platformRouter = spawn('node', ['--import', 'tsx', 'platform/main.ts'], { env });
+  const args = ['--import', 'tsx', 'platform/main.ts', '--metrics-port', String(metrics)];
+  scenario.platformRouter = spawn('node', args, { env });
   [scenario.platformRouter.stdout, scenario.platformRouter.stderr].forEach((stream) =>
     stream!.on('data', (chunk: Buffer) => {
       scenario.output += chunk.toString();
