--- a/features/steps/odd-request-steps.ts
+++ b/features/steps/odd-request-steps.ts
@@ -2,12 +2,19 @@
 import type { ChildProcess } from 'node:child_process';
 import { connect } from 'node:net';
 
-import { Then, When, world } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
+
+import { findFreePorts } from '../../harness/free-ports.js';
+import { HttpListener, replyJson } from '../../platform/http-listener.js';
+import { JsonLogs } from '../../src/observability/json-logs.js';
 
 interface OddWorld {
   platformRouter: ChildProcess;
   /** Ports of the listeners, in the order of `LISTENERS`. */
   ports: number[];
+  oddListener: HttpListener | undefined;
+  oddPort: number;
+  oddLines: string[];
   oddAnswers: string[];
 }
 
@@ -106,6 +113,33 @@
   scenario.oddAnswers = await Promise.all(requests.map((request) => exchange(port, request)));
 }
 
+After(async () => {
+  await scenario.oddListener?.stop();
+  scenario.oddListener = undefined;
+});
+
+Given('an odd listener whose handlers throw', async () => {
+  const [port] = await findFreePorts(1);
+  scenario.oddLines = [];
+  scenario.oddPort = port!;
+  scenario.oddListener = HttpListener.create(
+    { host: HOST, port: port! },
+    {
+      '/throws': () => {
+        throw new Error('the handler throws');
+      },
+      '/rejects': () => Promise.reject(new Error('the handler rejects')),
+      '/works': () => replyJson('works'),
+    },
+    JsonLogs.create('info', 'test', (line) => scenario.oddLines.push(line)),
+  );
+  await scenario.oddListener.start();
+});
+
+When('the odd listener is asked for {string}', async (path: string) => {
+  await sendAll(scenario.oddPort, [buildRequest('GET', path, 'Host: x')]);
+});
+
 When(/^odd targets are sent to the router's (.*) listener$/, STEP, async (listener: string) => {
   const requests = METHODS.flatMap((method) =>
     TARGETS.map((target) => buildRequest(method, target, 'Host: x')),
@@ -132,6 +166,11 @@
   assert.equal(answer?.split(' ')[1], String(status), answer);
 });
 
+Then('the odd listener has logged {string}', (text: string) => {
+  assert.equal(scenario.oddLines.length, 1);
+  assert.ok(scenario.oddLines[0]!.includes(text), scenario.oddLines[0]);
+});
+
 Then('the odd requests have left the router running', async () => {
   const { oddAnswers, ports, platformRouter } = scenario;
   oddAnswers.forEach((answer) => assert.match(answer, /^(HTTP\/1.1 \d{3} |$)/));
--- a/features/users-platform/odd-requests.feature
+++ b/features/users-platform/odd-requests.feature
@@ -33,3 +33,17 @@
       | control   |
       | directory |
       | metrics   |
+
+  # Guards against a status page or a scrape that ends the process, with the answers of all callers.
+  Scenario Outline: a handler that <fails> is answered with 500 and logged, and the listener goes on
+    Given an odd listener whose handlers throw
+    When the odd listener is asked for "/<fails>"
+    Then the odd request is answered with 500
+    And the odd listener has logged "the handler <fails>"
+    When the odd listener is asked for "/works"
+    Then the odd request is answered with 200
+
+    Examples:
+      | fails   |
+      | throws  |
+      | rejects |
