test(soak): send answers without length or chunks that break off, to callers that may read slowly

Its servers sent no such answers, its callers all read at full speed, and its relays passed on resets that Node reports as an end as an ordinary close. Change: half of the plain answers have neither length nor chunks, 0.8 kB to 12 MB; some are reset 0 to 60 ms after none, part or most of the body, some are closed early. Half of the callers read slowly. They take such an answer for complete only when its connection was closed, not reset; it must then be byte for byte what the server sent before it closed the connection itself, or the whole body. Excused and printed: an answer in progress at a router that was sent SIGKILL, if it is larger than 256 KiB or its caller reads slowly, because the operating system closes the connection in the ordinary way.

--- /dev/null
+++ b/bench/platform-soak/answers.ts
@@ -0,0 +1,53 @@
+import { createHash, randomBytes } from 'node:crypto';
+
+import type { UnframedAnswer } from '../../stand-ins/platform/platform-server.js';
+import { createRandom } from '../soak/schedule.js';
+
+/** Sizes of bodies, in bytes; the last one is more than the buffers of the operating system hold. */
+const SIZES = [
+  ...[800, 800, 1500, 2000, 2000, 4800, 4800, 20_000, 20_000, 65_000, 65_000, 200_000],
+  ...[200_000, 300_000, 300_000, 300_000, 600_000, 600_000, 600_000, 12_000_000],
+];
+
+/** Times from the last byte until the connection ends, in milliseconds. */
+const END_DELAYS_MS = [0, 0, 0, 1, 1, 2, 3, 5, 10, 30, 60];
+
+/** Ways in which the connection of an answer ends, with `whole` and `early` close it in the ordinary way. */
+const ENDS = ['whole', 'whole', 'whole', 'early', 'reset', 'reset'] as const;
+
+/** Share of the body, in percent, that is sent before a connection ends early. */
+const SENT_PERCENT = [0, 1, 25, 75, 99];
+
+/**
+ * Creates a source of plain answers, half of which have neither length nor chunks.
+ *
+ * @param seed - equal seeds give equal sizes, ends and moments
+ * @returns a function that draws the next answer; undefined stands for one with a length
+ */
+export function createAnswers(seed: number): () => UnframedAnswer | undefined {
+  const random = createRandom(seed);
+  const choose = <T>(values: readonly T[]): T => values[random.integer(0, values.length)]!;
+  return () => {
+    if (random.integer(0, 2) === 0) return undefined;
+    const body = randomBytes(choose(SIZES));
+    const end = choose(ENDS);
+    const part = body.subarray(0, Math.floor((body.length * choose(SENT_PERCENT)) / 100));
+    const sent = end === 'whole' ? body : part;
+    return {
+      sent,
+      end: end === 'reset' ? 'reset' : 'close',
+      delayMs: choose(END_DELAYS_MS),
+      digest: digestBody(end === 'reset' ? body : sent),
+    };
+  };
+}
+
+/**
+ * Computes the digest by which bodies are compared.
+ *
+ * @param body - the bytes
+ * @returns their SHA-256 in hexadecimal
+ */
+export function digestBody(body: Buffer): string {
+  return createHash('sha256').update(body).digest('hex');
+}
--- a/bench/platform-soak/run.ts
+++ b/bench/platform-soak/run.ts
@@ -18,6 +18,8 @@
 export interface PlatformSoakReport {
   /** One line for each broken guarantee. */
   readonly violations: readonly string[];
+  /** One line for each answer that looked complete because its router was killed; no violation. */
+  readonly cutByKill: readonly string[];
   readonly faults: number;
   readonly requests: number;
   readonly served: number;
@@ -27,6 +29,9 @@
 
 const CALLER_COUNT = 8;
 
+/** Pauses of the slow callers after each chunk, in milliseconds; the other callers do not pause. */
+const CHUNK_PAUSES_MS = [4, 4, 25, 25];
+
 /** Time for the VMs to become ready after their first start, in milliseconds. */
 const STARTUP_MS = 5000;
 
@@ -40,9 +45,9 @@
  * @returns violations and counts
  */
 export async function runPlatformSoak(options: PlatformSoakOptions): Promise<PlatformSoakReport> {
-  const platform = await SoakPlatform.create(options.vms);
+  const platform = await SoakPlatform.create(options.vms, options.seed);
   const callers = Array.from({ length: CALLER_COUNT }, (_, index) =>
-    Caller.create(`c${index}`, platform),
+    Caller.create(`c${index}`, platform, CHUNK_PAUSES_MS[index] ?? 0),
   );
   try {
     await delay(STARTUP_MS);
@@ -63,9 +68,9 @@
     await Promise.all(traffic);
     const records = callers.flatMap((caller) => caller.records);
     const served = records.filter(({ status, complete }) => status === 200 && complete).length;
-    const violations = findViolations(platform, records, faultsEndedMs);
+    const found = findViolations(platform, records, faultsEndedMs);
     const { folder } = platform;
-    return { violations, faults: faults.length, requests: records.length, served, folder };
+    return { ...found, faults: faults.length, requests: records.length, served, folder };
   } finally {
     await platform.close();
   }
--- a/bench/platform-soak/soak-platform.ts
+++ b/bench/platform-soak/soak-platform.ts
@@ -8,6 +8,7 @@
 import { createTcpRelay, type TcpRelay } from '../../harness/tcp-relay.js';
 import { PlatformLog } from '../../stand-ins/platform/platform-log.js';
 import { PlatformServer, type PlatformStage } from '../../stand-ins/platform/platform-server.js';
+import { createAnswers } from './answers.js';
 import { SoakVm, type VmPorts } from './soak-vm.js';
 
 /** A server that the VMs reach through a TCP relay. */
@@ -24,6 +25,9 @@
  */
 export const DRAIN_MS = 4000;
 
+/** Bound on the number of servers of a run, so that no two runs draw equal answers. */
+const MAX_SERVERS = 1000;
+
 const STAGES: readonly PlatformStage[] = [
   ...(['prefill', 'prefill', 'decode', 'decode', 'decode'] as const),
   ...[undefined, undefined, undefined],
@@ -46,20 +50,22 @@
     readonly store: PlatformLog,
     readonly storeRelay: TcpRelay,
     readonly folder: string,
+    private readonly seed: number,
   ) {}
 
   /**
    * Starts store, servers and VMs.
    *
    * @param count - number of VMs
+   * @param seed - seed of the servers' answers
    * @returns the platform; the VMs may not be ready yet
    */
-  static async create(count: number): Promise<SoakPlatform> {
+  static async create(count: number, seed: number): Promise<SoakPlatform> {
     const store = await PlatformLog.create();
     const [host, port] = store.address.split(':');
     const storeRelay = await createTcpRelay({ host: host!, port: Number(port) });
     const folder = await mkdtemp(path.join(tmpdir(), 'cuminspar-soak-'));
-    const platform = new SoakPlatform(store, storeRelay, folder);
+    const platform = new SoakPlatform(store, storeRelay, folder, seed);
     for (const stage of STAGES) await platform.addServer(stage);
     store.put('keyed.op', 'config', createPlatformConfiguration());
     const [front, ready, control, directory, digest, metrics] = await findFreePorts(6);
@@ -78,7 +84,9 @@
    * @param stage - stage that the server runs; undefined for a server without stages
    */
   async addServer(stage: PlatformStage): Promise<void> {
-    const server = await PlatformServer.create(`i-${this.nextServerNumber}`, stage);
+    const number = this.nextServerNumber;
+    const answers = createAnswers(this.seed * MAX_SERVERS + number);
+    const server = await PlatformServer.create(`i-${number}`, stage, answers);
     this.nextServerNumber += 1;
     const [host, port] = server.entry().address.split(':');
     const relay = await createTcpRelay({ host: host!, port: Number(port) });
--- a/features/users-platform/soak.feature
+++ b/features/users-platform/soak.feature
@@ -1,9 +1,10 @@
 Feature: Soak of the programs on the users' platform
 
   # Guards the promises to callers and servers while VMs, store and connections fail one after another:
-  # nothing runs twice, a refused request has not run, answers are complete and belong to their own
-  # request, keys do not leave the router, leaving servers get no new work, and service resumes within
-  # 12 s.
+  # nothing runs twice, a refused request has not run, answers that look complete belong to their own
+  # request and are byte for byte what the server sent, also without length or chunks when the server
+  # resets its connection, keys do not leave the router, leaving servers get no new work, and service
+  # resumes within 12 s.
   Scenario: a seeded soak of 4 VMs keeps all promises
     When the platform soak runs for 10 s with 4 VMs and the seed 7
     Then the platform soak has broken no promise and has served most requests
--- a/harness/tcp-relay.ts
+++ b/harness/tcp-relay.ts
@@ -236,7 +236,8 @@
     void forwardAll();
   };
   from.on('data', add);
-  from.on('end', () => add(undefined));
+  // Node reports a reset that arrives before the data has been read as an ordinary end.
+  from.on('end', () => (from.remoteAddress === undefined ? reset(pair) : add(undefined)));
 }
 
 function consumeRule({ rules }: RelayState, head: string): CutRule | undefined {
--- a/stand-ins/platform/platform-server.ts
+++ b/stand-ins/platform/platform-server.ts
@@ -1,9 +1,26 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { setImmediate, setTimeout as delay } from 'node:timers/promises';
 
 /** Stage that a server runs; undefined for a plain service. */
 export type PlatformStage = 'prefill' | 'decode' | undefined;
 
+/** A plain answer that is sent with neither length nor chunks, and how its connection ends. */
+export interface UnframedAnswer {
+  /** Bytes that are sent before the connection ends. */
+  readonly sent: Buffer;
+  readonly end: 'close' | 'reset';
+  /** Time from the last byte until the connection ends, in milliseconds. */
+  readonly delayMs: number;
+  /** SHA-256 of the body that a caller may take for complete. */
+  readonly digest: string;
+}
+
+/** What a server records of an answer without length or chunks. */
+export interface UnframedRecord extends Omit<UnframedAnswer, 'sent'> {
+  readonly sentBytes: number;
+}
+
 /** A request that a server has received. */
 export interface RecordedRequest {
   readonly id: string;
@@ -12,6 +29,8 @@
   readonly hold: string | undefined;
   readonly team: string | undefined;
   readonly key: string | undefined;
+  /** Answer without length or chunks; undefined for all others. */
+  readonly unframed: UnframedRecord | undefined;
   /** Arrival time, in milliseconds since the Unix epoch. */
   readonly atMs: number;
 }
@@ -33,6 +52,7 @@
     readonly id: string,
     readonly stage: PlatformStage,
     private readonly httpServer: Server,
+    private readonly drawAnswer: () => UnframedAnswer | undefined,
   ) {}
 
   /**
@@ -40,11 +60,16 @@
    *
    * @param id - id of the server
    * @param stage - stage that it runs; undefined for a plain service
+   * @param drawAnswer - returns the next plain answer; undefined for a whole one with a length
    * @returns the running server
    */
-  static async create(id: string, stage: PlatformStage): Promise<PlatformServer> {
+  static async create(
+    id: string,
+    stage: PlatformStage,
+    drawAnswer: () => UnframedAnswer | undefined = () => undefined,
+  ): Promise<PlatformServer> {
     const http = createServer();
-    const server = new PlatformServer(id, stage, http);
+    const server = new PlatformServer(id, stage, http, drawAnswer);
     http.on('request', (request, response) => {
       void server.handleRequest(request, response);
     });
@@ -104,6 +129,7 @@
       return;
     }
     const id = header('attempt-id') ?? '';
+    const unframed = this.stage === undefined ? this.drawAnswer() : undefined;
     this.requests.push({
       id,
       stage: header('stage'),
@@ -111,6 +137,7 @@
       hold: header('kv-hold'),
       team: header('tenant'),
       key: header('authorization'),
+      unframed: unframed && describeUnframed(unframed),
       atMs: Date.now(),
     });
     response.setHeader('Attempt-Id', id);
@@ -119,7 +146,8 @@
       return;
     }
     response.setHeader('Server-Seal', `seal.${this.id}.${id}`);
-    if (this.stage === undefined) response.end('done');
+    if (unframed) await sendUnframed(response, unframed);
+    else if (this.stage === undefined) response.end('done');
     else this.sendEvents(response);
   }
 
@@ -129,3 +157,18 @@
     response.end();
   }
 }
+
+function describeUnframed({ sent, end, delayMs, digest }: UnframedAnswer): UnframedRecord {
+  return { sentBytes: sent.length, end, delayMs, digest };
+}
+
+async function sendUnframed(response: ServerResponse, answer: UnframedAnswer): Promise<void> {
+  response.useChunkedEncodingByDefault = false;
+  response.writeHead(200, { Connection: 'close' });
+  response.flushHeaders();
+  response.write(answer.sent);
+  // Node writes the first chunk of a body at the end of the tick.
+  await (answer.delayMs > 0 ? delay(answer.delayMs) : setImmediate());
+  if (answer.end === 'reset') response.socket?.resetAndDestroy().destroy();
+  else response.end();
+}
