fix(platform): send no refusal in the middle of an answer

A second head that does not arrive in time leads to the same code with 408; that was not run. Cause: CallerListener.reject answered on the connection, whether or not an answer was in progress on it. Ruled out: the product's own interface, which closes the connection; HttpListener, where Node's own handler does. Change: the connection is reset when a request on it may be running. What ClientErrorHandler tracked for this is now OpenResponses, for both.

--- a/features/platform/leaving-callers.feature
+++ b/features/platform/leaving-callers.feature
@@ -18,8 +18,14 @@
       | half-closes within its body    |
       | half-closes within its answer  |
 
-  # Guards against part of an answer that looks complete to a caller that sends nothing more.
-  Scenario: a caller that half-closes its connection gets no part of an answer that looks complete
+  # Guards against part of an answer that looks complete: to a caller that sends nothing more, and to one
+  # that sends bytes that are no request, whose refusal was sent in the middle of the answer.
+  Scenario Outline: a caller that <does> in a pause of its answer gets no part that looks complete
     Given leaving callers of a router whose server answers for 2 s without a length
-    When 100 leaving callers each leave when it half-closes in a pause of its answer
+    When 100 leaving callers each leave when it <does> in a pause of its answer
     Then no leaving caller got part of an answer with an ordinary end
+
+    Examples:
+      | does          |
+      | half-closes   |
+      | sends no HTTP |
--- a/src/callers/client-error-handler.ts
+++ b/src/callers/client-error-handler.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 
 import { Refusal } from '../domain/refusal.js';
+import { OpenResponses } from './open-responses.js';
 import { describeRefusal } from './refusal-response.js';
 
 /**
@@ -18,7 +19,7 @@
  * connection, so that a refusal is not taken for the response to one of them.
  */
 export class ClientErrorHandler {
-  private readonly openResponses = new WeakMap<Socket, Set<ServerResponse>>();
+  private readonly openResponses = OpenResponses.create();
 
   /**
    * Creates a handler for one server.
@@ -35,10 +36,8 @@
    * @param incoming - the request
    * @param response - its response
    */
-  track({ socket }: IncomingMessage, response: ServerResponse): void {
-    const responses = this.openResponses.get(socket) ?? new Set();
-    this.openResponses.set(socket, responses.add(response));
-    response.on('close', () => responses.delete(response));
+  track(incoming: IncomingMessage, response: ServerResponse): void {
+    this.openResponses.track(incoming, response);
   }
 
   /**
@@ -50,7 +49,7 @@
    * @param socket - connection of the caller
    */
   refuse(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (!socket.writable || error.code === 'ECONNRESET' || this.isAnswering(socket)) {
+    if (!socket.writable || error.code === 'ECONNRESET' || this.openResponses.isAnswering(socket)) {
       socket.destroy();
       return;
     }
@@ -58,15 +57,6 @@
     const lingerTimer = setTimeout(() => socket.destroy(), LINGER_MS);
     socket.once('close', () => clearTimeout(lingerTimer));
   }
-
-  /**
-   * True when a request on this connection may be running. A request whose body has not been
-   * received completely has not been run, so it may be refused.
-   */
-  private isAnswering(socket: Socket): boolean {
-    const responses = [...(this.openResponses.get(socket) ?? [])];
-    return responses.some(({ req, headersSent }) => req.complete || headersSent);
-  }
 }
 
 function createRefusal({ code }: NodeJS.ErrnoException): Refusal {
--- a/stand-ins/leaving-callers.ts
+++ b/stand-ins/leaving-callers.ts
@@ -32,6 +32,7 @@
   resets: (socket) => socket.resetAndDestroy(),
   closes: (socket) => socket.destroy(),
   'half-closes': (socket) => socket.end(),
+  'sends no HTTP': (socket) => socket.write('\x00 no HTTP\r\n\r\n'),
 };
 
 function makeCall(index: number): Promise<Call> {
