--- a/stand-ins/leaving-callers.ts
+++ b/stand-ins/leaving-callers.ts
@@ -13,7 +13,7 @@
 const CALLERS_AT_ONCE = 20;
 
 /** Time after which a caller gives up, in milliseconds. */
-const TIMEOUT_MS = 5000;
+const TIMEOUT_MS = 9000;
 
 const BODY_BYTES = 1000;
 
@@ -32,6 +32,7 @@
   resets: (socket) => socket.resetAndDestroy(),
   closes: (socket) => socket.destroy(),
   'half-closes': (socket) => socket.end(),
+  'sends part of a head': (socket) => socket.write('GET /y HT'),
   'sends no HTTP': (socket) => socket.write('\x00 no HTTP\r\n\r\n'),
 };
 
