--- a/features/steps/unframed-answer-steps.ts
+++ b/features/steps/unframed-answer-steps.ts
@@ -4,6 +4,13 @@
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { createPlatformConfiguration } from '../../harness/platform-fixtures.js';
+import { findFreePorts } from '../../harness/free-ports.js';
+import { waitFor } from '../../harness/wait-for.js';
+import { CallerListener } from '../../platform/caller-listener.js';
+import { Kernel } from '../../src/kernel/kernel.js';
+import type { Service, Services } from '../../src/kernel/service.js';
+import { SystemClock } from '../../src/kernel/system-clock.js';
+import type { AnswerSink } from '../../src/relay/relay-request.js';
 import { launchPlatformRouter, type PlatformRouter } from '../../harness/platform-router.js';
 import { PlatformLog } from '../../stand-ins/platform/platform-log.js';
 import { sendOrder, type CallerEnd } from '../support/caller-end.js';
@@ -13,8 +20,12 @@
   unframedStore: PlatformLog | undefined;
   unframedServer: UnframedServer | undefined;
   unframedRouter: PlatformRouter | undefined;
+  unframedListener: CallerListener | undefined;
   bodyBytes: number;
   ends: CallerEnd[];
+  /** Resolves when the caller of the listener has its answer. */
+  end: Promise<CallerEnd>;
+  readOn: () => void;
 }
 
 const scenario = world as unknown as UnframedWorld;
@@ -24,7 +35,7 @@
 /** Time limit of the route, in milliseconds; the answers last longer than those of other scenarios. */
 const ROUTE_TIMEOUT_MS = 60_000;
 
-const GRACE_S = 8;
+const GRACE_S = 4;
 
 /** Module with which signals make a program fail. */
 const FAILURES = './harness/fail-on-signal.ts';
@@ -36,6 +47,7 @@
 
 After(async () => {
   await scenario.unframedRouter?.remove();
+  await scenario.unframedListener?.stop();
   scenario.unframedServer?.close();
   scenario.unframedStore?.close();
 });
@@ -58,10 +70,10 @@
 });
 
 function sendOrders(count: number, bytesPerSecond: number): Promise<CallerEnd[]> {
-  const { port } = scenario.unframedRouter!;
+  const { address } = scenario.unframedRouter!;
   const { bodyBytes } = scenario;
   const ids = Array.from({ length: count }, (_, index) => `u-${index}`);
-  return Promise.all(ids.map((id) => sendOrder({ port, id, bodyBytes, bytesPerSecond })));
+  return Promise.all(ids.map((id) => sendOrder({ address, id, bodyBytes, bytesPerSecond })));
 }
 
 When(
@@ -75,6 +87,17 @@
   },
 );
 
+When(
+  /^(\d+) callers read unframed answers at (\d+) kB\/s and the router is stopped after (\d+) ms$/,
+  STEP,
+  async (count: string, rate: string, afterMs: string) => {
+    const ends = sendOrders(Number(count), Number(rate) * 1000);
+    await delay(Number(afterMs));
+    scenario.unframedRouter!.process.signal('SIGTERM');
+    scenario.ends = await ends;
+  },
+);
+
 function countEnds(): Record<string, number> {
   const counts: Record<string, number> = {};
   scenario.ends.forEach((end) => {
@@ -102,3 +125,66 @@
   assert.equal(vm, 'front-sando-1');
   assert.equal(reset, count);
 });
+
+Then('all unframed answers are whole', async () => {
+  await scenario.unframedRouter!.process.ended;
+  assert.deepEqual(countEnds(), { whole: scenario.ends.length });
+});
+
+Then(
+  "the router's log says how many unframed answers were reset at the end of the stop",
+  async () => {
+    const { process: router } = scenario.unframedRouter!;
+    const { code } = await router.ended;
+    assert.equal(code, 0);
+    const line = router
+      .stdout()
+      .split('\n')
+      .find((text) => text.includes('"stopped"'));
+    const { reset } = JSON.parse(line!) as Record<string, unknown>;
+    assert.ok(Number(reset) > 0);
+    assert.equal(reset, countEnds().reset);
+  },
+);
+
+Given(
+  'a listener with an unframed answer of {int} bytes in its buffers',
+  async (bodyBytes: number) => {
+    const kernel = Kernel.create();
+    let isServed = false;
+    const serve = (_: unknown, sink: AnswerSink) => {
+      sink.writeHead({ status: 200, headers: [], framed: false });
+      void sink.write(Buffer.alloc(bodyBytes, 'x'));
+      sink.end();
+      isServed = true;
+      return Promise.resolve();
+    };
+    kernel.register('relay', { serve } as unknown as Services['relay'] & Service);
+    const [port = 0] = await findFreePorts(1);
+    const address = { host: '127.0.0.1', port };
+    const listener = CallerListener.create(kernel, address, SystemClock.create());
+    await listener.start();
+    scenario.unframedListener = listener;
+    const mayRead = new Promise<void>((resolve) => {
+      scenario.readOn = resolve;
+    });
+    scenario.end = sendOrder({ address, id: 'u-0', bodyBytes, mayRead });
+    await waitFor('the answer', () => isServed);
+    // The operating system takes what it can before it is full.
+    await delay(200);
+    assert.equal(listener.unfinished, 1);
+  },
+);
+
+When('the caller of the unframed answer reads on', () => scenario.readOn());
+
+When('the listener with the unframed answer is stopped', async () => {
+  await scenario.unframedListener!.stop();
+  scenario.unframedListener = undefined;
+  scenario.readOn();
+});
+
+Then("the unframed answer in the listener's buffers ends as {string}", async (end: string) => {
+  assert.equal(await scenario.end, end);
+  if (end === 'whole') assert.equal(scenario.unframedListener!.unfinished, 0);
+});
--- a/features/support/caller-end.ts
+++ b/features/support/caller-end.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net';
 
+import type { Address } from '../../src/domain/vm.js';
 import { PLATFORM_HOST, PLATFORM_KEY } from '../../harness/platform-fixtures.js';
 
 /** How an answer without a length ended at its caller. */
@@ -7,12 +8,14 @@
 
 /** A caller's request. */
 export interface CallerOptions {
-  readonly port: number;
+  readonly address: Address;
   readonly id: string;
   /** Size of the whole body. */
   readonly bodyBytes: number;
   /** Rate at which the caller reads; as fast as possible by default. */
   readonly bytesPerSecond?: number;
+  /** Resolves when the caller begins to read; at once by default. */
+  readonly mayRead?: Promise<void>;
   /** Called when the first bytes of the answer have arrived. */
   readonly onAnswer?: () => void;
 }
@@ -26,9 +29,9 @@
  * @returns how the answer ended; `truncated` looks complete and is not
  */
 export function sendOrder(options: CallerOptions): Promise<CallerEnd> {
-  const { port, id, bodyBytes, bytesPerSecond = Infinity, onAnswer } = options;
+  const { address, id, bodyBytes, bytesPerSecond = Infinity, mayRead, onAnswer } = options;
   return new Promise((resolve) => {
-    const socket = connect(port, '127.0.0.1');
+    const socket = connect(address.port, address.host);
     let head = '';
     let received = 0;
     socket.on('data', (chunk) => {
@@ -47,6 +50,10 @@
       else resolve(received - headEnd - HEAD_END.length === bodyBytes ? 'whole' : 'truncated');
     });
     socket.on('error', () => resolve(received === 0 ? 'no answer' : 'reset'));
+    if (mayRead) {
+      socket.pause();
+      void mayRead.then(() => socket.resume());
+    }
     const lines = [`Host: ${PLATFORM_HOST}`, `Attempt-Id: ${id}`, 'Deadline-Ms: 60000'];
     const key = `Authorization: Bearer ${PLATFORM_KEY}`;
     socket.write(`GET /order/a HTTP/1.1\r\n${[...lines, key].join('\r\n')}${HEAD_END}`);
--- a/features/users-platform/unframed-answers.feature
+++ b/features/users-platform/unframed-answers.feature
@@ -12,3 +12,28 @@
       | cause                  |
       | an uncaught exception  |
       | an unhandled rejection |
+
+  # Guards against answers that look complete although a stop ended them, with part of them still in the
+  # buffers of the router.
+  Scenario: answers without a length are reset when the grace period ends before they do
+    Given a router with answers of 8000000 bytes without a length
+    When 20 callers read unframed answers at 450 kB/s and the router is stopped after 700 ms
+    Then none of the unframed answers looks complete and is truncated
+    And the router's log says how many unframed answers were reset at the end of the stop
+
+  # Guards against a stop that cuts answers for which it has time.
+  Scenario: answers without a length are complete when the grace period is long enough for them
+    Given a router with answers of 16000000 bytes without a length
+    When 20 callers read unframed answers at 4000 kB/s and the router is stopped after 700 ms
+    Then all unframed answers are whole
+
+  # Guards against a stop that takes an answer for sent while part of it is in the buffers of the process.
+  Scenario Outline: an answer in the buffers of a listener counts as unfinished, and <change>
+    Given a listener with an unframed answer of 30000000 bytes in its buffers
+    When <event>
+    Then the unframed answer in the listener's buffers ends as "<end>"
+
+    Examples:
+      | change                   | event                                               | end   |
+      | is whole when it is sent | the caller of the unframed answer reads on          | whole |
+      | is reset by a stop       | the listener with the unframed answer is stopped    | reset |
--- a/harness/platform-router.ts
+++ b/harness/platform-router.ts
@@ -4,6 +4,7 @@
 
 import { request } from 'undici';
 
+import type { Address } from '../src/domain/vm.js';
 import { findFreePorts } from './free-ports.js';
 import { createPlatformSettings } from './platform-fixtures.js';
 import { launchProcess, type LaunchedProcess } from './process-launcher.js';
@@ -12,8 +13,8 @@
 /** A router on the platform that runs as a process. */
 export interface PlatformRouter {
   readonly process: LaunchedProcess;
-  /** Port for callers. */
-  readonly port: number;
+  /** Address for callers. */
+  readonly address: Address;
   /** Kills the process and removes its settings. */
   readonly remove: () => Promise<void>;
 }
@@ -31,17 +32,19 @@
   graceS: number,
   preload?: string,
 ): Promise<PlatformRouter> {
-  const [front, ready, control, directory, digest] = (await findFreePorts(5)) as [
+  const host = ownHost();
+  const [front, ready, control, directory, digest] = (await findFreePorts(5, host)) as [
     number,
     ...number[],
   ];
   const { bounds } = createPlatformSettings();
   const settings = createPlatformSettings({
+    ip: host,
     listen: {
-      front: `127.0.0.1:${front}`,
-      ready: `127.0.0.1:${ready}`,
-      control: `127.0.0.1:${control}`,
-      directory: `127.0.0.1:${directory}`,
+      front: `${host}:${front}`,
+      ready: `${host}:${ready}`,
+      control: `${host}:${control}`,
+      directory: `${host}:${directory}`,
     },
     portRange: [digest, digest],
     seeds: [],
@@ -59,7 +62,7 @@
     isReady: ({ message }) => message === 'started',
   });
   const isReady = async () => {
-    const { statusCode, body } = await request(`http://127.0.0.1:${ready}/ready`);
+    const { statusCode, body } = await request(`http://${host}:${ready}/ready`);
     await body.dump();
     return statusCode === 200;
   };
@@ -68,5 +71,11 @@
     await launched.kill();
     await rm(folder, { recursive: true, force: true });
   };
-  return { process: launched, port: front, remove };
+  return { process: launched, address: { host, port: front }, remove };
+}
+
+/** Loopback address of this process alone: connections of others cannot take ports that were found free. */
+function ownHost(): string {
+  const { pid } = process;
+  return `127.${64 + (Math.floor(pid / 16_384) % 64)}.${Math.floor(pid / 128) % 128}.${1 + (pid % 128)}`;
 }
