test(platform): show the router's log when a stop has cut answers

All 20 answers of 'answers without a length are complete when the grace period is long enough for them' were reset once, in a run of three feature files at a load average of 31, which showed no log.

--- a/features/steps/process-end-steps.ts
+++ b/features/steps/process-end-steps.ts
@@ -52,6 +52,9 @@
   scenario.unframedStore?.close();
 });
 
+/** Characters of a router's log that a failure shows. */
+const LOG_TAIL = 3000;
+
 async function startServer(bodyBytes: number, atOnce: number): Promise<void> {
   scenario.bodyBytes = bodyBytes;
   scenario.ends = [];
@@ -127,8 +130,10 @@
 });
 
 Then('all unframed answers are whole', async () => {
-  await scenario.unframedRouter!.process.ended;
-  assert.deepEqual(countEnds(), { whole: scenario.ends.length });
+  const { process: router } = scenario.unframedRouter!;
+  await router.ended;
+  const log = `${router.stdout().slice(-LOG_TAIL)}${router.stderr()}`;
+  assert.deepEqual(countEnds(), { whole: scenario.ends.length }, log);
 });
 
 Then(
