fix(soak): give the VMs of each soak a loopback network of their own

Cause: all soaks used the addresses 127.0.1.x. The digest port is UDP, but is found free as a TCP port: both runs had the range from 43851 on. Their VMs took each other for peers, so callers of one soak were sent to VMs of the other, and both soaks use the same request ids. Change: the network follows from the id of the process.

--- a/bench/platform-soak/soak-platform.ts
+++ b/bench/platform-soak/soak-platform.ts
@@ -71,8 +71,11 @@
     const [front, ready, control, directory, digest, metrics] = await findFreePorts(6);
     const ports = { front, ready, control, directory, digest, metrics } as VmPorts;
     const address = `${storeRelay.host}:${storeRelay.port}`;
+    const network = chooseNetwork();
     platform.vms = await Promise.all(
-      Array.from({ length: count }, (_, index) => SoakVm.create(index + 1, ports, address, folder)),
+      Array.from({ length: count }, (_, index) =>
+        SoakVm.create(network, index + 1, ports, address, folder),
+      ),
     );
     await Promise.all(platform.vms.map((vm) => vm.start()));
     return platform;
@@ -133,3 +136,9 @@
     this.store.put('keyed.servers', server.id, { ...server.entry(state), address });
   }
 }
+
+/** Chooses a loopback network by the process, so that the VMs of two soaks never reach each other. */
+function chooseNetwork(): string {
+  const { pid } = process;
+  return `127.${1 + (Math.floor(pid / 256) % 255)}.${pid % 256}`;
+}
--- a/bench/platform-soak/soak-vm.ts
+++ b/bench/platform-soak/soak-vm.ts
@@ -41,6 +41,7 @@
   /**
    * Writes the settings of a VM.
    *
+   * @param network - first three numbers of the loopback addresses of all VMs
    * @param index - number of the VM, starting at 1
    * @param ports - ports to listen on, the same on all VMs
    * @param store - host and port of the store
@@ -48,12 +49,13 @@
    * @returns a VM whose process is not started yet
    */
   static async create(
+    network: string,
     index: number,
     ports: VmPorts,
     store: string,
     folder: string,
   ): Promise<SoakVm> {
-    const host = `127.0.1.${index}`;
+    const host = `${network}.${index}`;
     const formatAddress = (port: number, of = host) => `${of}:${port}`;
     const settings = createPlatformSettings({
       node: `front-sando-${index}`,
@@ -65,7 +67,7 @@
         directory: formatAddress(ports.directory),
       },
       portRange: [ports.digest, ports.digest + 1],
-      seeds: [formatAddress(ports.control, '127.0.1.1'), formatAddress(ports.control, '127.0.1.2')],
+      seeds: [1, 2].map((seed) => formatAddress(ports.control, `${network}.${seed}`)),
       bounds: { ...createPlatformSettings().bounds, graceS: STOP_GRACE_S },
       provider: { address: store },
     });
