--- a/features/platform/leaving-callers.feature
+++ b/features/platform/leaving-callers.feature
@@ -30,7 +30,12 @@
       | half-closes   |
       | sends no HTTP |
 
-  Scenario: a caller that sends part of a next head gets no part of an answer that looks complete when it times out
+  Scenario Outline: a caller that sends part of a <next> gets no part of an answer that looks complete when it times out
     Given leaving callers of a router whose server answers for 8 s without a length
-    When 20 leaving callers each leave when it sends part of a head in a pause of its answer
+    When 20 leaving callers each leave when it sends part of a <next> in a pause of its answer
     Then no leaving caller got part of an answer with an ordinary end
+
+    Examples:
+      | next    |
+      | head    |
+      | request |
--- a/stand-ins/leaving-callers.ts
+++ b/stand-ins/leaving-callers.ts
@@ -32,6 +32,10 @@
   resets: (socket) => socket.resetAndDestroy(),
   closes: (socket) => socket.destroy(),
   'half-closes': (socket) => socket.end(),
+  'sends part of a request': (socket) =>
+    socket.write(
+      'POST /x HTTP/1.1\r\nHost: plans.example\r\nAttempt-Id: z\r\nContent-Length: 9\r\n\r\nb',
+    ),
   'sends part of a head': (socket) => socket.write('GET /y HT'),
   'sends no HTTP': (socket) => socket.write('\x00 no HTTP\r\n\r\n'),
 };
