test(platform): connect odd and leaving callers from an address of their own

What was seen: a router of contract.feature did not start beside odd-requests.feature (EADDRINUSE): a port that had been free was taken. The many connections of the new callers take ports of 127.0.0.1; that one of them took this port is suspected, not traced. Change: these callers connect from 127.0.0.9. A caller that has not half-closed takes an end without a peer address for a reset, as the product does.

--- a/features/steps/odd-request-steps.ts
+++ b/features/steps/odd-request-steps.ts
@@ -24,6 +24,9 @@
 
 const HOST = '127.0.0.1';
 
+/** Not that of the listeners, whose free ports a connection from it could take. */
+const LOCAL_ADDRESS = '127.0.0.9';
+
 const LISTENERS = ['callers', 'readiness', 'control', 'directory', 'metrics'];
 
 /** Time without an end after which a connection is closed, in milliseconds. */
@@ -87,7 +90,7 @@
 function exchange(port: number, request: string): Promise<string> {
   return new Promise((resolve, reject) => {
     let text = '';
-    const socket = connect(port, HOST);
+    const socket = connect({ port, host: HOST, localAddress: LOCAL_ADDRESS });
     socket.setTimeout(TIMEOUT_MS, () => socket.destroy());
     socket.on('data', (bytes) => {
       text += bytes.toString('latin1');
--- a/stand-ins/leaving-callers.ts
+++ b/stand-ins/leaving-callers.ts
@@ -17,6 +17,9 @@
 
 const BODY_BYTES = 1000;
 
+/** Not that of the listeners, whose free ports a connection from it could take. */
+const LOCAL_ADDRESS = '127.0.0.9';
+
 /** What a caller did and saw. */
 interface Call {
   readonly id: string;
@@ -45,7 +48,12 @@
   const call: Call = { id: `c${index}`, leftAtMs: 0, end: 'closed', bodyBytes: 0 };
   const inPause = way.includes('pause');
   const delayMs = ((index % DELAYS) * MAX_DELAY_MS) / DELAYS + (inPause ? PAUSE_MS : 0);
-  const socket = connect({ port: Number(port), host: '127.0.0.1', allowHalfOpen: true });
+  const socket = connect({
+    port: Number(port),
+    host: '127.0.0.1',
+    localAddress: LOCAL_ADDRESS,
+    allowHalfOpen: true,
+  });
   let timer: NodeJS.Timeout | undefined;
   const leaveSoon = () => {
     timer = setTimeout(() => {
@@ -64,7 +72,11 @@
     text += bytes.toString('latin1');
     if (inPause && call.leftAtMs === 0) timer?.refresh();
   });
-  socket.on('end', () => socket.end());
+  socket.on('end', () => {
+    // A reset that arrives with data ends without an error. It leaves no peer address, like a second half-close.
+    if (!socket.writableEnded && socket.remoteAddress === undefined) call.end = 'reset';
+    socket.end();
+  });
   socket.on('error', () => {
     call.end = 'reset';
   });
