--- a/features/steps/unframed-answer-steps.ts
+++ b/features/steps/unframed-answer-steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { createServer } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import { connect, type AddressInfo, type Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
@@ -12,6 +12,7 @@
 import { waitFor } from '../../harness/wait-for.js';
 import { CallerListener } from '../../platform/caller-listener.js';
 import { CallerSink } from '../../platform/caller-sink.js';
+import type { Address } from '../../src/domain/vm.js';
 import { Kernel } from '../../src/kernel/kernel.js';
 import type { Service, Services } from '../../src/kernel/service.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
@@ -33,6 +34,9 @@
   /** Resolves when the caller of the listener has its answer. */
   answer: Promise<CallerAnswer>;
   readOn: () => void;
+  listenerAddress: Address;
+  /** How the connection of a caller ended. */
+  seen: string;
   /** Writes of a connection to the operating system. */
   writes: number;
 }
@@ -158,24 +162,32 @@
   },
 );
 
+/** Starts a listener that answers each request by writing to its sink. */
+async function startListener(answer: (sink: AnswerSink) => void): Promise<Address> {
+  const kernel = Kernel.create();
+  const serve = (_: unknown, sink: AnswerSink) => {
+    sink.writeHead({ status: 200, headers: [], framed: false });
+    answer(sink);
+    return Promise.resolve();
+  };
+  kernel.register('relay', { serve } as unknown as Services['relay'] & Service);
+  const [port = 0] = await findFreePorts(1);
+  const address = { host: '127.0.0.1', port };
+  const listener = CallerListener.create(kernel, address, SystemClock.create());
+  await listener.start();
+  scenario.unframedListener = listener;
+  return address;
+}
+
 Given(
   'a listener with an unframed answer of {int} bytes in its buffers',
   async (bodyBytes: number) => {
-    const kernel = Kernel.create();
     let isServed = false;
-    const serve = (_: unknown, sink: AnswerSink) => {
-      sink.writeHead({ status: 200, headers: [], framed: false });
+    const address = await startListener((sink) => {
       void sink.write(Buffer.alloc(bodyBytes, 'x'));
       sink.end();
       isServed = true;
-      return Promise.resolve();
-    };
-    kernel.register('relay', { serve } as unknown as Services['relay'] & Service);
-    const [port = 0] = await findFreePorts(1);
-    const address = { host: '127.0.0.1', port };
-    const listener = CallerListener.create(kernel, address, SystemClock.create());
-    await listener.start();
-    scenario.unframedListener = listener;
+    });
     const mayRead = new Promise<void>((resolve) => {
       scenario.readOn = resolve;
     });
@@ -183,10 +195,38 @@
     await waitFor('the answer', () => isServed);
     // The operating system takes what it can before it is full.
     await delay(200);
-    assert.equal(listener.unfinished, 1);
+    assert.equal(scenario.unframedListener!.unfinished, 1);
   },
 );
 
+Given('a listener with the begin of an unframed answer', async () => {
+  scenario.listenerAddress = await startListener((sink) => {
+    void sink.write(Buffer.from('begin'));
+  });
+});
+
+When('the caller of the unframed answer has read the begin and closes its side', async () => {
+  const { host, port } = scenario.listenerAddress;
+  const socket = connect(port, host);
+  let text = '';
+  socket.on('data', (bytes) => {
+    text += bytes.toString();
+  });
+  // With nothing left to read, a reset is reported as an error.
+  const seen = new Promise<string>((resolve) => {
+    socket.on('end', () => resolve('an ordinary end'));
+    socket.on('error', () => resolve('a reset'));
+  });
+  socket.write('GET /order/a HTTP/1.1\r\nHost: x\r\nAttempt-Id: u-0\r\n\r\n');
+  await waitFor('the begin', () => text.endsWith('begin'));
+  socket.end();
+  scenario.seen = await seen;
+});
+
+Then(/^the caller of the unframed answer sees (a reset)$/, (seen: string) => {
+  assert.equal(scenario.seen, seen);
+});
+
 When('the caller of the unframed answer reads on', () => scenario.readOn());
 
 When('the listener with the unframed answer is stopped', async () => {
--- a/features/users-platform/unframed-answers.feature
+++ b/features/users-platform/unframed-answers.feature
@@ -61,3 +61,9 @@
       | bytes  | spread |
       | 4800   | 24     |
       | 200000 | 48     |
+
+  # Guards against an answer that ends early and in the ordinary way because its caller has closed its own side.
+  Scenario: an answer without a length is reset when its caller closes its side of the connection
+    Given a listener with the begin of an unframed answer
+    When the caller of the unframed answer has read the begin and closes its side
+    Then the caller of the unframed answer sees a reset
