fix: keep a whole answer that is in the buffers when its connection is reset

What callers saw: a whole answer with a length failed or was cut when its server's connection was reset behind it while the caller read slowly. Cause: where Node reports the reset as an error it destroys the socket with the data that undici has not taken yet. Change: a reset that is reported as an error is held until the reader has taken the data in front of it, as one that is reported as an end.

--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -163,6 +163,38 @@
   },
 );
 
+/** Sizes of bodies that are wholly in the buffers of a loopback connection before its reset, in bytes. */
+const BUFFERED_SIZES = Array.from({ length: 25 }, (_, index) => (index + 1) * 8000);
+
+/** Time from the last byte of an answer to the reset of its connection, in milliseconds. */
+const RESET_BEHIND_ANSWER_MS = 30;
+
+When(
+  'whole answers with a length of 8 to 200 kB are read slowly from the platform server, which resets them afterwards',
+  STEP,
+  async () => {
+    const logs = JsonLogs.create('error', 'test');
+    scenario.platformClient = ServerClient.create('test', clock, logs, () => {});
+    const calls = BUFFERED_SIZES.map(async (size) => {
+      const body = 'x'.repeat(size);
+      const server = await ScriptedServer.create((socket, id) => {
+        const head = UNFRAMED_HEADS['without a length']!(id).trimEnd();
+        socket.write(`${head}\r\nContent-Length: ${size}\r\n\r\n${body}`, () => {
+          setTimeout(() => socket.resetAndDestroy(), RESET_BEHIND_ANSWER_MS);
+        });
+      });
+      const address = { host: '127.0.0.1', port: server.port };
+      const outcome = await sendRequest('r0', -Infinity, address, {
+        body,
+        intervalMs: SLOW_READ_INTERVAL_MS,
+      });
+      server.close();
+      return outcome;
+    });
+    scenario.outcomes = await Promise.all(calls);
+  },
+);
+
 Then('the platform calls all end as {string}', (outcome: string) => {
   assert.ok(scenario.outcomes.length > 0);
   assert.deepEqual(
--- a/features/users-platform/contract.feature
+++ b/features/users-platform/contract.feature
@@ -49,6 +49,11 @@
       | is complete | end        | whole   |
       | is reset    | are reset  | cut     |
 
+  # Guards against the loss of a whole answer that is in the buffers of its connection when a reset arrives.
+  Scenario: a whole answer with a length reaches a slow reader, whatever follows it
+    When whole answers with a length of 8 to 200 kB are read slowly from the platform server, which resets them afterwards
+    Then the platform calls all end as "whole"
+
   # Guards against requests to servers that say in their answers that they leave, and nowhere else.
   Scenario Outline: a server that sends <answer> <leaves> known to leave
     Given a platform server that answers with "<answer>"
--- a/src/infrastructure/connection-end.ts
+++ b/src/infrastructure/connection-end.ts
@@ -6,8 +6,9 @@
  * Prepares the end of a client connection for undici:
  *
  * - A reset is reported as an error. An answer without a length is complete when its connection is closed,
- *   but not when it is reset. Node reports the end of the stream and no error when a reset arrives before
- *   the data has been read, and undici takes an error with the code of a reset for the end of the answer.
+ *   but not when it is reset, be it after its end. Node reports the end of the stream and no error when a
+ *   reset arrives before the data has been read, and undici takes an error with the code of a reset for
+ *   the end of the answer.
  * - The end is reported while the reader takes data. undici throws when a connection ends while it has
  *   paused its parser for a slow caller.
  *
@@ -16,27 +17,42 @@
 export function guardEnd(socket: Socket): void {
   const push = socket.push.bind(socket);
   const read = socket.read.bind(socket);
+  const destroy = socket.destroy.bind(socket);
   let heldEnd: 'closed' | 'reset' | undefined;
   let isOffering = false;
   // A reader that has paused does not read when it is told that the connection is readable.
   const offerEnd = () => {
     if (!heldEnd || socket.destroyed) return;
     isOffering = true;
-    socket.emit('readable');
-    isOffering = false;
+    try {
+      socket.emit('readable');
+    } finally {
+      isOffering = false;
+    }
+  };
+  const holdEnd = (end: 'closed' | 'reset') => {
+    heldEnd = end;
+    process.nextTick(offerEnd);
   };
   const releaseEnd = () => {
-    if (heldEnd === 'reset') socket.destroy(createResetError());
-    else push(null);
+    const end = heldEnd;
     heldEnd = undefined;
+    if (end === 'reset') destroy(createResetError());
+    else push(null);
   };
   Object.assign(socket, {
     push(chunk: unknown, encoding?: BufferEncoding): boolean {
       if (chunk !== null) return push(chunk, encoding);
-      heldEnd = wasReset(socket) ? 'reset' : 'closed';
-      process.nextTick(offerEnd);
+      holdEnd(wasReset(socket) ? 'reset' : 'closed');
       return false;
     },
+    destroy(error?: NodeJS.ErrnoException): Socket {
+      const isReset = error?.code === 'ECONNRESET' && error.syscall === 'read';
+      if (!isReset || socket.destroyed || socket.readableLength === 0) return destroy(error);
+      // The data in front of the reset may be the rest of an answer with a length.
+      holdEnd('reset');
+      return socket;
+    },
     read(size?: number): unknown {
       // Node itself reads with a size, to fill the buffer.
       if (size !== undefined || !heldEnd) return read(size);
