fix(relay): keep the limits that servers name over all VMs

What callers and servers saw: a server that names in its answers how many requests a second it takes from all VMs got far more (LIMIT): 98 in 4 s where 31 are allowed. Cause: no line of the code read the header, and health and load data do not show the limit, as a slow plain server answers everything. Change: ServerClient passes on what a server says of itself in any answer; ServerLimits divides 90% of what is tolerated in a window of 4 s among VMs chosen by rendezvous hashing, so that late reports cannot exceed the sum; a VM that has just started takes no share until the others have made room for it. Limits travel in digests with their age; hubs add the time for which they hold them. Pickers leave out servers without a share; where none is left, requests are refused at once as not run. Naming, changes, lifts and refusals have decision lines and metrics. The order of VMs for callers moves to src/fleet/entry-vms.ts, as the shares need it too.

--- a/features/steps/fleet-steps.ts
+++ b/features/steps/fleet-steps.ts
@@ -71,6 +71,10 @@
   scenario.simulation = await FleetSimulation.create(count);
 });
 
+Given('datagrams of the simulated fleet that take {int} ms', (ms: number) => {
+  simulationOf().delayMs = ms;
+});
+
 Given('a simulated fleet of {int} VMs that restart at once', SIMULATION, async (count: number) => {
   scenario.simulation = await FleetSimulation.restart(count);
 });
--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -36,6 +36,8 @@
   outcomes: string[];
   /** Ids of the servers that said they are leaving, one for each answer. */
   leavers: string[];
+  /** Limits that servers named, one for each answer; undefined for none. */
+  limits: (number | undefined)[];
   selected: string[];
   decoded: ReturnType<typeof decodeConfiguration>;
   settings: ReturnType<typeof decodeSettings>;
@@ -59,9 +61,12 @@
   if (scenario.noListener) scenario.scriptedServer.close();
   const logs = JsonLogs.create('error', 'test');
   scenario.leavers = [];
-  scenario.platformClient = ServerClient.create('test', SystemClock.create(), logs, ({ id }) =>
-    scenario.leavers.push(id),
-  );
+  scenario.limits = [];
+  const clock = SystemClock.create();
+  scenario.platformClient = ServerClient.create('test', clock, logs, ({ id }, notice) => {
+    if (notice.leaving) scenario.leavers.push(id);
+    scenario.limits.push(notice.requestsPerSecond);
+  });
   scenario.outcomes = [];
 });
 
@@ -201,6 +206,11 @@
   assert.equal(scenario.leavers.length, known === 'is' ? 1 : 0);
 });
 
+Then(/^the platform server's limit is (.*)$/, (known: string) => {
+  const named = known === 'none' ? [undefined] : [Number(known)];
+  assert.deepEqual(scenario.limits, known === 'not said' ? [] : named);
+});
+
 Then('no platform call ends with an answer of another request', () => {
   assert.equal(scenario.outcomes[0], 'whole');
   assert.ok(['whole', 'broken'].includes(scenario.outcomes[1]!), scenario.outcomes[1]);
--- a/features/steps/relay-run-steps.ts
+++ b/features/steps/relay-run-steps.ts
@@ -26,13 +26,16 @@
 class RecordingSink extends AnswerSink {
   status = 0;
 
+  retryAfterMs: number | undefined;
+
   text = '';
 
   ending: 'open' | 'whole' | 'cut' = 'open';
 
   closed = false;
 
-  override refuse({ status, run }: Refusal): void {
+  override refuse({ status, run, retryAfterMs }: Refusal): void {
+    this.retryAfterMs = retryAfterMs;
     this.status = status === 503 && run === 'unknown' ? 502 : status;
     this.ending = 'whole';
   }
@@ -59,6 +62,8 @@
   decisions: JsonDecisions;
   upstream: FakeUpstream;
   sink: RecordingSink;
+  /** Sinks of all requests so far. */
+  sinks: RecordingSink[];
   engines: boolean;
   tookMs: number;
   /** Number of requests that arrived at once. */
@@ -77,6 +82,8 @@
 
 const GARBAGE_COLLECTION_INTERVAL_MS = 100;
 
+const MONOTONIC = SystemClock.create();
+
 /** Deadline of the callers in these tests, in milliseconds. */
 const DEADLINE_MS = 5000;
 
@@ -92,8 +99,9 @@
   const upstream = FakeUpstream.create(steps.split(', ') as UpstreamStep[]);
   const contact = { size: 1, reachable: 1, reportedMs: 0 };
   const queuesElsewhere = { waiting: 0, punctual: 0, startsPerSecond: 0 };
-  const fleet = { size: 1, peers: [], contact, queuesElsewhere } as unknown as Services['fleet'] &
-    Service;
+  const limitSharers = { self: 'test', vms: ['test'], settled: true };
+  const known = { size: 1, peers: [], contact, queuesElsewhere, limitSharers };
+  const fleet = known as unknown as Services['fleet'] & Service;
   const relay = Relay.create(kernel, { availabilityZone: 'sando', ...RATES }, clock);
   kernel.register('upstream', upstream);
   const decisions = JsonDecisions.create(writer, 'test', clock);
@@ -105,6 +113,7 @@
     relay,
     decisions,
     upstream,
+    sinks: [],
     engines: servers.some(({ stage }) => stage),
   });
 }
@@ -130,12 +139,14 @@
   const pool = { name: 'pool', mostConnections: 0, engine: engines ? ENGINE : undefined };
   const route = { ...chooseRoute(kind, attempts), timeoutMs: 6000 };
   relay.configure(createRelayConfiguration({ routes: [route], pools: [pool] }));
-  scenario.sink = new RecordingSink();
+  const sink = new RecordingSink();
+  scenario.sink = sink;
+  scenario.sinks.push(sink);
   const nowMs = SystemClock.create().monotonicMs();
   const tokens = engines ? { promptTokens: 100, outputTokens: 50 } : {};
   const times = { arrivedMs: nowMs - ageMs, deadlineAtMs: nowMs - ageMs + DEADLINE_MS };
   const request = createRelayRequest({ requestId, ...tokens, ...times });
-  await relay.serve(request, scenario.sink, disconnected);
+  await relay.serve(request, sink, disconnected);
   scenario.tookMs = SystemClock.create().monotonicMs() - nowMs;
 }
 
@@ -201,6 +212,16 @@
   },
 );
 
+When(
+  /^the relay's (.*) servers? (?:has|have) named a limit of (\S+) requests a second$/,
+  (ids: string, perSecond: string) => {
+    const { catalog } = scenario.relay;
+    const servers = ids === 'all' ? catalog.all : ids.split(', ').map((id) => catalog.find(id)!);
+    const notice = { leaving: false, requestsPerSecond: Number(perSecond) };
+    servers.forEach((server) => scenario.relay.recordNotice(server, notice));
+  },
+);
+
 When('the relay stops in {int} ms', (ms: number) => {
   const nowMs = SystemClock.create().monotonicMs();
   scenario.relay.beginStop({ acceptAllUntilMs: nowMs, endMs: nowMs + ms });
@@ -286,6 +307,82 @@
   assert.deepEqual(scenario.relay.retryBudgets.totals, { pool: [scenario.count, 0] });
 });
 
+Then("each of the relay's {int} callers gets {int}", (count: number, status: number) => {
+  assert.deepEqual(
+    scenario.sinks.map((sink) => sink.status),
+    Array.from({ length: count }, () => status),
+  );
+});
+
+Then(
+  'no server of the relay gets more than {int} sends and {int} prompts',
+  (mostSends: number, mostPrompts: number) => {
+    const { upstream, relay } = scenario;
+    const counts = relay.catalog.all.map(
+      ({ id }) => upstream.sends.filter(({ server }) => server === id).length,
+    );
+    assert.ok(upstream.sends.length > 0);
+    assert.ok(Math.max(...counts) <= mostSends, `${counts.join(', ')} sends`);
+    assert.ok(upstream.prefills <= mostPrompts, `${upstream.prefills} prompts`);
+  },
+);
+
+Then(
+  'the relay refuses the others of {int} callers within {int} ms, to retry after at most {int} ms',
+  (count: number, withinMs: number, retryMs: number) => {
+    const { sinks, upstream, tookMs } = scenario;
+    const refused = sinks.filter(({ status }) => status === 503);
+    assert.equal(sinks.length, count);
+    assert.equal(refused.length, count - upstream.sends.length);
+    assert.ok(tookMs <= withinMs, `${tookMs} ms`);
+    refused.forEach(({ retryAfterMs }) => {
+      assert.ok(retryAfterMs! > 0 && retryAfterMs! <= retryMs, `${retryAfterMs} ms`);
+    });
+  },
+);
+
+Then("the relay's server {string} gets at most {int} sends", (id: string, most: number) => {
+  const sends = scenario.upstream.sends.filter(({ server }) => server === id).length;
+  assert.ok(sends <= most, `${sends} sends`);
+});
+
+Then(
+  "the relay's limits still let {int} more request through to {string}",
+  (requests: number, id: string) => {
+    const { limits, catalog } = scenario.relay;
+    const waitMs = limits.estimateWaitMs([catalog.find(id)!], requests, MONOTONIC.monotonicMs());
+    assert.equal(waitMs, 0);
+  },
+);
+
+/** What may happen to a server after it has named a limit. */
+const LIMIT_CHANGES: Readonly<Record<string, (relay: Relay, server: CatalogServer) => void>> = {
+  'answers without a limit': (relay, server) =>
+    relay.recordNotice(server, { leaving: false, requestsPerSecond: undefined }),
+  'has been started again': ({ catalog }, server) =>
+    catalog.replace([{ ...server, startedAtMs: server.startedAtMs + 1 }], 0),
+  'answered another VM without a limit later': ({ limits }, { id, startedAtMs }) =>
+    limits.recordReported([[id, startedAtMs, -1, 0]], MONOTONIC.monotonicMs() + 1),
+  'answered another VM without a limit before': ({ limits }, { id, startedAtMs }) =>
+    limits.recordReported([[id, startedAtMs, -1, 5000]], MONOTONIC.monotonicMs()),
+  'answered another VM with a limit before': ({ limits }, { id, startedAtMs }) =>
+    limits.recordReported([[id, startedAtMs, 9, 5000]], MONOTONIC.monotonicMs()),
+};
+
+When(
+  new RegExp(`^the relay's s0 server (${Object.keys(LIMIT_CHANGES).join('|')})$`),
+  (change: string) => {
+    const { relay } = scenario;
+    LIMIT_CHANGES[change]!(relay, relay.catalog.find('s0')!);
+  },
+);
+
+Then(/^the relay's server "(.*)" (is|is not) limited$/, (id: string, limited: string) => {
+  const { limits, catalog } = scenario.relay;
+  const perSecond = limits.perSecondOf(catalog.find(id)!, MONOTONIC.monotonicMs());
+  assert.equal(perSecond, limited === 'is' ? 0 : undefined);
+});
+
 Then('the relay took between {int} and {int} ms', (least: number, most: number) => {
   const { tookMs } = scenario;
   assert.ok(tookMs >= least && tookMs <= most, `${tookMs} ms`);
--- a/features/support/relay-fixtures.ts
+++ b/features/support/relay-fixtures.ts
@@ -100,6 +100,7 @@
     avoided: [],
     leavers: [],
     crashes: [],
+    limits: [],
     hosts: [],
     ...overrides,
   };
--- a/features/support/scripted-server.ts
+++ b/features/support/scripted-server.ts
@@ -55,6 +55,15 @@
     socket.write(whole(id, [LEAVING], '421 Misdirected Request')),
   'a whole answer, not leaving': (socket, id) =>
     socket.write(whole(id, [SEAL, 'Server-Leaving: 0'])),
+  'a whole answer, limit 2.5': (socket, id) => socket.write(whole(id, [SEAL, 'Server-Limit: 2.5'])),
+  'a whole answer, limit 0': (socket, id) => socket.write(whole(id, [SEAL, 'Server-Limit: 0'])),
+  'a whole answer, limit few': (socket, id) => socket.write(whole(id, [SEAL, 'Server-Limit: few'])),
+  'its own failure, limit 2.5': (socket, id) =>
+    socket.write(whole(id, [SEAL, 'Server-Limit: 2.5'], '500 Internal Server Error')),
+  'not run, limit 2.5': (socket, id) =>
+    socket.write(whole(id, ['Not-Run: 1', 'Server-Limit: 2.5'], '503 Service Unavailable')),
+  'another server, limit 2.5': (socket, id) =>
+    socket.write(whole(id, ['Server-Limit: 2.5'], '421 Misdirected Request')),
   'a second answer': (socket, id) => {
     socket.write(whole(id));
     setTimeout(() => socket.write(whole(id)), 20);
--- a/features/users-platform/contract.feature
+++ b/features/users-platform/contract.feature
@@ -53,6 +53,23 @@
       | another server, leaving     | gone      | is not |
       | a whole answer, not leaving | whole     | is not |
 
+  # Guards against more requests to a server than it takes from all VMs together.
+  Scenario Outline: the limit of a server that sends <answer> is <limit>
+    Given a platform server that answers with "<answer>"
+    When a request is sent to the platform server
+    Then the platform call ends as "<outcome>"
+    And the platform server's limit is <limit>
+
+    Examples:
+      | answer                     | outcome   | limit    |
+      | a whole answer, limit 2.5  | whole     | 2.5      |
+      | a whole answer, limit 0    | whole     | 0        |
+      | a whole answer, limit few  | whole     | none     |
+      | a whole answer             | whole     | none     |
+      | its own failure, limit 2.5 | whole 500 | 2.5      |
+      | not run, limit 2.5         | not-run   | 2.5      |
+      | another server, limit 2.5  | gone      | not said |
+
   # Guards against a server that stops in the middle of its answer, whose caller gets an empty or short
   # body that looks whole.
   Scenario Outline: an answer <framing> that ends at any of its bytes is not taken for whole
--- a/harness/fleet-simulation.ts
+++ b/harness/fleet-simulation.ts
@@ -9,6 +9,7 @@
 import { RetryBudgets } from '../src/relay/retry-budgets.js';
 import { ServerCatalog } from '../src/relay/server-catalog.js';
 import { ServerHealth } from '../src/relay/server-health.js';
+import { ServerLimits } from '../src/relay/server-limits.js';
 import { ServerLoads } from '../src/relay/server-loads.js';
 import { TeamRateLimiter } from '../src/relay/team-rate-limiter.js';
 import { MemoryDatagrams } from './memory-datagrams.js';
@@ -24,6 +25,7 @@
   readonly costs: PoolCosts;
   readonly catalog: ServerCatalog;
   readonly crashes: CrashLedger;
+  readonly limits: ServerLimits;
   /** Bytes of datagrams that it has sent and received. */
   bytes: number;
   alive: boolean;
@@ -53,6 +55,11 @@
 
   readonly vms: SimulatedVm[] = [];
 
+  /** Time that datagrams take, in milliseconds. */
+  delayMs = 0;
+
+  private delayed: { readonly dueMs: number; readonly run: () => void }[] = [];
+
   /** Number of VMs on the first side of a split. */
   private firstSide: number | undefined;
 
@@ -98,6 +105,7 @@
       costs: PoolCosts.create(),
       catalog: ServerCatalog.create(),
       crashes: CrashLedger.create(() => true, createDraws(index)),
+      limits: ServerLimits.create(() => vm.fleet.limitSharers),
       bytes: 0,
       alive: true,
       receive: () => undefined,
@@ -134,18 +142,30 @@
     if (!sender.alive || this.isCut(sender, receiver)) return;
     sender.bytes += datagram.length;
     if (!receiver?.alive) return;
-    receiver.bytes += datagram.length;
-    receiver.receive(datagram);
+    const run = () => {
+      receiver.bytes += datagram.length;
+      receiver.receive(datagram);
+    };
+    if (this.delayMs === 0) run();
+    else this.delayed.push({ dueMs: this.clock.monotonicMs() + this.delayMs, run });
   }
 
   /** Advances the clock in steps. */
   async advance(ms: number, stepMs = 20): Promise<void> {
     for (let passed = 0; passed < ms; passed += stepMs) {
       this.clock.advance(Math.min(stepMs, ms - passed));
+      this.deliverDelayed();
       await flush();
     }
   }
 
+  private deliverDelayed(): void {
+    const nowMs = this.clock.monotonicMs();
+    const due = this.delayed.filter(({ dueMs }) => dueMs <= nowMs);
+    this.delayed = this.delayed.filter(({ dueMs }) => dueMs > nowMs);
+    due.forEach(({ run }) => run());
+  }
+
   /** VMs that have not been killed. */
   get liveVms(): SimulatedVm[] {
     return this.vms.filter(({ alive }) => alive);
@@ -165,9 +185,9 @@
   }
 
   private registerFakes(kernel: Kernel, vm: SimulatedVm): void {
-    const { loads, costs, rateLimiter, retryBudgets, catalog, crashes } = vm;
+    const { loads, costs, rateLimiter, retryBudgets, catalog, crashes, limits } = vm;
     registerFake(kernel, 'relay', {
-      ...{ loads, costs, rateLimiter, retryBudgets, catalog, crashes },
+      ...{ loads, costs, rateLimiter, retryBudgets, catalog, crashes, limits },
       health: ServerHealth.create(),
       configuration: { version: 1 },
       punctualWaiting: 0,
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -61,6 +61,8 @@
   leavers: z.array(z.tuple([z.string(), finiteNumber])),
   /** Crash id, age in milliseconds, suspects and cleared suspects; VMs of earlier releases send none. */
   crashes: z.array(z.tuple([z.string(), finiteNumber, z.array(name), z.array(name)])).default([]),
+  /** Server id, start, limit in requests per second (-1 for none) and age of the answer in milliseconds. */
+  limits: z.array(z.tuple([name, finiteNumber, finiteNumber, finiteNumber])).default([]),
 });
 
 const digestSchema = z.object({
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -6,8 +6,10 @@
 import { Service } from '../kernel/service.js';
 import type { QueuesElsewhere } from '../relay/decode-queue.js';
 import type { FleetContact } from '../relay/retry-budget.js';
+import { LIMIT_WINDOW_MS, type LimitSharers } from '../relay/server-limits.js';
 import { scoreRendezvous } from '../kernel/rendezvous.js';
 import { shuffle } from '../kernel/shuffle.js';
+import { MAX_ENTRY_VMS, rankEntryVms } from './entry-vms.js';
 import type { Datagrams } from './datagrams.js';
 import {
   decodeMessage,
@@ -61,6 +63,12 @@
 const MESH_REPORT_MS = 400;
 const HUB_REPORT_MS = 1500;
 
+/**
+ * Time after the start in which a VM uses no share of the limits of servers, in milliseconds: until the
+ * others know it, and what they have sent before with larger shares does not count any more.
+ */
+const LIMIT_SHARE_DELAY_MS = HUB_REPORT_MS + LIMIT_WINDOW_MS;
+
 /** Rounds between the lists of its reporters that a hub sends to the other hubs. */
 const MEMBER_LIST_ROUNDS = 4;
 
@@ -88,6 +96,9 @@
 
   private readonly stopping = new AbortController();
 
+  /** Names of the VMs that share the limits of servers, as of the last round. */
+  private entryVms: readonly string[] = [];
+
   private ticks = 0;
 
   private startedMs = -Infinity;
@@ -149,6 +160,13 @@
     };
   }
 
+  /** VMs that share the limits of servers; those that were lost lately may still be running. */
+  get limitSharers(): LimitSharers {
+    const isStarting = this.clock.monotonicMs() < this.startedMs + LIMIT_SHARE_DELAY_MS;
+    const settled = !isStarting || this.knownHosts.size === 0;
+    return { self: this.vm, vms: this.entryVms, settled };
+  }
+
   /** VMs that are reachable now. */
   get peers(): readonly FleetMember[] {
     return this.peerTable.reachable(this.clock.monotonicMs());
@@ -256,7 +274,7 @@
 
   private sendSummaries(nowMs: number, work: FleetWork): void {
     const self = this.describeSelf();
-    const { members, ...partial } = this.aggregator.sumPartial(work);
+    const { members, ...partial } = this.aggregator.sumPartial(work, nowMs);
     const includesList = this.memberListDue || this.sequence % MEMBER_LIST_ROUNDS === 0;
     this.memberListDue = false;
     const listed = includesList ? [self, ...members] : undefined;
@@ -265,12 +283,12 @@
     const all = [self, ...this.peerTable.reachable(nowMs)];
     const list = hashMembers(all);
     this.aggregator.reporterDigests.forEach(({ vm, host, list: known }) => {
-      const sum = this.aggregator.sumTotal(work, vm);
+      const sum = this.aggregator.sumTotal(work, nowMs, vm);
       const whole = this.composeSummary(sum, true, list, known === list ? undefined : all);
       this.datagrams.send(encodeMessage(whole), host);
     });
     if (this.listRequesters.size === 0) return;
-    const sum = this.aggregator.sumTotal(work);
+    const sum = this.aggregator.sumTotal(work, nowMs);
     const answer = encodeMessage(this.composeSummary(sum, true, list, all));
     this.listRequesters.forEach((host) => this.datagrams.send(answer, host));
     this.listRequesters.clear();
@@ -344,6 +362,14 @@
     });
     this.addHosts(this.options.seedHosts);
     this.reserveUnreachableShare(nowMs);
+    this.updateEntryVms(nowMs);
+  }
+
+  private updateEntryVms(nowMs: number): void {
+    const members = [this.options, ...this.peerTable.known(nowMs)];
+    const names = rankEntryVms(members).map(({ vm }) => vm);
+    const entryVms = names.slice(0, MAX_ENTRY_VMS);
+    if (entryVms.join(' ') !== this.entryVms.join(' ')) this.entryVms = entryVms;
   }
 
   /** Keeps the share of the rates for VMs that are unreachable but may still be running. */
@@ -405,6 +431,7 @@
       avoided: [...relay.health.avoided(nowMs)].map(([id, ms]) => [id, Math.round(ms)]),
       leavers: [...relay.catalog.leavers],
       crashes: relay.crashes.reports(nowMs),
+      limits: relay.limits.reports(nowMs),
     };
   }
 
--- a/src/fleet/hub-aggregator.ts
+++ b/src/fleet/hub-aggregator.ts
@@ -1,5 +1,6 @@
 import { mergeCrashReports } from '../relay/crash-ledger.js';
 import { addSums } from '../relay/pool-costs.js';
+import { ageLimitReport, mergeLimitReports } from '../relay/server-limits.js';
 import type { Digest, FleetMember, FleetWork, Summary } from './digest.js';
 import { toMember } from './digest.js';
 import { WorkLedger } from './work-ledger.js';
@@ -109,12 +110,16 @@
    * Sums the work of this VM and its reporters, for the other hubs.
    *
    * @param own - work of this VM
+   * @param nowMs - monotonic time, in milliseconds
    * @returns the sum and the reporters that it includes
    */
-  sumPartial(own: FleetWork): FleetWork & { readonly members: readonly FleetMember[] } {
+  sumPartial(
+    own: FleetWork,
+    nowMs: number,
+  ): FleetWork & { readonly members: readonly FleetMember[] } {
     this.local.record('self', own);
-    const digests = this.reporterDigests;
-    const members = digests.map(toMember);
+    const members = this.reporterDigests.map(toMember);
+    const digests = ageMessages([...this.digestsByReporter.values()], nowMs);
     return { ...sumWork([own, ...digests]), ...this.local.sum(), members };
   }
 
@@ -122,14 +127,18 @@
    * Sums the work of all VMs except one, to be sent to that one.
    *
    * @param own - work of this VM
+   * @param nowMs - monotonic time, in milliseconds
    * @param except - name of a reporter, or undefined for this VM itself
    * @returns the sum
    */
-  sumTotal(own: FleetWork, except?: string): FleetWork {
+  sumTotal(own: FleetWork, nowMs: number, except?: string): FleetWork {
     this.local.record('self', own);
     const reporter = except === undefined ? undefined : this.digestsByReporter.get(except)?.message;
-    const digests = this.reporterDigests.filter(({ vm }) => vm !== except);
-    const partials = [...this.partials.values()].map(({ message }) => message);
+    const others = [...this.digestsByReporter.values()].filter(
+      ({ message: { vm } }) => vm !== except,
+    );
+    const digests = ageMessages(others, nowMs);
+    const partials = ageMessages([...this.partials.values()], nowMs);
     const self = except === undefined ? [] : [own];
     const local = this.local.sum(reporter ? ledgerKey(reporter) : 'self');
     const remote = this.remote.sum();
@@ -150,6 +159,15 @@
   return `${vm}/${incarnation}`;
 }
 
+/** Adds the time for which messages have been held to the ages in their limits, the latest of which holds. */
+function ageMessages(received: readonly Received<FleetWork>[], nowMs: number): FleetWork[] {
+  return received.map(({ message, receivedMs }) => {
+    const heldMs = Math.round(nowMs - receivedMs);
+    const limits = message.limits.map((report) => ageLimitReport(report, heldMs));
+    return { ...message, limits };
+  });
+}
+
 /** Sums everything except the spending, for which a ledger is needed. */
 function sumWork(works: readonly FleetWork[]): Omit<FleetWork, 'spent' | 'retries'> {
   const loads = new Map<string, [number, number, number]>();
@@ -176,6 +194,7 @@
     avoided: [...avoided],
     leavers: [...leavers],
     crashes: mergeCrashReports(works.map(({ crashes }) => crashes)),
+    limits: mergeLimitReports(works.map(({ limits }) => limits)),
   };
 }
 
--- a/src/fleet/remote-work.ts
+++ b/src/fleet/remote-work.ts
@@ -49,7 +49,7 @@
    * @param nowMs - monotonic time, in milliseconds
    */
   apply(source: string, incarnation: string, work: FleetWork, part: number, nowMs: number): void {
-    const { loads, costs, rateLimiter, retryBudgets, health, catalog, crashes } =
+    const { loads, costs, rateLimiter, retryBudgets, health, catalog, crashes, limits } =
       this.kernel.find('relay');
     const byServer = work.loads.map(
       ([id, running, kvTokens, prefillTokens]) =>
@@ -65,6 +65,7 @@
     retryBudgets.recordReported(spender, work.retries, part, nowMs);
     work.avoided.forEach(([id, ms]) => health.recordAvoided(id, ms, nowMs));
     crashes.recordReported(work.crashes, nowMs);
+    limits.recordReported(work.limits, nowMs);
     work.leavers.forEach(([id, startedAtMs]) => catalog.recordLeaving(id, startedAtMs));
   }
 
--- a/src/relay/decode-scheduler.ts
+++ b/src/relay/decode-scheduler.ts
@@ -6,6 +6,7 @@
 import type { RelayPool } from './relay-configuration.js';
 import type { RunContext } from './run-context.js';
 import type { CatalogServer } from './server-catalog.js';
+import { NO_SHARE_RETRY_MS, type LimitCharge } from './server-limits.js';
 import { pickDecodeServer } from './server-picker.js';
 
 /** A decode slot and KV memory that are reserved on an engine. */
@@ -15,6 +16,8 @@
   readonly reservation: string;
   /** Removes the slot from this VM's load; the reservation itself is used or released separately. */
   readonly releaseLoad: () => void;
+  /** Charge of the request to the limit of the server; refunded when it is not sent. */
+  readonly limitCharge: LimitCharge;
 }
 
 /** A request that needs a decode slot in a pool. */
@@ -103,7 +106,13 @@
         );
       };
       request.signal.addEventListener('abort', onAbort, { once: true });
-      const retryAfterMs = this.queue.add(waiter, this.clock.monotonicMs());
+      const nowMs = this.clock.monotonicMs();
+      const limitWaitMs = this.estimateLimitWaitMs(waiter, nowMs);
+      if (nowMs + limitWaitMs > request.giveUpMs) {
+        settle(fail(this.refuseBeyondLimits(request, limitWaitMs)));
+        return;
+      }
+      const retryAfterMs = this.queue.add(waiter, nowMs);
       if (retryAfterMs > 0) settle(fail(this.createOverloadRefusal(retryAfterMs)));
       else this.dispatch();
     });
@@ -122,13 +131,19 @@
       if (!waiter) break;
       const server = this.chooseServer(waiter, nowMs);
       if (!server) break;
+      const limitCharge = this.context.limits.tryAcquire(server, nowMs);
+      if (!limitCharge) break;
       this.queue.dequeue(waiter, nowMs);
-      void this.reserve(waiter, server);
+      void this.reserve(waiter, server, limitCharge);
     }
     this.scheduleDispatch();
   }
 
-  private async reserve(waiter: Waiter, server: CatalogServer): Promise<void> {
+  private async reserve(
+    waiter: Waiter,
+    server: CatalogServer,
+    limitCharge: LimitCharge,
+  ): Promise<void> {
     const { upstream, loads, health } = this.context;
     const engine = waiter.pool.engine!;
     const releaseLoad = loads.add(server.id, { running: 1, kvTokens: waiter.kvTokens });
@@ -137,6 +152,7 @@
     this.pendingReservations -= 1;
     if (outcome.kind === 'failed') {
       releaseLoad();
+      limitCharge.refund();
       const isFull = outcome.failure === 'not-run';
       const { running, kvTokens } = loads.totalAt(server.id);
       this.context.decisions.record({
@@ -150,18 +166,17 @@
       if (!waiter.signal.aborted) this.queue.requeue(waiter, this.clock.monotonicMs());
     } else if (waiter.signal.aborted) {
       releaseLoad();
+      limitCharge.refund();
       upstream.release(server, outcome.value);
     } else {
-      waiter.settle(succeed({ server, reservation: outcome.value, releaseLoad }));
+      waiter.settle(succeed({ server, reservation: outcome.value, releaseLoad, limitCharge }));
     }
     this.dispatch();
   }
 
   private chooseServer(waiter: Waiter, nowMs: number): CatalogServer | undefined {
-    const { catalog, loads, health, availabilityZone } = this.context;
-    const servers = catalog
-      .usable(waiter.pool.name, nowMs)
-      .filter(({ stage }) => stage === 'decode' || stage === 'both');
+    const { loads, health, limits, availabilityZone } = this.context;
+    const servers = limits.select(this.listServers(waiter, nowMs), nowMs);
     const newsIsOld = this.context.fleetSize() > MAX_MESH_SIZE;
     const facts = { loads, health, availabilityZone, nowMs, newsIsOld };
     const engine = waiter.pool.engine!;
@@ -175,6 +190,29 @@
     return probe && servers.find(({ id }) => id === probe.id);
   }
 
+  private listServers({ pool, excluded }: SlotRequest, nowMs: number): CatalogServer[] {
+    return this.context.catalog
+      .usable(pool.name, nowMs)
+      .filter(({ id, stage }) => (stage === 'decode' || stage === 'both') && !excluded.has(id));
+  }
+
+  /** Estimates when the limits that engines name let another request start at this VM. */
+  private estimateLimitWaitMs(request: SlotRequest, nowMs: number): number {
+    const servers = this.listServers(request, nowMs);
+    if (servers.length === 0) return 0;
+    return this.context.limits.estimateWaitMs(servers, this.queue.size + 1, nowMs);
+  }
+
+  private refuseBeyondLimits({ requestId }: SlotRequest, waitMs: number): Refusal {
+    const { decisions, metrics } = this.context;
+    const retryAfterMs = Number.isFinite(waitMs) ? waitMs : NO_SHARE_RETRY_MS;
+    const reason = 'the engines have named limits that are used up';
+    const facts = { waiting: this.queue.size, retryAfterMs: Math.round(retryAfterMs) };
+    decisions.record({ requestId, step: 'limit', choice: 'refuse', reason, facts });
+    metrics.increment('limits.refused');
+    return Refusal.create('overloaded', reason, { retryAfterMs });
+  }
+
   private createOverloadRefusal(retryAfterMs: number): Refusal {
     return Refusal.create('overloaded', 'no decode place comes free in time', { retryAfterMs });
   }
--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -50,11 +50,11 @@
   }
 
   protected override async run(): Promise<RunResult> {
-    const refusal = this.shedLoad();
+    const refusal = this.refuseLimited() ?? this.shedLoad();
     if (refusal) return refusal;
     while (!this.job.signal.aborted) {
       const server = this.chooseServer();
-      const settle = server && this.beginSend('run');
+      const settle = server && this.beginSend('run', server);
       if (!server || !settle) break;
       const end = await this.attempt(server, settle);
       if (end) return end;
@@ -63,14 +63,25 @@
     if (failedAnswer && !this.job.sink.closed) {
       return this.deliver(failedAnswer.buffered, failedAnswer.server);
     }
-    return this.refuseUnserved('no server accepted the request');
+    const limited = this.mayHaveRun ? undefined : this.refuseLimited();
+    return limited ?? this.refuseUnserved('no server accepted the request');
+  }
+
+  /** Refuses the request when all servers that are left have named a limit that is used up. */
+  private refuseLimited(): RunResult | undefined {
+    const { catalog, limits } = this.context;
+    const known = catalog.usable(this.job.pool.name, this.nowMs);
+    const left = known.filter(({ id }) => !this.excluded.has(id));
+    const waitMs = left.length > 0 ? limits.estimateWaitMs(left, 1, this.nowMs) : 0;
+    return waitMs > 0 ? this.refuseBeyondLimits(waitMs, left.length) : undefined;
   }
 
   /** Refuses, before anything is sent, the fraction of requests that the servers could not serve in time. */
   private shedLoad(): RunResult | undefined {
-    const { catalog, loads } = this.context;
+    const { catalog, loads, limits } = this.context;
     const known = catalog.usable(this.job.pool.name, this.nowMs);
-    const servers = listPlainServers(known, this.plainFacts);
+    const allowed = limits.select(known, this.nowMs);
+    const servers = listPlainServers(allowed, this.plainFacts);
     const probability = computeRefusalProbability(servers, loads, this.job.insideRate);
     if (probability <= Math.random()) return undefined;
     const retryAfterMs = MIN_RETRY_AFTER_MS + Math.random() * RETRY_AFTER_JITTER_MS;
@@ -87,11 +98,12 @@
 
   private chooseServer(): CatalogServer | undefined {
     const { catalog } = this.context;
-    const servers = catalog.usable(this.job.pool.name, this.nowMs);
+    const known = catalog.usable(this.job.pool.name, this.nowMs);
+    const servers = this.selectAllowed(known);
     const server = pickPlainServer(servers, this.excluded, this.plainFacts);
     if (!server) {
       this.recordDecision('server', 'none', 'no server of the pool is left', {
-        known: servers.length,
+        known: known.length,
       });
     }
     return server;
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -17,9 +17,11 @@
 import type { RunContext } from './run-context.js';
 import { ServerCatalog, type CatalogServer } from './server-catalog.js';
 import { ServerHealth, type ServerState } from './server-health.js';
+import { ServerLimits } from './server-limits.js';
 import { ServerLoads } from './server-loads.js';
 import { StagedRun } from './staged-run.js';
 import { TeamRateLimiter, type RateTolerance } from './team-rate-limiter.js';
+import type { ServerNotice } from './upstream.js';
 
 /** Deployment settings of the relay. */
 export interface RelayOptions {
@@ -52,6 +54,8 @@
 
   readonly crashes = CrashLedger.create((server, sinceMs) => this.hasEnded(server, sinceMs));
 
+  readonly limits = ServerLimits.create(() => this.kernel.find('fleet').limitSharers);
+
   readonly rateLimiter: TeamRateLimiter;
 
   readonly retryBudgets: RetryBudgets;
@@ -152,18 +156,38 @@
   }
 
   /**
-   * Records that a server has said itself that it is leaving: it gets no new requests, whatever the store
-   * says of it, until it is started again. The other VMs learn it from digests.
+   * Records what a server says of itself in an answer. The other VMs learn it from digests.
    *
    * @param server - the server as it was known when it was called
+   * @param notice - what the server says
    */
-  recordLeaving({ id, startedAtMs }: CatalogServer): void {
+  recordNotice(server: CatalogServer, { leaving, requestsPerSecond }: ServerNotice): void {
+    if (leaving) this.recordLeaving(server);
+    this.recordLimit(server, requestsPerSecond);
+  }
+
+  /**
+   * Records that a server is leaving: it gets no new requests, whatever the store says of it, until it is
+   * started again.
+   */
+  private recordLeaving({ id, startedAtMs }: CatalogServer): void {
     if (!this.catalog.recordLeaving(id, startedAtMs)) return;
     const entry = { requestId: '', step: 'leaving', choice: id, reason: 'the server said so' };
     this.kernel.find('decisions').record({ ...entry, facts: { startedAtMs } });
     this.kernel.find('metrics').increment('servers.leaving');
   }
 
+  private recordLimit(server: CatalogServer, perSecond: number | undefined): void {
+    const change = this.limits.recordAnswer(server, perSecond, this.clock.monotonicMs());
+    if (!change) return;
+    const reason = `the server has ${change} its limit`;
+    const facts = { change, ...(perSecond === undefined ? {} : { perSecond }) };
+    const entry = { requestId: '', step: 'limit', choice: server.id, reason, facts };
+    this.kernel.find('decisions').record(entry);
+    this.kernel.find('metrics').increment('servers.limits', { change });
+    if (change === 'lifted') this.dispatchWaiting();
+  }
+
   /**
    * Begins to stop: a request is refused as not run unless it is certain to be answered before the end.
    *
@@ -322,12 +346,13 @@
   }
 
   private context(): RunContext {
-    const { kernel, clock, catalog, loads, health, crashes } = this;
+    const { kernel, clock, catalog, loads, health, limits, crashes } = this;
     return {
       clock,
       catalog,
       loads,
       health,
+      limits,
       crashes,
       availabilityZone: this.options.availabilityZone,
       upstream: kernel.find('upstream'),
--- a/src/relay/run-context.ts
+++ b/src/relay/run-context.ts
@@ -7,6 +7,7 @@
 import type { FleetContact, RetryBudget } from './retry-budget.js';
 import type { ServerCatalog } from './server-catalog.js';
 import type { ServerHealth } from './server-health.js';
+import type { ServerLimits } from './server-limits.js';
 import type { ServerLoads } from './server-loads.js';
 import type { Upstream } from './upstream.js';
 
@@ -17,6 +18,8 @@
   readonly catalog: ServerCatalog;
   readonly loads: ServerLoads;
   readonly health: ServerHealth;
+  /** Limits that servers name for the requests of all VMs together. */
+  readonly limits: ServerLimits;
   /** Crashes of servers and the requests that may have caused them. */
   readonly crashes: CrashLedger;
   readonly decisions: Decisions;
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -6,6 +6,7 @@
 import type { RunContext } from './run-context.js';
 import { SendCharges, type SendKind, type SendResult } from './send-charges.js';
 import type { CatalogServer } from './server-catalog.js';
+import { NO_SHARE_RETRY_MS } from './server-limits.js';
 import { provesNotRun, type SendOptions, type UpstreamFailure } from './upstream.js';
 
 /** A request that has been admitted. */
@@ -134,15 +135,44 @@
   }
 
   /**
-   * Charges a send that is about to leave; undefined when the retry budget does not cover it or the
-   * request crashes servers.
+   * Charges a send that is about to leave; undefined when the retry budget or the limit of the server does
+   * not cover it or the request crashes servers. A reserved place is charged to the limit already.
    */
-  protected beginSend(kind: SendKind): ((result: SendResult) => void) | undefined {
-    if (this.isQuarantined()) return undefined;
-    const settle = this.charges.begin(kind, this.nowMs);
-    if (settle) return (result) => settle(result, this.nowMs);
-    this.recordUncovered();
-    return undefined;
+  protected beginSend(
+    kind: SendKind,
+    server: CatalogServer,
+    limitCharge = this.context.limits.tryAcquire(server, this.nowMs),
+  ): ((result: SendResult) => void) | undefined {
+    if (!limitCharge) return undefined;
+    const isQuarantined = this.isQuarantined();
+    const settle = isQuarantined ? undefined : this.charges.begin(kind, this.nowMs);
+    if (!settle) {
+      limitCharge.refund();
+      if (!isQuarantined) this.recordUncovered();
+      return undefined;
+    }
+    limitCharge.begin(this.nowMs);
+    return (result) => {
+      if (result === 'unsent') limitCharge.refund();
+      settle(result, this.nowMs);
+    };
+  }
+
+  /** Lists the servers that may get another request now, as far as the limits that they name allow. */
+  protected selectAllowed(servers: readonly CatalogServer[]): CatalogServer[] {
+    const allowed = this.context.limits.select(servers, this.nowMs);
+    if (allowed.length > 0 && allowed.length < servers.length)
+      this.context.metrics.increment('limits.elsewhere');
+    return allowed;
+  }
+
+  protected refuseBeyondLimits(waitMs: number, servers: number): RunResult {
+    const retryAfterMs = Number.isFinite(waitMs) ? waitMs : NO_SHARE_RETRY_MS;
+    const reason = 'the servers have named limits that are used up';
+    const facts = { servers, retryAfterMs: Math.round(retryAfterMs) };
+    this.recordDecision('limit', 'refuse', reason, facts);
+    this.context.metrics.increment('limits.refused');
+    return this.refuse('overloaded', reason, retryAfterMs);
   }
 
   private recordUncovered(): false {
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -99,7 +99,8 @@
     try {
       const prefilled = await this.prefill();
       if (prefilled.kind !== 'ok') {
-        this.context.upstream.release(slot.server, slot.reservation);
+        slot.limitCharge.refund();
+        this.releaseUnused(slot);
         return finalResult(prefilled);
       }
       const end = await this.decode(slot, prefilled.value);
@@ -157,16 +158,16 @@
     while (!this.job.signal.aborted) {
       const servers = catalog
         .usable(pool.name, this.nowMs)
-        .filter(({ stage }) => stage === 'prefill');
-      const choice = pickPrefillServer(servers, tried, this.pickerFacts);
+        .filter(({ id, stage }) => stage === 'prefill' && !tried.has(id));
+      const choice = pickPrefillServer(this.selectAllowed(servers), tried, this.pickerFacts);
       if (!choice) {
         // Without a prefill engine, the decode engine prefills the prompt itself, at half the speed.
         return { kind: 'ok', value: undefined };
       }
       // A prompt that was read must still be able to run.
-      const settle = this.prepaySends(ROUND_SENDS) ? this.beginSend('prefill') : undefined;
-      if (!settle) return this.finishUnserved('the request may not be sent again');
       const { server, tokensAhead } = choice;
+      const settle = this.prepaySends(ROUND_SENDS) ? this.beginSend('prefill', server) : undefined;
+      if (!settle) return this.finishUnserved('the request may not be sent again');
       const releaseLoad = loads.add(server.id, { prefillTokens: promptTokens });
       const sentMs = this.nowMs;
       const expectedMs = (tokensAhead + promptTokens) / ASSUMED_PREFILL_TOKENS_PER_MS;
@@ -220,7 +221,7 @@
   ): Promise<StepResult<never> | RunResult> {
     const { upstream, health } = this.context;
     const { server, reservation } = slot;
-    const settle = this.beginSend('run');
+    const settle = this.beginSend('run', server, slot.limitCharge);
     if (!settle) {
       this.releaseUnused(slot, prefill);
       return this.finishUnserved('the request may not be sent again');
@@ -348,9 +349,9 @@
     return this.finishUnserved('the decode engine did not run or complete the request');
   }
 
-  private releaseUnused({ server, reservation }: DecodeSlot, prefill?: PrefillResult): void {
+  private releaseUnused(slot: DecodeSlot, prefill?: PrefillResult): void {
     const { upstream } = this.context;
-    upstream.release(server, reservation);
+    upstream.release(slot.server, slot.reservation);
     if (prefill) upstream.discard(prefill);
   }
 
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -51,6 +51,14 @@
   readonly body: AsyncIterable<Buffer>;
 }
 
+/** What a server says of itself in an answer. */
+export interface ServerNotice {
+  /** True when it gets no new requests until it is started again. */
+  readonly leaving: boolean;
+  /** Requests per second that it takes from all VMs together; undefined when it names no limit. */
+  readonly requestsPerSecond: number | undefined;
+}
+
 /** Client for model engines and plain servers. */
 export abstract class Upstream extends Service {
   /**
