--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -64,7 +64,6 @@
   const logs = JsonLogs.create('error', 'test');
   scenario.leavers = [];
   scenario.limits = [];
-  const clock = SystemClock.create();
   scenario.platformClient = ServerClient.create('test', clock, logs, ({ id }, notice) => {
     if (notice.leaving) scenario.leavers.push(id);
     scenario.limits.push(notice.requestsPerSecond);
