test(platform): start routers on a loopback address of their own

Cause: a router that a scenario starts on 127.0.0.1 ended with EADDRINUSE: a port that was free when it was chosen was then taken by an outgoing connection. Change: the router and the odd listener use the loopback address of their test process, as those of process-ends.feature do. Nothing is checked less strictly.

--- a/features/steps/odd-request-steps.ts
+++ b/features/steps/odd-request-steps.ts
@@ -5,6 +5,7 @@
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { findFreePorts } from '../../harness/free-ports.js';
+import { ownHost } from '../../harness/own-host.js';
 import { HttpListener, replyJson } from '../../platform/http-listener.js';
 import { JsonLogs } from '../../src/observability/json-logs.js';
 
@@ -22,7 +23,8 @@
 
 const STEP = { timeout: 30_000 } as const;
 
-const HOST = '127.0.0.1';
+/** Address of the router that the steps of the platform's path start. */
+const HOST = ownHost();
 
 /** Not that of the listeners, whose free ports a connection from it could take. */
 const LOCAL_ADDRESS = '127.0.0.9';
@@ -122,7 +124,7 @@
 });
 
 Given('an odd listener whose handlers throw', async () => {
-  const [port] = await findFreePorts(1);
+  const [port] = await findFreePorts(1, HOST);
   scenario.oddLines = [];
   scenario.oddPort = port!;
   scenario.oddListener = HttpListener.create(
--- a/features/steps/platform-path-steps.ts
+++ b/features/steps/platform-path-steps.ts
@@ -10,6 +10,7 @@
 import { PlatformLog } from '../../stand-ins/platform/platform-log.js';
 import { PlatformServer } from '../../stand-ins/platform/platform-server.js';
 import { findFreePorts } from '../../harness/free-ports.js';
+import { ownHost } from '../../harness/own-host.js';
 import {
   createPlatformConfiguration,
   createPlatformSettings,
@@ -42,6 +43,8 @@
 const scenario = world as unknown as PathWorld;
 
 const START_TIMEOUT_MS = 15_000;
+
+const ROUTER_HOST = ownHost();
 const TOKEN_COUNT = '100,50';
 
 async function waitUntil(condition: () => Promise<boolean> | boolean, timeoutMs: number) {
@@ -64,7 +67,7 @@
 ): Promise<CallerAnswer> {
   return new Promise((resolve, reject) => {
     const request = sendHttp(
-      { port, host: '127.0.0.1', path: target, headers, agent: false },
+      { port, host: ROUTER_HOST, path: target, headers, agent: false },
       (answer) => {
         let body = '';
         answer.on('data', (chunk: Buffer) => {
@@ -128,15 +131,16 @@
 );
 
 Given('a router on the platform', async () => {
-  const [front, ready, control, directory, metrics, digest] = await findFreePorts(6);
+  const [front, ready, control, directory, metrics, digest] = await findFreePorts(6, ROUTER_HOST);
   scenario.ports = [front!, ready!, control!, directory!, metrics!];
   scenario.platformDirectory = await mkdtemp(path.join(tmpdir(), 'cuminspar-'));
   const settings = createPlatformSettings({
+    ip: ROUTER_HOST,
     listen: {
-      front: `127.0.0.1:${front}`,
-      ready: `127.0.0.1:${ready}`,
-      control: `127.0.0.1:${control}`,
-      directory: `127.0.0.1:${directory}`,
+      front: `${ROUTER_HOST}:${front}`,
+      ready: `${ROUTER_HOST}:${ready}`,
+      control: `${ROUTER_HOST}:${control}`,
+      directory: `${ROUTER_HOST}:${directory}`,
     },
     portRange: [digest, digest! + 1],
     provider: { address: scenario.platformStore.address },
@@ -160,7 +164,9 @@
   await waitUntil(isReady, START_TIMEOUT_MS);
   const { status, body } = await send(directory!, '/resolve?name=plans.example');
   assert.equal(status, 200);
-  assert.deepEqual((JSON.parse(body) as { addresses: string[] }).addresses, [`127.0.0.1:${front}`]);
+  assert.deepEqual((JSON.parse(body) as { addresses: string[] }).addresses, [
+    `${ROUTER_HOST}:${front}`,
+  ]);
 });
 
 When(
--- a/harness/platform-router.ts
+++ b/harness/platform-router.ts
@@ -6,6 +6,7 @@
 
 import type { Address } from '../src/domain/vm.js';
 import { findFreePorts } from './free-ports.js';
+import { ownHost } from './own-host.js';
 import { createPlatformSettings } from './platform-fixtures.js';
 import { launchProcess, type LaunchedProcess } from './process-launcher.js';
 import { waitFor } from './wait-for.js';
@@ -73,9 +74,3 @@
   };
   return { process: launched, address: { host, port: front }, remove };
 }
-
-/** Loopback address of this process alone: connections of others cannot take ports that were found free. */
-function ownHost(): string {
-  const { pid } = process;
-  return `127.${64 + (Math.floor(pid / 16_384) % 64)}.${Math.floor(pid / 128) % 128}.${1 + (pid % 128)}`;
-}
