test(platform): wait for the last line of the router's log

Cause: 'the complete path of requests on the stand-ins of the platform' failed once on a quiet machine: place, prefill and decode were in the log, end was not. The router writes that line after the last byte of the answer, so the caller can have the answer before the test has the line. Change: the step waits up to 2 s for the line, and parses only whole lines; the steps must still be exactly these four.

--- a/features/steps/platform-path-steps.ts
+++ b/features/steps/platform-path-steps.ts
@@ -44,6 +44,9 @@
 
 const START_TIMEOUT_MS = 15_000;
 
+/** Time in which a line must reach the log, in milliseconds. */
+const LOG_TIMEOUT_MS = 2000;
+
 const ROUTER_HOST = ownHost();
 const TOKEN_COUNT = '100,50';
 
@@ -210,13 +213,21 @@
   assert.equal(runs[0]!.key, undefined, 'the key is not forwarded to the server');
 });
 
-Then("the router's log explains the plan by its id", () => {
-  const lines = scenario.output
+/** Steps that the router has logged so far about the plan; its last line may not be complete yet. */
+function listLoggedPlanSteps(): (string | undefined)[] {
+  return scenario.output
     .split('\n')
+    .slice(0, -1)
     .filter((line) => line.startsWith('{'))
-    .map((line) => JSON.parse(line) as { request?: string; step?: string });
-  const steps = lines.filter(({ request }) => request === scenario.planId).map(({ step }) => step);
-  assert.deepEqual(steps, ['place', 'prefill', 'decode', 'end']);
+    .map((line) => JSON.parse(line) as { request?: string; step?: string })
+    .filter(({ request }) => request === scenario.planId)
+    .map(({ step }) => step);
+}
+
+Then("the router's log explains the plan by its id", async () => {
+  // The answer may reach its caller before the line about its end reaches the log.
+  await waitUntil(() => Promise.resolve(listLoggedPlanSteps().includes('end')), LOG_TIMEOUT_MS);
+  assert.deepEqual(listLoggedPlanSteps(), ['place', 'prefill', 'decode', 'end']);
 });
 
 When("the platform's plain server announces that it is leaving", () => {
