fix: take no answer with a status that HTTP does not define

Cause: the readers of answers compared a status with what they wanted. 600 and 999 are neither, so a sealed answer with such a status reached the caller as it stood, on the users' platform and on the product's own interface. 000 and 099 are rejected by undici's parser already.

Change: infrastructure/answer-status says what the status of an answer may be; the connections to servers, the calls to the platform's services and the adapter's client use it. A call that gets another status counts as one that may have run.

Tried too, without a fault: a 200 without a length whose connection is reset 0 to 100 ms later while 4 MB are being uploaded (requests, prefills, plain servers of the own interface), and status 000 and 099 from all readers.

--- a/features/support/answer-readers.ts
+++ b/features/support/answer-readers.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 
+import { HttpConnections } from '../../src/backends/http-connections.js';
+import { HttpPlainService } from '../../src/backends/http-plain-service.js';
 import { HttpPeerState } from '../../platform/http-peer-state.js';
 import { LogStore } from '../../platform/log-store.js';
 import { ServerClient } from '../../platform/server-client.js';
@@ -41,7 +43,9 @@
   return { stop: () => store.stop(), call: async () => (await call(store)).kind === 'ok' };
 }
 
-const READERS: Readonly<Record<string, (port: number) => AnswerReader>> = {
+const NO_BODY = Buffer.alloc(0);
+
+const READERS: Readonly<Record<string, (port: number, body: Buffer) => AnswerReader>> = {
   'log service': (port) => {
     const service = HttpLogService.create({ urls: [`http://${HOST}:${port}`], timeoutMs: 1000 });
     const query = { stream: 's', from: 1, limit: 1000, waitMs: 0 };
@@ -96,10 +100,35 @@
       const server = createCatalogServer({ address: { host: HOST, port } });
       return (await client.reserve(server, 100, 1000)).kind === 'ok';
     }),
-  'server asked to prefill': (port) =>
+  'server that gets an order': (port) =>
+    createClientReader(async (client) => {
+      const server = createCatalogServer({ address: { host: HOST, port } });
+      return (await client.orderStage(server, 'decode', 1)).kind === 'ok';
+    }),
+  'server that gets a request': (port, body) =>
     createClientReader(async (client, signal) => {
       const server = createCatalogServer({ address: { host: HOST, port } });
-      const request = createRelayRequest({ requestId: READER_REQUEST_ID });
+      const request = createRelayRequest({ requestId: READER_REQUEST_ID, body });
+      const options = { deadlineMs: 1000, team: undefined, signal };
+      const outcome = await client.send(server, request, options);
+      return outcome.kind === 'ok' && isReadToTheEnd(outcome.value.body);
+    }),
+  'plain server of the own interface': (port, body) => {
+    const limits = { connectMs: 500, idleMs: 1000 };
+    const connections = HttpConnections.create({ host: HOST, port }, limits);
+    const observer = { onDraining: () => {}, onFailure: () => {} };
+    const service = HttpPlainService.create(connections, observer);
+    const { signal } = new AbortController();
+    const call = { method: 'POST', target: '/', headers: {}, body, timeoutMs: 2000, signal };
+    return {
+      stop: () => connections.destroy(),
+      call: async () => (await service.send(call)).kind === 'ok',
+    };
+  },
+  'server asked to prefill': (port, body) =>
+    createClientReader(async (client, signal) => {
+      const server = createCatalogServer({ address: { host: HOST, port } });
+      const request = createRelayRequest({ requestId: READER_REQUEST_ID, body });
       const options = { deadlineMs: 1000, team: undefined, signal };
       return (await client.prefill(server, request, options)).kind === 'ok';
     }),
@@ -120,8 +149,18 @@
  *
  * @param name - name of the reader
  * @param port - port of the server on the loopback interface
+ * @param body - body of the request, for readers that pass on a caller's request
  * @returns the reader
  */
-export function createAnswerReader(name: string, port: number): AnswerReader {
-  return READERS[name]?.(port) ?? assert.fail(name);
+export function createAnswerReader(name: string, port: number, body = NO_BODY): AnswerReader {
+  return READERS[name]?.(port, body) ?? assert.fail(name);
+}
+
+async function isReadToTheEnd(body: AsyncIterable<Buffer>): Promise<boolean> {
+  try {
+    for await (const chunk of body) assert.ok(chunk);
+    return true;
+  } catch {
+    return false;
+  }
 }
--- a/src/backends/http-connections.ts
+++ b/src/backends/http-connections.ts
@@ -3,6 +3,7 @@
 import { Pool } from 'undici';
 
 import { formatAddress, type Address } from '../domain/vm.js';
+import { isFinalStatus } from '../infrastructure/answer-status.js';
 import { createConnector } from '../infrastructure/http-call.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
 import type { ProgressDeadline } from './progress-deadline.js';
@@ -101,6 +102,10 @@
         ...buildContent(exchange, isForbidden),
         signal: deadline.signal,
       });
+      if (!isFinalStatus(response.statusCode)) {
+        response.body.on('error', () => {}).destroy();
+        return fail('broken');
+      }
       deadline.extend();
       const headers = flattenHeaders(response.headers);
       return succeed({ status: response.statusCode, headers, body: response.body });
--- a/src/infrastructure/http-call.ts
+++ b/src/infrastructure/http-call.ts
@@ -6,6 +6,7 @@
 
 import { CallFailure } from '../kernel/call-failure.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+import { isFinalStatus } from './answer-status.js';
 import { guardEnd } from './connection-end.js';
 import { readLimited } from './limited-body.js';
 
@@ -213,6 +214,10 @@
   try {
     const response = await request(call.url, buildOptions(agent, call, deadline.signal));
     clearTimeout(timer);
+    if (!isFinalStatus(response.statusCode)) {
+      response.body.on('error', () => {}).destroy();
+      return fail(CallFailure.create('unknown', `invalid status ${response.statusCode}`));
+    }
     timer = startTimer('complete body', bodyMs);
     return succeed(await read(response));
   } catch (error) {
