feat(relay): refuse low priorities first in an overloaded plain pool

Cause: the part of the requests that an overloaded plain pool refuses was the same for all priorities, so urgent requests were refused while others of the same pool were served.

The decision line names the priority, requests.shed counts by pool and priority.

Not measured on a deployment: the plain routes of those that are known have one priority each.

--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -80,14 +80,20 @@
   /** Refuses, before anything is sent, the fraction of requests that the servers could not serve in time. */
   private shedLoad(): RunResult | undefined {
     const { catalog, loads, limits } = this.context;
-    const known = catalog.usable(this.job.pool.name, this.nowMs);
+    const { pool, priority, insideRate } = this.job;
+    const shedding = this.context.shedding(pool.name);
+    shedding.record(priority, this.nowMs);
+    const known = catalog.usable(pool.name, this.nowMs);
     const allowed = limits.select(known, this.nowMs);
     const servers = listPlainServers(allowed, this.plainFacts);
-    const probability = computeRefusalProbability(servers, loads, this.job.insideRate);
+    const overall = computeRefusalProbability(servers, loads, insideRate);
+    const probability = shedding.computeProbability(priority, overall, this.nowMs);
     if (probability <= Math.random()) return undefined;
     const retryAfterMs = MIN_RETRY_AFTER_MS + Math.random() * RETRY_AFTER_JITTER_MS;
     const { running } = loads.sum(servers);
-    const facts = { part: Math.round(100 * probability), running, servers: servers.length };
+    const part = Math.round(100 * probability);
+    const facts = { part, priority, running, servers: servers.length };
+    this.context.metrics.increment('requests.shed', { pool: pool.name, priority: `${priority}` });
     this.recordDecision(
       'server',
       'refuse',
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -8,6 +8,7 @@
 import { DecodeScheduler } from './decode-scheduler.js';
 import { PlainRun } from './plain-run.js';
 import { PoolCosts } from './pool-costs.js';
+import { PriorityShedding } from './priority-shedding.js';
 import type { RelayConfiguration, RelayRoute, RelayTeam } from './relay-configuration.js';
 import type { AnswerSink, RelayRequest } from './relay-request.js';
 import type { RetryLimits } from './retry-budget.js';
@@ -64,6 +65,8 @@
 
   private readonly schedulers = new Map<string, DecodeScheduler>();
 
+  private readonly shedding = new Map<string, PriorityShedding>();
+
   private table: RouteTable | undefined;
 
   private running = 0;
@@ -363,8 +366,17 @@
       queuesElsewhere: () => kernel.find('fleet').queuesElsewhere,
       costs: this.costs,
       retryBudget: (pool) => this.retryBudgets.forPool(pool),
+      shedding: (pool) => this.sheddingOf(pool),
     };
   }
+
+  private sheddingOf(pool: string): PriorityShedding {
+    const known = this.shedding.get(pool);
+    if (known) return known;
+    const shedding = PriorityShedding.create();
+    this.shedding.set(pool, shedding);
+    return shedding;
+  }
 }
 
 function explainEnd(end: RunResult): string {
--- a/src/relay/run-context.ts
+++ b/src/relay/run-context.ts
@@ -4,6 +4,7 @@
 import type { QueuesElsewhere } from './decode-queue.js';
 import type { CrashLedger } from './crash-ledger.js';
 import type { PoolCosts } from './pool-costs.js';
+import type { PriorityShedding } from './priority-shedding.js';
 import type { FleetContact, RetryBudget } from './retry-budget.js';
 import type { ServerCatalog } from './server-catalog.js';
 import type { ServerHealth } from './server-health.js';
@@ -40,4 +41,11 @@
    * @returns the budget
    */
   readonly retryBudget: (pool: string) => RetryBudget;
+  /**
+   * Returns how the refusals of a pool are divided among priorities.
+   *
+   * @param pool - name of the pool
+   * @returns the shedding of the pool
+   */
+  readonly shedding: (pool: string) => PriorityShedding;
 }
