feat(relay): rates of cold servers, quiet times, and shares that are lent

Cause: nothing knew a cold server or the Retry-After of a 503, so each VM sent to them as to any other; and fixed shares of a server's limit lay idle at VMs without demand.

Change: ServerLimits owns three rates of a server: the limit that it names, the rate while it is cold (all VMs, in touch or not), and the time for which it wants nothing of this VM. VMs lend each other the requests of their shares that they do not use, by datagrams of their own.

--- a/features/relay/server-limits.feature
+++ b/features/relay/server-limits.feature
@@ -43,6 +43,43 @@
       | 8   | plain  | 400   | 21   |
       | 40  | engine | 500   | 22   |
 
+  # Guards against shares that lie idle at VMs without demand while the requests of another VM wait.
+  Scenario Outline: one of <vms> VMs gets all requests to <kind> servers (pattern: requests come at few VMs)
+    Given a simulated fleet of <vms> VMs
+    When servers of kind <kind> that name limits get four times as many requests through one VM of the simulated fleet, with seed <seed>
+    Then no server gets more requests than its limit allows in any window
+    And the servers with limits get at least 50% of what they take
+
+    Examples:
+      | vms | kind   | seed |
+      | 8   | plain  | 31   |
+      | 40  | engine | 32   |
+
+  # Guards against cold servers that get more than they take: from VMs that each count only their own requests,
+  # that have just started, are cut off, have been frozen, or know of the cold later than others.
+  Scenario Outline: <vms> VMs before cold <kind> servers that take <rate>, with <failure>
+    Given a simulated fleet of <vms> VMs
+    When cold servers of kind <kind> that take <rate> requests a second get many through the simulated fleet with <failure>, with seed <seed>
+    Then no cold server gets more requests than it tolerates in any second
+    And the cold servers get at least <use>% of what they take
+
+    Examples:
+      | vms | kind   | rate | failure                     | use | seed |
+      | 1   | plain  | 10   | nothing                     | 90  | 41   |
+      | 2   | engine | 5    | nothing                     | 90  | 42   |
+      | 8   | plain  | 1    | nothing                     | 90  | 43   |
+      | 8   | engine | 33   | restart of all VMs          | 50  | 44   |
+      | 8   | plain  | 10   | partition                   | 50  | 45   |
+      | 8   | plain  | 10   | partition and its end       | 50  | 46   |
+      | 8   | engine | 10   | a VM that freezes and wakes | 50  | 47   |
+      | 40  | plain  | 5    | a VM that joins             | 90  | 48   |
+      | 40  | engine | 33   | lost datagrams              | 50  | 49   |
+      | 40  | plain  | 20   | a long partition            | 50  | 50   |
+      | 40  | plain  | 20   | restart of all VMs          | 50  | 51   |
+      | 40  | plain  | 20   | demand at one VM            | 50  | 52   |
+      | 195 | engine | 33   | nothing                     | 50  | 53   |
+      | 195 | plain  | 1    | a VM that joins             | 50  | 54   |
+
   # Guards against requests that wait, or are lost, at a VM whose servers have named limits.
   Scenario: requests beyond the limits of all plain servers are refused at once as not run
     Given a relay with 3 plain servers that do "answer"
--- a/features/steps/relay-run-steps.ts
+++ b/features/steps/relay-run-steps.ts
@@ -18,6 +18,7 @@
 import { FAILURE_TEXT, FakeUpstream, type UpstreamStep } from '../support/fake-upstream.js';
 import {
   createCatalogServer,
+  createLimitSharers,
   createRelayConfiguration,
   createRelayRequest,
   createRelayRoute,
@@ -99,8 +100,9 @@
   const upstream = FakeUpstream.create(steps.split(', ') as UpstreamStep[]);
   const contact = { size: 1, reachable: 1, reportedMs: 0 };
   const queuesElsewhere = { waiting: 0, punctual: 0, startsPerSecond: 0 };
-  const limitSharers = { self: 'test', vms: ['test'], settled: true };
-  const known = { size: 1, peers: [], contact, queuesElsewhere, limitSharers };
+  const limitSharers = createLimitSharers(['test']);
+  const borrow = () => Promise.resolve(false);
+  const known = { size: 1, peers: [], contact, queuesElsewhere, limitSharers, borrow };
   const fleet = known as unknown as Services['fleet'] & Service;
   const relay = Relay.create(kernel, { availabilityZone: 'sando', ...RATES }, clock);
   kernel.register('upstream', upstream);
--- a/features/steps/server-limit-steps.ts
+++ b/features/steps/server-limit-steps.ts
@@ -3,6 +3,11 @@
 import { Then, When, world } from '@cucumber/cucumber';
 
 import type { FleetSimulation } from '../../harness/fleet-simulation.js';
+import {
+  simulateColdServers,
+  type ColdFailure,
+  type ColdResult,
+} from '../support/cold-simulation.js';
 import {
   computeLimitUse,
   findWorstLimitWindow,
@@ -13,6 +18,7 @@
 } from '../support/limit-simulation.js';
 
 interface LimitWorld {
+  cold: ColdResult;
   simulation: FleetSimulation;
   limited: LimitResult;
   log(text: string): void;
@@ -48,6 +54,34 @@
     sendRequests({ kind, seed: Number(seed), joinMs: 6000 }),
 );
 
+When(
+  /^servers of kind (plain|engine) that name limits get four times as many requests through one VM of the simulated fleet, with seed (\d+)$/,
+  SIMULATION,
+  async (kind: LimitedKind, seed: string) =>
+    sendRequests({ kind, seed: Number(seed), vmsWithDemand: 1 }),
+);
+
+When(
+  /^cold servers of kind (plain|engine) that take (\d+) requests a second get many through the simulated fleet with (.*), with seed (\d+)$/,
+  SIMULATION,
+  async (kind: LimitedKind, perSecond: string, failure: ColdFailure, seed: string) => {
+    const load = { kind, perSecond: Number(perSecond), failure, seed: Number(seed) };
+    scenario.cold = await simulateColdServers(scenario.simulation, load);
+  },
+);
+
+Then('no cold server gets more requests than it tolerates in any second', () => {
+  const { worst, allowed } = scenario.cold;
+  scenario.log(`at most ${worst} requests, ${allowed} allowed`);
+  assert.ok(worst > 0 && worst <= allowed, `${worst} requests, ${allowed} allowed`);
+});
+
+Then('the cold servers get at least {int}% of what they take', (percent: number) => {
+  const use = Math.round(100 * scenario.cold.use);
+  scenario.log(`${use}% of what cold servers take`);
+  assert.ok(use >= percent, `${use}%`);
+});
+
 Then('no server gets more requests than its limit allows in any window', () => {
   const { perSecond, fromMs, requests, allowed } = findWorstLimitWindow(scenario.limited);
   const counted = `${requests} requests, ${allowed} allowed`;
--- a/features/support/limit-simulation.ts
+++ b/features/support/limit-simulation.ts
@@ -22,6 +22,8 @@
   readonly liftMs: number;
   /** When a VM joins the fleet, in milliseconds since the start; undefined for never. */
   readonly joinMs?: number;
+  /** Number of VMs that get requests; all when undefined. */
+  readonly vmsWithDemand?: number;
 }
 
 /** A request that has reached a server. */
@@ -108,6 +110,8 @@
 
   async run(): Promise<LimitResult> {
     const { load, simulation } = this;
+    const entries = this.servers.map(({ entry }) => entry);
+    simulation.vms.forEach(({ catalog }) => catalog.replace(entries, 0));
     await simulation.advance(WARM_UP_MS);
     this.startMs = simulation.clock.monotonicMs();
     const perSecond = load.load * load.limits.reduce((sum, limit) => sum + limit, 0);
@@ -117,7 +121,9 @@
       this.runEvents();
       if (this.nowMs === load.joinMs) await simulation.add(simulation.vms.length);
       const entryVms = new Set(simulation.vms[0]!.fleet.limitSharers.vms);
-      const vms = simulation.liveVms.filter(({ name }) => entryVms.has(name));
+      const vms = simulation.liveVms
+        .filter(({ name }) => entryVms.has(name))
+        .slice(0, load.vmsWithDemand);
       for (due += (perSecond * STEP_MS) / 1000; due >= 1; due -= 1) {
         this.request(vms[uniformInt(this.random, 0, vms.length - 1)]!);
       }
@@ -150,11 +156,15 @@
     this.events.push({ dueMs: this.nowMs + uniformInt(this.random, fromMs, toMs), run });
   }
 
-  private request(vm: SimulatedVm): void {
+  private request(vm: SimulatedVm, isLent = false): void {
     const nowMs = this.simulation.clock.monotonicMs();
     const entries = this.servers.map(({ entry }) => entry);
     const allowed = vm.limits.select(entries, nowMs);
-    if (allowed.length === 0) return;
+    if (allowed.length === 0) {
+      if (!isLent)
+        void vm.fleet.borrow(entries).then((granted) => granted && this.request(vm, true));
+      return;
+    }
     const server = this.pickLeastLoaded(allowed);
     const charge = vm.limits.tryAcquire(server, nowMs)!;
     const send = () => {
--- a/features/support/relay-fixtures.ts
+++ b/features/support/relay-fixtures.ts
@@ -1,6 +1,7 @@
 import type { Digest } from '../../src/fleet/digest.js';
 import type { RelayConfiguration, RelayRoute } from '../../src/relay/relay-configuration.js';
 import type { RelayRequest } from '../../src/relay/relay-request.js';
+import type { LimitSharers } from '../../src/relay/server-limits.js';
 import type { CatalogServer } from '../../src/relay/server-catalog.js';
 
 /**
@@ -66,6 +67,21 @@
   };
 }
 
+/**
+ * Builds the VMs that share the rates of servers, of which the first one is this VM.
+ *
+ * @param vms - names of the VMs
+ * @param overrides - fields relevant to the test
+ * @returns VMs that know each other
+ */
+export function createLimitSharers(
+  vms: readonly string[],
+  overrides: Partial<LimitSharers> = {},
+): LimitSharers {
+  const known = { self: vms[0]!, vms, lastingVms: vms };
+  return { ...known, settled: true, coldSettled: true, informed: true, ...overrides };
+}
+
 /**
  * Builds a digest.
  *
@@ -101,6 +117,7 @@
     leavers: [],
     crashes: [],
     limits: [],
+    cold: [],
     hosts: [],
     ...overrides,
   };
--- a/features/support/store-follower-fleet.ts
+++ b/features/support/store-follower-fleet.ts
@@ -5,12 +5,17 @@
 import { Kernel } from '../../src/kernel/kernel.js';
 import { ManualClock } from '../../src/kernel/manual-clock.js';
 import { fail, succeed, type Outcome } from '../../src/kernel/outcome.js';
+import { ServerLimits } from '../../src/relay/server-limits.js';
 import { ServerCatalog } from '../../src/relay/server-catalog.js';
 import type { RelayConfiguration } from '../../src/relay/relay-configuration.js';
 import { StateFollower } from '../../src/state/state-follower.js';
 import type { CatalogChange } from '../../src/relay/server-catalog.js';
 import type { StoreFailure } from '../../src/state/state-store.js';
-import { createCatalogServer, createRelayConfiguration } from './relay-fixtures.js';
+import {
+  createCatalogServer,
+  createLimitSharers,
+  createRelayConfiguration,
+} from './relay-fixtures.js';
 
 /** Interval between the digests of the simulated fleet, in milliseconds. */
 const DIGEST_INTERVAL_MS = 240;
@@ -136,6 +141,8 @@
     const relay = createFake({
       configuration: undefined as RelayConfiguration | undefined,
       catalog: ServerCatalog.create(),
+      limits: ServerLimits.create({ sharers: () => createLimitSharers([name]) }),
+      recordEntries: () => undefined,
       configure(configuration: RelayConfiguration) {
         if (configuration.version <= (relay.configuration?.version ?? -1)) return false;
         relay.configuration = configuration;
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -63,6 +63,8 @@
   crashes: z.array(z.tuple([z.string(), finiteNumber, z.array(name), z.array(name)])).default([]),
   /** Server id, start, limit in requests per second (-1 for none) and age of the answer in milliseconds. */
   limits: z.array(z.tuple([name, finiteNumber, finiteNumber, finiteNumber])).default([]),
+  /** Server id and the time for which it stays cold, in milliseconds. */
+  cold: z.array(z.tuple([name, finiteNumber])).default([]),
 });
 
 const digestSchema = z.object({
@@ -94,7 +96,18 @@
   members: z.array(memberTupleSchema).optional(),
 });
 
-const messageSchema = z.discriminatedUnion('kind', [digestSchema, summarySchema]);
+/** A question for a request to a server that another VM may send, an answer to it, or the end of a loan. */
+const loanSchema = z.object({
+  kind: z.literal('loan'),
+  vm: name,
+  step: z.enum(['ask', 'grant', 'refuse', 'return']),
+  rate: z.enum(['limit', 'cold']),
+  server: name,
+  /** Id of the question, which becomes that of the loan. */
+  loan: z.string().max(40),
+});
+
+const messageSchema = z.discriminatedUnion('kind', [digestSchema, summarySchema, loanSchema]);
 
 /** A VM as a member of the fleet. */
 export type FleetMember = z.infer<typeof memberSchema>;
@@ -111,17 +124,20 @@
 /** Sum of the work of several VMs, sent by a hub. */
 export type Summary = z.infer<typeof summarySchema>;
 
+/** Message about a loan of a request between two VMs. */
+export type LoanMessage = z.infer<typeof loanSchema>;
+
 /** Content of a datagram between VMs. */
-export type FleetMessage = Digest | Summary;
+export type FleetMessage = Digest | Summary | LoanMessage;
 
 /**
  * Encodes a message.
  *
- * @param message - digest or summary
+ * @param message - digest, summary or message about a loan
  * @returns a datagram
  */
 export function encodeMessage(message: FleetMessage): Buffer {
-  if (message.kind === 'digest' || !message.members) return Buffer.from(JSON.stringify(message));
+  if (message.kind !== 'summary' || !message.members) return Buffer.from(JSON.stringify(message));
   return Buffer.from(JSON.stringify({ ...message, members: message.members.map(toMemberTuple) }));
 }
 
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -6,7 +6,13 @@
 import { Service } from '../kernel/service.js';
 import type { QueuesElsewhere } from '../relay/decode-queue.js';
 import type { FleetContact } from '../relay/retry-budget.js';
-import { LIMIT_WINDOW_MS, type LimitSharers } from '../relay/server-limits.js';
+import type { CatalogServer } from '../relay/server-catalog.js';
+import {
+  COLD_WINDOW_MS,
+  LIMIT_WINDOW_MS,
+  LOAN_MS,
+  type LimitSharers,
+} from '../relay/server-limits.js';
 import { scoreRendezvous } from '../kernel/rendezvous.js';
 import { shuffle } from '../kernel/shuffle.js';
 import { MAX_ENTRY_VMS, rankEntryVms } from './entry-vms.js';
@@ -19,10 +25,11 @@
   type FleetWork,
   type Summary,
 } from './digest.js';
-import { PeerTable, WORK_EXPIRY_MS } from './peer-table.js';
+import { PEER_EXPIRY_MS, PeerTable, WORK_EXPIRY_MS } from './peer-table.js';
 import { HubAggregator } from './hub-aggregator.js';
 import { HubSelector } from './hub-selector.js';
 import { RemoteWork } from './remote-work.js';
+import { ShareLending } from './share-lending.js';
 
 /** Identity and addresses of a VM in a fleet. */
 export interface FleetOptions {
@@ -67,7 +74,20 @@
  * Time after the start in which a VM uses no share of the limits of servers, in milliseconds: until the
  * others know it, and what they have sent before with larger shares does not count any more.
  */
-const LIMIT_SHARE_DELAY_MS = HUB_REPORT_MS + LIMIT_WINDOW_MS;
+const LIMIT_SHARE_DELAY_MS = HUB_REPORT_MS + LOAN_MS + LIMIT_WINDOW_MS;
+const COLD_SHARE_DELAY_MS = HUB_REPORT_MS + LOAN_MS + COLD_WINDOW_MS;
+
+/**
+ * Time for which a VM that is not heard of keeps its share of the rates of cold servers, in milliseconds.
+ * It may be cut off and running: these rates hold for all VMs together, whether they hear of each other or not.
+ */
+const LASTING_MS = 600_000;
+
+/** Time without a message of another VM after which this VM may not know which servers are cold, in milliseconds. */
+const UNINFORMED_AFTER_MS = 1200;
+
+/** Time by which a round is late when this VM has been frozen, and after which it is up to date again. */
+const FROZEN_MS = 1000;
 
 /** Rounds between the lists of its reporters that a hub sends to the other hubs. */
 const MEMBER_LIST_ROUNDS = 4;
@@ -99,6 +119,19 @@
   /** Names of the VMs that share the limits of servers, as of the last round. */
   private entryVms: readonly string[] = [];
 
+  /** The same, with the VMs that were lost in the last LASTING_MS. */
+  private lastingVms: readonly string[] = [];
+
+  /** CPU time of the VMs of the last LASTING_MS, and when they were last known, by name. */
+  private readonly lasting = new Map<string, { readonly power: number; readonly seenMs: number }>();
+
+  private readonly lending: ShareLending;
+
+  /** When the last message of another VM arrived; undefined before the first. */
+  private heardMs: number | undefined;
+
+  private frozenUntilMs = -Infinity;
+
   private ticks = 0;
 
   private startedMs = -Infinity;
@@ -122,6 +155,11 @@
     this.peerTable = PeerTable.create(options.vm);
     this.hubSelector = HubSelector.create(options.vm, this.peerTable);
     this.remoteWork = RemoteWork.create(kernel);
+    const self = { vm: options.vm, incarnation: this.incarnation };
+    this.lending = ShareLending.create(kernel, self, clock, (vm, message) => {
+      const peer = this.peerTable.find(vm, clock.monotonicMs());
+      if (peer) this.datagrams.send(encodeMessage(message), peer.host);
+    });
     this.addHosts(options.seedHosts);
   }
 
@@ -162,9 +200,35 @@
 
   /** VMs that share the limits of servers; those that were lost lately may still be running. */
   get limitSharers(): LimitSharers {
-    const isStarting = this.clock.monotonicMs() < this.startedMs + LIMIT_SHARE_DELAY_MS;
-    const settled = !isStarting || this.knownHosts.size === 0;
-    return { self: this.vm, vms: this.entryVms, settled };
+    const { vm: self, entryVms: vms, lastingVms, informed } = this;
+    const startedForMs = this.clock.monotonicMs() - this.startedMs;
+    const isSingle = this.knownHosts.size === 0;
+    const settled = isSingle || startedForMs >= LIMIT_SHARE_DELAY_MS;
+    const coldSettled = isSingle || startedForMs >= COLD_SHARE_DELAY_MS;
+    return { self, vms, settled, lastingVms, coldSettled, informed };
+  }
+
+  /**
+   * Borrows a request to one of some servers from another VM if this VM may send none to any of them.
+   *
+   * @param servers - the servers
+   * @returns whether a loan was granted
+   */
+  borrow(servers: readonly CatalogServer[]): Promise<boolean> {
+    return this.lending.borrow(servers);
+  }
+
+  /**
+   * Whether this VM learns of cold servers from the others. Once it has lost the others for good, it reads the
+   * store itself.
+   */
+  private get informed(): boolean {
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs < this.frozenUntilMs) return false;
+    const hasStarted = this.knownHosts.size === 0 || nowMs >= this.startedMs + HUB_REPORT_MS;
+    if (!hasStarted && !this.kernel.find('relay').limits.cold.hasReadStore) return false;
+    const silentMs = nowMs - (this.heardMs ?? nowMs);
+    return silentMs <= UNINFORMED_AFTER_MS || silentMs > PEER_EXPIRY_MS;
   }
 
   /** VMs that are reachable now. */
@@ -216,8 +280,11 @@
   /** Sends in every round of a small fleet and in every second round of a larger one. */
   private async run(): Promise<void> {
     for (;;) {
+      const sleptMs = this.clock.monotonicMs();
       await this.clock.sleep(ROUND_INTERVAL_MS, this.stopping.signal);
       if (this.stopping.signal.aborted) return;
+      const nowMs = this.clock.monotonicMs();
+      if (nowMs - sleptMs > ROUND_INTERVAL_MS + FROZEN_MS) this.frozenUntilMs = nowMs + FROZEN_MS;
       this.ticks += 1;
       if (this.hubSelector.role === 'mesh' || this.ticks % 2 === 0) this.sendRound();
       this.kernel.find('relay').dispatchWaiting();
@@ -306,7 +373,9 @@
   private receive(datagram: Buffer): void {
     const message = decodeMessage(datagram);
     const nowMs = this.clock.monotonicMs();
-    if (message?.kind === 'digest') this.receiveDigest(message, nowMs);
+    if (message) this.heardMs = nowMs;
+    if (message?.kind === 'loan') this.lending.receive(message);
+    else if (message?.kind === 'digest') this.receiveDigest(message, nowMs);
     else if (message && message.hub !== this.vm) this.receiveSummary(message, nowMs);
   }
 
@@ -367,9 +436,13 @@
 
   private updateEntryVms(nowMs: number): void {
     const members = [this.options, ...this.peerTable.known(nowMs)];
-    const names = rankEntryVms(members).map(({ vm }) => vm);
-    const entryVms = names.slice(0, MAX_ENTRY_VMS);
-    if (entryVms.join(' ') !== this.entryVms.join(' ')) this.entryVms = entryVms;
+    members.forEach(({ vm, power }) => this.lasting.set(vm, { power, seenMs: nowMs }));
+    this.lasting.forEach(({ seenMs }, vm) => {
+      if (nowMs - seenMs > LASTING_MS) this.lasting.delete(vm);
+    });
+    const lasting = [...this.lasting].map(([vm, { power }]) => ({ vm, power }));
+    this.entryVms = replaceList(this.entryVms, listEntryVms(members));
+    this.lastingVms = replaceList(this.lastingVms, listEntryVms(lasting));
   }
 
   /** Keeps the share of the rates for VMs that are unreachable but may still be running. */
@@ -432,6 +505,7 @@
       leavers: [...relay.catalog.leavers],
       crashes: relay.crashes.reports(nowMs),
       limits: relay.limits.reports(nowMs),
+      cold: relay.limits.cold.reports(nowMs),
     };
   }
 
@@ -473,6 +547,18 @@
   }
 }
 
+/** Names of the VMs that callers may use. */
+function listEntryVms(members: readonly { readonly vm: string; readonly power: number }[]) {
+  return rankEntryVms(members)
+    .slice(0, MAX_ENTRY_VMS)
+    .map(({ vm }) => vm);
+}
+
+/** Keeps the same array while its content stays the same. */
+function replaceList(before: readonly string[], after: readonly string[]): readonly string[] {
+  return before.join(' ') === after.join(' ') ? before : after;
+}
+
 /** Computes the id of a member list from its content. */
 function hashMembers(members: readonly FleetMember[]): number {
   const lines = members.map((member) => Object.values(member).join(' ')).sort();
--- a/src/fleet/hub-aggregator.ts
+++ b/src/fleet/hub-aggregator.ts
@@ -1,5 +1,6 @@
 import { mergeCrashReports } from '../relay/crash-ledger.js';
 import { addSums } from '../relay/pool-costs.js';
+import { ageColdReports, mergeColdReports } from '../relay/cold-servers.js';
 import { ageLimitReport, mergeLimitReports } from '../relay/server-limits.js';
 import type { Digest, FleetMember, FleetWork, Summary } from './digest.js';
 import { toMember } from './digest.js';
@@ -159,12 +160,12 @@
   return `${vm}/${incarnation}`;
 }
 
-/** Adds the time for which messages have been held to the ages in their limits, the latest of which holds. */
+/** Adds the time for which messages have been held to the ages that they contain. */
 function ageMessages(received: readonly Received<FleetWork>[], nowMs: number): FleetWork[] {
   return received.map(({ message, receivedMs }) => {
     const heldMs = Math.round(nowMs - receivedMs);
     const limits = message.limits.map((report) => ageLimitReport(report, heldMs));
-    return { ...message, limits };
+    return { ...message, limits, cold: ageColdReports(message.cold, heldMs) };
   });
 }
 
@@ -195,6 +196,7 @@
     leavers: [...leavers],
     crashes: mergeCrashReports(works.map(({ crashes }) => crashes)),
     limits: mergeLimitReports(works.map(({ limits }) => limits)),
+    cold: mergeColdReports(works.map(({ cold }) => cold)),
   };
 }
 
--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -51,6 +51,7 @@
   }
 
   protected override async run(): Promise<RunResult> {
+    await this.context.borrow(this.listLeft());
     const refusal = this.refuseLimited() ?? this.shedLoad();
     if (refusal) return refusal;
     while (!this.job.signal.aborted) {
@@ -68,12 +69,15 @@
     return limited ?? this.refuseUnserved('no server accepted the request');
   }
 
+  private listLeft(): CatalogServer[] {
+    const known = this.context.catalog.usable(this.job.pool.name, this.nowMs);
+    return known.filter(({ id }) => !this.excluded.has(id));
+  }
+
   /** Refuses the request when all servers that are left have named a limit that is used up. */
   private refuseLimited(): RunResult | undefined {
-    const { catalog, limits } = this.context;
-    const known = catalog.usable(this.job.pool.name, this.nowMs);
-    const left = known.filter(({ id }) => !this.excluded.has(id));
-    const waitMs = left.length > 0 ? limits.estimateWaitMs(left, 1, this.nowMs) : 0;
+    const left = this.listLeft();
+    const waitMs = this.context.limits.estimateWaitMs(left, 1, this.nowMs);
     return waitMs > 0 ? this.refuseBeyondLimits(waitMs, left.length) : undefined;
   }
 
--- a/src/relay/relay-configuration.ts
+++ b/src/relay/relay-configuration.ts
@@ -1,3 +1,5 @@
+import type { ColdRate } from './cold-servers.js';
+
 /** Retry semantics of a route. */
 export type RouteKind = 'idempotent' | 'once' | 'stream';
 
@@ -51,6 +53,8 @@
   readonly mostConnections: number;
   /** Undefined for plain services. */
   readonly engine: EnginePool | undefined;
+  /** What its servers take while they are cold; undefined when they never are. */
+  readonly cold?: ColdRate | undefined;
 }
 
 /** A customer with its team keys and its rate over the whole fleet; a rate of 0 means no limit. */
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -15,9 +15,9 @@
 import { pickPool, RouteTable } from './route-table.js';
 import type { Job, RunResult } from './run.js';
 import type { RunContext } from './run-context.js';
-import { ServerCatalog, type CatalogServer } from './server-catalog.js';
+import { ServerCatalog, type CatalogChange, type CatalogServer } from './server-catalog.js';
 import { ServerHealth, type ServerState } from './server-health.js';
-import { ServerLimits } from './server-limits.js';
+import { ServerLimits, type ColdTolerance } from './server-limits.js';
 import { ServerLoads } from './server-loads.js';
 import { StagedRun } from './staged-run.js';
 import { TeamRateLimiter, type RateTolerance } from './team-rate-limiter.js';
@@ -28,6 +28,8 @@
   readonly availabilityZone: string;
   readonly retries: RetryLimits;
   readonly rateTolerance: RateTolerance;
+  /** What cold servers may get; just what they take when undefined. */
+  readonly coldTolerance?: ColdTolerance;
 }
 
 /** Retry delay for callers while no configuration is known, in milliseconds. */
@@ -54,7 +56,7 @@
 
   readonly crashes = CrashLedger.create((server, sinceMs) => this.hasEnded(server, sinceMs));
 
-  readonly limits = ServerLimits.create(() => this.kernel.find('fleet').limitSharers);
+  readonly limits: ServerLimits;
 
   readonly rateLimiter: TeamRateLimiter;
 
@@ -79,6 +81,12 @@
     private readonly clock: Clock,
   ) {
     super();
+    this.limits = ServerLimits.create({
+      sharers: () => kernel.find('fleet').limitSharers,
+      coldRate: (pool) => this.table?.pool(pool)?.cold,
+      unreachableMs: (id) => this.health.unreachableMs(id),
+      ...(options.coldTolerance ? { coldTolerance: options.coldTolerance } : {}),
+    });
     this.rateLimiter = TeamRateLimiter.create(options.rateTolerance);
     this.retryBudgets = RetryBudgets.create(options.retries, clock.monotonicMs());
   }
@@ -161,9 +169,36 @@
    * @param server - the server as it was known when it was called
    * @param notice - what the server says
    */
-  recordNotice(server: CatalogServer, { leaving, requestsPerSecond }: ServerNotice): void {
+  recordNotice(server: CatalogServer, { leaving, requestsPerSecond, quietMs }: ServerNotice): void {
     if (leaving) this.recordLeaving(server);
     this.recordLimit(server, requestsPerSecond);
+    if (quietMs) this.recordQuiet(server, quietMs);
+  }
+
+  /**
+   * Records entries of servers that have changed, which may say that the servers are cold.
+   *
+   * @param changes - the last change of each server
+   */
+  recordEntries(changes: readonly CatalogChange[]): void {
+    const nowMs = this.clock.monotonicMs();
+    changes.forEach(({ id, server }) => {
+      const isCold = this.limits.cold.recordEntry(id, server, nowMs);
+      if (!server || !isCold || !this.limits.cold.rate(server.pool)) return;
+      const { coldLeftMs, startedAtMs } = server;
+      const facts = { startedAtMs, ...(coldLeftMs === undefined ? {} : { coldLeftMs }) };
+      const entry = { requestId: '', step: 'cold', choice: id, reason: 'the server is cold' };
+      this.kernel.find('decisions').record({ ...entry, facts });
+      this.kernel.find('metrics').increment('servers.cold');
+    });
+  }
+
+  private recordQuiet(server: CatalogServer, quietMs: number): void {
+    if (this.limits.recordQuiet(server, quietMs, this.clock.monotonicMs())) return;
+    const reason = 'the server wants no requests of this VM for a time';
+    const entry = { requestId: '', step: 'quiet', choice: server.id, reason };
+    this.kernel.find('decisions').record({ ...entry, facts: { quietMs: Math.round(quietMs) } });
+    this.kernel.find('metrics').increment('servers.quiet');
   }
 
   /**
@@ -360,6 +395,7 @@
       metrics: kernel.find('metrics'),
       fleetSize: () => kernel.find('fleet').size,
       fleetContact: () => kernel.find('fleet').contact,
+      borrow: (servers) => kernel.find('fleet').borrow(servers),
       queuesElsewhere: () => kernel.find('fleet').queuesElsewhere,
       costs: this.costs,
       retryBudget: (pool) => this.retryBudgets.forPool(pool),
--- a/src/relay/run-context.ts
+++ b/src/relay/run-context.ts
@@ -5,7 +5,7 @@
 import type { CrashLedger } from './crash-ledger.js';
 import type { PoolCosts } from './pool-costs.js';
 import type { FleetContact, RetryBudget } from './retry-budget.js';
-import type { ServerCatalog } from './server-catalog.js';
+import type { CatalogServer, ServerCatalog } from './server-catalog.js';
 import type { ServerHealth } from './server-health.js';
 import type { ServerLimits } from './server-limits.js';
 import type { ServerLoads } from './server-loads.js';
@@ -18,7 +18,7 @@
   readonly catalog: ServerCatalog;
   readonly loads: ServerLoads;
   readonly health: ServerHealth;
-  /** Limits that servers name for the requests of all VMs together. */
+  /** Rates of requests to servers from all VMs together. */
   readonly limits: ServerLimits;
   /** Crashes of servers and the requests that may have caused them. */
   readonly crashes: CrashLedger;
@@ -29,6 +29,8 @@
   readonly fleetSize: () => number;
   /** Contact of this VM with the others, for limits that they share. */
   readonly fleetContact: () => FleetContact;
+  /** Borrows a request to one of some servers from another VM if this VM may send none to any of them. */
+  readonly borrow: (servers: readonly CatalogServer[]) => Promise<boolean>;
   /** Requests that wait for decode slots at other VMs, and their starts. */
   readonly queuesElsewhere: () => QueuesElsewhere;
   /** Average cost of requests by pool. */
--- a/src/relay/server-catalog.ts
+++ b/src/relay/server-catalog.ts
@@ -17,6 +17,8 @@
   readonly leaving: boolean;
   /** Undefined for plain services. */
   readonly stage: Stage | undefined;
+  /** Time for which the server said that it stays cold, in milliseconds; undefined when it did not say. */
+  readonly coldLeftMs?: number | undefined;
 }
 
 /** A change of the catalog; `server` is undefined when the entry was removed. */
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -159,6 +159,7 @@
       const servers = catalog
         .usable(pool.name, this.nowMs)
         .filter(({ id, stage }) => stage === 'prefill' && !tried.has(id));
+      await this.context.borrow(servers);
       const choice = pickPrefillServer(this.selectAllowed(servers), tried, this.pickerFacts);
       if (!choice) {
         // Without a prefill engine, the decode engine prefills the prompt itself, at half the speed.
@@ -221,6 +222,7 @@
   ): Promise<StepResult<never> | RunResult> {
     const { upstream, health } = this.context;
     const { server, reservation } = slot;
+    if (!slot.limitCharge.mayBegin(this.nowMs)) return this.moveElsewhere(slot, prefill);
     const settle = this.beginSend('run', server, slot.limitCharge);
     if (!settle) {
       this.releaseUnused(slot, prefill);
@@ -349,6 +351,19 @@
     return this.finishUnserved('the decode engine did not run or complete the request');
   }
 
+  /** Gives up a slot, because its server has become cold or wants nothing since it was reserved. */
+  private moveElsewhere(slot: DecodeSlot, prefill: PrefillResult | undefined): StepResult<never> {
+    slot.limitCharge.refund();
+    this.releaseUnused(slot, prefill);
+    this.recordDecision(
+      'limit',
+      slot.server.id,
+      'the server takes fewer requests than when its slot was reserved',
+    );
+    if (this.prepayRound()) return { kind: 'again' };
+    return this.finishUnserved('the request may not be sent again');
+  }
+
   private releaseUnused(slot: DecodeSlot, prefill?: PrefillResult): void {
     const { upstream } = this.context;
     upstream.release(slot.server, slot.reservation);
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -57,6 +57,8 @@
   readonly leaving: boolean;
   /** Requests per second that it takes from all VMs together; undefined when it names no limit. */
   readonly requestsPerSecond: number | undefined;
+  /** Time for which it wants no more requests of this VM, in milliseconds; undefined when it did not say. */
+  readonly quietMs?: number | undefined;
 }
 
 /** Client for model engines and plain servers. */
--- a/src/state/state-follower.ts
+++ b/src/state/state-follower.ts
@@ -315,9 +315,12 @@
     const outcome = await this.kernel.find('state-store').serverChanges(this.serversOffset!);
     if (outcome.kind === 'failed') return outcome;
     this.recordAnswer();
-    const { catalog } = this.kernel.find('relay');
+    const relay = this.kernel.find('relay');
+    const { catalog } = relay;
     const nowMs = this.clock.monotonicMs();
     const { changes, offset } = outcome.value;
+    // Only the last entry of a server tells for how long it is cold from now on.
+    relay.recordEntries([...new Map(changes.map((change) => [change.id, change])).values()]);
     changes.forEach((change) => {
       const before = catalog.find(change.id);
       catalog.apply(change, nowMs);
@@ -331,7 +334,10 @@
   }
 
   private replaceServers({ servers, offset }: CatalogSnapshot, source: string): void {
-    this.kernel.find('relay').catalog.replace(servers, this.clock.monotonicMs());
+    const { catalog, limits } = this.kernel.find('relay');
+    const nowMs = this.clock.monotonicMs();
+    catalog.replace(servers, nowMs);
+    limits.cold.recordEntries(servers, source === 'store', nowMs);
     this.serversOffset = offset;
     this.hasServers = true;
     this.kernel.find('logs').info('servers known', { source, servers: servers.length, offset });
