--- a/features/relay/server-limits.feature
+++ b/features/relay/server-limits.feature
@@ -131,3 +131,42 @@
       | answered another VM without a limit later  | is not |
       | answered another VM without a limit before | is     |
       | answered another VM with a limit before    | is     |
+
+  # Guards against requests to a server that has turned one away and asked for quiet.
+  Scenario: plain servers that ask for quiet get nothing until it has passed
+    Given a relay with 2 plain servers that do "answer"
+    When the limits of the relay learn that s0 asks for quiet
+    And 12 relay requests of kind "once" with 1 attempts arrive at once
+    Then each of the relay's 12 callers gets 200
+    And the relay's server "s0" gets at most 0 sends
+    And the limits of the relay are as before after 1500 ms
+
+  Scenario: a server that starts again does not want quiet any more
+    Given a relay with 1 plain server that do "answer"
+    When the limits of the relay learn that s0 asks for quiet
+    Then the limits of the relay let 0 of 5 requests through to s0
+    When the limits of the relay learn that s0 starts again
+    Then the limits of the relay let 5 of 5 requests through to s0
+
+  # Guards against servers that get more than they take just after they have become cold.
+  Scenario: a server that turns cold has got requests before
+    Given a relay with 1 plain server that do "answer"
+    And the limits of the relay's servers are those of cold ones, 10 requests a second
+    Then the limits of the relay let 7 of 7 requests through to s0
+    When the limits of the relay learn that s0 turns cold
+    Then the limits of the relay let 2 of 5 requests through to s0
+    And the limits of the relay are as before after 1500 ms
+
+  # Guards against requests that were on their way to an engine when it asked for quiet or became cold.
+  Scenario Outline: an engine <notice> while the prompt of a request is read
+    Given a relay with 1 prefill engine and 1 decode engines that do "answer"
+    And the limits of the relay's servers are those of cold ones, <rate> requests a second
+    And the limits of the relay will learn while a prompt is read that e1 <notice>
+    When a relay request of kind "stream" with 1 attempt arrives
+    Then the relay's caller gets 503
+    And the relay's server "e1" gets at most 0 sends
+
+    Examples:
+      | notice         | rate |
+      | asks for quiet | 100  |
+      | turns cold     | 1    |
--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -38,6 +38,7 @@
   leavers: string[];
   /** Limits that servers named, one for each answer; undefined for none. */
   limits: (number | undefined)[];
+  quietMs: number;
   selected: string[];
   decoded: ReturnType<typeof decodeConfiguration>;
   settings: ReturnType<typeof decodeSettings>;
@@ -67,6 +68,7 @@
   scenario.platformClient = ServerClient.create('test', clock, logs, ({ id }, notice) => {
     if (notice.leaving) scenario.leavers.push(id);
     scenario.limits.push(notice.requestsPerSecond);
+    scenario.quietMs = notice.quietMs ?? 0;
   });
   scenario.outcomes = [];
 });
@@ -287,6 +289,30 @@
   assert.deepEqual(scenario.limits, known === 'not said' ? [] : named);
 });
 
+Then('the platform server wants nothing for {int} ms', (ms: number) => {
+  assert.equal(scenario.quietMs, ms);
+});
+
+Then(
+  /^the platform entry (.+) yields a server that is cold for (.*) ms$/,
+  (entry: string, ms: string) => {
+    const server = decodeServer('i-1', Buffer.from(entry));
+    assert.equal(String(server?.coldLeftMs), ms);
+  },
+);
+
+Then(
+  /^the platform service (.+) takes (.+) requests a second for (.+) ms after a start$/,
+  (service: string, perSecond: string, ms: string) => {
+    const services = [JSON.parse(service) as unknown];
+    const configuration = { ...createPlatformConfiguration(), services };
+    const decoded = decodeConfiguration(Buffer.from(JSON.stringify(configuration)));
+    assert.ok(decoded.kind === 'ok');
+    const { cold } = decoded.value.configuration.pools[0]!;
+    assert.deepEqual([String(cold?.perSecond), String(cold?.coldMs)], [perSecond, ms]);
+  },
+);
+
 Then('no platform call ends with an answer of another request', () => {
   assert.equal(scenario.outcomes[0], 'whole');
   assert.ok(['whole', 'broken'].includes(scenario.outcomes[1]!), scenario.outcomes[1]);
--- a/features/support/fake-upstream.ts
+++ b/features/support/fake-upstream.ts
@@ -78,6 +78,9 @@
 
   prefills = 0;
 
+  /** Called while a prompt is read. */
+  duringPrefill: () => void = () => undefined;
+
   crashPoint: CrashPoint = 'before the head';
 
   private reservations = 0;
@@ -135,6 +138,7 @@
     request: RelayRequest,
   ): Promise<Outcome<PrefillResult, UpstreamFailure>> {
     this.prefills += 1;
+    this.duringPrefill();
     this.recordArrival(request, 'prefill', true);
     return Promise.resolve(succeed({ server, handle: `k${this.prefills}`, tokens: 100 }));
   }
--- a/features/support/scripted-server.ts
+++ b/features/support/scripted-server.ts
@@ -62,6 +62,12 @@
     socket.write(whole(id, [SEAL, 'Server-Limit: 2.5'], '500 Internal Server Error')),
   'not run, limit 2.5': (socket, id) =>
     socket.write(whole(id, ['Not-Run: 1', 'Server-Limit: 2.5'], '503 Service Unavailable')),
+  'not run, quiet 1.5': (socket, id) =>
+    socket.write(whole(id, ['Not-Run: 1', 'Retry-After: 1.5'], '503 Service Unavailable')),
+  'not run, quiet soon': (socket, id) =>
+    socket.write(whole(id, ['Not-Run: 1', 'Retry-After: soon'], '503 Service Unavailable')),
+  'its own failure, quiet 1.5': (socket, id) =>
+    socket.write(whole(id, [SEAL, 'Retry-After: 1.5'], '500 Internal Server Error')),
   'another server, limit 2.5': (socket, id) =>
     socket.write(whole(id, ['Server-Limit: 2.5'], '421 Misdirected Request')),
   'a second answer': (socket, id) => {
--- a/features/users-platform/contract.feature
+++ b/features/users-platform/contract.feature
@@ -86,6 +86,24 @@
       | not run, limit 2.5         | not-run   | 2.5      |
       | another server, limit 2.5  | gone      | not said |
 
+  # Guards against requests to a server that has asked for quiet, and against quiet that no server asked for.
+  Scenario Outline: a platform server answers "<answer>" and wants nothing for <ms> ms
+    Given a platform server that answers with "<answer>"
+    When a request is sent to the platform server
+    Then the platform server wants nothing for <ms> ms
+
+    Examples:
+      | answer                     | ms   |
+      | not run, quiet 1.5         | 1500 |
+      | not run, quiet soon        | 0    |
+      | its own failure, quiet 1.5 | 0    |
+
+  Scenario: cold servers are read from entries and from the configuration
+    Then the platform entry {"service":"s","address":"10.0.0.1:80","slots":1,"state":"ready","coldLeftMs":900} yields a server that is cold for 900 ms
+    And the platform entry {"service":"s","address":"10.0.0.1:80","slots":1,"state":"ready","coldLeftMs":"x"} yields a server that is cold for undefined ms
+    And the platform service {"name":"s","coldS":3,"coldPerS":33} takes 33 requests a second for 3000 ms after a start
+    And the platform service {"name":"s","coldS":0,"coldPerS":0} takes undefined requests a second for undefined ms after a start
+
   # Guards against a server that stops in the middle of its answer, whose caller gets an empty or short
   # body that looks whole.
   Scenario Outline: an answer <framing> that ends at any of its bytes is not taken for whole
