feat(state): survive a store that comes back from an older copy

The store may go back to a copy and give out offsets again. Readers went on at their old offset and missed records, a claim could get a fencing number that was used before, and registrations were lost.

Positions are compared by (era, offset). A read at a position of another era fails, and everything is read again; digests carry the era; VMs register again; missing servers stay for the settling time; a removed server is not taken back from the copy; fencing numbers contain the era.

--- a/bench/platform-soak/events.ts
+++ b/bench/platform-soak/events.ts
@@ -13,6 +13,7 @@
   'store-silent',
   'store-cut',
   'store-slow',
+  'store-back',
   'server-cut',
   'server-silent',
   'server-slow',
@@ -35,6 +36,12 @@
 const MAX_DURATION_MS = 4000;
 const TARGET_INDEX_LIMIT = 1000;
 
+/** Time for which a store is away before it comes back from a copy, in milliseconds. */
+const ROLLBACK_OUTAGE_MS = 400;
+
+/** Time after which the operator and the servers write again what the copy lacks, in milliseconds. */
+const WRITE_AGAIN_MS = 500;
+
 /** Delay that a slow store or server link adds to data towards its client, in milliseconds. */
 const LINK_DELAY_MS = 300;
 
@@ -62,6 +69,23 @@
   return faults;
 }
 
+/** Puts an older copy in place of the store after a short outage; what its owners wrote is written again. */
+async function rollBackStore(platform: SoakPlatform, durationMs: number): Promise<void> {
+  const { store } = platform;
+  if (platform.isRollingBack) return;
+  Object.assign(platform, { isRollingBack: true });
+  const copy = store.takeCopy();
+  await delay(durationMs);
+  store.setUnavailable(true);
+  await delay(ROLLBACK_OUTAGE_MS);
+  const writeAgain = store.writesSince(copy);
+  store.rollBack(copy);
+  store.setUnavailable(false);
+  await delay(WRITE_AGAIN_MS);
+  writeAgain();
+  Object.assign(platform, { isRollingBack: false });
+}
+
 /**
  * Injects one fault and ends it after its duration.
  *
@@ -111,6 +135,9 @@
       await wait();
       storeRelay.heal();
       break;
+    case 'store-back':
+      await rollBackStore(platform, durationMs);
+      break;
     case 'server-cut':
       server.relay.cut();
       await wait();
--- a/bench/platform-soak/soak-platform.ts
+++ b/bench/platform-soak/soak-platform.ts
@@ -42,6 +42,9 @@
 
   vms: SoakVm[] = [];
 
+  /** Whether the store is about to go back to a copy, or lacks what was written since. */
+  readonly isRollingBack: boolean = false;
+
   private version = 3;
 
   private nextServerNumber = 0;
--- a/features/fleet/store-followers.feature
+++ b/features/fleet/store-followers.feature
@@ -59,3 +59,68 @@
     And the store gets a third server
     And 1900 ms pass for the store followers
     Then no store follower uses the second server
+
+  # Guards against a withdrawn key or an old route that comes back with an older configuration.
+  Scenario: a configuration does not revert when the store comes back from an older copy
+    Given 6 store followers that exchange digests
+    When 3000 ms pass for the store followers
+    And a copy of the followed store is taken
+    And the store gets configuration 8 and a server that is leaving
+    And 2000 ms pass for the store followers
+    And the followed store comes back from its copy
+    And 6000 ms pass for the store followers
+    Then every store follower has configuration 8 and does not use the leaving server
+
+  # Guards against a reader that goes on at its old offset, which the store does not have any more or has
+  # given out again.
+  Scenario Outline: changes at offsets that are given out again are read, <heartbeats> of them before the next read
+    Given 6 store followers that exchange digests
+    When 3000 ms pass for the store followers
+    And a copy of the followed store is taken
+    And 4000 ms pass for the store followers
+    And the followed store comes back from its copy
+    And the store gets a second server
+    And the followed store gets <heartbeats> heartbeats
+    And 2000 ms pass for the store followers
+    Then every store follower uses the second server
+
+    Examples:
+      | heartbeats |
+      | 0          |
+      | 60         |
+
+  # Guards against VMs that nobody finds after a restart of the fleet.
+  Scenario: every VM registers again when the store comes back from an older copy
+    Given 6 store followers that exchange digests
+    When a copy of the followed store is taken
+    And 3000 ms pass for the store followers
+    And the followed store comes back from its copy
+    And 4000 ms pass for the store followers
+    Then the followed store has the registration of every follower
+
+  # Guards against refusals for want of servers whose entries the copy does not have yet.
+  Scenario: a server whose entry is lost stays in use until it announces itself again
+    Given 6 store followers that exchange digests
+    When a copy of the followed store is taken
+    And the store gets a second server
+    And 3000 ms pass for the store followers
+    And the followed store comes back from its copy
+    Then every store follower uses the second server for 1500 ms
+    When the store gets a second server
+    Then every store follower uses the second server for 4000 ms
+
+  # Guards against requests to a server that had been removed and is on its way out.
+  Scenario: a server that had been removed is not used because the copy still has it
+    Given 6 store followers that exchange digests
+    When the store gets a second server
+    And 3000 ms pass for the store followers
+    And a copy of the followed store is taken
+    And the second server is removed from the store
+    And 3000 ms pass for the store followers
+    And the followed store comes back from its copy
+    Then no store follower uses the second server for 4000 ms
+
+  # Guards against engines that take orders of two commanders, or none of the new one.
+  Scenario: the fencing number of a commander rises when the store gives out offsets again
+    Then a store claim at era 1 and offset 12 has a higher fencing number than one at era 0 and offset 41
+    And a store claim at era 0 and offset 42 has a higher fencing number than one at era 0 and offset 41
--- a/features/steps/platform-path-steps.ts
+++ b/features/steps/platform-path-steps.ts
@@ -7,7 +7,7 @@
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
-import { PlatformLog } from '../../stand-ins/platform/platform-log.js';
+import { PlatformLog, type LogCopy } from '../../stand-ins/platform/platform-log.js';
 import { PlatformServer } from '../../stand-ins/platform/platform-server.js';
 import { findFreePorts } from '../../harness/free-ports.js';
 import { ownHost } from '../../harness/own-host.js';
@@ -38,6 +38,7 @@
   sentCount: number;
   platformLeavers: PlatformServer[];
   statuses: number[];
+  storeCopy: LogCopy;
 }
 
 const scenario = world as unknown as PathWorld;
@@ -114,7 +115,7 @@
 });
 
 Given(
-  'a platform with a store, {int} prefill engine, {int} decode engines and {int} plain server(s)',
+  'a platform with a store, {int} prefill engine(s), {int} decode engines and {int} plain server(s)',
   async (prefill: number, decode: number, plain: number) => {
     const stages = [
       ...Array<'prefill'>(prefill).fill('prefill'),
@@ -287,3 +288,38 @@
 Then('the other orders and plans were answered by the other servers', () => {
   assert.deepEqual(new Set(scenario.statuses), new Set([200]));
 });
+
+When("a copy of the platform's store is taken", () => {
+  scenario.storeCopy = scenario.platformStore.takeCopy();
+});
+
+When("the platform's store comes back from its copy", () => {
+  scenario.platformStore.rollBack(scenario.storeCopy);
+});
+
+When("the platform's only key is withdrawn", () => {
+  const configuration = createPlatformConfiguration();
+  const tenants = configuration.tenants.map((tenant) => ({ ...tenant, apiKeys: [] }));
+  scenario.platformStore.put('keyed.op', 'config', { ...configuration, version: 10, tenants });
+});
+
+Then(
+  'an order with the withdrawn key is refused with {int} within {int} ms',
+  async (status: number, ms: number) => {
+    const isRefused = async () => (await sendAsCaller('/order/a', 'withdrawn')).status === status;
+    await waitUntil(isRefused, ms);
+  },
+);
+
+Then(
+  'an order with the withdrawn key is refused with {int} for {int} ms',
+  async (status: number, ms: number) => {
+    const endMs = Date.now() + ms;
+    while (Date.now() < endMs) {
+      assert.equal((await sendAsCaller('/order/a', 'withdrawn')).status, status);
+      await new Promise((resolve) => {
+        setTimeout(resolve, 50);
+      });
+    }
+  },
+);
--- a/features/steps/store-follower-steps.ts
+++ b/features/steps/store-follower-steps.ts
@@ -2,6 +2,7 @@
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
+import { computeFence } from '../../src/relay/stage-commander.js';
 import { StoreFollowerFleet } from '../support/store-follower-fleet.js';
 
 const scenario = world as unknown as { followers?: StoreFollowerFleet };
@@ -54,6 +55,66 @@
   followersOf().refuseAll(state === 'unavailable');
 });
 
+Then(
+  'every store follower has configuration {int} and does not use the leaving server',
+  (version: number) => {
+    const { vms } = followersOf();
+    vms.forEach(({ name, relay }) => assert.equal(relay.configuration?.version, version, name));
+    assert.equal(countUsers('a'), 0);
+  },
+);
+
+When('a copy of the followed store is taken', () => {
+  followersOf().takeCopy();
+});
+
+When('the followed store comes back from its copy', () => {
+  followersOf().rollBack();
+});
+
+When('the followed store gets {int} heartbeats', (heartbeats: number) => {
+  followersOf().writeHeartbeats(heartbeats);
+});
+
+Then('every store follower uses the second server for {int} ms', SIMULATION, async (ms: number) => {
+  for (let passed = 0; passed < ms; passed += 100) {
+    await followersOf().advance(100);
+    assert.equal(countUsers('b'), followersOf().vms.length, `after ${passed} ms`);
+  }
+});
+
+Then('no store follower uses the second server for {int} ms', SIMULATION, async (ms: number) => {
+  for (let passed = 0; passed < ms; passed += 100) {
+    await followersOf().advance(100);
+    assert.equal(countUsers('b'), 0, `after ${passed} ms`);
+  }
+});
+
+Then('every store follower uses the second server', () => {
+  assert.equal(countUsers('b'), followersOf().vms.length);
+});
+
+Then('the followed store has the registration of every follower', () => {
+  const { vms, registered } = followersOf();
+  const missing = vms.map(({ name }) => name).filter((name) => !registered.has(name));
+  assert.deepEqual(missing, []);
+});
+
+Then(
+  'a store claim at era {int} and offset {int} has a higher fencing number than one at era {int} and offset {int}',
+  (era: number, offset: number, earlierEra: number, earlierOffset: number) => {
+    const earlier = computeFence({ era: earlierEra, offset: earlierOffset });
+    assert.ok(computeFence({ era, offset }) > earlier);
+  },
+);
+
+function countUsers(server: string): number {
+  const { vms, clock } = followersOf();
+  return vms.filter(({ relay }) =>
+    relay.catalog.usable('pool', clock.monotonicMs()).some(({ id }) => id === server),
+  ).length;
+}
+
 Then('no store follower uses the second server', () => {
   const { vms, clock } = followersOf();
   const using = vms.filter(({ relay }) =>
--- /dev/null
+++ b/features/steps/store-rollback-steps.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
+
+import { LogStore } from '../../platform/log-store.js';
+import type { StorePosition } from '../../src/domain/store-position.js';
+import { JsonLogs } from '../../src/observability/json-logs.js';
+import { computeFence } from '../../src/relay/stage-commander.js';
+import { PlatformLog, type LogCopy } from '../../stand-ins/platform/platform-log.js';
+
+interface RollbackWorld {
+  rollbackLog: PlatformLog;
+  /** Copies of the log before each record, and before the claims. */
+  rollbackCopies: LogCopy[];
+  rollbackClients: LogStore[];
+  rollbackPosition: StorePosition;
+  rollbackFences: number[];
+}
+
+const scenario = world as unknown as RollbackWorld;
+
+const ENTRY = { service: 'yard', address: '127.0.0.1:1', zone: 'sando', slots: 4, state: 'ready' };
+
+function writeRecords(count: number): void {
+  for (let index = 0; index < count; index += 1) {
+    scenario.rollbackCopies.push(scenario.rollbackLog.takeCopy());
+    scenario.rollbackLog.put('keyed.servers', `s-${scenario.rollbackCopies.length}`, ENTRY);
+  }
+}
+
+function createClient(name: string): LogStore {
+  const [host, port] = scenario.rollbackLog.address.split(':');
+  const logs = JsonLogs.create('error', 'test');
+  return LogStore.create({ host: host!, port: Number(port) }, { name, host: host! }, logs);
+}
+
+After(async () => {
+  await Promise.all((scenario.rollbackClients ?? []).map((client) => client.stop()));
+  scenario.rollbackLog?.close();
+  Object.assign(scenario, { rollbackClients: [], rollbackLog: undefined });
+});
+
+Given('a platform log with {int} records of servers', async (count: number) => {
+  scenario.rollbackLog = await PlatformLog.create();
+  scenario.rollbackCopies = [];
+  scenario.rollbackFences = [];
+  writeRecords(count);
+  scenario.rollbackClients = ['vm-1', 'vm-2'].map(createClient);
+});
+
+When('a client reads the platform log to its end', async () => {
+  const outcome = await scenario.rollbackClients[0]!.allServers();
+  assert.equal(outcome.kind, 'ok');
+  if (outcome.kind === 'ok') scenario.rollbackPosition = outcome.value;
+});
+
+When('the platform log goes back by {int} records', (count: number) => {
+  scenario.rollbackLog.rollBack(scenario.rollbackCopies.at(-count)!);
+});
+
+When('the platform log goes back to before the claims', () => {
+  scenario.rollbackLog.rollBack(scenario.rollbackCopies.at(-1)!);
+});
+
+When('{int} records of servers are written to the platform log', writeRecords);
+
+When('two clients claim the command in turn {int} times each', async (times: number) => {
+  for (let index = 0; index < 2 * times; index += 1) {
+    const client = scenario.rollbackClients[index % 2]!;
+    const outcome = await client.claimCommand(`vm-${index % 2}`);
+    assert.equal(outcome.kind, 'ok', `claim ${index}`);
+    if (outcome.kind === 'ok') scenario.rollbackFences.push(computeFence(outcome.value));
+  }
+});
+
+Then('the next read of the platform log fails as {string}', async (reason: string) => {
+  const outcome = await scenario.rollbackClients[0]!.serverChanges(scenario.rollbackPosition);
+  assert.equal(outcome.kind === 'failed' && outcome.failure.reason, reason);
+});
+
+Then('the next read of the platform log has {int} change', async (count: number) => {
+  const outcome = await scenario.rollbackClients[0]!.serverChanges(scenario.rollbackPosition);
+  assert.equal(outcome.kind === 'ok' && outcome.value.changes.length, count);
+});
+
+Then('a new read of the platform log has the servers of {int} records', async (count: number) => {
+  const outcome = await scenario.rollbackClients[0]!.allServers();
+  assert.equal(outcome.kind === 'ok' && outcome.value.servers.length, count);
+});
+
+Then('each claim has a higher fencing number than the one before it', () => {
+  const { rollbackFences: fences } = scenario;
+  assert.ok(
+    fences.every((fence, index) => index === 0 || fence > fences[index - 1]!),
+    fences.join(' '),
+  );
+});
--- a/features/support/answer-readers.ts
+++ b/features/support/answer-readers.ts
@@ -78,9 +78,9 @@
   },
   'platform store': (port) => createStoreReader(port, (store) => store.newestConfiguration()),
   'platform store that waits for records': (port) =>
-    createStoreReader(port, (store) => store.nextConfiguration(0, 1000)),
+    createStoreReader(port, (store) => store.nextConfiguration({ era: 0, offset: 0 }, 1000)),
   'platform store that sends records': (port) =>
-    createStoreReader(port, (store) => store.serverChanges(0)),
+    createStoreReader(port, (store) => store.serverChanges({ era: 0, offset: 0 })),
   'platform store that gets records': (port) =>
     createStoreReader(port, (store) => store.register()),
   'peer state': (port) => {
--- a/features/support/relay-fixtures.ts
+++ b/features/support/relay-fixtures.ts
@@ -84,6 +84,7 @@
     power: 1,
     ready: true,
     draining: false,
+    era: 0,
     configuration: 1,
     catalog: 1,
     catalogHash: 1,
--- a/features/support/store-follower-fleet.ts
+++ b/features/support/store-follower-fleet.ts
@@ -2,6 +2,7 @@
 
 import { createFake, registerFake } from '../../harness/module-fakes.js';
 import { CallFailure } from '../../src/kernel/call-failure.js';
+import type { StorePosition } from '../../src/domain/store-position.js';
 import { Kernel } from '../../src/kernel/kernel.js';
 import { ManualClock } from '../../src/kernel/manual-clock.js';
 import { fail, succeed, type Outcome } from '../../src/kernel/outcome.js';
@@ -9,7 +10,7 @@
 import type { RelayConfiguration } from '../../src/relay/relay-configuration.js';
 import { StateFollower } from '../../src/state/state-follower.js';
 import type { CatalogChange } from '../../src/relay/server-catalog.js';
-import type { StoreFailure } from '../../src/state/state-store.js';
+import type { ConfigurationRead, StoreFailure } from '../../src/state/state-store.js';
 import { createCatalogServer, createRelayConfiguration } from './relay-fixtures.js';
 
 /** Interval between the digests of the simulated fleet, in milliseconds. */
@@ -32,6 +33,13 @@
   refused: boolean;
 }
 
+/** Content of the store at some moment. */
+interface StoreCopy {
+  readonly configuration: RelayConfiguration;
+  readonly changes: readonly CatalogChange[];
+  readonly registered: ReadonlySet<string>;
+}
+
 /** Several followers of one store, on one manual clock and without a network. */
 export class StoreFollowerFleet {
   readonly clock = ManualClock.create(1_000_000);
@@ -40,7 +48,14 @@
 
   private configuration = createRelayConfiguration({ version: 1 });
 
-  private readonly changes: CatalogChange[] = [];
+  private changes: CatalogChange[] = [];
+
+  /** Names of the VMs whose registration the store has. */
+  registered = new Set<string>();
+
+  private era = 0;
+
+  private copy: StoreCopy | undefined;
 
   private rounds = 0;
 
@@ -93,6 +108,27 @@
     this.vms.forEach((vm) => Object.assign(vm, { refused: true }));
   }
 
+  /** Takes a copy of the store. */
+  takeCopy(): void {
+    const { configuration, changes, registered } = this;
+    this.copy = { configuration, changes: [...changes], registered: new Set(registered) };
+  }
+
+  /** Puts the copy in place of the store. */
+  rollBack(): void {
+    const { configuration, changes, registered } = this.copy!;
+    this.era += 1;
+    this.configuration = configuration;
+    this.changes = [...changes];
+    this.registered = new Set(registered);
+  }
+
+  /** Writes heartbeats of the first server. */
+  writeHeartbeats(count: number): void {
+    const [first] = this.changes;
+    for (let index = 0; index < count; index += 1) this.changes.push(first!);
+  }
+
   /** Forgets the calls to the store so far. */
   resetCalls(): void {
     this.vms.forEach((vm) => Object.assign(vm, { calls: 0 }));
@@ -120,7 +156,8 @@
     const advertisements = this.vms.map(({ name, follower, relay }) => ({
       host: name,
       configuration: relay.configuration?.version ?? -1,
-      catalog: follower.catalogOffset,
+      era: follower.catalogPosition.era,
+      catalog: follower.catalogPosition.offset,
       catalogHash: follower.catalogHash,
     }));
     this.rounds += 1;
@@ -186,30 +223,52 @@
       if (vm.refused) return fail(CallFailure.create('unavailable', 'status 503'));
       return value();
     };
-    const read = (offset: number) => {
+    const rolledBack = () => fail(CallFailure.create('rolled-back' as const, 'another era'));
+    const read = ({ era, offset }: StorePosition) => {
+      if (era !== this.era) return rolledBack();
+      
       const gone = offset < this.earliestChange;
       if (gone) return fail(CallFailure.create('compacted' as const, 'status 410'));
-      return succeed({ changes: this.changes.slice(offset), offset: this.changes.length });
+      const position = { era, offset: this.changes.length };
+      return succeed({ changes: this.changes.slice(offset), position });
+    };
+    let answeredEra: number | undefined;
+    const noteEra = <Value>(value: Value): Value => {
+      answeredEra = this.era;
+      return value;
     };
     return {
-      register: () => answer(() => succeed(undefined)),
-      registeredHosts: () => answer(() => succeed([])),
+      get era() {
+        return answeredEra;
+      },
+      register: () =>
+        answer(() => {
+          this.registered.add(vm.name);
+          return succeed(noteEra(this.era));
+        }),
+      registeredHosts: () => answer(() => noteEra(succeed([]))),
       newestConfiguration: () =>
-        answer(() => succeed({ configuration: this.configuration, offset: 1 })),
-      nextConfiguration: async (offset: number, waitMs: number) => {
+        answer(() => {
+          const position = { era: this.era, offset: 1 };
+          return noteEra(succeed({ configuration: this.configuration, position }));
+        }),
+      nextConfiguration: async (position: StorePosition, waitMs: number) => {
         const { version } = this.configuration;
         for (let waited = 0; waited < waitMs; waited += 100) {
           if (this.configuration.version !== version) break;
           await this.clock.sleep(100);
         }
-        return answer(() => succeed({ configuration: this.configuration, offset }));
+        return answer<ConfigurationRead>(() => {
+          if (position.era !== this.era) return noteEra(rolledBack());
+          return succeed({ configuration: this.configuration, position });
+        });
       },
       allServers: () =>
         answer(() => {
           const servers = ['a', 'b', 'c'].flatMap((id) => this.lastOf(id)?.server ?? []);
-          return succeed({ servers, offset: this.changes.length });
+          return noteEra(succeed({ servers, era: this.era, offset: this.changes.length }));
         }),
-      serverChanges: (offset: number) => answer(() => read(offset)),
+      serverChanges: (position: StorePosition) => answer(() => noteEra(read(position))),
     };
   }
 }
--- a/harness/fleet-simulation.ts
+++ b/harness/fleet-simulation.ts
@@ -196,7 +196,12 @@
       dispatchWaiting: () => undefined,
     });
     registerFake(kernel, 'state', {
-      ...{ ready: true, reachesStore: true, catalogOffset: 1, catalogHash: 1 },
+      ...{
+        ready: true,
+        reachesStore: true,
+        catalogPosition: { era: 0, offset: 1 },
+        catalogHash: 1,
+      },
       handleAdvertisement: () => undefined,
     });
     registerFake(kernel, 'logs', { info: () => undefined, warn: () => undefined });
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -33,8 +33,12 @@
     reachesStore: hasFlag(flags, REACHES_STORE),
   }));
 
-/** Store state that a VM holds: configuration version, catalog offset, hash of the server entries. */
+/**
+ * Store state that a VM holds: configuration version, position up to which it has read the server entries,
+ * hash of the server entries. VMs of earlier releases send no era.
+ */
 const stateSchema = z.object({
+  era: finiteNumber.default(0),
   configuration: finiteNumber,
   catalog: finiteNumber,
   catalogHash: finiteNumber,
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -411,9 +411,10 @@
   }
 
   private describeState() {
-    const { catalogOffset: catalog, catalogHash } = this.kernel.find('state');
+    const { catalogPosition, catalogHash } = this.kernel.find('state');
+    const { era, offset: catalog } = catalogPosition;
     const configuration = this.kernel.find('relay').configuration?.version ?? -1;
-    return { configuration, catalog, catalogHash };
+    return { era, configuration, catalog, catalogHash };
   }
 
   private composeWork(nowMs: number): FleetWork {
--- a/src/relay/server-catalog.ts
+++ b/src/relay/server-catalog.ts
@@ -31,6 +31,16 @@
  */
 export const REANNOUNCE_MS = 2000;
 
+/**
+ * Time after a rollback of the store in which the entry of a server that had been removed is not believed
+ * until it is written again, in milliseconds: it is from the older copy, and the server may have left. Longer
+ * than three heartbeats, after which the store removes it again.
+ */
+const DISTRUST_MS = 5000;
+
+/** Maximum number of removed servers that are remembered. */
+const MAX_REMOVED = 200;
+
 /** Maximum number of leaving servers in a digest, and of remembered ones that have no entry. */
 const MAX_LEAVERS = 40;
 
@@ -44,8 +54,13 @@
   /** Start times of servers that are known to leave; an entry that is not newer does not reactivate them. */
   private readonly leaving = new Map<string, number>();
 
+  /** Start times of the servers that were last removed, by id. */
+  private readonly removed = new Map<string, number>();
+
   private storeRecoveredMs = -Infinity;
 
+  private rolledBackMs = -Infinity;
+
   private cachedHash: number | undefined;
 
   /**
@@ -68,6 +83,16 @@
     this.storeRecoveredMs = Math.max(this.storeRecoveredMs, nowMs + remainingMs - REANNOUNCE_MS);
   }
 
+  /**
+   * Records that the store has come back from an older copy: for a while, entries of servers that had been
+   * removed are only accepted as changes.
+   *
+   * @param nowMs - monotonic time, in milliseconds
+   */
+  recordRollback(nowMs: number): void {
+    this.rolledBackMs = nowMs;
+  }
+
   /**
    * Returns for how long entries that expired in a store outage may still reappear.
    *
@@ -95,6 +120,7 @@
    */
   apply({ id, server }: CatalogChange, nowMs: number): void {
     if (server) {
+      this.removed.delete(id);
       this.put(server);
       return;
     }
@@ -115,11 +141,12 @@
    * @param nowMs - monotonic time, in milliseconds
    */
   replace(servers: readonly CatalogServer[], nowMs: number): void {
-    const ids = new Set(servers.map(({ id }) => id));
+    const credible = servers.filter((server) => !this.isObsolete(server, nowMs));
+    const ids = new Set(credible.map(({ id }) => id));
     [...this.servers.keys()]
       .filter((id) => !ids.has(id))
       .forEach((id) => this.apply({ id, server: undefined }, nowMs));
-    servers.forEach((server) => this.put(server));
+    credible.forEach((server) => this.put(server));
   }
 
   /**
@@ -185,6 +212,13 @@
     if (server.leaving) this.recordLeaving(server.id, server.startedAtMs);
   }
 
+  /** Whether an entry is from an older copy of the store and its server had been removed. */
+  private isObsolete({ id, startedAtMs }: CatalogServer, nowMs: number): boolean {
+    const removedStartMs = this.removed.get(id);
+    if (removedStartMs === undefined || startedAtMs > removedStartMs) return false;
+    return nowMs < this.rolledBackMs + DISTRUST_MS;
+  }
+
   private isLeaving({ id, startedAtMs, leaving }: CatalogServer): boolean {
     const leftAtMs = this.leaving.get(id);
     return leaving || (leftAtMs !== undefined && startedAtMs <= leftAtMs);
@@ -199,7 +233,12 @@
   }
 
   private remove(id: string): void {
+    const startedAtMs = this.servers.get(id)?.startedAtMs ?? 0;
     this.servers.delete(id);
+    this.removed.delete(id);
+    this.removed.set(id, startedAtMs);
+    const [oldest] = this.removed.keys();
+    if (this.removed.size > MAX_REMOVED) this.removed.delete(oldest!);
     this.cachedHash = undefined;
   }
 }
--- a/src/relay/stage-commander.ts
+++ b/src/relay/stage-commander.ts
@@ -1,3 +1,4 @@
+import type { StorePosition } from '../domain/store-position.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { Service } from '../kernel/service.js';
@@ -17,11 +18,25 @@
 /** Largest fraction of a pool's engines that change their roles at once, but at least one engine. */
 const MAX_CHANGED_FRACTION = 0.08;
 
+/** Fencing numbers of one era of the store; more than claims are ever lost with a rollback. */
+const FENCES_PER_ERA = 1_000_000;
+
+/**
+ * Computes the fencing number of a claim. It rises also when the store has come back from an older copy and
+ * gives out the same offsets again.
+ *
+ * @param claim - position of the claim in the store
+ * @returns a number from 1
+ */
+export function computeFence({ era, offset }: StorePosition): number {
+  return era * FENCES_PER_ERA + offset + 1;
+}
+
 /** Orders engines to change their roles, on the one VM that is the commander. */
 export class StageCommander extends Service {
   private timer: NodeJS.Timeout | undefined;
 
-  private fence: number | undefined;
+  private claim: StorePosition | undefined;
 
   private leaderSinceMs: number | undefined;
 
@@ -86,7 +101,7 @@
     const { isDraining } = this.kernel.find('fleet');
     if (rank !== 0 || !ready || isDraining || storeAgeMs > this.leaseMs / 2) {
       this.leaderSinceMs = undefined;
-      this.fence = undefined;
+      this.claim = undefined;
       return false;
     }
     this.leaderSinceMs ??= nowMs;
@@ -143,7 +158,7 @@
     const outcome = await this.kernel.find('upstream').orderStage(server, stage, fence);
     const result = outcome.kind === 'ok' ? 'accepted' : outcome.failure;
     // A refused order may mean that another VM has become commander; claim a new number for the next one.
-    if (outcome.kind === 'failed') this.fence = undefined;
+    if (outcome.kind === 'failed') this.claim = undefined;
     const reason = 'prefill and decode should reach full load together';
     const rounded = Object.fromEntries(
       Object.entries(facts).map(([name, value]) => [name, Math.round(value)]),
@@ -155,12 +170,15 @@
   }
 
   private async claimFence(): Promise<number | undefined> {
-    if (this.fence !== undefined) return this.fence;
-    const outcome = await this.kernel.find('state-store').claimCommand(this.vm);
-    if (outcome.kind === 'ok') this.fence = outcome.value;
-    const result = outcome.kind === 'ok' ? outcome.value : outcome.failure.reason;
-    this.kernel.find('logs').info('command over roles claimed', { result });
-    return this.fence;
+    const store = this.kernel.find('state-store');
+    // A claim of an earlier era may be missing in the store, where another VM can have claimed since.
+    if (this.claim && this.claim.era === store.era) return computeFence(this.claim);
+    const outcome = await store.claimCommand(this.vm);
+    this.claim = outcome.kind === 'ok' ? outcome.value : undefined;
+    const fence = this.claim && computeFence(this.claim);
+    const result = outcome.kind === 'ok' ? computeFence(outcome.value) : outcome.failure.reason;
+    this.kernel.find('logs').info('command over roles claimed', { result, ...this.claim });
+    return fence;
   }
 }
 
--- a/src/state/state-follower.ts
+++ b/src/state/state-follower.ts
@@ -1,3 +1,4 @@
+import { comparePositions, UNREAD, type StorePosition } from '../domain/store-position.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import type { Outcome } from '../kernel/outcome.js';
@@ -11,7 +12,8 @@
 export interface StateAdvertisement {
   readonly host: string;
   readonly configuration: number;
-  /** Offset up to which it has read the server entries. */
+  /** Era and offset up to which it has read the server entries. */
+  readonly era: number;
   readonly catalog: number;
   /** Hash of the server entries that it knows. */
   readonly catalogHash: number;
@@ -71,9 +73,18 @@
 export class StateFollower extends Service {
   private readonly stopping = new AbortController();
 
-  private configurationOffset: number | undefined;
+  private configurationPosition: StorePosition | undefined;
 
-  private serversOffset: number | undefined;
+  private serversPosition: StorePosition | undefined;
+
+  /** Highest era of the store that this VM has learned of; undefined before the first. */
+  private knownEra: number | undefined;
+
+  /** Monotonic time at which this VM learned that the era has risen, in milliseconds. */
+  private eraSinceMs = -Infinity;
+
+  /** Highest era in answers of the store to this VM. */
+  private answeredEra = -1;
 
   private lastAnswerMs: number | undefined;
 
@@ -83,6 +94,9 @@
   /** Monotonic time at which a call to the store last failed, in milliseconds. */
   private lastFailureMs = -Infinity;
 
+  /** Era of the server entries that this VM knows. */
+  private serversEra = 0;
+
   /** Whether the server entries have been read at least once, even if later changes were missed. */
   private hasServers = false;
 
@@ -90,7 +104,8 @@
 
   private fetching = false;
 
-  private registered = false;
+  /** Era of the store that has the registration of this VM; undefined before the first. */
+  private registeredEra: number | undefined;
 
   private constructor(
     private readonly kernel: Kernel,
@@ -115,9 +130,9 @@
     return this.kernel.find('relay').configuration !== undefined && this.hasServers;
   }
 
-  /** Offset up to which this VM knows the server entries; -1 before the first read. */
-  get catalogOffset(): number {
-    return this.serversOffset ?? -1;
+  /** Position up to which this VM knows the server entries. */
+  get catalogPosition(): StorePosition {
+    return this.serversPosition ?? UNREAD;
   }
 
   /** Hash of the server entries that this VM knows. */
@@ -160,12 +175,12 @@
    */
   changesSince(known: Pick<StateAdvertisement, 'configuration' | 'catalogHash'>): SharedState {
     const { configuration, catalog } = this.kernel.find('relay');
-    const offset = this.serversOffset;
     const hasNewerConfiguration = (configuration?.version ?? -1) > known.configuration;
-    const hasOtherServers = offset !== undefined && catalog.hash !== known.catalogHash;
+    const position = this.serversPosition;
+    const hasOtherServers = catalog.hash !== known.catalogHash;
     return {
       configuration: hasNewerConfiguration ? configuration : undefined,
-      catalog: hasOtherServers ? { servers: catalog.present, offset } : undefined,
+      catalog: position && hasOtherServers ? { servers: catalog.present, ...position } : undefined,
       settlingMs: catalog.settlingMs(this.clock.monotonicMs()),
     };
   }
@@ -190,6 +205,7 @@
    */
   handleAdvertisement(advertisement: StateAdvertisement): void {
     const nowMs = this.clock.monotonicMs();
+    this.learnEra(advertisement.era, advertisement.host);
     if (!this.isNewer(advertisement)) return;
     if (!this.advertisement || !this.isNewer(this.advertisement))
       this.advertisement = { ...advertisement, sinceMs: nowMs };
@@ -198,10 +214,11 @@
     void this.fetchFrom(advertisement.host);
   }
 
-  private isNewer({ configuration, catalog, catalogHash }: StateAdvertisement): boolean {
+  private isNewer({ configuration, era, catalog, catalogHash }: StateAdvertisement): boolean {
     const version = this.kernel.find('relay').configuration?.version ?? -1;
     if (configuration > version) return true;
-    if (catalog <= this.catalogOffset || catalogHash === this.catalogHash) return false;
+    const isAhead = comparePositions({ era, offset: catalog }, this.catalogPosition) > 0;
+    if (!isAhead || catalogHash === this.catalogHash) return false;
     // A store reader whose store responds reads the server entries itself.
     return this.failing || !this.readsStore;
   }
@@ -234,7 +251,8 @@
     if (configuration && this.kernel.find('relay').configure(configuration)) {
       logs.info('configuration in force', { version: configuration.version, source: host });
     }
-    if (!catalog || catalog.offset <= this.catalogOffset) return;
+    if (!catalog || this.isOutdated(catalog.era)) return;
+    if (comparePositions(catalog, this.catalogPosition) <= 0) return;
     // Counted from the time of the request, so that the time does not grow as it passes from VM to VM.
     const nowMs = this.clock.monotonicMs();
     const leftMs = settlingMs - (nowMs - askedMs);
@@ -245,32 +263,37 @@
   private async followConfiguration(): Promise<void> {
     let readMs = -Infinity;
     while (!this.stopping.signal.aborted) {
-      await this.waitUntilReadDue(() => this.configurationOffset === undefined, readMs);
+      await this.waitUntilReadDue(() => this.configurationPosition === undefined, readMs);
       readMs = this.clock.monotonicMs();
       const store = this.kernel.find('state-store');
       const outcome =
-        this.configurationOffset === undefined
+        this.configurationPosition === undefined
           ? await store.newestConfiguration()
-          : await store.nextConfiguration(this.configurationOffset, MAX_CONFIGURATION_WAIT_MS);
+          : await store.nextConfiguration(this.configurationPosition, MAX_CONFIGURATION_WAIT_MS);
+      this.noteStoreEra();
       if (outcome.kind === 'ok') this.applyConfiguration(outcome.value);
-      else if (outcome.failure.reason === 'compacted') this.configurationOffset = undefined;
+      else if (isPositionLost(outcome.failure)) this.configurationPosition = undefined;
       await this.handleCallOutcome(
         outcome,
-        this.configurationOffset === undefined ? RETRY_DELAY_MS : 0,
+        this.configurationPosition === undefined ? RETRY_DELAY_MS : 0,
       );
     }
   }
 
-  private applyConfiguration({ configuration, offset }: ConfigurationRead): void {
-    this.configurationOffset = offset;
+  private applyConfiguration({ configuration, position }: ConfigurationRead): void {
+    const { era, offset } = position;
+    // An answer that was on its way when the store came back from an older copy.
+    if (this.isOutdated(era)) return;
+    this.configurationPosition = position;
     if (!configuration || !this.kernel.find('relay').configure(configuration)) {
-      if (!this.kernel.find('relay').configuration) this.configurationOffset = undefined;
+      if (!this.kernel.find('relay').configuration) this.configurationPosition = undefined;
       return;
     }
     const { version, routes, teams } = configuration;
     this.kernel.find('logs').info('configuration in force', {
       version,
       source: 'store',
+      era,
       offset,
       routes: routes.length,
       teams: teams?.length ?? 0,
@@ -280,12 +303,14 @@
   private async followServers(): Promise<void> {
     let readMs = -Infinity;
     while (!this.stopping.signal.aborted) {
-      await this.waitUntilReadDue(() => this.serversOffset === undefined, readMs);
+      await this.waitUntilReadDue(() => this.serversPosition === undefined, readMs);
       readMs = this.clock.monotonicMs();
-      const outcome =
-        this.serversOffset === undefined ? await this.readAllServers() : await this.readChanges();
-      if (outcome.kind === 'failed' && outcome.failure.reason === 'compacted') {
-        this.serversOffset = undefined;
+      const outcome = this.serversPosition
+        ? await this.readChanges(this.serversPosition)
+        : await this.readAllServers();
+      this.noteStoreEra();
+      if (outcome.kind === 'failed' && isPositionLost(outcome.failure)) {
+        this.serversPosition = undefined;
       }
       await this.handleCallOutcome(outcome, CATALOG_READ_INTERVAL_MS);
     }
@@ -304,51 +329,92 @@
 
   private async readAllServers(): Promise<Outcome<unknown, StoreFailure>> {
     const outcome = await this.kernel.find('state-store').allServers();
-    if (outcome.kind === 'ok') {
-      this.recordAnswer();
-      this.replaceServers(outcome.value, 'store');
-    }
+    if (outcome.kind === 'failed') return outcome;
+    this.recordAnswer();
+    this.noteStoreEra();
+    if (!this.isOutdated(outcome.value.era)) this.replaceServers(outcome.value, 'store');
     return outcome;
   }
 
-  private async readChanges(): Promise<Outcome<unknown, StoreFailure>> {
-    const outcome = await this.kernel.find('state-store').serverChanges(this.serversOffset!);
+  private async readChanges(since: StorePosition): Promise<Outcome<unknown, StoreFailure>> {
+    const outcome = await this.kernel.find('state-store').serverChanges(since);
     if (outcome.kind === 'failed') return outcome;
     this.recordAnswer();
+    this.noteStoreEra();
+    if (this.isOutdated(since.era)) return outcome;
     const { catalog } = this.kernel.find('relay');
     const nowMs = this.clock.monotonicMs();
-    const { changes, offset } = outcome.value;
+    const { changes, position } = outcome.value;
     changes.forEach((change) => {
       const before = catalog.find(change.id);
       catalog.apply(change, nowMs);
       const { server } = change;
       const same = before && server && describe(before) === describe(server);
-      if (!same) this.logServerChange(change.id, server ? describe(server) : 'removed', offset);
+      if (!same) this.logServerChange(change.id, server ? describe(server) : 'removed', position);
     });
     // A snapshot from a peer may be newer than the response of the store.
-    this.serversOffset = Math.max(offset, this.serversOffset ?? 0);
+    if (comparePositions(position, this.catalogPosition) > 0) this.serversPosition = position;
     return outcome;
   }
 
-  private replaceServers({ servers, offset }: CatalogSnapshot, source: string): void {
-    this.kernel.find('relay').catalog.replace(servers, this.clock.monotonicMs());
-    this.serversOffset = offset;
+  private replaceServers({ servers, era, offset }: CatalogSnapshot, source: string): void {
+    const nowMs = this.clock.monotonicMs();
+    const { catalog } = this.kernel.find('relay');
+    if (this.hasServers && era > this.serversEra) catalog.recordRollback(nowMs);
+    catalog.replace(servers, nowMs);
+    this.serversEra = era;
+    this.serversPosition = { era, offset };
     this.hasServers = true;
-    this.kernel.find('logs').info('servers known', { source, servers: servers.length, offset });
+    const facts = { source, servers: servers.length, era, offset };
+    this.kernel.find('logs').info('servers known', facts);
+  }
+
+  private logServerChange(server: string, state: string, { era, offset }: StorePosition): void {
+    this.kernel.find('logs').info('server changed', { server, state, era, offset });
   }
 
-  private logServerChange(server: string, state: string, offset: number): void {
-    this.kernel.find('logs').info('server changed', { server, state, offset });
+  /** Whether something is from before the store came back from an older copy. */
+  private isOutdated(era: number): boolean {
+    return era < (this.knownEra ?? 0);
+  }
+
+  /**
+   * Acts on the era in the last answer of the store. When it has risen, positions of the last era are lost,
+   * which the next read of each notices, servers announce themselves again, and so does this VM.
+   */
+  private noteStoreEra(): void {
+    const { era = -1 } = this.kernel.find('state-store');
+    if (era <= this.answeredEra) return;
+    this.answeredEra = era;
+    this.learnEra(era, 'store');
+    const nowMs = this.clock.monotonicMs();
+    const settlingMs = REANNOUNCE_MS - (nowMs - this.eraSinceMs);
+    if (settlingMs > 0) this.kernel.find('relay').catalog.recordStoreRecovery(nowMs, settlingMs);
+  }
+
+  /** Records an era that the store or another VM names. */
+  private learnEra(era: number, source: string): void {
+    const known = this.knownEra;
+    if (known !== undefined && era <= known) return;
+    this.knownEra = era;
+    if (known === undefined) return;
+    this.eraSinceMs = this.clock.monotonicMs();
+    this.kernel.find('metrics').increment('store.rollbacks');
+    const facts = { source, era, known };
+    this.kernel.find('logs').warn('the store has come back from an older copy', facts);
   }
 
   private async discover(): Promise<void> {
     const fleet = this.kernel.find('fleet');
     while (!this.stopping.signal.aborted) {
       const store = this.kernel.find('state-store');
-      if (!this.registered) this.registered = (await store.register()).kind === 'ok';
+      if (!this.isRegistered) {
+        const outcome = await store.register();
+        if (outcome.kind === 'ok') this.registeredEra = outcome.value;
+      }
       const hosts = await store.registeredHosts();
       if (hosts.kind === 'ok') fleet.addHosts(hosts.value);
-      const retrySoon = this.isAlone || !this.registered;
+      const retrySoon = this.isAlone || !this.isRegistered;
       await this.waitUntilDiscoveryDue(retrySoon);
     }
   }
@@ -358,11 +424,17 @@
     const pauseMs = retrySoon ? DISCOVERY_RETRY_DELAY_MS : DISCOVERY_INTERVAL_MS;
     const { signal } = this.stopping;
     const readMs = this.clock.monotonicMs();
-    await this.clock.sleep(pauseMs, signal);
-    while (!retrySoon && !signal.aborted && !this.readsStore && !this.isAlone) {
-      if (this.clock.monotonicMs() - readMs >= pauseMs * this.fleetFactor) return;
+    do {
       await this.clock.sleep(DISCOVERY_RETRY_DELAY_MS, signal);
-    }
+      const isEager = retrySoon || this.readsStore || this.isAlone;
+      const dueMs = readMs + pauseMs * (isEager ? 1 : this.fleetFactor);
+      if (this.clock.monotonicMs() >= dueMs) return;
+    } while (!signal.aborted && this.isRegistered);
+  }
+
+  /** Whether the store has the registration, as far as this VM knows. */
+  private get isRegistered(): boolean {
+    return this.registeredEra !== undefined && !this.isOutdated(this.registeredEra);
   }
 
   /** Whether this VM reaches no other one. */
@@ -374,8 +446,8 @@
     outcome: Outcome<unknown, StoreFailure>,
     pauseMs: number,
   ): Promise<void> {
-    // The failure `compacted` also shows that the store is available.
-    if (outcome.kind === 'ok' || outcome.failure.reason === 'compacted') {
+    // The loss of a position also shows that the store is available.
+    if (outcome.kind === 'ok' || isPositionLost(outcome.failure)) {
       this.recordAnswer();
       if (pauseMs > 0) await this.clock.sleep(pauseMs, this.stopping.signal);
       return;
@@ -408,6 +480,11 @@
   }
 }
 
+/** Whether the store has no changes since the position of a read, so that everything must be read again. */
+function isPositionLost({ reason }: StoreFailure): boolean {
+  return reason === 'compacted' || reason === 'rolled-back';
+}
+
 function describe({ leaving, stage, address }: CatalogSnapshot['servers'][number]): string {
   const state = leaving ? 'leaving' : 'ready';
   return `${state} ${stage ?? 'plain'} ${address.host}:${address.port}`;
--- a/src/state/state-store.ts
+++ b/src/state/state-store.ts
@@ -1,34 +1,43 @@
+import type { StorePosition } from '../domain/store-position.js';
 import type { CallFailure } from '../kernel/call-failure.js';
 import type { Outcome } from '../kernel/outcome.js';
 import { Service } from '../kernel/service.js';
 import type { RelayConfiguration } from '../relay/relay-configuration.js';
 import type { CatalogChange, CatalogServer } from '../relay/server-catalog.js';
 
-/** Reason why a call to the store failed. */
-export type StoreFailure = CallFailure<'unavailable' | 'compacted' | 'conflict' | 'malformed'>;
+/**
+ * Reason why a call to the store failed. After `compacted` and `rolled-back` there are no changes since the
+ * position of the read, and everything must be read again.
+ */
+export type StoreFailure = CallFailure<
+  'unavailable' | 'compacted' | 'rolled-back' | 'conflict' | 'malformed'
+>;
 
 /** Result of a read of the configuration. */
 export interface ConfigurationRead {
   /** Undefined when there is nothing newer. */
   readonly configuration: RelayConfiguration | undefined;
-  /** Offset at which the next read begins. */
-  readonly offset: number;
+  /** Position at which the next read begins. */
+  readonly position: StorePosition;
 }
 
 /** Result of a read of the changes of server entries. */
 export interface CatalogRead {
   readonly changes: readonly CatalogChange[];
-  readonly offset: number;
+  /** Position at which the next read begins. */
+  readonly position: StorePosition;
 }
 
-/** Snapshot of all server entries. */
-export interface CatalogSnapshot {
+/** Snapshot of all server entries, with the position up to which changes are included. */
+export interface CatalogSnapshot extends StorePosition {
   readonly servers: readonly CatalogServer[];
-  readonly offset: number;
 }
 
 /** Client of the platform's state store, which the fleet reads and writes. */
 export abstract class StateStore extends Service {
+  /** Highest era that the store has named in any of its answers; undefined before the first answer. */
+  abstract get era(): number | undefined;
+
   /**
    * Reads the newest configuration.
    *
@@ -39,12 +48,12 @@
   /**
    * Waits for the next configuration.
    *
-   * @param offset - offset at which the last read ended
+   * @param position - position at which the last read ended
    * @param waitMs - maximum wait, in milliseconds
    * @returns a newer configuration, or none when the wait has passed
    */
   abstract nextConfiguration(
-    offset: number,
+    position: StorePosition,
     waitMs: number,
   ): Promise<Outcome<ConfigurationRead, StoreFailure>>;
 
@@ -58,10 +67,10 @@
   /**
    * Reads the changes of server entries.
    *
-   * @param offset - offset at which the last read ended
-   * @returns the changes since that offset
+   * @param position - position at which the last read ended
+   * @returns the changes since that position
    */
-  abstract serverChanges(offset: number): Promise<Outcome<CatalogRead, StoreFailure>>;
+  abstract serverChanges(position: StorePosition): Promise<Outcome<CatalogRead, StoreFailure>>;
 
   /**
    * Lists the hosts of all VMs that have registered, including those that no longer run.
@@ -73,18 +82,18 @@
   /**
    * Registers this VM.
    *
-   * @returns nothing, or why it failed
+   * @returns the era of the store that has the registration, or why it failed
    */
-  abstract register(): Promise<Outcome<void, StoreFailure>>;
+  abstract register(): Promise<Outcome<number, StoreFailure>>;
 
   /**
    * Claims the commander role, which changes the roles of engines. The store accepts one claim for
-   * each end offset of the log, so two VMs never have the same fencing number.
+   * each end offset of the log, so two VMs never have claims at the same position.
    *
    * @param vm - name of this VM
-   * @returns the fencing number, or `conflict` when another VM claimed first
+   * @returns the position of the claim, or `conflict` when another VM claimed first
    */
-  abstract claimCommand(vm: string): Promise<Outcome<number, StoreFailure>>;
+  abstract claimCommand(vm: string): Promise<Outcome<StorePosition, StoreFailure>>;
 }
 
 declare module '../kernel/service.js' {
--- a/stand-ins/platform/platform-log.ts
+++ b/stand-ins/platform/platform-log.ts
@@ -6,7 +6,13 @@
   readonly value: Buffer;
 }
 
-/** Stand-in for the platform's log: keyed single-partition topics, long polling and outages. */
+/** Records by topic at some moment. */
+export type LogCopy = ReadonlyMap<string, readonly Buffer[]>;
+
+/** Topics of the operator and the servers, which write again what a rollback has lost. */
+const OWNED_TOPICS: ReadonlySet<string> = new Set(['keyed.op', 'keyed.servers']);
+
+/** Stand-in for the platform's log: keyed single-partition topics, long polling, outages and rollbacks. */
 export class PlatformLog {
   private readonly topics = new Map<string, Buffer[]>();
 
@@ -14,6 +20,9 @@
 
   private unavailable = false;
 
+  /** Number of rollbacks; undefined while the log names no era. */
+  private era: number | undefined;
+
   private constructor(private readonly server: Server) {}
 
   /**
@@ -62,6 +71,49 @@
     this.notifyWaiters();
   }
 
+  /**
+   * Takes a copy of all records, to which the log can be rolled back.
+   *
+   * @returns the copy
+   */
+  takeCopy(): LogCopy {
+    this.era ??= 0;
+    return new Map([...this.topics].map(([topic, records]) => [topic, [...records]]));
+  }
+
+  /**
+   * Goes back to a copy: what was written since is lost, its offsets are given out again and the era rises.
+   *
+   * @param copy - a copy taken before
+   */
+  rollBack(copy: LogCopy): void {
+    this.era = (this.era ?? 0) + 1;
+    this.topics.clear();
+    copy.forEach((records, topic) => this.topics.set(topic, [...records]));
+    this.notifyWaiters();
+  }
+
+  /**
+   * Lists what the operator and the servers have written since a copy was taken.
+   *
+   * @param copy - a copy taken before
+   * @returns a function that writes it again after a rollback, except keys that were written meanwhile
+   */
+  writesSince(copy: LogCopy): () => void {
+    const lost = [...this.topics]
+      .filter(([topic]) => OWNED_TOPICS.has(topic))
+      .map(([topic, records]) => [topic, records.slice(copy.get(topic)?.length ?? 0)] as const);
+    return () => {
+      lost.forEach(([topic, records]) => {
+        const written = this.recordsOf(topic).slice(copy.get(topic)?.length ?? 0);
+        const keys = new Set(written.map((record) => decodeRecord(record).key));
+        const missing = records.filter((record) => !keys.has(decodeRecord(record).key));
+        this.recordsOf(topic).push(...missing);
+      });
+      this.notifyWaiters();
+    };
+  }
+
   /** Closes the listener and all connections. */
   close(): void {
     this.server.close();
@@ -73,6 +125,7 @@
     for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
     const url = new URL(request.url ?? '/', 'http://log');
     const topic = url.searchParams.get('topic') ?? '';
+    this.writeEra(response);
     if (this.unavailable) response.writeHead(503).end();
     else if (url.pathname === '/log-append')
       this.handleAppend(topic, url, Buffer.concat(chunks), response);
@@ -102,10 +155,15 @@
     const from = Number(url.searchParams.get('from'));
     const waitMs = Number(url.searchParams.get('waitMs') ?? 0);
     const deadlineMs = Date.now() + waitMs;
-    while (this.recordsOf(topic).length <= from && Date.now() < deadlineMs && !this.unavailable) {
+    while (this.recordsOf(topic).length === from && Date.now() < deadlineMs && !this.unavailable) {
       await this.waitForChange(deadlineMs - Date.now());
     }
     const records = this.recordsOf(topic);
+    this.writeEra(response);
+    if (from > records.length) {
+      response.writeHead(410).end(JSON.stringify({ first: 0 }));
+      return;
+    }
     const header = Buffer.alloc(16);
     header.writeBigUInt64BE(BigInt(records.length));
     const framed = records.slice(from).flatMap((record) => {
@@ -127,6 +185,10 @@
     response.end(JSON.stringify({ items: [...newest.values()], more: false, end }));
   }
 
+  private writeEra(response: ServerResponse): void {
+    if (this.era !== undefined) response.setHeader('Store-Era', this.era);
+  }
+
   private recordsOf(topic: string): Buffer[] {
     const existing = this.topics.get(topic);
     if (existing) return existing;
