test(platform): crowds of clients that nobody controls

Clients that stop just short of the end of requests of legal size end a router or fill its machine. Its scenarios run after all others, one at a time (tag @alone).

--- a/.ci/cucumber.js
+++ b/.ci/cucumber.js
@@ -1,8 +1,12 @@
-// Runs cucumber, passes over what KNOWN-RED.txt lists, and prints the counts in one line.
+// Runs cucumber, passes over what KNOWN-RED.txt lists, and prints the counts in one line. The scenarios
+// with the tag @alone run after all others, one at a time.
 import { spawnSync } from 'node:child_process';
-import { existsSync, mkdirSync, readFileSync } from 'node:fs';
+import { existsSync, mkdirSync, readFileSync, rmSync } from 'node:fs';
 
-const REPORT = 'reports/cucumber.ndjson';
+const RUNS = [
+  { report: 'reports/cucumber.ndjson', options: ['--tags', 'not @alone'] },
+  { report: 'reports/cucumber-alone.ndjson', options: ['--tags', '@alone', '--parallel', '0'] },
+];
 const PASSED = new Set(['PASSED']);
 
 /** Reads the scenario names from the lines `test: NAME` of KNOWN-RED.txt. */
@@ -13,12 +17,12 @@
 }
 
 /** Collects the worst step status of the last attempt of each scenario. */
-function readResults() {
+function readResults(report) {
   const pickles = new Map();
   const cases = new Map();
   const started = new Map();
   const statuses = new Map();
-  readFileSync(REPORT, 'utf8')
+  readFileSync(report, 'utf8')
     .split('\n')
     .filter(Boolean)
     .map((line) => JSON.parse(line))
@@ -43,19 +47,28 @@
   return [...results.values()];
 }
 
+/** Runs cucumber and reads the results; `crashed` when it ended without a result that explains it. */
+function run({ report, options }) {
+  rmSync(report, { force: true });
+  const { status } = spawnSync(
+    'node_modules/.bin/cucumber-js',
+    ['--format', `message:${report}`, ...process.argv.slice(2), ...options],
+    { stdio: 'inherit', env: { ...process.env, NODE_OPTIONS: '--import tsx' } },
+  );
+  const results = existsSync(report) ? readResults(report) : [];
+  const failed = results.some((result) => !result.ok);
+  return { results, crashed: status === null || (status !== 0 && !failed) };
+}
+
 mkdirSync('reports', { recursive: true });
-const run = spawnSync(
-  'node_modules/.bin/cucumber-js',
-  ['--format', `message:${REPORT}`, ...process.argv.slice(2)],
-  { stdio: 'inherit', env: { ...process.env, NODE_OPTIONS: '--import tsx' } },
-);
+const runs = RUNS.map(run);
 const known = readKnownRed();
-const results = existsSync(REPORT) ? readResults() : [];
+const results = runs.flatMap((entry) => entry.results);
 const failed = results.filter((result) => !result.ok);
 const tolerated = failed.filter((result) => known.has(result.name));
 tolerated.forEach((result) => console.log(`known red: ${result.name}`));
 const unexpected = failed.length - tolerated.length;
 const passed = results.length - failed.length;
-const crashed = run.status === null || (run.status !== 0 && failed.length === 0);
+const crashed = runs.some((entry) => entry.crashed);
 console.log(`${passed} passed, ${unexpected} failed`);
 process.exitCode = unexpected > 0 || passed === 0 || crashed ? 1 : 0;
--- a/features/steps/process-end-steps.ts
+++ b/features/steps/process-end-steps.ts
@@ -81,7 +81,9 @@
 Given('a router with answers of {int} bytes without a length', STEP, async (bodyBytes: number) => {
   await startServer(bodyBytes, 1);
   const { address } = scenario.unframedStore!;
-  scenario.unframedRouter = await launchPlatformRouter(address, GRACE_S, FAILURES);
+  scenario.unframedRouter = await launchPlatformRouter(address, GRACE_S, {
+    preload: FAILURES,
+  });
 });
 
 function sendOrders(count: number, bytesPerSecond: number): Promise<CallerAnswer[]> {
--- a/harness/platform-router.ts
+++ b/harness/platform-router.ts
@@ -11,32 +11,51 @@
 import { launchProcess, type LaunchedProcess } from './process-launcher.js';
 import { waitFor } from './wait-for.js';
 
+/** Listeners of a router. */
+export type RouterListener = 'callers' | 'readiness' | 'control' | 'directory' | 'metrics';
+
 /** A router on the platform that runs as a process. */
 export interface PlatformRouter {
   readonly process: LaunchedProcess;
   /** Address for callers. */
   readonly address: Address;
+  readonly addresses: Readonly<Record<RouterListener, Address>>;
   /** Kills the process and removes its settings. */
   readonly remove: () => Promise<void>;
 }
 
+/** What differs from the defaults of a router. */
+export interface RouterOverrides {
+  /** Module that is loaded before the program. */
+  readonly preload?: string;
+  /** Options of node, for example a limit of the heap. */
+  readonly nodeOptions?: readonly string[];
+  /** Limits of the machine in the settings. */
+  readonly limits?: { readonly memoryMb: number; readonly maxFds: number };
+}
+
 /**
  * Starts a router and waits until it is ready.
  *
  * @param storeAddress - address of the store
  * @param graceS - time from the stop signal to the end of the process, in seconds
- * @param preload - module that is loaded before the program
+ * @param overrides - options of the process and fields of its settings
  * @returns the running router
  */
 export async function launchPlatformRouter(
   storeAddress: string,
   graceS: number,
-  preload?: string,
+  overrides: RouterOverrides = {},
 ): Promise<PlatformRouter> {
+  const { preload, nodeOptions = [], limits } = overrides;
   const host = ownHost();
-  const [front, ready, control, directory, digest] = (await findFreePorts(5, host)) as [
+  const [front, ready, control, directory, metrics, digest] = (await findFreePorts(6, host)) as [
+    number,
+    number,
+    number,
+    number,
+    number,
     number,
-    ...number[],
   ];
   const { bounds } = createPlatformSettings();
   const settings = createPlatformSettings({
@@ -50,16 +69,16 @@
     portRange: [digest, digest],
     seeds: [],
     bounds: { ...bounds, graceS },
+    ...(limits ? { limits } : {}),
     provider: { address: storeAddress },
   });
   const folder = await mkdtemp(path.join(tmpdir(), 'cuminspar-'));
   const file = path.join(folder, 'node.json');
   await writeFile(file, JSON.stringify(settings));
+  const preloads = preload ? ['--import tsx', `--import ${preload}`] : [];
   const launched = await launchProcess('platform/main', {
-    env: {
-      CUMINSPAR_BOOT: file,
-      ...(preload ? { NODE_OPTIONS: `--import tsx --import ${preload}` } : {}),
-    },
+    args: ['--metrics-port', String(metrics)],
+    env: { CUMINSPAR_BOOT: file, NODE_OPTIONS: [...preloads, ...nodeOptions].join(' ') },
     isReady: ({ message }) => message === 'started',
   });
   const isReady = async () => {
@@ -72,5 +91,9 @@
     await launched.kill();
     await rm(folder, { recursive: true, force: true });
   };
-  return { process: launched, address: { host, port: front }, remove };
+  const ports = { callers: front, readiness: ready, control, directory, metrics };
+  const addresses = Object.fromEntries(
+    Object.entries(ports).map(([listener, port]) => [listener, { host, port }]),
+  ) as Record<RouterListener, Address>;
+  return { process: launched, address: addresses.callers, addresses, remove };
 }
