feat(memory): one owner of what a VM holds for connections

Cause: a limit for each request and none for all of them. Bodies in arrival were kept chunk by chunk, a chunk of one byte as objects of some hundred bytes; heads of many short lines, connections and answers that nobody reads were not counted at all; the operators' listener answered hundreds of pipelined requests at once.

The stand-in server of the test had node's own limit of 2000 header lines, which cut off the Attempt-Id; it is lifted.

--- a/features/steps/client-crowd-steps.ts
+++ b/features/steps/client-crowd-steps.ts
@@ -82,6 +82,7 @@
       response.end(body);
     });
   });
+  server.maxHeadersCount = 0;
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
--- a/features/steps/leaving-caller-steps.ts
+++ b/features/steps/leaving-caller-steps.ts
@@ -11,6 +11,7 @@
 import { Kernel } from '../../src/kernel/kernel.js';
 import type { Service, Services } from '../../src/kernel/service.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
+import { createConnectionGuard } from '../support/connection-guards.js';
 import { JsonDecisions } from '../../src/observability/json-decisions.js';
 import { JsonLogs } from '../../src/observability/json-logs.js';
 import { LineWriter } from '../../src/observability/line-writer.js';
@@ -150,7 +151,12 @@
     const [callers] = await findFreePorts(1);
     scenario.leavingPort = callers!;
     const address = { host: HOST, port: callers! };
-    scenario.leavingListener = CallerListener.create(kernel, address, clock);
+    scenario.leavingListener = CallerListener.create(
+      kernel,
+      address,
+      clock,
+      createConnectionGuard(),
+    );
     await scenario.leavingListener.start();
   },
 );
--- a/features/steps/odd-request-steps.ts
+++ b/features/steps/odd-request-steps.ts
@@ -8,6 +8,7 @@
 import { ownHost } from '../../harness/own-host.js';
 import { HttpListener, replyJson } from '../../platform/http-listener.js';
 import { JsonLogs } from '../../src/observability/json-logs.js';
+import { createConnectionGuard } from '../support/connection-guards.js';
 
 interface OddWorld {
   platformRouter: ChildProcess;
@@ -137,6 +138,7 @@
       '/works': () => replyJson('works'),
     },
     JsonLogs.create('info', 'test', (line) => scenario.oddLines.push(line)),
+    createConnectionGuard(),
   );
   await scenario.oddListener.start();
 });
--- a/features/steps/platform-state-steps.ts
+++ b/features/steps/platform-state-steps.ts
@@ -7,6 +7,7 @@
 import { findFreePorts } from '../../harness/free-ports.js';
 import { createTcpRelay, type TcpRelay } from '../../harness/tcp-relay.js';
 import { JsonLogs } from '../../src/observability/json-logs.js';
+import { createConnectionGuard } from '../support/connection-guards.js';
 import type { SharedState } from '../../src/state/peer-state.js';
 import { createRelayConfiguration, createRelayRoute } from '../support/relay-fixtures.js';
 
@@ -43,6 +44,7 @@
     { host: HOST, port: port! },
     { [STATE_PATH]: () => replyJson(scenario.sharedState) },
     JsonLogs.create('error', 'test'),
+    createConnectionGuard(),
   );
   await scenario.stateListener.start();
   scenario.stateRelay = await createTcpRelay({ host: HOST, port: port! });
--- a/features/steps/process-end-steps.ts
+++ b/features/steps/process-end-steps.ts
@@ -16,6 +16,7 @@
 import { Kernel } from '../../src/kernel/kernel.js';
 import type { Service, Services } from '../../src/kernel/service.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
+import { createConnectionGuard } from '../support/connection-guards.js';
 import type { AnswerSink } from '../../src/relay/relay-request.js';
 import { launchPlatformRouter, type PlatformRouter } from '../../harness/platform-router.js';
 import { PlatformLog } from '../../stand-ins/platform/platform-log.js';
@@ -175,7 +176,12 @@
   kernel.register('relay', { serve } as unknown as Services['relay'] & Service);
   const [port = 0] = await findFreePorts(1);
   const address = { host: '127.0.0.1', port };
-  const listener = CallerListener.create(kernel, address, SystemClock.create());
+  const listener = CallerListener.create(
+    kernel,
+    address,
+    SystemClock.create(),
+    createConnectionGuard(),
+  );
   await listener.start();
   scenario.unframedListener = listener;
   return address;
