feat(relay): learn how much each server takes well

Servers of one pool differ in speed and some slow down before they are full, while the choices took them for equal. Each VM now compares the time of a unit of work (an answer, prompt tokens, events) at the same load over all servers of a pool, with sums that all VMs share by digests. Plain servers are chosen by share, prefill engines by the expected end, decode engines by utilization of a share and by the pauses that routes allow. Announced slots stay the upper bound.

--- a/features/support/plain-simulation.ts
+++ b/features/support/plain-simulation.ts
@@ -1,6 +1,8 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
+import { mergeCapacityReports } from '../../src/capacity/capacity-report.js';
+import { ServerCapacities } from '../../src/capacity/server-capacities.js';
 import { computeRefusalProbability } from '../../src/relay/load-shedding.js';
 import { ServerHealth } from '../../src/relay/server-health.js';
 import { ServerLoads, type VmLoads } from '../../src/relay/server-loads.js';
@@ -10,7 +12,12 @@
 
 /** Policy by which a VM chooses a plain server. */
 export type PlainPolicy =
-  'relay' | 'relay without refusals' | 'relay without failing servers' | 'least loaded' | 'random';
+  | 'relay'
+  | 'relay with learned capacities'
+  | 'relay without refusals'
+  | 'relay without failing servers'
+  | 'least loaded'
+  | 'random';
 
 /** Size and load of a simulated fleet in front of plain servers. */
 export interface PlainLoad {
@@ -22,6 +29,24 @@
   readonly seed: number;
   /** Servers that fail half of their requests. */
   readonly failing?: number;
+  /** Speeds of servers that differ; the load is relative to what they can do at the start. */
+  readonly pace?: PlainPace;
+}
+
+/** Speeds of simulated servers. */
+export interface PlainPace {
+  readonly servers: number;
+  /**
+   * Returns the time that a request takes, relative to its work.
+   *
+   * @param server - position of the server
+   * @param running - requests that run there, this one included
+   * @param nowMs - time, in milliseconds
+   * @returns factor, 1 for the usual speed
+   */
+  readonly slowness: (server: number, running: number, nowMs: number) => number;
+  /** Server that is restarted, and when, in milliseconds. */
+  readonly restart?: { readonly server: number; readonly atMs: number };
 }
 
 /** Number of requests by result. */
@@ -33,6 +58,11 @@
   readonly refused: number;
   /** Requests that a server failed and that could not be retried. */
   readonly failed: number;
+  /** Number of requests on time by second of their arrival, and of all requests. */
+  readonly onTimeBySecond: readonly number[];
+  readonly arrivedBySecond: readonly number[];
+  /** Number of requests sent to each server by second. */
+  readonly sentBySecond: readonly (readonly number[])[];
 }
 
 interface Job {
@@ -51,7 +81,7 @@
 }
 
 interface PlainServer {
-  readonly entry: CatalogServer;
+  entry: CatalogServer;
   readonly fails: boolean;
   readonly running: Running[];
   readonly queue: Job[];
@@ -70,9 +100,9 @@
 
   private readonly servers: PlainServer[];
 
-  private readonly views: { loads: ServerLoads; health: ServerHealth }[];
+  private readonly views: { loads: ServerLoads; health: ServerHealth; learned: ServerCapacities }[];
 
-  private readonly result = { onTime: 0, shed: 0, refused: 0, failed: 0 };
+  private readonly result;
 
   private nowMs = 0;
 
@@ -81,7 +111,15 @@
     private readonly load: PlainLoad,
   ) {
     this.random = xoroshiro128plus(load.seed);
-    this.servers = Array.from({ length: SERVERS }, (_, index) => ({
+    const count = load.pace?.servers ?? SERVERS;
+    const createSeconds = () => Array.from({ length: END_MS / 1000 }, () => 0);
+    this.result = {
+      ...{ onTime: 0, shed: 0, refused: 0, failed: 0 },
+      onTimeBySecond: createSeconds(),
+      arrivedBySecond: createSeconds(),
+      sentBySecond: Array.from({ length: count }, createSeconds),
+    };
+    this.servers = Array.from({ length: count }, (_, index) => ({
       entry: createCatalogServer({ id: `s${index}`, slots: SLOTS, availabilityZone: `z${index}` }),
       fails: index < (load.failing ?? 0),
       running: [],
@@ -90,12 +128,18 @@
     this.views = Array.from({ length: load.vms }, () => ({
       loads: ServerLoads.create(),
       health: ServerHealth.create(),
+      learned: ServerCapacities.create({
+        list: () => this.servers.map(({ entry }) => entry),
+        isDown: () => false,
+      }),
     }));
   }
 
   run(): PlainResult {
-    const perMs = (this.load.load * SERVERS * SLOTS) / 43;
+    const speeds = this.servers.map((_, index) => 1 / this.slowness(index, SLOTS));
+    const perMs = (this.load.load * SLOTS * speeds.reduce((sum, each) => sum + each, 0)) / 43;
     for (this.nowMs = 0; this.nowMs < END_MS; this.nowMs += 1) {
+      this.restartServer();
       if (this.nowMs % this.load.loadAgeMs === 0) this.exchangeLoads();
       this.servers.forEach((server) => this.finish(server));
       let expected = perMs;
@@ -109,6 +153,7 @@
 
   private exchangeLoads(): void {
     const snapshots = this.views.map(({ loads }): VmLoads => new Map(loads.ownLoads));
+    if (this.learns) this.exchangeCapacities();
     this.views.forEach(({ loads }, vm) => {
       snapshots.forEach((snapshot, other) => {
         if (other !== vm) loads.update(`vm-${other}`, snapshot);
@@ -116,10 +161,45 @@
     });
   }
 
+  /** Passes on what the VMs have learned as hubs do: summed by group, without the work of the receiver. */
+  private exchangeCapacities(): void {
+    const groups = Math.ceil(Math.sqrt(this.views.length));
+    const reports = this.views.map(({ learned }) => learned.reports(this.nowMs));
+    const sumGroup = (group: number, except?: number) =>
+      mergeCapacityReports(reports.filter((_, vm) => vm % groups === group && vm !== except));
+    const sums = Array.from({ length: groups }, (_, group) => sumGroup(group));
+    this.views.forEach(({ learned }, vm) => {
+      sums.forEach((sum, group) => {
+        const others = vm % groups === group ? sumGroup(group, vm) : sum;
+        learned.update(`hub-${group}`, others, this.nowMs);
+      });
+    });
+  }
+
+  private get second(): number {
+    return Math.floor(this.nowMs / 1000);
+  }
+
+  private get learns(): boolean {
+    return this.policy === 'relay with learned capacities';
+  }
+
+  private slowness(server: number, running: number): number {
+    return this.load.pace?.slowness(server, running, this.nowMs) ?? 1;
+  }
+
+  private restartServer(): void {
+    const { restart } = this.load.pace ?? {};
+    if (restart?.atMs !== this.nowMs) return;
+    const server = this.servers[restart.server]!;
+    server.entry = { ...server.entry, startedAtMs: 2 };
+  }
+
   private arrive(): void {
     const vm = uniformInt(this.random, 0, this.load.vms - 1);
     const workMs = uniformInt(this.random, 15, 71);
     const repeatable = uniformInt(this.random, 0, 2) === 0;
+    this.result.arrivedBySecond[this.second]! += 1;
     const job = { vm, arrivedMs: this.nowMs, workMs, repeatable, excluded: new Set<string>() };
     if (this.refuses(job)) this.result.refused += 1;
     else this.send({ ...job, free: () => undefined });
@@ -137,7 +217,7 @@
    * a sound server remains.
    */
   private listServers(job: Pick<Job, 'vm' | 'repeatable' | 'excluded'>): readonly CatalogServer[] {
-    const entries = this.servers.map(({ entry }) => entry);
+    const entries = this.listEntries(job.vm);
     if (this.policy !== 'relay without failing servers') {
       return listPlainServers(entries, this.describe(job));
     }
@@ -149,31 +229,52 @@
   }
 
   private describe({ vm, repeatable, excluded }: Pick<Job, 'vm' | 'repeatable' | 'excluded'>) {
-    const { loads, health } = this.views[vm]!;
+    const { loads, health, learned } = this.views[vm]!;
     const once = !repeatable || excluded.size + 1 >= ATTEMPTS;
     const availabilityZone = `z${vm % SERVERS}`;
-    return { loads, health, availabilityZone, nowMs: this.nowMs, repeatable: !once };
+    const facts = { loads, health, availabilityZone, nowMs: this.nowMs, repeatable: !once };
+    return this.learns ? { ...facts, capacities: learned } : facts;
+  }
+
+  private listEntries(vm: number): readonly CatalogServer[] {
+    const entries = this.servers.map(({ entry }) => entry);
+    return this.learns ? this.views[vm]!.learned.adjust(entries, this.nowMs) : entries;
   }
 
   private send(job: Job): void {
-    const { loads, health } = this.views[job.vm]!;
+    const { health } = this.views[job.vm]!;
     const id = this.choose(job);
     const server = this.servers.find(({ entry }) => entry.id === id)!;
     if (server.queue.length < QUEUE_LIMIT) {
-      Object.assign(job, { free: loads.add(server.entry.id, { running: 1 }) });
+      this.result.sentBySecond[this.servers.indexOf(server)]![this.second]! += 1;
+      Object.assign(job, { free: this.hold(job, server.entry) });
       server.queue.push(job);
       this.start(server);
       return;
     }
     this.result.shed += 1;
+    this.views[job.vm]!.learned.recordRefusal(server.entry, this.nowMs);
     job.excluded.add(server.entry.id);
     health.record(server.entry.id, 'full', this.nowMs);
     if (job.excluded.size < ATTEMPTS) this.send(job);
   }
 
+  /** Adds a request to the load; when it ends, the time that it took is recorded. */
+  private hold({ vm }: Job, entry: CatalogServer): () => void {
+    const { loads, learned } = this.views[vm]!;
+    const release = loads.add(entry.id, { running: 1 });
+    const { running } = loads.totalAt(entry.id);
+    const sentMs = this.nowMs;
+    return () => {
+      const mean = (running + loads.totalAt(entry.id).running) / 2;
+      learned.recordAnswer(entry, mean, this.nowMs - sentMs, this.nowMs);
+      release();
+    };
+  }
+
   private choose(job: Job): string {
     const { excluded } = job;
-    const entries = this.servers.map(({ entry }) => entry);
+    const entries = this.listEntries(job.vm);
     const left = entries.filter(({ id }) => !excluded.has(id));
     if (this.policy === 'random') return left[uniformInt(this.random, 0, left.length - 1)]!.id;
     const facts = this.describe(job);
@@ -190,10 +291,13 @@
     return order.sort((a, b) => a.score - b.score)[0]!.id;
   }
 
-  private start({ running, queue }: PlainServer): void {
+  private start(server: PlainServer): void {
+    const { running, queue } = server;
+    const index = this.servers.indexOf(server);
     while (running.length < SLOTS && queue.length > 0) {
       const job = queue.shift()!;
-      running.push({ job, endMs: this.nowMs + job.workMs });
+      const slowness = this.slowness(index, running.length + 1);
+      running.push({ job, endMs: this.nowMs + job.workMs * slowness });
     }
   }
 
@@ -203,7 +307,9 @@
       server.running.splice(server.running.indexOf(each), 1);
       each.job.free();
       if (!this.complete(server, each.job)) return;
-      if (this.nowMs - each.job.arrivedMs <= TARGET_MS) this.result.onTime += 1;
+      if (this.nowMs - each.job.arrivedMs > TARGET_MS) return;
+      this.result.onTime += 1;
+      this.result.onTimeBySecond[Math.floor(each.job.arrivedMs / 1000)]! += 1;
     });
     this.start(server);
   }
--- a/features/support/relay-fixtures.ts
+++ b/features/support/relay-fixtures.ts
@@ -21,6 +21,7 @@
     timeoutMs: 2000,
     targetMs: 300,
     patienceMs: 3600,
+    pauseGoalMs: 0,
     priority: 1,
     open: true,
     ...overrides,
@@ -101,6 +102,7 @@
     leavers: [],
     crashes: [],
     limits: [],
+    capacities: [],
     hosts: [],
     ...overrides,
   };
--- a/harness/fleet-simulation.ts
+++ b/harness/fleet-simulation.ts
@@ -5,6 +5,7 @@
 import { Kernel } from '../src/kernel/kernel.js';
 import { ManualClock } from '../src/kernel/manual-clock.js';
 import { CrashLedger } from '../src/relay/crash-ledger.js';
+import { ServerCapacities } from '../src/capacity/server-capacities.js';
 import { PoolCosts } from '../src/relay/pool-costs.js';
 import { RetryBudgets } from '../src/relay/retry-budgets.js';
 import { ServerCatalog } from '../src/relay/server-catalog.js';
@@ -23,6 +24,7 @@
   readonly rateLimiter: TeamRateLimiter;
   readonly retryBudgets: RetryBudgets;
   readonly costs: PoolCosts;
+  readonly capacities: ServerCapacities;
   readonly catalog: ServerCatalog;
   readonly crashes: CrashLedger;
   readonly limits: ServerLimits;
@@ -103,6 +105,7 @@
       rateLimiter: TeamRateLimiter.create(TOLERANCE),
       retryBudgets: RetryBudgets.create(RETRIES, this.clock.monotonicMs()),
       costs: PoolCosts.create(),
+      capacities: ServerCapacities.create({ list: () => [], isDown: () => false }),
       catalog: ServerCatalog.create(),
       crashes: CrashLedger.create(() => true, createDraws(index)),
       limits: ServerLimits.create(() => vm.fleet.limitSharers),
@@ -185,9 +188,9 @@
   }
 
   private registerFakes(kernel: Kernel, vm: SimulatedVm): void {
-    const { loads, costs, rateLimiter, retryBudgets, catalog, crashes, limits } = vm;
+    const { loads, costs, capacities, rateLimiter, retryBudgets, catalog, crashes, limits } = vm;
     registerFake(kernel, 'relay', {
-      ...{ loads, costs, rateLimiter, retryBudgets, catalog, crashes, limits },
+      ...{ loads, costs, capacities, rateLimiter, retryBudgets, catalog, crashes, limits },
       health: ServerHealth.create(),
       configuration: { version: 1 },
       punctualWaiting: 0,
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -6,6 +6,7 @@
 const REACHES_STORE = 4;
 
 const finiteNumber = z.number().finite();
+const nonNegative = finiteNumber.min(0);
 const name = z.string().max(100);
 const host = z.string().max(64);
 
@@ -63,6 +64,15 @@
   crashes: z.array(z.tuple([z.string(), finiteNumber, z.array(name), z.array(name)])).default([]),
   /** Server id, start, limit in requests per second (-1 for none) and age of the answer in milliseconds. */
   limits: z.array(z.tuple([name, finiteNumber, finiteNumber, finiteNumber])).default([]),
+  /** Server id, start, task, and sums of its work at light and at full load and of its refusals. */
+  capacities: z
+    .array(
+      z.tuple([
+        ...([name, finiteNumber, finiteNumber] as const),
+        ...([nonNegative, nonNegative, nonNegative, nonNegative, nonNegative] as const),
+      ]),
+    )
+    .default([]),
 });
 
 const digestSchema = z.object({
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -432,6 +432,7 @@
       leavers: [...relay.catalog.leavers],
       crashes: relay.crashes.reports(nowMs),
       limits: relay.limits.reports(nowMs),
+      capacities: relay.capacities.reports(nowMs),
     };
   }
 
--- a/src/fleet/hub-aggregator.ts
+++ b/src/fleet/hub-aggregator.ts
@@ -1,3 +1,4 @@
+import { ageCapacityReport, mergeCapacityReports } from '../capacity/capacity-report.js';
 import { mergeCrashReports } from '../relay/crash-ledger.js';
 import { addSums } from '../relay/pool-costs.js';
 import { ageLimitReport, mergeLimitReports } from '../relay/server-limits.js';
@@ -159,12 +160,16 @@
   return `${vm}/${incarnation}`;
 }
 
-/** Adds the time for which messages have been held to the ages in their limits, the latest of which holds. */
+/**
+ * Adds the time for which messages have been held to the ages in their limits, the latest of which holds,
+ * and reduces the weight of their capacities.
+ */
 function ageMessages(received: readonly Received<FleetWork>[], nowMs: number): FleetWork[] {
   return received.map(({ message, receivedMs }) => {
     const heldMs = Math.round(nowMs - receivedMs);
     const limits = message.limits.map((report) => ageLimitReport(report, heldMs));
-    return { ...message, limits };
+    const capacities = message.capacities.map((report) => ageCapacityReport(report, heldMs));
+    return { ...message, limits, capacities };
   });
 }
 
@@ -195,6 +200,7 @@
     leavers: [...leavers],
     crashes: mergeCrashReports(works.map(({ crashes }) => crashes)),
     limits: mergeLimitReports(works.map(({ limits }) => limits)),
+    capacities: mergeCapacityReports(works.map(({ capacities }) => capacities)),
   };
 }
 
--- a/src/fleet/remote-work.ts
+++ b/src/fleet/remote-work.ts
@@ -49,8 +49,8 @@
    * @param nowMs - monotonic time, in milliseconds
    */
   apply(source: string, incarnation: string, work: FleetWork, part: number, nowMs: number): void {
-    const { loads, costs, rateLimiter, retryBudgets, health, catalog, crashes, limits } =
-      this.kernel.find('relay');
+    const relay = this.kernel.find('relay');
+    const { loads, costs, rateLimiter, retryBudgets, health, catalog, crashes, limits } = relay;
     const byServer = work.loads.map(
       ([id, running, kvTokens, prefillTokens]) =>
         [id, { running, kvTokens, prefillTokens }] as const,
@@ -61,6 +61,7 @@
     this.lastSpendingMs.set(spender, nowMs);
     loads.update(source, new Map(byServer));
     costs.update(source, work.costs);
+    relay.capacities.update(source, work.capacities, nowMs);
     rateLimiter.recordSpent(spender, work.spent, nowMs);
     retryBudgets.recordReported(spender, work.retries, part, nowMs);
     work.avoided.forEach(([id, ms]) => health.recordAvoided(id, ms, nowMs));
@@ -78,12 +79,13 @@
    * @param nowMs - monotonic time, in milliseconds
    */
   retain(valid: ReadonlySet<string>, nowMs: number): void {
-    const { loads, costs, rateLimiter, retryBudgets } = this.kernel.find('relay');
+    const { loads, costs, capacities, rateLimiter, retryBudgets } = this.kernel.find('relay');
     this.queuesBySource.forEach((_queues, source) => {
       if (valid.has(source)) return;
       this.queuesBySource.delete(source);
       loads.removeVm(source);
       costs.removeSource(source);
+      capacities.removeSource(source);
     });
     this.lastSpendingMs.forEach((lastMs, spender) => {
       if (nowMs - lastMs <= PEER_EXPIRY_MS) return;
--- a/src/relay/decode-scheduler.ts
+++ b/src/relay/decode-scheduler.ts
@@ -175,19 +175,21 @@
   }
 
   private chooseServer(waiter: Waiter, nowMs: number): CatalogServer | undefined {
-    const { loads, health, limits, availabilityZone } = this.context;
-    const servers = limits.select(this.listServers(waiter, nowMs), nowMs);
+    const { loads, health, limits, capacities, availabilityZone } = this.context;
+    const known = limits.select(this.listServers(waiter, nowMs), nowMs);
+    const servers = capacities.adjust(known, nowMs);
     const newsIsOld = this.context.fleetSize() > MAX_MESH_SIZE;
-    const facts = { loads, health, availabilityZone, nowMs, newsIsOld };
+    const facts = { loads, health, capacities, availabilityZone, nowMs, newsIsOld };
     const engine = waiter.pool.engine!;
     const server = pickDecodeServer(servers, waiter.excluded, waiter.kvTokens, engine, facts);
-    if (server || nowMs < this.lastProbeMs + PROBE_INTERVAL_MS) return server;
+    const find = (id: string | undefined) => known.find((each) => each.id === id);
+    if (server || nowMs < this.lastProbeMs + PROBE_INTERVAL_MS) return find(server?.id);
     // The known load of other VMs may be stale, so a reservation is still tried from time to time.
     this.lastProbeMs = nowMs;
     const unlimited = { slots: Infinity, kvTokens: Infinity };
     const unlimitedServers = servers.map((each) => ({ ...each, slots: Infinity }));
     const probe = pickDecodeServer(unlimitedServers, waiter.excluded, 0, unlimited, facts);
-    return probe && servers.find(({ id }) => id === probe.id);
+    return find(probe?.id);
   }
 
   private listServers({ pool, excluded }: SlotRequest, nowMs: number): CatalogServer[] {
--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -79,9 +79,9 @@
 
   /** Refuses, before anything is sent, the fraction of requests that the servers could not serve in time. */
   private shedLoad(): RunResult | undefined {
-    const { catalog, loads, limits } = this.context;
+    const { catalog, loads, limits, capacities } = this.context;
     const known = catalog.usable(this.job.pool.name, this.nowMs);
-    const allowed = limits.select(known, this.nowMs);
+    const allowed = capacities.adjust(limits.select(known, this.nowMs), this.nowMs);
     const servers = listPlainServers(allowed, this.plainFacts);
     const probability = computeRefusalProbability(servers, loads, this.job.insideRate);
     if (probability <= Math.random()) return undefined;
@@ -98,16 +98,16 @@
   }
 
   private chooseServer(): CatalogServer | undefined {
-    const { catalog } = this.context;
+    const { catalog, capacities } = this.context;
     const known = catalog.usable(this.job.pool.name, this.nowMs);
-    const servers = this.selectAllowed(known);
+    const servers = capacities.adjust(this.selectAllowed(known), this.nowMs);
     const server = pickPlainServer(servers, this.excluded, this.plainFacts);
     if (!server) {
       this.recordDecision('server', 'none', 'no server of the pool is left', {
         known: known.length,
       });
     }
-    return server;
+    return known.find(({ id }) => id === server?.id);
   }
 
   private async attempt(
@@ -116,16 +116,20 @@
   ): Promise<RunResult | undefined> {
     const { loads, health } = this.context;
     const releaseLoad = loads.add(server.id, { running: 1 });
+    const before = { running: loads.totalAt(server.id).running, sentMs: this.nowMs };
     const timeout = this.startProgressTimeout(this.attemptTimeoutMs);
     try {
       const outcome = await this.exchange(server, timeout.signal, settle);
       timeout.stop();
       if (outcome.kind === 'failed') {
         const failure = timeout.expired() ? 'silent' : outcome.failure;
+        if (failure === 'silent') this.recordPace(server, before);
+        if (failure === 'not-run') this.context.capacities.recordRefusal(server, this.nowMs);
         return this.handleFailure(server, failure);
       }
       const buffered = outcome.value;
       const { status } = buffered.answer.head;
+      if (status < MIN_SERVER_ERROR_STATUS && !buffered.rest) this.recordPace(server, before);
       health.record(
         server.id,
         status >= MIN_SERVER_ERROR_STATUS ? 'failed' : 'answered',
@@ -144,6 +148,13 @@
     }
   }
 
+  /** Records how long the server took under the load before and after. */
+  private recordPace(server: CatalogServer, before: { running: number; sentMs: number }): void {
+    const { loads, capacities } = this.context;
+    const running = (before.running + loads.totalAt(server.id).running) / 2;
+    capacities.recordAnswer(server, running, this.nowMs - before.sentMs, this.nowMs);
+  }
+
   private async exchange(
     server: CatalogServer,
     signal: AbortSignal,
--- a/src/relay/relay-configuration.ts
+++ b/src/relay/relay-configuration.ts
@@ -25,6 +25,8 @@
   readonly targetMs: number;
   /** Time after which callers abandon a stream that sends nothing, in milliseconds. */
   readonly patienceMs: number;
+  /** Longest pause between events with which a stream is on time, in milliseconds; 0 for no goal. */
+  readonly pauseGoalMs: number;
   /** Priority of the route; 0 is the highest. */
   readonly priority: number;
   /** True when no team key is needed. */
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,3 +1,4 @@
+import { ServerCapacities, type CapacityChange } from '../capacity/server-capacities.js';
 import { Refusal } from '../domain/refusal.js';
 import type { Clock } from '../kernel/clock.js';
 import { Deadline } from '../kernel/deadline.js';
@@ -52,6 +53,14 @@
 
   readonly health = ServerHealth.create();
 
+  readonly capacities = ServerCapacities.create(
+    {
+      list: (pool, nowMs) => this.catalog.usable(pool, nowMs),
+      isDown: (id, nowMs) => this.health.stateOf(id, nowMs) === 'unreachable',
+    },
+    (change) => this.recordCapacity(change),
+  );
+
   readonly crashes = CrashLedger.create((server, sinceMs) => this.hasEnded(server, sinceMs));
 
   readonly limits = ServerLimits.create(() => this.kernel.find('fleet').limitSharers);
@@ -142,6 +151,17 @@
     );
   }
 
+  /**
+   * Lists the servers of all pools that take less than others of their pool.
+   *
+   * @returns servers with what they take well
+   */
+  listSlowServers(): CapacityChange[] {
+    const nowMs = this.clock.monotonicMs();
+    const pools = [...new Set(this.catalog.all.map(({ pool }) => pool))];
+    return pools.flatMap((pool) => this.capacities.listSlow(pool, nowMs));
+  }
+
   /**
    * Activates a configuration unless the active one is as new or newer.
    *
@@ -151,6 +171,7 @@
   configure(configuration: RelayConfiguration): boolean {
     if (this.table && configuration.version <= this.table.configuration.version) return false;
     this.table = RouteTable.create(configuration);
+    this.capacities.configure(findPauseGoals(configuration.routes));
     this.rateLimiter.configure(configuration.teams ?? [], this.clock.monotonicMs());
     return true;
   }
@@ -177,6 +198,19 @@
     this.kernel.find('metrics').increment('servers.leaving');
   }
 
+  private recordCapacity({ server, share, slots }: CapacityChange): void {
+    const reason = 'the server takes more or less than before';
+    const facts = {
+      pool: server.pool,
+      percent: Math.round(100 * share),
+      slots: Math.round(10 * slots) / 10,
+      announced: server.slots,
+    };
+    const entry = { requestId: '', step: 'capacity', choice: server.id, reason, facts };
+    this.kernel.find('decisions').record(entry);
+    this.kernel.find('metrics').increment('servers.capacities');
+  }
+
   private recordLimit(server: CatalogServer, perSecond: number | undefined): void {
     const change = this.limits.recordAnswer(server, perSecond, this.clock.monotonicMs());
     if (!change) return;
@@ -346,12 +380,13 @@
   }
 
   private context(): RunContext {
-    const { kernel, clock, catalog, loads, health, limits, crashes } = this;
+    const { kernel, clock, catalog, loads, health, capacities, limits, crashes } = this;
     return {
       clock,
       catalog,
       loads,
       health,
+      capacities,
       limits,
       crashes,
       availabilityZone: this.options.availabilityZone,
@@ -367,6 +402,17 @@
   }
 }
 
+/** Finds the shortest pause goal of the routes to each pool. */
+function findPauseGoals(routes: readonly RelayRoute[]): Map<string, number> {
+  const goalsMs = new Map<string, number>();
+  routes.forEach(({ pools, pauseGoalMs }) =>
+    pools.forEach(({ pool }) => {
+      if (pauseGoalMs > 0) goalsMs.set(pool, Math.min(pauseGoalMs, goalsMs.get(pool) ?? Infinity));
+    }),
+  );
+  return goalsMs;
+}
+
 function explainEnd(end: RunResult): string {
   if (end.kind === 'refused') return end.refusal.message;
   return end.kind === 'cut' ? end.reason : 'served';
--- a/src/relay/run-context.ts
+++ b/src/relay/run-context.ts
@@ -1,3 +1,4 @@
+import type { ServerCapacities } from '../capacity/server-capacities.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Decisions } from '../observability/decisions.js';
 import type { Metrics } from '../observability/metrics.js';
@@ -18,6 +19,8 @@
   readonly catalog: ServerCatalog;
   readonly loads: ServerLoads;
   readonly health: ServerHealth;
+  /** What each server takes well. */
+  readonly capacities: ServerCapacities;
   /** Limits that servers name for the requests of all VMs together. */
   readonly limits: ServerLimits;
   /** Crashes of servers and the requests that may have caused them. */
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -98,8 +98,8 @@
   }
 
   protected get pickerFacts() {
-    const { loads, health, availabilityZone } = this.context;
-    return { loads, health, availabilityZone, nowMs: this.nowMs };
+    const { loads, health, capacities, availabilityZone } = this.context;
+    return { loads, health, capacities, availabilityZone, nowMs: this.nowMs };
   }
 
   protected sendOptions(server: CatalogServer, signal: AbortSignal): SendOptions {
--- a/src/relay/server-picker.ts
+++ b/src/relay/server-picker.ts
@@ -3,10 +3,24 @@
 import type { ServerHealth, ServerState } from './server-health.js';
 import type { ServerLoads } from './server-loads.js';
 
+/** Knows what servers take well, relative to the fastest of their pool. */
+export interface ServerShares {
+  /**
+   * Returns the share of a server.
+   *
+   * @param server - the server
+   * @param nowMs - monotonic time, in milliseconds
+   * @returns share, above 0 and up to 1
+   */
+  shareOf(server: CatalogServer, nowMs: number): number;
+}
+
 /** Inputs of a server choice. */
 export interface PickerFacts {
   readonly loads: ServerLoads;
   readonly health: ServerHealth;
+  /** What each server takes well; without it, servers count as equal. */
+  readonly capacities?: ServerShares;
   /** Availability zone of this VM. */
   readonly availabilityZone: string;
   readonly nowMs: number;
@@ -69,8 +83,8 @@
 }
 
 /**
- * Chooses a plain server at random; an empty one is twice as likely as a full one. A stronger bias would
- * make VMs with the same load data all choose the same server at once.
+ * Chooses a plain server at random, weighted by what it takes well; an empty one is twice as likely as a
+ * full one. A stronger bias would make VMs with the same load data all choose the same server at once.
  *
  * Load pattern: many VMs, each with few requests and load data that is older than a request's duration.
  *
@@ -93,7 +107,8 @@
     const near = server.availabilityZone === availabilityZone ? SAME_ZONE_FACTOR : 1;
     const full = health.isFull(server.id, nowMs) ? FULL_FACTOR : 1;
     const sound = 1 - health.failureShare(server.id, nowMs);
-    return { server, weight: (1 + free) * near * full * sound };
+    const share = facts.capacities?.shareOf(server, nowMs) ?? 1;
+    return { server, weight: (1 + free) * near * full * sound * share };
   });
   let remaining = random() * weighted.reduce((sum, { weight }) => sum + weight, 0);
   const chosen = weighted.find(({ weight }) => {
@@ -104,25 +119,28 @@
 }
 
 /**
- * Chooses the prefill engine with the fewest prompt tokens queued.
+ * Chooses the prefill engine that would be the first to have read the prompt.
  *
  * @param servers - engines that may prefill prompts
  * @param excluded - ids of servers that this request may not use
+ * @param promptTokens - tokens of the prompt
  * @param facts - loads, health and time
  * @returns the engine and the prompt tokens queued ahead, or undefined when none is left
  */
 export function pickPrefillServer(
   servers: readonly CatalogServer[],
   excluded: ReadonlySet<string>,
-  { loads, health, nowMs }: PickerFacts,
+  promptTokens: number,
+  { loads, health, capacities, nowMs }: PickerFacts,
 ): { readonly server: CatalogServer; readonly tokensAhead: number } | undefined {
   const usable = servers.filter(({ id }) => !excluded.has(id));
   const healthy = usable.filter(({ id }) => !health.isAvoided(id, nowMs));
-  const scored = shuffle(healthy.length > 0 ? healthy : usable).map((server) => ({
-    server,
-    tokensAhead: loads.totalAt(server.id).prefillTokens,
-  }));
-  scored.sort((left, right) => left.tokensAhead - right.tokensAhead);
+  const scored = shuffle(healthy.length > 0 ? healthy : usable).map((server) => {
+    const tokensAhead = loads.totalAt(server.id).prefillTokens;
+    const share = capacities?.shareOf(server, nowMs) ?? 1;
+    return { server, tokensAhead, score: (tokensAhead + promptTokens) / share };
+  });
+  scored.sort((left, right) => left.score - right.score);
   return scored[0];
 }
 
@@ -133,7 +151,7 @@
 }
 
 /**
- * Chooses the least utilized decode engine with room for a request. When the load data of other VMs is
+ * Chooses the least utilized decode engine with room for a request; the slots of a slow engine count less. When the load data of other VMs is
  * stale, it is the better of two random candidates: otherwise many VMs choose the same engine at once, and
  * the memory of their requests exceeds its capacity later.
  *
@@ -149,7 +167,7 @@
   excluded: ReadonlySet<string>,
   needTokens: number,
   capacity: DecodeCapacity,
-  { loads, health, availabilityZone, nowMs, newsIsOld = false }: PickerFacts,
+  { loads, health, capacities, availabilityZone, nowMs, newsIsOld = false }: PickerFacts,
 ): CatalogServer | undefined {
   const usable = servers.filter(({ id }) => !excluded.has(id) && !health.isFull(id, nowMs));
   const healthy = usable.filter(({ id }) => !health.isAvoided(id, nowMs));
@@ -158,7 +176,8 @@
       const { running, kvTokens } = loads.totalAt(server.id);
       const slots = Math.min(capacity.slots, server.slots) - running;
       const free = capacity.kvTokens - kvTokens;
-      const used = Math.max(running / capacity.slots, kvTokens / capacity.kvTokens);
+      const share = capacities?.shareOf(server, nowMs) ?? 1;
+      const used = Math.max(running / capacity.slots, kvTokens / capacity.kvTokens) / share;
       const penalty = server.availabilityZone === availabilityZone ? 0 : CROSS_ZONE_PENALTY / 2;
       return { server, fits: slots >= 1 && free >= needTokens, score: used + penalty };
     })
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -37,9 +37,19 @@
 /** Maximum number of successive reservations of one request. */
 const MAX_ROUNDS = 4;
 
-/** Prefill speed from which the expected time is computed, in prompt tokens per millisecond. */
+/** Prefill speed of an engine of which too little is known, in prompt tokens per millisecond. */
 const ASSUMED_PREFILL_TOKENS_PER_MS = 40;
 
+/** Bounds of the prefill speed from which the expected time is computed, in prompt tokens per millisecond. */
+const MIN_PREFILL_TOKENS_PER_MS = 5;
+const MAX_PREFILL_TOKENS_PER_MS = 80;
+
+/** Number of events after which their pace is recorded. */
+const PACE_EVENTS = 16;
+
+/** Duration of a write from which the caller counts as slow, in milliseconds. */
+const SLOW_WRITE_MS = 20;
+
 /** Sends of a round in which a prefill engine reads the prompt. */
 const ROUND_SENDS: readonly SendKind[] = ['prefill', 'run'];
 
@@ -56,6 +66,9 @@
   /** Monotonic times of the first and the last event of the current send, in milliseconds. */
   private eventTimes: { readonly firstMs: number; readonly lastMs: number } | undefined;
 
+  /** Events of the current send since the last record of their pace. */
+  private pace: { readonly sinceMs: number; readonly events: number } | undefined;
+
   /** Prefill time, in milliseconds; only recorded when no other prompt was queued ahead. */
   private prefillMs: number | undefined;
 
@@ -151,7 +164,7 @@
   }
 
   private async prefill(): Promise<StepResult<PrefillResult | undefined>> {
-    const { catalog, loads, upstream, metrics } = this.context;
+    const { catalog, loads, capacities, upstream, metrics } = this.context;
     const { request, pool } = this.job;
     const promptTokens = request.promptTokens ?? 0;
     const tried = new Set<string>();
@@ -159,7 +172,8 @@
       const servers = catalog
         .usable(pool.name, this.nowMs)
         .filter(({ id, stage }) => stage === 'prefill' && !tried.has(id));
-      const choice = pickPrefillServer(this.selectAllowed(servers), tried, this.pickerFacts);
+      const allowed = this.selectAllowed(servers);
+      const choice = pickPrefillServer(allowed, tried, promptTokens, this.pickerFacts);
       if (!choice) {
         // Without a prefill engine, the decode engine prefills the prompt itself, at half the speed.
         return { kind: 'ok', value: undefined };
@@ -170,7 +184,8 @@
       if (!settle) return this.finishUnserved('the request may not be sent again');
       const releaseLoad = loads.add(server.id, { prefillTokens: promptTokens });
       const sentMs = this.nowMs;
-      const expectedMs = (tokensAhead + promptTokens) / ASSUMED_PREFILL_TOKENS_PER_MS;
+      const tokens = tokensAhead + promptTokens;
+      const expectedMs = tokens / this.prefillSpeed(server);
       const timeout = this.startProgressTimeout(3 * expectedMs + PREFILL_SLACK_MS);
       const outcome = await upstream.prefill(
         server,
@@ -183,6 +198,8 @@
       const failure = outcome.kind === 'failed' ? outcome.failure : undefined;
       settle(toSendResult(failure));
       this.recordDecision('prefill', server.id, failure ?? 'read', { tookMs, tokensAhead });
+      if (outcome.kind === 'ok' || timeout.expired())
+        capacities.recordPrefill(server, tokens, tookMs, this.nowMs);
       if (outcome.kind === 'ok') {
         metrics.timing('prefill.ms', tookMs);
         if (tokensAhead === 0) this.prefillMs = tookMs;
@@ -197,6 +214,13 @@
     return this.finishUnserved('the request ended before its prompt was read');
   }
 
+  /** Prompt tokens that an engine is expected to read per millisecond. */
+  private prefillSpeed(server: CatalogServer): number {
+    const learned = this.context.capacities.prefillSpeed(server, this.nowMs);
+    const speed = learned ?? ASSUMED_PREFILL_TOKENS_PER_MS;
+    return Math.max(MIN_PREFILL_TOKENS_PER_MS, Math.min(MAX_PREFILL_TOKENS_PER_MS, speed));
+  }
+
   private recordPrefillFailure(server: CatalogServer, failure: UpstreamFailure): void {
     if (failure === 'cancelled') return;
     if (failure === 'broken') this.recordUnanswered(server);
@@ -276,15 +300,16 @@
     if (!continued) sink.writeHead(answer.head);
     this.headSent = true;
     this.eventTimes = undefined;
+    this.pace = undefined;
     try {
       for await (const chunk of answer.body) {
         const complete = status === 200 ? this.events.push(chunk) : chunk;
         // Only events are progress: a stalled server may send comments or parts of an event for ever.
         if (status !== 200 || carriesData(complete)) {
           timeout.refresh();
-          if (status === 200) this.noteEvent();
+          if (status === 200) this.noteEvent(server);
         }
-        if (complete.length > 0) await sink.write(complete);
+        if (complete.length > 0) await this.write(complete);
         if (this.events.isOversized) return this.handleBrokenStream(server);
       }
     } catch {
@@ -305,12 +330,32 @@
     return this.eventTimes ? this.eventTimes.lastMs - this.eventTimes.firstMs : 0;
   }
 
-  private noteEvent(): void {
+  /** Writes to the caller; while it reads slowly, the time between events says nothing of the engine. */
+  private async write(events: Buffer): Promise<void> {
+    const startedMs = this.nowMs;
+    await this.job.sink.write(events);
+    if (this.nowMs - startedMs > SLOW_WRITE_MS) this.pace = undefined;
+  }
+
+  private noteEvent(server: CatalogServer): void {
+    this.recordPace(server);
     const { nowMs, answeredMs: beforeMs } = this;
     this.eventTimes = { firstMs: this.eventTimes?.firstMs ?? nowMs, lastMs: nowMs };
     if (beforeMs < SOUND_ANSWER_MS && this.answeredMs >= SOUND_ANSWER_MS) this.recordAnswered();
   }
 
+  /** Records the time between events once per PACE_EVENTS events. */
+  private recordPace(server: CatalogServer): void {
+    const { nowMs, pace } = this;
+    const events = pace ? pace.events + 1 : 0;
+    this.pace = { sinceMs: pace?.sinceMs ?? nowMs, events };
+    if (!pace || events < PACE_EVENTS) return;
+    const { loads, capacities } = this.context;
+    const { running } = loads.totalAt(server.id);
+    capacities.recordEvents(server, running, events, nowMs - pace.sinceMs, nowMs);
+    this.pace = { sinceMs: nowMs, events: 0 };
+  }
+
   private handleBrokenStream(server: CatalogServer): StepResult<never> | RunResult {
     const { route, sink, signal } = this.job;
     this.events.dropPartial();
