--- a/features/support/relay-fixtures.ts
+++ b/features/support/relay-fixtures.ts
@@ -22,6 +22,7 @@
     timeoutMs: 2000,
     targetMs: 300,
     patienceMs: 3600,
+    pauseGoalMs: 0,
     priority: 1,
     open: true,
     ...overrides,
@@ -119,6 +120,7 @@
     crashes: [],
     limits: [],
     cold: [],
+    capacities: [],
     hosts: [],
     ...overrides,
   };
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -507,6 +507,7 @@
       crashes: relay.crashes.reports(nowMs),
       limits: relay.limits.reports(nowMs),
       cold: relay.limits.cold.reports(nowMs),
+      capacities: relay.capacities.reports(nowMs),
     };
   }
 
--- a/src/fleet/hub-aggregator.ts
+++ b/src/fleet/hub-aggregator.ts
@@ -1,3 +1,4 @@
+import { ageCapacityReport, mergeCapacityReports } from '../capacity/capacity-report.js';
 import { mergeCrashReports } from '../relay/crash-ledger.js';
 import { addSums } from '../relay/pool-costs.js';
 import { ageColdReports, mergeColdReports } from '../relay/cold-servers.js';
@@ -160,12 +161,14 @@
   return `${vm}/${incarnation}`;
 }
 
-/** Adds the time for which messages have been held to the ages that they contain. */
+/** Adds the time for which messages have been held to their ages, and reduces the weight of their capacities. */
 function ageMessages(received: readonly Received<FleetWork>[], nowMs: number): FleetWork[] {
   return received.map(({ message, receivedMs }) => {
     const heldMs = Math.round(nowMs - receivedMs);
     const limits = message.limits.map((report) => ageLimitReport(report, heldMs));
-    return { ...message, limits, cold: ageColdReports(message.cold, heldMs) };
+    const cold = ageColdReports(message.cold, heldMs);
+    const capacities = message.capacities.map((report) => ageCapacityReport(report, heldMs));
+    return { ...message, limits, cold, capacities };
   });
 }
 
@@ -197,6 +200,7 @@
     crashes: mergeCrashReports(works.map(({ crashes }) => crashes)),
     limits: mergeLimitReports(works.map(({ limits }) => limits)),
     cold: mergeColdReports(works.map(({ cold }) => cold)),
+    capacities: mergeCapacityReports(works.map(({ capacities }) => capacities)),
   };
 }
 
--- a/src/relay/run-context.ts
+++ b/src/relay/run-context.ts
@@ -1,3 +1,4 @@
+import type { ServerCapacities } from '../capacity/server-capacities.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Decisions } from '../observability/decisions.js';
 import type { Metrics } from '../observability/metrics.js';
@@ -19,6 +20,8 @@
   readonly catalog: ServerCatalog;
   readonly loads: ServerLoads;
   readonly health: ServerHealth;
+  /** What each server takes well. */
+  readonly capacities: ServerCapacities;
   /** Rates of requests to servers from all VMs together. */
   readonly limits: ServerLimits;
   /** Crashes of servers and the requests that may have caused them. */
