feat(relay): grant decode places over the fleet in order

In a fleet with hubs each VM chose engines from load data up to a second old. Under scarcity it was luck which request got a place, whatever its rank, and a refused reservation cost a round trip.

A few VMs of each pool, chosen by rendezvous hash among those with much CPU time, now hold its queue and grant its places: punctual before late, high ranks first with a share for lower ones, teams by fair queueing. The engine still decides on the reservation. A VM whose granter is silent or declines chooses itself as before, as do fleets of at most 16 VMs and pools whose engines limit their requests a second.

Requests carry their priority to servers where those of a pool differ.

--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
 
+import { placeAnswerSchema, placeAskSchema, type PlaceMessage } from '../places/place-message.js';
+
 /** Bits of the flags of a member tuple. */
 const READY = 1;
 const DRAINING = 2;
@@ -94,7 +96,12 @@
   members: z.array(memberTupleSchema).optional(),
 });
 
-const messageSchema = z.discriminatedUnion('kind', [digestSchema, summarySchema]);
+const messageSchema = z.discriminatedUnion('kind', [
+  digestSchema,
+  summarySchema,
+  placeAskSchema,
+  placeAnswerSchema,
+]);
 
 /** A VM as a member of the fleet. */
 export type FleetMember = z.infer<typeof memberSchema>;
@@ -112,16 +119,16 @@
 export type Summary = z.infer<typeof summarySchema>;
 
 /** Content of a datagram between VMs. */
-export type FleetMessage = Digest | Summary;
+export type FleetMessage = Digest | Summary | PlaceMessage;
 
 /**
  * Encodes a message.
  *
- * @param message - digest or summary
+ * @param message - the message
  * @returns a datagram
  */
 export function encodeMessage(message: FleetMessage): Buffer {
-  if (message.kind === 'digest' || !message.members) return Buffer.from(JSON.stringify(message));
+  if (message.kind !== 'summary' || !message.members) return Buffer.from(JSON.stringify(message));
   return Buffer.from(JSON.stringify({ ...message, members: message.members.map(toMemberTuple) }));
 }
 
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -10,6 +10,7 @@
 import { scoreRendezvous } from '../kernel/rendezvous.js';
 import { shuffle } from '../kernel/shuffle.js';
 import { MAX_ENTRY_VMS, rankEntryVms } from './entry-vms.js';
+import type { PlaceMessage } from '../places/place-message.js';
 import type { Datagrams } from './datagrams.js';
 import {
   decodeMessage,
@@ -19,6 +20,7 @@
   type FleetWork,
   type Summary,
 } from './digest.js';
+import { composeWork } from './own-work.js';
 import { PeerTable, WORK_EXPIRY_MS } from './peer-table.js';
 import { HubAggregator } from './hub-aggregator.js';
 import { HubSelector } from './hub-selector.js';
@@ -172,6 +174,11 @@
     return this.peerTable.reachable(this.clock.monotonicMs());
   }
 
+  /** This VM as the others know it. */
+  get self(): FleetMember {
+    return this.describeSelf();
+  }
+
   /** Requests that wait for decode slots at other VMs, and their starts. */
   get queuesElsewhere(): QueuesElsewhere {
     return this.remoteWork.queues;
@@ -213,6 +220,16 @@
       this.reserveUnreachableShare(this.clock.monotonicMs());
   }
 
+  /**
+   * Sends a message about places to another VM; it may be lost.
+   *
+   * @param message - the message
+   * @param to - IP address of the receiver
+   */
+  sendPlaces(message: PlaceMessage, to: string): void {
+    this.datagrams.send(encodeMessage(message), to);
+  }
+
   /** Sends in every round of a small fleet and in every second round of a larger one. */
   private async run(): Promise<void> {
     for (;;) {
@@ -232,7 +249,7 @@
     this.hubSelector.update(this.describeSelf(), this.aggregator.reporterNames.length > 0, nowMs);
     this.handleHubChange(ownHub, nowMs);
     this.sequence += 1;
-    const work = this.composeWork(nowMs);
+    const work = composeWork(this.kernel.find('relay'), nowMs);
     const digest = encodeMessage(this.composeDigest(nowMs, work));
     this.receivers(nowMs).forEach((host) => this.datagrams.send(digest, host));
     if (this.hubSelector.role === 'hub') this.sendSummaries(nowMs, work);
@@ -307,7 +324,9 @@
     const message = decodeMessage(datagram);
     const nowMs = this.clock.monotonicMs();
     if (message?.kind === 'digest') this.receiveDigest(message, nowMs);
-    else if (message && message.hub !== this.vm) this.receiveSummary(message, nowMs);
+    else if (message?.kind === 'summary') {
+      if (message.hub !== this.vm) this.receiveSummary(message, nowMs);
+    } else if (message) this.kernel.find('places').receive(message);
   }
 
   private receiveDigest(digest: Digest, nowMs: number): void {
@@ -416,25 +435,6 @@
     return { configuration, catalog, catalogHash };
   }
 
-  private composeWork(nowMs: number): FleetWork {
-    const relay = this.kernel.find('relay');
-    return {
-      punctual: relay.punctualWaiting,
-      waiting: relay.waiting,
-      startsPerSecond: relay.startsPerSecond,
-      spent: relay.rateLimiter.spent,
-      retries: relay.retryBudgets.totals,
-      costs: relay.costs.reported(nowMs),
-      loads: [...relay.loads.ownLoads].map(([id, { running, kvTokens, prefillTokens }]) => [
-        ...([id, running, Math.round(kvTokens), prefillTokens] as const),
-      ]),
-      avoided: [...relay.health.avoided(nowMs)].map(([id, ms]) => [id, Math.round(ms)]),
-      leavers: [...relay.catalog.leavers],
-      crashes: relay.crashes.reports(nowMs),
-      limits: relay.limits.reports(nowMs),
-    };
-  }
-
   private composeDigest(nowMs: number, work: FleetWork): Digest {
     const hosts = shuffle(this.peerTable.reachable(nowMs).map(({ host }) => host)).slice(
       0,
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -3,9 +3,11 @@
 import { Deadline } from '../kernel/deadline.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { Service } from '../kernel/service.js';
+import type { Places } from '../places/places.js';
 import { CountedSink, type SentAnswer } from './counted-sink.js';
 import { CrashLedger } from './crash-ledger.js';
-import { DecodeScheduler } from './decode-scheduler.js';
+import type { DecodeScheduler } from './decode-scheduler.js';
+import { GrantedScheduler } from './granted-scheduler.js';
 import { PlainRun } from './plain-run.js';
 import { PoolCosts } from './pool-costs.js';
 import type { RelayConfiguration, RelayRoute, RelayTeam } from './relay-configuration.js';
@@ -305,7 +307,8 @@
     const deadline = Deadline.create(endByMs - nowMs);
     const signal = AbortSignal.any([disconnected, deadline.signal]);
     const priority = team?.priority ?? route.priority;
-    const limits = { priority, insideRate, endByMs, signal };
+    const serverPriority = this.table!.hasRanks(pool.name) ? priority : undefined;
+    const limits = { priority, serverPriority, insideRate, endByMs, signal };
     const job: Job = { request, route, pool, team: team?.name, ...limits, sink };
     this.deadlines.add(deadline);
     const end = await this.run(job);
@@ -340,11 +343,18 @@
   private scheduler(pool: string, context: RunContext): DecodeScheduler {
     const known = this.schedulers.get(pool);
     if (known) return known;
-    const scheduler = DecodeScheduler.create(context, this.clock);
+    const scheduler = GrantedScheduler.create(context, this.clock, () => this.activePlaces);
     this.schedulers.set(pool, scheduler);
     return scheduler;
   }
 
+  /** The grants of places over the fleet; undefined when each VM chooses engines itself. */
+  private get activePlaces(): Places | undefined {
+    if (this.kernel.find('fleet').size === 1) return undefined;
+    const places = this.kernel.find('places');
+    return places.isActive ? places : undefined;
+  }
+
   private context(): RunContext {
     const { kernel, clock, catalog, loads, health, limits, crashes } = this;
     return {
--- a/src/relay/route-table.ts
+++ b/src/relay/route-table.ts
@@ -13,6 +13,9 @@
 
   private readonly teamsByKey = new Map<string, RelayTeam>();
 
+  /** Priorities that the requests of each pool may have. */
+  private readonly priorities = new Map<string, Set<number>>();
+
   private constructor(readonly configuration: RelayConfiguration) {
     configuration.pools.forEach((pool) => this.pools.set(pool.name, pool));
     configuration.routes.forEach((route) => this.addRoute(route));
@@ -69,6 +72,16 @@
     return this.teamsByKey.get(key);
   }
 
+  /**
+   * Returns whether the requests of a pool may differ in priority.
+   *
+   * @param pool - name of the pool
+   * @returns true when there are several priorities
+   */
+  hasRanks(pool: string): boolean {
+    return (this.priorities.get(pool)?.size ?? 0) > 1;
+  }
+
   /** Whether requests must carry a team key, except on open routes. */
   get requiresKeys(): boolean {
     return this.configuration.teams !== undefined;
@@ -79,6 +92,13 @@
     const prefixes = this.routesByHost.get(host) ?? new Map<string, RelayRoute>();
     prefixes.set(route.pathPrefix, route);
     this.routesByHost.set(host, prefixes);
+    const teams = this.configuration.teams ?? [];
+    route.pools.forEach(({ pool }) => {
+      const known = this.priorities.get(pool) ?? new Set();
+      known.add(route.priority);
+      teams.forEach(({ priority }) => known.add(priority ?? route.priority));
+      this.priorities.set(pool, known);
+    });
   }
 }
 
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -17,6 +17,8 @@
   readonly team: string | undefined;
   /** Priority; 0 is the highest. */
   readonly priority: number;
+  /** Priority that is sent to servers; undefined where all requests of the pool have the same. */
+  readonly serverPriority: number | undefined;
   /** False when the team has exhausted its rate and the request runs on capacity that others leave. */
   readonly insideRate: boolean;
   /** Monotonic deadline for the caller's final answer, in milliseconds. */
@@ -103,10 +105,11 @@
   }
 
   protected sendOptions(server: CatalogServer, signal: AbortSignal): SendOptions {
-    const { team } = this.job;
+    const { team, serverPriority: priority } = this.job;
     return {
       deadlineMs: Math.max(1, Math.floor(this.remainingMs)),
       team,
+      ...(priority === undefined ? {} : { priority }),
       signal,
       // The server may send a copy of its refusal on the connection, with the id of the request.
       connectedAfterMs: Math.max(
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -131,9 +131,9 @@
         return this.finishUnserved('no decode slot became free for the request');
       return { kind: 'refused', refusal: outcome.failure };
     }
-    const { server } = outcome.value;
+    const { server, granter = 'none' } = outcome.value;
     const { promptTokens = 0, outputTokens } = request;
-    const facts = { waitedMs, kvTokens: this.kvTokens, promptTokens, outputTokens };
+    const facts = { waitedMs, granter, kvTokens: this.kvTokens, promptTokens, outputTokens };
     this.recordDecision('place', server.id, 'reserved', facts);
     return { kind: 'ok', value: outcome.value };
   }
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -26,6 +26,8 @@
   /** Remaining time, in milliseconds. */
   readonly deadlineMs: number;
   readonly team: string | undefined;
+  /** Priority, 0 is the highest; undefined for the server's default. */
+  readonly priority?: number;
   readonly signal: AbortSignal;
   /** Only connections opened after this monotonic time, in milliseconds, are used; older ones may be lost. */
   readonly connectedAfterMs?: number;
