--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
 
+import { placeAnswerSchema, placeAskSchema, type PlaceMessage } from '../places/place-message.js';
+
 /** Bits of the flags of a member tuple. */
 const READY = 1;
 const DRAINING = 2;
@@ -121,7 +123,13 @@
   loan: z.string().max(40),
 });
 
-const messageSchema = z.discriminatedUnion('kind', [digestSchema, summarySchema, loanSchema]);
+const messageSchema = z.discriminatedUnion('kind', [
+  digestSchema,
+  summarySchema,
+  loanSchema,
+  placeAskSchema,
+  placeAnswerSchema,
+]);
 
 /** A VM as a member of the fleet. */
 export type FleetMember = z.infer<typeof memberSchema>;
@@ -142,12 +150,12 @@
 export type LoanMessage = z.infer<typeof loanSchema>;
 
 /** Content of a datagram between VMs. */
-export type FleetMessage = Digest | Summary | LoanMessage;
+export type FleetMessage = Digest | Summary | LoanMessage | PlaceMessage;
 
 /**
  * Encodes a message.
  *
- * @param message - digest, summary or message about a loan
+ * @param message - the message
  * @returns a datagram
  */
 export function encodeMessage(message: FleetMessage): Buffer {
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -16,6 +16,7 @@
 import { scoreRendezvous } from '../kernel/rendezvous.js';
 import { shuffle } from '../kernel/shuffle.js';
 import { MAX_ENTRY_VMS, rankEntryVms } from './entry-vms.js';
+import type { PlaceMessage } from '../places/place-message.js';
 import type { Datagrams } from './datagrams.js';
 import {
   decodeMessage,
@@ -25,6 +26,7 @@
   type FleetWork,
   type Summary,
 } from './digest.js';
+import { composeWork } from './own-work.js';
 import { PEER_EXPIRY_MS, PeerTable, WORK_EXPIRY_MS } from './peer-table.js';
 import { HubAggregator } from './hub-aggregator.js';
 import { HubSelector } from './hub-selector.js';
@@ -236,6 +238,11 @@
     return this.peerTable.reachable(this.clock.monotonicMs());
   }
 
+  /** This VM as the others know it. */
+  get self(): FleetMember {
+    return this.describeSelf();
+  }
+
   /** Requests that wait for decode slots at other VMs, and their starts. */
   get queuesElsewhere(): QueuesElsewhere {
     return this.remoteWork.queues;
@@ -277,6 +284,16 @@
       this.reserveUnreachableShare(this.clock.monotonicMs());
   }
 
+  /**
+   * Sends a message about places to another VM; it may be lost.
+   *
+   * @param message - the message
+   * @param to - IP address of the receiver
+   */
+  sendPlaces(message: PlaceMessage, to: string): void {
+    this.datagrams.send(encodeMessage(message), to);
+  }
+
   /** Sends in every round of a small fleet and in every second round of a larger one. */
   private async run(): Promise<void> {
     for (;;) {
@@ -299,7 +316,7 @@
     this.hubSelector.update(this.describeSelf(), this.aggregator.reporterNames.length > 0, nowMs);
     this.handleHubChange(ownHub, nowMs);
     this.sequence += 1;
-    const work = this.composeWork(nowMs);
+    const work = composeWork(this.kernel.find('relay'), nowMs);
     const digest = encodeMessage(this.composeDigest(nowMs, work));
     this.receivers(nowMs).forEach((host) => this.datagrams.send(digest, host));
     if (this.hubSelector.role === 'hub') this.sendSummaries(nowMs, work);
@@ -376,7 +393,9 @@
     if (message) this.heardMs = nowMs;
     if (message?.kind === 'loan') this.lending.receive(message);
     else if (message?.kind === 'digest') this.receiveDigest(message, nowMs);
-    else if (message && message.hub !== this.vm) this.receiveSummary(message, nowMs);
+    else if (message?.kind === 'summary') {
+      if (message.hub !== this.vm) this.receiveSummary(message, nowMs);
+    } else if (message) this.kernel.find('places').receive(message);
   }
 
   private receiveDigest(digest: Digest, nowMs: number): void {
@@ -490,27 +509,6 @@
     return { era, configuration, catalog, catalogHash };
   }
 
-  private composeWork(nowMs: number): FleetWork {
-    const relay = this.kernel.find('relay');
-    return {
-      punctual: relay.punctualWaiting,
-      waiting: relay.waiting,
-      startsPerSecond: relay.startsPerSecond,
-      spent: relay.rateLimiter.spent,
-      retries: relay.retryBudgets.totals,
-      costs: relay.costs.reported(nowMs),
-      loads: [...relay.loads.ownLoads].map(([id, { running, kvTokens, prefillTokens }]) => [
-        ...([id, running, Math.round(kvTokens), prefillTokens] as const),
-      ]),
-      avoided: [...relay.health.avoided(nowMs)].map(([id, ms]) => [id, Math.round(ms)]),
-      leavers: [...relay.catalog.leavers],
-      crashes: relay.crashes.reports(nowMs),
-      limits: relay.limits.reports(nowMs),
-      cold: relay.limits.cold.reports(nowMs),
-      capacities: relay.capacities.reports(nowMs),
-    };
-  }
-
   private composeDigest(nowMs: number, work: FleetWork): Digest {
     const hosts = shuffle(this.peerTable.reachable(nowMs).map(({ host }) => host)).slice(
       0,
