--- a/features/support/store-follower-fleet.ts
+++ b/features/support/store-follower-fleet.ts
@@ -233,7 +233,7 @@
     const rolledBack = () => fail(CallFailure.create('rolled-back' as const, 'another era'));
     const read = ({ era, offset }: StorePosition) => {
       if (era !== this.era) return rolledBack();
-      
+
       const gone = offset < this.earliestChange;
       if (gone) return fail(CallFailure.create('compacted' as const, 'status 410'));
       const position = { era, offset: this.changes.length };
