--- a/src/relay/decode-scheduler.ts
+++ b/src/relay/decode-scheduler.ts
@@ -221,7 +221,7 @@
   private refuseBeyondLimits({ requestId }: SlotRequest, waitMs: number): Refusal {
     const { decisions, metrics } = this.context;
     const retryAfterMs = Number.isFinite(waitMs) ? waitMs : NO_SHARE_RETRY_MS;
-    const reason = 'the engines have named limits that are used up';
+    const reason = 'the rates of the engines are used up';
     const facts = { waiting: this.queue.size, retryAfterMs: Math.round(retryAfterMs) };
     decisions.record({ requestId, step: 'limit', choice: 'refuse', reason, facts });
     metrics.increment('limits.refused');
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -168,7 +168,7 @@
 
   protected refuseBeyondLimits(waitMs: number, servers: number): RunResult {
     const retryAfterMs = Number.isFinite(waitMs) ? waitMs : NO_SHARE_RETRY_MS;
-    const reason = 'the servers have named limits that are used up';
+    const reason = 'the rates of the servers are used up';
     const facts = { servers, retryAfterMs: Math.round(retryAfterMs) };
     this.recordDecision('limit', 'refuse', reason, facts);
     this.context.metrics.increment('limits.refused');
