feat(relay): send nothing new to servers of evacuated availability zones

Operators could not ask that a zone's servers get nothing new.

Readers get the records with the configuration, other VMs in digests; views are merged zone by zone, the newest (era, offset) holds. ServerCatalog.usable leaves the servers out; a choice made before is checked again right before each send, and a run with a reservation or prefill result in such a zone begins another round. A pool whose servers are all evacuated refuses at once.

--- a/features/fleet/store-followers.feature
+++ b/features/fleet/store-followers.feature
@@ -124,3 +124,35 @@
   Scenario: the fencing number of a commander rises when the store gives out offsets again
     Then a store claim at era 1 and offset 12 has a higher fencing number than one at era 0 and offset 41
     And a store claim at era 0 and offset 42 has a higher fencing number than one at era 0 and offset 41
+
+  # Guards against requests to servers whose power is about to be switched off.
+  Scenario: an evacuation holds on every VM over a rollback of the store until it is taken back
+    Given 6 store followers that exchange digests
+    When 3000 ms pass for the store followers
+    And a copy of the followed store is taken
+    And the store gets the evacuation of the followers' zone
+    And 2000 ms pass for the store followers
+    Then no store follower has usable servers
+    When the followed store comes back from its copy
+    And 6000 ms pass for the store followers
+    Then no store follower has usable servers
+    When the evacuation of the followers' zone is removed from the store
+    And 2000 ms pass for the store followers
+    Then every store follower has usable servers
+
+  # Guards against VMs that start when the store is out and learn of an evacuation from nobody, or believe
+  # old news of other VMs.
+  Scenario Outline: of two views of an evacuation the newest holds: <case>
+    Given a view of evacuations up to <era> and <offset> with the record <record>
+    When the view is merged with one up to <other era> and <other offset> with the record <other record>
+    Then the zone is <state> in the merged view
+
+    Examples:
+      | case                            | era | offset | record      | other era | other offset | other record | state     |
+      | a VM that knows nothing         | 0   | -1     | none        | 0         | 9            | set at 0/5   | evacuated |
+      | removed later                   | 0   | 6      | set at 0/5  | 0         | 9            | removed 0/8  | in use    |
+      | removed, and its record is gone | 0   | 6      | set at 0/5  | 0         | 9            | none         | in use    |
+      | old news                        | 0   | 9      | removed 0/8 | 0         | 6            | set at 0/5   | in use    |
+      | old news, record is gone        | 0   | 9      | none        | 0         | 6            | set at 0/5   | in use    |
+      | lost by a rollback              | 0   | 6      | set at 0/5  | 1         | 4            | none         | evacuated |
+      | removed after a rollback        | 0   | 9      | set at 0/8  | 1         | 6            | removed 1/5  | in use    |
--- a/features/steps/store-follower-steps.ts
+++ b/features/steps/store-follower-steps.ts
@@ -2,10 +2,11 @@
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
+import { Evacuations, type EvacuationReport } from '../../src/relay/evacuations.js';
 import { computeFence } from '../../src/relay/stage-commander.js';
 import { StoreFollowerFleet } from '../support/store-follower-fleet.js';
 
-const scenario = world as unknown as { followers?: StoreFollowerFleet };
+const scenario = world as unknown as { followers?: StoreFollowerFleet; view?: Evacuations };
 
 /** The simulation of 80 VMs may take longer than real time on a busy machine. */
 const SIMULATION = { timeout: 180_000 } as const;
@@ -64,6 +65,44 @@
   },
 );
 
+When("the store gets the evacuation of the followers' zone", () => {
+  followersOf().evacuate('sando', true);
+});
+
+When("the evacuation of the followers' zone is removed from the store", () => {
+  followersOf().evacuate('sando', false);
+});
+
+Then(/^(no|every) store follower has usable servers$/, (which: string) => {
+  assert.equal(countUsers('a'), which === 'no' ? 0 : followersOf().vms.length);
+});
+
+function createReport(era: number, offset: number, text: string): EvacuationReport {
+  const match = /^(set at|removed) (\d+)\/(\d+)$/.exec(text);
+  if (!match) return { era, offset, zones: [] };
+  const position = { era: Number(match[2]), offset: Number(match[3]) };
+  return { era, offset, zones: [{ zone: 'z', evacuated: match[1] === 'set at', ...position }] };
+}
+
+Given(
+  /^a view of evacuations up to (\d+) and (-?\d+) with the record (.+)$/,
+  (era: string, offset: string, record: string) => {
+    scenario.view = Evacuations.create();
+    scenario.view.merge(createReport(Number(era), Number(offset), record));
+  },
+);
+
+When(
+  /^the view is merged with one up to (\d+) and (-?\d+) with the record (.+)$/,
+  (era: string, offset: string, record: string) => {
+    scenario.view!.merge(createReport(Number(era), Number(offset), record));
+  },
+);
+
+Then(/^the zone is (evacuated|in use) in the merged view$/, (state: string) => {
+  assert.equal(scenario.view!.has('z'), state === 'evacuated');
+});
+
 When('a copy of the followed store is taken', () => {
   followersOf().takeCopy();
 });
--- a/features/steps/store-rollback-steps.ts
+++ b/features/steps/store-rollback-steps.ts
@@ -95,3 +95,27 @@
     fences.join(' '),
   );
 });
+
+When('the operator evacuates the zone {string} in the platform log', (zone: string) => {
+  scenario.rollbackLog.put('keyed.op', `evacuate/${zone}`, {});
+});
+
+When('the operator takes back the evacuation of {string} in the platform log', (zone: string) => {
+  scenario.rollbackLog.put('keyed.op', `evacuate/${zone}`, undefined);
+});
+
+Then('a client of the platform log knows that {string} is evacuated', async (zone: string) => {
+  const outcome = await scenario.rollbackClients[0]!.newestConfiguration();
+  assert.ok(outcome.kind === 'ok');
+  assert.deepEqual(outcome.value.zones, [{ zone, evacuated: true, era: 0, offset: 0 }]);
+  scenario.rollbackPosition = outcome.value.position;
+});
+
+Then('the client of the platform log reads that {string} is in use', async (zone: string) => {
+  const outcome = await scenario.rollbackClients[0]!.nextConfiguration(
+    scenario.rollbackPosition,
+    1000,
+  );
+  assert.ok(outcome.kind === 'ok');
+  assert.deepEqual(outcome.value.zones, [{ zone, evacuated: false, era: 0, offset: 1 }]);
+});
--- a/features/support/relay-fixtures.ts
+++ b/features/support/relay-fixtures.ts
@@ -1,3 +1,4 @@
+import { UNREAD } from '../../src/domain/store-position.js';
 import type { Digest } from '../../src/fleet/digest.js';
 import type { RelayConfiguration, RelayRoute } from '../../src/relay/relay-configuration.js';
 import type { RelayRequest } from '../../src/relay/relay-request.js';
@@ -85,6 +86,7 @@
     ready: true,
     draining: false,
     era: 0,
+    evacuations: { ...UNREAD, zones: [] },
     configuration: 1,
     catalog: 1,
     catalogHash: 1,
--- a/features/support/store-follower-fleet.ts
+++ b/features/support/store-follower-fleet.ts
@@ -9,6 +9,7 @@
 import { ServerCatalog } from '../../src/relay/server-catalog.js';
 import type { RelayConfiguration } from '../../src/relay/relay-configuration.js';
 import { StateFollower } from '../../src/state/state-follower.js';
+import type { ZoneRecord } from '../../src/relay/evacuations.js';
 import type { CatalogChange } from '../../src/relay/server-catalog.js';
 import type { ConfigurationRead, StoreFailure } from '../../src/state/state-store.js';
 import { createCatalogServer, createRelayConfiguration } from './relay-fixtures.js';
@@ -36,6 +37,7 @@
 /** Content of the store at some moment. */
 interface StoreCopy {
   readonly configuration: RelayConfiguration;
+  readonly operations: readonly Pick<ZoneRecord, 'zone' | 'evacuated'>[];
   readonly changes: readonly CatalogChange[];
   readonly registered: ReadonlySet<string>;
 }
@@ -55,6 +57,8 @@
 
   private era = 0;
 
+  private operations: Pick<ZoneRecord, 'zone' | 'evacuated'>[] = [];
+
   private copy: StoreCopy | undefined;
 
   private rounds = 0;
@@ -108,15 +112,31 @@
     this.vms.forEach((vm) => Object.assign(vm, { refused: true }));
   }
 
+  /** Writes that a zone is evacuated, or not any more. */
+  evacuate(zone: string, evacuated: boolean): void {
+    this.operations.push({ zone, evacuated });
+  }
+
+  private zoneRecords(): ZoneRecord[] {
+    return this.operations.map((operation, offset) => ({ ...operation, era: this.era, offset }));
+  }
+
   /** Takes a copy of the store. */
   takeCopy(): void {
     const { configuration, changes, registered } = this;
-    this.copy = { configuration, changes: [...changes], registered: new Set(registered) };
+    const operations = [...this.operations];
+    this.copy = {
+      configuration,
+      operations,
+      changes: [...changes],
+      registered: new Set(registered),
+    };
   }
 
   /** Puts the copy in place of the store. */
   rollBack(): void {
-    const { configuration, changes, registered } = this.copy!;
+    const { configuration, operations, changes, registered } = this.copy!;
+    this.operations = [...operations];
     this.era += 1;
     this.configuration = configuration;
     this.changes = [...changes];
@@ -157,6 +177,7 @@
       host: name,
       configuration: relay.configuration?.version ?? -1,
       era: follower.catalogPosition.era,
+      evacuations: relay.catalog.evacuations.report,
       catalog: follower.catalogPosition.offset,
       catalogHash: follower.catalogHash,
     }));
@@ -226,7 +247,7 @@
     const rolledBack = () => fail(CallFailure.create('rolled-back' as const, 'another era'));
     const read = ({ era, offset }: StorePosition) => {
       if (era !== this.era) return rolledBack();
-      
+
       const gone = offset < this.earliestChange;
       if (gone) return fail(CallFailure.create('compacted' as const, 'status 410'));
       const position = { era, offset: this.changes.length };
@@ -249,18 +270,23 @@
       registeredHosts: () => answer(() => noteEra(succeed([]))),
       newestConfiguration: () =>
         answer(() => {
-          const position = { era: this.era, offset: 1 };
-          return noteEra(succeed({ configuration: this.configuration, position }));
+          const position = { era: this.era, offset: this.operations.length };
+          return noteEra(
+            succeed({ configuration: this.configuration, zones: this.zoneRecords(), position }),
+          );
         }),
       nextConfiguration: async (position: StorePosition, waitMs: number) => {
         const { version } = this.configuration;
         for (let waited = 0; waited < waitMs; waited += 100) {
-          if (this.configuration.version !== version) break;
+          if (this.configuration.version !== version || this.operations.length !== position.offset)
+            break;
           await this.clock.sleep(100);
         }
         return answer<ConfigurationRead>(() => {
           if (position.era !== this.era) return noteEra(rolledBack());
-          return succeed({ configuration: this.configuration, position });
+          const zones = this.zoneRecords().filter(({ offset }) => offset >= position.offset);
+          const next = { era: this.era, offset: this.operations.length };
+          return succeed({ configuration: this.configuration, zones, position: next });
         });
       },
       allServers: () =>
--- a/features/users-platform/store-rollback.feature
+++ b/features/users-platform/store-rollback.feature
@@ -39,3 +39,11 @@
     Then an order with the withdrawn key is refused with 401 within 2000 ms
     When the platform's store comes back from its copy
     Then an order with the withdrawn key is refused with 401 for 2000 ms
+
+  # Guards against an evacuation that is not read from the operator's records, or not taken back.
+  Scenario: evacuations are read with the configuration, whole and as changes
+    Given a platform log with 5 records of servers
+    When the operator evacuates the zone "sando" in the platform log
+    Then a client of the platform log knows that "sando" is evacuated
+    When the operator takes back the evacuation of "sando" in the platform log
+    Then the client of the platform log reads that "sando" is in use
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
 
+import { UNREAD } from '../domain/store-position.js';
+
 /** Bits of the flags of a member tuple. */
 const READY = 1;
 const DRAINING = 2;
@@ -33,12 +35,24 @@
     reachesStore: hasFlag(flags, REACHES_STORE),
   }));
 
+/** Records of evacuated zones, and the position up to which they are known. */
+const evacuationsSchema = z.object({
+  era: finiteNumber,
+  offset: finiteNumber,
+  zones: z
+    .array(
+      z.object({ zone: name, evacuated: z.boolean(), era: finiteNumber, offset: finiteNumber }),
+    )
+    .max(100),
+});
+
 /**
  * Store state that a VM holds: configuration version, position up to which it has read the server entries,
  * hash of the server entries. VMs of earlier releases send no era.
  */
 const stateSchema = z.object({
   era: finiteNumber.default(0),
+  evacuations: evacuationsSchema.default({ ...UNREAD, zones: [] }),
   configuration: finiteNumber,
   catalog: finiteNumber,
   catalogHash: finiteNumber,
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -414,7 +414,9 @@
     const { catalogPosition, catalogHash } = this.kernel.find('state');
     const { era, offset: catalog } = catalogPosition;
     const configuration = this.kernel.find('relay').configuration?.version ?? -1;
-    return { era, configuration, catalog, catalogHash };
+    const { report } = this.kernel.find('relay').catalog.evacuations;
+    const evacuations = { ...report, zones: [...report.zones] };
+    return { era, evacuations, configuration, catalog, catalogHash };
   }
 
   private composeWork(nowMs: number): FleetWork {
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -35,6 +35,9 @@
 /** Retry delay for the caller when no server can accept the request now, in milliseconds. */
 const NO_SERVER_RETRY_MS = 500;
 
+/** Retry delay for the caller when all servers are in evacuated zones, in milliseconds. */
+const EVACUATED_RETRY_MS = 1000;
+
 /** Aborts a call to a server that makes no progress in time. */
 export interface ProgressTimeout {
   /** Aborted at the end of the run or when the timeout expires. */
@@ -79,13 +82,31 @@
    * @returns how the run ended; a refusal still has to be sent
    */
   async execute(): Promise<RunResult> {
-    const result = this.isQuarantined()
-      ? this.refuseUnserved('the request may not be sent')
-      : await this.run();
+    const result = this.refuseEvacuated() ?? (await this.runUnlessQuarantined());
     this.charges.refundUnused(this.nowMs);
     return result;
   }
 
+  private async runUnlessQuarantined(): Promise<RunResult> {
+    return this.isQuarantined() ? this.refuseUnserved('the request may not be sent') : this.run();
+  }
+
+  /** Returns whether a server can run the request, rather than only read its prompt. */
+  protected canRun(_server: CatalogServer): boolean {
+    return true;
+  }
+
+  /** Refuses the request at once when all servers that can run it are in evacuated zones. */
+  private refuseEvacuated(): RunResult | undefined {
+    const { catalog, metrics } = this.context;
+    const canRun = (server: CatalogServer) => this.canRun(server);
+    if (!catalog.allEvacuated(this.job.pool.name, this.nowMs, canRun)) return undefined;
+    const reason = 'all servers of the pool are in evacuated availability zones';
+    this.recordDecision('evacuation', 'refuse', reason);
+    metrics.increment('evacuations.refused');
+    return this.refuse('no_server', reason, EVACUATED_RETRY_MS);
+  }
+
   /** Runs the request; sends that were charged in advance and not used are refunded afterwards. */
   protected abstract run(): Promise<RunResult>;
 
@@ -144,6 +165,10 @@
     limitCharge = this.context.limits.tryAcquire(server, this.nowMs),
   ): ((result: SendResult) => void) | undefined {
     if (!limitCharge) return undefined;
+    if (this.isEvacuated(server)) {
+      limitCharge.refund();
+      return undefined;
+    }
     const isQuarantined = this.isQuarantined();
     const settle = isQuarantined ? undefined : this.charges.begin(kind, this.nowMs);
     if (!settle) {
@@ -158,6 +183,15 @@
     };
   }
 
+  /** Returns whether a server that was chosen earlier is in a zone that has been evacuated since. */
+  protected isEvacuated(server: CatalogServer): boolean {
+    if (!this.context.catalog.isEvacuated(server)) return false;
+    const reason = 'the availability zone of the server has been evacuated';
+    this.recordDecision('evacuation', server.id, reason);
+    this.context.metrics.increment('evacuations.avoided');
+    return true;
+  }
+
   /** Lists the servers that may get another request now, as far as the limits that they name allow. */
   protected selectAllowed(servers: readonly CatalogServer[]): CatalogServer[] {
     const allowed = this.context.limits.select(servers, this.nowMs);
--- a/src/relay/server-catalog.ts
+++ b/src/relay/server-catalog.ts
@@ -1,5 +1,6 @@
 import type { Address } from '../domain/vm.js';
 import { scoreRendezvous } from '../kernel/rendezvous.js';
+import { Evacuations } from './evacuations.js';
 
 /** Role of an engine in serving a request. */
 export type Stage = 'prefill' | 'decode' | 'both';
@@ -46,6 +47,8 @@
 
 /** Servers of all pools, including those that are leaving. */
 export class ServerCatalog {
+  readonly evacuations = Evacuations.create();
+
   private servers = new Map<string, CatalogServer>();
 
   /** Servers whose entries expired during a store outage, with the time at which they are removed. */
@@ -179,6 +182,34 @@
    * @returns servers in no particular order
    */
   usable(pool: string, nowMs: number): CatalogServer[] {
+    return this.listPool(pool, nowMs).filter((server) => !this.isEvacuated(server));
+  }
+
+  /**
+   * Returns whether a server is in an evacuated zone.
+   *
+   * @param server - the server
+   * @returns true while it may get nothing new
+   */
+  isEvacuated({ availabilityZone }: CatalogServer): boolean {
+    return this.evacuations.has(availabilityZone);
+  }
+
+  /**
+   * Returns whether a pool has servers that could run requests, and all of them are in evacuated zones.
+   *
+   * @param pool - name of the pool
+   * @param nowMs - monotonic time, in milliseconds
+   * @param canRun - selects the servers that can run the request
+   * @returns false also when the pool has no such servers
+   */
+  allEvacuated(pool: string, nowMs: number, canRun: (server: CatalogServer) => boolean): boolean {
+    if (this.evacuations.zones.length === 0) return false;
+    const servers = this.listPool(pool, nowMs).filter(canRun);
+    return servers.length > 0 && servers.every((server) => this.isEvacuated(server));
+  }
+
+  private listPool(pool: string, nowMs: number): CatalogServer[] {
     this.removeExpired(nowMs);
     return [...this.servers.values()].filter(
       (server) => server.pool === pool && !this.isLeaving(server),
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -87,6 +87,10 @@
     return this.finishUnserved('no engine accepted the request');
   }
 
+  protected override canRun({ stage }: CatalogServer): boolean {
+    return stage === 'decode' || stage === 'both';
+  }
+
   private get kvTokens(): number {
     return computeReservedTokens(this.job.request);
   }
@@ -221,6 +225,13 @@
   ): Promise<StepResult<never> | RunResult> {
     const { upstream, health } = this.context;
     const { server, reservation } = slot;
+    if (this.isEvacuated(server) || (prefill && this.isEvacuated(prefill.server))) {
+      slot.limitCharge.refund();
+      this.releaseUnused(slot, prefill);
+      return this.prepayRound()
+        ? { kind: 'again' }
+        : this.finishUnserved('the retry budget does not cover another engine');
+    }
     const settle = this.beginSend('run', server, slot.limitCharge);
     if (!settle) {
       this.releaseUnused(slot, prefill);
--- a/src/state/state-follower.ts
+++ b/src/state/state-follower.ts
@@ -4,6 +4,7 @@
 import type { Outcome } from '../kernel/outcome.js';
 import { rankByRendezvous } from '../kernel/rendezvous.js';
 import { Service } from '../kernel/service.js';
+import type { EvacuationReport, Evacuations } from '../relay/evacuations.js';
 import { REANNOUNCE_MS } from '../relay/server-catalog.js';
 import type { SharedState } from './peer-state.js';
 import type { CatalogSnapshot, ConfigurationRead, StoreFailure } from './state-store.js';
@@ -15,6 +16,7 @@
   /** Era and offset up to which it has read the server entries. */
   readonly era: number;
   readonly catalog: number;
+  readonly evacuations: EvacuationReport;
   /** Hash of the server entries that it knows. */
   readonly catalogHash: number;
 }
@@ -206,6 +208,9 @@
   handleAdvertisement(advertisement: StateAdvertisement): void {
     const nowMs = this.clock.monotonicMs();
     this.learnEra(advertisement.era, advertisement.host);
+    this.updateEvacuations(advertisement.host, (evacuations) =>
+      evacuations.merge(advertisement.evacuations),
+    );
     if (!this.isNewer(advertisement)) return;
     if (!this.advertisement || !this.isNewer(this.advertisement))
       this.advertisement = { ...advertisement, sinceMs: nowMs };
@@ -280,10 +285,15 @@
     }
   }
 
-  private applyConfiguration({ configuration, position }: ConfigurationRead): void {
+  private applyConfiguration({ configuration, zones, position }: ConfigurationRead): void {
     const { era, offset } = position;
     // An answer that was on its way when the store came back from an older copy.
     if (this.isOutdated(era)) return;
+    const isChange = this.configurationPosition !== undefined;
+    this.updateEvacuations('store', (evacuations) => {
+      if (isChange) evacuations.apply(zones, position);
+      else evacuations.merge({ ...position, zones });
+    });
     this.configurationPosition = position;
     if (!configuration || !this.kernel.find('relay').configure(configuration)) {
       if (!this.kernel.find('relay').configuration) this.configurationPosition = undefined;
@@ -300,6 +310,21 @@
     });
   }
 
+  /** Updates the evacuated zones, and records which of them are new and which are not evacuated any more. */
+  private updateEvacuations(source: string, update: (evacuations: Evacuations) => void): void {
+    const { evacuations } = this.kernel.find('relay').catalog;
+    const before = evacuations.zones;
+    update(evacuations);
+    const after = evacuations.zones;
+    const logs = this.kernel.find('logs');
+    after
+      .filter((zone) => !before.includes(zone))
+      .forEach((zone) => logs.warn('availability zone evacuated', { zone, source }));
+    before
+      .filter((zone) => !after.includes(zone))
+      .forEach((zone) => logs.info('availability zone in use again', { zone, source }));
+  }
+
   private async followServers(): Promise<void> {
     let readMs = -Infinity;
     while (!this.stopping.signal.aborted) {
--- a/src/state/state-store.ts
+++ b/src/state/state-store.ts
@@ -2,6 +2,7 @@
 import type { CallFailure } from '../kernel/call-failure.js';
 import type { Outcome } from '../kernel/outcome.js';
 import { Service } from '../kernel/service.js';
+import type { ZoneRecord } from '../relay/evacuations.js';
 import type { RelayConfiguration } from '../relay/relay-configuration.js';
 import type { CatalogChange, CatalogServer } from '../relay/server-catalog.js';
 
@@ -17,6 +18,8 @@
 export interface ConfigurationRead {
   /** Undefined when there is nothing newer. */
   readonly configuration: RelayConfiguration | undefined;
+  /** Records of evacuated zones: the newest of each in a read of the newest, else those since the last read. */
+  readonly zones: readonly ZoneRecord[];
   /** Position at which the next read begins. */
   readonly position: StorePosition;
 }
