--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -100,6 +100,10 @@
     return this.finishUnserved('no engine accepted the request');
   }
 
+  protected override canRun({ stage }: CatalogServer): boolean {
+    return stage === 'decode' || stage === 'both';
+  }
+
   private get kvTokens(): number {
     return computeReservedTokens(this.job.request);
   }
@@ -246,7 +250,8 @@
   ): Promise<StepResult<never> | RunResult> {
     const { upstream, health } = this.context;
     const { server, reservation } = slot;
-    if (!slot.limitCharge.mayBegin(this.nowMs)) return this.moveElsewhere(slot, prefill);
+    const isEvacuated = this.isEvacuated(server) || (prefill && this.isEvacuated(prefill.server));
+    if (isEvacuated || !this.mayBegin(slot)) return this.moveElsewhere(slot, prefill);
     const settle = this.beginSend('run', server, slot.limitCharge);
     if (!settle) {
       this.releaseUnused(slot, prefill);
@@ -397,14 +402,17 @@
   }
 
   /** Gives up a slot, because its server has become cold or wants nothing since it was reserved. */
+  /** Returns whether a reserved slot may still be used under the rates of its server. */
+  private mayBegin({ server, limitCharge }: DecodeSlot): boolean {
+    if (limitCharge.mayBegin(this.nowMs)) return true;
+    const reason = 'the server takes fewer requests than when its slot was reserved';
+    this.recordDecision('limit', server.id, reason);
+    return false;
+  }
+
   private moveElsewhere(slot: DecodeSlot, prefill: PrefillResult | undefined): StepResult<never> {
     slot.limitCharge.refund();
     this.releaseUnused(slot, prefill);
-    this.recordDecision(
-      'limit',
-      slot.server.id,
-      'the server takes fewer requests than when its slot was reserved',
-    );
     if (this.prepayRound()) return { kind: 'again' };
     return this.finishUnserved('the request may not be sent again');
   }
