--- a/features/steps/client-crowd-steps.ts
+++ b/features/steps/client-crowd-steps.ts
@@ -212,6 +212,27 @@
   },
 );
 
+Then(
+  'the crowded router answers one body of {int} bytes in chunks of one byte',
+  STEP,
+  async (count: number) => {
+    const { host, port } = scenario.crowdRouter!.address;
+    const lines = [
+      'POST /order/a HTTP/1.1',
+      `Host: ${PLATFORM_HOST}`,
+      'Attempt-Id: chunks',
+      `Authorization: Bearer ${PLATFORM_KEY}`,
+      'Transfer-Encoding: chunked',
+    ];
+    const socket = connect(port, host);
+    socket.write(`${lines.join('\r\n')}\r\n\r\n`);
+    socket.write(`${'1\r\nx\r\n'.repeat(count)}0\r\n\r\n`);
+    const [answer] = (await once(socket, 'data')) as [Buffer];
+    socket.destroy();
+    assert.match(answer.toString('latin1'), /^HTTP\/1\.1 200 /);
+  },
+);
+
 Then('the crowded router answers an ordinary request', STEP, async () => {
   const { host, port } = scenario.crowdRouter!.address;
   const { statusCode, body } = await request(`http://${host}:${port}/order/ordinary`, {
--- a/features/users-platform/clients-without-control.feature
+++ b/features/users-platform/clients-without-control.feature
@@ -50,6 +50,12 @@
     And the crowded router takes bodies of 65536 bytes and gets answers of 800 bytes
     Then the crowded router answers one request with 4000 header lines of 4 bytes
 
+  # Guards against limits for all clients together that refuse a single body of legal size in small chunks.
+  Scenario: a single body in chunks of one byte
+    Given a crowded router on a machine of 200 MB and 1000 descriptors
+    And the crowded router takes bodies of 400000 bytes and gets answers of 800 bytes
+    Then the crowded router answers one body of 400000 bytes in chunks of one byte
+
   # Guards against limits that hold for each kind of input alone, but not for all of them together.
   Scenario: clients of all kinds at the same time
     Given a crowded router on a machine of 200 MB and 1000 descriptors
