--- a/features/relay/relay-runs.feature
+++ b/features/relay/relay-runs.feature
@@ -1,5 +1,12 @@
 Feature: Runs of the relay
 
+  # Guards against capacities that are learned from nothing: each VM must pass on what it observes.
+  Scenario: a relay reports the answers and refusals of its servers
+    Given a relay with 3 plain servers that do "not-run, answer, answer"
+    When a relay request of kind "once" with 1 attempt arrives
+    And a relay request of kind "once" with 1 attempt arrives
+    Then the relay reports for its servers 2 light answers and 1 refusals
+
   Scenario Outline: a request that may run only once is sent again only when it has certainly not run
     Given a relay with 3 plain servers that do "<steps>"
     When a relay request of kind "<kind>" with <attempts> attempts arrives
--- a/features/steps/relay-run-steps.ts
+++ b/features/steps/relay-run-steps.ts
@@ -185,6 +185,16 @@
   },
 );
 
+Then(
+  'the relay reports for its servers {float} light answers and {float} refusals',
+  (answers: number, refusals: number) => {
+    const reports = scenario.relay.capacities.reports(MONOTONIC.monotonicMs());
+    const sum = (position: 3 | 7) =>
+      Math.round(reports.reduce((total, report) => total + report[position], 0));
+    assert.deepEqual([sum(3), sum(7)], [answers, refusals]);
+  },
+);
+
 When(
   '{int} relay requests of kind {string} with {int} attempts arrive at once',
   async (count: number, kind: string, attempts: number) => {
