test(places): exchange grants through the datagrams of a fleet

The modules were tested without the service that connects them. A scenario lets 20 VMs of the simulated fleet ask for 40 places at engines with 36, kills their granter and asks again.

--- a/features/places/places.feature
+++ b/features/places/places.feature
@@ -55,3 +55,13 @@
       | all VMs are restarted          |
       | a VM with much processor joins |
       | an engine is lost              |
+
+  # Guards against messages that do not pass between VMs, and a VM that waits for a granter that is gone.
+  Scenario: Requests of all VMs of a fleet, before and after their granter dies
+    Given a fleet of 20 VMs that grants the places of 3 engines
+    When each VM of the granting fleet asks for 2 places
+    Then 36 places are granted, and no engine has more than it takes
+    When the VM that grants them dies, and each other VM asks for 1 place
+    Then each of these requests has an answer within 400 ms
+    When the granting fleet has known the loss for 4 s, and a granted place is given back
+    Then a VM that asks then gets its place from another granter
--- a/features/steps/place-steps.ts
+++ b/features/steps/place-steps.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
 
-import { Then, When, world } from '@cucumber/cucumber';
+import { Given, Then, When, world } from '@cucumber/cucumber';
 
+import { ENGINE, FleetSimulation, type SimulatedVm } from '../../harness/fleet-simulation.js';
+import type { Verdict } from '../../src/places/place-asker.js';
+import { createCatalogServer } from '../support/relay-fixtures.js';
 import {
   PlaceFleet,
   type PlaceLoad,
@@ -12,6 +15,8 @@
 interface PlacesWorld {
   granted: PlaceResult;
   own: PlaceResult;
+  granting: FleetSimulation;
+  verdicts: { readonly vm: SimulatedVm; readonly verdict: Verdict }[];
 }
 
 const scenario = world as unknown as PlacesWorld;
@@ -147,3 +152,86 @@
   assert.ok(seconds.length > 0);
   seconds.forEach((part) => assert.ok(part >= percent / 100, String(seconds)));
 });
+
+function askForPlace(vm: SimulatedVm): void {
+  const nowMs = scenario.granting.clock.monotonicMs();
+  const times = { startByMs: nowMs + 600, giveUpMs: nowMs + 3400 };
+  const request = { team: 'a', kvTokens: 5000, priority: 1, insideRate: true, ...times };
+  const settle = (verdict: Verdict) => scenario.verdicts.push({ vm, verdict });
+  vm.places.askerOf('pool').ask({ ...request, excluded: new Set() }, settle, nowMs);
+  vm.places.flush();
+}
+
+function listGrants() {
+  return scenario.verdicts.flatMap(({ vm, verdict }) =>
+    verdict.kind === 'granted' ? [{ vm, ...verdict }] : [],
+  );
+}
+
+Given(
+  'a fleet of {int} VMs that grants the places of {int} engines',
+  { timeout: 30_000 },
+  async (vms: number, engines: number) => {
+    scenario.granting = await FleetSimulation.create(vms);
+    scenario.verdicts = [];
+    const servers = Array.from({ length: engines }, (_, index) =>
+      createCatalogServer({ id: `engine-${index}`, slots: ENGINE.slots, stage: 'decode' }),
+    );
+    for (const vm of scenario.granting.vms) {
+      vm.catalog.replace(servers, 0);
+      await vm.places.start();
+    }
+    await scenario.granting.advance(5000);
+  },
+);
+
+When('each VM of the granting fleet asks for {int} places', async (count: number) => {
+  scenario.granting.vms.forEach((vm) => Array.from({ length: count }, () => askForPlace(vm)));
+  await scenario.granting.advance(200);
+});
+
+Then('{int} places are granted, and no engine has more than it takes', (count: number) => {
+  const grants = listGrants();
+  assert.equal(grants.length, count);
+  const byEngine = new Map<string, number>();
+  grants.forEach(({ server }) => byEngine.set(server, (byEngine.get(server) ?? 0) + 1));
+  assert.ok([...byEngine.values()].every((used) => used <= ENGINE.slots));
+  assert.equal(new Set(grants.map(({ by }) => by)).size, 1);
+});
+
+When('the VM that grants them dies, and each other VM asks for 1 place', () => {
+  const { by } = listGrants()[0]!;
+  Object.assign(
+    scenario.granting.vms.find(({ name }) => name === by)!,
+    { alive: false },
+  );
+  scenario.verdicts = listGrants().map(({ vm, ...verdict }) => ({ vm, verdict }));
+  scenario.granting.liveVms.forEach((vm) => askForPlace(vm));
+});
+
+Then('each of these requests has an answer within {int} ms', async (ms: number) => {
+  await scenario.granting.advance(ms);
+  const waiting = scenario.granting.liveVms.flatMap((vm) => vm.places.askerOf('pool').requests);
+  assert.equal(waiting.length, 0);
+  const unserved = scenario.verdicts.filter(({ verdict }) => verdict.kind === 'unserved');
+  assert.ok(unserved.length >= scenario.granting.liveVms.length, String(unserved.length));
+});
+
+When(
+  'the granting fleet has known the loss for 4 s, and a granted place is given back',
+  async () => {
+    await scenario.granting.advance(4000);
+    const grant = listGrants().find(({ vm, by }) => vm.alive && vm.name !== by)!;
+    grant.vm.places.askerOf('pool').release(grant.id);
+    grant.vm.places.flush();
+    await scenario.granting.advance(100);
+  },
+);
+
+Then('a VM that asks then gets its place from another granter', async () => {
+  const { by } = listGrants()[0]!;
+  askForPlace(scenario.granting.liveVms[1]!);
+  await scenario.granting.advance(200);
+  const last = scenario.verdicts.at(-1)!.verdict;
+  assert.ok(last.kind === 'granted' && last.by !== by, JSON.stringify(last));
+});
--- a/harness/fleet-simulation.ts
+++ b/harness/fleet-simulation.ts
@@ -4,6 +4,7 @@
 import { Fleet } from '../src/fleet/fleet.js';
 import { Kernel } from '../src/kernel/kernel.js';
 import { ManualClock } from '../src/kernel/manual-clock.js';
+import { Places } from '../src/places/places.js';
 import { CrashLedger } from '../src/relay/crash-ledger.js';
 import { PoolCosts } from '../src/relay/pool-costs.js';
 import { RetryBudgets } from '../src/relay/retry-budgets.js';
@@ -26,6 +27,8 @@
   readonly catalog: ServerCatalog;
   readonly crashes: CrashLedger;
   readonly limits: ServerLimits;
+  /** Grants of places; not started. */
+  readonly places: Places;
   /** Bytes of datagrams that it has sent and received. */
   bytes: number;
   alive: boolean;
@@ -43,6 +46,9 @@
 /** Retries to one pool over the whole fleet. */
 export const RETRIES = { ratio: 0.2, slack: 52, windowMs: 10_000 };
 
+/** Capacity of the engines of the pool `pool`. */
+export const ENGINE = { slots: 12, kvTokens: 72_000 };
+
 /** A team whose bucket hardly refills, so that its level shows the spending that was counted. */
 export const FLEET_TEAM = { name: 'crew', tokensPerSecond: 0.001, burstTokens: 1e9 };
 
@@ -106,6 +112,7 @@
       catalog: ServerCatalog.create(),
       crashes: CrashLedger.create(() => true, createDraws(index)),
       limits: ServerLimits.create(() => vm.fleet.limitSharers),
+      places: Places.create(kernel, { ...options, minVms: 17 }, this.clock),
       bytes: 0,
       alive: true,
       receive: () => undefined,
@@ -189,7 +196,7 @@
     registerFake(kernel, 'relay', {
       ...{ loads, costs, rateLimiter, retryBudgets, catalog, crashes, limits },
       health: ServerHealth.create(),
-      configuration: { version: 1 },
+      configuration: { version: 1, pools: [{ name: 'pool', engine: ENGINE }] },
       punctualWaiting: 0,
       waiting: 0,
       startsPerSecond: 0,
@@ -199,6 +206,9 @@
       ...{ ready: true, reachesStore: true, catalogOffset: 1, catalogHash: 1 },
       handleAdvertisement: () => undefined,
     });
+    kernel.register('fleet', vm.fleet);
+    kernel.register('places', vm.places);
+    registerFake(kernel, 'metrics', { increment: () => undefined, gauge: () => undefined });
     registerFake(kernel, 'logs', { info: () => undefined, warn: () => undefined });
   }
 }
