--- a/harness/fleet-simulation.ts
+++ b/harness/fleet-simulation.ts
@@ -4,6 +4,7 @@
 import { Fleet } from '../src/fleet/fleet.js';
 import { Kernel } from '../src/kernel/kernel.js';
 import { ManualClock } from '../src/kernel/manual-clock.js';
+import { Places } from '../src/places/places.js';
 import { CrashLedger } from '../src/relay/crash-ledger.js';
 import { ServerCapacities } from '../src/capacity/server-capacities.js';
 import { PoolCosts } from '../src/relay/pool-costs.js';
@@ -29,6 +30,8 @@
   readonly catalog: ServerCatalog;
   readonly crashes: CrashLedger;
   readonly limits: ServerLimits;
+  /** Grants of places; not started. */
+  readonly places: Places;
   /** Bytes of datagrams that it has sent and received. */
   bytes: number;
   alive: boolean;
@@ -51,6 +54,9 @@
 /** What cold servers may get beyond what they take. */
 export const COLD_TOLERANCE = { factor: 1.5, requests: 5 };
 
+/** Capacity of the engines of the pool `pool`. */
+export const ENGINE = { slots: 12, kvTokens: 72_000 };
+
 /** A team whose bucket hardly refills, so that its level shows the spending that was counted. */
 export const FLEET_TEAM = { name: 'crew', tokensPerSecond: 0.001, burstTokens: 1e9 };
 
@@ -127,6 +133,7 @@
         coldRate: () => this.coldRate,
         coldTolerance: COLD_TOLERANCE,
       }),
+      places: Places.create(kernel, { ...options, minVms: 17 }, this.clock),
       bytes: 0,
       alive: true,
       receive: () => undefined,
@@ -212,7 +219,7 @@
     registerFake(kernel, 'relay', {
       ...{ loads, costs, capacities, rateLimiter, retryBudgets, catalog, crashes, limits },
       health: ServerHealth.create(),
-      configuration: { version: 1 },
+      configuration: { version: 1, pools: [{ name: 'pool', engine: ENGINE }] },
       punctualWaiting: 0,
       waiting: 0,
       startsPerSecond: 0,
@@ -227,7 +234,9 @@
       },
       handleAdvertisement: () => undefined,
     });
-    registerFake(kernel, 'metrics', { increment: () => undefined });
+    kernel.register('fleet', vm.fleet);
+    kernel.register('places', vm.places);
+    registerFake(kernel, 'metrics', { increment: () => undefined, gauge: () => undefined });
     registerFake(kernel, 'logs', { info: () => undefined, warn: () => undefined });
   }
 }
