--- a/features/steps/stream-end-steps.ts
+++ b/features/steps/stream-end-steps.ts
@@ -107,7 +107,8 @@
   const writer = LineWriter.create((chunk, done) => done(null, chunk.length));
   const contact = { size: 1, reachable: 1, reportedMs: 0 };
   const queuesElsewhere = { waiting: 0, punctual: 0, startsPerSecond: 0 };
-  const fleet = { size: 1, peers: [], contact, queuesElsewhere } as unknown as Services['fleet'] &
+  const borrow = () => Promise.resolve(false);
+  const fleet = { size: 1, peers: [], contact, queuesElsewhere, borrow } as unknown as Services['fleet'] &
     Service;
   const options = {
     availabilityZone: 'sando',
