--- a/features/steps/stream-end-steps.ts
+++ b/features/steps/stream-end-steps.ts
@@ -108,8 +108,13 @@
   const contact = { size: 1, reachable: 1, reportedMs: 0 };
   const queuesElsewhere = { waiting: 0, punctual: 0, startsPerSecond: 0 };
   const borrow = () => Promise.resolve(false);
-  const fleet = { size: 1, peers: [], contact, queuesElsewhere, borrow } as unknown as Services['fleet'] &
-    Service;
+  const fleet = {
+    size: 1,
+    peers: [],
+    contact,
+    queuesElsewhere,
+    borrow,
+  } as unknown as Services['fleet'] & Service;
   const options = {
     availabilityZone: 'sando',
     retries: { ratio: 0.2, slack: 50, windowMs: 10_000 },
