--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -297,7 +297,7 @@
   /^the platform entry (.+) yields a server that is cold for (.*) ms$/,
   (entry: string, ms: string) => {
     const server = decodeServer('i-1', Buffer.from(entry));
-    assert.equal(String(server?.coldLeftMs), ms);
+    assert.equal(String(server?.coldForMs), ms);
   },
 );
 
--- a/features/steps/server-limit-steps.ts
+++ b/features/steps/server-limit-steps.ts
@@ -63,7 +63,7 @@
       ...{ leaving: false, requestsPerSecond: undefined, quietMs: QUIET_MS },
     }),
   'turns cold': (server) =>
-    scenario.relay.recordEntries([{ id: server.id, server: { ...server, coldLeftMs: QUIET_MS } }]),
+    scenario.relay.recordEntries([{ id: server.id, server: { ...server, coldForMs: QUIET_MS } }]),
   'starts again': ({ id, startedAtMs }) => {
     const server = { ...scenario.relay.catalog.find(id)!, startedAtMs: startedAtMs + 1 };
     scenario.relay.catalog.replace([server], 0);
--- a/features/support/cold-simulation.ts
+++ b/features/support/cold-simulation.ts
@@ -169,10 +169,10 @@
     const first = vms.length > FIRST_READER ? FIRST_READER : 0;
     const readers = vms.slice(first, first + READERS);
     if (onBothSides) readers.push(vms.at(-1)!);
-    const coldLeftMs = COLD_UNTIL_MS - this.nowMs;
+    const coldForMs = COLD_UNTIL_MS - this.nowMs;
     readers.forEach(({ limits }) =>
       this.servers.forEach((server) =>
-        limits.cold.recordEntry(server.id, { ...server, coldLeftMs }, clock.monotonicMs()),
+        limits.cold.recordEntry(server.id, { ...server, coldForMs }, clock.monotonicMs()),
       ),
     );
   }
--- a/src/relay/cold-servers.ts
+++ b/src/relay/cold-servers.ts
@@ -87,7 +87,7 @@
     const isStart = this.starts.get(id) !== server.startedAtMs;
     this.starts.set(id, server.startedAtMs);
     const presumedMs = isStart ? (this.rateOf(server.pool)?.coldMs ?? 0) : 0;
-    return this.extend(id, server.coldLeftMs ?? presumedMs, nowMs);
+    return this.extend(id, server.coldForMs ?? presumedMs, nowMs);
   }
 
   /**
@@ -103,7 +103,7 @@
     this.readStore ||= fromStore;
     const entries = fromStore
       ? servers
-      : servers.map((each) => ({ ...each, coldLeftMs: undefined }));
+      : servers.map((each) => ({ ...each, coldForMs: undefined }));
     const ids = new Set(servers.map(({ id }) => id));
     this.starts?.forEach((_, id) => {
       if (!ids.has(id)) this.starts!.delete(id);
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -211,8 +211,8 @@
     changes.forEach(({ id, server }) => {
       const isCold = this.limits.cold.recordEntry(id, server, nowMs);
       if (!server || !isCold || !this.limits.cold.rate(server.pool)) return;
-      const { coldLeftMs, startedAtMs } = server;
-      const facts = { startedAtMs, ...(coldLeftMs === undefined ? {} : { coldLeftMs }) };
+      const { coldForMs, startedAtMs } = server;
+      const facts = { startedAtMs, ...(coldForMs === undefined ? {} : { coldForMs }) };
       const entry = { requestId: '', step: 'cold', choice: id, reason: 'the server is cold' };
       this.kernel.find('decisions').record({ ...entry, facts });
       this.kernel.find('metrics').increment('servers.cold');
--- a/src/relay/server-catalog.ts
+++ b/src/relay/server-catalog.ts
@@ -19,7 +19,7 @@
   /** Undefined for plain services. */
   readonly stage: Stage | undefined;
   /** Time for which the server said that it stays cold, in milliseconds; undefined when it did not say. */
-  readonly coldLeftMs?: number | undefined;
+  readonly coldForMs?: number | undefined;
 }
 
 /** A change of the catalog; `server` is undefined when the entry was removed. */
--- a/src/relay/server-limits.ts
+++ b/src/relay/server-limits.ts
@@ -458,7 +458,7 @@
         ...{ weight: 1, leftMs: Infinity },
       });
     }
-    const leftMs = this.coldLeftMs(server, nowMs);
+    const leftMs = this.coldForMs(server, nowMs);
     if (leftMs > 0) {
       const share = this.shareOf('cold', server);
       rates.push({
@@ -469,7 +469,7 @@
     return rates;
   }
 
-  private coldLeftMs(server: CatalogServer, nowMs: number): number {
+  private coldForMs(server: CatalogServer, nowMs: number): number {
     const rate = this.cold.rate(server.pool);
     if (!rate) return 0;
     const { informed } = this.sources.sharers();
