--- a/features/steps/leaving-caller-steps.ts
+++ b/features/steps/leaving-caller-steps.ts
@@ -108,8 +108,9 @@
   const writer = LineWriter.create((chunk, done) => done(null, chunk.length));
   const contact = { size: 1, reachable: 1, reportedMs: 0 };
   const queuesElsewhere = { waiting: 0, punctual: 0, startsPerSecond: 0 };
-  const fleet = { size: 1, peers: [], contact, queuesElsewhere } as unknown as Services['fleet'] &
-    Service;
+  const borrow = () => Promise.resolve(false);
+  const known = { size: 1, peers: [], contact, queuesElsewhere, borrow };
+  const fleet = known as unknown as Services['fleet'] & Service;
   const rateTolerance = { part: 0, tokens: 0, windowMs: 8000 };
   const options = { availabilityZone: 'sando', retries: NO_LIMIT, rateTolerance };
   const relay = Relay.create(kernel, options, clock);
