--- a/src/places/places.ts
+++ b/src/places/places.ts
@@ -1,6 +1,5 @@
 import { randomBytes } from 'node:crypto';
 
-import { MAX_MESH_SIZE } from '../fleet/hub-ranking.js';
 import type { FleetMember } from '../fleet/digest.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
@@ -20,8 +19,8 @@
   readonly minVms: number;
 }
 
-/** Default of {@link PlaceOptions.minVms}. */
-export const DEFAULT_MIN_VMS = MAX_MESH_SIZE + 1;
+/** Default of {@link PlaceOptions.minVms}: every VM chooses itself unless the settings ask for grants. */
+export const DEFAULT_MIN_VMS = Infinity;
 
 /** Interval at which queues are checked and unanswered messages repeated, in milliseconds. */
 const TICK_MS = 40;
