Add review case 8: a killed process leaves a stream that looks complete

Cause: platform/caller-sink.ts passes answers without a length on without chunks; the operating system closes them as complete after SIGKILL.

--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,53 +1,93 @@
 /* eslint n/no-sync: "off" */
 /* eslint-disable */
-import { runCase, tally } from '../lib-2/case.mjs';
-import { sleep } from '../lib-2/fleet.mjs';
-import { BAD, startPool } from '../lib-2/prompts.mjs';
+import { runCase, TROUBLE } from '../lib-2/case.mjs';
+import { configuration, Fleet, nextId, properHeaders, send, sleep } from '../lib-2/fleet.mjs';
+import { PlatformServer } from '../lib-2/server.mjs';
+import { Store } from '../lib-2/store.mjs';
 
-const SHARED = '5c1e07a2:800';
-const STABLE_MS = 3000;
+const STREAMS = 12;
+const EVENTS = 40;
+const EVENT_MS = 50;
+/** Time after which a killed process is started again; `for_s` of node_kill in the site file. */
+const DOWN_MS = 3500;
 
 await runCase(import.meta.dirname, async ({ record, later }) => {
-  const { crashes, ask, begun, fleet } = await startPool(later);
+  const store = await Store.create();
+  later(() => store.close());
+  store.put('keyed.op', 'config', configuration());
+  const servers = [];
+  // A stream with neither a length nor chunks, which ends with its connection.
+  const answer = async (request, response, entry, server) => {
+    const last = Number(request.headers['last-event-id'] ?? 0);
+    response.useChunkedEncodingByDefault = false;
+    response.writeHead(200, {
+      'Server-Seal': `seal.${server.id}`,
+      'Weight-Versions': '1',
+      'Content-Type': 'text/event-stream',
+      Connection: 'close',
+    });
+    for (let event = last + 1; event <= EVENTS && !response.destroyed; event += 1) {
+      response.write(`id: ${event}\ndata: token ${event}\n\n`);
+      entry.events = event;
+      await sleep(EVENT_MS);
+    }
+    response.end();
+    return true;
+  };
+  for (let index = 1; index <= 11; index += 1) {
+    const stage = index <= 4 ? 'prefill' : 'decode';
+    const options = { service: 'planner', slots: 48, maxConns: 290, stage };
+    if (stage === 'decode') options.answer = answer;
+    const server = await PlatformServer.create(store, `i-${stage}${index}`, options);
+    later(() => server.close());
+    servers.push(server);
+  }
+  const fleet = await Fleet.create(store, 3, later);
+  await sleep(4000);
 
   record(
-    'sound requests outside disruption: 30 in a row, with the shared part and one of their own',
+    `${STREAMS} streams of ${EVENTS} events over the three machines; their servers send no length`,
   );
-  const before = [];
-  for (let count = 0; count < 30; count += 1) {
-    before.push(await ask([SHARED]));
-    await sleep(50);
+  const calls = Array.from({ length: STREAMS }, async (_, index) => {
+    const id = nextId();
+    const host = fleet.hosts[index % 3];
+    const part = (0x1000 + index).toString(16);
+    const more = {
+      Model: 'm',
+      'Token-Count': '900,40',
+      'Prompt-Prefix': `5c1e07a2:800,${part}:100`,
+    };
+    const headers = properHeaders(id, { ...more, 'Deadline-Ms': '14000' });
+    const options = { host, port: fleet.ports.front, path: '/plan/2f', method: 'POST', headers };
+    const answered = await send({ ...options, body: `body of ${id}`, timeoutMs: 14_500 });
+    return { ...answered, id, machine: 1 + (index % 3) };
+  });
+  await sleep(1000);
+  if (TROUBLE) {
+    record('SIGKILL to the process of machine 1, in the middle of its streams');
+    const [machine] = fleet.machines;
+    machine.stopped = true;
+    machine.child.kill('SIGKILL');
+    await sleep(DOWN_MS);
+    fleet.startMachine(0);
   }
-  record(`  begun at the first attempt: ${begun(before)} of ${before.length}; ${tally(before)}`);
-  record('12 s without requests');
-  await sleep(12_000);
-
-  record('requests with the shared part and the bad part: 6 at once, then one a second');
-  const bad = Array.from({ length: 6 }, () => ask([SHARED, `${BAD}:300`]));
-  const startMs = Date.now();
-  const after = [];
-  let fifthMs = Infinity;
-  while (Date.now() - startMs < 24_000) {
-    await sleep(1000);
-    bad.push(ask([SHARED, `${BAD}:300`]));
-    // From twice `stableWindowMs` after the fifth crash, or the last one if there are fewer.
-    fifthMs = (crashes[4] ?? crashes.at(-1))?.atMs ?? startMs;
-    if (Date.now() - fifthMs <= 2 * STABLE_MS) continue;
-    for (let count = 0; count < 4; count += 1) after.push(await ask([SHARED]));
+  let broken = 0;
+  const runs = new Map(
+    servers.flatMap(({ id, requests }) =>
+      requests.filter(({ run }) => run).map((run) => [run.id, { ...run, server: id }]),
+    ),
+  );
+  for (const { id, machine, status, error, body } of await Promise.all(calls)) {
+    const ids = (body.match(/(?<=id: )\d+/g) ?? []).map(Number);
+    const whole = ids.length === EVENTS && ids.every((event, at) => event === at + 1);
+    const looksComplete = error === undefined;
+    if (status === 200 && looksComplete && !whole) broken += 1;
+    record(
+      `  ${id} at machine ${machine}, ${runs.get(id)?.server}: status ${status}, events 1 to ` +
+        `${ids.at(-1)} of ${EVENTS}, ${looksComplete ? 'a regular end' : `broken off (${error})`}`,
+    );
   }
-  const badAnswers = await Promise.all(bad);
-  record(`  begun: ${begun(badAnswers)} of ${badAnswers.length}; ${tally(badAnswers)}`);
-  const shown = crashes.map(({ atMs, server }) => `${server} after ${atMs - startMs} ms`);
-  record(`crashes: ${crashes.length}: ${shown.join(', ')}`);
-  record(`sound requests, from ${2 * STABLE_MS} ms after the fifth crash:`);
-  record(`  begun at the first attempt: ${begun(after)} of ${after.length}; ${tally(after)}`);
-  const refusal = after.find(({ status }) => status !== 200);
-  if (refusal) record(`  the first refusal: ${refusal.body}`);
+  record(`answers that ended early and look complete: ${broken}`);
   record(`processes that ended by themselves: ${fleet.ends.length}`);
-  const usual = begun(before) / before.length;
-  const share = begun(after) / after.length;
-  if (before.length < 20 || after.length < 20) throw new Error('too few requests');
-  return share < usual / 2
-    ? 'sound requests begin less than half as often as outside disruption'
-    : undefined;
+  return broken > 0 ? 'an answer that ended early looks complete' : undefined;
 });
