--- a/review/lib-2/server.mjs
+++ b/review/lib-2/server.mjs
@@ -1,7 +1,11 @@
 /* eslint n/no-sync: "off" */
 /* eslint-disable */
 // Stand-in for a server of the platform: a plain service, a prefill or a decode server.
+import { spawn } from 'node:child_process';
 import { createServer } from 'node:http';
+import { fileURLToPath } from 'node:url';
+
+const WIRE = fileURLToPath(new URL('wire.mjs', import.meta.url));
 
 export class PlatformServer {
   /** Requests that reached this server: { id, path, headers, atMs, endMs, end, run }. */
@@ -41,7 +45,9 @@
     });
     await new Promise((resolve) => this.http.listen(port, '127.0.0.1', resolve));
     this.port = this.http.address().port;
-    this.address = `127.0.0.1:${this.port}`;
+    // The process of the wire has the address at which callers meet the server.
+    if (this.wired) await this.startWire();
+    this.address = `127.0.0.1:${this.wirePort ?? this.port}`;
     this.up = true;
     this.register();
     this.beat = setInterval(() => this.register(), 1200);
@@ -81,8 +87,39 @@
     }, backMs);
   }
 
+  async startWire() {
+    const ports = [String(this.wirePort ?? 0), String(this.port)];
+    const child = spawn(process.execPath, [WIRE, '127.0.0.1', ...ports], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    this.wire = child;
+    const port = await new Promise((resolve) => child.stdout.once('data', resolve));
+    this.wirePort = Number(port);
+  }
+
+  /** Falls silent at once, as a machine without power does, and starts again later. */
+  goDark(backMs) {
+    if (!this.up) return;
+    this.up = false;
+    this.crashes = (this.crashes ?? 0) + 1;
+    clearInterval(this.beat);
+    const { wire } = this;
+    wire.kill('SIGSTOP');
+    const gone = new Promise((resolve) => wire.once('exit', resolve));
+    setTimeout(async () => {
+      wire.kill('SIGKILL');
+      await gone;
+      this.http.close();
+      for (const socket of this.sockets) socket.destroy();
+      this.seq = 0;
+      this.fence = 0;
+      if (!this.ended) await this.start(this.port);
+    }, backMs);
+  }
+
   close() {
     this.ended = true;
+    this.wire?.kill('SIGKILL');
     clearInterval(this.beat);
     this.http.close();
     this.http.closeAllConnections();
