--- a/review/lib-2/server.mjs
+++ b/review/lib-2/server.mjs
@@ -145,6 +145,10 @@
       return;
     }
     if (url === '/hold-take') {
+      // A server without room for so many tokens refuses.
+      const { tokens } = JSON.parse(Buffer.concat(chunks));
+      if (this.kvTokens && !(typeof tokens === 'number' && tokens <= this.kvTokens))
+        return response.writeHead(503).end();
       this.handles += 1;
       return reply(response, { hold: `h${this.handles}` });
     }
@@ -157,6 +161,7 @@
     response.on('close', () => Object.assign(entry, { endMs: Date.now() }));
     response.setHeader('Attempt-Id', id);
     if (headers.stage === 'prefill') {
+      if (this.prefillMs) await new Promise((resolve) => setTimeout(resolve, this.prefillMs));
       this.handles += 1;
       const tokens = Number((headers['token-count'] ?? '0').split(',')[0]);
       return reply(response, { kvHandleId: `k${this.id}x${this.handles}`, tokens, version: 1 });
@@ -183,17 +188,34 @@
   }
 
   order({ fence, holder, stage }, response) {
-    this.orders.push({ fence, holder, stage, atMs: Date.now() });
+    const entry = { fence, holder, stage, atMs: Date.now() };
+    this.orders.push(entry);
+    response.on('finish', () => Object.assign(entry, { status: response.statusCode }));
     if (fence < this.fence) return response.writeHead(412).end();
     this.fence = fence;
     if (stage === this.stage) return response.writeHead(200).end();
+    if (this.busy) return response.writeHead(409).end();
     this.seq += 1;
+    if (this.restageMs) {
+      this.busy = true;
+      setTimeout(() => {
+        Object.assign(this, { busy: false, stage });
+        if (this.up && !this.ended) this.register();
+      }, this.restageMs);
+    }
     return response.writeHead(202).end();
   }
 
   report() {
     const models = [{ name: 'm', version: 1, adapters: [] }];
-    const idle = { busy: false, seq: this.seq, queued: 0, running: 0, kvUsed: 0, kvTotal: 73_378 };
+    const idle = {
+      busy: this.busy ?? false,
+      seq: this.seq,
+      queued: 0,
+      running: 0,
+      kvUsed: 0,
+      kvTotal: 73_378,
+    };
     const more = { handles: 0, pinned: 0, held: 0, state: 'ready', next: 0, runs: [] };
     return { stage: this.stage, models, ...idle, ...more, born: this.born };
   }
