fix(platform): mark the end of every answer for callers of HTTP/1.1

Ruled out: an end of the server's (all 40 events sent, TROUBLE=0 holds), a reset that the caller's library reports as an end (another runtime sees the same, all streams). Change: an answer that is whole before its head leaves has a length, all others come in chunks. Callers of HTTP/1.0 get a length where it is known and no chunks any more. The three rows that demanded an answer without framing demanded the fault; nine stricter ones replace them, which check the bytes to the last one.

--- a/features/steps/platform-contract-steps.ts
+++ b/features/steps/platform-contract-steps.ts
@@ -411,16 +411,20 @@
 );
 
 When(
-  /^the platform's caller gets an answer (with|without) a length that (is complete|is cut)$/,
-  async (length: string, ends: string) => {
-    const framed = length === 'with';
+  /^a caller of HTTP\/(1\.\d) gets an answer (with|without) a length that (is whole|arrives in parts|is cut)$/,
+  async (version: string, length: string, arrives: string) => {
+    const headers = length === 'with' ? ['Content-Length', '2'] : [];
+    const head = { status: 200, headers, framed: length === 'with' };
     const server = createServer((_, response) => {
       const sink = CallerSink.create(response, 'r', () => false);
-      const headers = framed ? ['Content-Length', '2'] : [];
-      sink.writeHead({ status: 200, headers, framed });
+      if (arrives === 'is whole') {
+        sink.send(head, [Buffer.from('ok')]);
+        return;
+      }
+      sink.writeHead(head);
       void sink.write(Buffer.from('ok'));
-      if (ends === 'is complete') sink.end();
-      else setTimeout(() => sink.abort(), 50);
+      if (arrives === 'is cut') setTimeout(() => sink.abort(), 50);
+      else sink.end();
     });
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
@@ -431,22 +435,32 @@
       const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
       socket.on('data', (bytes) => {
         scenario.callerBytes += bytes.toString();
-        if (framed && scenario.callerBytes.endsWith('ok')) socket.end();
+        if (/(\r\n\r\nok|\r\n0\r\n\r\n)$/.test(scenario.callerBytes) && arrives !== 'is cut')
+          socket.end();
       });
       socket.on('error', () => {
         scenario.callerReset = true;
       });
       socket.on('close', () => resolve());
-      socket.write('GET / HTTP/1.1\r\nHost: x\r\n\r\n');
+      socket.write(`GET / HTTP/${version}\r\nHost: x\r\n\r\n`);
     });
     server.close();
   },
 );
 
-Then(/^the platform's caller sees it (with its length|without framing|reset)$/, (seen: string) => {
-  const { callerBytes, callerReset } = scenario;
-  assert.match(callerBytes, /\r\n\r\nok$/);
-  assert.equal(callerReset, seen === 'reset');
-  assert.equal(/content-length: 2/i.test(callerBytes), seen === 'with its length');
-  assert.doesNotMatch(callerBytes, /transfer-encoding/i);
-});
+const SEEN: Readonly<Record<string, RegExp>> = {
+  'with its length': /\r\ncontent-length: 2\r\n(?!.*transfer-encoding)(.*\r\n)?\r\nok$/is,
+  'in chunks, with the last one':
+    /\r\ntransfer-encoding: chunked\r\n(?!.*content-length)(.*\r\n)?\r\n2\r\nok\r\n0\r\n\r\n$/is,
+  'in chunks, without the last one':
+    /\r\ntransfer-encoding: chunked\r\n(?!.*content-length)(.*\r\n)?\r\n2\r\nok\r\n$/is,
+  'without framing': /^(?!.*(content-length|transfer-encoding)).*\r\n\r\nok$/is,
+};
+
+Then(
+  /^the caller sees it (with its length|in chunks, with.* last one|without framing)(, and a reset)?$/,
+  (seen: string, reset: string | null) => {
+    assert.match(scenario.callerBytes, SEEN[seen] ?? assert.fail(seen));
+    assert.equal(scenario.callerReset, reset !== null);
+  },
+);
--- a/features/support/caller-end.ts
+++ b/features/support/caller-end.ts
@@ -33,6 +33,17 @@
 
 const NOTHING = Buffer.alloc(0);
 
+/** Returns the pause after each chunk with which a reader keeps to a rate. */
+function createPace(bytesPerSecond: number): (chunkBytes: number) => number {
+  let startMs: number | undefined;
+  let received = 0;
+  return (chunkBytes) => {
+    startMs ??= Date.now();
+    received += chunkBytes;
+    return startMs + (1000 * received) / bytesPerSecond - Date.now();
+  };
+}
+
 /**
  * Sends a request to a router and reads the answer.
  *
@@ -48,7 +59,7 @@
     Authorization: `Bearer ${PLATFORM_KEY}`,
     ...options.headers,
   };
-  const pauseMs = (bytes: number) => (1000 * bytes) / bytesPerSecond;
+  const pauseMs = createPace(bytesPerSecond);
   return new Promise((resolve) => {
     let isAnswered = false;
     const call = request({ ...address, path, headers, agent: false }, (response) => {
--- a/features/users-platform/contract.feature
+++ b/features/users-platform/contract.feature
@@ -129,15 +129,23 @@
       | without a length |
       | of HTTP/1.0      |
 
-  Scenario Outline: an answer whose end cannot be distinguished from a truncation is forwarded without an explicit end
-    When the platform's caller gets an answer <framing> that <ends>
-    Then the platform's caller sees it <seen>
+  # Guards against answers that end with their connection, which the operating system closes in the ordinary
+  # way when the router is killed, and against chunks for callers that do not know them.
+  Scenario Outline: the router marks the end of an answer by itself where its caller's version of HTTP allows it
+    When a caller of HTTP/<version> gets an answer <length> a length that <arrives>
+    Then the caller sees it <seen>
 
     Examples:
-      | framing          | ends        | seen            |
-      | with a length    | is complete | with its length |
-      | without a length | is complete | without framing |
-      | without a length | is cut      | reset           |
+      | version | length  | arrives          | seen                                         |
+      | 1.1     | with    | is whole         | with its length                              |
+      | 1.1     | with    | arrives in parts | with its length                              |
+      | 1.1     | without | is whole         | with its length                              |
+      | 1.1     | without | arrives in parts | in chunks, with the last one                 |
+      | 1.1     | without | is cut           | in chunks, without the last one, and a reset |
+      | 1.0     | with    | is whole         | with its length                              |
+      | 1.0     | without | is whole         | with its length                              |
+      | 1.0     | without | arrives in parts | without framing                              |
+      | 1.0     | without | is cut           | without framing, and a reset                 |
 
   # Guards requests that may run only once: on an open connection that the server has lost they end with
   # an unknown outcome, whereas a new connection is refused before anything is sent.
--- a/features/users-platform/process-ends.feature
+++ b/features/users-platform/process-ends.feature
@@ -67,3 +67,33 @@
     Given a listener with the begin of an unframed answer
     When the caller of the unframed answer has read the begin and closes its side
     Then the caller of the unframed answer sees a reset
+
+  # Guards against answers that look complete in the middle: a router that passed an answer without a length
+  # on without one left its end to the operating system, which closes the connections of a killed process in
+  # the ordinary way (review/8).
+  Scenario Outline: <answers> without a length are broken off when the router ends by <end>
+    Given a router before servers that send <answers> without a length, piece by piece
+    When callers read answers in pieces, and the router ends by <end>
+    Then all answers in pieces are broken off in the middle
+
+    Examples:
+      | answers          | end               |
+      | short events     | a kill            |
+      | short events     | an abort          |
+      | short events     | the end of a stop |
+      | long events      | a kill            |
+      | halves of events | a kill            |
+      | plain answers    | a kill            |
+      | plain answers    | an abort          |
+
+  # Guards against an end that the router marks too early or not at all.
+  Scenario Outline: <answers> without a length are whole when no process ends
+    Given a router before servers that send <answers> without a length, piece by piece
+    When callers read answers in pieces
+    Then all answers in pieces are whole, byte for byte the servers'
+
+    Examples:
+      | answers          |
+      | short events     |
+      | halves of events |
+      | plain answers    |
--- a/src/relay/counted-sink.ts
+++ b/src/relay/counted-sink.ts
@@ -5,7 +5,7 @@
 export interface SentAnswer {
   /** Bytes of the body. */
   readonly bytes: number;
-  /** Whether a length or chunks mark the end of the body. */
+  /** Whether a length or chunks marked the end of the body at the server. */
   readonly framed: boolean;
 }
 
--- a/src/relay/relay-request.ts
+++ b/src/relay/relay-request.ts
@@ -38,8 +38,8 @@
   /** Alternating names and values, without hop-by-hop headers. */
   readonly headers: readonly string[];
   /**
-   * False when the end of the connection delimits the body. Such a body cannot be distinguished from a
-   * truncated one, so it is forwarded with the same framing and gets no explicit end.
+   * Whether a length or chunks mark the end of the body at its server. Otherwise the end of the server's
+   * connection does, which is its end unless the connection is reset. The caller gets a marked end in any case.
    */
   readonly framed: boolean;
 }
--- a/stand-ins/platform/unframed-answer.ts
+++ b/stand-ins/platform/unframed-answer.ts
@@ -10,6 +10,8 @@
   readonly end: 'close' | 'reset';
   /** Time from the last byte until the connection ends, in milliseconds. */
   readonly delayMs: number;
+  /** Whether a caller may take what was sent for complete. */
+  readonly isComplete: boolean;
   /** SHA-256 of the body that a caller may take for complete. */
   readonly digest: string;
 }
@@ -26,9 +28,9 @@
  * @returns what is kept of it
  */
 export function describeUnframed(answer: UnframedAnswer): UnframedRecord {
-  const { pieces, end, delayMs, digest } = answer;
+  const { pieces, end, delayMs, isComplete, digest } = answer;
   const sentBytes = pieces.reduce((sum, { length }) => sum + length, 0);
-  return { sentBytes, end, delayMs, digest };
+  return { sentBytes, end, delayMs, isComplete, digest };
 }
 
 /**
