fix: read numbers from outside within their ranges

Cause: the number is read as Infinity, so sums stay infinite or become NaN; digests then hold null, are dropped whole by all others, and their sender leaves the fleet. Entries of a digest's work that cannot be read are left out instead of dropping the digest.

--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -1,6 +1,8 @@
 import { z } from 'zod';
 
+import { boundedNumber } from '../domain/number-ranges.js';
 import { UNREAD } from '../domain/store-position.js';
+import { listOf, recordOf } from './tolerant-schemas.js';
 import { placeAnswerSchema, placeAskSchema, type PlaceMessage } from '../places/place-message.js';
 
 /** Bits of the flags of a member tuple. */
@@ -8,8 +10,8 @@
 const DRAINING = 2;
 const REACHES_STORE = 4;
 
-const finiteNumber = z.number().finite();
-const nonNegative = finiteNumber.min(0);
+const nonNegative = boundedNumber.min(0);
+const count = boundedNumber.catch(0);
 const name = z.string().max(100);
 const host = z.string().max(64);
 
@@ -21,7 +23,7 @@
   callers: z.string().max(80),
   zone: name,
   /** CPU time that the VM may use, in cores. */
-  power: finiteNumber,
+  power: boundedNumber,
   ready: z.boolean(),
   draining: z.boolean(),
   reachesStore: z.boolean(),
@@ -29,7 +31,7 @@
 
 /** A member as a tuple without field names: a list of 390 members must fit into one datagram. */
 const memberTupleSchema = z
-  .tuple([name, z.string().max(40), host, z.string().max(80), name, finiteNumber, finiteNumber])
+  .tuple([name, z.string().max(40), host, z.string().max(80), name, boundedNumber, boundedNumber])
   .transform(([vm, incarnation, at, callers, zone, power, flags]): FleetMember => ({
     ...{ vm, incarnation, host: at, callers, zone, power },
     ready: hasFlag(flags, READY),
@@ -39,11 +41,11 @@
 
 /** Records of evacuated zones, and the position up to which they are known. */
 const evacuationsSchema = z.object({
-  era: finiteNumber,
-  offset: finiteNumber,
+  era: boundedNumber,
+  offset: boundedNumber,
   zones: z
     .array(
-      z.object({ zone: name, evacuated: z.boolean(), era: finiteNumber, offset: finiteNumber }),
+      z.object({ zone: name, evacuated: z.boolean(), era: boundedNumber, offset: boundedNumber }),
     )
     .max(100),
 });
@@ -53,47 +55,46 @@
  * hash of the server entries. VMs of earlier releases send no era.
  */
 const stateSchema = z.object({
-  era: finiteNumber.default(0),
+  era: boundedNumber.default(0),
   evacuations: evacuationsSchema.default({ ...UNREAD, zones: [] }),
-  configuration: finiteNumber,
-  catalog: finiteNumber,
-  catalogHash: finiteNumber,
+  configuration: boundedNumber,
+  catalog: boundedNumber,
+  catalogHash: boundedNumber,
 });
 
-/** Work of one VM, or the sum of several. */
+/**
+ * Work of one VM, or the sum of several. Entries that cannot be read are left out, so that they do not
+ * remove their sender from the fleet.
+ */
 const workSchema = z.object({
   /** Number of requests that wait for a slot and can still meet their deadline. */
-  punctual: finiteNumber,
+  punctual: count,
   /** Number of all requests that wait for a slot, and starts per second. */
-  waiting: finiteNumber.default(0),
-  startsPerSecond: finiteNumber.default(0),
+  waiting: count,
+  startsPerSecond: count,
   /** Tokens by team since the start of the process: all, and those within the rate. */
-  spent: z.record(z.string(), z.tuple([finiteNumber, finiteNumber])),
+  spent: recordOf(z.tuple([boundedNumber, boundedNumber])),
   /** Requests and retries by pool since the start of the process; VMs of earlier releases send none. */
-  retries: z.record(z.string(), z.tuple([finiteNumber, finiteNumber])).default({}),
+  retries: recordOf(z.tuple([boundedNumber, boundedNumber])),
   /** Requests, and sums of their prefill time, decode time and KV cache tokens, by pool. */
-  costs: z
-    .record(z.string(), z.tuple([finiteNumber, finiteNumber, finiteNumber, finiteNumber]))
-    .default({}),
+  costs: recordOf(z.tuple([boundedNumber, boundedNumber, boundedNumber, boundedNumber])),
   /** Server id, running requests, KV cache tokens and prompt tokens waiting for or in prefill. */
-  loads: z.array(z.tuple([z.string(), finiteNumber, finiteNumber, finiteNumber])),
-  avoided: z.array(z.tuple([z.string(), finiteNumber])),
-  leavers: z.array(z.tuple([z.string(), finiteNumber])),
+  loads: listOf(z.tuple([z.string(), boundedNumber, boundedNumber, boundedNumber])),
+  avoided: listOf(z.tuple([z.string(), boundedNumber])),
+  leavers: listOf(z.tuple([z.string(), boundedNumber])),
   /** Crash id, age in milliseconds, suspects and cleared suspects; VMs of earlier releases send none. */
-  crashes: z.array(z.tuple([z.string(), finiteNumber, z.array(name), z.array(name)])).default([]),
+  crashes: listOf(z.tuple([z.string(), boundedNumber, z.array(name), z.array(name)])),
   /** Server id, start, limit in requests per second (-1 for none) and age of the answer in milliseconds. */
-  limits: z.array(z.tuple([name, finiteNumber, finiteNumber, finiteNumber])).default([]),
+  limits: listOf(z.tuple([name, boundedNumber, boundedNumber, boundedNumber])),
   /** Server id and the time for which it stays cold, in milliseconds. */
-  cold: z.array(z.tuple([name, finiteNumber])).default([]),
+  cold: listOf(z.tuple([name, boundedNumber])),
   /** Server id, start, task, and sums of its work at light and at full load and of its refusals. */
-  capacities: z
-    .array(
-      z.tuple([
-        ...([name, finiteNumber, finiteNumber] as const),
-        ...([nonNegative, nonNegative, nonNegative, nonNegative, nonNegative] as const),
-      ]),
-    )
-    .default([]),
+  capacities: listOf(
+    z.tuple([
+      ...([name, boundedNumber, boundedNumber] as const),
+      ...([nonNegative, nonNegative, nonNegative, nonNegative, nonNegative] as const),
+    ]),
+  ),
 });
 
 const digestSchema = z.object({
@@ -101,11 +102,11 @@
   ...stateSchema.shape,
   ...workSchema.shape,
   kind: z.literal('digest'),
-  sequence: finiteNumber,
+  sequence: boundedNumber,
   /** The hub that this VM reports to; empty in a small fleet. */
   hub: name,
   /** Id of the last member list received from the hub; 0 before the first. */
-  list: finiteNumber,
+  list: boundedNumber,
   hosts: z.array(host),
 });
 
@@ -113,14 +114,14 @@
   ...stateSchema.shape,
   ...workSchema.shape,
   kind: z.literal('summary'),
-  sequence: finiteNumber,
+  sequence: boundedNumber,
   hub: name,
   incarnation: z.string().max(40),
   host,
   /** True for the sum of all other VMs, false for the sum of the hub and its reporters. */
   whole: z.boolean(),
   /** Id of the hub's member list, computed from its content. */
-  list: finiteNumber,
+  list: boundedNumber,
   /** Reachable VMs; omitted when the receiver already has the list. */
   members: z.array(memberTupleSchema).optional(),
 });
--- a/src/places/place-message.ts
+++ b/src/places/place-message.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 
-const finiteNumber = z.number().finite();
+import { boundedNumber } from '../domain/number-ranges.js';
+
 const name = z.string().max(100);
 const incarnation = z.string().max(40);
 
@@ -10,15 +11,15 @@
 
 /** A request for a place; times are relative to the message, because VMs share no monotonic clock. */
 const askSchema = z.object({
-  id: finiteNumber,
+  id: boundedNumber,
   team: name,
   /** Priority; 0 is the highest. */
-  rank: finiteNumber,
-  kvTokens: finiteNumber,
+  rank: boundedNumber,
+  kvTokens: boundedNumber,
   /** Time until the latest start that meets the target, in milliseconds. */
-  startInMs: finiteNumber,
+  startInMs: boundedNumber,
   /** Time until the latest start that is of use, in milliseconds. */
-  giveUpInMs: finiteNumber,
+  giveUpInMs: boundedNumber,
   insideRate: z.boolean(),
   /** Engines that the request may not use. */
   excluded: z.array(name).max(64).default([]),
@@ -33,27 +34,27 @@
   zone: name,
   pool: name,
   /** Increases with every message of an incarnation. */
-  sequence: finiteNumber,
+  sequence: boundedNumber,
   /** New requests, and repetitions of requests that wait. */
   asks: z.array(askSchema).max(MAX_ASKS),
   /** Places that are given back, and requests that are withdrawn. */
-  done: z.array(finiteNumber),
+  done: z.array(boundedNumber),
   /** Places whose engine refused the reservation. */
-  rejected: z.array(finiteNumber),
+  rejected: z.array(boundedNumber),
   /** All places that the VM holds at engines of this granter: id, engine and KV cache tokens. */
   held: z
-    .array(z.tuple([finiteNumber, name, finiteNumber]))
+    .array(z.tuple([boundedNumber, name, boundedNumber]))
     .max(MAX_HELD)
     .optional(),
 });
 
 /** Id of the request, what became of it, and the engine or a time in milliseconds. */
 const resultSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('granted'), id: finiteNumber, server: name }),
-  z.object({ kind: z.literal('refused'), id: finiteNumber, retryAfterMs: finiteNumber }),
-  z.object({ kind: z.literal('queued'), id: finiteNumber }),
+  z.object({ kind: z.literal('granted'), id: boundedNumber, server: name }),
+  z.object({ kind: z.literal('refused'), id: boundedNumber, retryAfterMs: boundedNumber }),
+  z.object({ kind: z.literal('queued'), id: boundedNumber }),
   /** The VM is no granter of the pool. */
-  z.object({ kind: z.literal('declined'), id: finiteNumber }),
+  z.object({ kind: z.literal('declined'), id: boundedNumber }),
 ]);
 
 /** Sent by a granter to a VM that asked. */
