fix(capacity): report servers whose ids contain spaces

Cause: capacity reports took a work key apart at every space, so the server 'odd id 7' was reported as 'odd', started at NaN. Change: the key is read from its end. A start may be any number. Result: the new scenario failed with the old code and passes.

--- a/features/capacity/learned-capacity.feature
+++ b/features/capacity/learned-capacity.feature
@@ -73,3 +73,8 @@
     Then merged capacity reports are the same in any order, and in parts
     And one VM sends at most 24 and a hub at most 160 of them, in at most 16 KB
     And a capacity report loses half of its weight in 3 s, and all when its source has gone
+
+  # Guards against a server with an odd id whose reports make receivers drop whole digests.
+  Scenario: a capacity report names a server whose id contains spaces
+    Given capacity work at the server "odd id 7" that was started at 5.5
+    Then its capacity report names "odd id 7" started at 5.5, and reads back
--- a/features/steps/learned-capacity-steps.ts
+++ b/features/steps/learned-capacity-steps.ts
@@ -4,10 +4,13 @@
 
 import {
   createReports,
+  createWorkKey,
   mergeCapacityReports,
+  readReports,
   type CapacityReport,
 } from '../../src/capacity/capacity-report.js';
 import { ServerCapacities, type CapacityChange } from '../../src/capacity/server-capacities.js';
+import type { WorkSums } from '../../src/capacity/work-sums.js';
 import type { CatalogServer, Stage } from '../../src/relay/server-catalog.js';
 import { ServerHealth } from '../../src/relay/server-health.js';
 import { ServerLoads } from '../../src/relay/server-loads.js';
@@ -28,6 +31,7 @@
   changes: CapacityChange[];
   chosen: CatalogServer[];
   reports: CapacityReport[][];
+  capacityReports: CapacityReport[];
   log(text: string): void;
 }
 
@@ -329,3 +333,23 @@
   scenario.capacities.removeSource('hub');
   assert.equal(scenario.capacities.shareOf(second, NOW_MS + 400), 1);
 });
+
+const SAMPLE_WORK: WorkSums = [3, 120, 2, 90, 1];
+
+Given(
+  'capacity work at the server {string} that was started at {float}',
+  (id: string, startedAtMs: number) => {
+    const key = createWorkKey(id, startedAtMs, 'plain');
+    scenario.capacityReports = createReports(new Map([[key, SAMPLE_WORK]]));
+  },
+);
+
+Then(
+  'its capacity report names {string} started at {float}, and reads back',
+  (id: string, startedAtMs: number) => {
+    const [report] = scenario.capacityReports;
+    assert.deepEqual(report, [id, startedAtMs, 0, ...SAMPLE_WORK]);
+    const works = readReports(scenario.capacityReports);
+    assert.deepEqual(works.get(createWorkKey(id, startedAtMs, 'plain')), SAMPLE_WORK);
+  },
+);
--- a/src/capacity/capacity-report.ts
+++ b/src/capacity/capacity-report.ts
@@ -27,6 +27,8 @@
 /** Weight below which work is no longer reported, in units. */
 const MIN_UNITS = 0.1;
 
+const WORK_KEY = /^(.*) (\S+) (\S+)$/s;
+
 /**
  * Identifies one task of one start of a server.
  *
@@ -97,7 +99,8 @@
   if (known.length > most)
     known.sort(([, left], [, right]) => countUnits(right) - countUnits(left));
   return known.slice(0, most).map(([key, sums]): CapacityReport => {
-    const [id = '', startedAtMs, task] = key.split(' ');
+    // An id may contain spaces: the store accepts any key.
+    const [, id = '', startedAtMs, task] = WORK_KEY.exec(key) ?? [];
     const [lightUnits, lightMs, fullUnits, fullMs, refused] = sums;
     return [
       ...([id, Number(startedAtMs), Number(task)] as const),
