--- a/features/memory/memory-budget.feature
+++ b/features/memory/memory-budget.feature
@@ -47,3 +47,9 @@
     And memory budget connection "c" reserves 10 bytes at 3 ms
     Then the memory budget has closed "b"
     And the memory budget holds 20 bytes
+
+  # Guards against connections that are closed without a trace in logs and metrics.
+  Scenario: a connection without room is closed, and the guard tells why
+    Given a guarded server whose memory budget has room for one idle connection
+    When a client sends the guarded server 4000 bytes of an incomplete head
+    Then the guarded server closes the connection, and tells "memory"
--- a/features/steps/memory-budget-steps.ts
+++ b/features/steps/memory-budget-steps.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, type Server } from 'node:http';
+import { connect, type AddressInfo } from 'node:net';
 
-import { Given, Then, When, world } from '@cucumber/cucumber';
+import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
+import { SystemClock } from '../../src/kernel/system-clock.js';
+import { ConnectionGuard } from '../../src/memory/connection-guard.js';
 import { MemoryBudget, type Holding } from '../../src/memory/memory-budget.js';
 
 interface BudgetWorld {
@@ -9,6 +14,8 @@
   holdings: Map<string, Holding>;
   budgetRefused: string[];
   budgetClosed: string[];
+  guardedServer: Server | undefined;
+  guardReasons: string[];
 }
 
 const scenario = world as unknown as BudgetWorld;
@@ -72,3 +79,41 @@
 Then('the memory budget holds {int} bytes', (bytes: number) => {
   assert.equal(scenario.memoryBudget.used, bytes);
 });
+
+/** A quarter of it is the budget, which is a little more than an idle connection needs. */
+const GUARDED_MEMORY_BYTES = 40_000;
+
+After(() => {
+  scenario.guardedServer?.close();
+  scenario.guardedServer?.closeAllConnections();
+  scenario.guardedServer = undefined;
+});
+
+Given('a guarded server whose memory budget has room for one idle connection', async () => {
+  const machine = { memoryBytes: GUARDED_MEMORY_BYTES, descriptors: 100 };
+  const reasons: string[] = [];
+  scenario.guardReasons = reasons;
+  const guard = ConnectionGuard.create(machine, SystemClock.create(), {
+    onRefuse: (reason) => reasons.push(reason),
+  });
+  scenario.guardedServer = createServer();
+  guard.attach(scenario.guardedServer);
+  scenario.guardedServer.listen(0, '127.0.0.1');
+  await once(scenario.guardedServer, 'listening');
+});
+
+When(
+  'a client sends the guarded server {int} bytes of an incomplete head',
+  async (bytes: number) => {
+    const { port } = scenario.guardedServer!.address() as AddressInfo;
+    const client = connect(port, '127.0.0.1');
+    // The connection may be reset, as it is closed with unread data.
+    client.on('error', () => {});
+    client.write(`GET / HTTP/1.1\r\nX-Long: ${'x'.repeat(bytes)}`);
+    await once(client, 'close');
+  },
+);
+
+Then('the guarded server closes the connection, and tells {string}', (reason: string) => {
+  assert.deepEqual(scenario.guardReasons, [reason]);
+});
--- a/src/memory/connection-guard.ts
+++ b/src/memory/connection-guard.ts
@@ -7,7 +7,7 @@
 import { BlockPool } from './block-pool.js';
 import { FragmentedBodies } from './fragmented-bodies.js';
 import { GuardedConnection } from './guarded-connection.js';
-import { MemoryBudget, type ReclaimListener } from './memory-budget.js';
+import { MemoryBudget, type ReclaimListener, type ReclaimReason } from './memory-budget.js';
 import type { RequestMemory } from './request-memory.js';
 
 /** Part of a machine's memory that may be held for connections. */
@@ -21,6 +21,15 @@
 
 const RETRY_AFTER_MS = 1000;
 
+/** Why a connection was closed that there was no room for: `requests` when it had too many unanswered ones. */
+export type RefusalReason = ReclaimReason | 'requests';
+
+/** Told of the connections that a guard closes. */
+export interface GuardListeners {
+  readonly onReclaim?: ReclaimListener;
+  readonly onRefuse?: (reason: RefusalReason) => void;
+}
+
 /** Limits of a machine. */
 export interface MachineLimits {
   readonly memoryBytes: number;
@@ -65,6 +74,7 @@
   private constructor(
     readonly budget: MemoryBudget,
     private readonly clock: Clock,
+    private readonly onRefuse: (reason: RefusalReason) => void,
   ) {}
 
   /**
@@ -72,15 +82,16 @@
    *
    * @param machine - limits of the machine
    * @param clock - monotonic time
-   * @param onReclaim - told of each connection that is closed to make room
+   * @param listeners - told of each connection that is closed
    * @returns a new guard
    */
   static create(
     machine: MachineLimits,
     clock: Clock,
-    onReclaim?: ReclaimListener,
+    { onReclaim, onRefuse = () => {} }: GuardListeners = {},
   ): ConnectionGuard {
-    return new ConnectionGuard(MemoryBudget.create(toMemoryLimits(machine), onReclaim), clock);
+    const budget = MemoryBudget.create(toMemoryLimits(machine), onReclaim);
+    return new ConnectionGuard(budget, clock, onRefuse);
   }
 
   /**
@@ -92,14 +103,26 @@
     // The lines of a head are paid for, so that their number needs no limit that cuts off legal ones.
     Object.assign(server, { maxHeadersCount: 0 });
     const { budget, pool, fragments, clock } = this;
-    const shared = { budget, pool, fragments, clock };
+    const refuse = (socket: Socket, reason: RefusalReason) => this.refuse(socket, reason);
+    const shared = { budget, pool, fragments, clock, refuse };
     server.on('connection', (socket: Socket) => {
       const connection = GuardedConnection.create(socket, shared);
       if (connection) this.connections.set(socket, connection);
-      else socket.destroy();
+      else refuse(socket, budget.isFull ? 'connections' : 'memory');
     });
   }
 
+  /**
+   * Closes a connection that there is no room for.
+   *
+   * @param socket - the connection
+   * @param reason - what it would need
+   */
+  refuse(socket: Socket, reason: RefusalReason): void {
+    this.onRefuse(reason);
+    socket.destroy();
+  }
+
   /**
    * Accounts a request until its response is closed.
    *
--- a/src/memory/guarded-connection.ts
+++ b/src/memory/guarded-connection.ts
@@ -20,6 +20,8 @@
   readonly pool: BlockPool;
   readonly fragments: FragmentedBodies;
   readonly clock: Clock;
+  /** Closes a connection that there is no room for. */
+  readonly refuse: (socket: Socket, reason: 'memory') => void;
 }
 
 /** Memory of one connection. */
@@ -40,6 +42,7 @@
     readonly pool: BlockPool,
     readonly fragments: FragmentedBodies,
     private readonly clock: Clock,
+    private readonly refuse: SharedMemory['refuse'],
   ) {}
 
   /**
@@ -51,9 +54,9 @@
    */
   static create(
     socket: Socket,
-    { budget, pool, fragments, clock }: SharedMemory,
+    { budget, pool, fragments, clock, refuse }: SharedMemory,
   ): GuardedConnection | undefined {
-    const connection = new GuardedConnection(socket, budget, pool, fragments, clock);
+    const connection = new GuardedConnection(socket, budget, pool, fragments, clock, refuse);
     const reclaim = () => connection.reclaim();
     const holding = budget.open(CONNECTION_BYTES, reclaim, clock.monotonicMs());
     if (!holding) return undefined;
@@ -128,7 +131,7 @@
     this.headBytes += bytes;
     if (this.reserve(bytes)) return;
     this.headBytes = 0;
-    this.socket.destroy();
+    this.refuse(this.socket, 'memory');
   }
 
   private reclaim(): void {
--- a/src/memory/memory-budget.ts
+++ b/src/memory/memory-budget.ts
@@ -75,6 +75,11 @@
     return this.records.size;
   }
 
+  /** True when there are as many connections as may be open. */
+  get isFull(): boolean {
+    return this.records.size >= this.limits.connections;
+  }
+
   /** Bytes that may be held. */
   get limit(): number {
     return this.limits.bytes;
@@ -90,8 +95,7 @@
    */
   open(bytes: number, reclaim: () => void, nowMs: number): Holding | undefined {
     const record = { bytes: 0, openedMs: nowMs, progressMs: nowMs, reclaimable: true, reclaim };
-    if (this.records.size >= this.limits.connections && !this.reclaimOne('connections', 0, nowMs))
-      return undefined;
+    if (this.isFull && !this.reclaimOne('connections', 0, nowMs)) return undefined;
     this.records.add(record);
     if (this.reserve(record, bytes, nowMs)) return record;
     this.records.delete(record);
