--- a/src/places/places.ts
+++ b/src/places/places.ts
@@ -81,7 +81,7 @@
   }
 
   override async start(): Promise<void> {
-    void this.run();
+    if (Number.isFinite(this.options.minVms)) void this.run();
     await Promise.resolve();
   }
 
--- a/src/relay/granted-scheduler.ts
+++ b/src/relay/granted-scheduler.ts
@@ -18,8 +18,8 @@
 const UNUSABLE_RETRY_MS = 500;
 
 /**
- * Reserves slots at the engines that the granters of the pool name. The requests of a pool whose engines
- * limit their requests a second, and those that no granter answers, are left to this VM's own choice.
+ * Reserves slots at the engines that the granters of the pool name. The requests of a pool with engines
+ * that are cold or have named a limit, and those that no granter answers, are left to this VM's own choice.
  */
 export class GrantedScheduler extends DecodeScheduler {
   private readonly local: LocalScheduler;
@@ -73,7 +73,7 @@
     this.pool = request.pool.name;
     const places = this.places();
     if (!places) return this.local.acquire(request);
-    if (this.hasLimits(request)) return this.acquireLocally(request, places);
+    if (this.hasRates(request)) return this.acquireLocally(request, places);
     const excluded = new Set(request.excluded);
     for (let grants = 0; grants < MAX_GRANTS; grants += 1) {
       const step = await this.tryGrant({ ...request, excluded }, places, excluded);
@@ -185,7 +185,7 @@
     };
   }
 
-  private hasLimits(request: SlotRequest): boolean {
+  private hasRates(request: SlotRequest): boolean {
     const nowMs = this.clock.monotonicMs();
     const { limits } = this.context;
     const servers = this.listServers(request, nowMs);
