--- a/src/capacity/capacity-estimate.ts
+++ b/src/capacity/capacity-estimate.ts
@@ -1,5 +1,5 @@
 import type { ServerTask } from './capacity-report.js';
-import { countUnits, type WorkSums } from './work-sums.js';
+import { countUnits, LIGHT_LOAD, type WorkSums } from './work-sums.js';
 
 /** What a server takes well, relative to the fastest servers of its pool. */
 export interface CapacityEstimate {
@@ -27,9 +27,6 @@
 /** Ratio up to which it is taken as measured; between the two the share is interpolated. */
 const DIFFERENT_RATIO = 0.6;
 
-/** Share of the slots up to which work counts as light. */
-const LIGHT_LOAD = 0.5;
-
 interface Reference {
   /** Time per unit of the fast servers of the pool, in milliseconds; undefined when it is not known. */
   readonly lightMs: number | undefined;
--- a/src/capacity/server-capacities.ts
+++ b/src/capacity/server-capacities.ts
@@ -8,7 +8,7 @@
   type ServerTask,
 } from './capacity-report.js';
 import { fitSlots } from './slot-fit.js';
-import { addWork, countUnits, decayWork, NO_WORK, type WorkSums } from './work-sums.js';
+import { addWork, countUnits, decayWork, LIGHT_LOAD, NO_WORK, type WorkSums } from './work-sums.js';
 
 /** What the capacities need to know of the servers. */
 export interface CapacitySources {
@@ -30,9 +30,6 @@
 const PROMPT_TOKENS_PER_UNIT = 2000;
 const EVENTS_PER_UNIT = 16;
 
-/** Share of the slots up to which work counts as light. */
-const LIGHT_LOAD = 0.5;
-
 /** Time for which estimates are reused, in milliseconds. */
 const REFRESH_MS = 100;
 
--- a/src/capacity/work-sums.ts
+++ b/src/capacity/work-sums.ts
@@ -11,6 +11,9 @@
   refused: number,
 ];
 
+/** Share of the slots up to which work counts as light. */
+export const LIGHT_LOAD = 0.5;
+
 /** Half-life of the weight of an observation, in milliseconds. */
 const HALF_LIFE_MS = 3000;
 
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -379,7 +379,7 @@
     const deadline = Deadline.create(endByMs - nowMs);
     const signal = AbortSignal.any([disconnected, deadline.signal]);
     const priority = team?.priority ?? route.priority;
-    const serverPriority = this.table!.hasRanks(pool.name) ? priority : undefined;
+    const serverPriority = this.table!.hasSeveralPriorities(pool.name) ? priority : undefined;
     const limits = { priority, serverPriority, insideRate, endByMs, signal };
     const job: Job = { request, route, pool, team: team?.name, ...limits, sink };
     this.deadlines.add(deadline);
--- a/src/relay/route-table.ts
+++ b/src/relay/route-table.ts
@@ -78,7 +78,7 @@
    * @param pool - name of the pool
    * @returns true when there are several priorities
    */
-  hasRanks(pool: string): boolean {
+  hasSeveralPriorities(pool: string): boolean {
     return (this.priorities.get(pool)?.size ?? 0) > 1;
   }
 
--- a/src/relay/server-picker.ts
+++ b/src/relay/server-picker.ts
@@ -151,9 +151,9 @@
 }
 
 /**
- * Chooses the least utilized decode engine with room for a request; the slots of a slow engine count less. When the load data of other VMs is
- * stale, it is the better of two random candidates: otherwise many VMs choose the same engine at once, and
- * the memory of their requests exceeds its capacity later.
+ * Chooses the least utilized decode engine with room for a request; the slots of a slow engine count less.
+ * When the load data of other VMs is stale, it is the better of two random candidates: otherwise many VMs
+ * choose the same engine at once, and the memory of their requests exceeds its capacity later.
  *
  * @param servers - engines that may decode
  * @param excluded - ids of servers that this request may not use
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -401,7 +401,6 @@
     return this.finishUnserved('the decode engine did not run or complete the request');
   }
 
-  /** Gives up a slot, because its server has become cold or wants nothing since it was reserved. */
   /** Returns whether a reserved slot may still be used under the rates of its server. */
   private mayBegin({ server, limitCharge }: DecodeSlot): boolean {
     if (limitCharge.mayBegin(this.nowMs)) return true;
@@ -410,6 +409,7 @@
     return false;
   }
 
+  /** Gives up a slot whose server may not get the request any more, and begins another round if it is covered. */
   private moveElsewhere(slot: DecodeSlot, prefill: PrefillResult | undefined): StepResult<never> {
     slot.limitCharge.refund();
     this.releaseUnused(slot, prefill);
