feat(fleet): tell in logs and metrics which messages of VMs are not read whole

Cause: since a digest is read without the entries that are beyond their range, and a count that is no number counts as 0, without a trace; a message that cannot be read at all never had one. Change: schemas are strict again; the entries that they refuse are removed by their place and the message is parsed once more, so that the reader knows what is missing. The metrics fleet.unreadable and fleet.partial count messages, and a warning, at most one in ten seconds for each kind, names sender and entries. The property test over 2000 digests is unchanged but for the result's type.

--- a/features/fleet/number-ranges.feature
+++ b/features/fleet/number-ranges.feature
@@ -30,5 +30,18 @@
   Scenario: a digest with any value at any place of its work is read, without the entries concerned
     Then 2000 digests with a foreign value in their work are read, and lose no other entry
 
+  # Guards against parts of the fleet's work that disappear without a trace.
+  Scenario Outline: a message with <fault> is told in logs and metrics
+    When 40 messages with <fault> are read within 9 s, and 1 later
+    Then they are counted as "<metric>", and 2 log lines name "<entries>" and count 41 messages
+
+    Examples:
+      | fault                             | metric           | entries   |
+      | a load without end                | fleet.partial    | loads.1   |
+      | a number of requests that is text | fleet.partial    | waiting   |
+      | spending below all ranges         | fleet.partial    | spent.t1  |
+      | a VM without a name               | fleet.unreadable |           |
+      | half of its bytes                 | fleet.unreadable |           |
+
   Scenario: loads that are added and removed in any order leave none
     Then 500 series of loads within the ranges leave no load
--- a/features/steps/number-range-steps.ts
+++ b/features/steps/number-range-steps.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check';
 import { request } from 'undici';
 
+import { registerFake } from '../../harness/module-fakes.js';
 import { ownHost } from '../../harness/own-host.js';
 import { PLATFORM_HOST, PLATFORM_KEY } from '../../harness/platform-fixtures.js';
 import {
@@ -12,7 +13,16 @@
   readNumber,
   TOKEN_RANGE,
 } from '../../src/domain/number-ranges.js';
-import { decodeMessage, encodeMessage, type FleetWork } from '../../src/fleet/digest.js';
+import {
+  decodeMessage,
+  encodeMessage,
+  type Digest,
+  type FleetWork,
+} from '../../src/fleet/digest.js';
+import { MessageReader } from '../../src/fleet/message-reader.js';
+import { Kernel } from '../../src/kernel/kernel.js';
+import { ManualClock } from '../../src/kernel/manual-clock.js';
+import type { LogFields } from '../../src/observability/logs.js';
 import { ServerLoads } from '../../src/relay/server-loads.js';
 import { createDigest } from '../support/relay-fixtures.js';
 import { readSeed } from '../support/seed.js';
@@ -21,6 +31,9 @@
   /** Ports of the router's listeners; the first is that of the callers. */
   ports: number[];
   numberStatuses: number[];
+  /** Names of the metrics that were incremented, and the facts of the warnings. */
+  readerMetrics: string[];
+  readerLines: LogFields[];
 }
 
 const scenario = world as unknown as NumberWorld;
@@ -160,9 +173,9 @@
     const property = fc.property(path, foreign, (places, value) => {
       const work = replaceAt(WORK, places, value);
       const text = JSON.stringify({ ...digest, ...(work as object) });
-      const read = decodeMessage(Buffer.from(text.replaceAll('"LARGE"', '1e999')));
-      assert.equal(read?.kind, 'digest');
-      assert.ok(read.kind === 'digest');
+      const decoded = decodeMessage(Buffer.from(text.replaceAll('"LARGE"', '1e999')));
+      const read = decoded?.message;
+      assert.ok(read?.kind === 'digest');
       assert.equal(read.vm, 'vm-2');
       const sections = Object.keys(WORK) as (keyof FleetWork)[];
       const lost = sections.map((name) => {
@@ -174,7 +187,54 @@
       sections.forEach((name) => checkNumbers(read[name]));
     });
     fc.assert(property, { numRuns, seed: readSeed() });
-    assert.deepEqual(decodeMessage(encodeMessage(digest)), digest);
+    assert.deepEqual(decodeMessage(encodeMessage(digest)), { message: digest, removed: [] });
+  },
+);
+
+/** Bytes of a digest with one fault. */
+const FAULTY_MESSAGES: Readonly<Record<string, (digest: Digest) => string>> = {
+  'a load without end': ({ loads, ...digest }) =>
+    JSON.stringify({ ...digest, loads: [loads[0], ['s2', 1e308, 1, 1]] }),
+  'a number of requests that is text': (digest) => JSON.stringify({ ...digest, waiting: 'many' }),
+  'spending below all ranges': (digest) =>
+    JSON.stringify({ ...digest, spent: { ...digest.spent, t1: [-1e300, 0] } }),
+  'a VM without a name': ({ vm: _, ...digest }) => JSON.stringify(digest),
+  'half of its bytes': (digest) => JSON.stringify(digest).slice(0, 400),
+};
+
+When(
+  /^(\d+) messages with (.*) are read within 9 s, and 1 later$/,
+  async (count: string, fault: string) => {
+    const metrics: string[] = [];
+    const lines: LogFields[] = [];
+    const kernel = Kernel.create();
+    registerFake(kernel, 'metrics', { increment: (name: string) => metrics.push(name) });
+    registerFake(kernel, 'logs', { warn: (_: string, facts: LogFields) => lines.push(facts) });
+    const clock = ManualClock.create(0);
+    const reader = MessageReader.create(kernel, clock);
+    const compose = FAULTY_MESSAGES[fault] ?? assert.fail(fault);
+    const datagram = Buffer.from(compose(createDigest({ vm: 'vm-2', ...WORK })));
+    for (let index = 0; index < Number(count); index += 1) {
+      reader.read(datagram);
+      await clock.advance(9000 / Number(count));
+    }
+    await clock.advance(2000);
+    reader.read(datagram);
+    Object.assign(scenario, { readerMetrics: metrics, readerLines: lines });
+  },
+);
+
+Then(
+  'they are counted as {string}, and {int} log lines name {string} and count {int} messages',
+  (metric: string, lines: number, entries: string, messages: number) => {
+    assert.deepEqual(scenario.readerMetrics, Array<string>(messages).fill(metric));
+    assert.equal(scenario.readerLines.length, lines);
+    const counts = scenario.readerLines.map((line) => Number(line.messages));
+    assert.equal(
+      counts.reduce((sum, count) => sum + count, 0),
+      messages,
+    );
+    scenario.readerLines.forEach((line) => assert.equal(line.entries ?? '', entries));
   },
 );
 
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -2,7 +2,7 @@
 
 import { boundedNumber } from '../domain/number-ranges.js';
 import { UNREAD } from '../domain/store-position.js';
-import { listOf, recordOf } from './tolerant-schemas.js';
+import { removeFaultyEntries } from './faulty-entries.js';
 import { placeAnswerSchema, placeAskSchema, type PlaceMessage } from '../places/place-message.js';
 
 /** Bits of the flags of a member tuple. */
@@ -11,10 +11,18 @@
 const REACHES_STORE = 4;
 
 const nonNegative = boundedNumber.min(0);
-const count = boundedNumber.catch(0);
+const count = boundedNumber.default(0);
 const name = z.string().max(100);
 const host = z.string().max(64);
 
+function listOf<Entry extends z.ZodType>(entry: Entry) {
+  return z.array(entry).default(() => []);
+}
+
+function recordOf<Entry extends z.ZodType>(entry: Entry) {
+  return z.record(z.string(), entry).default(() => ({}));
+}
+
 /** State of a VM as a member of the fleet. */
 const memberSchema = z.object({
   vm: name,
@@ -97,6 +105,8 @@
   ),
 });
 
+const WORK_SECTIONS: ReadonlySet<string> = new Set(Object.keys(workSchema.shape));
+
 const digestSchema = z.object({
   ...memberSchema.shape,
   ...stateSchema.shape,
@@ -188,16 +198,29 @@
   return Math.floor(flags / flag) % 2 === 1;
 }
 
+/** A message as it could be read. */
+export interface DecodedMessage {
+  readonly message: FleetMessage;
+  /** Entries of its work that could not be read, for example `loads.3`. */
+  readonly removed: readonly string[];
+}
+
 /**
  * Decodes a datagram.
  *
  * @param datagram - untrusted bytes
  * @returns the message, or undefined when the bytes are not a valid message
  */
-export function decodeMessage(datagram: Buffer): FleetMessage | undefined {
+export function decodeMessage(datagram: Buffer): DecodedMessage | undefined {
   try {
-    const parsed = messageSchema.safeParse(JSON.parse(datagram.toString('utf8')));
-    return parsed.success ? parsed.data : undefined;
+    const value: unknown = JSON.parse(datagram.toString('utf8'));
+    const parsed = messageSchema.safeParse(value);
+    if (parsed.success) return { message: parsed.data, removed: [] };
+    if (typeof value !== 'object' || value === null) return undefined;
+    const remainder = removeFaultyEntries(value, parsed.error.issues, WORK_SECTIONS);
+    if (!remainder) return undefined;
+    const { data } = messageSchema.safeParse(remainder.rest);
+    return data && { message: data, removed: remainder.removed };
   } catch {
     return undefined;
   }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -19,7 +19,6 @@
 import type { PlaceMessage } from '../places/place-message.js';
 import type { Datagrams } from './datagrams.js';
 import {
-  decodeMessage,
   encodeMessage,
   type Digest,
   type FleetMember,
@@ -30,6 +29,7 @@
 import { PEER_EXPIRY_MS, PeerTable, WORK_EXPIRY_MS } from './peer-table.js';
 import { HubAggregator } from './hub-aggregator.js';
 import { HubSelector } from './hub-selector.js';
+import { MessageReader } from './message-reader.js';
 import { RemoteWork } from './remote-work.js';
 import { ShareLending } from './share-lending.js';
 
@@ -129,6 +129,8 @@
 
   private readonly lending: ShareLending;
 
+  private readonly reader: MessageReader;
+
   /** When the last message of another VM arrived; undefined before the first. */
   private heardMs: number | undefined;
 
@@ -157,6 +159,7 @@
     this.peerTable = PeerTable.create(options.vm);
     this.hubSelector = HubSelector.create(options.vm, this.peerTable);
     this.remoteWork = RemoteWork.create(kernel);
+    this.reader = MessageReader.create(kernel, clock);
     const self = { vm: options.vm, incarnation: this.incarnation };
     this.lending = ShareLending.create(kernel, self, clock, (vm, message) => {
       const peer = this.peerTable.find(vm, clock.monotonicMs());
@@ -168,7 +171,7 @@
   /**
    * Creates a member of a fleet.
    *
-   * @param kernel - provides `relay`, `state` and `logs`
+   * @param kernel - provides `relay`, `state`, `logs` and `metrics`
    * @param options - names and addresses
    * @param datagrams - transport to the other VMs
    * @param clock - source of time
@@ -388,7 +391,7 @@
   }
 
   private receive(datagram: Buffer): void {
-    const message = decodeMessage(datagram);
+    const message = this.reader.read(datagram);
     const nowMs = this.clock.monotonicMs();
     if (message) this.heardMs = nowMs;
     if (message?.kind === 'loan') this.lending.receive(message);
