fix(relay): let the claim in the store decide who commands

Cause: a VM claimed a fencing number once, when its own view had made it the first for a lease, and went on with it until an order was refused; nobody looked whether another VM had claimed since. Change: each order needs a claim of its own (CommandTenure). The store refuses it when another VM has claimed since this VM last asked; then the VM pauses, and orders no earlier than 1.5 leases after the last claim that it knows of. An order that its claim delays by more than a quarter of a lease is not sent. The commander waits on the clock, so that it can be simulated; metric command.claims. The client of the store no longer repeats a refused claim at once, since the refusal is the answer; the scenario of claims over a rollback asks twice now, and requires the refusal.

--- a/features/steps/store-follower-steps.ts
+++ b/features/steps/store-follower-steps.ts
@@ -3,7 +3,7 @@
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
 import { Evacuations, type EvacuationReport } from '../../src/relay/evacuations.js';
-import { computeFence } from '../../src/relay/stage-commander.js';
+import { computeFence } from '../../src/relay/command-tenure.js';
 import { StoreFollowerFleet } from '../support/store-follower-fleet.js';
 
 const scenario = world as unknown as { followers?: StoreFollowerFleet; view?: Evacuations };
--- a/features/steps/store-rollback-steps.ts
+++ b/features/steps/store-rollback-steps.ts
@@ -5,7 +5,7 @@
 import { LogStore } from '../../platform/log-store.js';
 import type { StorePosition } from '../../src/domain/store-position.js';
 import { JsonLogs } from '../../src/observability/json-logs.js';
-import { computeFence } from '../../src/relay/stage-commander.js';
+import { computeFence } from '../../src/relay/command-tenure.js';
 import { PlatformLog, type LogCopy } from '../../stand-ins/platform/platform-log.js';
 
 interface RollbackWorld {
@@ -67,7 +67,12 @@
 When('two clients claim the command in turn {int} times each', async (times: number) => {
   for (let index = 0; index < 2 * times; index += 1) {
     const client = scenario.rollbackClients[index % 2]!;
-    const outcome = await client.claimCommand(`vm-${index % 2}`);
+    const vm = `vm-${index % 2}`;
+    const known = await client.claimCommand(vm);
+    // The other client has claimed since, which the refusal tells.
+    const outcome = known.kind === 'failed' ? await client.claimCommand(vm) : known;
+    if (known.kind === 'failed') assert.equal(known.failure.reason, 'conflict');
+    assert.ok(index === 0 || known.kind === 'failed', `claim ${index}`);
     assert.equal(outcome.kind, 'ok', `claim ${index}`);
     if (outcome.kind === 'ok') scenario.rollbackFences.push(computeFence(outcome.value));
   }
--- a/src/relay/stage-commander.ts
+++ b/src/relay/stage-commander.ts
@@ -1,7 +1,7 @@
-import type { StorePosition } from '../domain/store-position.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { Service } from '../kernel/service.js';
+import { CommandTenure } from './command-tenure.js';
 import type { EnginePool } from './relay-configuration.js';
 import type { CatalogServer } from './server-catalog.js';
 import { computePrefillEngines } from './stage-balance.js';
@@ -18,47 +18,37 @@
 /** Largest fraction of a pool's engines that change their roles at once, but at least one engine. */
 const MAX_CHANGED_FRACTION = 0.08;
 
-/** Fencing numbers of one era of the store; more than claims are ever lost with a rollback. */
-const FENCES_PER_ERA = 1_000_000;
-
 /**
- * Computes the fencing number of a claim. It rises also when the store has come back from an older copy and
- * gives out the same offsets again.
- *
- * @param claim - position of the claim in the store
- * @returns a number from 1
+ * Orders engines to change their roles, on the one VM that is the commander: the first of those that follow
+ * the store as far as this VM knows, and the one whose claim the store has.
  */
-export function computeFence({ era, offset }: StorePosition): number {
-  return era * FENCES_PER_ERA + offset + 1;
-}
-
-/** Orders engines to change their roles, on the one VM that is the commander. */
 export class StageCommander extends Service {
-  private timer: NodeJS.Timeout | undefined;
+  private readonly stopping = new AbortController();
 
-  private claim: StorePosition | undefined;
+  private readonly tenure: CommandTenure;
 
-  private leaderSinceMs: number | undefined;
+  /** Whether this VM was the first at the last check, too. */
+  private wasFirst = false;
 
   private wantedSinceMs: number | undefined;
 
   private lastChangeMs = -Infinity;
 
-  private busy = false;
-
   private constructor(
     private readonly kernel: Kernel,
-    private readonly vm: string,
+    vm: string,
     private readonly leaseMs: number,
     private readonly clock: Clock,
   ) {
     super();
+    this.tenure = CommandTenure.create(kernel, vm, leaseMs, clock);
   }
 
   /**
    * Creates a commander; it stays inactive while another VM is the commander.
    *
-   * @param kernel - provides `relay`, `fleet`, `state`, `state-store`, `upstream` and `logs`
+   * @param kernel - provides `relay`, `fleet`, `state`, `state-store`, `upstream`, `logs` and
+   * `metrics`
    * @param vm - name of this VM
    * @param leaseMs - time for which a predecessor's orders may be in flight, in milliseconds
    * @param clock - source of the current time
@@ -69,43 +59,41 @@
   }
 
   override async start(): Promise<void> {
-    this.timer = setInterval(() => {
-      if (!this.busy) void this.check();
-    }, CHECK_INTERVAL_MS);
+    void this.run();
     await Promise.resolve();
   }
 
   override async stop(): Promise<void> {
-    clearInterval(this.timer);
+    this.stopping.abort();
     await Promise.resolve();
   }
 
+  private async run(): Promise<void> {
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      await this.clock.sleep(CHECK_INTERVAL_MS, signal);
+      if (!signal.aborted) await this.check();
+    }
+  }
+
   private async check(): Promise<void> {
-    const nowMs = this.clock.monotonicMs();
-    if (!this.isLeader(nowMs)) return;
     const pools = this.kernel.find('relay').configuration?.pools ?? [];
-    for (const { name, engine } of pools) {
-      if (!engine) continue;
-      this.busy = true;
-      await this.balance(name, engine, nowMs);
-      this.busy = false;
-    }
+    const enginePools = pools.filter(({ engine }) => engine !== undefined);
+    const { wasFirst } = this;
+    this.wasFirst = this.isFirst();
+    if (!this.wasFirst) this.tenure.end();
+    if (!this.wasFirst || !wasFirst || enginePools.length === 0) return;
+    await this.tenure.begin();
+    if (!this.tenure.isSettled) return;
+    const nowMs = this.clock.monotonicMs();
+    for (const { name, engine } of enginePools) await this.balance(name, engine!, nowMs);
   }
 
-  /**
-   * Returns whether this VM is the commander: it has had rank 0 among the VMs that follow the store for a
-   * full lease.
-   */
-  private isLeader(nowMs: number): boolean {
+  /** Whether this VM is the first of those that follow the store, as far as it knows. */
+  private isFirst(): boolean {
     const { ready, rank, storeAgeMs } = this.kernel.find('state');
     const { isDraining } = this.kernel.find('fleet');
-    if (rank !== 0 || !ready || isDraining || storeAgeMs > this.leaseMs / 2) {
-      this.leaderSinceMs = undefined;
-      this.claim = undefined;
-      return false;
-    }
-    this.leaderSinceMs ??= nowMs;
-    return nowMs - this.leaderSinceMs >= this.leaseMs;
+    return rank === 0 && ready && !isDraining && storeAgeMs <= this.leaseMs / 2;
   }
 
   private async balance(pool: string, engine: EnginePool, nowMs: number): Promise<void> {
@@ -151,14 +139,12 @@
     stage: 'prefill' | 'decode',
     facts: Readonly<Record<string, number>>,
   ): Promise<void> {
-    const fence = await this.claimFence();
-    if (fence === undefined || !this.isLeader(this.clock.monotonicMs())) return;
+    const fence = await this.tenure.claimFence();
+    if (fence === undefined || !this.isFirst()) return;
     this.lastChangeMs = this.clock.monotonicMs();
     this.wantedSinceMs = undefined;
     const outcome = await this.kernel.find('upstream').orderStage(server, stage, fence);
     const result = outcome.kind === 'ok' ? 'accepted' : outcome.failure;
-    // A refused order may mean that another VM has become commander; claim a new number for the next one.
-    if (outcome.kind === 'failed') this.claim = undefined;
     const reason = 'prefill and decode should reach full load together';
     const rounded = Object.fromEntries(
       Object.entries(facts).map(([name, value]) => [name, Math.round(value)]),
@@ -168,18 +154,6 @@
       ...rounded,
     });
   }
-
-  private async claimFence(): Promise<number | undefined> {
-    const store = this.kernel.find('state-store');
-    // A claim of an earlier era may be missing in the store, where another VM can have claimed since.
-    if (this.claim && this.claim.era === store.era) return computeFence(this.claim);
-    const outcome = await store.claimCommand(this.vm);
-    this.claim = outcome.kind === 'ok' ? outcome.value : undefined;
-    const fence = this.claim && computeFence(this.claim);
-    const result = outcome.kind === 'ok' ? computeFence(outcome.value) : outcome.failure.reason;
-    this.kernel.find('logs').info('command over roles claimed', { result, ...this.claim });
-    return fence;
-  }
 }
 
 declare module '../kernel/service.js' {
--- a/src/state/state-store.ts
+++ b/src/state/state-store.ts
@@ -94,7 +94,8 @@
    * each end offset of the log, so two VMs never have claims at the same position.
    *
    * @param vm - name of this VM
-   * @returns the position of the claim, or `conflict` when another VM claimed first
+   * @returns the position of the claim, or `conflict` when another VM has claimed since the last answer to
+   * this one; the first call may be a conflict because nothing is known of earlier claims
    */
   abstract claimCommand(vm: string): Promise<Outcome<StorePosition, StoreFailure>>;
 }
