fix(relay): end the calls of a request when the request has ended

Cause: the signal of a send is aborted by its caller's leaving or a timeout, not by the end of the run, and a body that is dropped unread is not closed by itself. The same holds for a 5xx without end when a stream is continued. Change: each run has a signal of its own that ends with it and is part of every send.

--- a/features/relay/relay-runs.feature
+++ b/features/relay/relay-runs.feature
@@ -192,3 +192,17 @@
     When a relay request of kind "stream" with 1 attempts arrives
     Then the relay sends it 2 times and the caller gets 200
     And the second send uses no connection that was open at the first
+
+  # Guards against answers that nobody reads any more and that keep their servers at work (review/10 of 39b5b15).
+  Scenario Outline: a <kind> request whose servers do "<steps>" leaves no answer open
+    Given a relay with <servers> that do "<steps>"
+    When a relay request of kind "<kind>" with <attempts> attempts arrives
+    Then the relay sends it <attempts> times and the caller gets <status>
+    And the relay has left no answer of a server open
+
+    Examples:
+      | kind       | servers                               | attempts | steps                                                          | status |
+      | idempotent | 3 plain servers                       | 2        | failure status without end, answer                             | 200    |
+      | idempotent | 3 plain servers                       | 3        | failure status without end, failure status without end, answer | 200    |
+      | idempotent | 3 plain servers                       | 2        | failure status without end, failure status                     | 500    |
+      | resumable  | 1 prefill engine and 3 decode engines | 2        | stream breaks, failure status without end                      | 200    |
--- a/features/steps/relay-run-steps.ts
+++ b/features/steps/relay-run-steps.ts
@@ -405,3 +405,7 @@
     assert.ok(options.deadlineMs <= mostMs, `${options.deadlineMs} ms`);
   });
 });
+
+Then('the relay has left no answer of a server open', () => {
+  assert.equal(scenario.upstream.openAnswers, 0);
+});
--- a/features/support/fake-upstream.ts
+++ b/features/support/fake-upstream.ts
@@ -30,6 +30,7 @@
 const ANSWER_STEPS = [
   'answer',
   'failure status',
+  'failure status without end',
   'stream breaks',
   'stream breaks late',
   'stream ends inside an event',
@@ -85,6 +86,9 @@
 
   private reservations = 0;
 
+  /** Answers that have neither ended nor been given up. */
+  private readonly open = new Set<OpenAnswer>();
+
   /** Servers that have crashed. */
   private readonly down = new Set<string>();
 
@@ -129,7 +133,7 @@
       });
       return fail('cancelled');
     }
-    if (isAnswer(step)) return succeed(createAnswer(step, options));
+    if (isAnswer(step)) return succeed(this.track(createAnswer(step, options), options.signal));
     return fail(step);
   }
 
@@ -143,6 +147,25 @@
     return Promise.resolve(succeed({ server, handle: `k${this.prefills}`, tokens: 100 }));
   }
 
+  /** Number of answers that the relay has neither read to their end nor given up. */
+  get openAnswers(): number {
+    return this.open.size;
+  }
+
+  private track(answer: OpenAnswer, signal: AbortSignal): OpenAnswer {
+    const { open } = this;
+    open.add(answer);
+    signal.addEventListener('abort', () => open.delete(answer), { once: true });
+    async function* body(): AsyncGenerator<Buffer> {
+      try {
+        yield* answer.body;
+      } finally {
+        open.delete(answer);
+      }
+    }
+    return { head: answer.head, body: body() };
+  }
+
   /** Servers that have crashed. */
   get crashed(): ReadonlySet<string> {
     return this.down;
@@ -207,11 +230,15 @@
 }
 
 function createAnswer(step: AnswerStep, { resumeAfter, signal }: SendOptions): OpenAnswer {
-  const status = step === 'failure status' ? 500 : 200;
+  const status = step.startsWith('failure status') ? 500 : 200;
   const first = Number(resumeAfter ?? 0) + 1;
   async function* body() {
     if (status !== 200) {
       yield Buffer.from(FAILURE_TEXT);
+      while (step === 'failure status without end' && !signal.aborted) {
+        await setTimeout(0);
+        yield Buffer.alloc(65_536, ' ');
+      }
       return;
     }
     if (step === 'text of another type') {
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -67,6 +67,9 @@
 
   private readonly charges: SendCharges;
 
+  /** Aborted when the request has ended, so that no server goes on with an answer that nobody reads. */
+  private readonly ended = new AbortController();
+
   /** What may crash a server; computed when it is first needed. */
   private suspects: readonly string[] | undefined;
 
@@ -84,9 +87,13 @@
    * @returns how the run ended; a refusal still has to be sent
    */
   async execute(): Promise<RunResult> {
-    const result = this.refuseEvacuated() ?? (await this.runUnlessQuarantined());
-    this.charges.refundUnused(this.nowMs);
-    return result;
+    try {
+      const result = this.refuseEvacuated() ?? (await this.runUnlessQuarantined());
+      this.charges.refundUnused(this.nowMs);
+      return result;
+    } finally {
+      this.ended.abort();
+    }
   }
 
   private async runUnlessQuarantined(): Promise<RunResult> {
@@ -146,7 +153,7 @@
     const timeout = new AbortController();
     const timer = ms === undefined ? undefined : setTimeout(() => timeout.abort(), ms);
     return {
-      signal: AbortSignal.any([signal, timeout.signal]),
+      signal: AbortSignal.any([signal, timeout.signal, this.ended.signal]),
       refresh: () => timer?.refresh(),
       stop: () => clearTimeout(timer),
       expired: () => timeout.signal.aborted && !signal.aborted,
