fix(relay): give up a slot whose server has begun to leave

Cause: a slot is reserved before the prompt is read, and only an evacuated zone or the rates of the server kept the request from using it; reading a long prompt takes seconds, so the request reached a server that had said it leaves, or had no entry any more, later than such a server gets anything (DRAIN, found by reading). Change: a slot older than 1.5 s whose server is leaving is given back and another round begins, as with evacuated zones; a younger one is used, so that no prompt is read twice without need. Line of step 'leaving', metric servers.slotsLeft.

--- a/features/relay/relay-runs.feature
+++ b/features/relay/relay-runs.feature
@@ -206,3 +206,17 @@
       | idempotent | 3 plain servers                       | 3        | failure status without end, failure status without end, answer | 200    |
       | idempotent | 3 plain servers                       | 2        | failure status without end, failure status                     | 500    |
       | resumable  | 1 prefill engine and 3 decode engines | 2        | stream breaks, failure status without end                      | 200    |
+
+  # Guards against a request that reaches a server long after it began to leave, because it waited for its prompt.
+  Scenario Outline: a slot whose server <change> <ms> ms before the prompt is read is <use>
+    Given a relay with 1 prefill engine and 2 decode engines that do "answer"
+    And the relay's reserved engine <change> while a prompt is read, which takes <ms> ms
+    When a relay request of kind "stream" with 1 attempt arrives
+    Then the relay sends it 1 times and the caller gets 200
+    And the relay's first reserved slot is <use>
+
+    Examples:
+      | change          | ms   | use      |
+      | leaves          | 200  | used     |
+      | leaves          | 1700 | given up |
+      | loses its entry | 1700 | given up |
--- a/features/steps/relay-run-steps.ts
+++ b/features/steps/relay-run-steps.ts
@@ -409,3 +409,23 @@
 Then('the relay has left no answer of a server open', () => {
   assert.equal(scenario.upstream.openAnswers, 0);
 });
+
+Given(
+  /^the relay's reserved engine (leaves|loses its entry) while a prompt is read, which takes (\d+) ms$/,
+  (change: string, ms: string) => {
+    const { relay, upstream } = scenario;
+    upstream.prefillMs = Number(ms);
+    upstream.duringPrefill = () => {
+      if (upstream.prefills > 1) return;
+      const id = upstream.reserved[0]!;
+      if (change === 'leaves') relay.catalog.recordLeaving(id, relay.catalog.find(id)!.startedAtMs);
+      else relay.catalog.apply({ id, server: undefined }, MONOTONIC.monotonicMs());
+    };
+  },
+);
+
+Then(/^the relay's first reserved slot is (used|given up)$/, (use: string) => {
+  const { reserved, sends, released } = scenario.upstream;
+  assert.equal(sends[0]!.server === reserved[0], use === 'used');
+  assert.deepEqual(released, use === 'used' ? [] : ['h1']);
+});
--- a/features/support/fake-upstream.ts
+++ b/features/support/fake-upstream.ts
@@ -82,6 +82,12 @@
   /** Called while a prompt is read. */
   duringPrefill: () => void = () => undefined;
 
+  /** Time in which a prompt is read, in milliseconds. */
+  prefillMs = 0;
+
+  /** Servers with a reservation, the newest last. */
+  readonly reserved: string[] = [];
+
   crashPoint: CrashPoint = 'before the head';
 
   private reservations = 0;
@@ -143,8 +149,9 @@
   ): Promise<Outcome<PrefillResult, UpstreamFailure>> {
     this.prefills += 1;
     this.duringPrefill();
+    if (this.prefillMs > 0) await setTimeout(this.prefillMs);
     this.recordArrival(request, 'prefill', true);
-    return Promise.resolve(succeed({ server, handle: `k${this.prefills}`, tokens: 100 }));
+    return succeed({ server, handle: `k${this.prefills}`, tokens: 100 });
   }
 
   /** Number of answers that the relay has neither read to their end nor given up. */
@@ -198,6 +205,7 @@
   override async reserve(server: CatalogServer): Promise<Outcome<string, UpstreamFailure>> {
     if (this.down.has(server.id)) return Promise.resolve(fail('unsent'));
     this.reservations += 1;
+    this.reserved.push(server.id);
     return Promise.resolve(succeed(`h${this.reservations}`));
   }
 
--- a/src/relay/server-catalog.ts
+++ b/src/relay/server-catalog.ts
@@ -228,6 +228,16 @@
     return this.servers.get(id);
   }
 
+  /**
+   * Returns whether a server that was usable before is leaving, or has no entry any more.
+   *
+   * @param server - the server as it was then
+   * @returns true when it may get no new requests
+   */
+  hasLeft(server: CatalogServer): boolean {
+    return this.isLeaving(this.servers.get(server.id) ?? { ...server, leaving: true });
+  }
+
   /** Entries present in the store, including those of leaving servers. */
   get present(): CatalogServer[] {
     return this.all.filter(({ id }) => !this.missing.has(id));
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -50,6 +50,12 @@
 /** Duration of a write from which the caller counts as slow, in milliseconds. */
 const SLOW_WRITE_MS = 20;
 
+/**
+ * Age of a slot from which it is not used any more when its server is leaving, in milliseconds. The server may
+ * have been leaving for as long, and soon gets nothing more.
+ */
+const LEAVING_SLOT_MS = 1500;
+
 /** Sends of a round in which a prefill engine reads the prompt. */
 const ROUND_SENDS: readonly SendKind[] = ['prefill', 'run'];
 
@@ -69,6 +75,9 @@
   /** Events of the current send since the last record of their pace. */
   private pace: { readonly sinceMs: number; readonly events: number } | undefined;
 
+  /** When the slot of the current round was reserved, as monotonic time in milliseconds. */
+  private reservedMs = -Infinity;
+
   /** Prefill time, in milliseconds; only recorded when no other prompt was queued ahead. */
   private prefillMs: number | undefined;
 
@@ -148,6 +157,7 @@
         return this.finishUnserved('no decode slot became free for the request');
       return { kind: 'refused', refusal: outcome.failure };
     }
+    this.reservedMs = this.nowMs;
     const { server, granter = 'none' } = outcome.value;
     const { promptTokens = 0, outputTokens } = request;
     const facts = { waitedMs, granter, kvTokens: this.kvTokens, promptTokens, outputTokens };
@@ -251,7 +261,8 @@
     const { upstream, health } = this.context;
     const { server, reservation } = slot;
     const isEvacuated = this.isEvacuated(server) || (prefill && this.isEvacuated(prefill.server));
-    if (isEvacuated || !this.mayBegin(slot)) return this.moveElsewhere(slot, prefill);
+    if (isEvacuated || this.hasLeft(server) || !this.mayBegin(slot))
+      return this.moveElsewhere(slot, prefill);
     const settle = this.beginSend('run', server, slot.limitCharge);
     if (!settle) {
       this.releaseUnused(slot, prefill);
@@ -401,6 +412,16 @@
     return this.finishUnserved('the decode engine did not run or complete the request');
   }
 
+  /** Returns whether the server of the slot may have been leaving for too long since it was reserved. */
+  private hasLeft(server: CatalogServer): boolean {
+    const ageMs = this.nowMs - this.reservedMs;
+    if (ageMs < LEAVING_SLOT_MS || !this.context.catalog.hasLeft(server)) return false;
+    const reason = 'the server has begun to leave since its slot was reserved';
+    this.recordDecision('leaving', server.id, reason, { ageMs: Math.round(ageMs) });
+    this.context.metrics.increment('servers.slotsLeft');
+    return true;
+  }
+
   /** Returns whether a reserved slot may still be used under the rates of its server. */
   private mayBegin({ server, limitCharge }: DecodeSlot): boolean {
     if (limitCharge.mayBegin(this.nowMs)) return true;
