fix: answer requests of one connection in turn

Cause: Node gives a response its socket only when the ones before it are complete, and CallerSink takes a response without a socket for one whose caller has left; Node emits 'close' only for the response with the socket. Change: OpenResponses keeps the responses of a connection in order.

--- a/src/callers/client-error-handler.ts
+++ b/src/callers/client-error-handler.ts
@@ -35,9 +35,21 @@
    *
    * @param incoming - the request
    * @param response - its response
+   * @returns false when the connection has too many requests without a complete response
    */
-  track(incoming: IncomingMessage, response: ServerResponse): void {
-    this.openResponses.track(incoming, response);
+  track(incoming: IncomingMessage, response: ServerResponse): boolean {
+    return this.openResponses.track(incoming, response);
+  }
+
+  /**
+   * Waits until the responses before this one on its connection are complete.
+   *
+   * @param incoming - a request that is tracked
+   * @param response - its response
+   * @returns false when the connection has closed
+   */
+  takeTurn(incoming: IncomingMessage, response: ServerResponse): Promise<boolean> {
+    return this.openResponses.takeTurn(incoming, response);
   }
 
   /**
--- a/src/callers/http-caller-listener.ts
+++ b/src/callers/http-caller-listener.ts
@@ -135,11 +135,15 @@
     const request = CallerRequest.create(incoming, response, span, this.clock.monotonicMs());
     request.disconnectWhenStalled(this.settings.limits.bodyMs);
     if (this.drainStartMs !== undefined) response.setHeader('connection', 'close');
-    this.clientErrors.track(incoming, response);
+    if (!this.clientErrors.track(incoming, response)) {
+      incoming.socket.destroy();
+      return;
+    }
     this.activeRequests += 1;
     response.on('close', () => {
       this.activeRequests -= 1;
     });
+    if (!(await this.clientErrors.takeTurn(incoming, response))) return;
     const refusal = await this.handle(request);
     if (!refusal) return;
     this.recordRefusal(request, refusal);
