fix(callers): close each response of a connection once

A response that is complete and has given its socket back is closed by Node itself, in the next tick; the listener of the connection leaves it out, so that nothing counts its end twice. Found by reading.

--- a/src/callers/open-responses.ts
+++ b/src/callers/open-responses.ts
@@ -57,7 +57,7 @@
     this.responses.set(socket, responses);
     socket.once('close', () => {
       [...responses]
-        .filter((response) => !response.socket)
+        .filter(({ socket: own, writableFinished }) => !own && !writableFinished)
         .forEach((response) => response.destroy().emit('close'));
     });
     return responses;
