fix(memory): do not keep the head of an answered request

Cause: GuardedConnection keeps the last request of a connection to know whether its body is still arriving, also after its answer, when its memory has been given back in the books. Change: it is forgotten when its answer is complete and so is the request.

--- a/features/memory/memory-budget.feature
+++ b/features/memory/memory-budget.feature
@@ -53,3 +53,9 @@
     Given a guarded server whose memory budget has room for one idle connection
     When a client sends the guarded server 4000 bytes of an incomplete head
     Then the guarded server closes the connection, and tells "memory"
+
+  # Guards against heads of answered requests that stay in memory while their connection is open (review/7).
+  Scenario: the head of an answered request is not kept while its connection stays open
+    Given a guarded server that answers each request
+    When 20 clients send the guarded server a request with 500 header lines and keep their connections open
+    Then the guarded server keeps none of the answered requests
--- a/features/steps/memory-budget-steps.ts
+++ b/features/steps/memory-budget-steps.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { createServer, type Server } from 'node:http';
-import { connect, type AddressInfo } from 'node:net';
+import { createServer, type IncomingMessage, type Server } from 'node:http';
+import { connect, type AddressInfo, type Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
+import { collectGarbage } from '../../bench/collect-garbage.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
 import { ConnectionGuard } from '../../src/memory/connection-guard.js';
 import { MemoryBudget, type Holding } from '../../src/memory/memory-budget.js';
@@ -16,6 +18,9 @@
   budgetClosed: string[];
   guardedServer: Server | undefined;
   guardReasons: string[];
+  guardedClients: Socket[];
+  /** Requests that the guarded server has answered. */
+  answeredRequests: WeakRef<IncomingMessage>[];
 }
 
 const scenario = world as unknown as BudgetWorld;
@@ -117,3 +122,44 @@
 Then('the guarded server closes the connection, and tells {string}', (reason: string) => {
   assert.deepEqual(scenario.guardReasons, [reason]);
 });
+
+Given('a guarded server that answers each request', async () => {
+  const machine = { memoryBytes: 200_000_000, descriptors: 1000 };
+  const guard = ConnectionGuard.create(machine, SystemClock.create());
+  const answered: WeakRef<IncomingMessage>[] = [];
+  const server = createServer((request, response) => {
+    guard.begin(request, response);
+    request.resume();
+    answered.push(new WeakRef(request));
+    response.end('done');
+  });
+  guard.attach(server);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  Object.assign(scenario, { guardedServer: server, answeredRequests: answered });
+});
+
+When(
+  '{int} clients send the guarded server a request with {int} header lines and keep their connections open',
+  async (count: number, lines: number) => {
+    const { port } = scenario.guardedServer!.address() as AddressInfo;
+    const headers = Array.from({ length: lines }, (_, index) => `a${index}: b\r\n`).join('');
+    scenario.guardedClients = Array.from({ length: count }, () => connect(port, '127.0.0.1'));
+    await Promise.all(
+      scenario.guardedClients.map(async (client) => {
+        client.write(`GET / HTTP/1.1\r\nHost: a\r\n${headers}\r\n`);
+        await once(client, 'data');
+      }),
+    );
+  },
+);
+
+Then('the guarded server keeps none of the answered requests', async () => {
+  await delay(50);
+  collectGarbage();
+  const kept = scenario.answeredRequests.filter((request) => request.deref());
+  assert.equal(scenario.answeredRequests.length, scenario.guardedClients.length);
+  assert.equal(kept.length, 0);
+  assert.ok(scenario.guardedClients.every(({ destroyed }) => !destroyed));
+  scenario.guardedClients.forEach((client) => client.destroy());
+});
--- a/src/memory/guarded-connection.ts
+++ b/src/memory/guarded-connection.ts
@@ -33,7 +33,7 @@
 
   private readonly requests = new Set<RequestMemory>();
 
-  /** The last request whose head is complete. */
+  /** The last request whose head is complete, until it is answered: a head can take much memory. */
   private latest: IncomingMessage | undefined;
 
   private constructor(
@@ -91,6 +91,7 @@
       this.requests.delete(memory);
       memory.close();
       this.update();
+      if (this.latest === request && request.complete) this.latest = undefined;
     });
     return memory;
   }
