fix(relay): find out by single requests which of two prompt parts crashes servers

Cause: both parts have the same crashes. After five, another part no longer excused one, so that a part which does crash servers cannot hide behind its company; but refused requests can't clear a sound part. Change: while another part explains the crashes as well, the VMs take turns of two seconds in an order that depends on the part (CrashTrials), and each sends one request in its turn. An answer clears the part on all VMs, a crash leaves it as the only explanation. A trial is sent once, and none while the last one's end is open. Line of step crashes with the choice try, metric requests.tried.

--- a/features/relay/crashes.feature
+++ b/features/relay/crashes.feature
@@ -128,3 +128,33 @@
     And 1 relay prompts of kind "stream" with the parts "system, topic, bad" crash servers, with 60 sound ones with the parts "system, topic" after each
     Then at most 5 relay servers have crashed
     And every sound relay request was answered
+
+  # Guards sound prompts that share a part with those that crashed servers, when nobody had sent the shared part for
+  # some time: no answer clears it, and both parts explain the crashes (review/10).
+  Scenario: prompts with a part that all crashes have in common with another part are served again soon
+    Given a relay with 2 prefill engines and 24 decode engines that do "answer"
+    And servers of the relay crash after the head
+    When 6 relay prompts of kind "stream" with the parts "system, bad" crash servers at once
+    Then at most 1 of 200 relay prompts with the parts "system" in 2000 ms is refused after the first that is served
+    And the crashing relay prompts with the parts "system, bad" are still refused
+    And at most 6 relay servers have crashed
+
+  # Guards against many trials of a part that does crash servers, with other parts than before.
+  Scenario: a part that crashes servers with any other part is tried by few requests
+    Given a relay with 2 prefill engines and 24 decode engines that do "answer"
+    And servers of the relay crash after the head
+    When 6 relay prompts of kind "stream" with the parts "system, topic" crash servers at once
+    And 40 relay prompts with the parts "system" crash servers in 4000 ms
+    Then at most 8 relay servers have crashed
+
+  # Guards against trials by all VMs at once, and by none.
+  Scenario Outline: the VMs of a fleet of <vms> take turns with trials
+    Given a simulated fleet of <vms> VMs
+    When the VMs of the simulated fleet have a request for a trial each 100 ms for 6000 ms
+    Then the VMs of the simulated fleet have made 3 trials, at most 1 in any 1900 ms
+
+    Examples:
+      | vms |
+      | 1   |
+      | 3   |
+      | 40  |
--- a/features/steps/crash-steps.ts
+++ b/features/steps/crash-steps.ts
@@ -5,7 +5,9 @@
 import type { FleetSimulation, SimulatedVm } from '../../harness/fleet-simulation.js';
 import type { Refusal } from '../../src/domain/refusal.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
+import { rankByRendezvous } from '../../src/kernel/rendezvous.js';
 import { listCrashSuspects } from '../../src/relay/crash-suspects.js';
+import { CrashTrials } from '../../src/relay/crash-trials.js';
 import type { Relay } from '../../src/relay/relay.js';
 import type { RelayRoute } from '../../src/relay/relay-configuration.js';
 import {
@@ -32,6 +34,8 @@
   soundStatuses: number[];
   crashes: number;
   suspects: readonly string[];
+  /** When a VM made a trial, as simulated time in milliseconds. */
+  trialTimes: number[];
 }
 
 const scenario = world as unknown as CrashWorld;
@@ -84,9 +88,12 @@
   return createRelayRequest({ ...times, ...tokens, ...overrides });
 }
 
-async function serve(overrides: Partial<RelayRequest>): Promise<StatusSink> {
+async function serve(
+  overrides: Partial<RelayRequest>,
+  disconnected = new AbortController().signal,
+): Promise<StatusSink> {
   const sink = new StatusSink();
-  await scenario.relay.serve(createRequest(overrides), sink, new AbortController().signal);
+  await scenario.relay.serve(createRequest(overrides), sink, disconnected);
   return sink;
 }
 
@@ -306,3 +313,163 @@
     }
   },
 );
+
+function configureStreams(kind = 'stream', attempts = 2): void {
+  const pools = [
+    { name: 'pool', mostConnections: 0, engine: scenario.engines ? ENGINE : undefined },
+  ];
+  const routes = [createRoute(kind, attempts)];
+  scenario.relay.configure(createRelayConfiguration({ routes, pools }));
+}
+
+async function servePrompt(
+  requestId: string,
+  parts: string,
+  body = requestId,
+): Promise<StatusSink> {
+  return serve({ requestId, body: Buffer.from(body), promptParts: createParts(parts, requestId) });
+}
+
+/** Removes the entries of the servers that have crashed. */
+function removeCrashed(): void {
+  const { relay, upstream } = scenario;
+  const nowMs = SystemClock.create().monotonicMs();
+  upstream.crashed.forEach((id) => relay.catalog.apply({ id, server: undefined }, nowMs));
+}
+
+When(
+  '{int} relay prompts of kind {string} with the parts {string} crash servers at once',
+  async (count: number, kind: string, parts: string) => {
+    configureStreams(kind);
+    const indexes = Array.from({ length: count }, (_, index) => index);
+    await Promise.all(
+      indexes.map((index) => servePrompt(`deadly-${index}`, parts, `${CRASH} ${index}`)),
+    );
+    removeCrashed();
+  },
+);
+
+Then(
+  'at most {int} of {int} relay prompts with the parts {string} in {int} ms is refused after the first that is served',
+  { timeout: 60_000 },
+  async (most: number, count: number, parts: string, ms: number) => {
+    const statuses: number[] = [];
+    const clock = SystemClock.create();
+    for (let index = 0; index < count; index += 1) {
+      statuses.push((await servePrompt(`sound-${index}`, parts)).status);
+      await clock.sleep(ms / count);
+    }
+    const first = statuses.indexOf(200);
+    assert.ok(first >= 0, 'no sound prompt was served');
+    const refused = statuses.slice(first).filter((status) => status !== 200);
+    assert.ok(refused.length <= most, `${refused.length} refused`);
+  },
+);
+
+Then(
+  'the crashing relay prompts with the parts {string} are still refused',
+  async (parts: string) => {
+    const { refusal } = await servePrompt('deadly-again', parts, CRASH);
+    assert.equal(refusal?.code, 'quarantined');
+  },
+);
+
+When(
+  '{int} relay prompts with the parts {string} crash servers in {int} ms',
+  { timeout: 60_000 },
+  async (count: number, parts: string, ms: number) => {
+    const clock = SystemClock.create();
+    for (let index = 0; index < count; index += 1) {
+      await servePrompt(`other-${index}`, parts, `${CRASH} other ${index}`);
+      removeCrashed();
+      await clock.sleep(ms / count);
+    }
+  },
+);
+
+When(
+  '{int} relay prompts of kind {string} with {int} sound parts and the part {string} crash servers, with {int} sound ones after each',
+  { timeout: 60_000 },
+  async (count: number, kind: string, parts: number, deadly: string, sound: number) => {
+    configureStreams(kind);
+    const shared = Array.from({ length: parts }, (_, index) => `s${index}`).join(', ');
+    scenario.soundStatuses = [];
+    for (let index = 0; index < count; index += 1) {
+      const prompt = await servePrompt(
+        `deadly-${index}`,
+        `${shared}, ${deadly}`,
+        `${CRASH} ${index}`,
+      );
+      scenario.lastRefusal = prompt.refusal;
+      for (let each = 0; each < sound; each += 1) {
+        const { status } = await servePrompt(`sound-${index}-${each}`, shared);
+        scenario.soundStatuses.push(status);
+      }
+    }
+  },
+);
+
+When(
+  /^the same relay request of kind "(\w+)" arrives 5 times, its caller leaves after (\d+) ms, and its server (starts again|goes on)$/,
+  { timeout: 60_000 },
+  async (kind: string, ms: string, change: string) => {
+    configureStreams(kind, 1);
+    const { relay, upstream } = scenario;
+    for (let index = 0; index < 5; index += 1) {
+      const caller = new AbortController();
+      const timer = setTimeout(() => caller.abort(), Number(ms));
+      const before = upstream.sends.length;
+      const sink = await serve(
+        { requestId: `silent-${index}`, body: Buffer.from('x') },
+        caller.signal,
+      );
+      clearTimeout(timer);
+      scenario.lastRefusal = sink.refusal;
+      const last = upstream.sends.slice(before).at(-1);
+      const server = last && relay.catalog.find(last.server);
+      if (server && change === 'starts again') {
+        const restarted = { ...server, startedAtMs: server.startedAtMs + 1000 };
+        relay.catalog.apply(
+          { id: server.id, server: restarted },
+          SystemClock.create().monotonicMs(),
+        );
+      }
+    }
+  },
+);
+
+Then('{int} sends to relay servers have been silent', (count: number) => {
+  assert.equal(scenario.upstream.sends.length, count);
+});
+
+When(
+  'the VMs of the simulated fleet have a request for a trial each {int} ms for {int} ms',
+  SIMULATION,
+  async (everyMs: number, ms: number) => {
+    const { simulation } = scenario;
+    await simulation.advance(3000);
+    const names = simulation.liveVms.map(({ name }) => name);
+    const ranked = rankByRendezvous('part x', names, (name) => name);
+    const trials = names.map((name) =>
+      CrashTrials.create(() => ({ rank: ranked.indexOf(name), vms: names.length })),
+    );
+    const sinceMs = simulation.clock.monotonicMs();
+    scenario.trialTimes = [];
+    for (let passed = 0; passed < ms; passed += everyMs) {
+      const nowMs = simulation.clock.monotonicMs();
+      trials.forEach((trial) => {
+        if (trial.take('part x', sinceMs, nowMs)) scenario.trialTimes.push(nowMs);
+      });
+      await simulation.advance(everyMs);
+    }
+  },
+);
+
+Then(
+  'the VMs of the simulated fleet have made {int} trials, at most 1 in any {int} ms',
+  (count: number, windowMs: number) => {
+    const { trialTimes } = scenario;
+    assert.equal(trialTimes.length, count);
+    trialTimes.slice(1).forEach((time, index) => assert.ok(time - trialTimes[index]! >= windowMs));
+  },
+);
--- a/src/relay/crash-ledger.ts
+++ b/src/relay/crash-ledger.ts
@@ -7,7 +7,7 @@
 /** Number of crashes from which on the requests with a prompt part are quarantined. */
 const MIN_PART_CRASHES = 3;
 
-/** Number of crashes from which on another suspect with the same crashes no longer excuses a prompt part. */
+/** Number of crashes from which on prompts with a part are only tried while another part has the same crashes. */
 const CERTAIN_CRASHES = 5;
 
 /** Quarantine after the least number of crashes, in milliseconds; each further crash multiplies it. */
@@ -68,6 +68,10 @@
   readonly crashes: number;
   /** Remaining quarantine, in milliseconds. */
   readonly remainingMs: number;
+  /** Monotonic time of the newest crash, in milliseconds. */
+  readonly newestMs: number;
+  /** True when a part that the request does not contain explains the crashes as well. */
+  readonly isUndecided: boolean;
 }
 
 /** Tells whether a server has ended or cannot be reached since a connection to it broke. */
@@ -164,7 +168,8 @@
     if (this.crashes.size === 0) return undefined;
     const own = suspects();
     const causes = own.flatMap((suspect) => this.assess(suspect, own, nowMs));
-    return causes.find(({ remainingMs }) => remainingMs > 0);
+    const valid = causes.filter(({ remainingMs }) => remainingMs > 0);
+    return valid.find(({ isUndecided }) => !isUndecided) ?? valid[0];
   }
 
   /**
@@ -229,24 +234,29 @@
     const crashes = confirmed.length + servers.size;
     const minCrashes = isPromptPart(suspect) ? MIN_PART_CRASHES : MIN_CRASHES;
     if (crashes < minCrashes) return [];
-    if (isPromptPart(suspect) && this.isExplained(confirmed, own)) return [];
+    const explanation = isPromptPart(suspect) ? this.findExplanation(confirmed, own) : 'none';
+    if (explanation === 'better') return [];
     const newestMs = Math.max(...[...confirmed, ...pending].map(({ atMs }) => atMs));
     const lengthMs = INITIAL_QUARANTINE_MS * QUARANTINE_FACTOR ** (crashes - minCrashes);
     const remainingMs = newestMs + this.jitter * Math.min(MAX_QUARANTINE_MS, lengthMs) - nowMs;
-    return [{ suspect, crashes, remainingMs }];
+    // The outcome of a trial that broke off is not known yet.
+    const isUndecided = explanation === 'equal' && pending.length === 0;
+    return [{ suspect, crashes, remainingMs, newestMs, isUndecided }];
   }
 
   /**
    * Returns whether something that the request does not contain explains the same crashes: of the parts
-   * that a prompt shares with those that crash servers, most are sound.
+   * that a prompt shares with those that crash servers, most are sound. After few crashes, an explanation as
+   * good as this one excuses it.
    */
-  private isExplained(crashes: readonly Crash[], own: readonly string[]): boolean {
+  private findExplanation(crashes: readonly Crash[], own: readonly string[]) {
     const candidates = [...(crashes[0]?.suspects ?? [])].filter((other) => !own.includes(other));
-    return candidates.some((other) => {
-      const explained = this.crashesBySuspect.get(other) ?? [];
-      if (explained.length === crashes.length && crashes.length >= CERTAIN_CRASHES) return false;
-      return crashes.every((crash) => explained.includes(crash));
-    });
+    const explanations = candidates
+      .map((other) => this.crashesBySuspect.get(other) ?? [])
+      .filter((explained) => crashes.every((crash) => explained.includes(crash)));
+    if (explanations.length === 0) return 'none';
+    const hasMore = explanations.some((explained) => explained.length > crashes.length);
+    return hasMore || crashes.length < CERTAIN_CRASHES ? 'better' : 'equal';
   }
 
   /** Turns breaks into crashes once the server is seen to be gone, and drops what is too old. */
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -70,6 +70,9 @@
   /** Aborted when the request has ended, so that no server goes on with an answer that nobody reads. */
   private readonly ended = new AbortController();
 
+  /** True when the request is sent to learn whether one of its prompt parts crashes servers. */
+  private isTrial = false;
+
   /** What may crash a server; computed when it is first needed. */
   private suspects: readonly string[] | undefined;
 
@@ -272,11 +275,25 @@
     if (!cause) return false;
     const { suspect, crashes, remainingMs } = cause;
     const facts = { suspect, crashes, remainingMs: Math.round(remainingMs) };
+    if (cause.isUndecided && this.mayTry(cause, facts)) return false;
     this.recordDecision('crashes', 'refuse', 'servers crash when they run the request', facts);
     this.context.metrics.increment('requests.quarantined');
     return true;
   }
 
+  /** Returns whether the request is a trial that no server has begun to run. */
+  private mayTry(
+    { suspect, newestMs }: CrashCause,
+    facts: Readonly<Record<string, string | number>>,
+  ): boolean {
+    if (this.isTrial || this.mayHaveRun) return !this.mayHaveRun;
+    this.isTrial = this.context.crashTrials.take(suspect, newestMs, this.nowMs);
+    if (!this.isTrial) return false;
+    this.recordDecision('crashes', 'try', 'another prompt part may crash servers', facts);
+    this.context.metrics.increment('requests.tried');
+    return true;
+  }
+
   private findCrashCause(): CrashCause | undefined {
     return this.context.crashes.findCause(() => this.listSuspects(), this.nowMs);
   }
