fix(relay): count servers that fall silent under a request as its crashes

Cause: only a broken connection makes a request a suspect. A silent server ends a send by a timeout or by its caller's leaving, which left no record. Change: a call that is given up after half a second or more of silence is recorded like a break.

--- a/features/relay/crashes.feature
+++ b/features/relay/crashes.feature
@@ -158,3 +158,21 @@
       | 1   |
       | 3   |
       | 40  |
+
+  # Guards against a request that makes its servers fall silent and is never stopped (review/9 of 879eb37).
+  Scenario Outline: a <kind> request whose servers fall silent and start again is refused after <crashes> of them
+    Given a relay with <servers> that do "hangs"
+    When the same relay request of kind "<kind>" arrives 5 times, its caller leaves after 900 ms, and its server starts again
+    Then <crashes> sends to relay servers have been silent
+    And the crashing relay request is refused as not run, with a time to retry
+
+    Examples:
+      | kind   | servers                               | crashes |
+      | once   | 12 plain servers                      | 2       |
+      | stream | 1 prefill engine and 12 decode engines | 2       |
+
+  Scenario: a request whose servers are silent and go on is not quarantined
+    Given a relay with 12 plain servers that do "hangs"
+    When the same relay request of kind "once" arrives 5 times, its caller leaves after 900 ms, and its server goes on
+    Then 5 sends to relay servers have been silent
+
--- a/src/relay/crash-ledger.ts
+++ b/src/relay/crash-ledger.ts
@@ -57,6 +57,8 @@
   readonly suspects: readonly string[];
   /** How long the server had been answering, in milliseconds. */
   readonly answeredMs: number;
+  /** True when the server was silent, so that only its next start tells that it has crashed. */
+  readonly isSilent: boolean;
 }
 
 /** A crash as a VM reports it: server with its incarnation, age in milliseconds, suspects, cleared suspects. */
@@ -74,8 +76,8 @@
   readonly isUndecided: boolean;
 }
 
-/** Tells whether a server has ended or cannot be reached since a connection to it broke. */
-export type ServerEndCheck = (server: CatalogServer, sinceMs: number) => boolean;
+/** Tells whether a server has ended, or cannot be reached unless it was silent, since a time. */
+export type ServerEndCheck = (server: CatalogServer, sinceMs: number, isSilent: boolean) => boolean;
 
 /**
  * Finds the requests that crash servers. A server that is gone after its connections broke has crashed,
@@ -116,20 +118,20 @@
   }
 
   /**
-   * Records that a connection broke before a server had answered a request.
+   * Records that a connection broke, or that a server was silent, before it had answered a request.
    *
    * @param server - the server
    * @param suspects - what may have crashed it
    * @param nowMs - monotonic time, in milliseconds
-   * @param answeredMs - how long the server had been answering, in milliseconds
+   * @param end - how long the server had been answering, in milliseconds, and whether it was silent
    */
   recordUnanswered(
     server: CatalogServer,
     suspects: readonly string[],
     nowMs: number,
-    answeredMs = 0,
+    { answeredMs = 0, isSilent = false } = {},
   ): void {
-    this.breaks.push({ server, atMs: nowMs, suspects, answeredMs });
+    this.breaks.push({ server, atMs: nowMs, suspects, answeredMs, isSilent });
     if (this.breaks.length > MAX_BREAKS) this.breaks.shift();
   }
 
@@ -229,7 +231,9 @@
     const confirmed = this.crashesBySuspect.get(suspect) ?? [];
     if (confirmed.length === 0) return [];
     // After one crash, a break counts before it is confirmed: the next send would come sooner.
-    const pending = this.breaks.filter(({ suspects }) => suspects.includes(suspect));
+    const pending = this.breaks.filter(
+      ({ suspects, isSilent }) => !isSilent && suspects.includes(suspect),
+    );
     const servers = new Set(pending.map(({ server }) => server.id));
     const crashes = confirmed.length + servers.size;
     const minCrashes = isPromptPart(suspect) ? MIN_PART_CRASHES : MIN_CRASHES;
@@ -262,7 +266,9 @@
   /** Turns breaks into crashes once the server is seen to be gone, and drops what is too old. */
   private update(nowMs: number): void {
     if (this.breaks.length > 0) {
-      const ended = new Set(this.breaks.filter(({ server, atMs }) => this.hasEnded(server, atMs)));
+      const ended = new Set(
+        this.breaks.filter(({ server, atMs, isSilent }) => this.hasEnded(server, atMs, isSilent)),
+      );
       // Limits drop the last suspects, so the most likely ones come first.
       const ranked = [...ended].sort((left, right) => left.answeredMs - right.answeredMs);
       ranked.forEach(({ server, atMs, suspects }) => {
--- a/src/relay/plain-run.ts
+++ b/src/relay/plain-run.ts
@@ -135,7 +135,7 @@
         const failure = timeout.expired() ? 'silent' : outcome.failure;
         if (failure === 'silent') this.recordPace(server, before);
         if (failure === 'not-run') this.context.capacities.recordRefusal(server, this.nowMs);
-        return this.handleFailure(server, failure);
+        return this.handleFailure(server, failure, before.sentMs);
       }
       const buffered = outcome.value;
       const { status } = buffered.answer.head;
@@ -223,8 +223,12 @@
     return { kind: 'answered' as const, server: server.id, status };
   }
 
-  private handleFailure(server: CatalogServer, failure: UpstreamFailure): RunResult | undefined {
-    if (failure === 'broken') this.recordUnanswered(server);
+  private handleFailure(
+    server: CatalogServer,
+    failure: UpstreamFailure,
+    sentMs: number,
+  ): RunResult | undefined {
+    this.recordUnansweredCall(server, failure, sentMs);
     if (failure !== 'cancelled') this.recordFailure(server, failure);
     if (provesNotRun(failure) || this.mayRunAgain()) return undefined;
     return this.refuseUnserved('the server did not return a complete response');
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -68,7 +68,7 @@
     (change) => this.recordCapacity(change),
   );
 
-  readonly crashes = CrashLedger.create((server, sinceMs) => this.hasEnded(server, sinceMs));
+  readonly crashes = CrashLedger.create((...end) => this.hasEnded(...end));
 
   private readonly crashTrials = CrashTrials.create((suspect) => this.findTrialTurn(suspect));
 
@@ -411,8 +411,12 @@
     return StagedRun.create(context, job, this.scheduler(job.pool.name, context)).execute();
   }
 
-  private hasEnded({ id, startedAtMs }: CatalogServer, sinceMs: number): boolean {
-    if (this.health.unreachableMs(id) >= sinceMs) return true;
+  private hasEnded(
+    { id, startedAtMs }: CatalogServer,
+    sinceMs: number,
+    isSilent: boolean,
+  ): boolean {
+    if (!isSilent && this.health.unreachableMs(id) >= sinceMs) return true;
     return this.catalog.find(id)?.startedAtMs !== startedAtMs;
   }
 
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -40,6 +40,9 @@
 /** Retry delay for the caller when all servers are in evacuated zones, in milliseconds. */
 const EVACUATED_RETRY_MS = 1000;
 
+/** Silence of a server from which on it may have crashed, in milliseconds. */
+const SILENT_MS = 500;
+
 /** Aborts a call to a server that makes no progress in time. */
 export interface ProgressTimeout {
   /** Aborted at the end of the run or when the timeout expires. */
@@ -245,24 +248,38 @@
   }
 
   /**
-   * Records that a connection broke before the server had answered, so that the request may be the cause.
-   * A connection that this VM has closed itself is no evidence.
+   * Records that a connection broke, or that its server was silent, before the server had answered, so that the
+   * request may be the cause. A connection that this VM has closed itself is no evidence unless the server was
+   * silent; then its next start is the evidence.
    */
-  protected recordUnanswered(server: CatalogServer, answeredMs = 0): void {
-    if (this.job.signal.aborted) return;
+  protected recordUnanswered(
+    server: CatalogServer,
+    { answeredMs = 0, silentMs = 0 }: { answeredMs?: number; silentMs?: number } = {},
+  ): void {
+    const isSilent = silentMs >= SILENT_MS;
+    if (this.job.signal.aborted && !isSilent) return;
     const [fingerprint = ''] = this.listSuspects();
     const parts = this.job.request.promptParts.map(({ id }) => id).join(' ');
     const facts = { fingerprint, runs: this.runs, answeredMs: Math.round(answeredMs) };
-    this.context.crashes.recordUnanswered(server, this.listSuspects(), this.nowMs, answeredMs);
-    this.recordDecision(
-      'unanswered',
-      server.id,
-      'the connection broke before the server had answered',
-      { ...facts, ...(parts ? { parts } : {}) },
-    );
+    const end = { answeredMs, isSilent };
+    this.context.crashes.recordUnanswered(server, this.listSuspects(), this.nowMs, end);
+    const reason = isSilent
+      ? 'the server was silent before it had answered'
+      : 'the connection broke before the server had answered';
+    this.recordDecision('unanswered', server.id, reason, { ...facts, ...(parts ? { parts } : {}) });
     this.context.metrics.increment('upstream.unanswered');
   }
 
+  /** Records a call without an answer when the request may be the cause. */
+  protected recordUnansweredCall(
+    server: CatalogServer,
+    failure: UpstreamFailure,
+    sentMs: number,
+  ): void {
+    const silentMs = failure === 'silent' || failure === 'cancelled' ? this.nowMs - sentMs : 0;
+    if (failure === 'broken' || silentMs > 0) this.recordUnanswered(server, { silentMs });
+  }
+
   /** Records that a server has answered, so that the request does not crash servers. */
   protected recordAnswered(): void {
     const parts = listSharedParts(this.job.request);
--- a/src/relay/staged-run.ts
+++ b/src/relay/staged-run.ts
@@ -223,7 +223,7 @@
         upstream.discard(outcome.value);
         break;
       }
-      this.recordPrefillFailure(server, timeout.expired() ? 'silent' : outcome.failure);
+      this.recordPrefillFailure(server, timeout.expired() ? 'silent' : outcome.failure, sentMs);
       tried.add(server.id);
     }
     return this.finishUnserved('the request ended before its prompt was read');
@@ -236,9 +236,13 @@
     return Math.max(MIN_PREFILL_TOKENS_PER_MS, Math.min(MAX_PREFILL_TOKENS_PER_MS, speed));
   }
 
-  private recordPrefillFailure(server: CatalogServer, failure: UpstreamFailure): void {
+  private recordPrefillFailure(
+    server: CatalogServer,
+    failure: UpstreamFailure,
+    sentMs: number,
+  ): void {
+    this.recordUnansweredCall(server, failure, sentMs);
     if (failure === 'cancelled') return;
-    if (failure === 'broken') this.recordUnanswered(server);
     this.recordFailure(server, failure);
     this.excluded.delete(server.id);
   }
@@ -287,6 +291,7 @@
         slot,
         prefill,
         timeout.expired() ? 'silent' : outcome.failure,
+        sentMs,
       );
     }
     this.mayHaveRun = true;
@@ -319,6 +324,7 @@
     this.headSent = true;
     this.eventTimes = undefined;
     this.pace = undefined;
+    const begunMs = this.nowMs;
     try {
       for await (const chunk of answer.body) {
         const complete = status === 200 ? this.events.push(chunk) : chunk;
@@ -331,7 +337,9 @@
         if (this.events.isOversized) return this.handleBrokenStream(server);
       }
     } catch {
-      return this.handleBrokenStream(server);
+      // A call that this VM has given up says by its silence what a break says at once.
+      const silentSinceMs = timeout.signal.aborted ? (this.lastEventMs ?? begunMs) : undefined;
+      return this.handleBrokenStream(server, silentSinceMs);
     }
     if (status === 200 && isEventStream(answer.head) && this.events.endsInsideEvent) {
       return this.handleBrokenStream(server);
@@ -343,6 +351,11 @@
     return { kind: 'answered', server: server.id, status };
   }
 
+  /** Monotonic time of the last event of the current send, in milliseconds. */
+  private get lastEventMs(): number | undefined {
+    return this.eventTimes?.lastMs;
+  }
+
   /** How long the server of the current send has generated events, in milliseconds. */
   private get answeredMs(): number {
     return this.eventTimes ? this.eventTimes.lastMs - this.eventTimes.firstMs : 0;
@@ -374,10 +387,15 @@
     this.pace = { sinceMs: nowMs, events: 0 };
   }
 
-  private handleBrokenStream(server: CatalogServer): StepResult<never> | RunResult {
+  private handleBrokenStream(
+    server: CatalogServer,
+    silentSinceMs = this.nowMs,
+  ): StepResult<never> | RunResult {
     const { route, sink, signal } = this.job;
     this.events.dropPartial();
-    if (this.answeredMs < SOUND_ANSWER_MS) this.recordUnanswered(server, this.answeredMs);
+    const { answeredMs } = this;
+    if (answeredMs < SOUND_ANSWER_MS)
+      this.recordUnanswered(server, { answeredMs, silentMs: this.nowMs - silentSinceMs });
     const resumable = route.resumable && this.runs < route.attempts && !signal.aborted;
     if (resumable && this.prepayRound()) {
       this.recordDecision('stream', 'again', 'the stream ended before it was complete', {
@@ -394,6 +412,7 @@
     slot: DecodeSlot,
     prefill: PrefillResult | undefined,
     failure: UpstreamFailure,
+    sentMs: number,
   ): StepResult<never> | RunResult {
     const { server } = slot;
     const notRun = provesNotRun(failure);
@@ -402,7 +421,7 @@
       this.runs += 1;
     }
     if (failure === 'unsent' || failure === 'cancelled') this.releaseUnused(slot, prefill);
-    if (failure === 'broken') this.recordUnanswered(server);
+    this.recordUnansweredCall(server, failure, sentMs);
     if (failure !== 'cancelled') this.recordFailure(server, failure);
     // An expired prefill handle is no evidence against the decode engine.
     if (failure === 'not-run') this.excluded.delete(server.id);
