fix(relay): suspect all of a prompt's first 512 parts of crashes

Cause: only the first 32 parts of a prompt were suspects; the limits of a crash and of the parts known to be sound were as small.

--- a/features/relay/crashes.feature
+++ b/features/relay/crashes.feature
@@ -176,3 +176,12 @@
     When the same relay request of kind "once" arrives 5 times, its caller leaves after 900 ms, and its server goes on
     Then 5 sends to relay servers have been silent
 
+
+  # Guards against a blind spot by position, where a part is never a suspect (review/9 of 9001eab).
+  Scenario: the 100th part of prompts is found when it crashes servers
+    Given a relay with 2 prefill engines and 24 decode engines that do "answer"
+    And servers of the relay crash after the head
+    When 10 relay prompts of kind "stream" with 98 sound parts and the part "bad" crash servers, with 20 sound ones after each
+    Then at most 5 relay servers have crashed
+    And the crashing relay request is refused as not run, with a time to retry
+    And every sound relay request was answered
--- a/src/relay/crash-ledger.ts
+++ b/src/relay/crash-ledger.ts
@@ -29,10 +29,10 @@
 /** Maximum number of crashes, of broken connections without confirmation, and of suspects of a crash. */
 const MAX_CRASHES = 128;
 const MAX_BREAKS = 256;
-const MAX_SUSPECTS = 64;
+const MAX_SUSPECTS = 512;
 
 /** Maximum number of prompt parts that are remembered as sound. */
-const MAX_SOUND_PARTS = 512;
+const MAX_SOUND_PARTS = 4096;
 
 /** Limits of what is reported to other VMs: a digest must stay small. */
 const MAX_REPORTED_CRASHES = 8;
--- a/src/relay/crash-suspects.ts
+++ b/src/relay/crash-suspects.ts
@@ -6,7 +6,7 @@
 const PART_PREFIX = 'part ';
 
 /** Maximum number of parts of a prompt that are suspects. */
-const MAX_PARTS = 32;
+const MAX_PARTS = 512;
 
 /** Length of an id from which on its hash is used; callers choose ids, and digests limit names. */
 const MAX_ID_LENGTH = 32;
