fix(relay): count the trials of prompt parts separately

A trial of one part made the VM forget that it had used its turn for another, so that two undecided parts could be tried again and again within a turn. Found by reading. The three rows on turns offer two parts now: failed before, pass.

--- a/features/steps/crash-steps.ts
+++ b/features/steps/crash-steps.ts
@@ -459,6 +459,7 @@
       const nowMs = simulation.clock.monotonicMs();
       trials.forEach((trial) => {
         if (trial.take('part x', sinceMs, nowMs)) scenario.trialTimes.push(nowMs);
+        trial.take('part y', sinceMs, nowMs);
       });
       await simulation.advance(everyMs);
     }
--- a/src/relay/crash-trials.ts
+++ b/src/relay/crash-trials.ts
@@ -1,6 +1,9 @@
 /** Time for which one VM may make a trial, in milliseconds: its server crashes or answers, and the others know. */
 const TRIAL_MS = 2000;
 
+/** Maximum number of suspects whose last turn is remembered. */
+const MAX_USED = 512;
+
 /** Place of this VM in an order of the fleet. */
 export interface TrialTurn {
   readonly rank: number;
@@ -12,7 +15,7 @@
  * in the same prompts. The VMs take turns, each sends one request in its turn, so that few servers crash by trials.
  */
 export class CrashTrials {
-  /** Turns that this VM has used, by suspect: the time of the newest crash, and their number since then. */
+  /** Turn that this VM has used last, by suspect: the time of the newest crash, and the number of the turn since. */
   private readonly used = new Map<string, { readonly sinceMs: number; readonly turn: number }>();
 
   private constructor(private readonly turnOf: (suspect: string) => TrialTurn) {}
@@ -41,7 +44,7 @@
     if (turn % vms !== rank) return false;
     const used = this.used.get(suspect);
     if (used?.sinceMs === sinceMs && used.turn === turn) return false;
-    this.used.clear();
+    if (this.used.size >= MAX_USED) this.used.clear();
     this.used.set(suspect, { sinceMs, turn });
     return true;
   }
