fix(pacing): let connections that take much processor time wait for their turns

Cause: Node reads up to 32 times 64 KB from a connection before it goes to the next one, and its parser takes each read whole. 64 KB in chunks of one byte are 10,000 calls.

Change: `ConnectionPacer` passes data on in parts, measures the processor time that they take, and lets a connection beyond its share wait for its turn. The five listeners of the platform's router share a pacer, the product's listener for callers has one.

--- a/src/callers/http-caller-listener.ts
+++ b/src/callers/http-caller-listener.ts
@@ -8,6 +8,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { fail, succeed, type Outcome } from '../kernel/outcome.js';
+import { ConnectionPacer } from '../pacing/connection-pacer.js';
 import type { Settings } from '../settings/schema.js';
 import { CallerListener } from './caller-listener.js';
 import { CallerRequest } from './caller-request.js';
@@ -75,6 +76,9 @@
       },
     );
     this.server.maxConnections = callerConnections;
+    const onPace = (_waiting: number, stopped: number) =>
+      kernel.find('metrics').increment('reads.stopped', {}, stopped);
+    ConnectionPacer.create(clock, onPace).attach(this.server);
     this.server.on('clientError', (error, socket) =>
       this.clientErrors.refuse(error, socket as Socket),
     );
--- a/src/memory/connection-guard.ts
+++ b/src/memory/connection-guard.ts
@@ -4,6 +4,7 @@
 
 import { Refusal } from '../domain/refusal.js';
 import type { Clock } from '../kernel/clock.js';
+import { ConnectionPacer, type PacingListener } from '../pacing/connection-pacer.js';
 import { BlockPool } from './block-pool.js';
 import { FragmentedBodies } from './fragmented-bodies.js';
 import { GuardedConnection } from './guarded-connection.js';
@@ -24,8 +25,9 @@
 /** Why a connection was closed that there was no room for: `requests` when it had too many unanswered ones. */
 export type RefusalReason = ReclaimReason | 'requests';
 
-/** Told of the connections that a guard closes. */
+/** Told of the connections that a guard closes or lets wait. */
 export interface GuardListeners {
+  readonly onPace?: PacingListener;
   readonly onReclaim?: ReclaimListener;
   readonly onRefuse?: (reason: RefusalReason) => void;
 }
@@ -73,6 +75,7 @@
 
   private constructor(
     readonly budget: MemoryBudget,
+    readonly pacer: ConnectionPacer,
     private readonly clock: Clock,
     private readonly onRefuse: (reason: RefusalReason) => void,
   ) {}
@@ -82,20 +85,20 @@
    *
    * @param machine - limits of the machine
    * @param clock - monotonic time
-   * @param listeners - told of each connection that is closed
+   * @param listeners - told of connections that are closed or wait
    * @returns a new guard
    */
   static create(
     machine: MachineLimits,
     clock: Clock,
-    { onReclaim, onRefuse = () => {} }: GuardListeners = {},
+    { onReclaim, onPace, onRefuse = () => {} }: GuardListeners = {},
   ): ConnectionGuard {
     const budget = MemoryBudget.create(toMemoryLimits(machine), onReclaim);
-    return new ConnectionGuard(budget, clock, onRefuse);
+    return new ConnectionGuard(budget, ConnectionPacer.create(clock, onPace), clock, onRefuse);
   }
 
   /**
-   * Accounts all connections of a server, and closes those that there is no room for.
+   * Accounts and paces all connections of a server, and closes those that there is no room for.
    *
    * @param server - a server that has no connections yet
    */
@@ -107,8 +110,12 @@
     const shared = { budget, pool, fragments, clock, refuse };
     server.on('connection', (socket: Socket) => {
       const connection = GuardedConnection.create(socket, shared);
-      if (connection) this.connections.set(socket, connection);
-      else refuse(socket, budget.isFull ? 'connections' : 'memory');
+      if (!connection) {
+        refuse(socket, budget.isFull ? 'connections' : 'memory');
+        return;
+      }
+      this.connections.set(socket, connection);
+      this.pacer.pace(socket, connection);
     });
   }
 
