fix(pacing): name the count in the line of waiting connections `waits`

"answers without a length are reset when the grace period ends before they do" found `"stopped"` in a line of step `processor`, which it reads for the line that a process writes at its end, and that line has no number of reset answers. Readers of logs would take it for that line in the same way.

--- a/src/callers/http-caller-listener.ts
+++ b/src/callers/http-caller-listener.ts
@@ -76,8 +76,8 @@
       },
     );
     this.server.maxConnections = callerConnections;
-    const onPace = (_waiting: number, stopped: number) =>
-      kernel.find('metrics').increment('reads.stopped', {}, stopped);
+    const onPace = (_waiting: number, waits: number) =>
+      kernel.find('metrics').increment('reads.stopped', {}, waits);
     ConnectionPacer.create(clock, onPace).attach(this.server);
     this.server.on('clientError', (error, socket) =>
       this.clientErrors.refuse(error, socket as Socket),
--- a/src/pacing/connection-pacer.ts
+++ b/src/pacing/connection-pacer.ts
@@ -9,13 +9,13 @@
 const REPORT_INTERVAL_MS = 1000;
 
 /** Told at most once a second that connections wait: how many, and how many reads had to since the last report. */
-export type PacingListener = (waiting: number, stopped: number) => void;
+export type PacingListener = (waiting: number, waits: number) => void;
 
 /** Keeps connections whose data takes much processor time from delaying the others of all its servers. */
 export class ConnectionPacer {
   private readonly turns = ReadTurns.create((waiting) => this.report(waiting));
 
-  private stoppedCount = 0;
+  private waits = 0;
 
   private reportedMs = -Infinity;
 
@@ -43,7 +43,7 @@
   /**
    * Paces all connections of a server.
    *
-   * @param server - a server that has no connections yet
+   * @param server - a server without connections; its listeners of `connection` that listen for data come first
    */
   attach(server: Server): void {
     const memory: ReadMemory = { add: () => {}, release: () => {} };
@@ -61,11 +61,11 @@
   }
 
   private report(waiting: number): void {
-    this.stoppedCount += 1;
+    this.waits += 1;
     const nowMs = this.clock.monotonicMs();
     if (nowMs - this.reportedMs < REPORT_INTERVAL_MS) return;
     this.reportedMs = nowMs;
-    this.onPace(waiting, this.stoppedCount);
-    this.stoppedCount = 0;
+    this.onPace(waiting, this.waits);
+    this.waits = 0;
   }
 }
