refactor(callers): let the listener own the open responses

The handler of input that cannot be read passed calls on to the open responses. The listener holds them now and the handler only reads them. A connection with too many unanswered requests is counted (connections.refused) and connections that wait to be read are logged, as on the platform's listeners.

--- a/src/callers/client-error-handler.ts
+++ b/src/callers/client-error-handler.ts
@@ -1,9 +1,8 @@
 import { randomUUID } from 'node:crypto';
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
 import { Refusal } from '../domain/refusal.js';
-import { OpenResponses } from './open-responses.js';
+import type { OpenResponses } from './open-responses.js';
 import { describeRefusal } from './refusal-response.js';
 
 /**
@@ -14,42 +13,18 @@
 
 const UNREADABLE_MESSAGE = 'the request could not be read';
 
-/**
- * Refuses input that the HTTP parser of Node rejects. Tracks the requests in progress on each
- * connection, so that a refusal is not taken for the response to one of them.
- */
+/** Refuses input that the HTTP parser of Node rejects. */
 export class ClientErrorHandler {
-  private readonly openResponses = OpenResponses.create();
+  private constructor(private readonly openResponses: OpenResponses) {}
 
   /**
    * Creates a handler for one server.
    *
-   * @returns a new handler that tracks no requests
-   */
-  static create(): ClientErrorHandler {
-    return new ClientErrorHandler();
-  }
-
-  /**
-   * Tracks a request until its response is closed.
-   *
-   * @param incoming - the request
-   * @param response - its response
-   * @returns false when the connection has too many requests without a complete response
-   */
-  track(incoming: IncomingMessage, response: ServerResponse): boolean {
-    return this.openResponses.track(incoming, response);
-  }
-
-  /**
-   * Waits until the responses before this one on its connection are complete.
-   *
-   * @param incoming - a request that is tracked
-   * @param response - its response
-   * @returns false when the connection has closed
+   * @param openResponses - responses in progress, for one of which a refusal could be taken
+   * @returns a new handler
    */
-  takeTurn(incoming: IncomingMessage, response: ServerResponse): Promise<boolean> {
-    return this.openResponses.takeTurn(incoming, response);
+  static create(openResponses: OpenResponses): ClientErrorHandler {
+    return new ClientErrorHandler(openResponses);
   }
 
   /**
--- a/src/callers/http-caller-listener.ts
+++ b/src/callers/http-caller-listener.ts
@@ -22,6 +22,7 @@
 import { chooseEntryAddresses } from './entry-addresses.js';
 import { ClientErrorHandler } from './client-error-handler.js';
 import { checkContentLength, readBody } from './request-body.js';
+import { OpenResponses } from './open-responses.js';
 import { isUnambiguousPath, matchRoute } from './route-match.js';
 import { StreamedAnswer } from './streamed-answer.js';
 import { BufferedAnswer } from './buffered-answer.js';
@@ -48,7 +49,9 @@
 export class HttpCallerListener extends CallerListener {
   private readonly server: Server;
 
-  private readonly clientErrors = ClientErrorHandler.create();
+  private readonly openResponses = OpenResponses.create();
+
+  private readonly clientErrors = ClientErrorHandler.create(this.openResponses);
 
   private activeRequests = 0;
 
@@ -76,8 +79,12 @@
       },
     );
     this.server.maxConnections = callerConnections;
-    const onPace = (_waiting: number, waits: number) =>
+    const onPace = (waiting: number, waits: number) => {
       kernel.find('metrics').increment('reads.stopped', {}, waits);
+      kernel
+        .find('logs')
+        .info('connections that take much processor time wait to be read', { waiting, waits });
+    };
     ConnectionPacer.create(clock, onPace).attach(this.server);
     this.server.on('clientError', (error, socket) =>
       this.clientErrors.refuse(error, socket as Socket),
@@ -139,7 +146,9 @@
     const request = CallerRequest.create(incoming, response, span, this.clock.monotonicMs());
     request.disconnectWhenStalled(this.settings.limits.bodyMs);
     if (this.drainStartMs !== undefined) response.setHeader('connection', 'close');
-    if (!this.clientErrors.track(incoming, response)) {
+    if (!this.openResponses.track(incoming, response)) {
+      this.kernel.find('metrics').increment('connections.refused', { reason: 'requests' });
+      this.kernel.find('logs').debug('closed a connection with too many unanswered requests');
       incoming.socket.destroy();
       return;
     }
@@ -147,7 +156,7 @@
     response.on('close', () => {
       this.activeRequests -= 1;
     });
-    if (!(await this.clientErrors.takeTurn(incoming, response))) return;
+    if (!(await this.openResponses.takeTurn(incoming, response))) return;
     const refusal = await this.handle(request);
     if (!refusal) return;
     this.recordRefusal(request, refusal);
