fix(relay): one VM grants the trials of prompt parts, one at a time

Cause: a VM sent a trial only in its own turn of 2 s out of as many turns as there are VMs, so a trial took place only when a sound request came to just that VM. Siblings: a digest named the same 12 suspects of a crash every time and six cleared ones, so that with 13 shared parts or more other VMs never learned of the part that crashes servers and refused all sound prompts without a trial, and what had been cleared on one VM stayed suspected on others; undecided requests were sent away with the rest of the quarantine (minutes) as Retry-After.

Change: a VM asks the first VM in the ranking for these crashes, by datagram. It grants one trial at a time and is told how it ended; the next follows at once, or 5 s after a broken one, so at most few servers crash. Digests carry the parts that servers have answered, and other suspects each time. Others may come back after 1 s.

The scenario "the VMs of a fleet take turns with trials" tested the turns; it asks for trials over the network now, with the same counts and the same bound.

--- a/features/relay/crashes.feature
+++ b/features/relay/crashes.feature
@@ -148,7 +148,7 @@
     Then at most 8 relay servers have crashed
 
   # Guards against trials by all VMs at once, and by none.
-  Scenario Outline: the VMs of a fleet of <vms> take turns with trials
+  Scenario Outline: the VMs of a fleet of <vms> make trials one after the other
     Given a simulated fleet of <vms> VMs
     When the VMs of the simulated fleet have a request for a trial each 100 ms for 6000 ms
     Then the VMs of the simulated fleet have made 3 trials, at most 1 in any 1900 ms
@@ -159,6 +159,45 @@
       | 3   |
       | 40  |
 
+  # Guards against sound prompts that stay refused the longer, the more VMs there are and the less often they come,
+  # because a VM sends one only in its own turn.
+  Scenario Outline: sound prompts with <parts> shared parts are served soon at <rate> a second in a fleet of <vms> VMs (pattern: a part that all crashes have in common with another part)
+    Given a simulated fleet of <vms> VMs
+    When prompts with <parts> shared parts and a bad one are on 6 servers of the simulated fleet that crash
+    And sound prompts with these <parts> parts come to the simulated fleet <rate> times a second for <s> s
+    Then the first of these prompts is served, and all that come 3000 ms or more after it
+
+    Examples:
+      | vms | rate | s  | parts |
+      | 3   | 0.2  | 60 | 1     |
+      | 3   | 1    | 20 | 1     |
+      | 3   | 4    | 20 | 1     |
+      | 3   | 20   | 20 | 1     |
+      | 3   | 4    | 20 | 40    |
+      | 8   | 1    | 20 | 1     |
+      | 64  | 0.2  | 60 | 1     |
+      | 64  | 1    | 20 | 1     |
+      | 64  | 4    | 20 | 1     |
+      | 64  | 20   | 20 | 1     |
+      | 64  | 4    | 20 | 12    |
+      | 195 | 1    | 20 | 1     |
+      | 195 | 20   | 10 | 1     |
+
+  # Guards against a trial by each VM when the part does crash servers: three may reach them.
+  Scenario Outline: of prompts with a part that crashes servers few reach them at <rate> a second in a fleet of <vms> VMs
+    Given a simulated fleet of <vms> VMs
+    When prompts with 1 shared parts and a bad one are on 6 servers of the simulated fleet that crash
+    And bad prompts with the shared part alone come to the simulated fleet <rate> times a second for 10 s
+    Then at most 3 of these prompts have reached servers
+
+    Examples:
+      | vms | rate |
+      | 3   | 1    |
+      | 3   | 20   |
+      | 64  | 4    |
+      | 64  | 20   |
+      | 195 | 20   |
+
   # Guards against a request that makes its servers fall silent and is never stopped (review/9 of 879eb37).
   Scenario Outline: a <kind> request whose servers fall silent and start again is refused after <crashes> of them
     Given a relay with <servers> that do "hangs"
--- a/features/steps/crash-steps.ts
+++ b/features/steps/crash-steps.ts
@@ -5,9 +5,7 @@
 import type { FleetSimulation, SimulatedVm } from '../../harness/fleet-simulation.js';
 import type { Refusal } from '../../src/domain/refusal.js';
 import { SystemClock } from '../../src/kernel/system-clock.js';
-import { rankByRendezvous } from '../../src/kernel/rendezvous.js';
 import { listCrashSuspects } from '../../src/relay/crash-suspects.js';
-import { CrashTrials } from '../../src/relay/crash-trials.js';
 import type { Relay } from '../../src/relay/relay.js';
 import type { RelayRoute } from '../../src/relay/relay-configuration.js';
 import {
@@ -24,6 +22,12 @@
   createRelayRoute,
 } from '../support/relay-fixtures.js';
 
+interface SentPrompt {
+  readonly atMs: number;
+  /** Undefined until the prompt has been answered or refused. */
+  isServed: boolean | undefined;
+}
+
 interface CrashWorld {
   relay: Relay;
   upstream: FakeUpstream;
@@ -34,6 +38,8 @@
   soundStatuses: number[];
   crashes: number;
   suspects: readonly string[];
+  /** Prompts that came to the simulated fleet. */
+  sent: SentPrompt[];
   /** When a VM made a trial, as simulated time in milliseconds. */
   trialTimes: number[];
 }
@@ -42,6 +48,11 @@
 
 const SIMULATION = { timeout: 180_000 } as const;
 
+/** Time that a server takes for a sound prompt in a simulated fleet, in milliseconds. */
+const ANSWER_MS = 1000;
+
+const GOLDEN_RATIO = 0.618034;
+
 const ENGINE = {
   ...{ slots: 40, kvTokens: 70_000, reservationMs: 2000 },
   ...{ prefillLifeMs: 500, roleChangeMs: 6000 },
@@ -242,6 +253,11 @@
   return parts.split(', ').map((part) => `part ${part}`);
 }
 
+/** Names parts that many prompts have. */
+function listSharedParts(count: number): string[] {
+  return Array.from({ length: count }, (_, index) => `part shared-${index}`);
+}
+
 When('servers answer the parts {string} at all VMs of the simulated fleet', (parts: string) => {
   const { liveVms, clock } = scenario.simulation;
   const suspects = listParts(parts);
@@ -448,18 +464,13 @@
   async (everyMs: number, ms: number) => {
     const { simulation } = scenario;
     await simulation.advance(3000);
-    const names = simulation.liveVms.map(({ name }) => name);
-    const ranked = rankByRendezvous('part x', names, (name) => name);
-    const trials = names.map((name) =>
-      CrashTrials.create(() => ({ rank: ranked.indexOf(name), vms: names.length })),
-    );
-    const sinceMs = simulation.clock.monotonicMs();
     scenario.trialTimes = [];
     for (let passed = 0; passed < ms; passed += everyMs) {
-      const nowMs = simulation.clock.monotonicMs();
-      trials.forEach((trial) => {
-        if (trial.take('part x', sinceMs, nowMs)) scenario.trialTimes.push(nowMs);
-        trial.take('part y', sinceMs, nowMs);
+      simulation.liveVms.forEach(({ fleet }) => {
+        void fleet.acquireTrial('crash x').then((permit) => {
+          if (permit) scenario.trialTimes.push(simulation.clock.monotonicMs());
+        });
+        void fleet.acquireTrial('crash y');
       });
       await simulation.advance(everyMs);
     }
@@ -474,3 +485,65 @@
     trialTimes.slice(1).forEach((time, index) => assert.ok(time - trialTimes[index]! >= windowMs));
   },
 );
+
+/** Sends a prompt to a VM; it is served, refused, or crashes its server. */
+async function sendSimulated(vm: SimulatedVm, suspects: readonly string[], isDeadly: boolean) {
+  const { clock } = scenario.simulation;
+  const cause = vm.crashes.findCause(() => suspects, clock.monotonicMs());
+  const permit = cause?.isUndecided ? await vm.fleet.acquireTrial(cause.group) : undefined;
+  if (cause && !permit) return false;
+  await clock.sleep(isDeadly ? 50 : ANSWER_MS);
+  if (isDeadly) crashServer(...suspects);
+  else vm.crashes.recordAnswered(suspects, () => suspects, clock.monotonicMs());
+  permit?.end(isDeadly ? 'broken' : 'sound');
+  return true;
+}
+
+When(
+  'prompts with {int} shared parts and a bad one are on {int} servers of the simulated fleet that crash',
+  SIMULATION,
+  async (parts: number, count: number) => {
+    await scenario.simulation.advance(3000);
+    for (let crash = 0; crash < count; crash += 1)
+      crashServer(...listSharedParts(parts), ...listParts('bad'));
+    await scenario.simulation.advance(2000);
+  },
+);
+
+When(
+  /^(sound|bad) prompts with (?:these|the) (?:(\d+) parts|shared part alone) come to the simulated fleet ([\d.]+) times a second for (\d+) s$/,
+  SIMULATION,
+  async (kind: string, parts: string | null, rate: string, seconds: string) => {
+    const { simulation } = scenario;
+    const { clock, liveVms } = simulation;
+    const startMs = clock.monotonicMs();
+    scenario.sent = [];
+    for (let index = 0; index < Number(rate) * Number(seconds); index += 1) {
+      await simulation.advance(startMs + (index * 1000) / Number(rate) - clock.monotonicMs());
+      const vm = liveVms[Math.floor(((index * GOLDEN_RATIO) % 1) * liveVms.length)]!;
+      const suspects = [`prompt ${index}`, ...listSharedParts(Number(parts ?? 1))];
+      const prompt: SentPrompt = { atMs: clock.monotonicMs(), isServed: undefined };
+      scenario.sent.push(prompt);
+      void sendSimulated(vm, suspects, kind === 'bad').then((isServed) => {
+        prompt.isServed = isServed;
+      });
+    }
+    await simulation.advance(ANSWER_MS + 200);
+  },
+);
+
+Then(
+  'the first of these prompts is served, and all that come {int} ms or more after it',
+  (ms: number) => {
+    const { sent } = scenario;
+    assert.equal(sent[0]!.isServed, true, 'the first prompt was refused');
+    const late = sent.filter(({ atMs }) => atMs >= sent[0]!.atMs + ms);
+    const refused = late.filter(({ isServed }) => !isServed);
+    assert.equal(refused.length, 0, `${refused.length} of ${late.length} were refused`);
+  },
+);
+
+Then('at most {int} of these prompts have reached servers', (most: number) => {
+  const reached = scenario.sent.filter(({ isServed }) => isServed).length;
+  assert.ok(reached <= most, `${reached} prompts reached servers`);
+});
--- a/features/support/relay-fixtures.ts
+++ b/features/support/relay-fixtures.ts
@@ -120,6 +120,7 @@
     avoided: [],
     leavers: [],
     crashes: [],
+    sound: [],
     limits: [],
     cold: [],
     capacities: [],
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -92,6 +92,8 @@
   leavers: listOf(z.tuple([z.string(), boundedNumber])),
   /** Crash id, age in milliseconds, suspects and cleared suspects; VMs of earlier releases send none. */
   crashes: listOf(z.tuple([z.string(), boundedNumber, z.array(name), z.array(name)])),
+  /** Prompt parts that servers have answered, and how long ago in milliseconds; VMs of earlier releases send none. */
+  sound: listOf(z.tuple([name, nonNegative])),
   /** Server id, start, limit in requests per second (-1 for none) and age of the answer in milliseconds. */
   limits: listOf(z.tuple([name, boundedNumber, boundedNumber, boundedNumber])),
   /** Server id and the time for which it stays cold, in milliseconds. */
@@ -147,10 +149,22 @@
   loan: z.string().max(40),
 });
 
+/** A question for a trial of a request that may crash servers, an answer to it, or how the trial ended. */
+const trialSchema = z.object({
+  kind: z.literal('trial'),
+  vm: name,
+  step: z.enum(['ask', 'grant', 'refuse', 'sound', 'broken', 'unused']),
+  /** The crashes that the trial is about. */
+  group: z.string().max(300),
+  /** Id of the question, which becomes that of the trial. */
+  trial: z.string().max(40),
+});
+
 const messageSchema = z.discriminatedUnion('kind', [
   digestSchema,
   summarySchema,
   loanSchema,
+  trialSchema,
   placeAskSchema,
   placeAnswerSchema,
 ]);
@@ -173,8 +187,11 @@
 /** Message about a loan of a request between two VMs. */
 export type LoanMessage = z.infer<typeof loanSchema>;
 
+/** Message about a trial of a request between two VMs. */
+export type TrialMessage = z.infer<typeof trialSchema>;
+
 /** Content of a datagram between VMs. */
-export type FleetMessage = Digest | Summary | LoanMessage | PlaceMessage;
+export type FleetMessage = Digest | Summary | LoanMessage | TrialMessage | PlaceMessage;
 
 /**
  * Encodes a message.
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -6,6 +6,7 @@
 import { Service } from '../kernel/service.js';
 import type { QueuesElsewhere } from '../relay/decode-queue.js';
 import type { FleetContact } from '../relay/retry-budget.js';
+import type { TrialPermit } from '../relay/crash-trials.js';
 import type { CatalogServer } from '../relay/server-catalog.js';
 import {
   COLD_WINDOW_MS,
@@ -22,6 +23,7 @@
   encodeMessage,
   type Digest,
   type FleetMember,
+  type FleetMessage,
   type FleetWork,
   type Summary,
 } from './digest.js';
@@ -32,6 +34,7 @@
 import { MessageReader } from './message-reader.js';
 import { RemoteWork } from './remote-work.js';
 import { ShareLending } from './share-lending.js';
+import { TrialRequests } from './trial-requests.js';
 
 /** Identity and addresses of a VM in a fleet. */
 export interface FleetOptions {
@@ -129,6 +132,8 @@
 
   private readonly lending: ShareLending;
 
+  private readonly trials: TrialRequests;
+
   private readonly reader: MessageReader;
 
   /** When the last message of another VM arrived; undefined before the first. */
@@ -161,10 +166,13 @@
     this.remoteWork = RemoteWork.create(kernel);
     this.reader = MessageReader.create(kernel, clock);
     const self = { vm: options.vm, incarnation: this.incarnation };
-    this.lending = ShareLending.create(kernel, self, clock, (vm, message) => {
+    const send = (vm: string, message: FleetMessage) => {
       const peer = this.peerTable.find(vm, clock.monotonicMs());
       if (peer) this.datagrams.send(encodeMessage(message), peer.host);
-    });
+    };
+    this.lending = ShareLending.create(kernel, self, clock, send);
+    const peers = () => this.peers.map(({ vm }) => vm);
+    this.trials = TrialRequests.create({ vm: options.vm, peers }, this.incarnation, clock, send);
     this.addHosts(options.seedHosts);
   }
 
@@ -223,6 +231,16 @@
     return this.lending.borrow(servers);
   }
 
+  /**
+   * Asks for a trial of a request that may crash servers.
+   *
+   * @param group - the crashes that the trial is about
+   * @returns a permit, or undefined while another trial takes place or nobody answers
+   */
+  acquireTrial(group: string): Promise<TrialPermit | undefined> {
+    return this.trials.acquire(group);
+  }
+
   /**
    * Whether this VM learns of cold servers from the others. Once it has lost the others for good, it reads the
    * store itself.
@@ -395,6 +413,7 @@
     const nowMs = this.clock.monotonicMs();
     if (message) this.heardMs = nowMs;
     if (message?.kind === 'loan') this.lending.receive(message);
+    else if (message?.kind === 'trial') this.trials.receive(message);
     else if (message?.kind === 'digest') this.receiveDigest(message, nowMs);
     else if (message?.kind === 'summary') {
       if (message.hub !== this.vm) this.receiveSummary(message, nowMs);
--- a/src/fleet/hub-aggregator.ts
+++ b/src/fleet/hub-aggregator.ts
@@ -1,5 +1,5 @@
 import { ageCapacityReport, mergeCapacityReports } from '../capacity/capacity-report.js';
-import { mergeCrashReports } from '../relay/crash-ledger.js';
+import { ageSoundReports, mergeCrashReports, mergeSoundReports } from '../relay/crash-ledger.js';
 import { addSums } from '../relay/pool-costs.js';
 import { ageColdReports, mergeColdReports } from '../relay/cold-servers.js';
 import { ageLimitReport, mergeLimitReports } from '../relay/server-limits.js';
@@ -167,8 +167,9 @@
     const heldMs = Math.round(nowMs - receivedMs);
     const limits = message.limits.map((report) => ageLimitReport(report, heldMs));
     const cold = ageColdReports(message.cold, heldMs);
+    const sound = ageSoundReports(message.sound, heldMs);
     const capacities = message.capacities.map((report) => ageCapacityReport(report, heldMs));
-    return { ...message, limits, cold, capacities };
+    return { ...message, sound, limits, cold, capacities };
   });
 }
 
@@ -198,6 +199,7 @@
     avoided: [...avoided],
     leavers: [...leavers],
     crashes: mergeCrashReports(works.map(({ crashes }) => crashes)),
+    sound: mergeSoundReports(works.map(({ sound }) => sound)),
     limits: mergeLimitReports(works.map(({ limits }) => limits)),
     cold: mergeColdReports(works.map(({ cold }) => cold)),
     capacities: mergeCapacityReports(works.map(({ capacities }) => capacities)),
--- a/src/fleet/own-work.ts
+++ b/src/fleet/own-work.ts
@@ -22,6 +22,7 @@
     avoided: [...relay.health.avoided(nowMs)].map(([id, ms]) => [id, Math.round(ms)]),
     leavers: [...relay.catalog.leavers],
     crashes: relay.crashes.reports(nowMs),
+    sound: relay.crashes.soundReports(nowMs),
     limits: relay.limits.reports(nowMs),
     cold: relay.limits.cold.reports(nowMs),
     capacities: relay.capacities.reports(nowMs),
--- a/src/fleet/remote-work.ts
+++ b/src/fleet/remote-work.ts
@@ -66,6 +66,7 @@
     retryBudgets.recordReported(spender, work.retries, part, nowMs);
     work.avoided.forEach(([id, ms]) => health.recordAvoided(id, ms, nowMs));
     crashes.recordReported(work.crashes, nowMs);
+    crashes.recordReportedSound(work.sound, nowMs);
     limits.recordReported(work.limits, nowMs);
     limits.cold.recordReported(work.cold, nowMs);
     work.leavers.forEach(([id, startedAtMs]) => catalog.recordLeaving(id, startedAtMs));
--- a/src/relay/crash-ledger.ts
+++ b/src/relay/crash-ledger.ts
@@ -1,3 +1,4 @@
+import { shuffle } from '../kernel/shuffle.js';
 import { indexBySuspect, shareEqualLists } from './crash-index.js';
 import { isPromptPart } from './crash-suspects.js';
 import type { CatalogServer } from './server-catalog.js';
@@ -38,7 +39,9 @@
 /** Limits of what is reported to other VMs: a digest must stay small. */
 const MAX_REPORTED_CRASHES = 8;
 const MAX_REPORTED_SUSPECTS = 12;
+const MAX_RECURRENT_SUSPECTS = 8;
 const MAX_REPORTED_CLEARED = 6;
+const MAX_REPORTED_SOUND = 24;
 
 /** Time for which a crash is reported that shares no suspect with another one, in milliseconds. */
 const UNRELATED_REPORT_MS = 10_000;
@@ -65,14 +68,17 @@
 /** A crash as a VM reports it: server with its incarnation, age in milliseconds, suspects, cleared suspects. */
 export type CrashReport = [id: string, ageMs: number, suspects: string[], cleared: string[]];
 
+/** A prompt part that servers have answered, and how long ago, in milliseconds. */
+export type SoundReport = [part: string, ageMs: number];
+
 /** Why a request is quarantined. */
 export interface CrashCause {
   readonly suspect: string;
   readonly crashes: number;
   /** Remaining quarantine, in milliseconds. */
   readonly remainingMs: number;
-  /** Monotonic time of the newest crash, in milliseconds. */
-  readonly newestMs: number;
+  /** Name of the crashes, the same for all parts that have the same ones. */
+  readonly group: string;
   /** True when a part that the request does not contain explains the crashes as well. */
   readonly isUndecided: boolean;
 }
@@ -204,9 +210,17 @@
     const recurrence = (suspect: string) => this.crashesBySuspect.get(suspect)?.length ?? 0;
     const ranked = [...this.crashes.values()]
       .map(({ id, atMs, suspects, cleared }) => {
-        const open = [...suspects].filter((suspect) => !cleared.has(suspect));
-        open.sort((left, right) => recurrence(right) - recurrence(left));
-        return { id, ageMs: nowMs - atMs, open, cleared, related: recurrence(open[0] ?? '') };
+        const open = rankSuspects(
+          [...suspects].filter((suspect) => !cleared.has(suspect)),
+          recurrence,
+        );
+        return {
+          id,
+          ageMs: nowMs - atMs,
+          open,
+          cleared,
+          related: Math.max(0, ...open.map(recurrence)),
+        };
       })
       .filter(({ related, ageMs }) => related >= MIN_CRASHES || ageMs <= UNRELATED_REPORT_MS)
       .sort((left, right) => right.related - left.related || left.ageMs - right.ageMs);
@@ -233,6 +247,39 @@
     });
   }
 
+  /**
+   * Lists prompt parts that servers have answered for the other VMs, of those that are cleared of crashes. Their
+   * number is limited; each list has others.
+   *
+   * @param nowMs - monotonic time, in milliseconds
+   * @returns the parts; those that only other VMs have reported are not among them
+   */
+  soundReports(nowMs: number): SoundReport[] {
+    if (this.crashes.size === 0) return [];
+    const cleared = new Set([...this.crashes.values()].flatMap((crash) => [...crash.cleared]));
+    const sound = [...cleared].flatMap((part): SoundReport[] => {
+      const soundMs = this.soundParts.get(part);
+      return soundMs === undefined ? [] : [[part, Math.round(nowMs - soundMs)]];
+    });
+    return limitSoundReports(sound);
+  }
+
+  /**
+   * Clears prompt parts that servers have answered on other VMs of the crashes before, and of those soon after.
+   *
+   * @param reports - untrusted reports
+   * @param nowMs - monotonic time, in milliseconds
+   */
+  recordReportedSound(reports: readonly SoundReport[], nowMs: number): void {
+    reports.slice(0, MAX_REPORTED_SOUND).forEach(([part, ageMs]) => {
+      this.crashesBySuspect.get(part)?.forEach(({ atMs, cleared }) => {
+        if (atMs - (nowMs - ageMs) > SOUND_EXPIRY_MS) return;
+        cleared.add(part);
+        this.index = undefined;
+      });
+    });
+  }
+
   private get crashesBySuspect(): ReadonlyMap<string, readonly Crash[]> {
     this.index ??= shareEqualLists(
       indexBySuspect(this.crashes.values(), ({ suspects, cleared }) =>
@@ -269,7 +316,8 @@
     const remainingMs = newestMs + this.jitter * Math.min(MAX_QUARANTINE_MS, lengthMs) - nowMs;
     // The outcome of a trial that broke off is not known yet.
     const isUndecided = explanation === 'equal' && pending.length === 0;
-    return [{ suspect, crashes, remainingMs, newestMs, isUndecided }];
+    const group = confirmed.map(({ id }) => id).sort()[0]!;
+    return [{ suspect, crashes, remainingMs, group, isUndecided }];
   }
 
   /**
@@ -346,9 +394,60 @@
     const allCleared = new Set([...knownCleared, ...cleared]);
     const all = [...new Set([...knownSuspects, ...suspects])];
     const open = all.filter((suspect) => !allCleared.has(suspect));
-    merged.set(id, limitReport([id, Math.max(knownAgeMs, ageMs), open, [...allCleared]]));
+    merged.set(id, [id, Math.max(knownAgeMs, ageMs), open, [...allCleared]]);
   });
-  return [...merged.values()].slice(0, MAX_REPORTED_CRASHES);
+  const crashes = indexBySuspect(merged.values(), ([, , suspects]) => suspects);
+  const recurrence = (suspect: string) => crashes.get(suspect)?.length ?? 0;
+  return [...merged.values()]
+    .slice(0, MAX_REPORTED_CRASHES)
+    .map(([id, ageMs, suspects, cleared]) =>
+      limitReport([id, ageMs, rankSuspects(suspects, recurrence), cleared]),
+    );
+}
+
+/**
+ * Adds the time for which reports have been held to their ages.
+ *
+ * @param reports - prompt parts that servers have answered
+ * @param heldMs - time for which the reports have been held, in milliseconds
+ * @returns the reports as of now
+ */
+export function ageSoundReports(reports: readonly SoundReport[], heldMs: number): SoundReport[] {
+  return reports.map(([part, ageMs]) => [part, ageMs + heldMs]);
+}
+
+/**
+ * Merges the prompt parts that servers have answered on several VMs.
+ *
+ * @param lists - reports of the VMs
+ * @returns a limited number of them, each with its last answer
+ */
+export function mergeSoundReports(lists: readonly (readonly SoundReport[])[]): SoundReport[] {
+  const merged = new Map<string, number>();
+  lists.flat().forEach(([part, ageMs]) => {
+    merged.set(part, Math.min(ageMs, merged.get(part) ?? Infinity));
+  });
+  return limitSoundReports([...merged]);
+}
+
+function limitSoundReports(reports: readonly SoundReport[]): SoundReport[] {
+  return reports.length <= MAX_REPORTED_SOUND
+    ? [...reports]
+    : shuffle(reports).slice(0, MAX_REPORTED_SOUND);
+}
+
+/**
+ * Orders suspects so that most of the first ones have several crashes. Some have not: a VM may not know yet of which
+ * other crashes they are suspects. Each report has others first, so that in time all become known.
+ */
+function rankSuspects(
+  suspects: readonly string[],
+  recurrence: (suspect: string) => number,
+): string[] {
+  const isRecurrent = (suspect: string) => recurrence(suspect) >= MIN_CRASHES;
+  const first = shuffle(suspects.filter(isRecurrent)).slice(0, MAX_RECURRENT_SUSPECTS);
+  const chosen = new Set(first);
+  return [...first, ...shuffle(suspects.filter((suspect) => !chosen.has(suspect)))];
 }
 
 function limitReport([id, ageMs, suspects, cleared]: CrashReport): CrashReport {
--- a/src/relay/crash-trials.ts
+++ b/src/relay/crash-trials.ts
@@ -1,51 +1,72 @@
-/** Time for which one VM may make a trial, in milliseconds: its server crashes or answers, and the others know. */
+/** Time after which a trial whose end nobody has reported is over, in milliseconds. */
 const TRIAL_MS = 2000;
 
-/** Maximum number of suspects whose last turn is remembered. */
-const MAX_USED = 512;
+/** Time in which the crash of the server of a broken trial becomes known, in milliseconds. */
+const CONFIRMATION_MS = 5000;
 
-/** Place of this VM in an order of the fleet. */
-export interface TrialTurn {
-  readonly rank: number;
-  readonly vms: number;
+/** Maximum number of groups of crashes about which there are trials at once. */
+const MAX_TRIALS = 512;
+
+/** How a trial ended: the server answered, its connection broke, or no server began to run the request. */
+export type TrialEnd = 'sound' | 'broken' | 'unused';
+
+/** Allows one request to be sent although one of its prompt parts may crash servers. */
+export interface TrialPermit {
+  /** Reports the end of the trial; only the first call counts. */
+  readonly end: (end: TrialEnd) => void;
+}
+
+interface Trial {
+  readonly id: string;
+  readonly untilMs: number;
 }
 
 /**
- * Decides which VM sends a request with a prompt part that may or may not crash servers, because another part was
- * in the same prompts. The VMs take turns, each sends one request in its turn, so that few servers crash by trials.
+ * Grants trials: requests that are sent to learn which of several prompt parts crashes servers. Of the trials about
+ * the same crashes one takes place at a time, so that few servers crash by them.
  */
 export class CrashTrials {
-  /** Turn that this VM has used last, by suspect: the time of the newest crash, and the number of the turn since. */
-  private readonly used = new Map<string, { readonly sinceMs: number; readonly turn: number }>();
-
-  private constructor(private readonly turnOf: (suspect: string) => TrialTurn) {}
+  private readonly trials = new Map<string, Trial>();
 
   /**
    * Creates an instance without trials.
    *
-   * @param turnOf - returns the place of this VM in an order that all VMs know and that depends on the suspect
    * @returns a new instance
    */
-  static create(turnOf: (suspect: string) => TrialTurn): CrashTrials {
-    return new CrashTrials(turnOf);
+  static create(): CrashTrials {
+    return new CrashTrials();
   }
 
   /**
-   * Takes the turn of this VM.
+   * Grants a trial unless another one takes place.
    *
-   * @param suspect - the prompt part
-   * @param sinceMs - monotonic time of the newest crash, in milliseconds
+   * @param group - the crashes that the trial is about
+   * @param id - id of the trial; a repeated question gets the same answer
    * @param nowMs - monotonic time, in milliseconds
    * @returns true when the request may be sent
    */
-  take(suspect: string, sinceMs: number, nowMs: number): boolean {
-    const turn = Math.floor((nowMs - sinceMs) / TRIAL_MS);
-    const { rank, vms } = this.turnOf(suspect);
-    if (turn % vms !== rank) return false;
-    const used = this.used.get(suspect);
-    if (used?.sinceMs === sinceMs && used.turn === turn) return false;
-    if (this.used.size >= MAX_USED) this.used.clear();
-    this.used.set(suspect, { sinceMs, turn });
+  grant(group: string, id: string, nowMs: number): boolean {
+    const current = this.trials.get(group);
+    if (current && current.untilMs > nowMs) return current.id === id;
+    this.trials.forEach(({ untilMs }, each) => {
+      if (untilMs <= nowMs) this.trials.delete(each);
+    });
+    if (this.trials.size >= MAX_TRIALS) return false;
+    this.trials.set(group, { id, untilMs: nowMs + TRIAL_MS });
     return true;
   }
+
+  /**
+   * Ends a trial. After a broken one the next is granted when the others can know whether its server has crashed.
+   *
+   * @param group - the crashes that the trial is about
+   * @param id - id of the trial
+   * @param end - how it ended
+   * @param nowMs - monotonic time, in milliseconds
+   */
+  end(group: string, id: string, end: TrialEnd, nowMs: number): void {
+    if (this.trials.get(group)?.id !== id) return;
+    if (end === 'broken') this.trials.set(group, { id, untilMs: nowMs + CONFIRMATION_MS });
+    else this.trials.delete(group);
+  }
 }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -6,9 +6,7 @@
 import { Service } from '../kernel/service.js';
 import type { Places } from '../places/places.js';
 import { CountedSink, type SentAnswer } from './counted-sink.js';
-import { rankByRendezvous } from '../kernel/rendezvous.js';
 import { CrashLedger } from './crash-ledger.js';
-import { CrashTrials, type TrialTurn } from './crash-trials.js';
 import type { DecodeScheduler } from './decode-scheduler.js';
 import { GrantedScheduler } from './granted-scheduler.js';
 import { PlainRun } from './plain-run.js';
@@ -70,8 +68,6 @@
 
   readonly crashes = CrashLedger.create((...end) => this.hasEnded(...end));
 
-  private readonly crashTrials = CrashTrials.create((suspect) => this.findTrialTurn(suspect));
-
   readonly limits: ServerLimits;
 
   readonly rateLimiter: TeamRateLimiter;
@@ -420,13 +416,6 @@
     return this.catalog.find(id)?.startedAtMs !== startedAtMs;
   }
 
-  private findTrialTurn(suspect: string): TrialTurn {
-    const { vm, peers } = this.kernel.find('fleet');
-    const names = [vm, ...peers.map((peer) => peer.vm)];
-    const rank = rankByRendezvous(suspect, names, (name) => name).indexOf(vm);
-    return { rank, vms: names.length };
-  }
-
   private scheduler(pool: string, context: RunContext): DecodeScheduler {
     const known = this.schedulers.get(pool);
     if (known) return known;
@@ -443,8 +432,7 @@
   }
 
   private context(): RunContext {
-    const { kernel, clock, catalog, loads, health, capacities, limits, crashes, crashTrials } =
-      this;
+    const { kernel, clock, catalog, loads, health, capacities, limits, crashes } = this;
     return {
       clock,
       catalog,
@@ -453,7 +441,6 @@
       capacities,
       limits,
       crashes,
-      crashTrials,
       availabilityZone: this.options.availabilityZone,
       upstream: kernel.find('upstream'),
       decisions: kernel.find('decisions'),
@@ -461,6 +448,7 @@
       fleetSize: () => kernel.find('fleet').size,
       fleetContact: () => kernel.find('fleet').contact,
       borrow: (servers) => kernel.find('fleet').borrow(servers),
+      acquireTrial: (group) => kernel.find('fleet').acquireTrial(group),
       queuesElsewhere: () => kernel.find('fleet').queuesElsewhere,
       costs: this.costs,
       retryBudget: (pool) => this.retryBudgets.forPool(pool),
--- a/src/relay/run-context.ts
+++ b/src/relay/run-context.ts
@@ -4,7 +4,7 @@
 import type { Metrics } from '../observability/metrics.js';
 import type { QueuesElsewhere } from './decode-queue.js';
 import type { CrashLedger } from './crash-ledger.js';
-import type { CrashTrials } from './crash-trials.js';
+import type { TrialPermit } from './crash-trials.js';
 import type { PoolCosts } from './pool-costs.js';
 import type { PriorityShedding } from './priority-shedding.js';
 import type { FleetContact, RetryBudget } from './retry-budget.js';
@@ -27,7 +27,8 @@
   readonly limits: ServerLimits;
   /** Crashes of servers and the requests that may have caused them. */
   readonly crashes: CrashLedger;
-  readonly crashTrials: CrashTrials;
+  /** Asks the fleet for a trial of a request that may crash servers. */
+  readonly acquireTrial: (group: string) => Promise<TrialPermit | undefined>;
   readonly decisions: Decisions;
   readonly metrics: Metrics;
   readonly availabilityZone: string;
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -4,6 +4,7 @@
 import type { CrashCause } from './crash-ledger.js';
 import { listCrashSuspects, listSharedParts } from './crash-suspects.js';
 import type { RunContext } from './run-context.js';
+import type { TrialPermit } from './crash-trials.js';
 import { SendCharges, type SendKind, type SendResult } from './send-charges.js';
 import type { CatalogServer } from './server-catalog.js';
 import { NO_SHARE_RETRY_MS } from './server-limits.js';
@@ -40,6 +41,9 @@
 /** Retry delay for the caller when all servers are in evacuated zones, in milliseconds. */
 const EVACUATED_RETRY_MS = 1000;
 
+/** Retry delay for the caller while a trial shows whether requests like its own crash servers, in milliseconds. */
+const TRIAL_RETRY_MS = 1000;
+
 /** Silence of a server from which on it may have crashed, in milliseconds. */
 const SILENT_MS = 500;
 
@@ -73,8 +77,8 @@
   /** Aborted when the request has ended, so that no server goes on with an answer that nobody reads. */
   private readonly ended = new AbortController();
 
-  /** True when the request is sent to learn whether one of its prompt parts crashes servers. */
-  private isTrial = false;
+  /** Set when the request is sent to learn whether one of its prompt parts crashes servers. */
+  private trial: TrialPermit | undefined;
 
   /** What may crash a server; computed when it is first needed. */
   private suspects: readonly string[] | undefined;
@@ -98,11 +102,14 @@
       this.charges.refundUnused(this.nowMs);
       return result;
     } finally {
+      this.trial?.end('unused');
       this.ended.abort();
     }
   }
 
   private async runUnlessQuarantined(): Promise<RunResult> {
+    const cause = this.findCrashCause();
+    if (cause?.isUndecided) await this.acquireTrial(cause);
     return this.isQuarantined() ? this.refuseUnserved('the request may not be sent') : this.run();
   }
 
@@ -263,6 +270,7 @@
     const facts = { fingerprint, runs: this.runs, answeredMs: Math.round(answeredMs) };
     const end = { answeredMs, isSilent };
     this.context.crashes.recordUnanswered(server, this.listSuspects(), this.nowMs, end);
+    this.trial?.end('broken');
     const reason = isSilent
       ? 'the server was silent before it had answered'
       : 'the connection broke before the server had answered';
@@ -284,31 +292,30 @@
   protected recordAnswered(): void {
     const parts = listSharedParts(this.job.request);
     this.context.crashes.recordAnswered(parts, () => this.listSuspects(), this.nowMs);
+    this.trial?.end('sound');
   }
 
   /** Returns whether the request must not be sent because it crashes servers. */
   protected isQuarantined(): boolean {
     const cause = this.findCrashCause();
     if (!cause) return false;
-    const { suspect, crashes, remainingMs } = cause;
-    const facts = { suspect, crashes, remainingMs: Math.round(remainingMs) };
-    if (cause.isUndecided && this.mayTry(cause, facts)) return false;
+    const facts = describeCause(cause);
+    if (cause.isUndecided && this.trial && !this.mayHaveRun) return false;
     this.recordDecision('crashes', 'refuse', 'servers crash when they run the request', facts);
     this.context.metrics.increment('requests.quarantined');
     return true;
   }
 
-  /** Returns whether the request is a trial that no server has begun to run. */
-  private mayTry(
-    { suspect, newestMs }: CrashCause,
-    facts: Readonly<Record<string, string | number>>,
-  ): boolean {
-    if (this.isTrial || this.mayHaveRun) return !this.mayHaveRun;
-    this.isTrial = this.context.crashTrials.take(suspect, newestMs, this.nowMs);
-    if (!this.isTrial) return false;
-    this.recordDecision('crashes', 'try', 'another prompt part may crash servers', facts);
-    this.context.metrics.increment('requests.tried');
-    return true;
+  /** Asks for a trial, because another part may crash servers in place of those of the request. */
+  private async acquireTrial(cause: CrashCause): Promise<void> {
+    const { metrics } = this.context;
+    this.trial = await this.context.acquireTrial(cause.group);
+    metrics.increment('trials.asked', { result: this.trial ? 'granted' : 'refused' });
+    if (!this.trial) return;
+    this.recordDecision('crashes', 'try', 'another prompt part may crash servers', {
+      ...describeCause(cause),
+    });
+    metrics.increment('requests.tried');
   }
 
   private findCrashCause(): CrashCause | undefined {
@@ -347,9 +354,13 @@
       return this.refuse(
         'quarantined',
         'servers crash when they run the request',
-        cause.remainingMs,
+        cause.isUndecided ? TRIAL_RETRY_MS : cause.remainingMs,
       );
     }
     return this.refuse('overloaded', message, NO_SERVER_RETRY_MS);
   }
 }
+
+function describeCause({ suspect, crashes, remainingMs, isUndecided }: CrashCause) {
+  return { suspect, crashes, remainingMs: Math.round(remainingMs), isUndecided };
+}
