fix(platform): a call without an answer no longer fails sound calls to the store

What the users saw: "a call to the store failed", "The client is destroyed", on VMs whose store answered.

Cause: a call that failed replaced all connections and closed the old ones a second later, with the calls in progress on them. One lost answer so made two failed calls: the read that waits for a configuration failed too, a sound store counted as failing, and the next read began 250 ms later.

A read that waits, whose connection may have gone silent as well, is interrupted and repeated at once on a new one; that is no failure.

--- a/features/steps/store-rollback-steps.ts
+++ b/features/steps/store-rollback-steps.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
+import { setTimeout } from 'node:timers/promises';
 
 import { After, Given, Then, When, world } from '@cucumber/cucumber';
 
+import { createPlatformConfiguration } from '../../harness/platform-fixtures.js';
 import { LogStore } from '../../platform/log-store.js';
 import type { StorePosition } from '../../src/domain/store-position.js';
 import { JsonLogs } from '../../src/observability/json-logs.js';
@@ -124,3 +126,39 @@
   assert.ok(outcome.kind === 'ok');
   assert.deepEqual(outcome.value.zones, [{ zone, evacuated: false, era: 0, offset: 1 }]);
 });
+
+Then(
+  'a read of the platform log that waits is repeated within {int} ms when another call gets no answer',
+  async (ms: number) => {
+    const { rollbackLog } = scenario;
+    const client = scenario.rollbackClients[0]!;
+    const waiting = client.nextConfiguration({ era: 0, offset: 0 }, 5000);
+    await setTimeout(100);
+    rollbackLog.setLostShare(1);
+    const lost = await client.serverChanges(scenario.rollbackPosition);
+    const failedMs = performance.now();
+    rollbackLog.setLostShare(0);
+    assert.equal(lost.kind === 'failed' && lost.failure.reason, 'unavailable');
+    const outcome = await waiting;
+    assert.equal(outcome.kind === 'failed' && outcome.failure.reason, 'interrupted');
+    const tookMs = performance.now() - failedMs;
+    assert.ok(tookMs <= ms, `${tookMs} ms`);
+  },
+);
+
+Then(
+  'a call to the platform log is completed {int} ms after another one has got no answer',
+  { timeout: 15_000 },
+  async (ms: number) => {
+    const { rollbackLog } = scenario;
+    const client = scenario.rollbackClients[0]!;
+    rollbackLog.setLostShare(1);
+    await client.serverChanges(scenario.rollbackPosition);
+    rollbackLog.setLostShare(0);
+    const waiting = client.nextConfiguration({ era: 0, offset: 0 }, 5000);
+    await setTimeout(ms);
+    rollbackLog.put('keyed.op', 'config', createPlatformConfiguration());
+    const outcome = await waiting;
+    assert.equal(outcome.kind === 'ok' && outcome.value.configuration?.version, 3);
+  },
+);
--- a/features/users-platform/store-rollback.feature
+++ b/features/users-platform/store-rollback.feature
@@ -47,3 +47,15 @@
     Then a client of the platform log knows that "sando" is evacuated
     When the operator takes back the evacuation of "sando" in the platform log
     Then the client of the platform log reads that "sando" is in use
+
+  # Guards against one lost answer that fails a sound read too: the store counts as failing, and a change that the
+  # read would have brought is late.
+  Scenario: a read that waits does not fail with another call
+    Given a platform log with 5 records of servers
+    When a client reads the platform log to its end
+    Then a read of the platform log that waits is repeated within 300 ms when another call gets no answer
+
+  Scenario: a read that begins after a lost answer outlasts the connections before it
+    Given a platform log with 5 records of servers
+    When a client reads the platform log to its end
+    Then a call to the platform log is completed 3500 ms after another one has got no answer
--- a/src/state/state-follower.ts
+++ b/src/state/state-follower.ts
@@ -481,6 +481,7 @@
       if (pauseMs > 0) await this.clock.sleep(pauseMs, this.stopping.signal);
       return;
     }
+    if (outcome.failure.reason === 'interrupted') return;
     this.failing = true;
     this.lastFailureMs = this.clock.monotonicMs();
     const { reason, message } = outcome.failure;
--- a/src/state/state-store.ts
+++ b/src/state/state-store.ts
@@ -7,11 +7,12 @@
 import type { CatalogChange, CatalogServer } from '../relay/server-catalog.js';
 
 /**
- * Reason why a call to the store failed. After `compacted` and `rolled-back` there are no changes since the
+ * Reason why a call to the store failed. A call that was `interrupted` says nothing of the store: another one has
+ * failed, and the connection of this one may have gone silent too. It is repeated at once. After `compacted` and `rolled-back` there are no changes since the
  * position of the read, and everything must be read again.
  */
 export type StoreFailure = CallFailure<
-  'unavailable' | 'compacted' | 'rolled-back' | 'conflict' | 'malformed'
+  'unavailable' | 'interrupted' | 'compacted' | 'rolled-back' | 'conflict' | 'malformed'
 >;
 
 /** Result of a read of the configuration. */
