--- a/src/fleet/hub-aggregator.ts
+++ b/src/fleet/hub-aggregator.ts
@@ -1,5 +1,5 @@
 import { ageCapacityReport, mergeCapacityReports } from '../capacity/capacity-report.js';
-import { ageSoundReports, mergeCrashReports, mergeSoundReports } from '../relay/crash-ledger.js';
+import { ageSoundReports, mergeCrashReports, mergeSoundReports } from '../relay/crash-reports.js';
 import { addSums } from '../relay/pool-costs.js';
 import { ageColdReports, mergeColdReports } from '../relay/cold-servers.js';
 import { ageLimitReport, mergeLimitReports } from '../relay/server-limits.js';
