--- a/bench/platform-soak/events.ts
+++ b/bench/platform-soak/events.ts
@@ -1,6 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { createRandom } from '../soak/schedule.js';
+import { createSchedule, type ScheduledFault } from './fault-schedule.js';
 import type { SoakPlatform } from './soak-platform.js';
 
 /** Kinds of faults of a soak run. */
@@ -21,20 +21,13 @@
   'configuration',
 ] as const;
 
-/** One scheduled fault. */
-export interface Fault {
-  readonly atMs: number;
-  readonly kind: (typeof FAULT_KINDS)[number];
-  /** Selects a VM or a server, modulo the number of VMs or servers. */
-  readonly targetIndex: number;
-  readonly durationMs: number;
-}
+/** One scheduled fault; its target selects a VM or a server. */
+export type Fault = ScheduledFault<(typeof FAULT_KINDS)[number]>;
 
-const MIN_GAP_MS = 300;
-const MAX_GAP_MS = 1500;
-const MIN_DURATION_MS = 500;
-const MAX_DURATION_MS = 4000;
-const TARGET_INDEX_LIMIT = 1000;
+const SCHEDULE = {
+  kinds: FAULT_KINDS,
+  ...{ minGapMs: 300, maxGapMs: 1500, minDurationMs: 500, maxDurationMs: 4000 },
+};
 
 /** Time for which a store is away before it comes back from a copy, in milliseconds. */
 const ROLLBACK_OUTAGE_MS = 400;
@@ -53,20 +46,7 @@
  * @returns faults ordered by start time
  */
 export function createFaultSchedule(seed: number, lengthMs: number): Fault[] {
-  const random = createRandom(seed);
-  const faults: Fault[] = [];
-  const step = () => random.integer(MIN_GAP_MS, MAX_GAP_MS);
-  for (let atMs = step(); atMs < lengthMs; atMs += step()) {
-    const kind = FAULT_KINDS[random.integer(0, FAULT_KINDS.length)]!;
-    const targetIndex = random.integer(0, TARGET_INDEX_LIMIT);
-    faults.push({
-      atMs,
-      kind,
-      targetIndex,
-      durationMs: random.integer(MIN_DURATION_MS, MAX_DURATION_MS),
-    });
-  }
-  return faults;
+  return createSchedule(seed, lengthMs, SCHEDULE);
 }
 
 /**
--- a/bench/platform-soak/store-faults.ts
+++ b/bench/platform-soak/store-faults.ts
@@ -1,8 +1,11 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { createRandom } from '../soak/schedule.js';
+import type { TcpRelay } from '../../harness/tcp-relay.js';
+import type { Severity } from './disturbances.js';
 import { rollBackStore } from './events.js';
+import { createSchedule, type ScheduledFault } from './fault-schedule.js';
 import type { SoakPlatform } from './soak-platform.js';
+import type { SoakVm } from './soak-vm.js';
 
 /** Kinds of faults that concern how VMs learn of the configuration. */
 const STORE_FAULT_KINDS = [
@@ -15,20 +18,13 @@
   'cut-half',
 ] as const;
 
-/** One scheduled fault. */
-export interface StoreFault {
-  readonly atMs: number;
-  readonly kind: (typeof STORE_FAULT_KINDS)[number];
-  /** Selects the VMs that it hits. */
-  readonly targetIndex: number;
-  readonly durationMs: number;
-}
+/** One scheduled fault; its target selects the VMs that it hits. */
+export type StoreFault = ScheduledFault<(typeof STORE_FAULT_KINDS)[number]>;
 
-const MIN_GAP_MS = 500;
-const MAX_GAP_MS = 2500;
-const MIN_DURATION_MS = 300;
-const MAX_DURATION_MS = 4000;
-const TARGET_INDEX_LIMIT = 1000;
+const SCHEDULE = {
+  kinds: STORE_FAULT_KINDS,
+  ...{ minGapMs: 500, maxGapMs: 2500, minDurationMs: 300, maxDurationMs: 4000 },
+};
 
 /**
  * Generates a schedule of faults, which may overlap.
@@ -38,20 +34,62 @@
  * @returns faults ordered by start time
  */
 export function createStoreFaults(seed: number, lengthMs: number): StoreFault[] {
-  const random = createRandom(seed);
-  const faults: StoreFault[] = [];
-  const step = () => random.integer(MIN_GAP_MS, MAX_GAP_MS);
-  for (let atMs = step(); atMs < lengthMs; atMs += step()) {
-    faults.push({
-      atMs,
-      kind: STORE_FAULT_KINDS[random.integer(0, STORE_FAULT_KINDS.length)]!,
-      targetIndex: random.integer(0, TARGET_INDEX_LIMIT),
-      durationMs: random.integer(MIN_DURATION_MS, MAX_DURATION_MS),
-    });
-  }
-  return faults;
+  return createSchedule(seed, lengthMs, SCHEDULE);
+}
+
+/** What a fault hits: some VMs with their relays, and the store. */
+interface Hit {
+  readonly platform: SoakPlatform;
+  readonly targets: readonly { readonly vm: SoakVm; readonly relay: TcpRelay }[];
 }
 
+/** How a fault begins and ends, and what it disturbs meanwhile. */
+interface Effect {
+  readonly disturbs: 'targets' | 'store';
+  readonly severity?: Severity;
+  readonly begin: (hit: Hit) => Promise<unknown> | void;
+  readonly end: (hit: Hit) => Promise<unknown> | void;
+}
+
+const LOST_SHARE = 0.5;
+
+const EFFECTS: Readonly<Record<Exclude<StoreFault['kind'], 'back'>, Effect>> = {
+  'turns-away': {
+    ...{ disturbs: 'store', severity: 'mild' },
+    begin: ({ targets }) => targets.forEach(({ relay }) => relay.cut()),
+    end: ({ targets }) => targets.forEach(({ relay }) => relay.heal()),
+  },
+  resets: {
+    ...{ disturbs: 'store', severity: 'mild' },
+    begin: ({ platform }) =>
+      platform.storeRelays.forEach((relay) => {
+        relay.cut();
+        relay.heal();
+      }),
+    end: () => {},
+  },
+  'loses-answers': {
+    disturbs: 'store',
+    begin: ({ platform }) => platform.store.setLostShare(LOST_SHARE),
+    end: ({ platform }) => platform.store.setLostShare(0),
+  },
+  'pause-half': {
+    disturbs: 'targets',
+    begin: ({ targets }) => targets.forEach(({ vm }) => vm.signal('SIGSTOP')),
+    end: ({ targets }) => targets.forEach(({ vm }) => vm.signal('SIGCONT')),
+  },
+  'kill-half': {
+    disturbs: 'targets',
+    begin: ({ targets }) => Promise.all(targets.map(({ vm }) => vm.end('SIGKILL'))),
+    end: ({ targets }) => Promise.all(targets.map(({ vm }) => vm.start())),
+  },
+  'cut-half': {
+    disturbs: 'targets',
+    begin: ({ targets }) => targets.forEach(({ relay }) => relay.silence()),
+    end: ({ targets }) => targets.forEach(({ relay }) => relay.heal()),
+  },
+};
+
 /**
  * Injects one fault and ends it after its duration.
  *
@@ -63,52 +101,20 @@
   platform: SoakPlatform,
   { kind, targetIndex, durationMs }: StoreFault,
 ): Promise<void> {
-  const { disturbances, store } = platform;
-  const half = Math.ceil(platform.vms.length / 2);
-  const targets = platform.vms.flatMap((vm, index) => {
-    const isHit = (index + targetIndex) % platform.vms.length < half;
-    return isHit ? [{ vm, relay: platform.storeRelays[index]! }] : [];
-  });
-  const ends = targets.map(({ vm }) => disturbances.begin(vm.host));
-  const endAll = () => ends.forEach((end) => end());
-  const wait = () => delay(durationMs);
-  if (kind === 'turns-away') {
-    endAll();
-    const end = disturbances.begin('store', 'mild');
-    targets.forEach(({ relay }) => relay.cut());
-    await wait();
-    targets.forEach(({ relay }) => relay.heal());
-    end();
-  } else if (kind === 'resets') {
-    endAll();
-    platform.storeRelays.forEach((relay) => relay.cut());
-    const end = disturbances.begin('store', 'mild');
-    platform.storeRelays.forEach((relay) => relay.heal());
-    end();
-  } else if (kind === 'loses-answers') {
-    endAll();
-    const end = disturbances.begin('store');
-    store.setLostShare(0.5);
-    await wait();
-    store.setLostShare(0);
-    end();
-  } else if (kind === 'back') {
-    endAll();
+  if (kind === 'back') {
     await rollBackStore(platform, durationMs);
-  } else if (kind === 'pause-half') {
-    targets.forEach(({ vm }) => vm.signal('SIGSTOP'));
-    await wait();
-    targets.forEach(({ vm }) => vm.signal('SIGCONT'));
-    endAll();
-  } else if (kind === 'kill-half') {
-    await Promise.all(targets.map(({ vm }) => vm.end('SIGKILL')));
-    await wait();
-    await Promise.all(targets.map(({ vm }) => vm.start()));
-    endAll();
-  } else {
-    targets.forEach(({ relay }) => relay.silence());
-    await wait();
-    targets.forEach(({ relay }) => relay.heal());
-    endAll();
+    return;
   }
+  const { vms, storeRelays, disturbances } = platform;
+  const half = Math.ceil(vms.length / 2);
+  const targets = vms
+    .map((vm, index) => ({ vm, relay: storeRelays[index]! }))
+    .filter((_, index) => (index + targetIndex) % vms.length < half);
+  const { disturbs, severity, begin, end } = EFFECTS[kind];
+  const scopes = disturbs === 'store' ? ['store'] : targets.map(({ vm }) => vm.host);
+  const ends = scopes.map((scope) => disturbances.begin(scope, severity));
+  await begin({ platform, targets });
+  await delay(durationMs);
+  await end({ platform, targets });
+  ends.forEach((endDisturbance) => endDisturbance());
 }
--- a/stand-ins/platform/platform-log.ts
+++ b/stand-ins/platform/platform-log.ts
@@ -12,6 +12,8 @@
 /** Topics of the operator and the servers, which write again what a rollback has lost. */
 const OWNED_TOPICS: ReadonlySet<string> = new Set(['keyed.op', 'keyed.servers']);
 
+const GOLDEN_RATIO = 0.618034;
+
 /** Stand-in for the platform's log: keyed single-partition topics, long polling, outages and rollbacks. */
 export class PlatformLog {
   private readonly topics = new Map<string, Buffer[]>();
@@ -22,6 +24,8 @@
 
   private lostShare = 0;
 
+  private answers = 0;
+
   /** Number of rollbacks; undefined while the log names no era. */
   private era: number | undefined;
 
@@ -141,7 +145,8 @@
     for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
     const url = new URL(request.url ?? '/', 'http://log');
     const topic = url.searchParams.get('topic') ?? '';
-    if (Math.random() < this.lostShare) response.end = () => response;
+    this.answers += 1;
+    if ((this.answers * GOLDEN_RATIO) % 1 < this.lostShare) response.end = () => response;
     this.writeEra(response);
     if (this.unavailable) response.writeHead(503).end();
     else if (url.pathname === '/log-append')
