--- a/src/state/state-follower.ts
+++ b/src/state/state-follower.ts
@@ -340,11 +340,7 @@
   private async followServers(): Promise<void> {
     let readMs = -Infinity;
     while (!this.stopping.signal.aborted) {
-      await this.waitUntilReadDue(
-        () => this.serversPosition === undefined,
-        readMs,
-        STORE_READERS,
-      );
+      await this.waitUntilReadDue(() => this.serversPosition === undefined, readMs, STORE_READERS);
       readMs = this.clock.monotonicMs();
       const outcome = this.serversPosition
         ? await this.readChanges(this.serversPosition)
