refactor(relay): rank only the suspects of crashes that are reported

Each digest shuffled and sorted the suspects of all known crashes, 128 with 512 suspects at most, and sent eight. Only the eight are ranked now; what is sent does not change. Also: the refusals that depend on the configuration are a typed set, and two needless spreads and an export that nobody uses are gone.

features/relay/crashes, relay-runs and users-platform/contract: 208 scenarios passed.

--- a/bench/platform-soak/operator.ts
+++ b/bench/platform-soak/operator.ts
@@ -22,7 +22,7 @@
 }
 
 /** Time within which a version is in force on a VM in touch, and with an unstable store, in milliseconds. */
-export const APPLY_MS = 2000;
+const APPLY_MS = 2000;
 const UNSTABLE_APPLY_MS = 7000;
 
 /** Time without disturbance after which a VM, or the store, is in touch, in milliseconds. */
--- a/src/relay/crash-ledger.ts
+++ b/src/relay/crash-ledger.ts
@@ -205,23 +205,17 @@
     const recurrence = (suspect: string) => this.crashesBySuspect.get(suspect)?.length ?? 0;
     const ranked = [...this.crashes.values()]
       .map(({ id, atMs, suspects, cleared }) => {
-        const open = rankSuspects(
-          [...suspects].filter((suspect) => !cleared.has(suspect)),
-          recurrence,
-        );
-        return {
-          id,
-          ageMs: nowMs - atMs,
-          open,
-          cleared,
-          related: Math.max(0, ...open.map(recurrence)),
-        };
+        const open = [...suspects].filter((suspect) => !cleared.has(suspect));
+        const related = Math.max(0, ...open.map(recurrence));
+        return { id, ageMs: nowMs - atMs, open, cleared, related };
       })
       .filter(({ related, ageMs }) => related >= MIN_CRASHES || ageMs <= UNRELATED_REPORT_MS)
       .sort((left, right) => right.related - left.related || left.ageMs - right.ageMs);
     return ranked
       .slice(0, MAX_REPORTED_CRASHES)
-      .map(({ id, ageMs, open, cleared }) => limitReport([id, ageMs, open, [...cleared]]));
+      .map(({ id, ageMs, open, cleared }) =>
+        limitReport([id, ageMs, rankSuspects(open, recurrence), [...cleared]]),
+      );
   }
 
   /**
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,5 +1,5 @@
 import { ServerCapacities, type CapacityChange } from '../capacity/server-capacities.js';
-import { Refusal } from '../domain/refusal.js';
+import { Refusal, type RefusalCode } from '../domain/refusal.js';
 import type { Clock } from '../kernel/clock.js';
 import { Deadline } from '../kernel/deadline.js';
 import type { Kernel } from '../kernel/kernel.js';
@@ -40,8 +40,10 @@
 const UNCONFIGURED_RETRY_MS = 1000;
 
 /** Refusals that follow from the configuration, so that it matters how old it is. */
-const CONFIGURED_REFUSALS: ReadonlySet<string> = new Set([
-  ...(['route_unknown', 'key_missing', 'key_unknown'] as const),
+const CONFIGURED_REFUSALS: ReadonlySet<RefusalCode> = new Set([
+  'route_unknown',
+  'key_missing',
+  'key_unknown',
 ]);
 
 /** When a relay that stops accepts requests, as monotonic times in milliseconds. */
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -312,9 +312,8 @@
     this.trial = await this.context.acquireTrial(cause.group);
     metrics.increment('trials.asked', { result: this.trial ? 'granted' : 'refused' });
     if (!this.trial) return;
-    this.recordDecision('crashes', 'try', 'another prompt part may crash servers', {
-      ...describeCause(cause),
-    });
+    const reason = 'another prompt part may crash servers';
+    this.recordDecision('crashes', 'try', reason, describeCause(cause));
     metrics.increment('requests.tried');
   }
 
